--- /dev/null
+++ b/cmd/check.go
@@ -0,0 +1,35 @@
+package cmd
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/gravitational/trace"
+
+	"github.com/kumquathoist/kumquathoist/document"
+	"github.com/kumquathoist/kumquathoist/settings"
+)
+
+// checkCommand checks files.
+type checkCommand struct {
+	File    string `arg:"" type:"existingfile" help:"The file to check."`
+	Section string `help:"Check the file as this section of the configuration (Capacity, Models, Accounts, Routing); without it, as settings."`
+}
+
+// Run checks one file.
+func (c *checkCommand) Run(o console) error {
+	raw, err := os.ReadFile(c.File)
+	if err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	if c.Section == "" {
+		_, err = settings.Decode(raw)
+	} else {
+		_, err = document.Document{}.WithSection(document.Section(c.Section), raw)
+	}
+	if err != nil {
+		return trace.Wrap(err, "%s", c.File)
+	}
+	_, err = fmt.Fprintf(o.out, "%s: ok\n", c.File)
+	return err
+}
--- /dev/null
+++ b/cmd/root.go
@@ -0,0 +1,92 @@
+// Package cmd is the command line: the daemon and the operators' client.
+package cmd
+
+import (
+	"context"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+	"github.com/gravitational/trace"
+	"k8s.io/klog/v2"
+)
+
+// The exit codes.
+const (
+	exitOK = 0
+	// exitFailed means that the command failed and changed nothing.
+	exitFailed = 1
+	// exitUsage means that the command line can't be used.
+	exitUsage = 2
+	// exitRefused means that an edit or a request was refused.
+	exitRefused = 3
+	// exitUnknown means that the command may have taken effect.
+	exitUnknown = 4
+)
+
+// root lists the subcommands.
+type root struct {
+	Run       runCommand       `cmd:"" help:"Run the router daemon on this host."`
+	Local     localCommand     `cmd:"" help:"Run routers and stand-ins in one process, to try the system out."`
+	Check     checkCommand     `cmd:"" help:"Check a settings file or a configuration section without starting or changing anything."`
+	Publish   publishCommand   `cmd:"" help:"Publish a new body of a configuration section."`
+	Show      showCommand      `cmd:"" help:"Show a configuration section in force and its revision."`
+	Audit     auditCommand     `cmd:"" help:"Show who changed what, when, and what came of it."`
+	Status    statusCommand    `cmd:"" help:"Show hosts and engines as one host sees them."`
+	Drain     drainCommand     `cmd:"" help:"Begin a planned stop of a host."`
+	Addresses addressesCommand `cmd:"" help:"Ask a host which addresses callers should use."`
+	Send      sendCommand      `cmd:"" help:"Send a completion request and print the answer as it comes."`
+}
+
+// console is where commands write.
+type console struct {
+	out, err io.Writer
+}
+
+// Execute runs the command line and returns the exit code.
+func Execute(args []string, out, errOut io.Writer) int {
+	defer klog.Flush()
+	var r root
+	code := -1
+	parser, err := kong.New(&r,
+		kong.Name("kumquathoist"),
+		kong.Description("A router for language-model traffic with long shared prompts."),
+		kong.Writers(out, errOut),
+		kong.Exit(func(c int) { code = c }),
+		kong.UsageOnError(),
+	)
+	if err != nil {
+		panic(err)
+	}
+	parsed, err := parser.Parse(args)
+	if code >= 0 {
+		return code
+	}
+	if err != nil {
+		parser.Errorf("%s", err)
+		return exitUsage
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	parsed.BindTo(ctx, (*context.Context)(nil))
+	err = parsed.Run(console{out, errOut})
+	if err != nil {
+		parser.Errorf("%s", trace.UserMessage(err))
+	}
+	return exitCode(err)
+}
+
+// exitCode returns the exit code of an error.
+func exitCode(err error) int {
+	switch {
+	case err == nil:
+		return exitOK
+	case trace.IsCompareFailed(err), trace.IsLimitExceeded(err):
+		return exitRefused
+	case trace.IsConnectionProblem(err):
+		return exitUnknown
+	}
+	return exitFailed
+}
--- /dev/null
+++ b/cmd/status.go
@@ -0,0 +1,54 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+	"text/tabwriter"
+
+	"github.com/kumquathoist/kumquathoist/operator"
+)
+
+// statusCommand shows hosts and engines.
+type statusCommand struct {
+	operatorFlags
+}
+
+// Run prints the status as one host sees it.
+func (c *statusCommand) Run(ctx context.Context, o console) error {
+	var answer operator.StatusAnswer
+	if err := c.get(ctx, "/operator/status", &answer); err != nil {
+		return err
+	}
+	if c.Output == "json" {
+		return printJSON(o.out, answer)
+	}
+	w := tabwriter.NewWriter(o.out, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(w, "host %s, configuration position %d\n\n", answer.Host, answer.Position)
+	fmt.Fprintln(w, "HOST\tFAILURE DOMAIN\tREGION\tCALLERS")
+	for _, h := range answer.Hosts {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\n", h.Name, h.FailureDomain, h.Region, h.Callers)
+	}
+	fmt.Fprintln(w, "\nPOOL\tENGINE\tREACHABLE\tVERSION\tRUNNING\tQUEUED")
+	for _, e := range answer.Engines {
+		fmt.Fprintf(w, "%s\t%s\t%t\t%s\t%d\t%d\n", e.Pool, e.Name, e.Reachable, e.Version, e.Running, e.Queued)
+	}
+	return w.Flush()
+}
+
+// drainCommand begins a planned stop.
+type drainCommand struct {
+	operatorFlags
+}
+
+// Run begins a planned stop of the host that is asked.
+func (c *drainCommand) Run(ctx context.Context, o console) error {
+	var answer struct{ Stopping bool }
+	if err := c.post(ctx, "/operator/drain", struct{}{}, &answer); err != nil {
+		return err
+	}
+	if c.Output == "json" {
+		return printJSON(o.out, answer)
+	}
+	_, err := fmt.Fprintln(o.out, "the host is stopping")
+	return err
+}
--- /dev/null
+++ b/document/document.go
@@ -0,0 +1,154 @@
+// Package document holds the configuration document of the system and the
+// fold that builds it from the records of the platform's log.
+//
+// The document has one section for each team. Every host folds the same
+// records in the same order with the same rules, so that an edit is accepted
+// either everywhere or nowhere. The package does no I/O.
+package document
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"slices"
+)
+
+// Document is one revision of the whole configuration. It is immutable; With
+// methods return changed copies.
+type Document struct {
+	// Position is the log offset up to which records were folded.
+	Position int64 `yaml:"Position"`
+	// Capacity lists the pools of engines and plain services.
+	Capacity Capacity `yaml:"Capacity"`
+	// Models lists the models and the versions in force.
+	Models Models `yaml:"Models"`
+	// Accounts lists the client accounts.
+	Accounts Accounts `yaml:"Accounts"`
+	// Routing sets how engines are chosen.
+	Routing Routing `yaml:"Routing"`
+}
+
+// Capacity is the section of the capacity team.
+type Capacity struct {
+	// Pools are groups of upstreams that do the same work.
+	Pools []Pool `yaml:"Pools"`
+}
+
+// PoolKind tells what the upstreams of a pool are.
+type PoolKind string
+
+// The kinds of pool.
+const (
+	// EnginePool holds engines that run models.
+	EnginePool PoolKind = "Engines"
+	// ServicePool holds plain services.
+	ServicePool PoolKind = "Service"
+)
+
+// Pool is a group of upstreams.
+type Pool struct {
+	Name string   `yaml:"Name"`
+	Kind PoolKind `yaml:"Kind"`
+	// Upstreams are the members of the pool.
+	Upstreams []Upstream `yaml:"Upstreams"`
+	// KeptStore is the base URL of the pool's kept KV cache store, if any.
+	KeptStore string `yaml:"KeptStore,omitempty"`
+}
+
+// Upstream is an engine or an endpoint of a plain service.
+type Upstream struct {
+	Name string `yaml:"Name"`
+	// Address is IP:port.
+	Address       string `yaml:"Address"`
+	FailureDomain string `yaml:"FailureDomain"`
+	// Generation names the hardware.
+	Generation string `yaml:"Generation,omitempty"`
+	// ChecksFence tells that the upstream refuses orders with an old fencing number.
+	ChecksFence bool `yaml:"ChecksFence,omitempty"`
+}
+
+// Models is the section of the models team.
+type Models struct {
+	Models []Model `yaml:"Models"`
+}
+
+// Model is a model and the version in force.
+type Model struct {
+	Name string `yaml:"Name"`
+	// Pool names the engines that run the model.
+	Pool string `yaml:"Pool"`
+	// Version names the weights in force.
+	Version string `yaml:"Version"`
+}
+
+// Accounts is the section of the accounts team.
+type Accounts struct {
+	Accounts []Account `yaml:"Accounts"`
+}
+
+// Account is a client account.
+type Account struct {
+	Name string `yaml:"Name"`
+	// KeyHash is the SHA-256 of the account's key, in hexadecimal.
+	KeyHash string `yaml:"KeyHash"`
+	// Weight is the account's fair share relative to others.
+	Weight int `yaml:"Weight"`
+	// RequestsPerSecond bounds the account over all hosts; 0 means no bound.
+	RequestsPerSecond float64 `yaml:"RequestsPerSecond,omitempty"`
+	// TokensPerSecond bounds prompt and answer tokens; 0 means no bound.
+	TokensPerSecond float64 `yaml:"TokensPerSecond,omitempty"`
+	// Concurrency bounds requests in flight; 0 means no bound.
+	Concurrency int `yaml:"Concurrency,omitempty"`
+	// Models and Services name what the account may use; empty means all.
+	Models   []string `yaml:"Models,omitempty"`
+	Services []string `yaml:"Services,omitempty"`
+}
+
+// Routing is the section that weighs the measures of routing.
+type Routing struct {
+	// WasteWeight moves the choice of engines between least tail time to
+	// first token (0) and least wasted recomputation (1).
+	WasteWeight float64 `yaml:"WasteWeight"`
+}
+
+// HashKey returns the KeyHash of an account's key.
+func HashKey(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// AccountByKeyHash returns the account with the key hash.
+func (d Document) AccountByKeyHash(hash string) (Account, bool) {
+	i := slices.IndexFunc(d.Accounts.Accounts, func(a Account) bool { return a.KeyHash == hash })
+	if i < 0 {
+		return Account{}, false
+	}
+	return d.Accounts.Accounts[i], true
+}
+
+// Model returns the model with the name.
+func (d Document) Model(name string) (Model, bool) {
+	i := slices.IndexFunc(d.Models.Models, func(m Model) bool { return m.Name == name })
+	if i < 0 {
+		return Model{}, false
+	}
+	return d.Models.Models[i], true
+}
+
+// Pool returns the pool with the name.
+func (d Document) Pool(name string) (Pool, bool) {
+	i := slices.IndexFunc(d.Capacity.Pools, func(p Pool) bool { return p.Name == name })
+	if i < 0 {
+		return Pool{}, false
+	}
+	return d.Capacity.Pools[i], true
+}
+
+// AllowsModel tells whether the account may use the model.
+func (a Account) AllowsModel(name string) bool {
+	return len(a.Models) == 0 || slices.Contains(a.Models, name)
+}
+
+// AllowsService tells whether the account may use the plain service.
+func (a Account) AllowsService(name string) bool {
+	return len(a.Services) == 0 || slices.Contains(a.Services, name)
+}
--- /dev/null
+++ b/emulator/main.go
@@ -0,0 +1,97 @@
+// Command emulator runs one stand-in for the platform or an upstream as a
+// process of its own.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+
+	"github.com/kumquathoist/kumquathoist/standin"
+)
+
+// commands lists the stand-ins.
+type commands struct {
+	Log      logCommand      `cmd:"" help:"Stand in for the platform's log service."`
+	HostList hostListCommand `cmd:"" help:"Stand in for the platform's host list."`
+	Engine   engineCommand   `cmd:"" help:"Stand in for a model engine."`
+	Service  serviceCommand  `cmd:"" help:"Stand in for a plain service."`
+}
+
+// listenFlags is where a stand-in listens.
+type listenFlags struct {
+	Listen string `default:"127.0.0.1:0" help:"IP:port to listen on; port 0 lets the kernel choose."`
+}
+
+// server is a running stand-in.
+type server interface {
+	Address() string
+	Wait()
+}
+
+// announce prints the address of a stand-in and waits for its end.
+func announce(s server, err error) error {
+	if err != nil {
+		return err
+	}
+	fmt.Printf("listening %s\n", s.Address())
+	s.Wait()
+	return nil
+}
+
+type logCommand struct{ listenFlags }
+
+// Run serves a log.
+func (c *logCommand) Run(ctx context.Context) error {
+	return announce(standin.NewLog(ctx, c.Listen))
+}
+
+type hostListCommand struct{ listenFlags }
+
+// Run serves a host list.
+func (c *hostListCommand) Run(ctx context.Context) error {
+	return announce(standin.NewHostList(ctx, c.Listen))
+}
+
+type engineCommand struct {
+	listenFlags
+
+	Name         string  `default:"engine-1" help:"The engine's name."`
+	Version      string  `default:"v1" help:"The weights that the engine starts with."`
+	TokenMillis  float64 `default:"5" help:"Milliseconds between two tokens."`
+	AnswerTokens int     `default:"32" help:"Tokens of an answer."`
+	CachePieces  int     `default:"256" help:"Pieces of prompts that the engine keeps."`
+	ChecksFence  bool    `help:"Refuse orders with an old fencing number."`
+}
+
+// Run serves an engine.
+func (c *engineCommand) Run(ctx context.Context) error {
+	o := standin.DefaultEngineOptions(c.Name)
+	o.Version, o.TokenMillis, o.AnswerTokens = c.Version, c.TokenMillis, c.AnswerTokens
+	o.CachePieces, o.ChecksFence = c.CachePieces, c.ChecksFence
+	return announce(standin.NewEngine(ctx, c.Listen, o))
+}
+
+type serviceCommand struct {
+	listenFlags
+
+	Name string `default:"service" help:"The service's name."`
+}
+
+// Run serves a plain service.
+func (c *serviceCommand) Run(ctx context.Context) error {
+	return announce(standin.NewService(ctx, c.Listen, c.Name))
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	var c commands
+	parsed := kong.Parse(&c, kong.Name("emulator"), kong.Description("Stand-ins for the platform and the upstreams of kumquathoist."))
+	parsed.BindTo(ctx, (*context.Context)(nil))
+	parsed.FatalIfErrorf(parsed.Run())
+}
--- /dev/null
+++ b/endtoend/path_test.go
@@ -0,0 +1,70 @@
+package endtoend
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/google/uuid"
+	"github.com/matryer/is"
+
+	"github.com/kumquathoist/kumquathoist/document"
+	"github.com/kumquathoist/kumquathoist/gateway"
+)
+
+// newKey returns a fresh idempotency key.
+func newKey() string { return uuid.Must(uuid.NewV7()).String() }
+
+// TestPath drives the whole path through separate processes.
+func TestPath(t *testing.T) {
+	is := is.New(t)
+	s := startSystem(t, options{routers: 3, engines: 3})
+
+	// A caller asks any router for addresses.
+	var answer gateway.AddressAnswer
+	eventually(t, "every router is in the address answer", func() bool {
+		body, _ := s.routers[1].send(t, http.MethodGet, "/v1/addresses", nil, "")
+		is.NoErr(json.Unmarshal([]byte(body), &answer))
+		return len(answer.Addresses) == 3
+	})
+	is.Equal(answer.Addresses[0].FailureDomain, "abbotsford")
+
+	// A streamed completion is whole and in order.
+	resp, err := s.routers[0].open(http.MethodPost, "/v1/chat/completions", nil,
+		`{"model":"matcher","stream":true,"messages":[{"role":"system","content":"rules"},{"role":"user","content":"pair"}]}`)
+	is.NoErr(err)
+	defer resp.Body.Close()
+	is.Equal(resp.StatusCode, http.StatusOK)
+	position, ended := 0, false
+	for scanner := bufio.NewScanner(resp.Body); scanner.Scan(); {
+		line := scanner.Text()
+		if strings.HasPrefix(line, "id: ") {
+			position++
+			is.Equal(line, fmt.Sprintf("id: %d", position))
+		}
+		ended = ended || line == "data: [DONE]"
+	}
+	is.Equal(position, 32)
+	is.True(ended)
+
+	// A booking sent to two routers runs once and has one answer.
+	key := map[string]string{"Idempotency-Key": newKey()}
+	first, status := s.routers[0].send(t, http.MethodPost, "/services/approvals/approve", key, `{"Invoice":17}`)
+	is.Equal(status, http.StatusOK)
+	second, status := s.routers[2].send(t, http.MethodPost, "/services/approvals/approve", key, `{"Invoice":17}`)
+	is.Equal(status, http.StatusOK)
+	is.Equal(first, second)
+	is.Equal(s.runs(t)[key["Idempotency-Key"]], 1)
+
+	// A configuration change is in force on every router.
+	s.publish(t, document.RoutingSection, document.Routing{WasteWeight: 0.5})
+	for i := range s.routers {
+		eventually(t, "the change is in force", func() bool {
+			output, err := s.command(i, "show", "Routing")
+			return err == nil && strings.Contains(output, "WasteWeight: 0.5")
+		})
+	}
+}
--- /dev/null
+++ b/event/event.go
@@ -0,0 +1,39 @@
+// Package event holds the numbered log events of the daemon.
+//
+// Every log line of the daemon carries one of these numbers, so that an
+// operator can look up its meaning in docs/EVENTS.md. Numbers are never
+// used again for another meaning.
+package event
+
+import (
+	"slices"
+
+	"k8s.io/klog/v2"
+)
+
+// Event is one kind of log line.
+type Event struct {
+	// Number identifies the event; it never changes.
+	Number int
+	// Name is the message of the log line.
+	Name string
+	// Meaning tells an operator what happened and what to do about it.
+	Meaning string
+}
+
+// Info logs the event with structured values.
+func (e Event) Info(keysAndValues ...any) {
+	klog.InfoSDepth(1, e.Name, append([]any{"Event", e.Number}, keysAndValues...)...)
+}
+
+// Error logs the event as an error with structured values.
+func (e Event) Error(err error, keysAndValues ...any) {
+	klog.ErrorSDepth(1, err, e.Name, append([]any{"Event", e.Number}, keysAndValues...)...)
+}
+
+// Catalogue returns every event, ordered by number.
+func Catalogue() []Event {
+	all := slices.Concat(processEvents, requestEvents, configurationEvents, membershipEvents, routingEvents)
+	slices.SortFunc(all, func(a, b Event) int { return a.Number - b.Number })
+	return all
+}
--- /dev/null
+++ b/event/request.go
@@ -0,0 +1,13 @@
+package event
+
+// Events 2000 to 2999: callers' requests.
+var (
+	// RequestEnded reports the outcome of a request.
+	RequestEnded = Event{2001, "request ended", "A request ended with the outcome given: done, not run or unknown."}
+	// AttemptFailed reports one failed try at an upstream.
+	AttemptFailed = Event{2002, "attempt failed", "One attempt at an upstream failed; the request may go on at another."}
+	// ClaimFailed reports that a claim could not be agreed on the log.
+	ClaimFailed = Event{2003, "claim failed", "The log did not confirm a claim; the request was refused as not run."}
+)
+
+var requestEvents = []Event{RequestEnded, AttemptFailed, ClaimFailed}
--- /dev/null
+++ b/gateway/door.go
@@ -0,0 +1,178 @@
+package gateway
+
+import (
+	"encoding/json"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+	"github.com/google/uuid"
+
+	"github.com/kumquathoist/kumquathoist/document"
+	"github.com/kumquathoist/kumquathoist/request"
+)
+
+const (
+	// maxIDBytes bounds ids and keys that callers choose.
+	maxIDBytes = 255
+	// maxPriority bounds the priority that callers choose.
+	maxPriority = 9
+)
+
+// The headers that callers may send.
+const (
+	keyHeader        = "Idempotency-Key"
+	keyIssuedHeader  = "Idempotency-Key-Issued"
+	deadlineHeader   = "X-Deadline-Millis"
+	priorityHeader   = "X-Priority"
+	repeatableHeader = "X-Repeatable"
+	lastEventHeader  = "Last-Event-ID"
+)
+
+// authenticate returns the account of a bearer key.
+func authenticate(doc document.Document, header string) (document.Account, *request.Failure) {
+	key, ok := strings.CutPrefix(header, "Bearer ")
+	if !ok {
+		return document.Account{}, request.Refuse(request.Unauthenticated, "the Authorization header holds no bearer key")
+	}
+	account, ok := doc.AccountByKeyHash(document.HashKey(key))
+	if !ok {
+		return document.Account{}, request.Refuse(request.Unauthenticated, "the key belongs to no account")
+	}
+	return account, nil
+}
+
+// completionBody is what the router reads of a completion request.
+type completionBody struct {
+	Model    string `json:"model"`
+	Stream   bool   `json:"stream"`
+	Prompt   string `json:"prompt"`
+	Messages []struct {
+		Role    string `json:"role"`
+		Content string `json:"content"`
+	} `json:"messages"`
+}
+
+// levels returns the parts of the prompt, each a level of sharing.
+func (b completionBody) levels() [][]byte {
+	if len(b.Messages) == 0 {
+		return [][]byte{[]byte(b.Prompt)}
+	}
+	var levels [][]byte
+	for _, m := range b.Messages {
+		levels = append(levels, []byte(m.Content))
+	}
+	return levels
+}
+
+// completion reads a completion request.
+func (g *Gateway) completion(c fiber.Ctx, doc document.Document, account document.Account) (request.Request, *request.Failure) {
+	r, failure := g.common(c, account)
+	if failure != nil {
+		return r, failure
+	}
+	var body completionBody
+	if err := json.Unmarshal(r.Body, &body); err != nil {
+		return r, request.Refuse(request.BadRequest, "the body is not a completion request: "+err.Error())
+	}
+	if _, ok := doc.Model(body.Model); !ok {
+		return r, request.Refuse(request.NotFound, "there is no model "+strconv.Quote(body.Model))
+	}
+	if !account.AllowsModel(body.Model) {
+		return r, request.Refuse(request.Forbidden, "the account may not use the model")
+	}
+	r.Kind, r.Model, r.Stream, r.Levels = request.Completion, body.Model, body.Stream, body.levels()
+	r.Repeatable = true
+	return r, nil
+}
+
+// serviceCall reads a call of a plain service.
+func (g *Gateway) serviceCall(c fiber.Ctx, doc document.Document, account document.Account) (request.Request, *request.Failure) {
+	r, failure := g.common(c, account)
+	if failure != nil {
+		return r, failure
+	}
+	name := strings.Clone(c.Params("service"))
+	pool, ok := doc.Pool(name)
+	if !ok || pool.Kind != document.ServicePool {
+		return r, request.Refuse(request.NotFound, "there is no service "+strconv.Quote(name))
+	}
+	if !account.AllowsService(name) {
+		return r, request.Refuse(request.Forbidden, "the account may not use the service")
+	}
+	r.Kind, r.Service, r.Path = request.ServiceCall, name, "/"+strings.Clone(c.Params("*"))
+	if query := c.RequestCtx().QueryArgs().String(); query != "" {
+		r.Path += "?" + query
+	}
+	r.Repeatable = r.Repeatable || r.Method == fiber.MethodGet || r.Method == fiber.MethodHead
+	if !r.Repeatable && r.Key == "" {
+		return r, request.Refuse(request.BadRequest, "a call that may not be repeated needs an "+keyHeader)
+	}
+	return r, nil
+}
+
+// common reads what all requests have.
+func (g *Gateway) common(c fiber.Ctx, account document.Account) (request.Request, *request.Failure) {
+	r := request.Request{
+		ID:         c.GetRespHeader(requestIDHeader),
+		Account:    account.Name,
+		Method:     strings.Clone(c.Method()),
+		Path:       strings.Clone(c.Path()),
+		Body:       append([]byte(nil), c.Body()...),
+		Key:        strings.Clone(c.Get(keyHeader)),
+		Repeatable: c.Get(repeatableHeader) == "true",
+		Remaining:  time.Duration(g.Settings.Limits.DeadlineSeconds) * time.Second,
+	}
+	var failure *request.Failure
+	if r.Remaining, failure = numberHeader(c, deadlineHeader, r.Remaining, time.Millisecond, r.Remaining); failure != nil {
+		return r, failure
+	}
+	priority, failure := numberHeader(c, priorityHeader, 0, 1, maxPriority)
+	if failure != nil {
+		return r, failure
+	}
+	after, failure := numberHeader(c, lastEventHeader, 0, 1, 1<<30)
+	if failure != nil {
+		return r, failure
+	}
+	r.Priority, r.ResumeAfter = int(priority), int(after)
+	if r.Key != "" {
+		r.KeyIssued, failure = issued(r.Key, c.Get(keyIssuedHeader))
+	}
+	return r, failure
+}
+
+// numberHeader reads a header that holds a whole number of units.
+func numberHeader(c fiber.Ctx, name string, fallback, unit, most time.Duration) (time.Duration, *request.Failure) {
+	text := c.Get(name)
+	if text == "" {
+		return fallback, nil
+	}
+	n, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || n < 0 || n > int64(most/unit) {
+		return 0, request.Refuse(request.BadRequest, name+" is not a whole number in range")
+	}
+	return time.Duration(n) * unit, nil
+}
+
+// issued returns when a key was made: from the key itself if it is a UUID of
+// version 7, or from the header (Unix milliseconds).
+func issued(key, header string) (time.Time, *request.Failure) {
+	if len(key) > maxIDBytes {
+		return time.Time{}, request.Refuse(request.BadRequest, keyHeader+" is too long")
+	}
+	if header != "" {
+		millis, err := strconv.ParseInt(header, 10, 64)
+		if err != nil {
+			return time.Time{}, request.Refuse(request.BadRequest, keyIssuedHeader+" is not a time in Unix milliseconds")
+		}
+		return time.UnixMilli(millis), nil
+	}
+	id, err := uuid.Parse(key)
+	if err != nil || id.Version() != 7 {
+		return time.Time{}, request.Refuse(request.BadRequest, keyHeader+" must be a UUID of version 7, or "+keyIssuedHeader+" must tell when it was made")
+	}
+	seconds, nanos := id.Time().UnixTime()
+	return time.Unix(seconds, nanos), nil
+}
--- /dev/null
+++ b/gateway/failure.go
@@ -0,0 +1,78 @@
+package gateway
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"math"
+	"strconv"
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+
+	"github.com/kumquathoist/kumquathoist/request"
+)
+
+// errorBody is the JSON of a failure. It has the usual OpenAI-style keys and
+// the outcome.
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Message string          `json:"message"`
+	Type    string          `json:"type"`
+	Code    request.Code    `json:"code"`
+	Outcome request.Outcome `json:"outcome"`
+	// RetryAfterSeconds repeats the header for clients that read only bodies.
+	RetryAfterSeconds int `json:"retry_after_seconds,omitempty"`
+}
+
+// encodeFailure returns the JSON of a failure.
+func encodeFailure(f *request.Failure) []byte {
+	kind := "invalid_request_error"
+	if f.Status() >= fiber.StatusInternalServerError {
+		kind = "server_error"
+	}
+	raw, _ := json.Marshal(errorBody{errorDetail{
+		Message: f.Message, Type: kind, Code: f.Code, Outcome: f.Outcome,
+		RetryAfterSeconds: retrySeconds(f.RetryAfter),
+	}})
+	return raw
+}
+
+// retrySeconds rounds up to whole seconds, as the header wants.
+func retrySeconds(d time.Duration) int { return int(math.Ceil(d.Seconds())) }
+
+// refuse answers with a failure.
+func refuse(c fiber.Ctx, f *request.Failure) error {
+	if f.RetryAfter > 0 {
+		c.Set(fiber.HeaderRetryAfter, strconv.Itoa(retrySeconds(f.RetryAfter)))
+	}
+	c.Set(fiber.HeaderContentType, fiber.MIMEApplicationJSON)
+	return c.Status(f.Status()).Send(encodeFailure(f))
+}
+
+// failureEvent returns the event that ends a stream that failed.
+func failureEvent(f *request.Failure) []byte {
+	var b bytes.Buffer
+	b.WriteString("event: error\ndata: ")
+	b.Write(encodeFailure(f))
+	b.WriteString("\n\n")
+	return b.Bytes()
+}
+
+// handleError turns errors of the HTTP library into typed answers.
+func (g *Gateway) handleError(c fiber.Ctx, err error) error {
+	f := request.Refuse(request.BadRequest, err.Error())
+	var e *fiber.Error
+	if errors.As(err, &e) {
+		switch e.Code {
+		case fiber.StatusNotFound, fiber.StatusMethodNotAllowed:
+			f = request.Refuse(request.NotFound, "there is nothing at this path for this method")
+		case fiber.StatusRequestEntityTooLarge:
+			f = request.Refuse(request.TooLarge, "the body is larger than this host takes")
+		}
+	}
+	return refuse(c, f)
+}
--- /dev/null
+++ b/gateway/serve.go
@@ -0,0 +1,94 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+
+	"github.com/gofiber/fiber/v3"
+
+	"github.com/kumquathoist/kumquathoist/placement"
+)
+
+// serve answers a call of a plain service.
+func (g *Gateway) serve(c fiber.Ctx) error {
+	doc, account, failure := g.begin(c)
+	if failure != nil {
+		return g.refused(c, account.Name, failure)
+	}
+	r, failure := g.serviceCall(c, doc, account)
+	if failure != nil {
+		return g.refused(c, account.Name, failure)
+	}
+	g.open.Add(1)
+	defer g.open.Add(-1)
+	answer, failure := g.Runner.Serve(context.Background(), doc, r)
+	if failure != nil {
+		return g.refused(c, account.Name, failure)
+	}
+	g.finish(r.ID, r.Account, nil)
+	c.Set(fiber.HeaderContentType, answer.ContentType)
+	return c.Status(answer.Status).Send(answer.Body)
+}
+
+// modelList is the answer to a request for the models.
+type modelList struct {
+	Object string       `json:"object"`
+	Data   []modelEntry `json:"data"`
+}
+
+type modelEntry struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	OwnedBy string `json:"owned_by"`
+}
+
+// models lists the models that the account may use.
+func (g *Gateway) models(c fiber.Ctx) error {
+	doc, account, failure := g.begin(c)
+	if failure != nil {
+		return g.refused(c, account.Name, failure)
+	}
+	list := modelList{Object: "list", Data: []modelEntry{}}
+	for _, m := range doc.Models.Models {
+		if account.AllowsModel(m.Name) {
+			list.Data = append(list.Data, modelEntry{m.Name, "model", "kumquathoist"})
+		}
+	}
+	return c.JSON(list)
+}
+
+// AddressAnswer tells callers which hosts to connect to.
+type AddressAnswer struct {
+	// Addresses are in the order to try them.
+	Addresses []Address
+	// KeepSeconds is how long the answer may be used.
+	KeepSeconds int
+}
+
+// Address is one entry host.
+type Address struct {
+	Host          string
+	Address       string
+	FailureDomain string
+}
+
+// addresses answers which hosts the caller should use. Callers are spread by
+// hashing their own address.
+func (g *Gateway) addresses(c fiber.Ctx) error {
+	entries := g.Directory.Entries()
+	byName := map[string]Address{}
+	var names []string
+	for _, h := range entries {
+		if h.Name == g.Settings.Host.Name && g.stopping.Load() {
+			continue
+		}
+		byName[h.Name] = Address{h.Name, h.Callers, h.FailureDomain}
+		names = append(names, h.Name)
+	}
+	slices.Sort(names)
+	answer := AddressAnswer{Addresses: []Address{}, KeepSeconds: g.Settings.Stop.AddressSeconds}
+	for _, name := range placement.Rank(c.RequestCtx().RemoteAddr().String(), names) {
+		answer.Addresses = append(answer.Addresses, byName[name])
+	}
+	return c.JSON(answer)
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,163 @@
+// Package node puts the parts of the router daemon together on one host.
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+	promclient "github.com/prometheus/client_golang/prometheus"
+	"github.com/sourcegraph/conc"
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+
+	"github.com/kumquathoist/kumquathoist/claimlog"
+	"github.com/kumquathoist/kumquathoist/dispatch"
+	"github.com/kumquathoist/kumquathoist/document"
+	"github.com/kumquathoist/kumquathoist/engine"
+	"github.com/kumquathoist/kumquathoist/event"
+	"github.com/kumquathoist/kumquathoist/gateway"
+	"github.com/kumquathoist/kumquathoist/host"
+	"github.com/kumquathoist/kumquathoist/operator"
+	"github.com/kumquathoist/kumquathoist/peer"
+	"github.com/kumquathoist/kumquathoist/platform"
+	"github.com/kumquathoist/kumquathoist/revision"
+	"github.com/kumquathoist/kumquathoist/settings"
+	"github.com/kumquathoist/kumquathoist/upstream"
+)
+
+// Node is a running daemon.
+type Node struct {
+	settings settings.Settings
+	gateway  *gateway.Gateway
+	operator *operator.Server
+	peers    *peer.Server
+	wait     conc.WaitGroup
+	cancel   context.CancelFunc
+	stopOnce sync.Once
+	stop     chan struct{}
+	stopped  chan struct{}
+	// ready tells whether the host can serve requests.
+	ready func() bool
+}
+
+// New starts a daemon. It ends when the context ends, or after a planned
+// stop.
+func New(ctx context.Context, s settings.Settings) (*Node, error) {
+	peerSecret, err := s.Secrets.Peers.Read()
+	if err != nil {
+		return nil, trace.Wrap(err, "reading the peers' secret")
+	}
+	operatorSecret, err := s.Secrets.Operators.Read()
+	if err != nil {
+		return nil, trace.Wrap(err, "reading the operators' secret")
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	n := &Node{settings: s, cancel: cancel, stop: make(chan struct{}), stopped: make(chan struct{})}
+	if err := n.start(ctx, peerSecret, operatorSecret); err != nil {
+		cancel()
+		return nil, err
+	}
+	return n, nil
+}
+
+// start makes the parts in the order of their needs.
+func (n *Node) start(ctx context.Context, peerSecret, operatorSecret settings.Secret) error {
+	registry := promclient.NewRegistry()
+	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
+	metrics, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix: "kumquathoist", CachedReporter: reporter, Separator: prometheus.DefaultSeparator,
+	}, time.Second)
+	n.wait.Go(func() {
+		<-ctx.Done()
+		_ = closer.Close()
+	})
+	log := platform.NewLog(n.settings.Platform.Log)
+	revisions := revision.New(ctx, &n.wait, log)
+	directory := host.NewDirectory(ctx, &n.wait, platform.NewHostList(n.settings.Platform.HostList))
+	client := upstream.NewClient()
+	n.ready = func() bool { return revisions.Ready() && len(directory.Entries()) > 0 }
+	engines := engine.NewTracker(ctx, &n.wait, client, func() document.Document { return revisions.State().Document })
+	dispatcher := dispatch.New(client, engines, claimlog.New(log), directory.Leaving)
+	var err error
+	if n.peers, err = peer.NewServer(n.settings.Listen.Peers, peerSecret); err != nil {
+		return err
+	}
+	n.wait.Go(func() { _ = n.peers.Serve(ctx) })
+	n.operator, err = operator.New(ctx, &n.wait, operator.Options{
+		Settings: n.settings, Secret: operatorSecret, Editor: revisions, Directory: directory,
+		Engines: engines, Metrics: reporter.HTTPHandler(), Stop: n.Stop,
+	})
+	if err != nil {
+		return err
+	}
+	n.gateway, err = gateway.New(ctx, &n.wait, gateway.Options{
+		Settings: n.settings, Runner: dispatcher, Directory: directory, Metrics: metrics,
+		Document: func() (document.Document, bool) { return revisions.State().Document, revisions.Ready() },
+	})
+	if err != nil {
+		return err
+	}
+	event.Listening.Info("Host", n.settings.Host.Name, "Callers", n.Callers(), "Peers", n.Peers(), "Operators", n.Operators())
+	n.wait.Go(func() { n.finish(ctx) })
+	return nil
+}
+
+// Callers returns the IP:port for callers.
+func (n *Node) Callers() string { return n.gateway.Address() }
+
+// Peers returns the IP:port for other hosts.
+func (n *Node) Peers() string { return n.peers.Address() }
+
+// Operators returns the IP:port for operators.
+func (n *Node) Operators() string { return n.operator.Address() }
+
+// Stop begins a planned stop. It returns at once; Wait tells when it ended.
+func (n *Node) Stop() { n.stopOnce.Do(func() { close(n.stop) }) }
+
+// finish carries out a planned stop: the host leaves the address answers,
+// accepts requests until no caller's answer names it, and waits for its
+// streams.
+func (n *Node) finish(ctx context.Context) {
+	defer n.cancel()
+	defer close(n.stopped)
+	select {
+	case <-ctx.Done():
+		return
+	case <-n.stop:
+	}
+	event.Stopping.Info("Host", n.settings.Host.Name, "Open", n.gateway.Open())
+	n.gateway.Stop()
+	pause(ctx, n.settings.Stop.AddressTTL())
+	deadline := time.Now().Add(n.settings.Stop.StreamAllowance())
+	for n.gateway.Open() > 0 && time.Now().Before(deadline) && ctx.Err() == nil {
+		pause(ctx, 10*time.Millisecond)
+	}
+	event.Stopped.Info("Host", n.settings.Host.Name, "Cut", n.gateway.Open())
+}
+
+// Wait returns when the daemon has ended.
+func (n *Node) Wait() { n.wait.Wait() }
+
+// pause waits for a duration or the end of the context.
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// readyInterval is the time between two looks at whether a host is ready.
+const readyInterval = 10 * time.Millisecond
+
+// AwaitReady returns when the host has a configuration and knows its engines.
+func (n *Node) AwaitReady(ctx context.Context) error {
+	for !n.ready() {
+		if ctx.Err() != nil {
+			return trace.ConnectionProblem(ctx.Err(), "host %s is not ready", n.settings.Host.Name)
+		}
+		pause(ctx, readyInterval)
+	}
+	return nil
+}
--- /dev/null
+++ b/operator/operator.go
@@ -0,0 +1,189 @@
+// Package operator is the door for operators: configuration, audit trail,
+// status and metrics over HTTP.
+package operator
+
+import (
+	"context"
+	"crypto/subtle"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+	"github.com/gofiber/fiber/v3/middleware/adaptor"
+	"github.com/gravitational/trace"
+	"github.com/sourcegraph/conc"
+
+	"github.com/kumquathoist/kumquathoist/document"
+	"github.com/kumquathoist/kumquathoist/engine"
+	"github.com/kumquathoist/kumquathoist/platform"
+	"github.com/kumquathoist/kumquathoist/settings"
+)
+
+// publishTimeout bounds the wait for an edit's verdict.
+const publishTimeout = 10 * time.Second
+
+// editor publishes edits and shows the configuration in force.
+type editor interface {
+	State() document.State
+	Publish(ctx context.Context, e document.Edit) (document.Verdict, error)
+}
+
+// directory knows the entry hosts.
+type directory interface {
+	Entries() []platform.Host
+}
+
+// statuses knows the engines.
+type statuses interface {
+	Status(name string) engine.Status
+}
+
+// Options is what an operators' door needs.
+type Options struct {
+	Settings  settings.Settings
+	Secret    settings.Secret
+	Editor    editor
+	Directory directory
+	Engines   statuses
+	// Metrics serves the metrics endpoint.
+	Metrics http.Handler
+	// Stop begins a planned stop of this host.
+	Stop func()
+}
+
+// Server serves operators.
+type Server struct {
+	Options
+
+	app      *fiber.App
+	listener net.Listener
+}
+
+// New listens for operators and serves them until the context ends.
+func New(ctx context.Context, wait *conc.WaitGroup, o Options) (*Server, error) {
+	listener, err := net.Listen("tcp", o.Settings.Listen.Operators)
+	if err != nil {
+		return nil, trace.Wrap(err, "listening for operators")
+	}
+	s := &Server{Options: o, listener: listener, app: fiber.New(fiber.Config{ErrorHandler: handleError})}
+	s.app.Get("/metrics", adaptor.HTTPHandler(o.Metrics))
+	api := s.app.Group("/operator", s.authenticate)
+	api.Get("/sections/:section", s.show)
+	api.Post("/edits", s.publish)
+	api.Get("/edits/:id", s.verdict)
+	api.Get("/audit", s.audit)
+	api.Get("/status", s.status)
+	api.Post("/drain", s.drain)
+	wait.Go(func() { _ = s.app.Listener(listener, fiber.ListenConfig{DisableStartupMessage: true}) })
+	wait.Go(func() {
+		<-ctx.Done()
+		_ = s.app.Shutdown()
+	})
+	return s, nil
+}
+
+// Address returns the IP:port that operators connect to.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+// Problem is the JSON of a refusal.
+type Problem struct {
+	Message string
+	// Unknown tells that the call may have taken effect.
+	Unknown bool
+}
+
+func handleError(c fiber.Ctx, err error) error {
+	status := trace.ErrorToCode(err)
+	if e, ok := err.(*fiber.Error); ok { //nolint:errorlint // fiber returns it unwrapped.
+		status = e.Code
+	}
+	return c.Status(status).JSON(Problem{Message: trace.UserMessage(err), Unknown: trace.IsConnectionProblem(err)})
+}
+
+// authenticate lets only operators in.
+func (s *Server) authenticate(c fiber.Ctx) error {
+	token, _ := strings.CutPrefix(c.Get(fiber.HeaderAuthorization), "Bearer ")
+	if subtle.ConstantTimeCompare([]byte(token), []byte(s.Secret.Reveal())) != 1 {
+		return trace.AccessDenied("the operator's secret is wrong")
+	}
+	return c.Next()
+}
+
+// SectionAnswer is one section and its revision.
+type SectionAnswer struct {
+	Section  document.Section
+	Revision int64
+	Body     string
+}
+
+func (s *Server) show(c fiber.Ctx) error {
+	state := s.Editor.State()
+	section := document.Section(c.Params("section"))
+	body, err := state.Document.Encode(section)
+	if err != nil {
+		return err
+	}
+	return c.JSON(SectionAnswer{section, state.Revisions[section], string(body)})
+}
+
+func (s *Server) publish(c fiber.Ctx) error {
+	var e document.Edit
+	if err := c.Bind().JSON(&e); err != nil {
+		return trace.BadParameter("the edit can't be read: %v", err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), publishTimeout)
+	defer cancel()
+	v, err := s.Editor.Publish(ctx, e)
+	if err != nil {
+		return err
+	}
+	return c.JSON(v)
+}
+
+func (s *Server) verdict(c fiber.Ctx) error {
+	v, ok := s.Editor.State().Verdict(c.Params("id"))
+	if !ok {
+		return trace.NotFound("the edit is not on the log as far as this host has read")
+	}
+	return c.JSON(v)
+}
+
+func (s *Server) audit(c fiber.Ctx) error {
+	return c.JSON(struct{ Verdicts []document.Verdict }{s.Editor.State().Verdicts})
+}
+
+// StatusAnswer tells how the system looks from this host.
+type StatusAnswer struct {
+	Host     string
+	Position int64
+	Hosts    []platform.Host
+	Engines  []EngineStatus
+}
+
+// EngineStatus is one engine as seen from this host.
+type EngineStatus struct {
+	Pool string
+	Name string
+	engine.Status
+}
+
+func (s *Server) status(c fiber.Ctx) error {
+	doc := s.Editor.State().Document
+	answer := StatusAnswer{Host: s.Settings.Host.Name, Position: doc.Position, Hosts: s.Directory.Entries()}
+	for _, p := range doc.Capacity.Pools {
+		if p.Kind != document.EnginePool {
+			continue
+		}
+		for _, u := range p.Upstreams {
+			answer.Engines = append(answer.Engines, EngineStatus{p.Name, u.Name, s.Engines.Status(u.Name)})
+		}
+	}
+	return c.JSON(answer)
+}
+
+func (s *Server) drain(c fiber.Ctx) error {
+	s.Stop()
+	return c.JSON(struct{ Stopping bool }{true})
+}
--- /dev/null
+++ b/peerpb/doc.go
@@ -0,0 +1,3 @@
+// Package peerpb holds the generated messages and services that the hosts
+// of the system speak to each other over drpc.
+package peerpb
--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,31 @@
+#!/bin/sh
+# Runs every check of the repository: formatter, vet, linter, linking and
+# race tests. Installs the linter at its pinned version when it is missing.
+set -eu
+cd "$(dirname "$0")/.."
+
+GOLANGCI_VERSION=2.15.0
+bin="$(go env GOPATH)/bin"
+linter="$bin/golangci-lint"
+if ! "$linter" version 2>/dev/null | grep -q "version v\{0,1\}$GOLANGCI_VERSION "; then
+  go install "github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v$GOLANGCI_VERSION"
+fi
+
+echo "== format"
+unformatted="$(gofmt -l $(git ls-files '*.go'))"
+if [ -n "$unformatted" ]; then
+  echo "gofmt differs: $unformatted"
+  exit 1
+fi
+
+echo "== vet"
+go vet ./...
+
+echo "== lint"
+"$linter" run ./...
+
+echo "== link"
+sh scripts/linking.sh
+
+echo "== test"
+go test -race -timeout 30m ./...
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,171 @@
+// Package settings holds what one host is told when its daemon starts.
+//
+// Settings are a YAML file with Pascal-case keys. What operators change
+// while the system runs is in the configuration document instead (package
+// document).
+package settings
+
+import (
+	"bytes"
+	"os"
+	"time"
+
+	"github.com/goccy/go-yaml"
+	"github.com/gravitational/trace"
+)
+
+// Settings is the whole file.
+type Settings struct {
+	// Host names this host and tells where it stands.
+	Host Host `yaml:"Host"`
+	// Listen holds the addresses that the daemon accepts connections on.
+	Listen Listen `yaml:"Listen"`
+	// Platform tells where the platform's services are.
+	Platform Platform `yaml:"Platform"`
+	// Secrets tells where secrets are read from.
+	Secrets Secrets `yaml:"Secrets"`
+	// Limits bounds what callers may send.
+	Limits Limits `yaml:"Limits"`
+	// Stop sets how a planned stop proceeds.
+	Stop Stop `yaml:"Stop"`
+}
+
+// Host is this host's place in the system.
+type Host struct {
+	Name          string `yaml:"Name"`
+	FailureDomain string `yaml:"FailureDomain"`
+	Region        string `yaml:"Region"`
+}
+
+// Listen holds one address (IP:port) for each kind of client. Port 0 lets
+// the kernel choose.
+type Listen struct {
+	Callers   string `yaml:"Callers"`
+	Peers     string `yaml:"Peers"`
+	Operators string `yaml:"Operators"`
+}
+
+// Platform holds the base URLs of the platform's services.
+type Platform struct {
+	Log      string `yaml:"Log"`
+	HostList string `yaml:"HostList"`
+}
+
+// Secrets names the source of each secret.
+type Secrets struct {
+	// Peers is shared by the hosts of the system.
+	Peers Source `yaml:"Peers"`
+	// Operators is what operators prove themselves with.
+	Operators Source `yaml:"Operators"`
+}
+
+// Source is where a secret is read from: an environment variable or a file.
+type Source struct {
+	Environment string `yaml:"Environment,omitempty"`
+	File        string `yaml:"File,omitempty"`
+}
+
+// Limits bounds callers' connections.
+type Limits struct {
+	// BodyBytes is the largest request body.
+	BodyBytes int `yaml:"BodyBytes"`
+	// HeaderBytes is the largest request head.
+	HeaderBytes int `yaml:"HeaderBytes"`
+	// Connections is the most open connections of callers.
+	Connections int `yaml:"Connections"`
+	// IdleSeconds is how long an idle connection is kept.
+	IdleSeconds int `yaml:"IdleSeconds"`
+	// DeadlineSeconds is the deadline of a request that names none.
+	DeadlineSeconds int `yaml:"DeadlineSeconds"`
+}
+
+// Stop sets how a planned stop proceeds.
+type Stop struct {
+	// AddressSeconds is how long a caller may keep an address answer; a
+	// stopping host accepts new requests for as long.
+	AddressSeconds int `yaml:"AddressSeconds"`
+	// StreamSeconds is how long a stopping host waits for its streams.
+	StreamSeconds int `yaml:"StreamSeconds"`
+}
+
+// AddressTTL is how long a caller may keep an address answer.
+func (s Stop) AddressTTL() time.Duration { return time.Duration(s.AddressSeconds) * time.Second }
+
+// StreamAllowance is how long a stopping host waits for its streams.
+func (s Stop) StreamAllowance() time.Duration { return time.Duration(s.StreamSeconds) * time.Second }
+
+// Default returns the settings that a file starts from.
+func Default() Settings {
+	return Settings{
+		Listen: Listen{Callers: "127.0.0.1:8080", Peers: "127.0.0.1:8081", Operators: "127.0.0.1:8082"},
+		Secrets: Secrets{
+			Peers:     Source{Environment: "KUMQUATHOIST_PEER_SECRET"},
+			Operators: Source{Environment: "KUMQUATHOIST_OPERATOR_SECRET"},
+		},
+		Limits: Limits{BodyBytes: 16 << 20, HeaderBytes: 32 << 10, Connections: 10_000, IdleSeconds: 60, DeadlineSeconds: 120},
+		Stop:   Stop{AddressSeconds: 5, StreamSeconds: 120},
+	}
+}
+
+// Load reads, decodes and checks a settings file.
+func Load(path string) (Settings, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, trace.ConvertSystemError(err)
+	}
+	s, err := Decode(raw)
+	return s, trace.Wrap(err, "reading settings %s", path)
+}
+
+// Decode decodes settings over the defaults and checks them. An unknown key
+// or a wrong type is an error that names its place.
+func Decode(raw []byte) (Settings, error) {
+	s := Default()
+	decoder := yaml.NewDecoder(bytes.NewReader(raw), yaml.Strict())
+	if err := decoder.Decode(&s); err != nil {
+		return Settings{}, trace.BadParameter("%s", yaml.FormatError(err, false, true))
+	}
+	return s, trace.Wrap(s.Check())
+}
+
+// Check returns an error for the first setting that can't be used.
+func (s Settings) Check() error {
+	required := []struct{ key, value string }{
+		{"Host.Name", s.Host.Name},
+		{"Host.FailureDomain", s.Host.FailureDomain},
+		{"Host.Region", s.Host.Region},
+		{"Platform.Log", s.Platform.Log},
+		{"Platform.HostList", s.Platform.HostList},
+	}
+	for _, r := range required {
+		if r.value == "" {
+			return trace.BadParameter("%s is not set", r.key)
+		}
+	}
+	return nil
+}
+
+// Read returns the secret.
+func (s Source) Read() (Secret, error) {
+	if s.File != "" {
+		raw, err := os.ReadFile(s.File)
+		return Secret(bytes.TrimSpace(raw)), trace.ConvertSystemError(err)
+	}
+	value := os.Getenv(s.Environment)
+	if value == "" {
+		return "", trace.BadParameter("environment variable %s holds no secret", s.Environment)
+	}
+	return Secret(value), nil
+}
+
+// Secret is a value that is never printed.
+type Secret string
+
+// String hides the secret from logs and messages.
+func (Secret) String() string { return "(hidden)" }
+
+// GoString hides the secret from %#v.
+func (Secret) GoString() string { return "(hidden)" }
+
+// Reveal returns the value for a comparison or a request.
+func (s Secret) Reveal() string { return string(s) }
--- /dev/null
+++ b/standin/engine.go
@@ -0,0 +1,326 @@
+package standin
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+
+	"github.com/kumquathoist/kumquathoist/prefix"
+)
+
+// EngineOptions sets the size and speed of an engine.
+type EngineOptions struct {
+	Name string
+	// Version names the weights that the engine starts with.
+	Version string
+	// CachePieces is how many pieces of prompts the engine keeps.
+	CachePieces int
+	// PrefillTokensPerSecond is the speed of reading a prompt.
+	PrefillTokensPerSecond float64
+	// TokenMillis is the time between two tokens of an answer.
+	TokenMillis float64
+	// Slots is how many requests the engine runs at once.
+	Slots int
+	// AnswerTokens is the length of an answer that sets no bound.
+	AnswerTokens int
+	// ChecksFence refuses orders with an old fencing number.
+	ChecksFence bool
+}
+
+// DefaultEngineOptions returns an engine like those of today's users.
+func DefaultEngineOptions(name string) EngineOptions {
+	return EngineOptions{
+		Name: name, Version: "v1", CachePieces: 256,
+		PrefillTokensPerSecond: 40_000, TokenMillis: 5, Slots: 16, AnswerTokens: 32,
+	}
+}
+
+// EngineFaults is what a test or a person puts into an engine.
+type EngineFaults struct {
+	// SlowFactor multiplies the time of every token; 0 means 1.
+	SlowFactor float64
+	// CutAfterTokens cuts streams after as many tokens; 0 cuts none.
+	CutAfterTokens int
+	// OmitEnd leaves out the end marker.
+	OmitEnd bool
+	// Leaving refuses new work.
+	Leaving bool
+	// CrashOn makes a prompt that contains the text crash the engine.
+	CrashOn string
+	// Restart empties the cache and begins a new incarnation.
+	Restart bool
+}
+
+// EngineLoad is an engine's load report.
+type EngineLoad struct {
+	Name        string
+	Incarnation int64
+	Version     string
+	Running     int
+	Queued      int
+	Leaving     bool
+}
+
+// Engine stands in for a model engine with a prefix cache.
+type Engine struct {
+	*Server
+
+	options EngineOptions
+	slots   chan struct{}
+	prefill sync.Mutex
+
+	// mu guards the fields below.
+	mu          sync.Mutex
+	incarnation int64
+	version     string
+	cache       *pieceCache
+	running     int
+	queued      int
+	faults      EngineFaults
+	cancelled   map[string]context.CancelFunc
+}
+
+// NewEngine serves an engine on an address until the context ends.
+func NewEngine(ctx context.Context, address string, options EngineOptions) (*Engine, error) {
+	e := &Engine{
+		options:     options,
+		slots:       make(chan struct{}, options.Slots),
+		incarnation: time.Now().UnixNano(),
+		version:     options.Version,
+		cache:       newPieceCache(options.CachePieces),
+		cancelled:   map[string]context.CancelFunc{},
+	}
+	app := newApp()
+	app.Post("/v1/chat/completions", e.complete)
+	app.Post("/v1/completions", e.complete)
+	app.Get("/control/load", e.load)
+	app.Post("/control/cancel", e.cancel)
+	app.Post("/faults", e.setFaults)
+	var err error
+	e.Server, err = newServer(ctx, address, app)
+	return e, err
+}
+
+func (e *Engine) setFaults(c fiber.Ctx) error {
+	var f EngineFaults
+	if err := c.Bind().JSON(&f); err != nil {
+		return err
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if f.Restart {
+		e.incarnation = time.Now().UnixNano()
+		e.cache = newPieceCache(e.options.CachePieces)
+		f.Restart = false
+	}
+	e.faults = f
+	return c.JSON(f)
+}
+
+func (e *Engine) load(c fiber.Ctx) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return c.JSON(EngineLoad{
+		Name: e.options.Name, Incarnation: e.incarnation, Version: e.version,
+		Running: e.running, Queued: e.queued, Leaving: e.faults.Leaving,
+	})
+}
+
+func (e *Engine) cancel(c fiber.Ctx) error {
+	var order struct{ Attempt string }
+	if err := c.Bind().JSON(&order); err != nil {
+		return err
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if stop, ok := e.cancelled[order.Attempt]; ok {
+		stop()
+	}
+	return c.JSON(order)
+}
+
+// completionBody is what an engine reads of a request.
+type completionBody struct {
+	Model     string          `json:"model"`
+	Prompt    string          `json:"prompt"`
+	Messages  json.RawMessage `json:"messages"`
+	MaxTokens int             `json:"max_tokens"`
+}
+
+// run is one request on an engine.
+type run struct {
+	request  string
+	attempt  string
+	chat     bool
+	model    string
+	seed     uint64
+	from, to int
+	faults   EngineFaults
+}
+
+func (e *Engine) complete(c fiber.Ctx) error {
+	var body completionBody
+	if err := c.Bind().JSON(&body); err != nil {
+		return fiber.NewError(http.StatusBadRequest, err.Error())
+	}
+	f, incarnation, version := e.snapshot()
+	if refused := e.refuse(c, f, incarnation, version); refused != "" {
+		c.Set("X-Not-Started", "true")
+		return fiber.NewError(http.StatusServiceUnavailable, refused)
+	}
+	prompt := promptOf(body)
+	if f.CrashOn != "" && contains(prompt, f.CrashOn) {
+		e.crash()
+		return c.RequestCtx().Conn().Close()
+	}
+	scope := prefix.Scope{Account: c.Get("X-Cache-Salt"), Model: body.Model, Weights: version}
+	r := run{
+		request: c.Get("X-Request-Id"), attempt: c.Get("X-Attempt-Id"), model: body.Model,
+		chat: len(body.Messages) > 0, seed: seedOf(scope, prompt), to: body.MaxTokens, faults: f,
+	}
+	if r.to == 0 {
+		r.to = e.options.AnswerTokens
+	}
+	if after := c.Get("X-Resume-After"); after != "" {
+		r.from, _ = strconv.Atoi(after)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	e.admit(r.attempt, stop)
+	cached := e.process(scope, prompt)
+	c.Set("X-Incarnation", strconv.FormatInt(incarnation, 10))
+	c.Set("X-Weights", version)
+	c.Set("X-Cached-Tokens", strconv.Itoa(cached))
+	c.Set("X-Attempt-Id", r.attempt)
+	c.Set("Content-Type", "text/event-stream")
+	return c.SendStreamWriter(func(w *bufio.Writer) {
+		defer e.release(r.attempt, stop)
+		e.write(ctx, w, r)
+	})
+}
+
+// refuse returns why a request is not started, or "".
+func (e *Engine) refuse(c fiber.Ctx, f EngineFaults, incarnation int64, version string) string {
+	if f.Leaving {
+		return "leaving"
+	}
+	if want := c.Get("X-Expect-Incarnation"); want != "" && want != strconv.FormatInt(incarnation, 10) {
+		return "another incarnation"
+	}
+	if want := c.Get("X-Expect-Weights"); want != "" && want != version {
+		return "other weights"
+	}
+	return ""
+}
+
+func (e *Engine) snapshot() (EngineFaults, int64, string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.faults, e.incarnation, e.version
+}
+
+// crash begins a new incarnation with an empty cache and ends every stream.
+func (e *Engine) crash() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.incarnation = time.Now().UnixNano()
+	e.cache = newPieceCache(e.options.CachePieces)
+	for _, stop := range e.cancelled {
+		stop()
+	}
+}
+
+// admit waits for a slot.
+func (e *Engine) admit(attempt string, stop context.CancelFunc) {
+	e.mu.Lock()
+	e.queued++
+	e.cancelled[attempt] = stop
+	e.mu.Unlock()
+	e.slots <- struct{}{}
+	e.mu.Lock()
+	e.queued--
+	e.running++
+	e.mu.Unlock()
+}
+
+// release gives the slot back.
+func (e *Engine) release(attempt string, stop context.CancelFunc) {
+	stop()
+	e.mu.Lock()
+	e.running--
+	delete(e.cancelled, attempt)
+	e.mu.Unlock()
+	<-e.slots
+}
+
+// process reads a prompt and returns how many of its tokens were cached.
+func (e *Engine) process(scope prefix.Scope, prompt []byte) int {
+	pieces := prefix.Pieces(scope, prompt)
+	e.prefill.Lock()
+	defer e.prefill.Unlock()
+	e.mu.Lock()
+	hits := e.cache.use(pieces)
+	e.mu.Unlock()
+	missing := prefix.Tokens(len(prompt)) - hits*prefix.PieceTokens
+	seconds := float64(missing) / e.options.PrefillTokensPerSecond
+	time.Sleep(time.Duration(seconds * float64(time.Second)))
+	return hits * prefix.PieceTokens
+}
+
+// write streams the tokens of an answer.
+func (e *Engine) write(ctx context.Context, w *bufio.Writer, r run) {
+	factor := max(r.faults.SlowFactor, 1)
+	pause := time.Duration(e.options.TokenMillis * factor * float64(time.Millisecond))
+	for position := r.from + 1; position <= r.to; position++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(pause):
+		}
+		if r.faults.CutAfterTokens > 0 && position > r.faults.CutAfterTokens {
+			return
+		}
+		fmt.Fprintf(w, "id: %d\ndata: %s\n\n", position, r.chunk(position))
+		if w.Flush() != nil {
+			return
+		}
+	}
+	if !r.faults.OmitEnd {
+		fmt.Fprint(w, "data: [DONE]\n\n")
+		_ = w.Flush()
+	}
+}
+
+// chunk returns the JSON of one token.
+func (r run) chunk(position int) []byte {
+	text := fmt.Sprintf("w%03d ", (r.seed+uint64(position)*2654435761)%1000)
+	var finish any
+	if position == r.to {
+		finish = "stop"
+	}
+	choice := map[string]any{"index": 0, "finish_reason": finish}
+	object, id := "text_completion", "cmpl-"+r.request
+	if r.chat {
+		object, id = "chat.completion.chunk", "chatcmpl-"+r.request
+		choice["delta"] = map[string]any{"content": text}
+	} else {
+		choice["text"] = text
+	}
+	raw, _ := json.Marshal(map[string]any{"id": id, "object": object, "model": r.model, "choices": []any{choice}})
+	return raw
+}
+
+// seedOf makes the answer a function of the model, the weights and the prompt.
+func seedOf(s prefix.Scope, prompt []byte) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(s.Model + "\x00" + s.Weights + "\x00"))
+	_, _ = h.Write(prompt)
+	return h.Sum64() % 1000
+}
