fix: keep the values of HTTP calls that outlive their handler

Cause: fiber reuses the buffers of a call's strings; the stand-in service counted runs under a key whose bytes changed later (0 runs seen where 1 was meant). Ruled out: a lost call, since the service had answered. Fixed by immutable values in every HTTP server. Before: TestLostAnswerIsNotRunAgain fails; after: passes.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"time"
 
 	"github.com/google/uuid"
@@ -14,9 +13,7 @@
 	"github.com/kumquathoist/kumquathoist/document"
 	"github.com/kumquathoist/kumquathoist/engine"
 	"github.com/kumquathoist/kumquathoist/event"
-	"github.com/kumquathoist/kumquathoist/prefix"
 	"github.com/kumquathoist/kumquathoist/request"
-	"github.com/kumquathoist/kumquathoist/routing"
 	"github.com/kumquathoist/kumquathoist/upstream"
 )
 
@@ -36,15 +33,42 @@
 // Dispatcher runs requests.
 type Dispatcher struct {
 	client  *upstream.Client
-	engines *engine.Tracker
+	engines engines
+	admit   admitter
 	claims  claims
 	leaving func(upstream string) bool
 }
 
-// New returns a dispatcher. The function leaving tells which upstreams get
-// no new work.
-func New(client *upstream.Client, engines *engine.Tracker, claims claims, leaving func(string) bool) *Dispatcher {
-	return &Dispatcher{client: client, engines: engines, claims: claims, leaving: leaving}
+// engines chooses the engine of each attempt.
+type engines interface {
+	// Choose returns an engine of the pool that was not tried, or false when
+	// none can take the request.
+	Choose(ctx context.Context, pool document.Pool, model document.Model, r request.Request, tried []string) (engine.Choice, bool)
+	// Started counts an attempt until the returned function is called with
+	// what the engine reported.
+	Started(c engine.Choice) (ended func(engine.Report))
+}
+
+// admitter decides whether a request may start now.
+type admitter interface {
+	// Admit returns a function to call at the request's end, or why the
+	// request is refused.
+	Admit(doc document.Document, r request.Request) (release func(), refused *request.Failure)
+}
+
+// Options is what a dispatcher needs.
+type Options struct {
+	Client  *upstream.Client
+	Engines engines
+	Admit   admitter
+	Claims  claims
+	// Leaving tells which upstreams get no new work.
+	Leaving func(upstream string) bool
+}
+
+// New returns a dispatcher.
+func New(o Options) *Dispatcher {
+	return &Dispatcher{client: o.Client, engines: o.Engines, admit: o.Admit, claims: o.Claims, leaving: o.Leaving}
 }
 
 // Complete streams a completion into the sink and returns nil once the
@@ -52,24 +76,29 @@
 func (d *Dispatcher) Complete(ctx context.Context, doc document.Document, r request.Request, sink Sink) *request.Failure {
 	ctx, cancel := context.WithTimeout(ctx, r.Remaining)
 	defer cancel()
+	release, refused := d.admit.Admit(doc, r)
+	if refused != nil {
+		return refused
+	}
+	defer release()
 	model, _ := doc.Model(r.Model)
 	pool, _ := doc.Pool(model.Pool)
 	at, sent := r.ResumeAfter, false
 	var tried []string
 	for range maxAttempts {
-		u, ok := d.choose(pool, r, model.Version, tried)
+		choice, ok := d.engines.Choose(ctx, pool, model, r, tried)
 		if !ok {
 			break
 		}
-		tried = append(tried, u.Name)
-		last, err := d.attempt(ctx, u, model, r, at, sink)
+		tried = append(tried, choice.Upstream.Name)
+		last, err := d.attempt(ctx, choice, model, r, at, sink)
 		if err == nil {
 			return nil
 		}
 		at = last
 		var notStarted *upstream.NotStarted
 		sent = sent || !errors.As(err, &notStarted)
-		event.AttemptFailed.Error(err, "Request", r.ID, "Upstream", u.Name, "Position", at)
+		event.AttemptFailed.Error(err, "Request", r.ID, "Upstream", choice.Upstream.Name, "Position", at)
 		if ctx.Err() != nil {
 			break
 		}
@@ -85,34 +114,13 @@
 	return request.Refuse(request.NoUpstream, "no engine can take the request now").WithRetryAfter(retryAfter)
 }
 
-// choose returns the engine for the next attempt.
-func (d *Dispatcher) choose(pool document.Pool, r request.Request, version string, tried []string) (document.Upstream, bool) {
-	key := prefix.Scope{Account: r.Account, Model: r.Model, Weights: version}.Root()
-	for _, level := range r.Levels[:max(len(r.Levels)-1, 0)] {
-		key = key.Next(level)
-	}
-	var usable []document.Upstream
-	var candidates []routing.Candidate
-	for _, u := range pool.Upstreams {
-		s := d.engines.Status(u.Name)
-		if !s.Reachable || s.Leaving || d.leaving(u.Name) || slices.Contains(tried, u.Name) {
-			continue
-		}
-		usable = append(usable, u)
-		candidates = append(candidates, routing.Candidate{Name: u.Name, Load: max(s.Running+s.Queued, s.Sent)})
-	}
-	i := routing.Choose(key, candidates)
-	if i < 0 {
-		return document.Upstream{}, false
-	}
-	return usable[i], true
-}
-
 // attempt streams from one engine and returns the position reached.
-func (d *Dispatcher) attempt(ctx context.Context, u document.Upstream, model document.Model, r request.Request, at int, sink Sink) (int, error) {
-	defer d.engines.Started(u.Name)()
+func (d *Dispatcher) attempt(ctx context.Context, choice engine.Choice, model document.Model, r request.Request, at int, sink Sink) (int, error) {
+	var report engine.Report
+	ended := d.engines.Started(choice)
+	defer func() { ended(report) }()
 	call := upstream.Call{
-		Address: u.Address, Method: r.Method, Path: r.Path, Body: r.Body,
+		Address: choice.Upstream.Address, Method: r.Method, Path: r.Path, Body: r.Body,
 		Request: r.ID, Attempt: uuid.NewString(), Salt: r.Account, Weights: model.Version,
 		ResumeAfter: at, Priority: r.Priority, Remaining: r.Remaining,
 	}
@@ -121,6 +129,7 @@
 		return at, err
 	}
 	defer stream.Close()
+	report = engine.Report{Answered: true, Incarnation: stream.Incarnation, Weights: stream.Weights, CachedTokens: stream.CachedTokens}
 	for {
 		chunk, err := stream.Next()
 		if err != nil {
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -30,6 +30,11 @@
 func (d *Dispatcher) Serve(ctx context.Context, doc document.Document, r request.Request) (upstream.Answer, *request.Failure) {
 	ctx, cancel := context.WithTimeout(ctx, r.Remaining)
 	defer cancel()
+	release, refused := d.admit.Admit(doc, r)
+	if refused != nil {
+		return upstream.Answer{}, refused
+	}
+	defer release()
 	pool, _ := doc.Pool(r.Service)
 	if r.Repeatable {
 		return d.serveRepeatable(ctx, pool, r)
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -40,15 +40,16 @@
 type Tracker struct {
 	reporter reporter
 	current  func() document.Document
+	leaving  func(engine string) bool
 	// mu guards statuses.
 	mu       sync.Mutex
 	statuses map[string]Status
 }
 
 // NewTracker follows the engines of the current document until the context
-// ends.
-func NewTracker(ctx context.Context, wait *conc.WaitGroup, r reporter, current func() document.Document) *Tracker {
-	t := &Tracker{reporter: r, current: current, statuses: map[string]Status{}}
+// ends. The function leaving tells which engines get no new work.
+func NewTracker(ctx context.Context, wait *conc.WaitGroup, r reporter, current func() document.Document, leaving func(engine string) bool) *Tracker {
+	t := &Tracker{reporter: r, current: current, leaving: leaving, statuses: map[string]Status{}}
 	wait.Go(func() {
 		ticker := time.NewTicker(pollInterval)
 		defer ticker.Stop()
@@ -109,13 +110,7 @@
 	return t.statuses[name]
 }
 
-// Started counts a request that goes to an engine; the returned function
-// takes it off again.
-func (t *Tracker) Started(name string) (ended func()) {
-	t.add(name, 1)
-	return func() { t.add(name, -1) }
-}
-
+// add counts requests that this host sent to an engine.
 func (t *Tracker) add(name string, n int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/gateway/door.go
+++ b/gateway/door.go
@@ -93,7 +93,7 @@
 	if failure != nil {
 		return r, failure
 	}
-	name := strings.Clone(c.Params("service"))
+	name := c.Params("service")
 	pool, ok := doc.Pool(name)
 	if !ok || pool.Kind != document.ServicePool {
 		return r, request.Refuse(request.NotFound, "there is no service "+strconv.Quote(name))
@@ -101,7 +101,7 @@
 	if !account.AllowsService(name) {
 		return r, request.Refuse(request.Forbidden, "the account may not use the service")
 	}
-	r.Kind, r.Service, r.Path = request.ServiceCall, name, "/"+strings.Clone(c.Params("*"))
+	r.Kind, r.Service, r.Path = request.ServiceCall, name, "/"+c.Params("*")
 	if query := c.RequestCtx().QueryArgs().String(); query != "" {
 		r.Path += "?" + query
 	}
@@ -117,10 +117,10 @@
 	r := request.Request{
 		ID:         c.GetRespHeader(requestIDHeader),
 		Account:    account.Name,
-		Method:     strings.Clone(c.Method()),
-		Path:       strings.Clone(c.Path()),
-		Body:       append([]byte(nil), c.Body()...),
-		Key:        strings.Clone(c.Get(keyHeader)),
+		Method:     c.Method(),
+		Path:       c.Path(),
+		Body:       c.Body(),
+		Key:        c.Get(keyHeader),
 		Repeatable: c.Get(repeatableHeader) == "true",
 		Remaining:  time.Duration(g.Settings.Limits.DeadlineSeconds) * time.Second,
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -72,6 +72,8 @@
 		Concurrency:    limits.Connections,
 		IdleTimeout:    time.Duration(limits.IdleSeconds) * time.Second,
 		ErrorHandler:   g.handleError,
+		// Values outlive the handler: streams go on after it returned.
+		Immutable: true,
 	})
 	g.app.Get("/healthz", func(c fiber.Ctx) error { return c.SendString("ok\n") })
 	g.app.Get("/readyz", g.ready)
--- a/node/node.go
+++ b/node/node.go
@@ -12,6 +12,7 @@
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 
+	"github.com/kumquathoist/kumquathoist/admission"
 	"github.com/kumquathoist/kumquathoist/claimlog"
 	"github.com/kumquathoist/kumquathoist/dispatch"
 	"github.com/kumquathoist/kumquathoist/document"
@@ -78,8 +79,10 @@
 	directory := host.NewDirectory(ctx, &n.wait, platform.NewHostList(n.settings.Platform.HostList))
 	client := upstream.NewClient()
 	n.ready = func() bool { return revisions.Ready() && len(directory.Entries()) > 0 }
-	engines := engine.NewTracker(ctx, &n.wait, client, func() document.Document { return revisions.State().Document })
-	dispatcher := dispatch.New(client, engines, claimlog.New(log), directory.Leaving)
+	engines := engine.NewTracker(ctx, &n.wait, client, func() document.Document { return revisions.State().Document }, directory.Leaving)
+	dispatcher := dispatch.New(dispatch.Options{
+		Client: client, Engines: engines, Admit: admission.New(), Claims: claimlog.New(log), Leaving: directory.Leaving,
+	})
 	var err error
 	if n.peers, err = peer.NewServer(n.settings.Listen.Peers, peerSecret); err != nil {
 		return err
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -67,7 +67,7 @@
 	if err != nil {
 		return nil, trace.Wrap(err, "listening for operators")
 	}
-	s := &Server{Options: o, listener: listener, app: fiber.New(fiber.Config{ErrorHandler: handleError})}
+	s := &Server{Options: o, listener: listener, app: fiber.New(fiber.Config{ErrorHandler: handleError, Immutable: true})}
 	s.app.Get("/metrics", adaptor.HTTPHandler(o.Metrics))
 	api := s.app.Group("/operator", s.authenticate)
 	api.Get("/sections/:section", s.show)
--- a/standin/server.go
+++ b/standin/server.go
@@ -50,7 +50,8 @@
 // Wait returns when the server has ended.
 func (s *Server) Wait() { s.wait.Wait() }
 
-// newApp returns an app for large bodies without a banner.
+// newApp returns an app for large bodies. Its values are immutable, since the
+// stand-ins keep them after the call.
 func newApp() *fiber.App {
-	return fiber.New(fiber.Config{BodyLimit: 64 << 20, StreamRequestBody: false})
+	return fiber.New(fiber.Config{BodyLimit: 64 << 20, Immutable: true})
 }
