--- a/cmd/check.go
+++ b/cmd/check.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"strings"
 
 	"github.com/gravitational/trace"
 
@@ -13,7 +14,7 @@
 // checkCommand checks files.
 type checkCommand struct {
 	File    string `arg:"" type:"existingfile" help:"The file to check."`
-	Section string `help:"Check the file as this section of the configuration (Capacity, Models, Accounts, Routing); without it, as settings."`
+	Section string `help:"Check the file as this section of the configuration (Capacity, Models, Accounts, Routing, Audit); without it, as settings."`
 }
 
 // Run checks one file.
@@ -28,7 +29,8 @@
 		_, err = document.Document{}.WithSection(document.Section(c.Section), raw)
 	}
 	if err != nil {
-		return trace.Wrap(err, "%s", c.File)
+		// One line for each problem, as compilers print them.
+		return trace.BadParameter("%s can't be used:\n%s:%s", c.File, c.File, strings.ReplaceAll(trace.UserMessage(err), "\n", "\n"+c.File+":"))
 	}
 	_, err = fmt.Fprintf(o.out, "%s: ok\n", c.File)
 	return err
--- /dev/null
+++ b/cmd/diff.go
@@ -0,0 +1,54 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/gravitational/trace"
+
+	"github.com/kumquathoist/kumquathoist/document"
+)
+
+// diffCommand compares a file with a section.
+type diffCommand struct {
+	operatorFlags
+
+	Section  string `arg:"" help:"The section: Capacity, Models, Accounts, Routing or Audit."`
+	File     string `arg:"" type:"existingfile" help:"The body to compare (YAML)."`
+	Revision *int64 `help:"Compare with this older accepted revision instead of the one in force."`
+}
+
+// differenceAnswer is what the command prints for programs.
+type differenceAnswer struct {
+	Section document.Section
+	// Revision is what the file was compared with.
+	Revision int64
+	Same     bool
+	Lines    []document.Line
+}
+
+// Run prints what publishing the file would change.
+func (c *diffCommand) Run(ctx context.Context, o console) error {
+	body, err := os.ReadFile(c.File)
+	if err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	section, err := c.section(ctx, c.Section, c.Revision)
+	if err != nil {
+		return err
+	}
+	changes := document.Difference(section.Body, string(body))
+	if c.Output == "json" {
+		return printJSON(o.out, differenceAnswer{section.Section, section.Revision, changes == nil, changes})
+	}
+	if changes == nil {
+		_, err = fmt.Fprintf(o.out, "%s is the same as revision %d of %s\n", c.File, section.Revision, section.Section)
+		return err
+	}
+	fmt.Fprintf(o.out, "--- %s, revision %d\n+++ %s\n", section.Section, section.Revision, c.File)
+	for _, line := range changes {
+		fmt.Fprintf(o.out, "%s%s\n", line.Mark, line.Text)
+	}
+	return nil
+}
--- a/cmd/publish.go
+++ b/cmd/publish.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"net/url"
 	"os"
+	"strconv"
 
 	"github.com/google/uuid"
 	"github.com/gravitational/trace"
@@ -12,15 +14,21 @@
 	"github.com/kumquathoist/kumquathoist/operator"
 )
 
+// editFlags are the flags of commands that change a section.
+type editFlags struct {
+	operatorFlags
+
+	Base   *int64 `help:"The revision that the new body is built on; by default the one in force."`
+	Author string `help:"Who makes the change; by default the user who runs the command."`
+	ID     string `help:"The edit's id; give the id of an edit with unknown outcome to send it again safely."`
+}
+
 // publishCommand publishes a section.
 type publishCommand struct {
-	operatorFlags
+	editFlags
 
-	Section string `arg:"" help:"The section: Capacity, Models, Accounts or Routing."`
+	Section string `arg:"" help:"The section: Capacity, Models, Accounts, Routing or Audit."`
 	File    string `arg:"" type:"existingfile" help:"The new body of the section (YAML)."`
-	Base    *int64 `help:"The revision that the new body is built on; by default the one in force."`
-	Author  string `help:"Who makes the change; by default the user who runs the command."`
-	ID      string `help:"The edit's id; give the id of an edit with unknown outcome to send it again safely."`
 }
 
 // Run publishes the section and prints the verdict.
@@ -29,24 +37,82 @@
 	if err != nil {
 		return trace.ConvertSystemError(err)
 	}
-	edit := document.Edit{ID: c.ID, Section: document.Section(c.Section), Author: c.Author, Body: string(body)}
+	return c.publish(ctx, o, document.Section(c.Section), string(body))
+}
+
+// rollForwardCommand publishes an older body as a new edit.
+type rollForwardCommand struct {
+	editFlags
+
+	Section  string `arg:"" help:"The section: Capacity, Models, Accounts, Routing or Audit."`
+	Revision int64  `arg:"" help:"The accepted revision whose body is published again."`
+}
+
+// Run publishes the body of an older revision as a new revision.
+func (c *rollForwardCommand) Run(ctx context.Context, o console) error {
+	older, err := c.section(ctx, c.Section, &c.Revision)
+	if err != nil {
+		return err
+	}
+	return c.publish(ctx, o, older.Section, older.Body)
+}
+
+// publish publishes a body and prints the verdict.
+func (f editFlags) publish(ctx context.Context, o console, section document.Section, body string) error {
+	edit := document.Edit{ID: f.ID, Section: section, Author: f.Author, Body: body}
 	if edit.ID == "" {
 		edit.ID = uuid.NewString()
 	}
 	if edit.Author == "" {
 		edit.Author = operatorName()
 	}
-	if edit.Base, err = c.base(ctx); err != nil {
+	var err error
+	if edit.Base, err = f.base(ctx, string(section)); err != nil {
 		return err
 	}
 	var v document.Verdict
-	if err := c.post(ctx, "/operator/edits", edit, &v); err != nil {
-		return trace.Wrap(err, "edit %s", edit.ID)
+	err = f.post(ctx, "/operator/edits", edit, &v)
+	if trace.IsConnectionProblem(err) {
+		return trace.ConnectionProblem(err, "%s. Ask again with: kumquathoist audit --id %s. To send it again safely, add: --id %s --base %d",
+			trace.UserMessage(err), edit.ID, edit.ID, edit.Base)
 	}
-	if c.Output == "json" {
+	if err != nil {
+		return err
+	}
+	return printVerdict(o, f.Output, v)
+}
+
+// base returns the revision that the edit builds on.
+func (f editFlags) base(ctx context.Context, section string) (int64, error) {
+	if f.Base != nil {
+		return *f.Base, nil
+	}
+	answer, err := f.section(ctx, section, nil)
+	if trace.IsConnectionProblem(err) {
+		// Nothing was sent that could change anything.
+		return 0, trace.BadParameter("%s", trace.UserMessage(err))
+	}
+	return answer.Revision, err
+}
+
+// section returns a section in force, or an older revision of it.
+func (f operatorFlags) section(ctx context.Context, section string, revision *int64) (operator.SectionAnswer, error) {
+	path := "/operator/sections/" + url.PathEscape(section)
+	if revision != nil {
+		path += "?Revision=" + strconv.FormatInt(*revision, 10)
+	}
+	var answer operator.SectionAnswer
+	err := f.get(ctx, path, &answer)
+	return answer, err
+}
+
+// printVerdict prints a verdict; a refusal is an error as well.
+func printVerdict(o console, output string, v document.Verdict) error {
+	var err error
+	if output == "json" {
 		err = printJSON(o.out, v)
 	} else {
-		err = printVerdict(o, v)
+		_, err = fmt.Fprintf(o.out, "edit %s of %s: %s, revision %d\n", v.Edit, v.Section, outcome(v), v.Current)
 	}
 	if err == nil && !v.Accepted {
 		return trace.CompareFailed("edit %s was refused: %s", v.Edit, v.Reason)
@@ -54,21 +120,10 @@
 	return err
 }
 
-// base returns the revision that the edit builds on.
-func (c *publishCommand) base(ctx context.Context) (int64, error) {
-	if c.Base != nil {
-		return *c.Base, nil
-	}
-	var answer operator.SectionAnswer
-	err := c.get(ctx, "/operator/sections/"+c.Section, &answer)
-	return answer.Revision, err
-}
-
-func printVerdict(o console, v document.Verdict) error {
-	word := "refused"
+// outcome names what came of an edit.
+func outcome(v document.Verdict) string {
 	if v.Accepted {
-		word = "accepted"
+		return "accepted"
 	}
-	_, err := fmt.Fprintf(o.out, "edit %s of %s: %s, revision %d\n", v.Edit, v.Section, word, v.Current)
-	return err
+	return "refused"
 }
--- a/document/document.go
+++ b/document/document.go
@@ -25,6 +25,8 @@
 	Accounts Accounts `yaml:"Accounts"`
 	// Routing sets how engines are chosen.
 	Routing Routing `yaml:"Routing"`
+	// Audit bounds what is kept of past edits.
+	Audit Audit `yaml:"Audit"`
 }
 
 // Capacity is the section of the capacity team.
@@ -110,6 +112,34 @@
 	WasteWeight float64 `yaml:"WasteWeight"`
 }
 
+// Audit is the section that bounds what is kept of past edits. It is in the
+// document, since all hosts have to keep the same.
+type Audit struct {
+	// Verdicts is the most entries of the audit trail; 0 means the default.
+	Verdicts int `yaml:"Verdicts,omitempty"`
+	// Days is the age past which entries are dropped; 0 means no bound.
+	Days int `yaml:"Days,omitempty"`
+	// Bodies is the most older revisions kept of each section; 0 means the
+	// default.
+	Bodies int `yaml:"Bodies,omitempty"`
+}
+
+const (
+	defaultVerdicts = 1000
+	defaultBodies   = 3
+)
+
+// withDefaults returns the section with its defaults set.
+func (a Audit) withDefaults() Audit {
+	if a.Verdicts == 0 {
+		a.Verdicts = defaultVerdicts
+	}
+	if a.Bodies == 0 {
+		a.Bodies = defaultBodies
+	}
+	return a
+}
+
 // HashKey returns the KeyHash of an account's key.
 func HashKey(key string) string {
 	sum := sha256.Sum256([]byte(key))
--- a/document/section.go
+++ b/document/section.go
@@ -1,10 +1,10 @@
 package document
 
 import (
-	"bytes"
-
 	"github.com/goccy/go-yaml"
 	"github.com/gravitational/trace"
+
+	"github.com/kumquathoist/kumquathoist/problem"
 )
 
 // Section names a part of the document that one team edits.
@@ -16,32 +16,66 @@
 	ModelsSection   Section = "Models"
 	AccountsSection Section = "Accounts"
 	RoutingSection  Section = "Routing"
+	AuditSection    Section = "Audit"
 )
 
 // Sections lists every section in the order in which a new system is set up:
 // references point to earlier sections.
 func Sections() []Section {
-	return []Section{CapacitySection, ModelsSection, AccountsSection, RoutingSection}
+	return []Section{CapacitySection, ModelsSection, AccountsSection, RoutingSection, AuditSection}
 }
 
-// WithSection returns the document with one section replaced by decoded
-// YAML. A key that is unknown or a value of a wrong type is an error.
+// WithSection returns the document with one section replaced by decoded YAML.
+// The error lists every problem that can be seen without the other sections
+// (package problem).
 func (d Document) WithSection(s Section, body []byte) (Document, error) {
+	next, file, err := d.decode(s, body)
+	if err != nil {
+		return d, err
+	}
+	return next, next.problems(s, file, false)
+}
+
+// Replace returns the document with one section replaced by decoded YAML. The
+// error lists every problem, references between sections included.
+func (d Document) Replace(s Section, body []byte) (Document, error) {
+	next, file, err := d.decode(s, body)
+	if err != nil {
+		return d, err
+	}
+	return next, next.problems(s, file, true)
+}
+
+// decode decodes one section without a look at its values.
+func (d Document) decode(s Section, body []byte) (Document, problem.File, error) {
+	if len(body) > maxBodyBytes {
+		return d, problem.File{}, trace.BadParameter("the body has %d bytes, more than %d", len(body), maxBodyBytes)
+	}
+	var file problem.File
+	var list problem.List
 	switch s {
 	case CapacitySection:
 		d.Capacity = Capacity{}
-		return d, decode(body, &d.Capacity)
+		file, list = problem.Decode(body, &d.Capacity)
 	case ModelsSection:
 		d.Models = Models{}
-		return d, decode(body, &d.Models)
+		file, list = problem.Decode(body, &d.Models)
 	case AccountsSection:
 		d.Accounts = Accounts{}
-		return d, decode(body, &d.Accounts)
+		file, list = problem.Decode(body, &d.Accounts)
 	case RoutingSection:
 		d.Routing = Routing{}
-		return d, decode(body, &d.Routing)
+		file, list = problem.Decode(body, &d.Routing)
+	case AuditSection:
+		d.Audit = Audit{}
+		file, list = problem.Decode(body, &d.Audit)
+	default:
+		return d, file, trace.NotFound("there is no section %q", s)
+	}
+	if len(list) > 0 {
+		return d, file, list
 	}
-	return d, trace.NotFound("there is no section %q", s)
+	return d, file, nil
 }
 
 // Encode returns the YAML of one section.
@@ -51,6 +85,7 @@
 		ModelsSection:   d.Models,
 		AccountsSection: d.Accounts,
 		RoutingSection:  d.Routing,
+		AuditSection:    d.Audit,
 	}
 	value, ok := values[s]
 	if !ok {
@@ -58,11 +93,3 @@
 	}
 	return yaml.Marshal(value)
 }
-
-func decode(body []byte, into any) error {
-	decoder := yaml.NewDecoder(bytes.NewReader(body), yaml.Strict())
-	if err := decoder.Decode(into); err != nil {
-		return trace.BadParameter("%s", yaml.FormatError(err, false, true))
-	}
-	return nil
-}
--- a/node/node.go
+++ b/node/node.go
@@ -23,7 +23,6 @@
 	"github.com/kumquathoist/kumquathoist/operator"
 	"github.com/kumquathoist/kumquathoist/peer"
 	"github.com/kumquathoist/kumquathoist/platform"
-	"github.com/kumquathoist/kumquathoist/revision"
 	"github.com/kumquathoist/kumquathoist/settings"
 	"github.com/kumquathoist/kumquathoist/upstream"
 )
@@ -75,18 +74,21 @@
 		_ = closer.Close()
 	})
 	log := platform.NewLog(n.settings.Platform.Log)
-	revisions := revision.New(ctx, &n.wait, log)
+	var err error
+	if n.peers, err = peer.NewServer(n.settings.Listen.Peers, peerSecret); err != nil {
+		return err
+	}
 	directory := host.NewDirectory(ctx, &n.wait, platform.NewHostList(n.settings.Platform.HostList))
+	revisions, err := n.startConfiguration(ctx, log, directory, metrics, peerSecret)
+	if err != nil {
+		return err
+	}
 	client := upstream.NewClient()
 	n.ready = func() bool { return revisions.Ready() && len(directory.Entries()) > 0 }
 	engines := engine.NewTracker(ctx, &n.wait, client, func() document.Document { return revisions.State().Document }, directory.Leaving)
 	dispatcher := dispatch.New(dispatch.Options{
 		Client: client, Engines: engines, Admit: admission.New(), Claims: claimlog.New(log), Leaving: directory.Leaving,
 	})
-	var err error
-	if n.peers, err = peer.NewServer(n.settings.Listen.Peers, peerSecret); err != nil {
-		return err
-	}
 	n.wait.Go(func() { _ = n.peers.Serve(ctx) })
 	n.operator, err = operator.New(ctx, &n.wait, operator.Options{
 		Settings: n.settings, Secret: operatorSecret, Editor: revisions, Directory: directory,
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -7,6 +7,8 @@
 	"crypto/subtle"
 	"net"
 	"net/http"
+	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -18,6 +20,7 @@
 	"github.com/kumquathoist/kumquathoist/document"
 	"github.com/kumquathoist/kumquathoist/engine"
 	"github.com/kumquathoist/kumquathoist/platform"
+	"github.com/kumquathoist/kumquathoist/revision"
 	"github.com/kumquathoist/kumquathoist/settings"
 )
 
@@ -28,6 +31,8 @@
 type editor interface {
 	State() document.State
 	Publish(ctx context.Context, e document.Edit) (document.Verdict, error)
+	Body(ctx context.Context, section document.Section, revision int64) (document.Body, error)
+	Status() revision.Status
 }
 
 // directory knows the entry hosts.
@@ -118,14 +123,27 @@
 	Body     string
 }
 
+// show answers with the section in force or, if Revision is asked for, with
+// an older accepted one.
 func (s *Server) show(c fiber.Ctx) error {
 	state := s.Editor.State()
 	section := document.Section(c.Params("section"))
-	body, err := state.Document.Encode(section)
-	if err != nil {
-		return err
+	if !slices.Contains(document.Sections(), section) {
+		return trace.NotFound("there is no section %q", section)
+	}
+	body, _ := state.Body(section)
+	if asked := c.Query("Revision"); asked != "" {
+		number, err := strconv.ParseInt(asked, 10, 64)
+		if err != nil {
+			return trace.BadParameter("revision %q is not a number", asked)
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), publishTimeout)
+		defer cancel()
+		if body, err = s.Editor.Body(ctx, section, number); err != nil {
+			return trace.NotFound("%s", trace.UserMessage(err))
+		}
 	}
-	return c.JSON(SectionAnswer{section, state.Revisions[section], string(body)})
+	return c.JSON(SectionAnswer{section, body.Revision, body.Text})
 }
 
 func (s *Server) publish(c fiber.Ctx) error {
@@ -145,7 +163,7 @@
 func (s *Server) verdict(c fiber.Ctx) error {
 	v, ok := s.Editor.State().Verdict(c.Params("id"))
 	if !ok {
-		return trace.NotFound("the edit is not on the log as far as this host has read")
+		return trace.NotFound("the edit is not on the log as far as this host has read, or its verdict is not kept any more; it is safe to publish it again with the same id")
 	}
 	return c.JSON(v)
 }
@@ -158,8 +176,10 @@
 type StatusAnswer struct {
 	Host     string
 	Position int64
-	Hosts    []platform.Host
-	Engines  []EngineStatus
+	// Configuration tells whether the position is known to be current.
+	Configuration revision.Status
+	Hosts         []platform.Host
+	Engines       []EngineStatus
 }
 
 // EngineStatus is one engine as seen from this host.
@@ -171,7 +191,7 @@
 
 func (s *Server) status(c fiber.Ctx) error {
 	doc := s.Editor.State().Document
-	answer := StatusAnswer{Host: s.Settings.Host.Name, Position: doc.Position, Hosts: s.Directory.Entries()}
+	answer := StatusAnswer{Host: s.Settings.Host.Name, Position: doc.Position, Configuration: s.Editor.Status(), Hosts: s.Directory.Entries()}
 	for _, p := range doc.Capacity.Pools {
 		if p.Kind != document.EnginePool {
 			continue
--- a/revision/revision.go
+++ b/revision/revision.go
@@ -1,5 +1,6 @@
 // Package revision keeps the configuration document in force on this host:
-// it follows the log's configuration stream and publishes edits.
+// it follows the log's configuration stream, exchanges what it knows with
+// other hosts, writes snapshots and publishes edits.
 package revision
 
 import (
@@ -8,116 +9,190 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/gravitational/trace"
 	"github.com/sourcegraph/conc"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/kumquathoist/kumquathoist/document"
 	"github.com/kumquathoist/kumquathoist/event"
 	"github.com/kumquathoist/kumquathoist/platform"
 )
 
-const (
-	// readWait is how long one read of the log waits for a record.
-	readWait = 20 * time.Second
-	// retryInterval is the pause after a failed read.
-	retryInterval = 500 * time.Millisecond
-)
-
 // stream is the log service as this package uses it.
 type stream interface {
 	Append(ctx context.Context, stream string, data []byte) (platform.Appended, error)
 	Read(ctx context.Context, stream string, from int64, wait time.Duration) (platform.Page, error)
 }
 
-// Keeper holds the configuration in force. Its state only moves forward.
+// peers calls other hosts.
+type peers interface {
+	// Fetch asks the host at an address for a state newer than a position.
+	Fetch(ctx context.Context, address string, position int64) (Offer, error)
+	// Announce tells the host at an address of a newer position.
+	Announce(ctx context.Context, address string, position int64) error
+}
+
+// Offer is what another host answers.
+type Offer struct {
+	// Position is the log offset that the other host has folded up to.
+	Position int64
+	// State is the encoded state, or empty.
+	State []byte
+	// CurrentAge is how long ago the other host knew that nothing is newer
+	// than its position; negative if it never did.
+	CurrentAge time.Duration
+	// Checksum is that of the state at the position.
+	Checksum string
+}
+
+// Options is what a keeper needs.
+type Options struct {
+	// Host names this host.
+	Host  string
+	Log   stream
+	Peers peers
+	// Members returns the entry hosts of the system.
+	Members func() []platform.Host
+	// Retention is how long the log keeps records.
+	Retention time.Duration
+	// SnapshotShare is the part of Retention after which a snapshot is due.
+	SnapshotShare float64
+	Metrics       tally.Scope
+}
+
+// Keeper holds the configuration in force. Its position only moves forward.
 type Keeper struct {
-	log   stream
+	Options
+
+	// state is the configuration in force, for readers without the lock.
 	state atomic.Pointer[document.State]
-	// mu guards changed, which closes with the next change of state.
-	mu      sync.Mutex
+	ready atomic.Bool
+	// serving bounds how many hosts fetch a state at a time.
+	serving chan struct{}
+	// advanced wakes the announcer.
+	advanced chan struct{}
+
+	// mu guards the fields below. Nothing else is locked while it is held.
+	mu sync.Mutex
+	// changed closes with the next change of state.
 	changed chan struct{}
+	replica document.Replica
+	// current is when this host last knew that nothing is newer; zero if it
+	// never did.
+	current time.Time
+	// page is the last answer of the log, without its records, and pageAt when
+	// it came.
+	page   platform.Page
+	pageAt time.Time
+	// logTried tells that the log answered or failed once; logDown that its
+	// last answer is missing.
+	logTried, logDown bool
+	// gap and reset tell what the log lacks.
+	gap, reset bool
 }
 
 // New follows the configuration stream until the context ends.
-func New(ctx context.Context, wait *conc.WaitGroup, log stream) *Keeper {
-	k := &Keeper{log: log, changed: make(chan struct{})}
-	initial := document.New()
-	k.state.Store(&initial)
+func New(ctx context.Context, wait *conc.WaitGroup, o Options) *Keeper {
+	k := &Keeper{
+		Options: o, changed: make(chan struct{}), replica: document.NewReplica(),
+		serving: make(chan struct{}, maxServing), advanced: make(chan struct{}, 1),
+	}
+	k.state.Store(&k.replica.State)
 	wait.Go(func() { k.follow(ctx) })
+	wait.Go(func() { k.exchange(ctx) })
+	wait.Go(func() { k.announce(ctx) })
+	wait.Go(func() { k.snapshots(ctx) })
 	return k
 }
 
 // State returns the configuration in force.
 func (k *Keeper) State() document.State { return *k.state.Load() }
 
-// Ready tells whether any record was folded.
-func (k *Keeper) Ready() bool { return k.State().Document.Position >= 0 }
+// Ready tells whether this host may serve with its configuration.
+func (k *Keeper) Ready() bool { return k.ready.Load() }
 
-// follow reads the log until the context ends.
-func (k *Keeper) follow(ctx context.Context) {
-	for ctx.Err() == nil {
-		err := k.read(ctx, readWait)
-		if err == nil || ctx.Err() != nil {
-			continue
-		}
-		event.LogUnreachable.Error(err, "Stream", platform.ConfigurationStream)
-		select {
-		case <-ctx.Done():
-		case <-time.After(retryInterval):
-		}
-	}
+// Status is what this host knows of its configuration.
+type Status struct {
+	Ready bool
+	// Reason tells why the host is not ready or not current; empty if it is.
+	Reason string
+	// StaleSeconds is the time since the host last knew that nothing is newer;
+	// -1 if it never did.
+	StaleSeconds float64
 }
 
-// read folds what one read of the log gives.
-func (k *Keeper) read(ctx context.Context, wait time.Duration) error {
-	page, err := k.log.Read(ctx, platform.ConfigurationStream, k.State().Document.Position+1, wait)
-	if err != nil {
-		return trace.Wrap(err)
+// Status returns what this host knows of its configuration.
+func (k *Keeper) Status() Status {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	s := Status{Ready: k.ready.Load(), Reason: k.reason(), StaleSeconds: -1}
+	if !k.current.IsZero() {
+		s.StaleSeconds = time.Since(k.current).Seconds()
 	}
-	for _, r := range page.Records {
-		k.fold(document.Record{Offset: r.Offset, AppendedMillis: r.AppendedMillis, Data: r.Data})
+	return s
+}
+
+// reason tells what keeps the host from being ready or current. The caller
+// holds mu.
+func (k *Keeper) reason() string {
+	switch {
+	case k.replica.Halt != "":
+		return k.replica.Halt
+	case k.replica.Conflict != "":
+		return "another host folded the same records differently: " + k.replica.Conflict
+	case k.reset:
+		return "the log shows fewer records than this host has read"
+	case k.gap:
+		return "the log dropped records that this host has not read, and neither a snapshot nor another host fills the gap"
+	case k.logDown && k.replica.Position() < 0:
+		return "neither the log nor another host gave a configuration"
+	case k.logDown:
+		return "the log does not answer this host"
+	case k.replica.Position() < 0:
+		return "no configuration was published, or the log has not answered yet"
 	}
-	return nil
+	return ""
 }
 
-// fold applies one record and wakes those who wait for it.
-func (k *Keeper) fold(r document.Record) {
+// update replaces the replica by what change makes of it, publishes the new
+// state and wakes those who wait for it.
+func (k *Keeper) update(change func(document.Replica) document.Replica) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	next := k.State().Fold(r)
-	k.state.Store(&next)
+	before := k.replica
+	next := change(before)
+	if next.Position() < before.Position() {
+		panic("the configuration moved back")
+	}
+	k.replica = next
+	k.state.Store(&next.State)
+	k.report(before, next)
+	if next.Position() == before.Position() {
+		return
+	}
 	close(k.changed)
 	k.changed = make(chan struct{})
-	event.RevisionInForce.Info("Position", next.Document.Position)
+	select {
+	case k.advanced <- struct{}{}:
+	default:
+	}
 }
 
-// Publish appends an edit and returns its verdict once it was read back. An
-// error of kind trace.ConnectionProblem leaves the verdict unknown; it can be
-// asked for by the edit's ID.
-func (k *Keeper) Publish(ctx context.Context, e document.Edit) (document.Verdict, error) {
-	raw, err := document.EncodeEdit(e)
-	if err != nil {
-		return document.Verdict{}, trace.Wrap(err)
+// report logs what changed between two replicas.
+func (k *Keeper) report(before, next document.Replica) {
+	if next.Halt != before.Halt && next.Halt != "" {
+		event.FoldHalted.Info("Reason", next.Halt)
 	}
-	if _, err := k.log.Append(ctx, platform.ConfigurationStream, raw); err != nil {
-		return document.Verdict{}, trace.Wrap(err, "the outcome of edit %s is unknown", e.ID)
+	if next.Conflict != before.Conflict && next.Conflict != "" {
+		event.StateConflict.Info("With", next.Conflict)
 	}
-	return k.await(ctx, e.ID)
-}
-
-// await waits until the edit's record was folded.
-func (k *Keeper) await(ctx context.Context, id string) (document.Verdict, error) {
-	for {
-		k.mu.Lock()
-		changed := k.changed
-		k.mu.Unlock()
-		if v, ok := k.State().Verdict(id); ok {
-			return v, nil
-		}
-		select {
-		case <-ctx.Done():
-			return document.Verdict{}, trace.ConnectionProblem(ctx.Err(), "the outcome of edit %s is unknown", id)
-		case <-changed:
+	if next.Position() == before.Position() {
+		return
+	}
+	for _, v := range next.Verdicts {
+		if v.Offset > before.Position() && !v.Accepted {
+			event.EditRefused.Info("Edit", v.Edit, "Section", v.Section, "Author", v.Author, "Reason", v.Reason)
 		}
 	}
+	event.RevisionInForce.Info("Position", next.Position())
+	k.Metrics.Gauge("configuration_position").Update(float64(next.Position()))
 }
--- /dev/null
+++ b/settings/check.go
@@ -0,0 +1,118 @@
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"net/url"
+
+	"github.com/kumquathoist/kumquathoist/problem"
+)
+
+// The largest values that settings take.
+const (
+	maxBodyBytes   = 1 << 30
+	maxHeaderBytes = 1 << 20
+	maxConnections = 1_000_000
+	// maxSeconds bounds durations, except for the log's retention.
+	maxSeconds          = 86_400
+	maxRetentionSeconds = 10 * 365 * 86_400
+)
+
+// checker collects the problems of settings.
+type checker struct {
+	file problem.File
+	list problem.List
+}
+
+func (c *checker) report(path, format string, args ...any) {
+	c.list = append(c.list, c.file.At(path, format, args...))
+}
+
+// check lists every value that can't be used.
+func (s Settings) check(file problem.File) problem.List {
+	c := &checker{file: file}
+	c.texts(s)
+	c.addresses(s)
+	c.numbers(s)
+	c.list.Sort()
+	return c.list
+}
+
+// texts checks what has no default.
+func (c *checker) texts(s Settings) {
+	for _, r := range []struct{ path, value string }{
+		{"Host.Name", s.Host.Name},
+		{"Host.FailureDomain", s.Host.FailureDomain},
+		{"Host.Region", s.Host.Region},
+	} {
+		if r.value == "" {
+			c.report(r.path, "is not set")
+		}
+	}
+	for _, r := range []struct {
+		path   string
+		source Source
+	}{
+		{"Secrets.Peers", s.Secrets.Peers},
+		{"Secrets.Operators", s.Secrets.Operators},
+	} {
+		if r.source.Environment == "" && r.source.File == "" {
+			c.report(r.path, "names neither an environment variable nor a file")
+		}
+	}
+}
+
+// addresses checks where the daemon listens and what it connects to.
+func (c *checker) addresses(s Settings) {
+	taken := map[netip.AddrPort]string{}
+	for _, r := range []struct{ path, value string }{
+		{"Listen.Callers", s.Listen.Callers},
+		{"Listen.Peers", s.Listen.Peers},
+		{"Listen.Operators", s.Listen.Operators},
+	} {
+		address, err := netip.ParseAddrPort(r.value)
+		switch other, twice := taken[address]; {
+		case err != nil:
+			c.report(r.path, "%q is not IP:port", r.value)
+		case twice && address.Port() != 0:
+			c.report(r.path, "%s is also the address of %s", r.value, other)
+		default:
+			taken[address] = r.path
+		}
+	}
+	for _, r := range []struct{ path, value string }{
+		{"Platform.Log", s.Platform.Log},
+		{"Platform.HostList", s.Platform.HostList},
+	} {
+		if u, err := url.Parse(r.value); err != nil || u.Host == "" || u.Scheme != "http" && u.Scheme != "https" {
+			c.report(r.path, "%q is not an http or https URL", r.value)
+		}
+	}
+}
+
+// numbers checks the ranges of numbers.
+func (c *checker) numbers(s Settings) {
+	for _, r := range []struct {
+		path               string
+		value, least, most int
+	}{
+		{"Configuration.LogRetentionSeconds", s.Configuration.LogRetentionSeconds, 1, maxRetentionSeconds},
+		{"Limits.BodyBytes", s.Limits.BodyBytes, 1, maxBodyBytes},
+		{"Limits.HeaderBytes", s.Limits.HeaderBytes, 1, maxHeaderBytes},
+		{"Limits.Connections", s.Limits.Connections, 1, maxConnections},
+		{"Limits.IdleSeconds", s.Limits.IdleSeconds, 1, maxSeconds},
+		{"Limits.DeadlineSeconds", s.Limits.DeadlineSeconds, 1, maxSeconds},
+		{"Stop.AddressSeconds", s.Stop.AddressSeconds, 0, maxSeconds},
+		{"Stop.StreamSeconds", s.Stop.StreamSeconds, 0, maxSeconds},
+	} {
+		if r.value < r.least || r.value > r.most {
+			c.report(r.path, "%d is out of range, %d to %d", r.value, r.least, r.most)
+		}
+	}
+	if share := s.Configuration.SnapshotShare; !(share > 0 && share <= maxSnapshotShare) {
+		c.report("Configuration.SnapshotShare", "%s is out of range, above 0 to %v", fmt.Sprint(share), maxSnapshotShare)
+	}
+}
+
+// maxSnapshotShare leaves time for other hosts when the first writer fails.
+const maxSnapshotShare = 0.8
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -10,8 +10,9 @@
 	"os"
 	"time"
 
-	"github.com/goccy/go-yaml"
 	"github.com/gravitational/trace"
+
+	"github.com/kumquathoist/kumquathoist/problem"
 )
 
 // Settings is the whole file.
@@ -22,6 +23,8 @@
 	Listen Listen `yaml:"Listen"`
 	// Platform tells where the platform's services are.
 	Platform Platform `yaml:"Platform"`
+	// Configuration sets how the configuration document is kept.
+	Configuration Configuration `yaml:"Configuration"`
 	// Secrets tells where secrets are read from.
 	Secrets Secrets `yaml:"Secrets"`
 	// Limits bounds what callers may send.
@@ -51,6 +54,21 @@
 	HostList string `yaml:"HostList"`
 }
 
+// Configuration sets how the configuration document outlives the log's
+// retention.
+type Configuration struct {
+	// LogRetentionSeconds is how long the log keeps records.
+	LogRetentionSeconds int `yaml:"LogRetentionSeconds"`
+	// SnapshotShare is the part of the log's retention after which the
+	// configuration is written to the log again.
+	SnapshotShare float64 `yaml:"SnapshotShare"`
+}
+
+// LogRetention is how long the log keeps records.
+func (c Configuration) LogRetention() time.Duration {
+	return time.Duration(c.LogRetentionSeconds) * time.Second
+}
+
 // Secrets names the source of each secret.
 type Secrets struct {
 	// Peers is shared by the hosts of the system.
@@ -102,8 +120,9 @@
 			Peers:     Source{Environment: "KUMQUATHOIST_PEER_SECRET"},
 			Operators: Source{Environment: "KUMQUATHOIST_OPERATOR_SECRET"},
 		},
-		Limits: Limits{BodyBytes: 16 << 20, HeaderBytes: 32 << 10, Connections: 10_000, IdleSeconds: 60, DeadlineSeconds: 120},
-		Stop:   Stop{AddressSeconds: 5, StreamSeconds: 120},
+		Configuration: Configuration{LogRetentionSeconds: 86_400, SnapshotShare: 0.5},
+		Limits:        Limits{BodyBytes: 16 << 20, HeaderBytes: 32 << 10, Connections: 10_000, IdleSeconds: 60, DeadlineSeconds: 120},
+		Stop:          Stop{AddressSeconds: 5, StreamSeconds: 120},
 	}
 }
 
@@ -117,32 +136,18 @@
 	return s, trace.Wrap(err, "reading settings %s", path)
 }
 
-// Decode decodes settings over the defaults and checks them. An unknown key
-// or a wrong type is an error that names its place.
+// Decode decodes settings over the defaults and checks them. The error lists
+// every problem with its place (package problem).
 func Decode(raw []byte) (Settings, error) {
 	s := Default()
-	decoder := yaml.NewDecoder(bytes.NewReader(raw), yaml.Strict())
-	if err := decoder.Decode(&s); err != nil {
-		return Settings{}, trace.BadParameter("%s", yaml.FormatError(err, false, true))
-	}
-	return s, trace.Wrap(s.Check())
-}
-
-// Check returns an error for the first setting that can't be used.
-func (s Settings) Check() error {
-	required := []struct{ key, value string }{
-		{"Host.Name", s.Host.Name},
-		{"Host.FailureDomain", s.Host.FailureDomain},
-		{"Host.Region", s.Host.Region},
-		{"Platform.Log", s.Platform.Log},
-		{"Platform.HostList", s.Platform.HostList},
+	file, problems := problem.Decode(raw, &s)
+	if len(problems) == 0 {
+		problems = s.check(file)
 	}
-	for _, r := range required {
-		if r.value == "" {
-			return trace.BadParameter("%s is not set", r.key)
-		}
+	if len(problems) > 0 {
+		return Settings{}, trace.BadParameter("%s", problems.Error())
 	}
-	return nil
+	return s, nil
 }
 
 // Read returns the secret.
