feat: tell acceptance once another host has the edit

Cause: the fault matrix found that an accepted edit could vanish (cell fold, log trimmed and drain): one host read it and told the operator, the log dropped the record, the host left. Acceptance is now told when one more host confirms the position; else the outcome is unknown and can be asked for.

--- a/document/check.go
+++ b/document/check.go
@@ -37,8 +37,8 @@
 }
 
 // problems lists what is wrong with the edited section and, if wanted, with
-// references between sections. It returns nil when nothing is.
-func (d Document) problems(edited Section, file problem.File, references bool) error {
+// references between sections.
+func (d Document) problems(edited Section, file problem.File, references bool) problem.List {
 	c := &checker{edited: edited, file: file}
 	switch edited {
 	case CapacitySection:
@@ -58,17 +58,9 @@
 		c.modelReferences(d)
 		c.accountReferences(d)
 	}
-	if len(c.list) == 0 {
-		return nil
-	}
-	c.list.Sort()
 	return c.list
 }
 
-// Check returns an error that lists every reference between sections that
-// names nothing.
-func (d Document) Check() error { return d.problems("", problem.File{}, true) }
-
 // names checks that every name is set and stands once.
 func (c *checker) names(s Section, names, paths []string) {
 	first := map[string]string{}
--- a/document/fold_test.go
+++ b/document/fold_test.go
@@ -26,3 +26,106 @@
 	is.True(!v.Accepted)
 	is.Equal(s.Document.Routing.WasteWeight, 0.1)
 }
+
+// fold folds edits of the routing section at offsets 0, 1, ...
+func fold(t *testing.T, s State, edits ...Edit) State {
+	t.Helper()
+	for _, e := range edits {
+		s = s.Fold(record(t, s.Position()+1, e))
+	}
+	return s
+}
+
+func weight(id string, base int64, value string) Edit {
+	return Edit{ID: id, Section: RoutingSection, Base: base, Author: "ana", Body: "WasteWeight: " + value}
+}
+
+// TestFoldDecides checks what each kind of record does after one edit.
+func TestFoldDecides(t *testing.T) {
+	edit := func(e Edit) []byte {
+		raw, err := EncodeEdit(e)
+		is.New(t).NoErr(err)
+		return raw
+	}
+	for _, c := range []struct {
+		name     string
+		data     []byte
+		value    float64
+		position int64
+		verdict  string
+	}{
+		{"next revision", edit(weight("b", 1, "0.2")), 0.2, 1, ""},
+		{"older base", edit(weight("b", 0, "0.2")), 0.1, 1, "the edit is built on revision 0, and the section is at revision 1 by ana"},
+		{"base that is not there yet", edit(weight("b", 7, "0.2")), 0.1, 1, "the edit is built on revision 7, and the section is at revision 1 by ana"},
+		{"same id", edit(weight("a", 1, "0.2")), 0.1, 1, ""},
+		{"problems", edit(weight("b", 1, "2\nColour: red")), 0.1, 1, "1:14: WasteWeight: 2 is out of range, 0 to 1; 2:1: Colour: unknown key"},
+		{"out of range", edit(weight("b", 1, "2")), 0.1, 1, "1:14: WasteWeight: 2 is out of range, 0 to 1"},
+		{"no section", edit(Edit{ID: "b", Section: "Colours"}), 0.1, 1, `there is no section "Colours"`},
+		{"newer rules", []byte(`{"Kind":"Edit","Rules":2,"Body":{}}`), 0.1, 0, ""},
+		{"unknown kind", []byte(`{"Kind":"Poem","Rules":1,"Body":{}}`), 0.1, 1, ""},
+		{"unknown field", []byte(`{"Kind":"Edit","Rules":1,"Body":{"ID":"b","Section":"Routing","Base":1,"Body":"WasteWeight: 0.2","Colour":1}}`), 0.1, 1, ""},
+		{"no record", []byte("\x00\xff"), 0.1, 1, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			s := fold(t, New(), weight("a", 0, "0.1")).Fold(Record{Offset: 1, Data: c.data})
+			is.Equal(s.Document.Routing.WasteWeight, c.value)
+			is.Equal(s.Position(), c.position)
+			is.Equal(s.Halt != "", c.position == 0)
+			v, _ := s.Verdict("b")
+			is.Equal(v.Reason, c.verdict)
+		})
+	}
+}
+
+// TestAuditSectionBoundsWhatIsKept checks the bounds of the audit trail.
+func TestAuditSectionBoundsWhatIsKept(t *testing.T) {
+	is := is.New(t)
+	s := fold(t, New(), Edit{ID: "bounds", Section: AuditSection, Body: "Verdicts: 2\nBodies: 1"},
+		weight("a", 0, "0.1"), weight("b", 2, "0.2"), weight("c", 3, "0.3"))
+	is.Equal(len(s.Verdicts), 2)
+	_, kept := s.BodyAt(RoutingSection, 3)
+	is.True(kept)
+	_, kept = s.BodyAt(RoutingSection, 2)
+	is.True(!kept)
+}
+
+// TestSnapshotNeedsAllRecordsAfterIt checks that a reader does not start from
+// a snapshot when the log dropped records after what it covers.
+func TestSnapshotNeedsAllRecordsAfterIt(t *testing.T) {
+	is := is.New(t)
+	one := fold(t, New(), weight("a", 0, "0.1"))
+	raw, err := EncodeSnapshot(one.Snapshot("paused"))
+	is.NoErr(err)
+	late := Record{Offset: 3, Data: raw}
+	three := fold(t, one, weight("b", 1, "0.2"), weight("c", 2, "0.3"))
+	fresh, err := EncodeSnapshot(three.Fold(late).Snapshot("owner"))
+	is.NoErr(err)
+	r := NewReplica().Read(Page{Records: []Record{late}, First: 2, Next: 4})
+	is.Equal(r.Position(), int64(-1)) // Record 1 is missing.
+	r = r.Read(Page{Records: []Record{{Offset: 5, Data: raw}}, First: 5, Next: 6})
+	is.Equal(r.Position(), int64(-1)) // Now records 1 to 4 are.
+	r = r.Read(Page{Records: []Record{{Offset: 6, Data: fresh}}, First: 5, Next: 7})
+	is.Equal(r.Position(), int64(-1)) // It covers up to 3; record 4 is missing.
+	r = NewReplica().Read(Page{Records: []Record{{Offset: 4, Data: fresh}, {Offset: 5, Data: raw}}, First: 4, Next: 6})
+	is.Equal(r.Position(), int64(5))
+	is.Equal(r.Document.Routing.WasteWeight, 0.3) // The late, old one did not override.
+}
+
+// TestSnapshotDue checks when a snapshot is written.
+func TestSnapshotDue(t *testing.T) {
+	is := is.New(t)
+	s := fold(t, New(), weight("a", 0, "0.1"), weight("b", 1, "0.2"))
+	due := func(first, now int64) bool {
+		return s.SnapshotDue(Retention{Millis: 10_000, Share: 0.5, First: first, NowMillis: now})
+	}
+	is.True(!due(0, 4_999))
+	is.True(due(0, 5_000))
+	is.True(due(1, 0)) // The log already dropped a record.
+	raw, err := EncodeSnapshot(s.Snapshot("owner"))
+	is.NoErr(err)
+	s = s.Fold(Record{Offset: 2, AppendedMillis: 6_000, Data: raw})
+	is.True(!due(2, 10_999))
+	is.True(due(2, 11_000))
+	is.True(!New().SnapshotDue(Retention{First: 9}))
+}
--- a/document/section.go
+++ b/document/section.go
@@ -29,53 +29,54 @@
 // The error lists every problem that can be seen without the other sections
 // (package problem).
 func (d Document) WithSection(s Section, body []byte) (Document, error) {
-	next, file, err := d.decode(s, body)
-	if err != nil {
-		return d, err
-	}
-	return next, next.problems(s, file, false)
+	return d.replace(s, body, false)
 }
 
 // Replace returns the document with one section replaced by decoded YAML. The
 // error lists every problem, references between sections included.
 func (d Document) Replace(s Section, body []byte) (Document, error) {
-	next, file, err := d.decode(s, body)
-	if err != nil {
-		return d, err
-	}
-	return next, next.problems(s, file, true)
+	return d.replace(s, body, true)
 }
 
-// decode decodes one section without a look at its values.
-func (d Document) decode(s Section, body []byte) (Document, problem.File, error) {
+func (d Document) replace(s Section, body []byte, references bool) (Document, error) {
 	if len(body) > maxBodyBytes {
-		return d, problem.File{}, trace.BadParameter("the body has %d bytes, more than %d", len(body), maxBodyBytes)
+		return d, trace.BadParameter("the body has %d bytes, more than %d", len(body), maxBodyBytes)
+	}
+	next := d
+	target, ok := next.empty(s)
+	if !ok {
+		return d, trace.NotFound("there is no section %q", s)
+	}
+	file, problems := problem.Decode(body, target)
+	if !file.Unread {
+		problems = problems.With(next.problems(s, file, references))
 	}
-	var file problem.File
-	var list problem.List
+	if len(problems) > 0 {
+		return d, problems
+	}
+	return next, nil
+}
+
+// empty empties a section and returns a pointer to it.
+func (d *Document) empty(s Section) (any, bool) {
 	switch s {
 	case CapacitySection:
 		d.Capacity = Capacity{}
-		file, list = problem.Decode(body, &d.Capacity)
+		return &d.Capacity, true
 	case ModelsSection:
 		d.Models = Models{}
-		file, list = problem.Decode(body, &d.Models)
+		return &d.Models, true
 	case AccountsSection:
 		d.Accounts = Accounts{}
-		file, list = problem.Decode(body, &d.Accounts)
+		return &d.Accounts, true
 	case RoutingSection:
 		d.Routing = Routing{}
-		file, list = problem.Decode(body, &d.Routing)
+		return &d.Routing, true
 	case AuditSection:
 		d.Audit = Audit{}
-		file, list = problem.Decode(body, &d.Audit)
-	default:
-		return d, file, trace.NotFound("there is no section %q", s)
-	}
-	if len(list) > 0 {
-		return d, file, list
+		return &d.Audit, true
 	}
-	return d, file, nil
+	return nil, false
 }
 
 // Encode returns the YAML of one section.
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -31,6 +31,7 @@
 type editor interface {
 	State() document.State
 	Publish(ctx context.Context, e document.Edit) (document.Verdict, error)
+	Outcome(ctx context.Context, id string) (document.Verdict, error)
 	Body(ctx context.Context, section document.Section, revision int64) (document.Body, error)
 	Status() revision.Status
 }
@@ -161,9 +162,11 @@
 }
 
 func (s *Server) verdict(c fiber.Ctx) error {
-	v, ok := s.Editor.State().Verdict(c.Params("id"))
-	if !ok {
-		return trace.NotFound("the edit is not on the log as far as this host has read, or its verdict is not kept any more; it is safe to publish it again with the same id")
+	ctx, cancel := context.WithTimeout(context.Background(), publishTimeout)
+	defer cancel()
+	v, err := s.Editor.Outcome(ctx, c.Params("id"))
+	if err != nil {
+		return err
 	}
 	return c.JSON(v)
 }
--- a/problem/problem.go
+++ b/problem/problem.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"reflect"
 	"slices"
@@ -65,9 +66,33 @@
 
 // File knows where each value of a decoded file stands.
 type File struct {
+	// Unread tells that the file is no YAML document, so that nothing was
+	// decoded.
+	Unread bool
+
 	places map[string]Place
 }
 
+// With returns the list with further problems, sorted by place. One at a
+// value that already has a problem, or around or inside it, is left out: it
+// may only follow from that.
+func (l List) With(more List) List {
+	all := slices.Clone(l)
+	for _, p := range more {
+		if !slices.ContainsFunc(l, func(known Problem) bool { return within(p.Path, known.Path) || within(known.Path, p.Path) }) {
+			all = append(all, p)
+		}
+	}
+	all.Sort()
+	return all
+}
+
+// within tells whether a path is another one or leads into it.
+func within(path, outer string) bool {
+	rest, ok := strings.CutPrefix(path, outer)
+	return ok && outer != "" && (rest == "" || rest[0] == '.' || rest[0] == '[')
+}
+
 // At returns a problem at the value that the path names. A value that the
 // file leaves out is placed at the nearest value around it.
 func (f File) At(path, format string, args ...any) Problem {
@@ -86,33 +111,25 @@
 
 // Decode decodes one YAML document into a pointer to a struct, over the
 // values that it holds. Unknown keys, repeated keys and values of a wrong
-// type are problems; the target is then left as it was.
+// type are problems; what has none is decoded all the same, so that its values
+// can be checked too.
 func Decode(raw []byte, into any) (f File, problems List) {
 	f = File{places: map[string]Place{}}
 	// A panic in the YAML library must not stop every host that reads an edit.
 	defer func() {
 		if r := recover(); r != nil {
-			problems = List{{Message: "the text can't be read as YAML"}}
+			f.Unread, problems = true, List{{Message: "the text can't be read as YAML"}}
 		}
 	}()
 	body, problems := parse(raw)
 	if len(problems) > 0 || body == nil {
+		f.Unread = len(problems) > 0
 		return f, problems
 	}
-	target := reflect.ValueOf(into).Elem()
 	w := walker{file: f}
-	w.walk("", body, target.Type())
-	if len(w.problems) > 0 {
-		w.problems.Sort()
-		return f, w.problems
-	}
-	decoded := reflect.New(target.Type())
-	decoded.Elem().Set(target)
-	if err := yaml.NewDecoder(bytes.NewReader(raw), yaml.Strict()).Decode(decoded.Interface()); err != nil {
-		return f, List{{Message: firstLine(err)}}
-	}
-	target.Set(decoded.Elem())
-	return f, nil
+	w.walk("", body, reflect.ValueOf(into).Elem())
+	w.problems.Sort()
+	return f, w.problems
 }
 
 // parse returns the root of the only document of a file, or nil for an empty
@@ -142,7 +159,7 @@
 func syntaxProblem(err error) Problem {
 	p := Problem{Message: firstLine(err)}
 	var placed yaml.Error
-	if asYAMLError(err, &placed) {
+	if errors.As(err, &placed) {
 		p.Message = placed.GetMessage()
 		if t := placed.GetToken(); t != nil && t.Position != nil {
 			p.Place = Place{t.Position.Line, t.Position.Column}
@@ -150,3 +167,9 @@
 	}
 	return p
 }
+
+// firstLine returns the first line of an error.
+func firstLine(err error) string {
+	line, _, _ := strings.Cut(err.Error(), "\n")
+	return line
+}
--- a/problem/walk.go
+++ b/problem/walk.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding"
-	"errors"
 	"fmt"
 	"math"
 	"reflect"
@@ -12,89 +11,71 @@
 	"github.com/goccy/go-yaml/ast"
 )
 
-// walker compares a YAML tree with the Go type that it is decoded into.
+// walker decodes a YAML tree and collects its problems.
 type walker struct {
 	file     File
 	problems List
 }
 
-// walk checks one value and what it holds.
-func (w *walker) walk(path string, n ast.Node, t reflect.Type) {
+// walk decodes one value and what it holds.
+func (w *walker) walk(path string, n ast.Node, v reflect.Value) {
 	w.note(path, n)
-	for t.Kind() == reflect.Pointer {
-		t = t.Elem()
+	if v.Kind() == reflect.Pointer {
+		v.Set(reflect.New(v.Type().Elem()))
+		v = v.Elem()
 	}
-	if decodesItself(t) {
+	if decodesItself(v.Type()) {
+		if err := yaml.NodeToValue(n, v.Addr().Interface()); err != nil {
+			w.report(path, "%s", firstLine(err))
+		}
 		return
 	}
-	switch t.Kind() {
+	switch v.Kind() {
 	case reflect.Struct:
-		w.walkStruct(path, n, t)
+		w.walkStruct(path, n, v)
 	case reflect.Map:
-		w.walkMap(path, n, t)
-	case reflect.Slice, reflect.Array:
-		w.walkSlice(path, n, t)
+		w.walkMap(path, n, v)
+	case reflect.Slice:
+		w.walkSlice(path, n, v)
 	default:
-		w.walkScalar(path, n, t)
+		w.walkScalar(path, n, v)
 	}
 }
 
-// note remembers the place of a path.
+// note remembers the place of a path, unless that of its key is known.
 func (w *walker) note(path string, n ast.Node) {
+	if _, known := w.file.places[path]; !known {
+		w.place(path, n)
+	}
+}
+
+// place remembers the place of a path.
+func (w *walker) place(path string, n ast.Node) {
 	if n == nil || n.GetToken() == nil || n.GetToken().Position == nil {
 		return
 	}
-	if _, ok := w.file.places[path]; !ok {
-		p := n.GetToken().Position
-		w.file.places[path] = Place{p.Line, p.Column}
-	}
+	p := n.GetToken().Position
+	w.file.places[path] = Place{p.Line, p.Column}
 }
 
 func (w *walker) report(path, format string, args ...any) {
 	w.problems = append(w.problems, w.file.At(path, format, args...))
 }
 
-// entries returns the entries of a mapping, or reports that there is none.
-func (w *walker) entries(path string, n ast.Node) []*ast.MappingValueNode {
+// entries calls visit for each entry of a mapping whose key stands there for
+// the first time.
+func (w *walker) entries(path string, n ast.Node, visit func(key, at string, e *ast.MappingValueNode)) {
+	var values []*ast.MappingValueNode
 	switch m := n.(type) {
 	case *ast.MappingNode:
-		return m.Values
+		values = m.Values
 	case *ast.MappingValueNode:
-		return []*ast.MappingValueNode{m}
-	}
-	w.report(path, "wants keys and values, has %s", kindOf(n))
-	return nil
-}
-
-func (w *walker) walkStruct(path string, n ast.Node, t reflect.Type) {
-	fields := map[string]reflect.Type{}
-	for i := range t.NumField() {
-		name, _, _ := strings.Cut(t.Field(i).Tag.Get("yaml"), ",")
-		if name != "" && name != "-" {
-			fields[name] = t.Field(i).Type
-		}
-	}
-	seen := map[string]bool{}
-	for _, e := range w.entries(path, n) {
-		key := e.Key.GetToken().Value
-		at := join(path, key)
-		field, known := fields[key]
-		switch {
-		case !known:
-			w.reportKey(e, at, "unknown key")
-		case seen[key]:
-			w.reportKey(e, at, "the key stands twice")
-		default:
-			w.note(at, e.Key)
-			w.walk(at, e.Value, field)
-		}
-		seen[key] = true
+		values = []*ast.MappingValueNode{m}
+	default:
+		w.report(path, "wants keys and values, has %s", kindOf(n))
 	}
-}
-
-func (w *walker) walkMap(path string, n ast.Node, t reflect.Type) {
 	seen := map[string]bool{}
-	for _, e := range w.entries(path, n) {
+	for _, e := range values {
 		key := e.Key.GetToken().Value
 		at := join(path, key)
 		if seen[key] {
@@ -102,8 +83,7 @@
 			continue
 		}
 		seen[key] = true
-		w.note(at, e.Key)
-		w.walk(at, e.Value, t.Elem())
+		visit(key, at, e)
 	}
 }
 
@@ -113,8 +93,39 @@
 	w.problems = append(w.problems, Problem{Place: Place{p.Line, p.Column}, Path: path, Message: message})
 }
 
-func (w *walker) walkSlice(path string, n ast.Node, t reflect.Type) {
-	if _, ok := n.(*ast.NullNode); ok {
+func (w *walker) walkStruct(path string, n ast.Node, v reflect.Value) {
+	fields := map[string]reflect.Value{}
+	for i := range v.NumField() {
+		name, _, _ := strings.Cut(v.Type().Field(i).Tag.Get("yaml"), ",")
+		if name != "" && name != "-" {
+			fields[name] = v.Field(i)
+		}
+	}
+	w.entries(path, n, func(key, at string, e *ast.MappingValueNode) {
+		field, known := fields[key]
+		if !known {
+			w.reportKey(e, at, "unknown key")
+			return
+		}
+		w.note(at, e.Key)
+		w.walk(at, e.Value, field)
+	})
+}
+
+func (w *walker) walkMap(path string, n ast.Node, v reflect.Value) {
+	decoded := reflect.MakeMap(v.Type())
+	w.entries(path, n, func(key, at string, e *ast.MappingValueNode) {
+		w.note(at, e.Key)
+		value := reflect.New(v.Type().Elem()).Elem()
+		w.walk(at, e.Value, value)
+		decoded.SetMapIndex(reflect.ValueOf(key).Convert(v.Type().Key()), value)
+	})
+	v.Set(decoded)
+}
+
+func (w *walker) walkSlice(path string, n ast.Node, v reflect.Value) {
+	if _, nothing := n.(*ast.NullNode); nothing {
+		v.SetZero()
 		return
 	}
 	s, ok := n.(*ast.SequenceNode)
@@ -122,53 +133,108 @@
 		w.report(path, "wants a list, has %s", kindOf(n))
 		return
 	}
-	for i, v := range s.Values {
-		w.walk(fmt.Sprintf("%s[%d]", path, i), v, t.Elem())
+	decoded := reflect.MakeSlice(v.Type(), len(s.Values), len(s.Values))
+	for i, value := range s.Values {
+		w.walk(fmt.Sprintf("%s[%d]", path, i), value, decoded.Index(i))
 	}
+	v.Set(decoded)
 }
 
-func (w *walker) walkScalar(path string, n ast.Node, t reflect.Type) {
-	switch t.Kind() {
+func (w *walker) walkScalar(path string, n ast.Node, v reflect.Value) {
+	if _, nothing := n.(*ast.NullNode); !nothing {
+		// The value itself is a better place than its key.
+		w.place(path, n)
+	}
+	switch v.Kind() {
 	case reflect.String:
-		switch n.(type) {
-		case *ast.StringNode, *ast.LiteralNode:
-		default:
-			w.report(path, "wants text, has %s", kindOf(n))
-		}
+		w.walkText(path, n, v)
 	case reflect.Bool:
-		if _, ok := n.(*ast.BoolNode); !ok {
+		b, ok := n.(*ast.BoolNode)
+		if !ok {
 			w.report(path, "wants true or false, has %s", kindOf(n))
+			return
 		}
+		v.SetBool(b.Value)
 	case reflect.Float32, reflect.Float64:
-		switch n.(type) {
-		case *ast.FloatNode, *ast.IntegerNode:
-		default:
-			w.report(path, "wants a number, has %s", kindOf(n))
+		w.walkFloat(path, n, v)
+	default:
+		w.walkInteger(path, n, v)
+	}
+}
+
+func (w *walker) walkText(path string, n ast.Node, v reflect.Value) {
+	switch s := n.(type) {
+	case *ast.StringNode:
+		v.SetString(s.Value)
+	case *ast.LiteralNode:
+		v.SetString(s.Value.Value)
+	default:
+		w.report(path, "wants text, has %s", kindOf(n))
+	}
+}
+
+func (w *walker) walkFloat(path string, n ast.Node, v reflect.Value) {
+	switch f := n.(type) {
+	case *ast.FloatNode:
+		if math.IsInf(f.Value, 0) || math.IsNaN(f.Value) {
+			w.report(path, "the number is out of range")
+			return
+		}
+		v.SetFloat(f.Value)
+	case *ast.IntegerNode:
+		switch i := f.Value.(type) {
+		case int64:
+			v.SetFloat(float64(i))
+		case uint64:
+			v.SetFloat(float64(i))
 		}
 	default:
-		w.walkInteger(path, n, t)
+		w.report(path, "wants a number, has %s", kindOf(n))
 	}
 }
 
-func (w *walker) walkInteger(path string, n ast.Node, t reflect.Type) {
+func (w *walker) walkInteger(path string, n ast.Node, v reflect.Value) {
 	i, ok := n.(*ast.IntegerNode)
 	if !ok {
 		w.report(path, "wants a whole number, has %s", kindOf(n))
 		return
 	}
-	zero := reflect.Zero(t)
-	fits := false
-	switch v := i.Value.(type) {
+	set := false
+	switch number := i.Value.(type) {
 	case int64:
-		fits = zero.CanInt() && !zero.OverflowInt(v) || zero.CanUint() && v >= 0 && !zero.OverflowUint(uint64(v))
+		set = setSigned(v, number)
 	case uint64:
-		fits = zero.CanInt() && v <= math.MaxInt64 && !zero.OverflowInt(int64(v)) || zero.CanUint() && !zero.OverflowUint(v)
+		set = setUnsigned(v, number)
 	}
-	if !fits {
+	if !set {
 		w.report(path, "the number is out of range")
 	}
 }
 
+// setSigned sets a value if the number fits.
+func setSigned(v reflect.Value, number int64) bool {
+	if number >= 0 && v.CanUint() {
+		return setUnsigned(v, uint64(number))
+	}
+	if !v.CanInt() || v.OverflowInt(number) {
+		return false
+	}
+	v.SetInt(number)
+	return true
+}
+
+// setUnsigned sets a value if the number fits.
+func setUnsigned(v reflect.Value, number uint64) bool {
+	if number <= math.MaxInt64 && v.CanInt() {
+		return setSigned(v, int64(number))
+	}
+	if !v.CanUint() || v.OverflowUint(number) {
+		return false
+	}
+	v.SetUint(number)
+	return true
+}
+
 // decodesItself tells whether a type has a decoder of its own.
 func decodesItself(t reflect.Type) bool {
 	p := reflect.PointerTo(t)
@@ -207,10 +273,3 @@
 	}
 	return path + "." + key
 }
-
-func firstLine(err error) string {
-	line, _, _ := strings.Cut(err.Error(), "\n")
-	return line
-}
-
-func asYAMLError(err error, into *yaml.Error) bool { return errors.As(err, into) }
--- a/revision/exchange.go
+++ b/revision/exchange.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -177,15 +178,25 @@
 			return
 		case <-k.advanced:
 		}
-		position := k.State().Position()
-		calls := pool.New()
-		for _, h := range k.pick(announceFanout) {
-			calls.Go(func() {
-				ctx, cancel := context.WithTimeout(ctx, callTimeout)
-				defer cancel()
-				_ = k.Peers.Announce(ctx, h.Peers, position)
-			})
-		}
-		calls.Wait()
+		k.tell(ctx, announceFanout, k.State().Position())
+	}
+}
+
+// tell tells peers of a position and returns how many then have it, of how
+// many that were asked.
+func (k *Keeper) tell(ctx context.Context, fanout int, position int64) (have, asked int) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	chosen := k.pick(fanout)
+	var count atomic.Int64
+	calls := pool.New()
+	for _, h := range chosen {
+		calls.Go(func() {
+			if at, err := k.Peers.Announce(ctx, h.Peers, position); err == nil && at >= position {
+				count.Add(1)
+			}
+		})
 	}
+	calls.Wait()
+	return int(count.Load()), len(chosen)
 }
--- a/revision/publish.go
+++ b/revision/publish.go
@@ -18,6 +18,10 @@
 	// readBackWait is how long a publisher looks for its edit on the log
 	// before it appends it again.
 	readBackWait = time.Second
+	// confirmFanout is how many peers are asked to confirm an accepted edit.
+	confirmFanout = 8
+	// confirmInterval is the mean time between two rounds of asking.
+	confirmInterval = 200 * time.Millisecond
 )
 
 // Publish appends an edit and returns its verdict once it was read back. An
@@ -30,8 +34,8 @@
 		return document.Verdict{}, trace.BadParameter("the edit has no ID")
 	}
 	state := k.State()
-	if v, ok := state.Verdict(e.ID); ok {
-		return v, nil
+	if _, ok := state.Verdict(e.ID); ok {
+		return k.Outcome(ctx, e.ID)
 	}
 	if state.Halt != "" {
 		return document.Verdict{}, trace.BadParameter("this host can't judge edits: %s", state.Halt)
@@ -43,11 +47,36 @@
 	if err != nil {
 		return document.Verdict{}, trace.Wrap(err)
 	}
-	return k.publish(ctx, e.ID, raw)
+	if err := k.publish(ctx, e.ID, raw); err != nil {
+		return document.Verdict{}, err
+	}
+	return k.Outcome(ctx, e.ID)
+}
+
+// Outcome returns the verdict of an edit. Acceptance is told only once another
+// host has it too, so that it does not vanish if this host dies while the log
+// is down for longer than it keeps records. An error of kind trace.NotFound
+// means that this host knows no verdict, one of kind trace.ConnectionProblem
+// that no other host has it yet.
+func (k *Keeper) Outcome(ctx context.Context, id string) (document.Verdict, error) {
+	v, ok := k.State().Verdict(id)
+	if !ok {
+		return v, trace.NotFound("edit %s is not on the log as far as this host has read, or its verdict is not kept any more; it is safe to publish it again with the same id", id)
+	}
+	if !v.Accepted {
+		return v, nil
+	}
+	for ctx.Err() == nil {
+		if have, asked := k.tell(ctx, confirmFanout, v.Offset); have > 0 || asked == 0 {
+			return v, nil
+		}
+		pause(ctx, jitter(confirmInterval))
+	}
+	return document.Verdict{}, trace.ConnectionProblem(ctx.Err(), "edit %s stands on the log, but no other host has confirmed it yet", id)
 }
 
 // publish appends a record until its verdict is read back.
-func (k *Keeper) publish(ctx context.Context, id string, raw []byte) (document.Verdict, error) {
+func (k *Keeper) publish(ctx context.Context, id string, raw []byte) error {
 	mayStand := false
 	for {
 		err := k.append(ctx, raw)
@@ -56,16 +85,16 @@
 		}
 		mayStand = mayStand || !neverSent(err)
 		if !mayStand {
-			return document.Verdict{}, trace.BadParameter("the log can't be reached, nothing was changed: %v", err)
+			return trace.BadParameter("the log can't be reached, nothing was changed: %v", err)
 		}
 		wait, cancel := context.WithTimeout(ctx, jitter(readBackWait))
-		v, awaitErr := k.await(wait, id)
+		awaitErr := k.await(wait, id)
 		cancel()
 		if awaitErr == nil {
-			return v, nil
+			return nil
 		}
 		if ctx.Err() != nil {
-			return document.Verdict{}, trace.ConnectionProblem(err, "the outcome of edit %s is unknown", id)
+			return trace.ConnectionProblem(err, "the outcome of edit %s is unknown", id)
 		}
 	}
 }
@@ -84,17 +113,17 @@
 }
 
 // await waits until the edit's record was folded.
-func (k *Keeper) await(ctx context.Context, id string) (document.Verdict, error) {
+func (k *Keeper) await(ctx context.Context, id string) error {
 	for {
 		k.mu.Lock()
 		changed := k.changed
 		k.mu.Unlock()
-		if v, ok := k.State().Verdict(id); ok {
-			return v, nil
+		if _, ok := k.State().Verdict(id); ok {
+			return nil
 		}
 		select {
 		case <-ctx.Done():
-			return document.Verdict{}, trace.ConnectionProblem(ctx.Err(), "the outcome of edit %s is unknown", id)
+			return trace.ConnectionProblem(ctx.Err(), "the outcome of edit %s is unknown", id)
 		case <-changed:
 		}
 	}
--- a/revision/revision.go
+++ b/revision/revision.go
@@ -27,8 +27,9 @@
 type peers interface {
 	// Fetch asks the host at an address for a state newer than a position.
 	Fetch(ctx context.Context, address string, position int64) (Offer, error)
-	// Announce tells the host at an address of a newer position.
-	Announce(ctx context.Context, address string, position int64) error
+	// Announce tells the host at an address of a newer position and returns
+	// the position that the host has then.
+	Announce(ctx context.Context, address string, position int64) (int64, error)
 }
 
 // Offer is what another host answers.
--- a/revision/service.go
+++ b/revision/service.go
@@ -43,12 +43,11 @@
 
 // Announce takes news of a newer position and fetches it from the sender.
 func (s Service) Announce(_ context.Context, request *peerpb.AnnounceDocumentRequest) (*peerpb.AnnounceDocumentReply, error) {
-	position := s.Keeper.State().Position()
-	if request.GetPosition() > position {
-		// The call starts no goroutine: it fetches before it answers.
+	if request.GetPosition() > s.Keeper.State().Position() {
+		// The sender waits for the answer, which tells whether it was fetched.
 		_ = s.Keeper.ask(s.Context, request.GetAddress())
 	}
-	return &peerpb.AnnounceDocumentReply{Position: position}, nil
+	return &peerpb.AnnounceDocumentReply{Position: s.Keeper.State().Position()}, nil
 }
 
 // currentAge is how long ago this host knew that it was current, or -1 ms.
@@ -81,9 +80,10 @@
 	}, nil
 }
 
-// Announce tells the host at an address of a newer position.
-func (c Client) Announce(ctx context.Context, address string, position int64) error {
+// Announce tells the host at an address of a newer position and returns the
+// position that the host has then.
+func (c Client) Announce(ctx context.Context, address string, position int64) (int64, error) {
 	client := peerpb.NewDRPCDocumentsClient(c.Pool.Conn(ctx, address))
-	_, err := client.Announce(c.Pool.Context(ctx), &peerpb.AnnounceDocumentRequest{Position: position, Address: c.Address()})
-	return trace.Wrap(err, "announcing a position to %s", address)
+	reply, err := client.Announce(c.Pool.Context(ctx), &peerpb.AnnounceDocumentRequest{Position: position, Address: c.Address()})
+	return reply.GetPosition(), trace.Wrap(err, "announcing a position to %s", address)
 }
--- a/settings/check.go
+++ b/settings/check.go
@@ -34,7 +34,6 @@
 	c.texts(s)
 	c.addresses(s)
 	c.numbers(s)
-	c.list.Sort()
 	return c.list
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -141,8 +141,8 @@
 func Decode(raw []byte) (Settings, error) {
 	s := Default()
 	file, problems := problem.Decode(raw, &s)
-	if len(problems) == 0 {
-		problems = s.check(file)
+	if !file.Unread {
+		problems = problems.With(s.check(file))
 	}
 	if len(problems) > 0 {
 		return Settings{}, trace.BadParameter("%s", problems.Error())
