fix: give readers of the first configuration a copy of their own

Cause: the state before the first record was shared with the replica that the follower replaces; TestPublish under the race detector showed the race (revision.go update against publish.go await). Ruled out: the lock in State, which every request would take.

--- a/revision/revision.go
+++ b/revision/revision.go
@@ -97,7 +97,8 @@
 		Options: o, changed: make(chan struct{}), replica: document.NewReplica(),
 		serving: make(chan struct{}, maxServing), advanced: make(chan struct{}, 1),
 	}
-	k.state.Store(&k.replica.State)
+	initial := k.replica.State
+	k.state.Store(&initial)
 	wait.Go(func() { k.follow(ctx) })
 	wait.Go(func() { k.exchange(ctx) })
 	wait.Go(func() { k.announce(ctx) })
