test: configuration through separate processes

Races of operators, a log outage during a change, a router cut from the log, retention past every edit with all routers restarted, and a herd restart with the log down.

--- /dev/null
+++ b/endtoend/configuration_test.go
@@ -0,0 +1,210 @@
+package endtoend
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/kumquathoist/kumquathoist/operator"
+	"github.com/kumquathoist/kumquathoist/platform"
+	"github.com/kumquathoist/kumquathoist/settings"
+	"github.com/kumquathoist/kumquathoist/standin"
+)
+
+// The exit codes of the command line.
+const (
+	exitOK      = 0
+	exitFailed  = 1
+	exitRefused = 3
+	exitUnknown = 4
+)
+
+// run runs an operators' command and returns its output and exit code.
+func (s *system) run(router int, args ...string) (string, int) {
+	output, err := s.command(router, args[0], args[1:]...)
+	if err == nil {
+		return output, exitOK
+	}
+	if exit := new(exec.ExitError); errors.As(err, &exit) {
+		return output, exit.ExitCode()
+	}
+	return output + err.Error(), -1
+}
+
+// file writes a body to a file and returns its path.
+func file(t *testing.T, body string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "body.yaml")
+	is.New(t).NoErr(os.WriteFile(path, []byte(body), 0o600))
+	return path
+}
+
+// shows waits until a router shows a text in a section.
+func (s *system) shows(t *testing.T, router int, section, text string) {
+	t.Helper()
+	eventually(t, fmt.Sprintf("router %d shows %q in %s", router, text, section), func() bool {
+		output, code := s.run(router, "show", section)
+		return code == exitOK && strings.Contains(output, text)
+	})
+}
+
+// kill ends a router without a planned stop.
+func (r *router) kill() {
+	_ = r.cmd.Process.Kill()
+	<-r.done
+}
+
+// TestOperatorsRace lets operators at two routers edit one section, and two
+// sections, at the same time, and takes an older body up again.
+func TestOperatorsRace(t *testing.T) {
+	is := is.New(t)
+	s := startSystem(t, options{routers: 3, engines: 1})
+	publish := func(codes []int, sections ...string) {
+		var wait sync.WaitGroup
+		for i, section := range sections {
+			wait.Add(1)
+			body := file(t, map[string]string{"Routing": fmt.Sprintf("WasteWeight: 0.%d\n", i+1), "Audit": "Verdicts: 500\n"}[section])
+			go func() {
+				defer wait.Done()
+				_, codes[i] = s.run(i, "publish", "--base", "0", "--author", fmt.Sprintf("operator-%d", i), section, body)
+			}()
+		}
+		wait.Wait()
+	}
+	one := make([]int, 2)
+	publish(one, "Routing", "Routing")
+	is.Equal(one[0]+one[1], exitOK+exitRefused) // One is accepted, one refused.
+	two := make([]int, 3)
+	publish(two, "Routing", "Routing", "Audit")
+	is.Equal(two, []int{exitRefused, exitRefused, exitOK}) // Another section does not wait.
+
+	output, code := s.run(0, "publish", "--base", "0", "Routing", file(t, "WasteWeight: 0.9\n"))
+	is.Equal(code, exitRefused)
+	is.True(strings.Contains(output, "the section is at revision 4 by operator-"))
+	output, code = s.run(0, "publish", "Routing", file(t, "WasteWeight: 9\nColour: red\n"))
+	is.Equal(code, exitFailed)
+	is.True(strings.Contains(output, "1:14: WasteWeight: 9 is out of range"))
+	is.True(strings.Contains(output, "2:1: Colour: unknown key"))
+
+	_, code = s.run(1, "publish", "Routing", file(t, "WasteWeight: 0.8\n"))
+	is.Equal(code, exitOK)
+	output, code = s.run(1, "diff", "--revision", "4", "Routing", file(t, "WasteWeight: 0.8\n"))
+	is.Equal(code, exitOK)
+	is.True(strings.Contains(output, "+WasteWeight: 0.8"))
+	_, code = s.run(2, "roll-forward", "Routing", "4")
+	is.Equal(code, exitOK)
+	output, _ = s.run(2, "diff", "Routing", file(t, "WasteWeight: 0.8\n"))
+	is.True(strings.Contains(output, "+WasteWeight: 0.8"))
+	output, _ = s.run(2, "audit", "--section", "Routing")
+	is.Equal(strings.Count(output, "accepted"), 3)
+}
+
+// TestLogOutageDuringChange publishes while the log loses an answer, is down,
+// and is back.
+func TestLogOutageDuringChange(t *testing.T) {
+	is := is.New(t)
+	s := startSystem(t, options{routers: 2, engines: 1})
+	s.log.faults(t, standin.LogFaults{LoseAnswers: 1})
+	_, code := s.run(0, "publish", "--id", "lost", "Routing", file(t, "WasteWeight: 0.1\n"))
+	is.Equal(code, exitOK)
+	s.log.faults(t, standin.LogFaults{Down: true})
+	body := file(t, "WasteWeight: 0.2\n")
+	output, code := s.run(0, "publish", "--id", "down", "Routing", body)
+	is.Equal(code, exitUnknown)
+	is.True(strings.Contains(output, "audit --id down"))
+	s.awaitServing(t, s.routers[0])
+	s.log.faults(t, standin.LogFaults{})
+	_, code = s.run(1, "publish", "--id", "down", "Routing", body)
+	is.Equal(code, exitOK)
+	_, code = s.run(0, "audit", "--id", "down")
+	is.Equal(code, exitOK)
+	for i := range s.routers {
+		s.shows(t, i, "Routing", "WasteWeight: 0.2")
+	}
+}
+
+// TestCutRouterLearnsFromPeers starts a router that never reaches the log.
+func TestCutRouterLearnsFromPeers(t *testing.T) {
+	is := is.New(t)
+	s := startSystem(t, options{routers: 2, engines: 1})
+	s.configure = func(conf *settings.Settings) { conf.Platform.Log = "http://127.0.0.1:1" }
+	s.routers = append(s.routers, s.startRouter(t, "host-3"))
+	s.awaitServing(t, s.routers[2])
+	_, code := s.run(0, "publish", "Routing", file(t, "WasteWeight: 0.3\n"))
+	is.Equal(code, exitOK)
+	s.shows(t, 2, "Routing", "WasteWeight: 0.3")
+	output, code := s.run(2, "publish", "Routing", file(t, "WasteWeight: 0.4\n"))
+	is.Equal(code, exitFailed)
+	is.True(strings.Contains(output, "nothing was changed"))
+}
+
+// TestDocumentOutlivesRetention lets the log drop every edit, and then all
+// routers lose what they know.
+func TestDocumentOutlivesRetention(t *testing.T) {
+	s := startSystem(t, options{routers: 2, engines: 1, configure: func(_ *system, conf *settings.Settings) {
+		conf.Configuration.LogRetentionSeconds = 4
+	}})
+	edits := s.logPage(t).Next
+	s.log.faults(t, standin.LogFaults{RetentionMillis: 4000})
+	eventually(t, "the log dropped every edit", func() bool { return s.logPage(t).First >= edits })
+	for i, r := range s.routers {
+		r.kill()
+		s.routers[i] = s.startRouter(t, r.name)
+	}
+	for i, r := range s.routers {
+		s.awaitServing(t, r)
+		s.shows(t, i, "Models", "matcher")
+	}
+}
+
+// logPage reads the configuration stream.
+func (s *system) logPage(t *testing.T) platform.Page {
+	t.Helper()
+	var page platform.Page
+	call(t, http.MethodGet, s.log.url()+"/streams/"+platform.ConfigurationStream+"/records?From=0", nil, nil, &page)
+	return page
+}
+
+// TestHerdRestartWithoutLog restarts all routers but one while the log is
+// down, and then that one too.
+func TestHerdRestartWithoutLog(t *testing.T) {
+	is := is.New(t)
+	s := startSystem(t, options{routers: 4, engines: 1})
+	s.log.faults(t, standin.LogFaults{Down: true})
+	for _, r := range s.routers[1:] {
+		r.kill()
+	}
+	for i, r := range s.routers[1:] {
+		s.routers[i+1] = s.startRouter(t, r.name)
+	}
+	for _, r := range s.routers[1:] {
+		s.awaitServing(t, r)
+	}
+	s.routers[0].kill()
+	s.routers[0] = s.startRouter(t, "host-1")
+	s.awaitServing(t, s.routers[0])
+
+	// With neither the log nor a peer a router says why it is not ready.
+	for _, r := range s.routers {
+		r.kill()
+	}
+	s.routers[0] = s.startRouter(t, "host-1")
+	var status operator.StatusAnswer
+	eventually(t, "the reason is shown", func() bool {
+		call(t, http.MethodGet, "http://"+s.routers[0].operators+"/operator/status", map[string]string{"Authorization": "Bearer " + operatorKey}, nil, &status)
+		return strings.Contains(status.Configuration.Reason, "neither the log nor another host")
+	})
+	is.True(!status.Configuration.Ready)
+	_, code := s.routers[0].send(t, http.MethodGet, "/readyz", nil, "")
+	is.Equal(code, http.StatusServiceUnavailable)
+	s.log.faults(t, standin.LogFaults{})
+	s.awaitServing(t, s.routers[0])
+}
--- a/endtoend/harness_test.go
+++ b/endtoend/harness_test.go
@@ -166,12 +166,17 @@
 	log, hostList, service *emulated
 	engines                []*emulated
 	routers                []*router
+	// configure changes the settings of routers that are started.
+	configure func(*settings.Settings)
 }
 
 // options sets the size of a system.
 type options struct {
 	routers, engines int
 	engineArgs       []string
+	// configure changes the settings of every router; the system has its
+	// stand-ins by then.
+	configure func(*system, *settings.Settings)
 }
 
 var addresses = regexp.MustCompile(`Callers="([^"]+)" Peers="([^"]+)" Operators="([^"]+)"`)
@@ -188,6 +193,9 @@
 		args := append([]string{"--name", fmt.Sprintf("engine-%d", i+1)}, o.engineArgs...)
 		s.engines = append(s.engines, startEmulator(t, "engine", args...))
 	}
+	if o.configure != nil {
+		s.configure = func(conf *settings.Settings) { o.configure(s, conf) }
+	}
 	for i := range o.routers {
 		s.routers = append(s.routers, s.startRouter(t, fmt.Sprintf("host-%d", i+1)))
 	}
@@ -208,6 +216,9 @@
 	conf.Listen = settings.Listen{Callers: "127.0.0.1:0", Peers: "127.0.0.1:0", Operators: "127.0.0.1:0"}
 	conf.Platform = settings.Platform{Log: s.log.url(), HostList: s.hostList.url()}
 	conf.Stop = settings.Stop{AddressSeconds: 1, StreamSeconds: 20}
+	if s.configure != nil {
+		s.configure(&conf)
+	}
 	raw, err := yaml.Marshal(conf)
 	if err != nil {
 		t.Fatal(err)
