feat: agree on claims through sharded streams of the log

Any host may append to any stream with the same attempt: folding is idempotent, so a lost answer is simply appended again.

A keeper never releases a claim by itself. Ruled out by argument and by TestKeyRunsAtMostOnce: a keeper that released a claim after a lost answer could free a key that its claimant, through another keeper, holds and runs.

While the log is silent a call that may not be repeated is refused as unknown, not as not run: an earlier send of the same key may have run.

--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -6,8 +6,10 @@
 	"encoding/hex"
 	"errors"
 	"fmt"
+	"time"
 
 	"github.com/google/uuid"
+	"github.com/gravitational/trace"
 
 	"github.com/kumquathoist/kumquathoist/claim"
 	"github.com/kumquathoist/kumquathoist/document"
@@ -17,11 +19,19 @@
 	"github.com/kumquathoist/kumquathoist/upstream"
 )
 
+// endTimeout bounds the wait for the record of an outcome; the record is
+// appended later if it takes longer.
+const endTimeout = 500 * time.Millisecond
+
 // claims agrees on who may run a request that must not be repeated.
 type claims interface {
-	// Take claims a key for an attempt. An error means that the claim may be
-	// on the log but was not confirmed.
+	// Take claims a key for an attempt. After trace.LimitExceeded the claim is
+	// not on the log; after any other error it may be.
 	Take(ctx context.Context, r claim.Record) (claim.Standing, claim.Entry, error)
+	// Look tells where a key stands and claims nothing.
+	Look(ctx context.Context, r claim.Record) (claim.Standing, claim.Entry, error)
+	// Abandon records later that an attempt never ran and never will.
+	Abandon(r claim.Record)
 	// End records the answer of the attempt, or that it never ran.
 	End(ctx context.Context, r claim.Record) error
 }
@@ -32,7 +42,7 @@
 	defer cancel()
 	release, refused := d.admit.Admit(doc, r)
 	if refused != nil {
-		return upstream.Answer{}, refused
+		return d.refuseService(ctx, r, refused)
 	}
 	defer release()
 	pool, _ := doc.Pool(r.Service)
@@ -57,40 +67,81 @@
 	return upstream.Answer{}, failed(sent)
 }
 
-// serveOnce claims the key first and sends the call at most once.
-func (d *Dispatcher) serveOnce(ctx context.Context, pool document.Pool, r request.Request) (upstream.Answer, *request.Failure) {
-	record := claim.Record{
+// newRecord returns the claim of a fresh attempt.
+func newRecord(r request.Request) claim.Record {
+	return claim.Record{
 		Kind: claim.Take, Account: r.Account, Key: r.Key, Attempt: uuid.NewString(),
 		Fingerprint: fingerprint(r), IssuedMillis: r.KeyIssued.UnixMilli(),
 	}
+}
+
+// serveOnce claims the key first and sends the call at most once.
+func (d *Dispatcher) serveOnce(ctx context.Context, pool document.Pool, r request.Request) (upstream.Answer, *request.Failure) {
+	record := newRecord(r)
 	standing, entry, err := d.claims.Take(ctx, record)
-	if err != nil {
+	switch {
+	case err != nil:
 		event.ClaimFailed.Error(err, "Request", r.ID)
-		return upstream.Answer{}, request.Refuse(request.LogUnavailable, "the claim of the key was not confirmed").WithRetryAfter(retryAfter)
-	}
-	switch standing {
-	case claim.Held:
+		if !trace.IsLimitExceeded(err) {
+			d.claims.Abandon(record)
+		}
+		return upstream.Answer{}, unconfirmed()
+	case standing == claim.Held && ctx.Err() != nil:
+		d.end(ctx, r, record.WithRelease())
+		return upstream.Answer{}, request.Refuse(request.DeadlineTooNear, "the claim of the key took until the deadline").WithRetryAfter(retryAfter)
+	case standing == claim.Held:
 		return d.runHeld(ctx, pool, r, record)
-	case claim.Finished:
-		return upstream.Answer{Status: entry.Status, ContentType: "application/json", Body: entry.Body}, nil
-	case claim.Running:
-		return upstream.Answer{}, request.Refuse(request.InProgress, "the same request was sent before and its outcome is not known").WithOutcome(request.Unknown).WithRetryAfter(retryAfter)
-	case claim.Mismatch:
+	}
+	return decided(standing, entry)
+}
+
+// unconfirmed is the answer while the log does not answer. The call was not
+// run, but whether an earlier one with the same key was can't be told.
+func unconfirmed() *request.Failure {
+	const message = "the log does not answer: this call was not run, but whether an earlier one with the same key was can't be told"
+	return request.Refuse(request.LogUnavailable, message).WithOutcome(request.Unknown).WithRetryAfter(retryAfter)
+}
+
+// decided answers a call whose key another attempt holds or held.
+func decided(standing claim.Standing, entry claim.Entry) (upstream.Answer, *request.Failure) {
+	switch {
+	case standing == claim.Finished && entry.Omitted:
+		return upstream.Answer{}, request.Refuse(request.AnswerNotKept, "the request ran and its answer was too large to keep").WithOutcome(request.Done)
+	case standing == claim.Finished:
+		return upstream.Answer{Status: entry.Status, ContentType: entry.ContentType, Body: entry.Body}, nil
+	case standing == claim.Running:
+		return upstream.Answer{}, request.Refuse(request.InProgress, "the same request was sent before and its outcome is not known yet").WithOutcome(request.Unknown).WithRetryAfter(retryAfter)
+	case standing == claim.Mismatch:
 		return upstream.Answer{}, request.Refuse(request.KeyReused, "the key was used for another request")
-	case claim.Expired:
-		return upstream.Answer{}, request.Refuse(request.KeyExpired, "the key is too old to tell whether it ran").WithOutcome(request.Unknown)
-	case claim.Free:
+	case standing == claim.Expired:
+		return upstream.Answer{}, request.Refuse(request.KeyExpired, "the key was issued too long ago, or in the future, to tell whether it ran").WithOutcome(request.Unknown)
 	}
-	return upstream.Answer{}, request.Refuse(request.LogUnavailable, "the claim of the key was not confirmed").WithRetryAfter(retryAfter)
+	return upstream.Answer{}, unconfirmed()
 }
 
-// runHeld sends the call of the attempt that holds the key.
+// refuseService answers a call that was not admitted. One that may not be
+// repeated is only called not run if the log shows no earlier one.
+func (d *Dispatcher) refuseService(ctx context.Context, r request.Request, refused *request.Failure) (upstream.Answer, *request.Failure) {
+	if r.Repeatable {
+		return upstream.Answer{}, refused
+	}
+	standing, entry, err := d.claims.Look(ctx, newRecord(r))
+	switch {
+	case err != nil:
+		return upstream.Answer{}, refused.WithOutcome(request.Unknown)
+	case standing == claim.Free:
+		return upstream.Answer{}, refused
+	}
+	return decided(standing, entry)
+}
+
+// runHeld sends the call of the attempt that holds the key. The claim is
+// never taken over, so a pause before the send can't make the call run twice.
 func (d *Dispatcher) runHeld(ctx context.Context, pool document.Pool, r request.Request, record claim.Record) (upstream.Answer, *request.Failure) {
 	for _, u := range d.endpoints(pool, r.Key) {
 		answer, err := d.client.Run(ctx, serviceCall(u, r, record.Attempt))
 		if err == nil {
-			record.Kind, record.Status, record.Body = claim.Finish, answer.Status, answer.Body
-			d.end(ctx, r, record)
+			d.end(ctx, r, record.WithAnswer(answer.Status, answer.ContentType, answer.Body))
 			return answer, nil
 		}
 		event.AttemptFailed.Error(err, "Request", r.ID, "Upstream", u.Name)
@@ -99,14 +150,15 @@
 			return upstream.Answer{}, request.Refuse(request.UpstreamFailed, "the service did not answer").WithOutcome(request.Unknown)
 		}
 	}
-	record.Kind = claim.Release
-	d.end(ctx, r, record)
+	d.end(ctx, r, record.WithRelease())
 	return upstream.Answer{}, failed(false)
 }
 
 // end records how an attempt ended. Without the record a repeat of the key
 // is answered as unknown.
 func (d *Dispatcher) end(ctx context.Context, r request.Request, record claim.Record) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), endTimeout)
+	defer cancel()
 	if err := d.claims.End(ctx, record); err != nil {
 		event.ClaimFailed.Error(err, "Request", r.ID, "Kind", record.Kind)
 	}
--- a/event/request.go
+++ b/event/request.go
@@ -8,6 +8,8 @@
 	AttemptFailed = Event{2002, "attempt failed", "One attempt at an upstream failed; the request may go on at another."}
 	// ClaimFailed reports that a claim could not be agreed on the log.
 	ClaimFailed = Event{2003, "claim failed", "The log did not confirm a claim; the request was refused as not run."}
+	// ClaimAppendFailed reports that a batch of claims was not confirmed.
+	ClaimAppendFailed = Event{2004, "claim append failed", "The log did not confirm a batch of claims; its claims are refused and its ends are tried again."}
 )
 
-var requestEvents = []Event{RequestEnded, AttemptFailed, ClaimFailed}
+var requestEvents = []Event{RequestEnded, AttemptFailed, ClaimFailed, ClaimAppendFailed}
--- a/node/node.go
+++ b/node/node.go
@@ -13,7 +13,6 @@
 	"github.com/uber-go/tally/v4/prometheus"
 
 	"github.com/kumquathoist/kumquathoist/admission"
-	"github.com/kumquathoist/kumquathoist/claimlog"
 	"github.com/kumquathoist/kumquathoist/dispatch"
 	"github.com/kumquathoist/kumquathoist/document"
 	"github.com/kumquathoist/kumquathoist/engine"
@@ -80,14 +79,22 @@
 	client := upstream.NewClient()
 	n.ready = func() bool { return revisions.Ready() && len(directory.Entries()) > 0 }
 	engines := engine.NewTracker(ctx, &n.wait, client, func() document.Document { return revisions.State().Document }, directory.Leaving)
-	dispatcher := dispatch.New(dispatch.Options{
-		Client: client, Engines: engines, Admit: admission.New(), Claims: claimlog.New(log), Leaving: directory.Leaving,
-	})
 	var err error
 	if n.peers, err = peer.NewServer(n.settings.Listen.Peers, peerSecret); err != nil {
 		return err
 	}
-	n.wait.Go(func() { _ = n.peers.Serve(ctx) })
+	pool := peer.NewPool(peerSecret)
+	claims, err := n.startClaims(ctx, log, directory, pool)
+	if err != nil {
+		return err
+	}
+	dispatcher := dispatch.New(dispatch.Options{
+		Client: client, Engines: engines, Admit: admission.New(), Claims: claims, Leaving: directory.Leaving,
+	})
+	n.wait.Go(func() {
+		defer pool.Close()
+		_ = n.peers.Serve(ctx)
+	})
 	n.operator, err = operator.New(ctx, &n.wait, operator.Options{
 		Settings: n.settings, Secret: operatorSecret, Editor: revisions, Directory: directory,
 		Engines: engines, Metrics: reporter.HTTPHandler(), Stop: n.Stop,
--- a/request/request.go
+++ b/request/request.go
@@ -67,7 +67,7 @@
 
 // Failure is the final answer to a request that was not done.
 type Failure struct {
-	// Outcome is NotRun or Unknown.
+	// Outcome is NotRun or Unknown, or Done when only the answer is missing.
 	Outcome Outcome
 	// Code is a stable word for programs.
 	Code Code
@@ -89,6 +89,7 @@
 	NotFound        Code = "NotFound"
 	KeyReused       Code = "KeyReused"
 	KeyExpired      Code = "KeyExpired"
+	AnswerNotKept   Code = "AnswerNotKept"
 	InProgress      Code = "InProgress"
 	RateLimited     Code = "RateLimited"
 	DeadlineTooNear Code = "DeadlineTooNear"
@@ -108,6 +109,7 @@
 	NotFound:        http.StatusNotFound,
 	KeyReused:       http.StatusUnprocessableEntity,
 	KeyExpired:      http.StatusConflict,
+	AnswerNotKept:   http.StatusConflict,
 	InProgress:      http.StatusConflict,
 	RateLimited:     http.StatusTooManyRequests,
 	DeadlineTooNear: http.StatusServiceUnavailable,
