--- /dev/null
+++ b/claimlog/claimlog_test.go
@@ -0,0 +1,124 @@
+package claimlog_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
+	"storj.io/drpc"
+
+	"github.com/kumquathoist/kumquathoist/claim"
+	"github.com/kumquathoist/kumquathoist/claimlog"
+	"github.com/kumquathoist/kumquathoist/platform"
+	"github.com/kumquathoist/kumquathoist/standin"
+)
+
+// alone makes a host believe that it keeps every stream.
+type alone struct{}
+
+func (alone) Entries() []platform.Host                    { return nil }
+func (alone) Conn(context.Context, string) drpc.Conn      { return nil }
+func (alone) Context(ctx context.Context) context.Context { return ctx }
+func start(t *testing.T, hosts int) (*standin.Log, []*claimlog.Claims) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	wait := &conc.WaitGroup{}
+	log, err := standin.NewLog(ctx, "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	t.Cleanup(func() {
+		cancel()
+		wait.Wait()
+	})
+	var all []*claimlog.Claims
+	for i := range hosts {
+		all = append(all, claimlog.New(ctx, wait, claimlog.Options{
+			Host: fmt.Sprint("host-", i), Log: platform.NewLog(log.URL()), Directory: alone{}, Peers: alone{},
+		}))
+	}
+	return log, all
+}
+
+func take(key, attempt string) claim.Record {
+	return claim.Record{Kind: claim.Take, Account: "mill", Key: key, Attempt: attempt, IssuedMillis: time.Now().UnixMilli()}
+}
+
+// TestHostsThatAllKeepAStream lets every host believe that it keeps every
+// stream, while the log loses answers after the effect.
+func TestHostsThatAllKeepAStream(t *testing.T) {
+	is := is.New(t)
+	log, hosts := start(t, 3)
+	log.SetFaults(standin.LogFaults{LoseAnswers: 10})
+	const keys = 30
+	var mu sync.Mutex
+	held := map[string]int{}
+	var wait conc.WaitGroup
+	for k := range keys {
+		for h, c := range hosts {
+			wait.Go(func() {
+				key := fmt.Sprint("key-", k)
+				r := take(key, fmt.Sprint(key, "-", h))
+				s, _, err := c.Take(context.Background(), r)
+				if err != nil || s != claim.Held {
+					return
+				}
+				mu.Lock()
+				held[key]++
+				mu.Unlock()
+				_ = c.End(context.Background(), r.WithAnswer(200, "", []byte("booked")))
+			})
+		}
+	}
+	wait.Wait()
+	for k := range keys {
+		is.True(held[fmt.Sprint("key-", k)] <= 1) // a key is held by at most one attempt
+	}
+	is.True(len(held) > keys/2)
+}
+
+// TestLogDown shows what is refused while the log is down and that an
+// abandoned claim leaves the key free once the log is back.
+func TestLogDown(t *testing.T) {
+	is := is.New(t)
+	log, hosts := start(t, 2)
+	ctx := context.Background()
+	log.SetFaults(standin.LogFaults{Down: true})
+	first := take("k", "one")
+	_, _, err := hosts[0].Take(ctx, first)
+	is.True(trace.IsConnectionProblem(err)) // it may be on the log
+	hosts[0].Abandon(first)
+	_, _, err = hosts[0].Take(ctx, take("k", "two"))
+	is.True(trace.IsLimitExceeded(err)) // refused at once, surely not on the log
+	log.SetFaults(standin.LogFaults{})
+	standing, _, err := hosts[1].Take(ctx, take("k", "three"))
+	is.NoErr(err)
+	is.Equal(standing, claim.Held)
+}
+
+// TestAnswerIsShared gives a repeat at another host the first one's answer,
+// also when the repeat came while the first was running.
+func TestAnswerIsShared(t *testing.T) {
+	is := is.New(t)
+	_, hosts := start(t, 2)
+	ctx := context.Background()
+	first := take("k", "one")
+	standing, _, err := hosts[0].Take(ctx, first)
+	is.NoErr(err)
+	is.Equal(standing, claim.Held)
+	var wait conc.WaitGroup
+	wait.Go(func() {
+		standing, e, err := hosts[1].Take(ctx, take("k", "two"))
+		is.NoErr(err)
+		is.Equal(standing, claim.Finished)
+		is.Equal(string(e.Body), "booked")
+	})
+	is.NoErr(hosts[0].End(ctx, first.WithAnswer(200, "text/plain", []byte("booked"))))
+	wait.Wait()
+	standing, _, err = hosts[1].Look(ctx, take("free", "three"))
+	is.NoErr(err)
+	is.Equal(standing, claim.Free)
+}
--- a/emulator/main.go
+++ b/emulator/main.go
@@ -20,6 +20,7 @@
 	HostList hostListCommand `cmd:"" help:"Stand in for the platform's host list."`
 	Engine   engineCommand   `cmd:"" help:"Stand in for a model engine."`
 	Service  serviceCommand  `cmd:"" help:"Stand in for a plain service."`
+	Claims   claimsCommand   `cmd:"" help:"Measure claims against load and the number of hosts."`
 }
 
 // listenFlags is where a stand-in listens.
--- a/event/event.go
+++ b/event/event.go
@@ -6,8 +6,11 @@
 package event
 
 import (
+	"errors"
 	"slices"
+	"strings"
 
+	"github.com/gravitational/trace"
 	"k8s.io/klog/v2"
 )
 
@@ -26,9 +29,10 @@
 	klog.InfoSDepth(1, e.Name, append([]any{"Event", e.Number}, keysAndValues...)...)
 }
 
-// Error logs the event as an error with structured values.
+// Error logs the event as an error with structured values, on one line.
 func (e Event) Error(err error, keysAndValues ...any) {
-	klog.ErrorSDepth(1, err, e.Name, append([]any{"Event", e.Number}, keysAndValues...)...)
+	plain := errors.New(strings.ReplaceAll(trace.UserMessage(err), "\n\t", ": "))
+	klog.ErrorSDepth(1, plain, e.Name, append([]any{"Event", e.Number}, keysAndValues...)...)
 }
 
 // Catalogue returns every event, ordered by number.
