--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -75,83 +75,61 @@
 	}
 }
 
-// serveOnce claims the key first and sends the call at most once.
+// serveOnce claims the key first and sends the call at most once. Package
+// claim decides; this method does what it says.
 func (d *Dispatcher) serveOnce(ctx context.Context, pool document.Pool, r request.Request) (upstream.Answer, *request.Failure) {
 	record := newRecord(r)
-	standing, entry, err := d.claims.Take(ctx, record)
-	switch {
-	case err != nil:
-		event.ClaimFailed.Error(err, "Request", r.ID)
-		if !trace.IsLimitExceeded(err) {
-			d.claims.Abandon(record)
-		}
-		return upstream.Answer{}, unconfirmed()
-	case standing == claim.Held && ctx.Err() != nil:
-		d.end(ctx, r, record.WithRelease())
-		return upstream.Answer{}, request.Refuse(request.DeadlineTooNear, "the claim of the key took until the deadline").WithRetryAfter(retryAfter)
-	case standing == claim.Held:
-		return d.runHeld(ctx, pool, r, record)
+	endpoints := d.endpoints(pool, r.Key)
+	e, action := d.claim(ctx, r, claim.NewExecution(record, len(endpoints)))
+	for action.Send {
+		e, action = d.sendOnce(ctx, endpoints[action.Endpoint], r, e)
+	}
+	if action.End != nil {
+		d.end(ctx, r, *action.End)
 	}
-	return decided(standing, entry)
+	if action.Abandon {
+		d.claims.Abandon(record)
+	}
+	return replied(action.Reply)
 }
 
-// unconfirmed is the answer while the log does not answer. The call was not
-// run, but whether an earlier one with the same key was can't be told.
-func unconfirmed() *request.Failure {
-	const message = "the log does not answer: this call was not run, but whether an earlier one with the same key was can't be told"
-	return request.Refuse(request.LogUnavailable, message).WithOutcome(request.Unknown).WithRetryAfter(retryAfter)
+// claim claims the key of an execution.
+func (d *Dispatcher) claim(ctx context.Context, r request.Request, e claim.Execution) (claim.Execution, claim.Action) {
+	standing, entry, err := d.claims.Take(ctx, e.Record())
+	if err != nil {
+		event.ClaimFailed.Error(err, "Request", r.ID)
+		return e.WithUnconfirmed(!trace.IsLimitExceeded(err))
+	}
+	return e.WithStanding(standing, entry, ctx.Err() != nil)
 }
 
-// decided answers a call whose key another attempt holds or held.
-func decided(standing claim.Standing, entry claim.Entry) (upstream.Answer, *request.Failure) {
-	switch {
-	case standing == claim.Finished && entry.Omitted:
-		return upstream.Answer{}, request.Refuse(request.AnswerNotKept, "the request ran and its answer was too large to keep").WithOutcome(request.Done)
-	case standing == claim.Finished:
-		return upstream.Answer{Status: entry.Status, ContentType: entry.ContentType, Body: entry.Body}, nil
-	case standing == claim.Running:
-		return upstream.Answer{}, request.Refuse(request.InProgress, "the same request was sent before and its outcome is not known yet").WithOutcome(request.Unknown).WithRetryAfter(retryAfter)
-	case standing == claim.Mismatch:
-		return upstream.Answer{}, request.Refuse(request.KeyReused, "the key was used for another request")
-	case standing == claim.Expired:
-		return upstream.Answer{}, request.Refuse(request.KeyExpired, "the key was issued too long ago, or in the future, to tell whether it ran").WithOutcome(request.Unknown)
+// sendOnce sends the call to one endpoint.
+func (d *Dispatcher) sendOnce(ctx context.Context, u document.Upstream, r request.Request, e claim.Execution) (claim.Execution, claim.Action) {
+	answer, err := d.client.Run(ctx, serviceCall(u, r, e.Record().Attempt))
+	if err == nil {
+		return e.WithAnswer(answer.Status, answer.ContentType, answer.Body)
+	}
+	event.AttemptFailed.Error(err, "Request", r.ID, "Upstream", u.Name)
+	var notStarted *upstream.NotStarted
+	if errors.As(err, &notStarted) {
+		return e.WithNotStarted()
 	}
-	return upstream.Answer{}, unconfirmed()
+	return e.WithLost()
 }
 
-// refuseService answers a call that was not admitted. One that may not be
-// repeated is only called not run if the log shows no earlier one.
+// replied turns a decided reply into the answer to the caller.
+func replied(reply *claim.Reply) (upstream.Answer, *request.Failure) {
+	a := reply.Answer
+	return upstream.Answer{Status: a.Status, ContentType: a.ContentType, Body: a.Body}, reply.Failure
+}
+
+// refuseService answers a call that was not admitted.
 func (d *Dispatcher) refuseService(ctx context.Context, r request.Request, refused *request.Failure) (upstream.Answer, *request.Failure) {
 	if r.Repeatable {
 		return upstream.Answer{}, refused
 	}
 	standing, entry, err := d.claims.Look(ctx, newRecord(r))
-	switch {
-	case err != nil:
-		return upstream.Answer{}, refused.WithOutcome(request.Unknown)
-	case standing == claim.Free:
-		return upstream.Answer{}, refused
-	}
-	return decided(standing, entry)
-}
-
-// runHeld sends the call of the attempt that holds the key. The claim is
-// never taken over, so a pause before the send can't make the call run twice.
-func (d *Dispatcher) runHeld(ctx context.Context, pool document.Pool, r request.Request, record claim.Record) (upstream.Answer, *request.Failure) {
-	for _, u := range d.endpoints(pool, r.Key) {
-		answer, err := d.client.Run(ctx, serviceCall(u, r, record.Attempt))
-		if err == nil {
-			d.end(ctx, r, record.WithAnswer(answer.Status, answer.ContentType, answer.Body))
-			return answer, nil
-		}
-		event.AttemptFailed.Error(err, "Request", r.ID, "Upstream", u.Name)
-		var notStarted *upstream.NotStarted
-		if !errors.As(err, &notStarted) {
-			return upstream.Answer{}, request.Refuse(request.UpstreamFailed, "the service did not answer").WithOutcome(request.Unknown)
-		}
-	}
-	d.end(ctx, r, record.WithRelease())
-	return upstream.Answer{}, failed(false)
+	return replied(claim.Refused(refused, err == nil, standing, entry))
 }
 
 // end records how an attempt ended. Without the record a repeat of the key
