feat: bound the memory of kept answers

A table kept every answer of the last 11 minutes: at 64 KiB each, 500 keys a stream would have used the 32 MB of a node. Now 8 MiB a stream, the oldest answers first; a repeat is then told that the request ran and its answer was not kept.

--- a/claim/record.go
+++ b/claim/record.go
@@ -22,6 +22,8 @@
 	ClockSkew = 30 * time.Second
 	// MaxAnswerBytes bounds the answers that are kept for repeats.
 	MaxAnswerBytes = 64 << 10
+	// MaxKeptBytes bounds the answers that one table keeps.
+	MaxKeptBytes = 8 << 20
 )
 
 // Kind tells what a record says.
--- a/claim/table.go
+++ b/claim/table.go
@@ -55,6 +55,10 @@
 	// clockMillis is the latest time that the log has shown. A log whose clock
 	// steps back must not make an old key valid again.
 	clockMillis int64
+	// answers holds the keys whose answers are kept, oldest first, and
+	// answerBytes their size.
+	answers     []name
+	answerBytes int
 	next        int64
 }
 
@@ -97,6 +101,7 @@
 	case r.Kind == Finish && taken && e.Attempt == r.Attempt && !e.Finished:
 		e.Finished, e.Status, e.ContentType, e.Body, e.Omitted = true, r.Status, r.ContentType, r.Body, r.Omitted
 		t.entries[k] = e
+		t.keepAnswer(k, e)
 	case r.Kind == Release && (!taken || e.Attempt != r.Attempt || !e.Finished):
 		t.release(k, e, r)
 	}
@@ -115,6 +120,24 @@
 	t.expiries = append(t.expiries, expiry{forgetAt(t.clockMillis), k, r.Attempt})
 }
 
+// keepAnswer bounds the memory of answers: the oldest are dropped first, and
+// repeats of their keys are told that the answer was not kept.
+func (t *Table) keepAnswer(k name, e Entry) {
+	t.answers = append(t.answers, k)
+	t.answerBytes += len(e.Body)
+	for t.answerBytes > MaxKeptBytes {
+		oldest := t.answers[0]
+		t.answers = t.answers[1:]
+		dropped, ok := t.entries[oldest]
+		if !ok {
+			continue
+		}
+		t.answerBytes -= len(dropped.Body)
+		dropped.Body, dropped.Omitted = nil, true
+		t.entries[oldest] = dropped
+	}
+}
+
 // release closes an attempt, whose claim may still land later.
 func (t *Table) release(k name, e Entry, r Record) {
 	t.closed[r.Attempt] = true
@@ -138,9 +161,19 @@
 		delete(t.expired, x.attempt)
 		delete(t.closed, x.attempt)
 		if e, ok := t.entries[x.entry]; ok && e.Attempt == x.attempt {
+			t.answerBytes -= len(e.Body)
 			delete(t.entries, x.entry)
 		}
 	}
+	for len(t.answers) > 0 && !t.remembers(t.answers[0]) {
+		t.answers = t.answers[1:]
+	}
+}
+
+// remembers tells whether the table has the key.
+func (t *Table) remembers(k name) bool {
+	_, ok := t.entries[k]
+	return ok
 }
 
 // Standing returns where the key of a record stands for its attempt.
--- a/claim/table_test.go
+++ b/claim/table_test.go
@@ -264,3 +264,24 @@
 	most := int((claim.KeyLifetime + 2*claim.ClockSkew).Seconds()) + 1
 	is.Equal(table.Len(), most)
 }
+
+// TestAnswersAreBounded shows that the oldest answers are dropped, never the
+// claims.
+func TestAnswersAreBounded(t *testing.T) {
+	is := is.New(t)
+	table := claim.NewTable(0)
+	const fits = claim.MaxKeptBytes / claim.MaxAnswerBytes
+	record := func(n int) claim.Record {
+		return claim.Record{Kind: claim.Take, Key: fmt.Sprint(n), Attempt: fmt.Sprint(n), IssuedMillis: 1}
+	}
+	for n := range fits + 1 {
+		raw, err := claim.EncodeBatch([]claim.Record{record(n), record(n).WithAnswer(200, "", make([]byte, claim.MaxAnswerBytes))})
+		is.NoErr(err)
+		table.Fold(int64(n), 1, raw)
+	}
+	for n := range fits + 1 {
+		s, e := table.Standing(record(n))
+		is.Equal(s, claim.Finished)
+		is.Equal(e.Omitted, n == 0)
+	}
+}
