fix: keep net/http from sending an empty call with a key twice

Cause: net/http repeats a request with an Idempotency-Key when a connection that was used before breaks, if it can replay the body. GetBody was cleared, but for an empty body http.NewRequest sets http.NoBody, which counts as replayable. A booking without a body could run twice. Seen first: TestRunNeverSendsTwice, 3 calls taken instead of 2. Now the body is never http.NoBody. A failed connect is proved not started, an engine's error event and a missing end marker have their own errors, and a line of a stream is at most 64 KiB. Command: go test -race ./upstream

--- a/upstream/client.go
+++ b/upstream/client.go
@@ -5,7 +5,9 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -13,6 +15,13 @@
 	"github.com/gravitational/trace"
 )
 
+const (
+	// dialTimeout bounds the time to connect to an upstream.
+	dialTimeout = time.Second
+	// drainTimeout bounds the wait for the last bytes of an ended stream.
+	drainTimeout = 100 * time.Millisecond
+)
+
 // Call is one attempt at an upstream.
 type Call struct {
 	// Address is the upstream's IP:port.
@@ -53,6 +62,15 @@
 // Error makes NotStarted an error.
 func (n *NotStarted) Error() string { return "not started: " + n.Reason }
 
+// Rejected tells that an engine refused a request for what it asks.
+type Rejected struct {
+	// Status is the HTTP status of the answer.
+	Status int
+}
+
+// Error makes Rejected an error.
+func (r *Rejected) Error() string { return "rejected with " + http.StatusText(r.Status) }
+
 // Client calls upstreams. It never sends a call twice by itself.
 type Client struct {
 	http *http.Client
@@ -65,6 +83,7 @@
 		MaxIdleConnsPerHost: 64,
 		IdleConnTimeout:     30 * time.Second,
 		DisableCompression:  true,
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 	}
 	return &Client{http: &http.Client{Transport: transport}}
 }
@@ -73,30 +92,41 @@
 type Stream struct {
 	*Decoder
 
-	// Incarnation and Weights are what the engine answered with.
-	Incarnation, Weights string
+	// Attempt, Incarnation and Weights are what the engine answered with.
+	Attempt, Incarnation, Weights string
 	// CachedTokens is how much of the prompt the engine had cached.
 	CachedTokens int
 	body         io.ReadCloser
 }
 
+// Drain reads the rest of an ended stream, so that its connection can be
+// used again.
+func (s *Stream) Drain() {
+	timer := time.AfterFunc(drainTimeout, s.Close)
+	defer timer.Stop()
+	_, _ = io.Copy(io.Discard, s.body)
+}
+
 // Close ends the stream.
 func (s *Stream) Close() { _ = s.body.Close() }
 
 // Open starts a completion. It returns *NotStarted when the engine proved
-// that it did not start, and trace.ConnectionProblem when it may have.
+// that it did not start or nothing was sent, *Rejected when the engine
+// refused the request itself, and trace.ConnectionProblem when it may have
+// started. The caller checks whose answer it is.
 func (c *Client) Open(ctx context.Context, call Call) (*Stream, error) {
 	resp, err := c.send(ctx, call)
 	if err != nil {
 		return nil, err
 	}
-	if resp.Header.Get("X-Attempt-Id") != call.Attempt {
+	if resp.StatusCode >= http.StatusBadRequest {
 		_ = resp.Body.Close()
-		return nil, trace.ConnectionProblem(nil, "the answer belongs to another attempt")
+		return nil, &Rejected{Status: resp.StatusCode}
 	}
 	cached, _ := strconv.Atoi(resp.Header.Get("X-Cached-Tokens"))
 	return &Stream{
 		Decoder:      NewDecoder(resp.Body),
+		Attempt:      resp.Header.Get("X-Attempt-Id"),
 		Incarnation:  resp.Header.Get("X-Incarnation"),
 		Weights:      resp.Header.Get("X-Weights"),
 		CachedTokens: cached,
@@ -133,6 +163,10 @@
 		return nil, &NotStarted{Reason: err.Error()}
 	}
 	resp, err := c.http.Do(req)
+	var dial *net.OpError
+	if errors.As(err, &dial) && dial.Op == "dial" {
+		return nil, &NotStarted{Reason: err.Error()}
+	}
 	if err != nil {
 		return nil, trace.ConnectionProblem(err, "no answer from %s", call.Address)
 	}
@@ -148,14 +182,16 @@
 	return resp, nil
 }
 
-// newRequest builds the HTTP request of a call. GetBody is cleared, since
-// net/http would otherwise send a request with an idempotency key twice.
+// newRequest builds the HTTP request of a call. GetBody is cleared and the
+// body is never http.NoBody, since net/http would otherwise send a request
+// with an idempotency key twice.
 func newRequest(ctx context.Context, call Call) (*http.Request, error) {
 	req, err := http.NewRequestWithContext(ctx, call.Method, "http://"+call.Address+call.Path, bytes.NewReader(call.Body))
 	if err != nil {
 		return nil, err
 	}
 	req.GetBody = nil
+	req.Body = io.NopCloser(bytes.NewReader(call.Body))
 	headers := map[string]string{
 		"Content-Type":         "application/json",
 		"X-Request-Id":         call.Request,
--- /dev/null
+++ b/upstream/client_test.go
@@ -0,0 +1,106 @@
+package upstream_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/matryer/is"
+
+	"github.com/kumquathoist/kumquathoist/upstream"
+)
+
+// TestRunNeverSendsTwice lets a service take a call on a connection that was
+// used before and break it: net/http repeats a request with an idempotency
+// key and no body unless it is kept from it.
+func TestRunNeverSendsTwice(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer listener.Close()
+	var taken atomic.Int32
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go serveTwo(conn, &taken)
+		}
+	}()
+	client := upstream.NewClient()
+	call := upstream.Call{Address: listener.Addr().String(), Method: http.MethodPost, Path: "/approve", Key: "key-1"}
+	_, err = client.Run(context.Background(), call)
+	is.NoErr(err)
+	_, err = client.Run(context.Background(), call)
+	is.True(trace.IsConnectionProblem(err))
+	is.Equal(taken.Load(), int32(2))
+}
+
+// serveTwo answers the first call of a connection and breaks off the second.
+func serveTwo(conn net.Conn, taken *atomic.Int32) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for range 2 {
+		if _, err := http.ReadRequest(reader); err != nil {
+			return
+		}
+		if taken.Add(1) != 1 {
+			return
+		}
+		_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"))
+	}
+}
+
+// TestRefusedConnection shows that a call which reached nobody is proved not
+// started.
+func TestRefusedConnection(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	address := listener.Addr().String()
+	is.NoErr(listener.Close())
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	_, err = upstream.NewClient().Open(ctx, upstream.Call{Address: address, Method: http.MethodPost, Path: "/v1/completions", Body: []byte("{}")})
+	var notStarted *upstream.NotStarted
+	is.True(errors.As(err, &notStarted))
+}
+
+// TestDecoder gives each way in which an engine's stream can end.
+func TestDecoder(t *testing.T) {
+	tests := []struct {
+		name, stream string
+		chunks       int
+		check        func(error) bool
+	}{
+		{"whole", "id: 1\ndata: {}\n\ndata: [DONE]\n\n", 2, nil},
+		{"no end marker", "id: 1\ndata: {}\n\n", 1, func(err error) bool { return errors.Is(err, upstream.ErrMissingEnd) }},
+		{"half an event", "id: 1\ndata: {}\n", 0, func(err error) bool { return errors.Is(err, upstream.ErrMissingEnd) }},
+		{"error event", "id: 1\ndata: {}\n\nevent: error\ndata: {}\n\n", 1, func(err error) bool { return errors.Is(err, upstream.ErrReported) }},
+		{"no position", "data: {}\n\n", 0, trace.IsBadParameter},
+		{"position is no number", "id: x\ndata: {}\n\n", 0, trace.IsBadParameter},
+		{"too long", "id: 1\ndata: " + strings.Repeat("x", 1<<20) + "\n\n", 0, trace.IsConnectionProblem},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			d := upstream.NewDecoder(strings.NewReader(tt.stream))
+			for range tt.chunks {
+				_, err := d.Next()
+				is.NoErr(err)
+			}
+			if tt.check != nil {
+				_, err := d.Next()
+				is.True(tt.check(err))
+			}
+		})
+	}
+}
--- a/upstream/stream.go
+++ b/upstream/stream.go
@@ -3,14 +3,23 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"io"
 	"strconv"
 
 	"github.com/gravitational/trace"
 )
 
-// maxLineBytes bounds one line of an engine's stream.
-const maxLineBytes = 1 << 20
+// maxLineBytes bounds one line of an engine's stream, and with it the memory
+// of the events that wait for a slow caller.
+const maxLineBytes = 64 << 10
+
+var (
+	// ErrMissingEnd tells that a stream stopped without its end marker.
+	ErrMissingEnd = errors.New("the stream stopped without its end marker")
+	// ErrReported tells that the engine ended its stream with an error event.
+	ErrReported = errors.New("the engine reported an error")
+)
 
 // Chunk is one event of an engine's stream.
 type Chunk struct {
@@ -35,7 +44,8 @@
 }
 
 // Next returns the next event. A stream that stops without its end marker
-// gives trace.ConnectionProblem; an event that makes no sense gives
+// gives ErrMissingEnd, an error event ErrReported, a broken connection
+// trace.ConnectionProblem, and an event that makes no sense
 // trace.BadParameter.
 func (d *Decoder) Next() (Chunk, error) {
 	var c Chunk
@@ -52,12 +62,14 @@
 			c.Position = position
 		case bytes.HasPrefix(line, []byte("data:")):
 			c.Data = bytes.Clone(bytes.TrimSpace(line[5:]))
+		case bytes.HasPrefix(line, []byte("event:")) && string(bytes.TrimSpace(line[6:])) == "error":
+			return Chunk{}, ErrReported
 		}
 	}
 	if err := d.scanner.Err(); err != nil {
 		return Chunk{}, trace.ConnectionProblem(err, "the stream was cut")
 	}
-	return Chunk{}, trace.ConnectionProblem(io.ErrUnexpectedEOF, "the stream stopped without its end marker")
+	return Chunk{}, ErrMissingEnd
 }
 
 // finished returns a whole event.
