feat: decide the life of a request in package attempt

Step decides sends, continuation, resume by position and the outcome from typed inputs; dispatch drives it. The outcome is decided in one place: not run if every send was proved not started, else unknown, also for work that may be repeated; RetryAfter tells whether sending it again is safe. A resumed stream names its weights (X-Model-Version) and goes on only with them. Cancels no longer hold a final answer back for up to a second, a caller that takes nothing ends with the request's deadline, and a stopping host ends streams beyond its allowance with an explicit event. Seen failing first: a clock that stepped back gave a send more time than the request had (TestInterleavings).

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -1,25 +1,23 @@
-// Package dispatch carries a request from admission to its outcome: it
-// claims, chooses upstreams, streams the answer and goes on elsewhere after
-// a failure.
+// Package dispatch carries a request from admission to its outcome. What
+// happens next is decided by package attempt and, for what must not be
+// repeated, by package claim; this package does their I/O.
 package dispatch
 
 import (
 	"context"
-	"errors"
+	"sync"
 	"time"
 
-	"github.com/google/uuid"
+	"github.com/sourcegraph/conc"
 
+	"github.com/kumquathoist/kumquathoist/attempt"
 	"github.com/kumquathoist/kumquathoist/document"
 	"github.com/kumquathoist/kumquathoist/engine"
-	"github.com/kumquathoist/kumquathoist/event"
 	"github.com/kumquathoist/kumquathoist/request"
 	"github.com/kumquathoist/kumquathoist/upstream"
 )
 
 const (
-	// maxAttempts bounds the upstreams that one request is sent to.
-	maxAttempts = 3
 	// retryAfter is when a caller may come back after a refusal.
 	retryAfter = time.Second
 	// cancelTimeout bounds telling an engine that an attempt was abandoned.
@@ -32,11 +30,18 @@
 
 // Dispatcher runs requests.
 type Dispatcher struct {
-	client  *upstream.Client
-	engines engines
-	admit   admitter
-	claims  claims
-	leaving func(upstream string) bool
+	client     *upstream.Client
+	engines    engines
+	admit      admitter
+	claims     claims
+	leaving    func(upstream string) bool
+	limits     attempt.Limits
+	background conc.WaitGroup
+	stopOnce   sync.Once
+	stopping   chan struct{}
+	// mu guards budget.
+	mu     sync.Mutex
+	budget attempt.RetryBudget
 }
 
 // engines chooses the engine of each attempt.
@@ -68,92 +73,60 @@
 
 // New returns a dispatcher.
 func New(o Options) *Dispatcher {
-	return &Dispatcher{client: o.Client, engines: o.Engines, admit: o.Admit, claims: o.Claims, leaving: o.Leaving}
+	return &Dispatcher{
+		client: o.Client, engines: o.Engines, admit: o.Admit, claims: o.Claims, leaving: o.Leaving,
+		limits: attempt.DefaultLimits(), budget: attempt.DefaultRetryBudget(), stopping: make(chan struct{}),
+	}
 }
 
 // Complete streams a completion into the sink and returns nil once the
 // answer is whole.
 func (d *Dispatcher) Complete(ctx context.Context, doc document.Document, r request.Request, sink Sink) *request.Failure {
-	ctx, cancel := context.WithTimeout(ctx, r.Remaining)
-	defer cancel()
+	c := newCompletion(d, doc, r, sink)
 	release, refused := d.admit.Admit(doc, r)
 	if refused != nil {
-		return refused
+		c.step(ctx, attempt.Refused{Failure: refused})
+		return c.failure
 	}
 	defer release()
-	model, _ := doc.Model(r.Model)
-	pool, _ := doc.Pool(model.Pool)
-	at, sent := r.ResumeAfter, false
-	var tried []string
-	for range maxAttempts {
-		choice, ok := d.engines.Choose(ctx, pool, model, r, tried)
-		if !ok {
-			break
-		}
-		tried = append(tried, choice.Upstream.Name)
-		last, err := d.attempt(ctx, choice, model, r, at, sink)
-		if err == nil {
-			return nil
-		}
-		at = last
-		var notStarted *upstream.NotStarted
-		sent = sent || !errors.As(err, &notStarted)
-		event.AttemptFailed.Error(err, "Request", r.ID, "Upstream", choice.Upstream.Name, "Position", at)
-		if ctx.Err() != nil {
-			break
-		}
-	}
-	return failed(sent)
+	d.count()
+	return c.run(ctx)
 }
 
-// failed returns the final answer to a completion that no engine finished.
-func failed(sent bool) *request.Failure {
-	if sent {
-		return request.Refuse(request.UpstreamFailed, "no engine finished the request").WithOutcome(request.Unknown).WithRetryAfter(retryAfter)
-	}
-	return request.Refuse(request.NoUpstream, "no engine can take the request now").WithRetryAfter(retryAfter)
+// Stop ends the completions that still run, each with an explicit failure
+// that tells its caller to go on at another host.
+func (d *Dispatcher) Stop() { d.stopOnce.Do(func() { close(d.stopping) }) }
+
+// count adds a request to the retry budget.
+func (d *Dispatcher) count() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.budget = d.budget.WithRequest(time.Now())
 }
 
-// attempt streams from one engine and returns the position reached.
-func (d *Dispatcher) attempt(ctx context.Context, choice engine.Choice, model document.Model, r request.Request, at int, sink Sink) (int, error) {
-	var report engine.Report
-	ended := d.engines.Started(choice)
-	defer func() { ended(report) }()
-	call := upstream.Call{
-		Address: choice.Upstream.Address, Method: r.Method, Path: r.Path, Body: r.Body,
-		Request: r.ID, Attempt: uuid.NewString(), Salt: r.Account, Weights: model.Version,
-		ResumeAfter: at, Priority: r.Priority, Remaining: r.Remaining,
-	}
-	stream, err := d.client.Open(ctx, call)
-	if err != nil {
-		return at, err
-	}
-	defer stream.Close()
-	report = engine.Report{Answered: true, Incarnation: stream.Incarnation, Weights: stream.Weights, CachedTokens: stream.CachedTokens}
-	for {
-		chunk, err := stream.Next()
-		if err != nil {
-			d.abandon(ctx, call)
-			return at, err
-		}
-		if !chunk.End && chunk.Position != at+1 {
-			d.abandon(ctx, call)
-			return at, errors.New("the engine's stream has a gap")
-		}
-		if err := sink(chunk); err != nil {
-			d.abandon(ctx, call)
-			return at, err
-		}
-		if chunk.End {
-			return at, nil
-		}
-		at = chunk.Position
-	}
+// repeat takes a repeat from the retry budget.
+func (d *Dispatcher) repeat() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var granted bool
+	d.budget, granted = d.budget.WithRepeat(time.Now())
+	return granted
+}
+
+// cancel tells an engine in the background to stop an attempt, so that no
+// caller waits for it.
+func (d *Dispatcher) cancel(address, id string) {
+	d.background.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+		defer cancel()
+		_ = d.client.Cancel(ctx, address, id)
+	})
 }
 
-// abandon tells an engine to stop an attempt.
-func (d *Dispatcher) abandon(ctx context.Context, call upstream.Call) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), cancelTimeout)
-	defer cancel()
-	_ = d.client.Cancel(ctx, call.Address, call.Attempt)
+// failed returns the final answer to a call that no upstream finished.
+func failed(sent bool) *request.Failure {
+	if sent {
+		return request.Refuse(request.UpstreamFailed, "no upstream finished the request").WithOutcome(request.Unknown).WithRetryAfter(retryAfter)
+	}
+	return request.Refuse(request.NoUpstream, "no upstream can take the request now").WithRetryAfter(retryAfter)
 }
--- a/gateway/complete.go
+++ b/gateway/complete.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"strings"
+	"time"
 
 	"github.com/gofiber/fiber/v3"
 
@@ -15,16 +16,28 @@
 	"github.com/kumquathoist/kumquathoist/upstream"
 )
 
-// bufferedChunks bounds the events that wait for a slow caller.
-const bufferedChunks = 64
+const (
+	// bufferedChunks bounds the events that wait for a slow caller. With the
+	// longest event an engine may send, it bounds a stream's memory to 1 MiB.
+	bufferedChunks = 16
+	// writeTimeout bounds one write to a caller that reads nothing.
+	writeTimeout = 30 * time.Second
+	// deadlineGrace is how long after its deadline a request is ended that
+	// still waits for its caller.
+	deadlineGrace = time.Second
+)
 
 // errCallerLeft ends a request whose caller closed its connection.
 var errCallerLeft = errors.New("the caller has left")
 
-// part is what the runner hands to the caller's side: an event or the end.
-type part struct {
-	chunk   upstream.Chunk
-	failure *request.Failure
+// answer is a completion on its way from the runner to the caller.
+type answer struct {
+	// chunks holds events in order; it is closed after the last one.
+	chunks chan upstream.Chunk
+	// failure gets the outcome after chunks was closed.
+	failure chan *request.Failure
+	// cancel tells the runner that the caller has left.
+	cancel context.CancelFunc
 }
 
 // complete answers a completion request.
@@ -37,45 +50,40 @@
 	if failure != nil {
 		return g.refused(c, account.Name, failure)
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	parts := g.run(ctx, doc, r)
-	first := <-parts
-	if first.failure != nil {
-		cancel()
-		return g.refused(c, account.Name, first.failure)
+	g.open.Add(1)
+	a := g.run(doc, r)
+	first, ok := <-a.chunks
+	if !ok {
+		defer g.open.Add(-1)
+		defer a.cancel()
+		return g.refused(c, account.Name, <-a.failure)
 	}
+	c.Set(modelVersionHeader, r.Version)
 	if r.Stream {
-		return g.stream(c, r, parts, first, cancel)
+		return g.stream(c, r, a, first)
 	}
-	defer cancel()
-	return g.collect(c, r, parts, first)
+	defer g.open.Add(-1)
+	defer a.cancel()
+	return g.collect(c, r, a, first)
 }
 
-// run starts a completion and returns its parts; the last one is an end or
-// a failure.
-func (g *Gateway) run(ctx context.Context, doc document.Document, r request.Request) <-chan part {
-	parts := make(chan part, bufferedChunks)
-	g.open.Add(1)
+// run starts a completion.
+func (g *Gateway) run(doc document.Document, r request.Request) *answer {
+	ctx, cancel := context.WithTimeout(context.Background(), r.Remaining+deadlineGrace)
+	a := &answer{chunks: make(chan upstream.Chunk, bufferedChunks), failure: make(chan *request.Failure, 1), cancel: cancel}
 	go func() {
-		defer g.open.Add(-1)
-		defer close(parts)
 		failure := g.Runner.Complete(ctx, doc, r, func(chunk upstream.Chunk) error {
 			select {
-			case parts <- part{chunk: chunk}:
+			case a.chunks <- chunk:
 				return nil
 			case <-ctx.Done():
 				return errCallerLeft
 			}
 		})
-		if failure == nil {
-			return
-		}
-		select {
-		case parts <- part{failure: failure}:
-		case <-ctx.Done():
-		}
+		a.failure <- failure
+		close(a.chunks)
 	}()
-	return parts
+	return a
 }
 
 // refused answers with a failure and counts it.
@@ -85,35 +93,55 @@
 }
 
 // stream passes events on as they come.
-func (g *Gateway) stream(c fiber.Ctx, r request.Request, parts <-chan part, first part, cancel context.CancelFunc) error {
+func (g *Gateway) stream(c fiber.Ctx, r request.Request, a *answer, first upstream.Chunk) error {
 	c.Set(fiber.HeaderContentType, "text/event-stream")
 	c.Set(fiber.HeaderCacheControl, "no-cache")
+	conn := c.RequestCtx().Conn()
 	return c.SendStreamWriter(func(w *bufio.Writer) {
-		defer cancel()
-		failure := writeParts(w, first, parts)
+		defer g.open.Add(-1)
+		defer a.cancel()
+		events := &eventWriter{w: w, extend: func() { _ = conn.SetWriteDeadline(time.Now().Add(writeTimeout)) }, left: a.cancel}
+		events.write(chunkEvent(first))
+		for chunk := range a.chunks {
+			events.write(chunkEvent(chunk))
+		}
+		failure := <-a.failure
+		if failure != nil {
+			events.write(failureEvent(failure))
+		}
 		g.finish(r.ID, r.Account, failure)
 	})
 }
 
-// writeParts writes events until the end, a failure or the caller's leaving.
-func writeParts(w *bufio.Writer, p part, parts <-chan part) *request.Failure {
-	for open := true; open; p, open = <-parts {
-		switch {
-		case p.failure != nil:
-			_, _ = w.Write(failureEvent(p.failure))
-			_ = w.Flush()
-			return p.failure
-		case p.chunk.End:
-			_, _ = w.WriteString("data: [DONE]\n\n")
-			_ = w.Flush()
-			return nil
-		}
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", p.chunk.Position, p.chunk.Data)
-		if w.Flush() != nil {
-			break
-		}
+// eventWriter writes events until the first error.
+type eventWriter struct {
+	w *bufio.Writer
+	// extend gives the caller's connection time for one more write.
+	extend func()
+	// left is called when the caller has left.
+	left func()
+	err  error
+}
+
+func (e *eventWriter) write(raw []byte) {
+	if e.err != nil {
+		return
+	}
+	e.extend()
+	if _, e.err = e.w.Write(raw); e.err == nil {
+		e.err = e.w.Flush()
+	}
+	if e.err != nil {
+		e.left()
 	}
-	return &request.Failure{Outcome: request.Unknown, Code: request.UpstreamFailed, Message: "the caller left before the end"}
+}
+
+// chunkEvent returns the event of a chunk.
+func chunkEvent(chunk upstream.Chunk) []byte {
+	if chunk.End {
+		return []byte("data: [DONE]\n\n")
+	}
+	return fmt.Appendf(nil, "id: %d\ndata: %s\n\n", chunk.Position, chunk.Data)
 }
 
 // chunkBody is what the router reads of an engine's event.
@@ -155,21 +183,24 @@
 }
 
 // collect answers with the whole text at once.
-func (g *Gateway) collect(c fiber.Ctx, r request.Request, parts <-chan part, p part) error {
+func (g *Gateway) collect(c fiber.Ctx, r request.Request, a *answer, first upstream.Chunk) error {
 	var text strings.Builder
 	var last chunkBody
 	tokens := 0
-	for open := true; open && !p.chunk.End; p, open = <-parts {
-		if p.failure != nil {
-			return g.refused(c, r.Account, p.failure)
+	for chunk, open := first, true; open; chunk, open = <-a.chunks {
+		if chunk.End {
+			continue
 		}
 		last = chunkBody{}
-		if json.Unmarshal(p.chunk.Data, &last) != nil || len(last.Choices) == 0 {
+		if json.Unmarshal(chunk.Data, &last) != nil || len(last.Choices) == 0 {
 			return g.refused(c, r.Account, request.Refuse(request.UpstreamFailed, "the engine's answer makes no sense").WithOutcome(request.Unknown))
 		}
 		tokens++
 		text.WriteString(last.Choices[0].Delta.Content + last.Choices[0].Text)
 	}
+	if failure := <-a.failure; failure != nil {
+		return g.refused(c, r.Account, failure)
+	}
 	g.finish(r.ID, r.Account, nil)
 	return c.JSON(whole(r, last, text.String(), tokens))
 }
--- a/gateway/door.go
+++ b/gateway/door.go
@@ -28,6 +28,9 @@
 	priorityHeader   = "X-Priority"
 	repeatableHeader = "X-Repeatable"
 	lastEventHeader  = "Last-Event-ID"
+	// modelVersionHeader names the weights of an answer; a caller that goes
+	// on with a stream sends it back.
+	modelVersionHeader = "X-Model-Version"
 )
 
 // authenticate returns the account of a bearer key.
@@ -76,7 +79,8 @@
 	if err := json.Unmarshal(r.Body, &body); err != nil {
 		return r, request.Refuse(request.BadRequest, "the body is not a completion request: "+err.Error())
 	}
-	if _, ok := doc.Model(body.Model); !ok {
+	model, ok := doc.Model(body.Model)
+	if !ok {
 		return r, request.Refuse(request.NotFound, "there is no model "+strconv.Quote(body.Model))
 	}
 	if !account.AllowsModel(body.Model) {
@@ -84,7 +88,20 @@
 	}
 	r.Kind, r.Model, r.Stream, r.Levels = request.Completion, body.Model, body.Stream, body.levels()
 	r.Repeatable = true
-	return r, nil
+	r.Version, failure = version(c, r, model)
+	return r, failure
+}
+
+// version returns the weights that the answer must come from: those in force,
+// or for a resumed stream those that it began with.
+func version(c fiber.Ctx, r request.Request, model document.Model) (string, *request.Failure) {
+	if r.ResumeAfter == 0 {
+		return model.Version, nil
+	}
+	if began := c.Get(modelVersionHeader); began != "" {
+		return began, nil
+	}
+	return "", request.Refuse(request.BadRequest, "a request with "+lastEventHeader+" needs the "+modelVersionHeader+" of the answer that it goes on with")
 }
 
 // serviceCall reads a call of a plain service.
--- a/node/node.go
+++ b/node/node.go
@@ -32,6 +32,7 @@
 type Node struct {
 	settings settings.Settings
 	gateway  *gateway.Gateway
+	runner   stopper
 	operator *operator.Server
 	peers    *peer.Server
 	wait     conc.WaitGroup
@@ -83,6 +84,7 @@
 	dispatcher := dispatch.New(dispatch.Options{
 		Client: client, Engines: engines, Admit: admission.New(), Claims: claimlog.New(log), Leaving: directory.Leaving,
 	})
+	n.runner = dispatcher
 	var err error
 	if n.peers, err = peer.NewServer(n.settings.Listen.Peers, peerSecret); err != nil {
 		return err
@@ -119,27 +121,6 @@
 // Stop begins a planned stop. It returns at once; Wait tells when it ended.
 func (n *Node) Stop() { n.stopOnce.Do(func() { close(n.stop) }) }
 
-// finish carries out a planned stop: the host leaves the address answers,
-// accepts requests until no caller's answer names it, and waits for its
-// streams.
-func (n *Node) finish(ctx context.Context) {
-	defer n.cancel()
-	defer close(n.stopped)
-	select {
-	case <-ctx.Done():
-		return
-	case <-n.stop:
-	}
-	event.Stopping.Info("Host", n.settings.Host.Name, "Open", n.gateway.Open())
-	n.gateway.Stop()
-	pause(ctx, n.settings.Stop.AddressTTL())
-	deadline := time.Now().Add(n.settings.Stop.StreamAllowance())
-	for n.gateway.Open() > 0 && time.Now().Before(deadline) && ctx.Err() == nil {
-		pause(ctx, 10*time.Millisecond)
-	}
-	event.Stopped.Info("Host", n.settings.Host.Name, "Cut", n.gateway.Open())
-}
-
 // Wait returns when the daemon has ended.
 func (n *Node) Wait() { n.wait.Wait() }
 
--- a/request/request.go
+++ b/request/request.go
@@ -53,6 +53,8 @@
 	Stream bool
 	// ResumeAfter is the position of the last event that the caller has.
 	ResumeAfter int
+	// Version is the model's version that a resumed answer came from, or "".
+	Version string
 	// Key is the caller's idempotency key, or "".
 	Key string
 	// KeyIssued is when the caller made the key.
@@ -97,8 +99,17 @@
 	UpstreamFailed  Code = "UpstreamFailed"
 	Quarantined     Code = "Quarantined"
 	NotReady        Code = "NotReady"
+	// DeadlineExceeded ends a request whose time ran out while it ran.
+	DeadlineExceeded Code = "DeadlineExceeded"
+	// CallerLeft is logged for a request that nobody waits for.
+	CallerLeft Code = "CallerLeft"
+	// HostStopping tells the caller to go on at another host.
+	HostStopping Code = "HostStopping"
 )
 
+// statusCallerLeft is the usual status in logs for a caller that left.
+const statusCallerLeft = 499
+
 // statuses holds the HTTP status of each code.
 var statuses = map[Code]int{
 	BadRequest:      http.StatusBadRequest,
@@ -116,6 +127,10 @@
 	UpstreamFailed:  http.StatusBadGateway,
 	Quarantined:     http.StatusUnprocessableEntity,
 	NotReady:        http.StatusServiceUnavailable,
+
+	DeadlineExceeded: http.StatusGatewayTimeout,
+	CallerLeft:       statusCallerLeft,
+	HostStopping:     http.StatusServiceUnavailable,
 }
 
 // Error makes a failure usable as an error.
--- a/upstream/client_test.go
+++ b/upstream/client_test.go
@@ -24,7 +24,7 @@
 	is := is.New(t)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
-	defer listener.Close()
+	t.Cleanup(func() { _ = listener.Close() })
 	var taken atomic.Int32
 	go func() {
 		for {
@@ -46,7 +46,7 @@
 
 // serveTwo answers the first call of a connection and breaks off the second.
 func serveTwo(conn net.Conn, taken *atomic.Int32) {
-	defer conn.Close()
+	defer func() { _ = conn.Close() }()
 	reader := bufio.NewReader(conn)
 	for range 2 {
 		if _, err := http.ReadRequest(reader); err != nil {
