feat: quarantine requests that crash engines

Package quarantine decides from a set of shared records: condemned when the request was on two lost engines (three while others fail too) and no other request, not answered since, was on all of them, or on four in any case. A suspect runs one at a time on each host; its likes wait for the verdict instead of being refused. Command: go test -race ./quarantine ./crash

--- a/attempt/attempt.go
+++ b/attempt/attempt.go
@@ -17,9 +17,11 @@
 type Limits struct {
 	// Attempts is the most sends of a request, the first one included.
 	Attempts int
-	// Losses is the most attempts that may end with a lost engine before
-	// its first token, so that a request that crashes engines takes few.
+	// Losses is the most attempts that may end with a lost engine in their
+	// first tokens, so that a request that crashes engines takes few.
 	Losses int
+	// Early is how many tokens of an attempt count as its first.
+	Early int
 	// Pause bounds the pause before the first repeat; it doubles with each.
 	Pause time.Duration
 	// Least is the shortest remaining time that is worth a send.
@@ -35,7 +37,7 @@
 // DefaultLimits returns the limits of the daemon.
 func DefaultLimits() Limits {
 	return Limits{
-		Attempts: 4, Losses: 2, Pause: 20 * time.Millisecond, Least: 20 * time.Millisecond,
+		Attempts: 4, Losses: 2, Early: 8, Pause: 20 * time.Millisecond, Least: 20 * time.Millisecond,
 		FirstToken: 20 * time.Second, Token: 3 * time.Second, RetryAfter: time.Second,
 	}
 }
@@ -91,8 +93,8 @@
 	wake time.Time
 	// position is the last token passed on to the caller.
 	position int
-	// progressed tells that the current attempt gave a token.
-	progressed bool
+	// tokens counts the tokens of the current attempt.
+	tokens int
 	// started tells that an upstream may have started an earlier attempt.
 	started bool
 	tried   []string
--- a/attempt/message.go
+++ b/attempt/message.go
@@ -54,6 +54,9 @@
 // Woken tells that the time of Wake came.
 type Woken struct{}
 
+// Condemned tells that the request crashes the engines that run it.
+type Condemned struct{}
+
 // CallerLeft tells that nobody waits for the answer.
 type CallerLeft struct{}
 
@@ -71,6 +74,7 @@
 func (Failed) input()     {}
 func (Budget) input()     {}
 func (Woken) input()      {}
+func (Condemned) input()  {}
 func (CallerLeft) input() {}
 func (Stopping) input()   {}
 
@@ -101,12 +105,9 @@
 // AskBudget asks whether the host's retry budget allows a repeat.
 type AskBudget struct{}
 
-// Lost reports that an engine was lost during an attempt.
-type Lost struct {
-	Upstream, Incarnation string
-	// Early tells that no token had come: the prompt may be the reason.
-	Early bool
-}
+// Lost reports that an engine may have died in the prefill or the first
+// tokens of an attempt, so that the request may be the reason.
+type Lost struct{ Upstream, Attempt string }
 
 // Finish ends the request. A nil failure means that the answer is whole.
 type Finish struct{ Failure *request.Failure }
--- a/attempt/outcome.go
+++ b/attempt/outcome.go
@@ -14,23 +14,15 @@
 		s.started = true
 		actions = append(actions, Cancel{Upstream: s.target.Upstream, Attempt: s.id})
 	}
-	if c.lost() {
-		actions = append(actions, Lost{Upstream: s.target.Upstream, Incarnation: s.incarnation, Early: !s.progressed})
-		s.losses += lossOf(s.progressed)
+	if c.lost() && s.tokens < s.limits.Early {
+		actions = append(actions, Lost{Upstream: s.target.Upstream, Attempt: s.id})
+		s.losses++
 	}
 	s.id = ""
 	s, next := s.afterFailure(c, now, random)
 	return s, append(actions, next...)
 }
 
-// lossOf counts an engine that was lost before its first token.
-func lossOf(progressed bool) int {
-	if progressed {
-		return 0
-	}
-	return 1
-}
-
 // afterFailure goes on elsewhere, resumes on the same engine or ends.
 func (s State) afterFailure(c Cause, now time.Time, random *rand.Rand) (State, []Action) {
 	switch {
@@ -43,7 +35,7 @@
 	case c.proven():
 		return s.choose(now, random)
 	}
-	s.resume = c == Cut && s.progressed
+	s.resume = c == Cut && s.tokens > 0
 	if s.resume {
 		s.target.Incarnation, s.target.Estimate = s.incarnation, 0
 	}
--- a/attempt/step.go
+++ b/attempt/step.go
@@ -54,6 +54,8 @@
 		return in.Failure, s.phase == New
 	case NoneUsable:
 		return s.exhausted(), s.phase == Choosing
+	case Condemned:
+		return request.Refuse(request.Quarantined, "the request crashed the engines that ran it"), true
 	case CallerLeft:
 		return request.Refuse(request.CallerLeft, "the caller left before the end"), true
 	case Stopping:
@@ -107,7 +109,7 @@
 
 // send begins a new attempt at the target.
 func (s State) send(now time.Time, random *rand.Rand) (State, []Action) {
-	s.phase, s.resume, s.progressed, s.incarnation = Opening, false, false, ""
+	s.phase, s.resume, s.tokens, s.incarnation = Opening, false, 0, ""
 	s.id = fmt.Sprintf("%016x%016x", random.Uint64(), random.Uint64())
 	s.sends++
 	s.wake = now.Add(s.limits.FirstToken)
@@ -141,7 +143,8 @@
 	if in.Position != s.position+1 {
 		return s.failed(Gap, now, random)
 	}
-	s.position, s.progressed = in.Position, true
+	s.position = in.Position
+	s.tokens++
 	s.wake = now.Add(s.limits.Token)
 	return s, []Action{Deliver{Position: in.Position}}
 }
--- /dev/null
+++ b/crash/guard_test.go
@@ -0,0 +1,99 @@
+package crash_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
+
+	"github.com/kumquathoist/kumquathoist/crash"
+	"github.com/kumquathoist/kumquathoist/peer"
+	"github.com/kumquathoist/kumquathoist/request"
+	"github.com/kumquathoist/kumquathoist/settings"
+)
+
+// startGuards starts guards that share over drpc.
+func startGuards(t *testing.T, count int) []*crash.Guard {
+	t.Helper()
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	var wait conc.WaitGroup
+	pool := peer.NewPool(settings.Secret("secret"))
+	t.Cleanup(func() {
+		cancel()
+		pool.Close()
+		wait.Wait()
+	})
+	var servers []*peer.Server
+	for range count {
+		server, err := peer.NewServer("127.0.0.1:0", settings.Secret("secret"))
+		is.NoErr(err)
+		servers = append(servers, server)
+	}
+	var guards []*crash.Guard
+	for _, server := range servers {
+		others := func() []string {
+			var addresses []string
+			for _, other := range servers {
+				if other != server {
+					addresses = append(addresses, other.Address())
+				}
+			}
+			return addresses
+		}
+		guard := crash.NewGuard(ctx, &wait, crash.Options{Peers: others, Sender: crash.NewPeerSender(pool)})
+		is.NoErr(crash.Register(server, guard))
+		wait.Go(func() { _ = server.Serve(ctx) })
+		guards = append(guards, guard)
+	}
+	return guards
+}
+
+// TestShared condemns a request from losses that two hosts saw, on a third.
+func TestShared(t *testing.T) {
+	is := is.New(t)
+	guards := startGuards(t, 3)
+	is.True(!guards[0].Lost("attempt-1", "crasher", "engine-1"))
+	for !guards[1].Lost("attempt-2", "crasher", "engine-2") {
+		time.Sleep(10 * time.Millisecond)
+	}
+	ctx := context.Background()
+	for {
+		release, refused := guards[2].Admit(ctx, "crasher")
+		if refused != nil {
+			is.Equal(refused.Code, request.Quarantined)
+			is.Equal(refused.Outcome, request.NotRun)
+			break
+		}
+		release()
+		time.Sleep(10 * time.Millisecond)
+	}
+	release, refused := guards[2].Admit(ctx, "innocent")
+	is.Equal(refused, nil)
+	release()
+}
+
+// TestTrial lets the like of a suspect wait until the first was answered.
+func TestTrial(t *testing.T) {
+	is := is.New(t)
+	guard := startGuards(t, 1)[0]
+	guard.Lost("attempt-1", "suspect", "engine-1")
+	ctx, cancel := context.WithCancel(context.Background())
+	release, refused := guard.Admit(ctx, "suspect")
+	is.Equal(refused, nil)
+	left, leave := context.WithCancel(ctx)
+	leave()
+	_, refused = guard.Admit(left, "suspect")
+	is.Equal(refused.Outcome, request.NotRun)
+	admitted := make(chan *request.Failure)
+	go func() {
+		_, refused := guard.Admit(ctx, "suspect")
+		admitted <- refused
+	}()
+	guard.Answered("attempt-2", "suspect")
+	release()
+	is.Equal(<-admitted, nil)
+	cancel()
+}
--- a/dispatch/completion.go
+++ b/dispatch/completion.go
@@ -9,6 +9,7 @@
 	"github.com/kumquathoist/kumquathoist/document"
 	"github.com/kumquathoist/kumquathoist/engine"
 	"github.com/kumquathoist/kumquathoist/event"
+	"github.com/kumquathoist/kumquathoist/quarantine"
 	"github.com/kumquathoist/kumquathoist/request"
 	"github.com/kumquathoist/kumquathoist/upstream"
 )
@@ -21,17 +22,20 @@
 	pool    document.Pool
 	model   document.Model
 	request request.Request
-	sink    Sink
-	random  *rand.Rand
-	state   attempt.State
+	// fingerprint identifies what the request asks for.
+	fingerprint quarantine.Fingerprint
+	sink        Sink
+	random      *rand.Rand
+	state       attempt.State
 	// pending holds inputs that came of actions.
 	pending []attempt.Input
 	// received gets what the reader of the current attempt read.
 	received chan received
 	// chunk is the event that the current input stands for.
 	chunk upstream.Chunk
-	// choice is the engine of the current attempt.
-	choice engine.Choice
+	// attempt identifies the current or last attempt, choice is its engine.
+	attempt string
+	choice  engine.Choice
 	// abandon ends the reader of the current attempt.
 	abandon context.CancelFunc
 	failure *request.Failure
@@ -51,13 +55,19 @@
 		model.Version = r.Version
 	}
 	return &completion{
-		Dispatcher: d, pool: pool, model: model, request: r, sink: sink,
+		Dispatcher: d, pool: pool, model: model, request: r, fingerprint: quarantine.Of(r), sink: sink,
 		random:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		state:    attempt.Begin(d.limits, r, model.Version, time.Now()),
 		received: make(chan received), abandon: func() {},
 	}
 }
 
+// refuse ends a request that was not admitted.
+func (c *completion) refuse(ctx context.Context, refused *request.Failure) *request.Failure {
+	c.step(ctx, attempt.Refused{Failure: refused})
+	return c.failure
+}
+
 // run feeds inputs to the decisions until the request has ended.
 func (c *completion) run(ctx context.Context) *request.Failure {
 	defer func() { c.abandon() }()
@@ -115,6 +125,10 @@
 		c.pending = append(c.pending, c.deliver())
 	case attempt.AskBudget:
 		c.pending = append(c.pending, attempt.Budget{Granted: c.repeat()})
+	case attempt.Lost:
+		if c.crashes.Lost(a.Attempt, c.fingerprint, a.Upstream) {
+			c.pending = append(c.pending, attempt.Condemned{})
+		}
 	case attempt.Cancel:
 		c.abandon()
 		c.cancel(c.choice.Upstream.Address, a.Attempt)
@@ -147,6 +161,7 @@
 	if f == nil {
 		// The reader of a whole answer ends by itself.
 		c.abandon = func() {}
+		c.crashes.Answered(c.attempt, c.fingerprint)
 		_ = c.sink(upstream.Chunk{End: true})
 	}
 }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -13,6 +13,7 @@
 	"github.com/kumquathoist/kumquathoist/attempt"
 	"github.com/kumquathoist/kumquathoist/document"
 	"github.com/kumquathoist/kumquathoist/engine"
+	"github.com/kumquathoist/kumquathoist/quarantine"
 	"github.com/kumquathoist/kumquathoist/request"
 	"github.com/kumquathoist/kumquathoist/upstream"
 )
@@ -35,6 +36,7 @@
 	admit      admitter
 	claims     claims
 	leaving    func(upstream string) bool
+	crashes    crashes
 	limits     attempt.Limits
 	background conc.WaitGroup
 	stopOnce   sync.Once
@@ -61,6 +63,18 @@
 	Admit(doc document.Document, r request.Request) (release func(), refused *request.Failure)
 }
 
+// crashes knows the requests that crash engines.
+type crashes interface {
+	// Admit returns a function to call at the request's end, or why the
+	// request is refused.
+	Admit(ctx context.Context, f quarantine.Fingerprint) (release func(), refused *request.Failure)
+	// Lost records an engine that was lost in the first tokens of an
+	// attempt, and tells whether the request is condemned.
+	Lost(attempt string, f quarantine.Fingerprint, engine string) (condemned bool)
+	// Answered records that a request was answered whole.
+	Answered(attempt string, f quarantine.Fingerprint)
+}
+
 // Options is what a dispatcher needs.
 type Options struct {
 	Client  *upstream.Client
@@ -69,12 +83,18 @@
 	Claims  claims
 	// Leaving tells which upstreams get no new work.
 	Leaving func(upstream string) bool
+	// Crashes knows the requests that crash engines; nil suspects none.
+	Crashes crashes
 }
 
 // New returns a dispatcher.
 func New(o Options) *Dispatcher {
+	if o.Crashes == nil {
+		o.Crashes = unsuspecting{}
+	}
 	return &Dispatcher{
-		client: o.Client, engines: o.Engines, admit: o.Admit, claims: o.Claims, leaving: o.Leaving,
+		crashes: o.Crashes,
+		client:  o.Client, engines: o.Engines, admit: o.Admit, claims: o.Claims, leaving: o.Leaving,
 		limits: attempt.DefaultLimits(), budget: attempt.DefaultRetryBudget(), stopping: make(chan struct{}),
 	}
 }
@@ -83,10 +103,14 @@
 // answer is whole.
 func (d *Dispatcher) Complete(ctx context.Context, doc document.Document, r request.Request, sink Sink) *request.Failure {
 	c := newCompletion(d, doc, r, sink)
+	done, refused := d.crashes.Admit(ctx, c.fingerprint)
+	if refused != nil {
+		return c.refuse(ctx, refused)
+	}
+	defer done()
 	release, refused := d.admit.Admit(doc, r)
 	if refused != nil {
-		c.step(ctx, attempt.Refused{Failure: refused})
-		return c.failure
+		return c.refuse(ctx, refused)
 	}
 	defer release()
 	d.count()
@@ -123,6 +147,20 @@
 	})
 }
 
+// unsuspecting knows of no crashes.
+type unsuspecting struct{}
+
+// Admit admits every request.
+func (unsuspecting) Admit(context.Context, quarantine.Fingerprint) (func(), *request.Failure) {
+	return func() {}, nil
+}
+
+// Lost condemns no request.
+func (unsuspecting) Lost(string, quarantine.Fingerprint, string) bool { return false }
+
+// Answered records nothing.
+func (unsuspecting) Answered(string, quarantine.Fingerprint) {}
+
 // failed returns the final answer to a call that no upstream finished.
 func failed(sent bool) *request.Failure {
 	if sent {
--- a/dispatch/reader.go
+++ b/dispatch/reader.go
@@ -20,7 +20,7 @@
 		ResumeAfter: s.ResumeAfter, Priority: c.request.Priority, Remaining: s.Remaining,
 	}
 	ctx, abandon := context.WithCancel(context.Background())
-	c.abandon = abandon
+	c.attempt, c.abandon = s.Attempt, abandon
 	ended := c.engines.Started(c.choice)
 	c.background.Go(func() {
 		defer abandon()
--- a/event/request.go
+++ b/event/request.go
@@ -8,6 +8,10 @@
 	AttemptFailed = Event{2002, "attempt failed", "One attempt at an upstream failed; the request may go on at another."}
 	// ClaimFailed reports that a claim could not be agreed on the log.
 	ClaimFailed = Event{2003, "claim failed", "The log did not confirm a claim; the request was refused as not run."}
+	// RequestQuarantined reports a request that is refused from now on.
+	RequestQuarantined = Event{2004, "request quarantined", "A request crashed the engines that ran it; it is refused on every host for ten minutes after the last crash."}
+	// ShareFailed reports a host that did not take crash records.
+	ShareFailed = Event{2005, "share failed", "Another host did not take records of crashed engines; they are sent again within seconds."}
 )
 
-var requestEvents = []Event{RequestEnded, AttemptFailed, ClaimFailed}
+var requestEvents = []Event{RequestEnded, AttemptFailed, ClaimFailed, RequestQuarantined, ShareFailed}
--- a/node/node.go
+++ b/node/node.go
@@ -81,14 +81,18 @@
 	client := upstream.NewClient()
 	n.ready = func() bool { return revisions.Ready() && len(directory.Entries()) > 0 }
 	engines := engine.NewTracker(ctx, &n.wait, client, func() document.Document { return revisions.State().Document }, directory.Leaving)
-	dispatcher := dispatch.New(dispatch.Options{
-		Client: client, Engines: engines, Admit: admission.New(), Claims: claimlog.New(log), Leaving: directory.Leaving,
-	})
-	n.runner = dispatcher
 	var err error
 	if n.peers, err = peer.NewServer(n.settings.Listen.Peers, peerSecret); err != nil {
 		return err
 	}
+	guard, err := n.newGuard(ctx, peerSecret, directory)
+	if err != nil {
+		return err
+	}
+	dispatcher := dispatch.New(dispatch.Options{
+		Client: client, Engines: engines, Admit: admission.New(), Claims: claimlog.New(log), Leaving: directory.Leaving, Crashes: guard,
+	})
+	n.runner = dispatcher
 	n.wait.Go(func() { _ = n.peers.Serve(ctx) })
 	n.operator, err = operator.New(ctx, &n.wait, operator.Options{
 		Settings: n.settings, Secret: operatorSecret, Editor: revisions, Directory: directory,
--- /dev/null
+++ b/quarantine/quarantine.go
@@ -0,0 +1,213 @@
+// Package quarantine decides which requests crash the engines that run them.
+//
+// Hosts share records of engines that were lost while a request was in its
+// prefill or first tokens, and of requests that were answered after all. A
+// table is a set of such records: merging is commutative and idempotent, so
+// hosts agree without an order. The package does no I/O.
+package quarantine
+
+import (
+	"cmp"
+	"crypto/sha256"
+	"encoding/hex"
+	"slices"
+	"time"
+
+	"github.com/kumquathoist/kumquathoist/request"
+)
+
+const (
+	// Lifetime is how long a record counts.
+	Lifetime = 10 * time.Minute
+	// Capacity bounds the records of a table; the newest are kept.
+	Capacity = 512
+	// sameLoss is how far apart the records of one lost engine may be.
+	sameLoss = 3 * time.Second
+	// background is how long the loss of another engine makes losses count
+	// less, since engines then fail for other reasons too.
+	background = 30 * time.Second
+	// enoughEngines condemns a request that alone was on each of them.
+	enoughEngines = 2
+	// mostEngines condemns a request whoever else was there.
+	mostEngines = 4
+)
+
+// Fingerprint identifies what a request asks for, whoever sends it.
+type Fingerprint string
+
+// Of returns the fingerprint of a request. The account and the key are not
+// part of it, since a caller may send the same request again with others.
+func Of(r request.Request) Fingerprint {
+	h := sha256.New()
+	_, _ = h.Write([]byte(r.Model + "\x00" + r.Path + "\x00"))
+	_, _ = h.Write(r.Body)
+	return Fingerprint(hex.EncodeToString(h.Sum(nil)[:16]))
+}
+
+// Record tells what became of one attempt.
+type Record struct {
+	// ID identifies the attempt, and so the record.
+	ID          string
+	Fingerprint Fingerprint
+	// Engine names the engine that was lost.
+	Engine string
+	// Answered tells that the request was answered after all; what it was
+	// suspected of before then no longer counts.
+	Answered bool
+	// At is when it happened, on this host's clock.
+	At time.Time
+}
+
+// Verdict tells how to treat a request.
+type Verdict int
+
+// The verdicts.
+const (
+	// Clean means that the request was on no lost engine.
+	Clean Verdict = iota
+	// Suspect means that it may run, one at a time on each host.
+	Suspect
+	// Condemned means that it is refused.
+	Condemned
+)
+
+// Table is a set of records. It is immutable.
+type Table struct {
+	records map[string]Record
+}
+
+// With returns the table with more records, and those of them that it did
+// not have. Records past their lifetime are left out.
+func (t Table) With(now time.Time, more ...Record) (Table, []Record) {
+	merged := make(map[string]Record, len(t.records)+len(more))
+	for id, r := range t.records {
+		merged[id] = r
+	}
+	var fresh []Record
+	for _, r := range more {
+		known, ok := merged[r.ID]
+		if ok && !r.At.Before(known.At) {
+			continue
+		}
+		merged[r.ID] = r
+		if !ok && now.Sub(r.At) < Lifetime {
+			fresh = append(fresh, r)
+		}
+	}
+	return Table{records: newest(merged, now)}, fresh
+}
+
+// newest drops records past their lifetime and the oldest above Capacity.
+func newest(records map[string]Record, now time.Time) map[string]Record {
+	for id, r := range records {
+		if now.Sub(r.At) >= Lifetime {
+			delete(records, id)
+		}
+	}
+	if len(records) <= Capacity {
+		return records
+	}
+	for _, r := range sorted(records)[:len(records)-Capacity] {
+		delete(records, r.ID)
+	}
+	return records
+}
+
+// sorted returns records from the oldest to the newest.
+func sorted(records map[string]Record) []Record {
+	all := make([]Record, 0, len(records))
+	for _, r := range records {
+		all = append(all, r)
+	}
+	slices.SortFunc(all, func(a, b Record) int {
+		return cmp.Or(a.At.Compare(b.At), cmp.Compare(a.ID, b.ID))
+	})
+	return all
+}
+
+// Records returns the records from the oldest to the newest.
+func (t Table) Records() []Record { return sorted(t.records) }
+
+// Verdict tells how to treat a request. It is condemned when it was on
+// several lost engines and no other request, not answered since, was on all
+// of them.
+func (t Table) Verdict(f Fingerprint, now time.Time) Verdict {
+	losses := t.losses(f, now)
+	switch {
+	case len(losses) == 0:
+		return Clean
+	case len(losses) >= mostEngines:
+		return Condemned
+	case len(losses) >= enoughEngines+t.otherLosses(f, losses) && !t.shared(f, losses, now):
+		return Condemned
+	}
+	return Suspect
+}
+
+// losses returns the last loss of each engine that was lost with a request
+// since it was last answered.
+func (t Table) losses(f Fingerprint, now time.Time) map[string]Record {
+	var answered time.Time
+	for _, r := range t.records {
+		if r.Fingerprint == f && r.Answered && r.At.After(answered) {
+			answered = r.At
+		}
+	}
+	found := map[string]Record{}
+	for _, r := range t.records {
+		if r.Fingerprint != f || r.Answered || !r.At.After(answered) || now.Sub(r.At) >= Lifetime {
+			continue
+		}
+		if last, ok := found[r.Engine]; !ok || r.At.After(last.At) {
+			found[r.Engine] = r
+		}
+	}
+	return found
+}
+
+// otherLosses returns 1 when an engine without the request was lost shortly
+// before or after, else 0.
+func (t Table) otherLosses(f Fingerprint, losses map[string]Record) int {
+	for _, r := range t.records {
+		if _, with := losses[r.Engine]; with || r.Answered || r.Fingerprint == f {
+			continue
+		}
+		for _, l := range losses {
+			if within(r, l, background) {
+				return 1
+			}
+		}
+	}
+	return 0
+}
+
+// shared tells whether another request, not answered since, was on every one
+// of the lost engines.
+func (t Table) shared(f Fingerprint, losses map[string]Record, now time.Time) bool {
+	others := map[Fingerprint]bool{}
+	for _, r := range t.records {
+		if r.Fingerprint != f && !r.Answered {
+			others[r.Fingerprint] = true
+		}
+	}
+	for other := range others {
+		if coversAll(t.losses(other, now), losses) {
+			return true
+		}
+	}
+	return false
+}
+
+// coversAll tells whether every loss has one of the same engine and time.
+func coversAll(others, losses map[string]Record) bool {
+	for engine, l := range losses {
+		other, ok := others[engine]
+		if !ok || !within(other, l, sameLoss) {
+			return false
+		}
+	}
+	return true
+}
+
+// within tells whether two records are at most as far apart.
+func within(a, b Record, d time.Duration) bool { return a.At.Sub(b.At).Abs() <= d }
--- /dev/null
+++ b/quarantine/quarantine_test.go
@@ -0,0 +1,89 @@
+package quarantine_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/kumquathoist/kumquathoist/quarantine"
+	"github.com/kumquathoist/kumquathoist/request"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+// loss returns a record of a request on a lost engine.
+func loss(f quarantine.Fingerprint, engine string, at time.Duration) quarantine.Record {
+	return quarantine.Record{ID: fmt.Sprint(f, engine, at), Fingerprint: f, Engine: engine, At: start.Add(at)}
+}
+
+func answered(f quarantine.Fingerprint, at time.Duration) quarantine.Record {
+	return quarantine.Record{ID: fmt.Sprint(f, "answered", at), Fingerprint: f, Answered: true, At: start.Add(at)}
+}
+
+func TestVerdict(t *testing.T) {
+	type records = []quarantine.Record
+	tests := []struct {
+		name    string
+		records records
+		at      time.Duration
+		want    quarantine.Verdict
+	}{
+		{"nothing known", nil, 0, quarantine.Clean},
+		{"one engine", records{loss("x", "a", 0)}, 0, quarantine.Suspect},
+		{"one engine twice", records{loss("x", "a", 0), loss("x", "a", time.Minute)}, time.Minute, quarantine.Suspect},
+		{"two engines", records{loss("x", "a", 0), loss("x", "b", time.Second)}, time.Second, quarantine.Condemned},
+		{"two engines, another on one", records{loss("x", "a", 0), loss("y", "a", 0), loss("x", "b", time.Second)}, time.Second, quarantine.Condemned},
+		{"two engines, another on both", records{loss("x", "a", 0), loss("y", "a", 0), loss("x", "b", time.Second), loss("y", "b", time.Second)}, time.Second, quarantine.Suspect},
+		{"the other was answered since", records{loss("x", "a", 0), loss("y", "a", 0), loss("x", "b", time.Second), loss("y", "b", time.Second), answered("y", 2*time.Second)}, 2 * time.Second, quarantine.Condemned},
+		{"answered since", records{loss("x", "a", 0), loss("x", "b", 1), answered("x", 2)}, 2, quarantine.Clean},
+		{"answered before", records{answered("x", 0), loss("x", "a", 1), loss("x", "b", 2)}, 2, quarantine.Condemned},
+		{"another engine fails too", records{loss("x", "a", 0), loss("x", "b", 1), loss("z", "c", 2)}, 2, quarantine.Suspect},
+		{"four engines, never alone", records{
+			loss("x", "a", 0), loss("x", "b", 1), loss("x", "c", 2), loss("x", "d", 3),
+			loss("y", "a", 0), loss("y", "b", 1), loss("y", "c", 2), loss("y", "d", 3),
+		}, 3, quarantine.Condemned},
+		{"expired", records{loss("x", "a", 0), loss("x", "b", 0)}, quarantine.Lifetime, quarantine.Clean},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			table, _ := quarantine.Table{}.With(start, tt.records...)
+			is.Equal(table.Verdict("x", start.Add(tt.at)), tt.want)
+		})
+	}
+}
+
+// TestMerge merges records in other orders, more than once and beyond the
+// capacity.
+func TestMerge(t *testing.T) {
+	is := is.New(t)
+	random := rand.New(rand.NewPCG(3, 3))
+	var records []quarantine.Record
+	for i := range quarantine.Capacity + 100 {
+		records = append(records, loss(quarantine.Fingerprint(fmt.Sprint(i%40)), fmt.Sprint("engine-", i%7), time.Duration(i)*time.Millisecond))
+	}
+	want, _ := quarantine.Table{}.With(start, records...)
+	is.Equal(len(want.Records()), quarantine.Capacity)
+	for range 20 {
+		random.Shuffle(len(records), func(i, j int) { records[i], records[j] = records[j], records[i] })
+		half := random.IntN(len(records))
+		left, _ := quarantine.Table{}.With(start, records[:half]...)
+		got, _ := left.With(start, records[half:]...)
+		got, fresh := got.With(start, want.Records()...)
+		is.Equal(got, want)
+		is.Equal(len(fresh), 0)
+	}
+}
+
+func TestOf(t *testing.T) {
+	is := is.New(t)
+	r := request.Request{Account: "mill", Model: "matcher", Path: "/v1/completions", Body: []byte("{}"), Key: "1"}
+	again, other := r, r
+	again.Account, again.Key, again.ID = "grocer", "2", "2"
+	other.Body = []byte("{ }")
+	is.Equal(quarantine.Of(r), quarantine.Of(again))
+	is.True(quarantine.Of(r) != quarantine.Of(other))
+}
