feat: run membership between hosts, order addresses, prove peers by TLS

With PeerTLS both sides of a connection show a certificate of the hosts' authority and name; the secret stays for plain TCP. An empty secret file is refused: it let in every peer without a secret.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -16,7 +16,6 @@
 
 	"github.com/kumquathoist/kumquathoist/document"
 	"github.com/kumquathoist/kumquathoist/event"
-	"github.com/kumquathoist/kumquathoist/platform"
 	"github.com/kumquathoist/kumquathoist/request"
 	"github.com/kumquathoist/kumquathoist/settings"
 	"github.com/kumquathoist/kumquathoist/upstream"
@@ -33,18 +32,13 @@
 	Serve(ctx context.Context, doc document.Document, r request.Request) (upstream.Answer, *request.Failure)
 }
 
-// directory knows the entry hosts.
-type directory interface {
-	Entries() []platform.Host
-}
-
 // Options is what a gateway needs.
 type Options struct {
 	Settings settings.Settings
 	// Document returns the configuration in force and whether there is one.
 	Document  func() (document.Document, bool)
 	Runner    runner
-	Directory directory
+	Directory hosts
 	Metrics   tally.Scope
 }
 
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -2,11 +2,8 @@
 
 import (
 	"context"
-	"slices"
 
 	"github.com/gofiber/fiber/v3"
-
-	"github.com/kumquathoist/kumquathoist/placement"
 )
 
 // serve answers a call of a plain service.
@@ -56,39 +53,3 @@
 	}
 	return c.JSON(list)
 }
-
-// AddressAnswer tells callers which hosts to connect to.
-type AddressAnswer struct {
-	// Addresses are in the order to try them.
-	Addresses []Address
-	// KeepSeconds is how long the answer may be used.
-	KeepSeconds int
-}
-
-// Address is one entry host.
-type Address struct {
-	Host          string
-	Address       string
-	FailureDomain string
-}
-
-// addresses answers which hosts the caller should use. Callers are spread by
-// hashing their own address.
-func (g *Gateway) addresses(c fiber.Ctx) error {
-	entries := g.Directory.Entries()
-	byName := map[string]Address{}
-	var names []string
-	for _, h := range entries {
-		if h.Name == g.Settings.Host.Name && g.stopping.Load() {
-			continue
-		}
-		byName[h.Name] = Address{h.Name, h.Callers, h.FailureDomain}
-		names = append(names, h.Name)
-	}
-	slices.Sort(names)
-	answer := AddressAnswer{Addresses: []Address{}, KeepSeconds: g.Settings.Stop.AddressSeconds}
-	for _, name := range placement.Rank(c.RequestCtx().RemoteAddr().String(), names) {
-		answer.Addresses = append(answer.Addresses, byName[name])
-	}
-	return c.JSON(answer)
-}
--- a/host/host.go
+++ b/host/host.go
@@ -1,16 +1,21 @@
 // Package host knows the hosts of the system: who lives, who is leaving and
-// which addresses callers may use.
+// which addresses callers may use. It runs package membership over the peers'
+// connections and the platform's host list.
 package host
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/conc"
 
 	"github.com/kumquathoist/kumquathoist/event"
+	"github.com/kumquathoist/kumquathoist/membership"
+	"github.com/kumquathoist/kumquathoist/peer"
 	"github.com/kumquathoist/kumquathoist/platform"
 )
 
@@ -22,61 +27,187 @@
 	Hosts(ctx context.Context) ([]platform.Host, error)
 }
 
+// Options is what a directory needs.
+type Options struct {
+	// Self is this host; Announce tells its addresses.
+	Self membership.Identity
+	// List is the platform's host list.
+	List lister
+	// Pool connects to other hosts.
+	Pool *peer.Pool
+	// Status returns this host's level of load, from 0 to 3, and the log
+	// offset that its configuration is folded up to.
+	Status func() membership.Tick
+	// Heard, if set, is told the position of each host that sent a heartbeat.
+	Heard func(sender string, position int64)
+}
+
 // Directory holds what this host knows of all hosts.
 type Directory struct {
-	list  lister
-	hosts atomic.Pointer[[]platform.Host]
+	Options
+
+	// listed is the last answer of the host list, upstream hosts included.
+	listed atomic.Pointer[[]platform.Host]
+	// hosts is what the view shows.
+	hosts atomic.Pointer[[]membership.Host]
+
+	// mu guards the fields below; it is never held during I/O.
+	mu     sync.Mutex
+	view   membership.View
+	random *rand.Rand
+	links  map[string]*link
+	// changed closes with the next change of hosts.
+	changed chan struct{}
+	wait    *conc.WaitGroup
+	ctx     context.Context
 }
 
-// NewDirectory follows the host list until the context ends.
-func NewDirectory(ctx context.Context, wait *conc.WaitGroup, list lister) *Directory {
-	d := &Directory{list: list}
-	d.hosts.Store(&[]platform.Host{})
-	wait.Go(func() {
-		ticker := time.NewTicker(pollInterval)
-		defer ticker.Stop()
-		for {
-			d.poll(ctx)
-			select {
-			case <-ctx.Done():
-				return
-			case <-ticker.C:
-			}
-		}
-	})
+// NewDirectory follows the host list and the heartbeats of others until the
+// context ends. The caller registers the directory with the peers' server.
+func NewDirectory(ctx context.Context, wait *conc.WaitGroup, o Options) *Directory {
+	now := time.Now()
+	d := &Directory{
+		Options: o, ctx: ctx, wait: wait, links: map[string]*link{}, changed: make(chan struct{}),
+		view:   membership.New(o.Self, now.UnixMilli(), now),
+		random: rand.New(rand.NewPCG(uint64(now.UnixNano()), 0)),
+	}
+	d.listed.Store(&[]platform.Host{})
+	d.publish()
+	wait.Go(func() { every(ctx, pollInterval, d.poll) })
+	wait.Go(func() { every(ctx, membership.TickInterval, func(context.Context) { d.step(d.Status()) }) })
 	return d
 }
 
+// every runs a function at once and then at an interval until the context ends.
+func every(ctx context.Context, interval time.Duration, run func(context.Context)) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		run(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
 // poll reads the host list once; without an answer the last one stays.
 func (d *Directory) poll(ctx context.Context) {
-	hosts, err := d.list.Hosts(ctx)
+	hosts, err := d.List.Hosts(ctx)
 	if err != nil {
 		if ctx.Err() == nil {
 			event.HostListUnreachable.Error(err)
 		}
 		return
 	}
-	d.hosts.Store(&hosts)
+	d.listed.Store(&hosts)
+	var in membership.HostList
+	for _, h := range hosts {
+		if h.Role != platform.EntryHost {
+			continue
+		}
+		in.Hosts = append(in.Hosts, membership.Listed{
+			Identity: membership.Identity{Name: h.Name, FailureDomain: h.FailureDomain, Region: h.Region, Callers: h.Callers, Peers: h.Peers},
+			Leaving:  h.State == platform.Leaving,
+		})
+	}
+	d.step(in)
+}
+
+// step gives an input to the view and sends what it asks for.
+func (d *Directory) step(in membership.Input) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	before := d.view.Changes()
+	v, out := d.view.Step(in, time.Now(), d.random)
+	d.view = v
+	if v.Changes() != before {
+		d.publish()
+		close(d.changed)
+		d.changed = make(chan struct{})
+	}
+	for _, o := range out {
+		d.send(o)
+	}
+}
+
+// publish shows the view's hosts to readers and logs what changed. The
+// caller holds mu, or is the constructor.
+func (d *Directory) publish() {
+	hosts := d.view.Hosts()
+	before := d.hosts.Swap(&hosts)
+	if before == nil {
+		return
+	}
+	states := make(map[string]membership.State, len(*before))
+	for _, h := range *before {
+		states[h.Name] = h.State
+	}
+	for _, h := range hosts {
+		was, known := states[h.Name]
+		delete(states, h.Name)
+		if !known || was != h.State {
+			event.MemberChanged.Info("Host", h.Name, "State", h.State)
+		}
+	}
+	for name := range states {
+		event.MemberChanged.Info("Host", name, "State", membership.Failed)
+	}
+}
+
+// Announce tells the other hosts where this one is reached (IP:port).
+func (d *Directory) Announce(callers, peers string) {
+	d.step(membership.Announce{Callers: callers, Peers: peers})
+}
+
+// Leave tells the other hosts that this one is leaving.
+func (d *Directory) Leave() { d.step(membership.Leave{}) }
+
+// Changed returns a channel that closes with the next change of the hosts.
+func (d *Directory) Changed() <-chan struct{} {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.changed
 }
 
-// Entries returns the live entry hosts.
+// Hosts returns every entry host that has not failed, ordered by name. The
+// result is shared: it must not be changed.
+func (d *Directory) Hosts() []membership.Host { return *d.hosts.Load() }
+
+// Entries returns the entry hosts that take work, ordered by name: the hosts
+// that responsibilities are spread over.
 func (d *Directory) Entries() []platform.Host {
-	return d.filter(platform.EntryHost, platform.Live)
+	return d.filter(func(h membership.Host) bool { return !h.Leaving })
 }
 
-// Leaving tells whether the named host is leaving.
-func (d *Directory) Leaving(name string) bool {
-	return slices.ContainsFunc(*d.hosts.Load(), func(h platform.Host) bool {
-		return h.Name == name && h.State == platform.Leaving
-	})
+// Peers returns every other entry host that can be reached, leaving ones
+// included, ordered by name.
+func (d *Directory) Peers() []platform.Host {
+	return d.filter(func(h membership.Host) bool { return h.Name != d.Self.Name })
 }
 
-func (d *Directory) filter(role platform.HostRole, state platform.HostState) []platform.Host {
+func (d *Directory) filter(accepts func(membership.Host) bool) []platform.Host {
 	var found []platform.Host
-	for _, h := range *d.hosts.Load() {
-		if h.Role == role && h.State == state {
-			found = append(found, h)
+	for _, h := range d.Hosts() {
+		if !accepts(h) {
+			continue
+		}
+		state := platform.Live
+		if h.Leaving {
+			state = platform.Leaving
 		}
+		found = append(found, platform.Host{
+			Name: h.Name, Role: platform.EntryHost, FailureDomain: h.FailureDomain, Region: h.Region,
+			State: state, Callers: h.Callers, Peers: h.Peers,
+		})
 	}
 	return found
 }
+
+// Leaving tells whether the host list shows the named host as leaving.
+func (d *Directory) Leaving(name string) bool {
+	return slices.ContainsFunc(*d.listed.Load(), func(h platform.Host) bool {
+		return h.Name == name && h.State == platform.Leaving
+	})
+}
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -32,6 +32,9 @@
 	loadInterval = 15 * time.Second
 	// maxPatience bounds the factor on SuspectAfter that refutations earn.
 	maxPatience = 16
+	// MaxLoad is the highest level of load; a host that does not serve yet
+	// tells it too.
+	MaxLoad = 3
 	// MaxRecords bounds the records of one message.
 	MaxRecords = 6
 	// recordRounds is how many rounds of messages carry a change.
@@ -58,7 +61,8 @@
 // Identity is what does not change while a host runs.
 type Identity struct {
 	Name, FailureDomain, Region string
-	// Callers and Peers are the IP:port for callers and for other hosts.
+	// Callers and Peers are the IP:port for callers and for other hosts; a
+	// host without Peers is not known well enough to be used.
 	Callers, Peers string
 }
 
@@ -68,7 +72,7 @@
 	// Incarnation orders the words of a member on itself; it only grows.
 	Incarnation int64
 	State       State
-	// Load is the level of load that the member told, from 0 (idle) to 3.
+	// Load is the level of load that the member told, from 0 (idle) to MaxLoad.
 	Load int32
 	// Identity is set on some records; the zero value means not told.
 	Identity Identity
@@ -141,6 +145,8 @@
 	pending []pendingRecord
 	// digest sums up the members.
 	digest uint64
+	// changes counts changes of what Hosts returns.
+	changes int
 	// cursor is the place in the members of the next answer to a differing view.
 	cursor int
 
@@ -161,10 +167,10 @@
 // start; if it isn't, the peers' records correct it.
 func New(self Identity, incarnation int64, now time.Time) View {
 	v := View{
-		self:    Record{Name: self.Name, Incarnation: incarnation, Identity: self},
+		self:    Record{Name: self.Name, Incarnation: incarnation, Load: MaxLoad, Identity: self},
 		members: map[string]member{}, listed: map[string]Listed{},
 		heard: map[string]time.Time{}, watched: map[string]bool{}, patience: map[string]int{},
-		answered: map[string]time.Time{}, ticked: now, loaded: now, pushes: pushesPerSecond,
+		answered: map[string]time.Time{}, ticked: now, pushes: pushesPerSecond,
 	}
 	return v.queue(self.Name, true)
 }
@@ -172,6 +178,9 @@
 // Self returns this host's word on itself.
 func (v View) Self() Record { return v.self }
 
+// Changes returns a number that grows when Hosts would return something else.
+func (v View) Changes() int { return v.changes }
+
 // Targets returns the hosts that get heartbeats, ordered by ring.
 func (v View) Targets() []string { return v.targets }
 
@@ -189,7 +198,10 @@
 // Hosts returns every host that has not failed, ordered by name, this host
 // included.
 func (v View) Hosts() []Host {
-	hosts := []Host{v.host(v.self.Identity, member{Record: v.self})}
+	var hosts []Host
+	if v.self.Identity.Peers != "" {
+		hosts = append(hosts, v.host(v.self.Identity, member{Record: v.self}))
+	}
 	for name := range v.names() {
 		m, identity := v.members[name], v.identity(name)
 		if m.State != Failed && identity.Peers != "" {
--- a/membership/record.go
+++ b/membership/record.go
@@ -31,7 +31,7 @@
 		v, out = v.connect(now)
 	}
 	v, answer := v.answer(m, now)
-	v, pushed := v.push(now)
+	v, pushed := v.push()
 	return v, append(append(out, answer...), pushed...)
 }
 
@@ -78,6 +78,7 @@
 	v.digest ^= v.members[m.Name].hash() ^ m.hash()
 	v.members = maps.Clone(v.members)
 	v.members[m.Name] = m
+	v.changes++
 	return v
 }
 
--- a/membership/step.go
+++ b/membership/step.go
@@ -12,7 +12,7 @@
 
 // Tick tells that time has passed.
 type Tick struct {
-	// Load is this host's level of load, from 0 to 3.
+	// Load is this host's level of load, from 0 to MaxLoad.
 	Load int32
 	// Position is the log offset that the configuration is folded up to.
 	Position int64
@@ -24,16 +24,29 @@
 // HostList is an answer of the host list.
 type HostList struct{ Hosts []Listed }
 
+// Announce tells the addresses of this host, known once it listens.
+type Announce struct{ Callers, Peers string }
+
 // Leave begins the planned stop of this host.
 type Leave struct{}
 
 func (Tick) input()     {}
 func (Received) input() {}
 func (HostList) input() {}
+func (Announce) input() {}
 func (Leave) input()    {}
 
-// Step returns the view after an input and the messages to send.
+// Step returns the view after an input and the messages to send. A host
+// sends nothing before its addresses are announced.
 func (v View) Step(in Input, now time.Time, random *rand.Rand) (View, []Outgoing) {
+	v, out := v.step(in, now, random)
+	if v.self.Identity.Peers == "" {
+		return v, nil
+	}
+	return v, out
+}
+
+func (v View) step(in Input, now time.Time, random *rand.Rand) (View, []Outgoing) {
 	switch in := in.(type) {
 	case Tick:
 		return v.tick(in, now, random)
@@ -41,12 +54,15 @@
 		return v.receive(in.Message, now)
 	case HostList:
 		return v.list(in.Hosts, now)
+	case Announce:
+		v.self.Identity.Callers, v.self.Identity.Peers = in.Callers, in.Peers
+		return v.reassert(), nil
 	case Leave:
 		if v.self.State == Live {
 			v.self.State = Leaving
 			v = v.reassert()
 		}
-		return v.push(now)
+		return v.push()
 	}
 	return v, nil
 }
@@ -54,6 +70,7 @@
 // reassert makes this host's word on itself override every earlier one.
 func (v View) reassert() View {
 	v.self.Incarnation++
+	v.changes++
 	return v.queue(v.self.Name, true)
 }
 
@@ -68,6 +85,7 @@
 		return v, nil
 	}
 	v.listed = listed
+	v.changes++
 	return v.connect(now)
 }
 
@@ -89,7 +107,7 @@
 	}
 	if now.Sub(v.beat) < HeartbeatInterval {
 		var pushed []Outgoing
-		v, pushed = v.push(now)
+		v, pushed = v.push()
 		return v, append(out, pushed...)
 	}
 	v.beat = now
@@ -132,6 +150,7 @@
 		case m.State == Failed && !listed && now.Sub(m.since) > forgetAfter:
 			v.members = maps.Clone(v.members)
 			delete(v.members, name)
+			v.changes++
 			changed = true
 		}
 	}
@@ -147,7 +166,7 @@
 }
 
 // push sends pending changes at once, within the bound on rounds.
-func (v View) push(now time.Time) (View, []Outgoing) {
+func (v View) push() (View, []Outgoing) {
 	if len(v.pending) == 0 || v.pushes < 1 {
 		return v, nil
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -29,10 +30,13 @@
 
 // Node is a running daemon.
 type Node struct {
-	settings settings.Settings
-	gateway  *gateway.Gateway
-	operator *operator.Server
-	peers    *peer.Server
+	settings  settings.Settings
+	gateway   *gateway.Gateway
+	operator  *operator.Server
+	peers     *peer.Server
+	directory *host.Directory
+	// open counts requests that have not ended, once callers are served.
+	open     atomic.Pointer[func() int64]
 	wait     conc.WaitGroup
 	cancel   context.CancelFunc
 	stopOnce sync.Once
@@ -49,13 +53,17 @@
 	if err != nil {
 		return nil, trace.Wrap(err, "reading the peers' secret")
 	}
+	peerTLS, err := s.PeerTLS.Config()
+	if err != nil {
+		return nil, trace.Wrap(err, "reading PeerTLS")
+	}
 	operatorSecret, err := s.Secrets.Operators.Read()
 	if err != nil {
 		return nil, trace.Wrap(err, "reading the operators' secret")
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	n := &Node{settings: s, cancel: cancel, stop: make(chan struct{}), stopped: make(chan struct{})}
-	if err := n.start(ctx, peerSecret, operatorSecret); err != nil {
+	if err := n.start(ctx, peer.Credentials{Secret: peerSecret, TLS: peerTLS}, operatorSecret); err != nil {
 		cancel()
 		return nil, err
 	}
@@ -63,7 +71,7 @@
 }
 
 // start makes the parts in the order of their needs.
-func (n *Node) start(ctx context.Context, peerSecret, operatorSecret settings.Secret) error {
+func (n *Node) start(ctx context.Context, credentials peer.Credentials, operatorSecret settings.Secret) error {
 	registry := promclient.NewRegistry()
 	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
 	metrics, closer := tally.NewRootScope(tally.ScopeOptions{
@@ -75,15 +83,18 @@
 	})
 	log := platform.NewLog(n.settings.Platform.Log)
 	revisions := revision.New(ctx, &n.wait, log)
-	directory := host.NewDirectory(ctx, &n.wait, platform.NewHostList(n.settings.Platform.HostList))
 	client := upstream.NewClient()
-	n.ready = func() bool { return revisions.Ready() && len(directory.Entries()) > 0 }
-	engines := engine.NewTracker(ctx, &n.wait, client, func() document.Document { return revisions.State().Document }, directory.Leaving)
 	var err error
-	if n.peers, err = peer.NewServer(n.settings.Listen.Peers, peerSecret); err != nil {
+	if n.peers, err = peer.NewServer(n.settings.Listen.Peers, credentials); err != nil {
 		return err
 	}
-	pool := peer.NewPool(peerSecret)
+	pool := peer.NewPool(credentials)
+	directory, err := n.startMembership(ctx, pool, revisions)
+	if err != nil {
+		return err
+	}
+	n.ready = func() bool { return revisions.Ready() && len(directory.Entries()) > 0 }
+	engines := engine.NewTracker(ctx, &n.wait, client, func() document.Document { return revisions.State().Document }, directory.Leaving)
 	claims, err := n.startClaims(ctx, log, directory, pool)
 	if err != nil {
 		return err
@@ -109,6 +120,9 @@
 	if err != nil {
 		return err
 	}
+	open := n.gateway.Open
+	n.open.Store(&open)
+	directory.Announce(n.Callers(), n.Peers())
 	event.Listening.Info("Host", n.settings.Host.Name, "Callers", n.Callers(), "Peers", n.Peers(), "Operators", n.Operators())
 	n.wait.Go(func() { n.finish(ctx) })
 	return nil
@@ -139,6 +153,7 @@
 	}
 	event.Stopping.Info("Host", n.settings.Host.Name, "Open", n.gateway.Open())
 	n.gateway.Stop()
+	n.directory.Leave()
 	pause(ctx, n.settings.Stop.AddressTTL())
 	deadline := time.Now().Add(n.settings.Stop.StreamAllowance())
 	for n.gateway.Open() > 0 && time.Now().Before(deadline) && ctx.Err() == nil {
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -1,10 +1,13 @@
 // Package peer connects the hosts of the system over drpc. Every call proves
-// that its sender knows the secret that the hosts share.
+// that its sender knows the secret that the hosts share. With TLS both sides
+// also prove themselves with a certificate, and the secret is not sent in
+// the clear.
 package peer
 
 import (
 	"context"
 	"crypto/subtle"
+	"crypto/tls"
 	"net"
 	"time"
 
@@ -30,22 +33,31 @@
 	connectionsPerPeer = 4
 )
 
+// Credentials are what hosts prove themselves with.
+type Credentials struct {
+	Secret settings.Secret
+	// TLS is nil for plain TCP.
+	TLS *tls.Config
+}
+
 // Server answers calls of other hosts.
 type Server struct {
 	*drpcmux.Mux
 
-	secret   settings.Secret
-	listener net.Listener
+	Traffic
+
+	credentials Credentials
+	listener    net.Listener
 }
 
 // NewServer listens on an address. Serve starts it, after services were
 // registered with the embedded Mux.
-func NewServer(address string, secret settings.Secret) (*Server, error) {
+func NewServer(address string, c Credentials) (*Server, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, trace.Wrap(err, "listening for peers")
 	}
-	return &Server{Mux: drpcmux.New(), secret: secret, listener: listener}, nil
+	return &Server{Mux: drpcmux.New(), credentials: c, listener: listener}, nil
 }
 
 // Address returns the IP:port that the server listens on.
@@ -53,7 +65,11 @@
 
 // Serve answers calls until the context ends.
 func (s *Server) Serve(ctx context.Context) error {
-	return trace.Wrap(drpcserver.New(authenticated{s.Mux, s.secret}).Serve(ctx, s.listener))
+	listener := net.Listener(countingListener{s.listener, &s.Traffic})
+	if s.credentials.TLS != nil {
+		listener = tls.NewListener(listener, s.credentials.TLS)
+	}
+	return trace.Wrap(drpcserver.New(authenticated{s.Mux, s.credentials.Secret}).Serve(ctx, listener))
 }
 
 // authenticated refuses calls that don't carry the secret.
@@ -73,13 +89,15 @@
 
 // Pool keeps connections to other hosts.
 type Pool struct {
-	secret settings.Secret
-	pool   *drpcpool.Pool[string, drpcpool.Conn]
+	Traffic
+
+	credentials Credentials
+	pool        *drpcpool.Pool[string, drpcpool.Conn]
 }
 
-// NewPool returns a pool whose calls carry the secret.
-func NewPool(secret settings.Secret) *Pool {
-	return &Pool{secret: secret, pool: drpcpool.New[string, drpcpool.Conn](drpcpool.Options{
+// NewPool returns a pool whose calls carry the credentials.
+func NewPool(c Credentials) *Pool {
+	return &Pool{credentials: c, pool: drpcpool.New[string, drpcpool.Conn](drpcpool.Options{
 		Expiration:  idleExpiration,
 		KeyCapacity: connectionsPerPeer,
 	})}
@@ -89,8 +107,7 @@
 // on the first call, and again after a failure.
 func (p *Pool) Conn(ctx context.Context, address string) drpc.Conn {
 	return p.pool.Get(ctx, address, func(ctx context.Context, address string) (drpcpool.Conn, error) {
-		dialer := net.Dialer{Timeout: dialTimeout}
-		transport, err := dialer.DialContext(ctx, "tcp", address)
+		transport, err := p.dial(ctx, address)
 		if err != nil {
 			return nil, trace.ConnectionProblem(err, "connecting to peer %s", address)
 		}
@@ -98,9 +115,29 @@
 	})
 }
 
+// dial connects and, with TLS, proves both sides.
+func (p *Pool) dial(ctx context.Context, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	raw, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	transport := net.Conn(countingConn{raw, &p.Traffic})
+	if p.credentials.TLS == nil {
+		return transport, nil
+	}
+	secure := tls.Client(transport, p.credentials.TLS)
+	if err := secure.HandshakeContext(ctx); err != nil {
+		_ = raw.Close()
+		return nil, err
+	}
+	return secure, nil
+}
+
 // Context returns a context whose calls carry the secret.
 func (p *Pool) Context(ctx context.Context) context.Context {
-	return drpcmetadata.Add(ctx, secretKey, p.secret.Reveal())
+	return drpcmetadata.Add(ctx, secretKey, p.credentials.Secret.Reveal())
 }
 
 // Close closes every connection.
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -54,3 +54,34 @@
 	}
 	return best
 }
+
+// Place is where something stands.
+type Place struct{ Name, FailureDomain, Region string }
+
+// distance is 0 for places of one failure domain, 1 for places of one region
+// and 2 for others.
+func distance(a, b Place) int {
+	switch {
+	case a.Region != b.Region:
+		return 2
+	case a.FailureDomain != b.FailureDomain:
+		return 1
+	}
+	return 0
+}
+
+// OwnerNear returns the first choice for a key among the members nearest to
+// the thing that is kept: of its failure domain, else of its region, else of
+// any. It returns "" without members. A member that goes moves only its own
+// keys; a failure domain that goes moves only what it kept.
+func OwnerNear(key string, thing Place, members []Place) string {
+	best, bestDistance, bestScore := "", 0, uint64(0)
+	for _, m := range members {
+		d, score := distance(thing, m), Score(key, m.Name)
+		farther := d > bestDistance || d == bestDistance && (score < bestScore || score == bestScore && m.Name > best)
+		if best == "" || !farther {
+			best, bestDistance, bestScore = m.Name, d, score
+		}
+	}
+	return best
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -24,6 +24,9 @@
 	Platform Platform `yaml:"Platform"`
 	// Secrets tells where secrets are read from.
 	Secrets Secrets `yaml:"Secrets"`
+	// PeerTLS encrypts connections between hosts; without it they are plain
+	// TCP and prove themselves with the shared secret alone.
+	PeerTLS PeerTLS `yaml:"PeerTLS,omitempty"`
 	// Limits bounds what callers may send.
 	Limits Limits `yaml:"Limits"`
 	// Stop sets how a planned stop proceeds.
@@ -73,6 +76,9 @@
 	HeaderBytes int `yaml:"HeaderBytes"`
 	// Connections is the most open connections of callers.
 	Connections int `yaml:"Connections"`
+	// BusyRequests is how many open requests make a host tell that it is
+	// busy, so that callers are sent to others first.
+	BusyRequests int `yaml:"BusyRequests"`
 	// IdleSeconds is how long an idle connection is kept.
 	IdleSeconds int `yaml:"IdleSeconds"`
 	// DeadlineSeconds is the deadline of a request that names none.
@@ -102,7 +108,7 @@
 			Peers:     Source{Environment: "KUMQUATHOIST_PEER_SECRET"},
 			Operators: Source{Environment: "KUMQUATHOIST_OPERATOR_SECRET"},
 		},
-		Limits: Limits{BodyBytes: 16 << 20, HeaderBytes: 32 << 10, Connections: 10_000, IdleSeconds: 60, DeadlineSeconds: 120},
+		Limits: Limits{BodyBytes: 16 << 20, HeaderBytes: 32 << 10, Connections: 10_000, BusyRequests: 512, IdleSeconds: 60, DeadlineSeconds: 120},
 		Stop:   Stop{AddressSeconds: 5, StreamSeconds: 120},
 	}
 }
@@ -142,14 +148,20 @@
 			return trace.BadParameter("%s is not set", r.key)
 		}
 	}
-	return nil
+	return trace.Wrap(s.PeerTLS.Check())
 }
 
 // Read returns the secret.
 func (s Source) Read() (Secret, error) {
 	if s.File != "" {
 		raw, err := os.ReadFile(s.File)
-		return Secret(bytes.TrimSpace(raw)), trace.ConvertSystemError(err)
+		if err != nil {
+			return "", trace.ConvertSystemError(err)
+		}
+		if raw = bytes.TrimSpace(raw); len(raw) == 0 {
+			return "", trace.BadParameter("file %s holds no secret", s.File)
+		}
+		return Secret(raw), nil
 	}
 	value := os.Getenv(s.Environment)
 	if value == "" {
