--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -6,8 +6,10 @@
 	"encoding/hex"
 	"errors"
 	"fmt"
+	"time"
 
 	"github.com/google/uuid"
+	"github.com/gravitational/trace"
 
 	"github.com/kumquathoist/kumquathoist/claim"
 	"github.com/kumquathoist/kumquathoist/document"
@@ -17,11 +19,19 @@
 	"github.com/kumquathoist/kumquathoist/upstream"
 )
 
+// endTimeout bounds the wait for the record of an outcome; the record is
+// appended later if it takes longer.
+const endTimeout = 500 * time.Millisecond
+
 // claims agrees on who may run a request that must not be repeated.
 type claims interface {
-	// Take claims a key for an attempt. An error means that the claim may be
-	// on the log but was not confirmed.
+	// Take claims a key for an attempt. After trace.LimitExceeded the claim is
+	// not on the log; after any other error it may be.
 	Take(ctx context.Context, r claim.Record) (claim.Standing, claim.Entry, error)
+	// Look tells where a key stands and claims nothing.
+	Look(ctx context.Context, r claim.Record) (claim.Standing, claim.Entry, error)
+	// Abandon records later that an attempt never ran and never will.
+	Abandon(r claim.Record)
 	// End records the answer of the attempt, or that it never ran.
 	End(ctx context.Context, r claim.Record) error
 }
@@ -32,7 +42,7 @@
 	defer cancel()
 	release, refused := d.admit.Admit(doc, r)
 	if refused != nil {
-		return upstream.Answer{}, refused
+		return d.refuseService(ctx, r, refused)
 	}
 	defer release()
 	pool, _ := doc.Pool(r.Service)
@@ -57,56 +67,76 @@
 	return upstream.Answer{}, failed(sent)
 }
 
-// serveOnce claims the key first and sends the call at most once.
-func (d *Dispatcher) serveOnce(ctx context.Context, pool document.Pool, r request.Request) (upstream.Answer, *request.Failure) {
-	record := claim.Record{
+// newRecord returns the claim of a fresh attempt.
+func newRecord(r request.Request) claim.Record {
+	return claim.Record{
 		Kind: claim.Take, Account: r.Account, Key: r.Key, Attempt: uuid.NewString(),
 		Fingerprint: fingerprint(r), IssuedMillis: r.KeyIssued.UnixMilli(),
 	}
-	standing, entry, err := d.claims.Take(ctx, record)
+}
+
+// serveOnce claims the key first and sends the call at most once. Package
+// claim decides; this method does what it says.
+func (d *Dispatcher) serveOnce(ctx context.Context, pool document.Pool, r request.Request) (upstream.Answer, *request.Failure) {
+	record := newRecord(r)
+	endpoints := d.endpoints(pool, r.Key)
+	e, action := d.claim(ctx, r, claim.NewExecution(record, len(endpoints)))
+	for action.Send {
+		e, action = d.sendOnce(ctx, endpoints[action.Endpoint], r, e)
+	}
+	if action.End != nil {
+		d.end(ctx, r, *action.End)
+	}
+	if action.Abandon {
+		d.claims.Abandon(record)
+	}
+	return replied(action.Reply)
+}
+
+// claim claims the key of an execution.
+func (d *Dispatcher) claim(ctx context.Context, r request.Request, e claim.Execution) (claim.Execution, claim.Action) {
+	standing, entry, err := d.claims.Take(ctx, e.Record())
 	if err != nil {
 		event.ClaimFailed.Error(err, "Request", r.ID)
-		return upstream.Answer{}, request.Refuse(request.LogUnavailable, "the claim of the key was not confirmed").WithRetryAfter(retryAfter)
+		return e.WithUnconfirmed(!trace.IsLimitExceeded(err))
 	}
-	switch standing {
-	case claim.Held:
-		return d.runHeld(ctx, pool, r, record)
-	case claim.Finished:
-		return upstream.Answer{Status: entry.Status, ContentType: "application/json", Body: entry.Body}, nil
-	case claim.Running:
-		return upstream.Answer{}, request.Refuse(request.InProgress, "the same request was sent before and its outcome is not known").WithOutcome(request.Unknown).WithRetryAfter(retryAfter)
-	case claim.Mismatch:
-		return upstream.Answer{}, request.Refuse(request.KeyReused, "the key was used for another request")
-	case claim.Expired:
-		return upstream.Answer{}, request.Refuse(request.KeyExpired, "the key is too old to tell whether it ran").WithOutcome(request.Unknown)
-	case claim.Free:
+	return e.WithStanding(standing, entry, ctx.Err() != nil)
+}
+
+// sendOnce sends the call to one endpoint.
+func (d *Dispatcher) sendOnce(ctx context.Context, u document.Upstream, r request.Request, e claim.Execution) (claim.Execution, claim.Action) {
+	answer, err := d.client.Run(ctx, serviceCall(u, r, e.Record().Attempt))
+	if err == nil {
+		return e.WithAnswer(answer.Status, answer.ContentType, answer.Body)
 	}
-	return upstream.Answer{}, request.Refuse(request.LogUnavailable, "the claim of the key was not confirmed").WithRetryAfter(retryAfter)
+	event.AttemptFailed.Error(err, "Request", r.ID, "Upstream", u.Name)
+	var notStarted *upstream.NotStarted
+	if errors.As(err, &notStarted) {
+		return e.WithNotStarted()
+	}
+	return e.WithLost()
 }
 
-// runHeld sends the call of the attempt that holds the key.
-func (d *Dispatcher) runHeld(ctx context.Context, pool document.Pool, r request.Request, record claim.Record) (upstream.Answer, *request.Failure) {
-	for _, u := range d.endpoints(pool, r.Key) {
-		answer, err := d.client.Run(ctx, serviceCall(u, r, record.Attempt))
-		if err == nil {
-			record.Kind, record.Status, record.Body = claim.Finish, answer.Status, answer.Body
-			d.end(ctx, r, record)
-			return answer, nil
-		}
-		event.AttemptFailed.Error(err, "Request", r.ID, "Upstream", u.Name)
-		var notStarted *upstream.NotStarted
-		if !errors.As(err, &notStarted) {
-			return upstream.Answer{}, request.Refuse(request.UpstreamFailed, "the service did not answer").WithOutcome(request.Unknown)
-		}
+// replied turns a decided reply into the answer to the caller.
+func replied(reply *claim.Reply) (upstream.Answer, *request.Failure) {
+	a := reply.Answer
+	return upstream.Answer{Status: a.Status, ContentType: a.ContentType, Body: a.Body}, reply.Failure
+}
+
+// refuseService answers a call that was not admitted.
+func (d *Dispatcher) refuseService(ctx context.Context, r request.Request, refused *request.Failure) (upstream.Answer, *request.Failure) {
+	if r.Repeatable {
+		return upstream.Answer{}, refused
 	}
-	record.Kind = claim.Release
-	d.end(ctx, r, record)
-	return upstream.Answer{}, failed(false)
+	standing, entry, err := d.claims.Look(ctx, newRecord(r))
+	return replied(claim.Refused(refused, err == nil, standing, entry))
 }
 
 // end records how an attempt ended. Without the record a repeat of the key
 // is answered as unknown.
 func (d *Dispatcher) end(ctx context.Context, r request.Request, record claim.Record) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), endTimeout)
+	defer cancel()
 	if err := d.claims.End(ctx, record); err != nil {
 		event.ClaimFailed.Error(err, "Request", r.ID, "Kind", record.Kind)
 	}
--- a/node/configuration.go
+++ b/node/configuration.go
@@ -11,19 +11,22 @@
 	"github.com/kumquathoist/kumquathoist/peerpb"
 	"github.com/kumquathoist/kumquathoist/platform"
 	"github.com/kumquathoist/kumquathoist/revision"
-	"github.com/kumquathoist/kumquathoist/settings"
 )
 
+// entrySource knows the entry hosts.
+type entrySource struct{ *host.Directory }
+
 // startConfiguration follows the configuration and answers other hosts that
-// ask for it.
-func (n *Node) startConfiguration(ctx context.Context, log *platform.Log, directory *host.Directory, metrics tally.Scope, secret settings.Secret) (*revision.Keeper, error) {
-	pool := peer.NewPool(secret)
-	n.wait.Go(func() {
-		<-ctx.Done()
-		pool.Close()
-	})
+// ask for it. Until membership has started it knows no other host.
+func (n *Node) startConfiguration(ctx context.Context, log *platform.Log, pool *peer.Pool, metrics tally.Scope) (*revision.Keeper, error) {
 	keeper := revision.New(ctx, &n.wait, revision.Options{
-		Host: n.settings.Host.Name, Log: log, Members: directory.Entries, Metrics: metrics,
+		Host: n.settings.Host.Name, Log: log, Metrics: metrics,
+		Members: func() []platform.Host {
+			if source := n.entries.Load(); source != nil {
+				return source.Entries()
+			}
+			return nil
+		},
 		Peers:     revision.Client{Pool: pool, Address: n.Peers},
 		Retention: n.settings.Configuration.LogRetention(), SnapshotShare: n.settings.Configuration.SnapshotShare,
 	})
--- a/node/node.go
+++ b/node/node.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -13,7 +14,6 @@
 	"github.com/uber-go/tally/v4/prometheus"
 
 	"github.com/kumquathoist/kumquathoist/admission"
-	"github.com/kumquathoist/kumquathoist/claimlog"
 	"github.com/kumquathoist/kumquathoist/dispatch"
 	"github.com/kumquathoist/kumquathoist/document"
 	"github.com/kumquathoist/kumquathoist/engine"
@@ -29,10 +29,16 @@
 
 // Node is a running daemon.
 type Node struct {
-	settings settings.Settings
-	gateway  *gateway.Gateway
-	operator *operator.Server
-	peers    *peer.Server
+	settings  settings.Settings
+	gateway   *gateway.Gateway
+	runner    stopper
+	operator  *operator.Server
+	peers     *peer.Server
+	directory *host.Directory
+	// open counts requests that have not ended, once callers are served.
+	open atomic.Pointer[func() int64]
+	// entries knows the entry hosts, once membership has started.
+	entries  atomic.Pointer[entrySource]
 	wait     conc.WaitGroup
 	cancel   context.CancelFunc
 	stopOnce sync.Once
@@ -49,13 +55,17 @@
 	if err != nil {
 		return nil, trace.Wrap(err, "reading the peers' secret")
 	}
+	peerTLS, err := s.PeerTLS.Config()
+	if err != nil {
+		return nil, trace.Wrap(err, "reading PeerTLS")
+	}
 	operatorSecret, err := s.Secrets.Operators.Read()
 	if err != nil {
 		return nil, trace.Wrap(err, "reading the operators' secret")
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	n := &Node{settings: s, cancel: cancel, stop: make(chan struct{}), stopped: make(chan struct{})}
-	if err := n.start(ctx, peerSecret, operatorSecret); err != nil {
+	if err := n.start(ctx, peer.Credentials{Secret: peerSecret, TLS: peerTLS}, operatorSecret); err != nil {
 		cancel()
 		return nil, err
 	}
@@ -63,7 +73,7 @@
 }
 
 // start makes the parts in the order of their needs.
-func (n *Node) start(ctx context.Context, peerSecret, operatorSecret settings.Secret) error {
+func (n *Node) start(ctx context.Context, credentials peer.Credentials, operatorSecret settings.Secret) error {
 	registry := promclient.NewRegistry()
 	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
 	metrics, closer := tally.NewRootScope(tally.ScopeOptions{
@@ -74,22 +84,39 @@
 		_ = closer.Close()
 	})
 	log := platform.NewLog(n.settings.Platform.Log)
+	client := upstream.NewClient()
 	var err error
-	if n.peers, err = peer.NewServer(n.settings.Listen.Peers, peerSecret); err != nil {
+	if n.peers, err = peer.NewServer(n.settings.Listen.Peers, credentials); err != nil {
 		return err
 	}
-	directory := host.NewDirectory(ctx, &n.wait, platform.NewHostList(n.settings.Platform.HostList))
-	revisions, err := n.startConfiguration(ctx, log, directory, metrics, peerSecret)
+	pool := peer.NewPool(credentials)
+	revisions, err := n.startConfiguration(ctx, log, pool, metrics)
 	if err != nil {
 		return err
 	}
-	client := upstream.NewClient()
+	directory, err := n.startMembership(ctx, pool, revisions)
+	if err != nil {
+		return err
+	}
+	n.entries.Store(&entrySource{directory})
 	n.ready = func() bool { return revisions.Ready() && len(directory.Entries()) > 0 }
 	engines := engine.NewTracker(ctx, &n.wait, client, func() document.Document { return revisions.State().Document }, directory.Leaving)
+	claims, err := n.startClaims(ctx, log, directory, pool)
+	if err != nil {
+		return err
+	}
+	guard, err := n.newGuard(ctx, pool, directory)
+	if err != nil {
+		return err
+	}
 	dispatcher := dispatch.New(dispatch.Options{
-		Client: client, Engines: engines, Admit: admission.New(), Claims: claimlog.New(log), Leaving: directory.Leaving,
+		Client: client, Engines: engines, Admit: admission.New(), Claims: claims, Leaving: directory.Leaving, Crashes: guard,
+	})
+	n.runner = dispatcher
+	n.wait.Go(func() {
+		defer pool.Close()
+		_ = n.peers.Serve(ctx)
 	})
-	n.wait.Go(func() { _ = n.peers.Serve(ctx) })
 	n.operator, err = operator.New(ctx, &n.wait, operator.Options{
 		Settings: n.settings, Secret: operatorSecret, Editor: revisions, Directory: directory,
 		Engines: engines, Metrics: reporter.HTTPHandler(), Stop: n.Stop,
@@ -104,6 +131,9 @@
 	if err != nil {
 		return err
 	}
+	open := n.gateway.Open
+	n.open.Store(&open)
+	directory.Announce(n.Callers(), n.Peers())
 	event.Listening.Info("Host", n.settings.Host.Name, "Callers", n.Callers(), "Peers", n.Peers(), "Operators", n.Operators())
 	n.wait.Go(func() { n.finish(ctx) })
 	return nil
@@ -121,27 +151,6 @@
 // Stop begins a planned stop. It returns at once; Wait tells when it ended.
 func (n *Node) Stop() { n.stopOnce.Do(func() { close(n.stop) }) }
 
-// finish carries out a planned stop: the host leaves the address answers,
-// accepts requests until no caller's answer names it, and waits for its
-// streams.
-func (n *Node) finish(ctx context.Context) {
-	defer n.cancel()
-	defer close(n.stopped)
-	select {
-	case <-ctx.Done():
-		return
-	case <-n.stop:
-	}
-	event.Stopping.Info("Host", n.settings.Host.Name, "Open", n.gateway.Open())
-	n.gateway.Stop()
-	pause(ctx, n.settings.Stop.AddressTTL())
-	deadline := time.Now().Add(n.settings.Stop.StreamAllowance())
-	for n.gateway.Open() > 0 && time.Now().Before(deadline) && ctx.Err() == nil {
-		pause(ctx, 10*time.Millisecond)
-	}
-	event.Stopped.Info("Host", n.settings.Host.Name, "Cut", n.gateway.Open())
-}
-
 // Wait returns when the daemon has ended.
 func (n *Node) Wait() { n.wait.Wait() }
 
--- a/revision/exchange.go
+++ b/revision/exchange.go
@@ -4,7 +4,9 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -28,6 +30,9 @@
 	startFanout = 8
 	// announceFanout is how many peers a host tells of a newer position.
 	announceFanout = 3
+	// logGrace is how long a host waits for the log to give what a peer told
+	// of, before it fetches the peer's state.
+	logGrace = 250 * time.Millisecond
 	// maxServing is how many peers may fetch a state from one host at a time.
 	maxServing = 8
 )
@@ -55,11 +60,7 @@
 func (k *Keeper) exchange(ctx context.Context) {
 	for ctx.Err() == nil {
 		if k.Ready() {
-			pause(ctx, jitter(exchangeInterval))
-			for _, h := range k.pick(1) {
-				_ = k.ask(ctx, h.Peers)
-			}
-			k.measure()
+			k.exchangeOnce(ctx)
 			continue
 		}
 		k.askMany(ctx)
@@ -67,6 +68,64 @@
 	}
 }
 
+// exchangeOnce waits for its turn or for news of a newer position, and asks
+// one peer.
+func (k *Keeper) exchangeOnce(ctx context.Context) {
+	chosen := k.pick(1)
+	select {
+	case <-ctx.Done():
+		return
+	case <-time.After(jitter(exchangeInterval)):
+	case news := <-k.heard:
+		if k.reached(ctx, news.position) {
+			return
+		}
+		chosen = slices.DeleteFunc(k.pick(math.MaxInt), func(h platform.Host) bool { return h.Name != news.sender })
+	}
+	for _, h := range chosen {
+		_ = k.ask(ctx, h.Peers)
+	}
+	k.measure()
+}
+
+// news is a position that another host told of.
+type news struct {
+	sender   string
+	position int64
+}
+
+// Heard takes the position that another host's heartbeat told. It does not
+// block.
+func (k *Keeper) Heard(sender string, position int64) {
+	if position <= k.State().Position() {
+		return
+	}
+	select {
+	case k.heard <- news{sender, position}:
+	default:
+	}
+}
+
+// reached waits a moment for the log to give a position that another host
+// told of, so that the state is fetched only from where the log does not.
+func (k *Keeper) reached(ctx context.Context, position int64) bool {
+	ctx, cancel := context.WithTimeout(ctx, logGrace)
+	defer cancel()
+	for {
+		k.mu.Lock()
+		changed, down, at := k.changed, k.logDown, k.replica.Position()
+		k.mu.Unlock()
+		if at >= position || down {
+			return at >= position
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-changed:
+		}
+	}
+}
+
 // askMany asks several peers at once and makes the host ready if they gave a
 // configuration and the log was tried. A peer whose answer can't be used may
 // have something newer, so that the host is not ready then.
--- a/revision/revision.go
+++ b/revision/revision.go
@@ -71,6 +71,8 @@
 	serving chan struct{}
 	// advanced wakes the announcer.
 	advanced chan struct{}
+	// heard holds a newer position that a heartbeat told of.
+	heard chan news
 
 	// mu guards the fields below. Nothing else is locked while it is held.
 	mu sync.Mutex
@@ -95,7 +97,7 @@
 func New(ctx context.Context, wait *conc.WaitGroup, o Options) *Keeper {
 	k := &Keeper{
 		Options: o, changed: make(chan struct{}), replica: document.NewReplica(),
-		serving: make(chan struct{}, maxServing), advanced: make(chan struct{}, 1),
+		serving: make(chan struct{}, maxServing), advanced: make(chan struct{}, 1), heard: make(chan news, 1),
 	}
 	initial := k.replica.State
 	k.state.Store(&initial)
--- a/revision/service.go
+++ b/revision/service.go
@@ -43,7 +43,7 @@
 
 // Announce takes news of a newer position and fetches it from the sender.
 func (s Service) Announce(_ context.Context, request *peerpb.AnnounceDocumentRequest) (*peerpb.AnnounceDocumentReply, error) {
-	if request.GetPosition() > s.Keeper.State().Position() {
+	if !s.Keeper.reached(s.Context, request.GetPosition()) {
 		// The sender waits for the answer, which tells whether it was fetched.
 		_ = s.Keeper.ask(s.Context, request.GetAddress())
 	}
--- a/settings/check.go
+++ b/settings/check.go
@@ -5,6 +5,8 @@
 	"net/netip"
 	"net/url"
 
+	"github.com/gravitational/trace"
+
 	"github.com/kumquathoist/kumquathoist/problem"
 )
 
@@ -34,6 +36,9 @@
 	c.texts(s)
 	c.addresses(s)
 	c.numbers(s)
+	if err := s.PeerTLS.Check(); err != nil {
+		c.report("PeerTLS", "%s", trace.UserMessage(err))
+	}
 	return c.list
 }
 
@@ -99,6 +104,7 @@
 		{"Limits.BodyBytes", s.Limits.BodyBytes, 1, maxBodyBytes},
 		{"Limits.HeaderBytes", s.Limits.HeaderBytes, 1, maxHeaderBytes},
 		{"Limits.Connections", s.Limits.Connections, 1, maxConnections},
+		{"Limits.BusyRequests", s.Limits.BusyRequests, 1, maxConnections},
 		{"Limits.IdleSeconds", s.Limits.IdleSeconds, 1, maxSeconds},
 		{"Limits.DeadlineSeconds", s.Limits.DeadlineSeconds, 1, maxSeconds},
 		{"Stop.AddressSeconds", s.Stop.AddressSeconds, 0, maxSeconds},
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -27,6 +27,9 @@
 	Configuration Configuration `yaml:"Configuration"`
 	// Secrets tells where secrets are read from.
 	Secrets Secrets `yaml:"Secrets"`
+	// PeerTLS encrypts connections between hosts; without it they are plain
+	// TCP and prove themselves with the shared secret alone.
+	PeerTLS PeerTLS `yaml:"PeerTLS,omitempty"`
 	// Limits bounds what callers may send.
 	Limits Limits `yaml:"Limits"`
 	// Stop sets how a planned stop proceeds.
@@ -91,6 +94,9 @@
 	HeaderBytes int `yaml:"HeaderBytes"`
 	// Connections is the most open connections of callers.
 	Connections int `yaml:"Connections"`
+	// BusyRequests is how many open requests make a host tell that it is
+	// busy, so that callers are sent to others first.
+	BusyRequests int `yaml:"BusyRequests"`
 	// IdleSeconds is how long an idle connection is kept.
 	IdleSeconds int `yaml:"IdleSeconds"`
 	// DeadlineSeconds is the deadline of a request that names none.
@@ -121,7 +127,7 @@
 			Operators: Source{Environment: "KUMQUATHOIST_OPERATOR_SECRET"},
 		},
 		Configuration: Configuration{LogRetentionSeconds: 86_400, SnapshotShare: 0.5},
-		Limits:        Limits{BodyBytes: 16 << 20, HeaderBytes: 32 << 10, Connections: 10_000, IdleSeconds: 60, DeadlineSeconds: 120},
+		Limits:        Limits{BodyBytes: 16 << 20, HeaderBytes: 32 << 10, Connections: 10_000, BusyRequests: 512, IdleSeconds: 60, DeadlineSeconds: 120},
 		Stop:          Stop{AddressSeconds: 5, StreamSeconds: 120},
 	}
 }
@@ -154,7 +160,13 @@
 func (s Source) Read() (Secret, error) {
 	if s.File != "" {
 		raw, err := os.ReadFile(s.File)
-		return Secret(bytes.TrimSpace(raw)), trace.ConvertSystemError(err)
+		if err != nil {
+			return "", trace.ConvertSystemError(err)
+		}
+		if raw = bytes.TrimSpace(raw); len(raw) == 0 {
+			return "", trace.BadParameter("file %s holds no secret", s.File)
+		}
+		return Secret(raw), nil
 	}
 	value := os.Getenv(s.Environment)
 	if value == "" {
