--- a/document/snapshot.go
+++ b/document/snapshot.go
@@ -30,7 +30,7 @@
 func (s State) Snapshot(writer string) Snapshot {
 	return Snapshot{
 		Covers: s.Position(), Rules: s.Rules, Bodies: s.Bodies, Past: s.Past,
-		Verdicts: s.Verdicts, Checksum: s.Checksum(), Writer: writer,
+		Verdicts: s.Verdicts, Checksum: s.sum(), Writer: writer,
 	}
 }
 
@@ -92,7 +92,7 @@
 // checksumAt returns the checksum that the state had at an earlier position.
 func (s State) checksumAt(position int64) (string, bool) {
 	if position == s.Position() {
-		return s.Checksum(), true
+		return s.sum(), true
 	}
 	for _, stamp := range s.Stamps {
 		if stamp.Offset == position {
--- a/document/state.go
+++ b/document/state.go
@@ -185,3 +185,11 @@
 	}
 	return ""
 }
+
+// sum returns the checksum of the state, computed only if it is not known.
+func (s State) sum() string {
+	if known := s.LastChecksum(); known != "" {
+		return known
+	}
+	return s.Checksum()
+}
