feat: order engines to load by fencing number, paced and resumable

Package rollout derives demands and their fencing number from the document alone and gives the next orders from engines' reports; package orders sends them.

--- a/cmd/status.go
+++ b/cmd/status.go
@@ -32,6 +32,10 @@
 	for _, e := range answer.Engines {
 		fmt.Fprintf(w, "%s\t%s\t%t\t%s\t%d\t%d\n", e.Pool, e.Name, e.Reachable, e.Version, e.Running, e.Queued)
 	}
+	fmt.Fprintln(w, "\nPOOL\tWANTED\tFENCE\tDONE\tLOADING\tWAITING\tUNREACHABLE\tHELD")
+	for _, r := range answer.Rollouts {
+		fmt.Fprintf(w, "%s\t%s\t%d\t%d of %d\t%d\t%d\t%d\t%s\n", r.Pool, r.Version, r.Fence, r.Done, r.Engines, r.Loading, r.Waiting, r.Unreachable, r.Held)
+	}
 	return w.Flush()
 }
 
--- a/document/document.go
+++ b/document/document.go
@@ -64,6 +64,10 @@
 	Generation string `yaml:"Generation,omitempty"`
 	// ChecksFence tells that the upstream refuses orders with an old fencing number.
 	ChecksFence bool `yaml:"ChecksFence,omitempty"`
+	// Role is what the engine does, or "" for any.
+	Role string `yaml:"Role,omitempty"`
+	// Leave makes the engine finish what it has and take no more.
+	Leave bool `yaml:"Leave,omitempty"`
 }
 
 // Models is the section of the models team.
@@ -78,6 +82,14 @@
 	Pool string `yaml:"Pool"`
 	// Version names the weights in force.
 	Version string `yaml:"Version"`
+	// From names the weights before, which may serve while engines load.
+	From string `yaml:"From,omitempty"`
+	// Adapters are loaded beside the weights.
+	Adapters []string `yaml:"Adapters,omitempty"`
+	// Paused holds back loading on engines that don't run the version yet.
+	Paused bool `yaml:"Paused,omitempty"`
+	// Interrupt lets the last ready engine of the pool load.
+	Interrupt bool `yaml:"Interrupt,omitempty"`
 }
 
 // Accounts is the section of the accounts team.
--- a/emulator/claims.go
+++ b/emulator/claims.go
@@ -68,7 +68,7 @@
 	const secret = settings.Secret("measurement")
 	var servers []*peer.Server
 	for i := range count {
-		server, err := peer.NewServer("127.0.0.1:0", secret)
+		server, err := peer.NewServer("127.0.0.1:0", peer.Credentials{Secret: secret})
 		if err != nil {
 			return nil, err
 		}
@@ -77,7 +77,7 @@
 	}
 	for i, server := range servers {
 		claims := claimlog.New(ctx, wait, claimlog.Options{
-			Host: h.list[i].Name, Log: platform.NewLog(log.URL()), Directory: h, Peers: peer.NewPool(secret),
+			Host: h.list[i].Name, Log: platform.NewLog(log.URL()), Directory: h, Peers: peer.NewPool(peer.Credentials{Secret: secret}),
 		})
 		if err := peerpb.DRPCRegisterClaims(server, claimlog.NewServer(claims)); err != nil {
 			return nil, err
--- a/emulator/main.go
+++ b/emulator/main.go
@@ -19,6 +19,7 @@
 	Log      logCommand      `cmd:"" help:"Stand in for the platform's log service."`
 	HostList hostListCommand `cmd:"" help:"Stand in for the platform's host list."`
 	Engine   engineCommand   `cmd:"" help:"Stand in for a model engine."`
+	Weights  weightsCommand  `cmd:"" help:"Stand in for the weight store."`
 	Service  serviceCommand  `cmd:"" help:"Stand in for a plain service."`
 	Claims   claimsCommand   `cmd:"" help:"Measure claims against load and the number of hosts."`
 }
@@ -67,13 +68,14 @@
 	AnswerTokens int     `default:"32" help:"Tokens of an answer."`
 	CachePieces  int     `default:"256" help:"Pieces of prompts that the engine keeps."`
 	ChecksFence  bool    `help:"Refuse orders with an old fencing number."`
+	WeightStore  string  `help:"Base URL of the weight store."`
 }
 
 // Run serves an engine.
 func (c *engineCommand) Run(ctx context.Context) error {
 	o := standin.DefaultEngineOptions(c.Name)
 	o.Version, o.TokenMillis, o.AnswerTokens = c.Version, c.TokenMillis, c.AnswerTokens
-	o.CachePieces, o.ChecksFence = c.CachePieces, c.ChecksFence
+	o.CachePieces, o.ChecksFence, o.WeightStore = c.CachePieces, c.ChecksFence, c.WeightStore
 	return announce(standin.NewEngine(ctx, c.Listen, o))
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -99,6 +99,7 @@
 	if err != nil {
 		return err
 	}
+	keeper := n.startOrders(ctx, log, directory, client, engines, revisions)
 	dispatcher := dispatch.New(dispatch.Options{
 		Client: client, Engines: engines, Admit: admission.New(), Claims: claims, Leaving: directory.Leaving,
 	})
@@ -108,7 +109,7 @@
 	})
 	n.operator, err = operator.New(ctx, &n.wait, operator.Options{
 		Settings: n.settings, Secret: operatorSecret, Editor: revisions, Directory: directory,
-		Engines: engines, Metrics: reporter.HTTPHandler(), Stop: n.Stop,
+		Engines: engines, Metrics: reporter.HTTPHandler(), Stop: n.Stop, Rollouts: keeper.Progress,
 	})
 	if err != nil {
 		return err
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -18,6 +18,7 @@
 	"github.com/kumquathoist/kumquathoist/document"
 	"github.com/kumquathoist/kumquathoist/engine"
 	"github.com/kumquathoist/kumquathoist/platform"
+	"github.com/kumquathoist/kumquathoist/rollout"
 	"github.com/kumquathoist/kumquathoist/settings"
 )
 
@@ -49,6 +50,8 @@
 	Engines   statuses
 	// Metrics serves the metrics endpoint.
 	Metrics http.Handler
+	// Rollouts returns how far the orders to each pool are.
+	Rollouts func() []rollout.Progress
 	// Stop begins a planned stop of this host.
 	Stop func()
 }
@@ -160,6 +163,7 @@
 	Position int64
 	Hosts    []platform.Host
 	Engines  []EngineStatus
+	Rollouts []rollout.Progress
 }
 
 // EngineStatus is one engine as seen from this host.
@@ -171,7 +175,7 @@
 
 func (s *Server) status(c fiber.Ctx) error {
 	doc := s.Editor.State().Document
-	answer := StatusAnswer{Host: s.Settings.Host.Name, Position: doc.Position, Hosts: s.Directory.Entries()}
+	answer := StatusAnswer{Host: s.Settings.Host.Name, Position: doc.Position, Hosts: s.Directory.Entries(), Rollouts: s.Rollouts()}
 	for _, p := range doc.Capacity.Pools {
 		if p.Kind != document.EnginePool {
 			continue
--- /dev/null
+++ b/rollout/rollout_test.go
@@ -0,0 +1,102 @@
+package rollout_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/kumquathoist/kumquathoist/document"
+	"github.com/kumquathoist/kumquathoist/rollout"
+)
+
+// demand wants a version on a pool of engines.
+func demand(engines int, version string, fence int64, checks bool) rollout.Demand {
+	doc := document.Document{Models: document.Models{Models: []document.Model{{Name: "matcher", Pool: "pool", Version: version}}}}
+	pool := document.Pool{Name: "pool", Kind: document.EnginePool}
+	for i := range engines {
+		pool.Upstreams = append(pool.Upstreams, document.Upstream{Name: fmt.Sprintf("engine-%d", i), ChecksFence: checks})
+	}
+	doc.Capacity.Pools = []document.Pool{pool}
+	return rollout.Demands(doc, fence)[0]
+}
+
+// reports returns reachable engines that all run a version.
+func reports(d rollout.Demand, version string) map[string]rollout.Report {
+	all := map[string]rollout.Report{}
+	for _, e := range d.Engines {
+		all[e.Name] = rollout.Report{Reachable: true, Version: version}
+	}
+	return all
+}
+
+func TestNext(t *testing.T) {
+	type change func(d *rollout.Demand, r map[string]rollout.Report)
+	edit := func(i int, with func(*rollout.Report)) change {
+		return func(d *rollout.Demand, r map[string]rollout.Report) {
+			one := r[d.Engines[i].Name]
+			with(&one)
+			r[d.Engines[i].Name] = one
+		}
+	}
+	unreachable := func(r *rollout.Report) { r.Reachable = false }
+	loading := func(r *rollout.Report) { r.Loading = true }
+	updated := func(r *rollout.Report) { r.Version = "v2" }
+	cases := []struct {
+		name    string
+		engines int
+		change  []change
+		// want lists the places, in load order, of the engines that get orders.
+		want []int
+		kind rollout.Kind
+		held bool
+	}{
+		{"a large pool loads two at once", 9, nil, []int{0, 1}, rollout.Load, false},
+		{"a small pool loads one at a time", 3, nil, []int{0}, rollout.Load, false},
+		{"an engine that loads counts", 9, []change{edit(0, loading)}, []int{1}, rollout.Load, false},
+		{"engines that are done are passed over", 9, []change{edit(0, updated), edit(1, updated)}, []int{2, 3}, rollout.Load, false},
+		{"unreachable engines are passed over", 9, []change{edit(0, unreachable)}, []int{1, 2}, rollout.Load, false},
+		{"the last ready engine is kept", 1, nil, nil, "", true},
+		{"the last ready engine beside one that loads", 2, []change{edit(0, loading)}, nil, "", false},
+		{"the last ready engine beside an unreachable one", 2, []change{edit(0, unreachable)}, nil, "", true},
+		{"the last ready engine may be interrupted", 1, []change{func(d *rollout.Demand, _ map[string]rollout.Report) { d.Interrupt = true }}, []int{0}, rollout.Load, false},
+		{"a pause holds loads back", 9, []change{func(d *rollout.Demand, _ map[string]rollout.Report) { d.Paused = true }}, nil, "", true},
+		{"a greater fencing number means that this host is behind", 9, []change{edit(8, func(r *rollout.Report) { r.Fence = 99 })}, nil, "", true},
+		{"models that differ hold orders back", 9, []change{func(d *rollout.Demand, _ map[string]rollout.Report) { d.Conflict = "differ" }}, nil, "", true},
+		{"an adapter needs no pause of the engine", 1, []change{edit(0, updated), func(d *rollout.Demand, _ map[string]rollout.Report) { d.Adapters = []string{"a"} }}, []int{0}, rollout.LoadAdapter, false},
+		{"a role comes before weights", 9, []change{func(d *rollout.Demand, _ map[string]rollout.Report) { d.Engines[0].Role = "prefill" }, edit(1, loading)}, []int{0}, rollout.SetRole, false},
+		{"an engine that should leave is told", 1, []change{func(d *rollout.Demand, _ map[string]rollout.Report) { d.Engines[0].Leave = true }}, []int{0}, rollout.Leave, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			d := demand(c.engines, "v2", 5, true)
+			r := reports(d, "v1")
+			for _, change := range c.change {
+				change(&d, r)
+			}
+			now := time.Unix(0, 0)
+			state, decisions, progress := rollout.State{}.Next(d, r, now)
+			is.Equal(len(decisions), len(c.want))
+			for i, place := range c.want {
+				is.Equal(decisions[i].Engine.Name, d.Engines[place].Name)
+				is.Equal(decisions[i].Order.Kind, c.kind)
+				is.Equal(decisions[i].Order.Fence, int64(5))
+			}
+			is.Equal(progress.Held != "", c.held)
+			// Nothing is ordered again before the engines can have reported.
+			_, again, _ := state.Next(d, r, now.Add(time.Millisecond))
+			is.Equal(len(again), 0)
+		})
+	}
+}
+
+func TestPoolWithModelsThatDiffer(t *testing.T) {
+	is := is.New(t)
+	doc := document.Document{Capacity: document.Capacity{Pools: []document.Pool{{Name: "pool", Kind: document.EnginePool}, {Name: "idle", Kind: document.EnginePool}}}}
+	doc.Models.Models = []document.Model{{Name: "a", Pool: "pool", Version: "v1"}, {Name: "b", Pool: "pool", Version: "v2"}}
+	demands := rollout.Demands(doc, 1)
+	is.Equal(len(demands), 1)
+	is.True(demands[0].Conflict != "")
+}
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -33,6 +33,8 @@
 	AnswerTokens int
 	// ChecksFence refuses orders with an old fencing number.
 	ChecksFence bool
+	// WeightStore is the base URL of the weight store, or "" for none.
+	WeightStore string
 }
 
 // DefaultEngineOptions returns an engine like those of today's users.
@@ -67,6 +69,11 @@
 	Running     int
 	Queued      int
 	Leaving     bool
+	// Loading tells that the engine loads and takes no requests.
+	Loading  bool
+	Fence    int64
+	Role     string
+	Adapters []string
 }
 
 // Engine stands in for a model engine with a prefix cache.
@@ -86,6 +93,7 @@
 	queued      int
 	faults      EngineFaults
 	cancelled   map[string]context.CancelFunc
+	orders      orders
 }
 
 // NewEngine serves an engine on an address until the context ends.
@@ -103,6 +111,8 @@
 	app.Post("/v1/completions", e.complete)
 	app.Get("/control/load", e.load)
 	app.Post("/control/cancel", e.cancel)
+	app.Post("/control/orders", e.order)
+	app.Get("/control/orders", e.ordersTaken)
 	app.Post("/faults", e.setFaults)
 	var err error
 	e.Server, err = newServer(ctx, address, app)
@@ -130,7 +140,8 @@
 	defer e.mu.Unlock()
 	return c.JSON(EngineLoad{
 		Name: e.options.Name, Incarnation: e.incarnation, Version: e.version,
-		Running: e.running, Queued: e.queued, Leaving: e.faults.Leaving,
+		Running: e.running, Queued: e.queued, Leaving: e.faults.Leaving || e.orders.leaving,
+		Loading: e.orders.loading, Fence: e.orders.fence, Role: e.orders.role, Adapters: e.orders.adapters,
 	})
 }
 
@@ -211,6 +222,9 @@
 	if f.Leaving {
 		return "leaving"
 	}
+	if reason := e.ordered(); reason != "" {
+		return reason
+	}
 	if want := c.Get("X-Expect-Incarnation"); want != "" && want != strconv.FormatInt(incarnation, 10) {
 		return "another incarnation"
 	}
--- /dev/null
+++ b/standin/weights.go
@@ -0,0 +1,105 @@
+package standin
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+)
+
+const (
+	// loadTime is how long the store takes to send weights to one engine.
+	loadTime = 300 * time.Millisecond
+	// freeLoads is how many engines load at once without slowing each other.
+	freeLoads = 2
+	// loadsPerSecond bounds the loads that the store begins.
+	loadsPerSecond = 20
+)
+
+// WeightsFaults is what a test or a person puts into the weight store.
+type WeightsFaults struct {
+	// Refuse answers every load with 429.
+	Refuse bool
+}
+
+// WeightsCounts tells what the store saw.
+type WeightsCounts struct {
+	Loads, Refused int
+	// Most is the greatest number of loads at once.
+	Most int
+}
+
+// Weights stands in for the platform's weight store.
+type Weights struct {
+	*Server
+
+	// mu guards the fields below.
+	mu     sync.Mutex
+	faults WeightsFaults
+	counts WeightsCounts
+	active int
+	recent []time.Time
+}
+
+// NewWeights serves a weight store on an address until the context ends.
+func NewWeights(ctx context.Context, address string) (*Weights, error) {
+	w := &Weights{}
+	app := newApp()
+	app.Post("/weights/:version", w.load)
+	app.Get("/counts", w.count)
+	app.Post("/faults", w.setFaults)
+	var err error
+	w.Server, err = newServer(ctx, address, app)
+	return w, err
+}
+
+func (w *Weights) setFaults(c fiber.Ctx) error {
+	var f WeightsFaults
+	if err := c.Bind().JSON(&f); err != nil {
+		return err
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.faults = f
+	return c.JSON(f)
+}
+
+func (w *Weights) count(c fiber.Ctx) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return c.JSON(w.counts)
+}
+
+// load sends weights, slower when several engines load.
+func (w *Weights) load(c fiber.Ctx) error {
+	active, ok := w.begin()
+	if !ok {
+		return c.SendStatus(http.StatusTooManyRequests)
+	}
+	time.Sleep(loadTime * time.Duration(max(active, freeLoads)) / freeLoads)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.active--
+	return c.SendString(c.Params("version"))
+}
+
+// begin counts a load, unless the store refuses it.
+func (w *Weights) begin() (active int, ok bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := time.Now()
+	for len(w.recent) > 0 && now.Sub(w.recent[0]) > time.Second {
+		w.recent = w.recent[1:]
+	}
+	if w.faults.Refuse || len(w.recent) >= loadsPerSecond {
+		w.counts.Refused++
+		return 0, false
+	}
+	w.recent = append(w.recent, now)
+	w.active++
+	w.counts.Loads++
+	w.counts.Most = max(w.counts.Most, w.active)
+	return w.active, true
+}
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -45,6 +45,12 @@
 	Running     int
 	Queued      int
 	Leaving     bool
+	// Loading tells that the engine loads and takes no requests.
+	Loading bool
+	// Fence is the greatest fencing number of orders that the engine checked.
+	Fence    int64
+	Role     string
+	Adapters []string
 }
 
 // NotStarted tells that an upstream proved that it did not start a call.
