--- a/endtoend/orders_test.go
+++ b/endtoend/orders_test.go
@@ -44,7 +44,7 @@
 		fences = append(fences, o.Fence)
 	}
 	var load standin.EngineLoad
-	call(t, http.MethodGet, e.url()+"/control/load", nil, nil, &load)
+	call(t, http.MethodGet, e.url()+"/control/load", map[string]string{"Accept": "application/json"}, nil, &load)
 	return fences, load.Version
 }
 
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -78,7 +78,7 @@
 		s.attempts = map[string]attempt{}
 	}
 	var out []Decision
-	loading, ready := s.load(d, reports, now)
+	b := s.budget(d, reports, now)
 	for _, e := range d.Engines {
 		r := reports[e.Name]
 		order, needed := d.next(e, r)
@@ -86,17 +86,13 @@
 			continue
 		}
 		if order.interrupts() {
-			if d.Paused || loading >= d.limit() {
-				continue
+			held, ok := b.take(d, d.serves(e, r))
+			if held != "" {
+				p.Held = held
 			}
-			if last := d.serves(e, r) && ready <= 1; last && !d.Interrupt {
-				p.Held = heldLast
+			if !ok {
 				continue
 			}
-			loading++
-			if d.serves(e, r) {
-				ready--
-			}
 		}
 		s.attempts[e.Name] = s.attempts[e.Name].again(order, now)
 		out = append(out, Decision{Pool: d.Pool, Engine: e, Order: order, At: now})
@@ -117,9 +113,13 @@
 	return r.Reachable && !r.Loading && !r.Leaving && !e.Leave && (d.From == "" || r.Version == d.From || r.Version == d.Version)
 }
 
-// load counts the engines that load, or will by an order that was just sent,
-// and those that serve.
-func (s State) load(d Demand, reports map[string]Report, now time.Time) (loading, ready int) {
+// budget is how many engines of a pool load and how many serve.
+type budget struct{ loading, ready int }
+
+// budget counts the engines that load, or will by an order that was just
+// sent, and those that serve.
+func (s State) budget(d Demand, reports map[string]Report, now time.Time) budget {
+	var b budget
 	for _, e := range d.Engines {
 		r := reports[e.Name]
 		a := s.attempts[e.Name]
@@ -127,12 +127,27 @@
 		sent := needed && a.order == order && order.interrupts() && now.Sub(a.at) < settle
 		switch {
 		case r.Loading || sent:
-			loading++
+			b.loading++
 		case d.serves(e, r):
-			ready++
+			b.ready++
 		}
 	}
-	return loading, ready
+	return b
+}
+
+// take uses the budget for one more engine that loads, or tells why not.
+func (b *budget) take(d Demand, serves bool) (held string, ok bool) {
+	if d.Paused || b.loading >= d.limit() {
+		return "", false
+	}
+	if serves && b.ready <= 1 && !d.Interrupt {
+		return heldLast, false
+	}
+	b.loading++
+	if serves {
+		b.ready--
+	}
+	return "", true
 }
 
 // waits tells whether the same order was given too short a time ago.
--- a/standin/engine_orders.go
+++ b/standin/engine_orders.go
@@ -65,7 +65,7 @@
 	case o.Kind == "Load" && o.Version != e.version, o.Kind == "SetRole" && o.Role != e.orders.role:
 		e.orders.loading = true
 		e.orders.taken = append(e.orders.taken, o)
-		e.Server.wait.Go(func() { e.reload(o) })
+		e.wait.Go(func() { e.reload(o) })
 	}
 }
 
