feat: serve the version before while a pool loads the next

A request takes its weights by the share of ready engines, less those that may be loading by now: with a plain share one of several hundred requests found the last engine of the old version loading and was refused.

--- a/emulator/claims.go
+++ b/emulator/claims.go
@@ -67,7 +67,7 @@
 	secret := peer.Credentials{Secret: "measurement"}
 	var servers []*peer.Server
 	for i := range count {
-		server, err := peer.NewServer("127.0.0.1:0", peer.Credentials{Secret: secret})
+		server, err := peer.NewServer("127.0.0.1:0", secret)
 		if err != nil {
 			return nil, err
 		}
@@ -76,7 +76,7 @@
 	}
 	for i, server := range servers {
 		claims := claimlog.New(ctx, wait, claimlog.Options{
-			Host: h.list[i].Name, Log: platform.NewLog(log.URL()), Directory: h, Peers: peer.NewPool(peer.Credentials{Secret: secret}),
+			Host: h.list[i].Name, Log: platform.NewLog(log.URL()), Directory: h, Peers: peer.NewPool(secret),
 		})
 		if err := peerpb.DRPCRegisterClaims(server, claimlog.NewServer(claims)); err != nil {
 			return nil, err
--- a/endtoend/orders_test.go
+++ b/endtoend/orders_test.go
@@ -48,6 +48,32 @@
 	return fences, load.Version
 }
 
+// sendAll sends requests to a router, one after the other, until the returned
+// function is called, which tells how many failed.
+func (s *system) sendAll(t *testing.T, router int) (ended func() int) {
+	stop, failed := make(chan struct{}), make(chan int)
+	go func() {
+		count := 0
+		for {
+			select {
+			case <-stop:
+				failed <- count
+				return
+			default:
+			}
+			body, status := s.routers[router].send(t, http.MethodPost, "/v1/completions", nil, `{"model":"matcher","prompt":"pair"}`)
+			if status != http.StatusOK {
+				t.Log(status, body)
+				count++
+			}
+		}
+	}()
+	return func() int {
+		close(stop)
+		return <-failed
+	}
+}
+
 // TestRolloutOutlivesItsKeeper freezes the keeper of a pool in the middle of
 // a rollout. Another host finishes it, a newer one is rolled out, and the
 // thawed keeper undoes nothing. The weight store refuses for a while.
@@ -74,6 +100,7 @@
 				s.routers[0], s.routers[1], keeper = s.routers[1], s.routers[0], 1
 			}
 
+			ended := s.sendAll(t, 0)
 			// A paused rollout loads nothing; a store that refuses is asked again.
 			s.want(t, document.Model{Version: "v2", From: "v1", Paused: true})
 			eventually(t, "the pool is held", func() bool { return s.rollout(0).Held != "" })
@@ -91,10 +118,13 @@
 			s.routers[keeper].signal(syscall.SIGSTOP)
 			eventually(t, "another host finishes", func() bool { return s.rollout(0).Done == 7 })
 			s.want(t, document.Model{Version: "v3", From: "v2"})
+			// Versions are never mixed: requests go on in the one before until
+			// engines run the next.
 			eventually(t, "the next version is rolled out", func() bool { p := s.rollout(0); return p.Version == "v3" && p.Done == 7 })
 			s.routers[keeper].signal(syscall.SIGCONT)
 			eventually(t, "the thawed host sees the new version", func() bool { p := s.rollout(keeper); return p.Version == "v3" && p.Done == 7 })
 
+			is.Equal(ended(), 0)
 			for _, e := range s.engines {
 				fences, version := loads(t, e)
 				is.Equal(version, "v3")
--- a/engine/choice.go
+++ b/engine/choice.go
@@ -40,7 +40,7 @@
 	var candidates []routing.Candidate
 	for _, u := range pool.Upstreams {
 		s := t.Status(u.Name)
-		if !s.Reachable || s.Leaving || t.leaving(u.Name) || slices.Contains(tried, u.Name) {
+		if !s.serves(model.Version) || t.leaving(u.Name) || slices.Contains(tried, u.Name) {
 			continue
 		}
 		usable = append(usable, u)
--- a/gateway/door.go
+++ b/gateway/door.go
@@ -11,6 +11,7 @@
 
 	"github.com/kumquathoist/kumquathoist/document"
 	"github.com/kumquathoist/kumquathoist/request"
+	"github.com/kumquathoist/kumquathoist/rollout"
 )
 
 const (
@@ -88,15 +89,16 @@
 	}
 	r.Kind, r.Model, r.Stream, r.Levels = request.Completion, body.Model, body.Stream, body.levels()
 	r.Repeatable = true
-	r.Version, failure = version(c, r, model)
+	r.Version, failure = g.version(c, doc, r, model)
 	return r, failure
 }
 
 // version returns the weights that the answer must come from: those in force,
 // or for a resumed stream those that it began with.
-func version(c fiber.Ctx, r request.Request, model document.Model) (string, *request.Failure) {
+func (g *Gateway) version(c fiber.Ctx, doc document.Document, r request.Request, model document.Model) (string, *request.Failure) {
 	if r.ResumeAfter == 0 {
-		return model.Version, nil
+		pool, _ := doc.Pool(model.Pool)
+		return rollout.Serving(model, pool, r.ID, func(version string) int { return g.Engines.Ready(pool, version) }), nil
 	}
 	if began := c.Get(modelVersionHeader); began != "" {
 		return began, nil
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -32,6 +32,12 @@
 	Serve(ctx context.Context, doc document.Document, r request.Request) (upstream.Answer, *request.Failure)
 }
 
+// engines knows which weights engines serve.
+type engines interface {
+	// Ready returns how many engines of a pool serve a version.
+	Ready(pool document.Pool, version string) int
+}
+
 // Options is what a gateway needs.
 type Options struct {
 	Settings settings.Settings
@@ -39,6 +45,7 @@
 	Document  func() (document.Document, bool)
 	Runner    runner
 	Directory hosts
+	Engines   engines
 	Metrics   tally.Scope
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -121,7 +121,7 @@
 		return err
 	}
 	n.gateway, err = gateway.New(ctx, &n.wait, gateway.Options{
-		Settings: n.settings, Runner: dispatcher, Directory: directory, Metrics: metrics,
+		Settings: n.settings, Runner: dispatcher, Directory: directory, Engines: engines, Metrics: metrics,
 		Document: func() (document.Document, bool) { return revisions.State().Document, revisions.Ready() },
 	})
 	if err != nil {
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -100,9 +100,9 @@
 	return s, out, p
 }
 
-// limit returns how many engines of the pool may load at once.
-func (d Demand) limit() int {
-	if len(d.Engines) < smallPool {
+// limit returns how many engines of a pool may load at once.
+func limit(engines int) int {
+	if engines < smallPool {
 		return 1
 	}
 	return MaxLoading
@@ -137,7 +137,7 @@
 
 // take uses the budget for one more engine that loads, or tells why not.
 func (b *budget) take(d Demand, serves bool) (held string, ok bool) {
-	if d.Paused || b.loading >= d.limit() {
+	if d.Paused || b.loading >= limit(len(d.Engines)) {
 		return "", false
 	}
 	if serves && b.ready <= 1 && !d.Interrupt {
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -100,3 +100,36 @@
 	is.Equal(len(demands), 1)
 	is.True(demands[0].Conflict != "")
 }
+
+func TestServing(t *testing.T) {
+	cases := []struct {
+		name          string
+		from          string
+		engines       int
+		before, after int
+		// least and most are the bounds on requests of 1000 in the new version.
+		least, most int
+	}{
+		{"no version before", "", 9, 5, 4, 1000, 1000},
+		{"none has loaded yet", "v1", 9, 9, 0, 0, 0},
+		{"none is left", "v1", 9, 0, 9, 1000, 1000},
+		{"by share, less those that may load by now", "v1", 9, 7, 2, 330, 470},
+		{"the rest may load by now", "v1", 9, 4, 5, 1000, 1000},
+		{"a small pool", "v1", 3, 2, 1, 1000, 1000},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			count := map[string]int{"v1": c.before, "v2": c.after}
+			pool := document.Pool{Upstreams: make([]document.Upstream, c.engines)}
+			inForce := 0
+			for i := range 1000 {
+				m := document.Model{Version: "v2", From: c.from}
+				if rollout.Serving(m, pool, fmt.Sprint(i), func(v string) int { return count[v] }) == "v2" {
+					inForce++
+				}
+			}
+			is.True(inForce >= c.least && inForce <= c.most)
+		})
+	}
+}
