--- a/node/node.go
+++ b/node/node.go
@@ -105,6 +105,7 @@
 	if err != nil {
 		return err
 	}
+	keeper := n.startOrders(ctx, log, directory, client, engines, revisions)
 	guard, err := n.newGuard(ctx, pool, directory)
 	if err != nil {
 		return err
@@ -119,13 +120,13 @@
 	})
 	n.operator, err = operator.New(ctx, &n.wait, operator.Options{
 		Settings: n.settings, Secret: operatorSecret, Editor: revisions, Directory: directory,
-		Engines: engines, Metrics: reporter.HTTPHandler(), Stop: n.Stop,
+		Engines: engines, Metrics: reporter.HTTPHandler(), Stop: n.Stop, Rollouts: keeper.Progress,
 	})
 	if err != nil {
 		return err
 	}
 	n.gateway, err = gateway.New(ctx, &n.wait, gateway.Options{
-		Settings: n.settings, Runner: dispatcher, Directory: directory, Metrics: metrics,
+		Settings: n.settings, Runner: dispatcher, Directory: directory, Engines: engines, Metrics: metrics,
 		Document: func() (document.Document, bool) { return revisions.State().Document, revisions.Ready() },
 	})
 	if err != nil {
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -21,6 +21,7 @@
 	"github.com/kumquathoist/kumquathoist/engine"
 	"github.com/kumquathoist/kumquathoist/platform"
 	"github.com/kumquathoist/kumquathoist/revision"
+	"github.com/kumquathoist/kumquathoist/rollout"
 	"github.com/kumquathoist/kumquathoist/settings"
 )
 
@@ -55,6 +56,8 @@
 	Engines   statuses
 	// Metrics serves the metrics endpoint.
 	Metrics http.Handler
+	// Rollouts returns how far the orders to each pool are.
+	Rollouts func() []rollout.Progress
 	// Stop begins a planned stop of this host.
 	Stop func()
 }
@@ -183,6 +186,7 @@
 	Configuration revision.Status
 	Hosts         []platform.Host
 	Engines       []EngineStatus
+	Rollouts      []rollout.Progress
 }
 
 // EngineStatus is one engine as seen from this host.
@@ -194,7 +198,7 @@
 
 func (s *Server) status(c fiber.Ctx) error {
 	doc := s.Editor.State().Document
-	answer := StatusAnswer{Host: s.Settings.Host.Name, Position: doc.Position, Configuration: s.Editor.Status(), Hosts: s.Directory.Entries()}
+	answer := StatusAnswer{Host: s.Settings.Host.Name, Position: doc.Position, Configuration: s.Editor.Status(), Hosts: s.Directory.Entries(), Rollouts: s.Rollouts()}
 	for _, p := range doc.Capacity.Pools {
 		if p.Kind != document.EnginePool {
 			continue
