feat: choose engines by cost over a few candidates, with keepers in place of polls

Every host polled every engine twice a second, which grows with hosts times engines. Each engine now has one keeper, the rendezvous owner among the entry hosts; other hosts ask keepers for the engines of a request.

Policies are pure and compared on recorded arrivals by the emulator's experiment command.

--- /dev/null
+++ b/admission/state.go
@@ -0,0 +1,122 @@
+package admission
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// usageTime is the time constant of the work that accounts used.
+	usageTime = 10 * time.Second
+	// fullWait is the wait of the least loaded engine at which a pool counts
+	// as full for requests of the least priority.
+	fullWait = 100 * time.Millisecond
+	// waitPerPriority is how much more wait each step of priority may see.
+	waitPerPriority = 50 * time.Millisecond
+	// minRetryAfter and maxRetryAfter bound when a refused caller may come
+	// back.
+	minRetryAfter = time.Second
+	maxRetryAfter = 30 * time.Second
+	// idleUsage is the use below which an account counts as not active.
+	idleUsage = 0.01
+)
+
+// Reason tells why a request is refused.
+type Reason int
+
+// The reasons.
+const (
+	// Deadline means that the answer can't be whole before the deadline.
+	Deadline Reason = iota + 1
+	// Share means that the pool is full and that the account uses more than
+	// its fair share of it.
+	Share
+	// Full means that the pool is full for the request's priority.
+	Full
+)
+
+// Ask is what a decision depends on.
+type Ask struct {
+	Account string
+	// Weight is the account's fair share relative to others.
+	Weight int
+	// Priority orders requests; a higher one goes first.
+	Priority int
+	// Remaining is the time left for the request.
+	Remaining time.Duration
+	// Wait is the estimated time until an engine begins the prompt.
+	Wait time.Duration
+	// Service is the estimated time to read the prompt.
+	Service time.Duration
+	// Answer is the estimated time of the answer after that.
+	Answer time.Duration
+}
+
+// Verdict is the answer to an ask.
+type Verdict struct {
+	Admitted bool
+	Reason   Reason
+	// RetryAfter is when a refused caller may come back.
+	RetryAfter time.Duration
+}
+
+// usage is the decayed work of one account, relative to its weight.
+type usage struct {
+	work float64
+	at   time.Duration
+}
+
+// State holds what accounts used lately at one host. It is not safe for
+// concurrent use. Times are durations since any fixed instant.
+type State struct {
+	usages map[string]usage
+}
+
+// NewState returns the state of a host that has admitted nothing.
+func NewState() *State { return &State{usages: map[string]usage{}} }
+
+// Decide admits or refuses a request, and counts an admitted one.
+func (s *State) Decide(a Ask, now time.Duration) Verdict {
+	if late := a.Wait + a.Service + a.Answer - a.Remaining; late > 0 {
+		return refuse(Deadline, max(late, a.Wait))
+	}
+	full := fullWait + time.Duration(a.Priority)*waitPerPriority
+	used := s.usages[a.Account].decayed(now)
+	if a.Wait > full {
+		fair := s.fair(now)
+		if used > fair {
+			return refuse(Share, a.Wait-full)
+		}
+		if a.Wait > 2*full && used > fair/2 {
+			return refuse(Full, a.Wait-full)
+		}
+	}
+	s.usages[a.Account] = usage{used + a.Service.Seconds()/float64(max(a.Weight, 1)), now}
+	return Verdict{Admitted: true}
+}
+
+// fair returns the mean use of the active accounts, relative to weight.
+func (s *State) fair(now time.Duration) float64 {
+	// Whole numbers add up to the same sum in any order.
+	total, active := int64(0), 0
+	for account, u := range s.usages {
+		used := u.decayed(now)
+		if used < idleUsage {
+			delete(s.usages, account)
+			continue
+		}
+		total += int64(used * float64(time.Second))
+		active++
+	}
+	return float64(total) / float64(time.Second) / float64(max(active, 1))
+}
+
+// refuse returns a refusal with when to come back.
+func refuse(r Reason, after time.Duration) Verdict {
+	return Verdict{Reason: r, RetryAfter: min(max(after, minRetryAfter), maxRetryAfter)}
+}
+
+// decayed returns the work as it counts now.
+func (u usage) decayed(now time.Duration) float64 {
+	return u.work * math.Exp(-float64(now-u.at)/float64(usageTime))
+}
--- a/emulator/main.go
+++ b/emulator/main.go
@@ -20,6 +20,8 @@
 	HostList hostListCommand `cmd:"" help:"Stand in for the platform's host list."`
 	Engine   engineCommand   `cmd:"" help:"Stand in for a model engine."`
 	Service  serviceCommand  `cmd:"" help:"Stand in for a plain service."`
+
+	Experiment experimentCommand `cmd:"" help:"Measure policies of routing and admission."`
 }
 
 // listenFlags is where a stand-in listens.
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -1,5 +1,9 @@
-// Package engine follows the engines of every pool: their load, incarnation
-// and weights.
+// Package engine follows the engines of every pool and chooses among them.
+//
+// Each engine has one keeper among the hosts, which every host computes from
+// the same host list. The keeper alone polls the engine's load and cache
+// events. The other hosts ask keepers for the few engines that a request may
+// be sent to, and choose without them when they don't answer in time.
 package engine
 
 import (
@@ -8,22 +12,50 @@
 	"time"
 
 	"github.com/sourcegraph/conc"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/kumquathoist/kumquathoist/document"
-	"github.com/kumquathoist/kumquathoist/event"
+	"github.com/kumquathoist/kumquathoist/peerpb"
+	"github.com/kumquathoist/kumquathoist/placement"
+	"github.com/kumquathoist/kumquathoist/platform"
+	"github.com/kumquathoist/kumquathoist/routing"
 	"github.com/kumquathoist/kumquathoist/upstream"
 )
 
 const (
-	// pollInterval is the time between two load reports of an engine.
+	// pollInterval is the time between two reports of an engine.
 	pollInterval = 500 * time.Millisecond
 	// pollTimeout bounds the wait for one report.
 	pollTimeout = time.Second
+	// reportLag is how old an engine's load report is when it comes.
+	reportLag = 500 * time.Millisecond
 )
 
-// reporter asks engines for their load.
+// reporter asks engines for their load and cache events.
 type reporter interface {
-	Load(ctx context.Context, address string) (upstream.Load, error)
+	Events(ctx context.Context, address string, after uint64) (upstream.CacheReport, error)
+}
+
+// asker asks other hosts for the engines that they keep.
+type asker interface {
+	Look(ctx context.Context, address string, r *peerpb.LookRequest) (*peerpb.LookReply, error)
+}
+
+// Options is what a tracker needs.
+type Options struct {
+	// Host names this host.
+	Host string
+	// Reporter asks engines.
+	Reporter reporter
+	// Asker asks keepers.
+	Asker asker
+	// Document returns the configuration in force.
+	Document func() document.Document
+	// Entries returns the live entry hosts.
+	Entries func() []platform.Host
+	// Leaving tells which engines get no new work.
+	Leaving func(engine string) bool
+	Metrics tally.Scope
 }
 
 // Status is what this host knows of one engine.
@@ -32,24 +64,39 @@
 
 	// Reachable tells that the last report came.
 	Reachable bool
+	// Known tells that this host keeps the engine or that its keeper answered.
+	Known bool
 	// Sent counts requests that this host sent and that have not ended.
 	Sent int
 }
 
 // Tracker follows engines.
 type Tracker struct {
-	reporter reporter
-	current  func() document.Document
-	leaving  func(engine string) bool
-	// mu guards statuses.
-	mu       sync.Mutex
-	statuses map[string]Status
+	Options
+
+	start time.Time
+	// mu guards the fields below. No call is made while it is held.
+	mu sync.Mutex
+	// kept holds the engines that this host keeps.
+	kept map[string]*kept
+	// looks holds what keepers answered.
+	looks map[string]look
+	// avoided tells until when an engine that failed gets no new work.
+	avoided map[string]time.Duration
+	sent    map[string]int
+	rings   map[string]pool
+	view    *routing.View
+	heat    *routing.Heat
+	turn    uint64
 }
 
-// NewTracker follows the engines of the current document until the context
-// ends. The function leaving tells which engines get no new work.
-func NewTracker(ctx context.Context, wait *conc.WaitGroup, r reporter, current func() document.Document, leaving func(engine string) bool) *Tracker {
-	t := &Tracker{reporter: r, current: current, leaving: leaving, statuses: map[string]Status{}}
+// NewTracker follows the engines that this host keeps until the context ends.
+func NewTracker(ctx context.Context, wait *conc.WaitGroup, o Options) *Tracker {
+	t := &Tracker{
+		Options: o, start: time.Now(),
+		kept: map[string]*kept{}, looks: map[string]look{}, avoided: map[string]time.Duration{},
+		sent: map[string]int{}, rings: map[string]pool{}, view: routing.NewView(), heat: routing.NewHeat(1),
+	}
 	wait.Go(func() {
 		ticker := time.NewTicker(pollInterval)
 		defer ticker.Stop()
@@ -65,56 +112,46 @@
 	return t
 }
 
-// poll asks every engine once.
-func (t *Tracker) poll(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
-	defer cancel()
-	var wait conc.WaitGroup
-	defer wait.Wait()
-	for _, p := range t.current().Capacity.Pools {
-		if p.Kind != document.EnginePool {
-			continue
-		}
-		for _, u := range p.Upstreams {
-			wait.Go(func() {
-				load, err := t.reporter.Load(ctx, u.Address)
-				t.note(u.Name, load, err)
-			})
-		}
-	}
-}
+// now returns the time since the tracker's start by the monotonic clock.
+func (t *Tracker) now() time.Duration { return time.Since(t.start) }
 
-// note keeps one report.
-func (t *Tracker) note(name string, load upstream.Load, err error) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	before := t.statuses[name]
-	if err != nil {
-		if before.Reachable {
-			event.EngineUnreachable.Error(err, "Engine", name)
-		}
-		before.Reachable = false
-		t.statuses[name] = before
-		return
+// keeperOf returns the host that keeps an engine. Hosts with another view of
+// the host list may answer otherwise: then two hosts poll the engine, and
+// each host asks the one that it takes for the keeper.
+func keeperOf(engine string, hosts []platform.Host) (platform.Host, bool) {
+	names := make([]string, len(hosts))
+	for i, h := range hosts {
+		names[i] = h.Name
 	}
-	if before.Incarnation != 0 && before.Incarnation != load.Incarnation {
-		event.EngineRestarted.Info("Engine", name, "Incarnation", load.Incarnation)
+	owner := placement.Owner(engine, names)
+	for _, h := range hosts {
+		if h.Name == owner {
+			return h, true
+		}
 	}
-	t.statuses[name] = Status{Load: load, Reachable: true, Sent: before.Sent}
+	return platform.Host{}, false
 }
 
-// Status returns what is known of an engine.
-func (t *Tracker) Status(name string) Status {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.statuses[name]
+// Keeps tells whether this host keeps an engine.
+func (t *Tracker) Keeps(engine string) bool {
+	keeper, ok := keeperOf(engine, t.Entries())
+	return ok && keeper.Name == t.Host
 }
 
-// add counts requests that this host sent to an engine.
-func (t *Tracker) add(name string, n int) {
+// Status returns what is known of an engine. It asks the engine's keeper
+// unless this host keeps the engine or has asked lately.
+func (t *Tracker) Status(name string) Status {
+	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	defer cancel()
+	t.refresh(ctx, []string{name}, nil, 1)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := t.statuses[name]
-	s.Sent += n
-	t.statuses[name] = s
+	l := t.lookLocked(name, nil)
+	return Status{
+		Load: upstream.Load{
+			Name: name, Incarnation: l.incarnation, Version: l.version,
+			Running: l.report.Running, Queued: l.report.Queued, Leaving: l.leaving,
+		},
+		Reachable: l.reachable, Known: l.known, Sent: t.sent[name],
+	}
 }
--- /dev/null
+++ b/experiment/policies.go
@@ -0,0 +1,33 @@
+package experiment
+
+import (
+	"github.com/kumquathoist/kumquathoist/routing"
+)
+
+// ChosenWeight is the WasteWeight of the tables that don't vary it.
+const ChosenWeight = 2
+
+// Policies returns the policies of the comparison, the oracle last.
+func Policies(m Model, weight float64) []Policy {
+	cost := routing.Cost{Speed: m.Speed, WasteWeight: weight}
+	every := cost
+	every.Every = true
+	base := []Policy{
+		{Name: "round robin", Policy: routing.RoundRobin{}},
+		{Name: "least loaded", Policy: routing.LeastLoaded{}},
+		{Name: "affinity", Policy: routing.Affinity{}},
+		{Name: "affinity by level", Policy: routing.Affinity{Nested: true}},
+		{Name: "index", Policy: routing.Index{}},
+		{Name: "index with affinity", Policy: routing.Index{Fallback: true}},
+		{Name: "cost", Policy: cost, Corrects: true},
+
+		{Name: "oracle", Policy: every, Oracle: true},
+	}
+	all := make([]Policy, 0, 2*len(base))
+	for _, p := range base {
+		copied := p
+		copied.Copies, copied.Name = true, p.Name+" + copies"
+		all = append(all, p, copied)
+	}
+	return all
+}
--- /dev/null
+++ b/experiment/table.go
@@ -0,0 +1,113 @@
+package experiment
+
+import (
+	"fmt"
+	"io"
+	"sync"
+	"text/tabwriter"
+
+	"github.com/sourcegraph/conc/pool"
+
+	"github.com/kumquathoist/kumquathoist/workload"
+)
+
+// parallelRuns bounds the runs that go on side by side.
+const parallelRuns = 4
+
+// Options is what the tables are made of.
+type Options struct {
+	Profile workload.Profile
+	// Seeds are the seeds of the runs.
+	Seeds []uint64
+	// Scale multiplies the profile's rate.
+	Scale float64
+}
+
+// measure runs every policy with every seed and returns the summaries by
+// policy.
+func (o Options) measure(m Model, policies []Policy, s Scenario) [][]Summary {
+	profile := o.Profile.WithRate(o.Profile.Rate * o.Scale)
+	results := make([][]Summary, len(policies))
+	var mu sync.Mutex
+	runs := pool.New().WithMaxGoroutines(parallelRuns)
+	for i := range policies {
+		results[i] = make([]Summary, len(o.Seeds))
+	}
+	for j, seed := range o.Seeds {
+		arrivals := profile.Generate(seed, s.Span)
+		for i, p := range policies {
+			runs.Go(func() {
+				summary := Summarise(Run(m, p, s, profile.Engines, arrivals, seed), s.From, s.To)
+				mu.Lock()
+				defer mu.Unlock()
+				results[i][j] = summary
+			})
+		}
+	}
+	runs.Wait()
+	return results
+}
+
+// Compare writes the table of all policies in one scenario.
+func Compare(w io.Writer, o Options, s Scenario) {
+	m := DefaultModel()
+	policies := Policies(m, ChosenWeight)
+	results := o.measure(m, policies, s)
+	t := newTable(w, "policy", "hit %", "levels %", "imported %", "waste %", "p50 ms", "p95 ms", "p99 ms (least-most)", "on time %")
+	for i, p := range policies {
+		t.row(p.Name, results[i])
+	}
+	t.flush()
+}
+
+// table writes aligned Markdown rows.
+type table struct {
+	*tabwriter.Writer
+}
+
+func newTable(w io.Writer, columns ...string) table {
+	t := table{tabwriter.NewWriter(w, 0, 0, 1, ' ', 0)}
+	t.cells(columns...)
+	rule := make([]string, len(columns))
+	for i := range rule {
+		rule[i] = "---"
+	}
+	t.cells(rule...)
+	return t
+}
+
+// cells writes one row.
+func (t table) cells(cells ...string) {
+	for _, c := range cells {
+		fmt.Fprintf(t, "| %s\t", c)
+	}
+	fmt.Fprintln(t, "|")
+}
+
+// row writes the measures of one policy.
+func (t table) row(name string, runs []Summary) {
+	level := func(i int) string {
+		return fmt.Sprintf("%.0f", 100*SpreadOf(runs, func(s Summary) float64 { return s.Levels[i] }).Mean)
+	}
+	p99 := SpreadOf(runs, func(s Summary) float64 { return s.P99 })
+	t.cells(name,
+		percent(runs, func(s Summary) float64 { return s.Hit }),
+		level(0)+" / "+level(1)+" / "+level(2),
+		percent(runs, func(s Summary) float64 { return s.Imported }),
+		percent(runs, func(s Summary) float64 { return s.Waste }),
+		number(runs, func(s Summary) float64 { return s.P50 }),
+		number(runs, func(s Summary) float64 { return s.P95 }),
+		fmt.Sprintf("%.0f (%.0f-%.0f)", p99.Mean, p99.Least, p99.Most),
+		percent(runs, func(s Summary) float64 { return s.OnTime }),
+	)
+}
+
+func (t table) flush() { _ = t.Flush() }
+
+func percent(runs []Summary, measure func(Summary) float64) string {
+	return fmt.Sprintf("%.1f", 100*SpreadOf(runs, measure).Mean)
+}
+
+func number(runs []Summary, measure func(Summary) float64) string {
+	return fmt.Sprintf("%.0f", SpreadOf(runs, measure).Mean)
+}
--- /dev/null
+++ b/node/engines.go
@@ -0,0 +1,30 @@
+package node
+
+import (
+	"context"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/kumquathoist/kumquathoist/document"
+	"github.com/kumquathoist/kumquathoist/engine"
+	"github.com/kumquathoist/kumquathoist/host"
+	"github.com/kumquathoist/kumquathoist/peer"
+	"github.com/kumquathoist/kumquathoist/peerpb"
+	"github.com/kumquathoist/kumquathoist/settings"
+	"github.com/kumquathoist/kumquathoist/upstream"
+)
+
+// startEngines follows the engines that this host keeps, and answers the
+// other hosts about them.
+func (n *Node) startEngines(ctx context.Context, secret settings.Secret, client *upstream.Client, directory *host.Directory, current func() document.Document, metrics tally.Scope) (*engine.Tracker, error) {
+	pool := peer.NewPool(secret)
+	n.wait.Go(func() {
+		<-ctx.Done()
+		pool.Close()
+	})
+	t := engine.NewTracker(ctx, &n.wait, engine.Options{
+		Host: n.settings.Host.Name, Reporter: client, Asker: engine.Peers{Pool: pool},
+		Document: current, Entries: directory.Entries, Leaving: directory.Leaving, Metrics: metrics,
+	})
+	return t, peerpb.DRPCRegisterEngines(n.peers, t)
+}
--- a/node/node.go
+++ b/node/node.go
@@ -16,7 +16,6 @@
 	"github.com/kumquathoist/kumquathoist/claimlog"
 	"github.com/kumquathoist/kumquathoist/dispatch"
 	"github.com/kumquathoist/kumquathoist/document"
-	"github.com/kumquathoist/kumquathoist/engine"
 	"github.com/kumquathoist/kumquathoist/event"
 	"github.com/kumquathoist/kumquathoist/gateway"
 	"github.com/kumquathoist/kumquathoist/host"
@@ -79,14 +78,18 @@
 	directory := host.NewDirectory(ctx, &n.wait, platform.NewHostList(n.settings.Platform.HostList))
 	client := upstream.NewClient()
 	n.ready = func() bool { return revisions.Ready() && len(directory.Entries()) > 0 }
-	engines := engine.NewTracker(ctx, &n.wait, client, func() document.Document { return revisions.State().Document }, directory.Leaving)
-	dispatcher := dispatch.New(dispatch.Options{
-		Client: client, Engines: engines, Admit: admission.New(), Claims: claimlog.New(log), Leaving: directory.Leaving,
-	})
 	var err error
 	if n.peers, err = peer.NewServer(n.settings.Listen.Peers, peerSecret); err != nil {
 		return err
 	}
+	current := func() document.Document { return revisions.State().Document }
+	engines, err := n.startEngines(ctx, peerSecret, client, directory, current, metrics)
+	if err != nil {
+		return err
+	}
+	dispatcher := dispatch.New(dispatch.Options{
+		Client: client, Engines: engines, Admit: admission.New(admission.Options{Estimator: engines, Metrics: metrics}), Claims: claimlog.New(log), Leaving: directory.Leaving,
+	})
 	n.wait.Go(func() { _ = n.peers.Serve(ctx) })
 	n.operator, err = operator.New(ctx, &n.wait, operator.Options{
 		Settings: n.settings, Secret: operatorSecret, Editor: revisions, Directory: directory,
--- a/standin/cache.go
+++ b/standin/cache.go
@@ -13,10 +13,12 @@
 	capacity int
 	order    *list.List
 	elements map[prefix.Key]*list.Element
+	// changed is told of every piece that is stored or evicted.
+	changed func(k prefix.Key, evicted bool)
 }
 
 func newPieceCache(capacity int) *pieceCache {
-	return &pieceCache{capacity: capacity, order: list.New(), elements: map[prefix.Key]*list.Element{}}
+	return &pieceCache{capacity: capacity, order: list.New(), elements: map[prefix.Key]*list.Element{}, changed: func(prefix.Key, bool) {}}
 }
 
 // use returns how many leading pieces were kept, and keeps all of them.
@@ -41,12 +43,14 @@
 		return
 	}
 	c.elements[k] = c.order.PushFront(k)
+	c.changed(k, false)
 	if c.order.Len() <= c.capacity {
 		return
 	}
 	oldest := c.order.Back()
-	c.order.Remove(oldest)
-	delete(c.elements, oldest.Value.(prefix.Key))
+	key := c.order.Remove(oldest).(prefix.Key)
+	delete(c.elements, key)
+	c.changed(key, true)
 }
 
 // promptOf returns the text that a request's cached pieces are cut from.
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -57,6 +57,12 @@
 	CrashOn string
 	// Restart empties the cache and begins a new incarnation.
 	Restart bool
+	// EventLagMillis is the age of a cache event when it is first told.
+	EventLagMillis int
+	// EventLoss is the share of cache events that are lost.
+	EventLoss float64
+	// LoadLagMillis is the age of the load that is reported.
+	LoadLagMillis int
 }
 
 // EngineLoad is an engine's load report.
@@ -82,6 +88,7 @@
 	incarnation int64
 	version     string
 	cache       *pieceCache
+	journal     *journal
 	running     int
 	queued      int
 	faults      EngineFaults
@@ -95,13 +102,14 @@
 		slots:       make(chan struct{}, options.Slots),
 		incarnation: time.Now().UnixNano(),
 		version:     options.Version,
-		cache:       newPieceCache(options.CachePieces),
 		cancelled:   map[string]context.CancelFunc{},
 	}
+	e.emptyCache()
 	app := newApp()
 	app.Post("/v1/chat/completions", e.complete)
 	app.Post("/v1/completions", e.complete)
 	app.Get("/control/load", e.load)
+	app.Get("/control/events", e.events)
 	app.Post("/control/cancel", e.cancel)
 	app.Post("/faults", e.setFaults)
 	var err error
@@ -118,7 +126,7 @@
 	defer e.mu.Unlock()
 	if f.Restart {
 		e.incarnation = time.Now().UnixNano()
-		e.cache = newPieceCache(e.options.CachePieces)
+		e.emptyCache()
 		f.Restart = false
 	}
 	e.faults = f
@@ -128,10 +136,7 @@
 func (e *Engine) load(c fiber.Ctx) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return c.JSON(EngineLoad{
-		Name: e.options.Name, Incarnation: e.incarnation, Version: e.version,
-		Running: e.running, Queued: e.queued, Leaving: e.faults.Leaving,
-	})
+	return c.JSON(e.reportedLoad())
 }
 
 func (e *Engine) cancel(c fiber.Ctx) error {
@@ -231,7 +236,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.incarnation = time.Now().UnixNano()
-	e.cache = newPieceCache(e.options.CachePieces)
+	e.emptyCache()
 	for _, stop := range e.cancelled {
 		stop()
 	}
@@ -241,12 +246,14 @@
 func (e *Engine) admit(attempt string, stop context.CancelFunc) {
 	e.mu.Lock()
 	e.queued++
+	e.journal.load(e.running, e.queued)
 	e.cancelled[attempt] = stop
 	e.mu.Unlock()
 	e.slots <- struct{}{}
 	e.mu.Lock()
 	e.queued--
 	e.running++
+	e.journal.load(e.running, e.queued)
 	e.mu.Unlock()
 }
 
@@ -255,6 +262,7 @@
 	stop()
 	e.mu.Lock()
 	e.running--
+	e.journal.load(e.running, e.queued)
 	delete(e.cancelled, attempt)
 	e.mu.Unlock()
 	<-e.slots
--- /dev/null
+++ b/upstream/events.go
@@ -0,0 +1,70 @@
+package upstream
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"github.com/gravitational/trace"
+
+	"github.com/kumquathoist/kumquathoist/index"
+	"github.com/kumquathoist/kumquathoist/prefix"
+)
+
+// CacheReport is an engine's load with its cache events.
+type CacheReport struct {
+	Load
+
+	// Runs holds the events in order. Numbers that are missing between two
+	// runs belong to events that were lost.
+	Runs []EventRun
+}
+
+// EventRun is a run of cache events with consecutive numbers.
+type EventRun struct {
+	// First is the number of the first event.
+	First uint64
+	// Changes holds "+" and the key of a stored piece, or "-" and the key of
+	// an evicted one, in hexadecimal.
+	Changes []string
+}
+
+// CacheEvents returns the events; those that make no sense are left out, so
+// that they count as lost.
+func (r CacheReport) CacheEvents() []index.Event {
+	var events []index.Event
+	for _, run := range r.Runs {
+		for i, change := range run.Changes {
+			if len(change) < 2 || change[0] != '+' && change[0] != '-' {
+				continue
+			}
+			key, err := strconv.ParseUint(change[1:], 16, 64)
+			if err != nil {
+				continue
+			}
+			events = append(events, index.Event{Seq: run.First + uint64(i), Key: prefix.Key(key), Evicted: change[0] == '-'})
+		}
+	}
+	return events
+}
+
+// Events asks an engine for its load and the cache events after a number.
+func (c *Client) Events(ctx context.Context, address string, after uint64) (CacheReport, error) {
+	url := "http://" + address + "/control/events?After=" + strconv.FormatUint(after, 10)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return CacheReport{}, trace.Wrap(err)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return CacheReport{}, trace.ConnectionProblem(err, "asking %s for its cache events", address)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return CacheReport{}, trace.ConnectionProblem(nil, "%s answered %s", address, resp.Status)
+	}
+	var report CacheReport
+	err = json.NewDecoder(resp.Body).Decode(&report)
+	return report, trace.Wrap(err, "decoding the cache events of %s", address)
+}
