--- a/admission/state.go
+++ b/admission/state.go
@@ -95,20 +95,30 @@
 	return Verdict{Admitted: true}
 }
 
-// fair returns the mean use of the active accounts, relative to weight.
+// fair returns the use up to which an account has its share: half-way from
+// the mean use of all to that of the accounts above it, since those that use
+// less leave the rest of their share to the others.
 func (s *State) fair(now time.Duration) float64 {
-	// Whole numbers add up to the same sum in any order.
-	total, active := int64(0), 0
 	for account, u := range s.usages {
-		used := u.decayed(now)
-		if used < idleUsage {
+		if u.decayed(now) < idleUsage {
 			delete(s.usages, account)
-			continue
 		}
-		total += int64(used * float64(time.Second))
-		active++
 	}
-	return float64(total) / float64(time.Second) / float64(max(active, 1))
+	mean := s.mean(0, now)
+	return (mean + s.mean(mean, now)) / 2
+}
+
+// mean returns the mean use of the accounts that use at least so much,
+// relative to weight. Whole numbers add up to the same sum in any order.
+func (s *State) mean(least float64, now time.Duration) float64 {
+	total, counted := int64(0), 0
+	for _, u := range s.usages {
+		if used := u.decayed(now); used >= least {
+			total += int64(used * float64(time.Second))
+			counted++
+		}
+	}
+	return float64(total) / float64(time.Second) / float64(max(counted, 1))
 }
 
 // refuse returns a refusal with when to come back.
--- a/experiment/belief.go
+++ b/experiment/belief.go
@@ -9,7 +9,7 @@
 // Beliefs writes the table of routing under late and lossy cache events.
 func Beliefs(w io.Writer, o Options) {
 	m, s := DefaultModel(), DefaultScenario()
-	policy := chosen(m, ChosenWeight)
+	policy := chosen(m, o.Profile.WasteWeight)
 	t := newTable(w, "loss %", "lag s", "hit %", "false hits %", "missed hits %", "waste %", "p95 ms", "p99 ms")
 	for _, loss := range []float64{0, 0.01, 0.1, 0.5} {
 		for _, lag := range []time.Duration{100 * time.Millisecond, time.Second, 5 * time.Second} {
--- a/experiment/measure.go
+++ b/experiment/measure.go
@@ -30,6 +30,9 @@
 	Goodput, OnTime float64
 	// WorstAccount is the on-time share of the account with the least.
 	WorstAccount float64
+	// SmallAccounts is the least on-time share among the accounts that send
+	// less than the mean.
+	SmallAccounts float64
 	// Refused is the share of requests that were refused.
 	Refused float64
 	// FalseHits is the share of prompt tokens that were believed cached and
@@ -98,10 +101,14 @@
 // shares fills in what counts requests that ended in time.
 func (s *Summary) shares(onTime, all map[int]float64, span time.Duration) {
 	total := 0.0
-	s.WorstAccount = 1
+	s.WorstAccount, s.SmallAccounts = 1, 1
+	mean := float64(s.Requests) / float64(max(len(all), 1))
 	for account, n := range all {
 		total += onTime[account]
 		s.WorstAccount = min(s.WorstAccount, onTime[account]/n)
+		if n < mean {
+			s.SmallAccounts = min(s.SmallAccounts, onTime[account]/n)
+		}
 	}
 	s.Goodput, s.OnTime = total/span.Seconds(), total/float64(s.Requests)
 	s.Refused /= float64(s.Requests)
--- a/experiment/policies.go
+++ b/experiment/policies.go
@@ -4,9 +4,6 @@
 	"github.com/kumquathoist/kumquathoist/routing"
 )
 
-// ChosenWeight is the WasteWeight of the tables that don't vary it.
-const ChosenWeight = 2
-
 // Policies returns the policies of the comparison, the oracle last.
 func Policies(m Model, weight float64) []Policy {
 	cost := routing.Cost{Speed: m.Speed, WasteWeight: weight}
--- a/experiment/table.go
+++ b/experiment/table.go
@@ -51,7 +51,7 @@
 // Compare writes the table of all policies in one scenario.
 func Compare(w io.Writer, o Options, s Scenario) {
 	m := DefaultModel()
-	policies := Policies(m, ChosenWeight)
+	policies := Policies(m, o.Profile.WasteWeight)
 	results := o.measure(m, policies, s)
 	t := newTable(w, "policy", "hit %", "levels %", "imported %", "waste %", "p50 ms", "p95 ms", "p99 ms (least-most)", "on time %")
 	for i, p := range policies {
--- a/node/node.go
+++ b/node/node.go
@@ -13,7 +13,6 @@
 	"github.com/uber-go/tally/v4/prometheus"
 
 	"github.com/kumquathoist/kumquathoist/admission"
-	"github.com/kumquathoist/kumquathoist/claimlog"
 	"github.com/kumquathoist/kumquathoist/dispatch"
 	"github.com/kumquathoist/kumquathoist/document"
 	"github.com/kumquathoist/kumquathoist/event"
@@ -31,6 +30,7 @@
 type Node struct {
 	settings settings.Settings
 	gateway  *gateway.Gateway
+	runner   stopper
 	operator *operator.Server
 	peers    *peer.Server
 	wait     conc.WaitGroup
@@ -82,15 +82,29 @@
 	if n.peers, err = peer.NewServer(n.settings.Listen.Peers, peerSecret); err != nil {
 		return err
 	}
+	pool := peer.NewPool(peerSecret)
 	current := func() document.Document { return revisions.State().Document }
-	engines, err := n.startEngines(ctx, peerSecret, client, directory, current, metrics)
+	engines, err := n.startEngines(ctx, pool, client, directory, current, metrics)
+	if err != nil {
+		return err
+	}
+	claims, err := n.startClaims(ctx, log, directory, pool)
+	if err != nil {
+		return err
+	}
+	guard, err := n.newGuard(ctx, pool, directory)
 	if err != nil {
 		return err
 	}
 	dispatcher := dispatch.New(dispatch.Options{
-		Client: client, Engines: engines, Admit: admission.New(admission.Options{Estimator: engines, Metrics: metrics}), Claims: claimlog.New(log), Leaving: directory.Leaving,
+		Client: client, Engines: engines, Admit: admission.New(admission.Options{Estimator: engines, Metrics: metrics}),
+		Claims: claims, Leaving: directory.Leaving, Crashes: guard,
+	})
+	n.runner = dispatcher
+	n.wait.Go(func() {
+		defer pool.Close()
+		_ = n.peers.Serve(ctx)
 	})
-	n.wait.Go(func() { _ = n.peers.Serve(ctx) })
 	n.operator, err = operator.New(ctx, &n.wait, operator.Options{
 		Settings: n.settings, Secret: operatorSecret, Editor: revisions, Directory: directory,
 		Engines: engines, Metrics: reporter.HTTPHandler(), Stop: n.Stop,
@@ -122,27 +136,6 @@
 // Stop begins a planned stop. It returns at once; Wait tells when it ended.
 func (n *Node) Stop() { n.stopOnce.Do(func() { close(n.stop) }) }
 
-// finish carries out a planned stop: the host leaves the address answers,
-// accepts requests until no caller's answer names it, and waits for its
-// streams.
-func (n *Node) finish(ctx context.Context) {
-	defer n.cancel()
-	defer close(n.stopped)
-	select {
-	case <-ctx.Done():
-		return
-	case <-n.stop:
-	}
-	event.Stopping.Info("Host", n.settings.Host.Name, "Open", n.gateway.Open())
-	n.gateway.Stop()
-	pause(ctx, n.settings.Stop.AddressTTL())
-	deadline := time.Now().Add(n.settings.Stop.StreamAllowance())
-	for n.gateway.Open() > 0 && time.Now().Before(deadline) && ctx.Err() == nil {
-		pause(ctx, 10*time.Millisecond)
-	}
-	event.Stopped.Info("Host", n.settings.Host.Name, "Cut", n.gateway.Open())
-}
-
 // Wait returns when the daemon has ended.
 func (n *Node) Wait() { n.wait.Wait() }
 
--- a/request/request.go
+++ b/request/request.go
@@ -53,6 +53,8 @@
 	Stream bool
 	// ResumeAfter is the position of the last event that the caller has.
 	ResumeAfter int
+	// Version is the model's version that a resumed answer came from, or "".
+	Version string
 	// Key is the caller's idempotency key, or "".
 	Key string
 	// KeyIssued is when the caller made the key.
@@ -67,7 +69,7 @@
 
 // Failure is the final answer to a request that was not done.
 type Failure struct {
-	// Outcome is NotRun or Unknown.
+	// Outcome is NotRun or Unknown, or Done when only the answer is missing.
 	Outcome Outcome
 	// Code is a stable word for programs.
 	Code Code
@@ -89,6 +91,7 @@
 	NotFound        Code = "NotFound"
 	KeyReused       Code = "KeyReused"
 	KeyExpired      Code = "KeyExpired"
+	AnswerNotKept   Code = "AnswerNotKept"
 	InProgress      Code = "InProgress"
 	RateLimited     Code = "RateLimited"
 	DeadlineTooNear Code = "DeadlineTooNear"
@@ -97,8 +100,17 @@
 	UpstreamFailed  Code = "UpstreamFailed"
 	Quarantined     Code = "Quarantined"
 	NotReady        Code = "NotReady"
+	// DeadlineExceeded ends a request whose time ran out while it ran.
+	DeadlineExceeded Code = "DeadlineExceeded"
+	// CallerLeft is logged for a request that nobody waits for.
+	CallerLeft Code = "CallerLeft"
+	// HostStopping tells the caller to go on at another host.
+	HostStopping Code = "HostStopping"
 )
 
+// statusCallerLeft is the usual status in logs for a caller that left.
+const statusCallerLeft = 499
+
 // statuses holds the HTTP status of each code.
 var statuses = map[Code]int{
 	BadRequest:      http.StatusBadRequest,
@@ -108,6 +120,7 @@
 	NotFound:        http.StatusNotFound,
 	KeyReused:       http.StatusUnprocessableEntity,
 	KeyExpired:      http.StatusConflict,
+	AnswerNotKept:   http.StatusConflict,
 	InProgress:      http.StatusConflict,
 	RateLimited:     http.StatusTooManyRequests,
 	DeadlineTooNear: http.StatusServiceUnavailable,
@@ -116,6 +129,10 @@
 	UpstreamFailed:  http.StatusBadGateway,
 	Quarantined:     http.StatusUnprocessableEntity,
 	NotReady:        http.StatusServiceUnavailable,
+
+	DeadlineExceeded: http.StatusGatewayTimeout,
+	CallerLeft:       statusCallerLeft,
+	HostStopping:     http.StatusServiceUnavailable,
 }
 
 // Error makes a failure usable as an error.
--- a/workload/workload.go
+++ b/workload/workload.go
@@ -45,6 +45,8 @@
 	Classes      []Class
 	// Rate is the number of requests a second.
 	Rate float64
+	// WasteWeight is what the user sets in the routing section.
+	WasteWeight float64
 	// ShiftAt is when other ledgers become the hot ones; 0 means never.
 	ShiftAt time.Duration
 }
@@ -71,7 +73,7 @@
 		Name: "Halvorsen", Engines: 12,
 		Accounts:     []float64{8, 6, 4, 1, 1, 0.7, 0.5, 0.3},
 		TenantPieces: 2, LedgerPieces: 3, DocumentPieces: 2,
-		Ledgers: 24, Skew: 1.1, DocumentUses: 4, Rate: 50,
+		Ledgers: 24, Skew: 1.1, DocumentUses: 4, Rate: 50, WasteWeight: 1,
 		Classes: []Class{
 			{Name: "flag", Share: 0.8, TailTokens: 300, AnswerTokens: 2, Deadline: 2 * time.Second, Priority: 5},
 			{Name: "reconciliation", Share: 0.2, TailTokens: 3000, AnswerTokens: 300, Deadline: 30 * time.Second, Priority: 1},
@@ -86,7 +88,7 @@
 		Name: "Hviezdna Kupola", Engines: 9,
 		Accounts:     []float64{5, 5, 3, 1, 1, 1, 0.5, 0.5},
 		TenantPieces: 3, LedgerPieces: 2, DocumentPieces: 1,
-		Ledgers: 16, Skew: 1.2, DocumentUses: 3, Rate: 50,
+		Ledgers: 16, Skew: 1.2, DocumentUses: 3, Rate: 50, WasteWeight: 0.5,
 		Classes: []Class{
 			{Name: "booking", Share: 0.7, TailTokens: 200, AnswerTokens: 10, Deadline: 2 * time.Second, Priority: 5},
 			{Name: "draft", Share: 0.3, TailTokens: 1500, AnswerTokens: 400, Deadline: 20 * time.Second, Priority: 1},
