--- a/crash/guard_test.go
+++ b/crash/guard_test.go
@@ -11,7 +11,6 @@
 	"github.com/kumquathoist/kumquathoist/crash"
 	"github.com/kumquathoist/kumquathoist/peer"
 	"github.com/kumquathoist/kumquathoist/request"
-	"github.com/kumquathoist/kumquathoist/settings"
 )
 
 // startGuards starts guards that share over drpc.
@@ -20,7 +19,7 @@
 	is := is.New(t)
 	ctx, cancel := context.WithCancel(context.Background())
 	var wait conc.WaitGroup
-	pool := peer.NewPool(settings.Secret("secret"))
+	pool := peer.NewPool(peer.Credentials{Secret: "secret"})
 	t.Cleanup(func() {
 		cancel()
 		pool.Close()
@@ -28,7 +27,7 @@
 	})
 	var servers []*peer.Server
 	for range count {
-		server, err := peer.NewServer("127.0.0.1:0", settings.Secret("secret"))
+		server, err := peer.NewServer("127.0.0.1:0", peer.Credentials{Secret: "secret"})
 		is.NoErr(err)
 		servers = append(servers, server)
 	}
--- a/emulator/claims.go
+++ b/emulator/claims.go
@@ -21,7 +21,6 @@
 	"github.com/kumquathoist/kumquathoist/peer"
 	"github.com/kumquathoist/kumquathoist/peerpb"
 	"github.com/kumquathoist/kumquathoist/platform"
-	"github.com/kumquathoist/kumquathoist/settings"
 	"github.com/kumquathoist/kumquathoist/standin"
 )
 
@@ -65,7 +64,7 @@
 		return nil, err
 	}
 	h := &claimHosts{log: log}
-	const secret = settings.Secret("measurement")
+	secret := peer.Credentials{Secret: "measurement"}
 	var servers []*peer.Server
 	for i := range count {
 		server, err := peer.NewServer("127.0.0.1:0", secret)
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -88,6 +88,11 @@
 	view    *routing.View
 	heat    *routing.Heat
 	turn    uint64
+	// hosts is the host list as it was last read, names its names, and
+	// keepers the keepers that follow from it.
+	hosts   []platform.Host
+	names   []string
+	keepers map[string]platform.Host
 }
 
 // NewTracker follows the engines that this host keeps until the context ends.
@@ -101,6 +106,7 @@
 		ticker := time.NewTicker(pollInterval)
 		defer ticker.Stop()
 		for {
+			t.readHosts()
 			t.poll(ctx)
 			select {
 			case <-ctx.Done():
@@ -115,26 +121,43 @@
 // now returns the time since the tracker's start by the monotonic clock.
 func (t *Tracker) now() time.Duration { return time.Since(t.start) }
 
-// keeperOf returns the host that keeps an engine. Hosts with another view of
+// keeper returns the host that keeps an engine. Hosts with another view of
 // the host list may answer otherwise: then two hosts poll the engine, and
-// each host asks the one that it takes for the keeper.
-func keeperOf(engine string, hosts []platform.Host) (platform.Host, bool) {
-	names := make([]string, len(hosts))
-	for i, h := range hosts {
-		names[i] = h.Name
+// each host asks the one that it takes for the keeper. The answer is computed
+// once for each reading of the host list.
+func (t *Tracker) keeper(engine string) (platform.Host, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if keeper, ok := t.keepers[engine]; ok {
+		return keeper, true
 	}
-	owner := placement.Owner(engine, names)
-	for _, h := range hosts {
+	owner := placement.Owner(engine, t.names)
+	for _, h := range t.hosts {
 		if h.Name == owner {
+			t.keepers[engine] = h
 			return h, true
 		}
 	}
 	return platform.Host{}, false
 }
 
+// readHosts reads the host list.
+func (t *Tracker) readHosts() {
+	hosts := t.Entries()
+	names := make([]string, len(hosts))
+	for i, h := range hosts {
+		names[i] = h.Name
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.hosts, t.names = hosts, names
+	t.keepers = map[string]platform.Host{}
+	t.heat.SetHosts(len(hosts))
+}
+
 // Keeps tells whether this host keeps an engine.
 func (t *Tracker) Keeps(engine string) bool {
-	keeper, ok := keeperOf(engine, t.Entries())
+	keeper, ok := t.keeper(engine)
 	return ok && keeper.Name == t.Host
 }
 
--- a/engine/keeper.go
+++ b/engine/keeper.go
@@ -37,7 +37,6 @@
 func (t *Tracker) poll(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
-	hosts := t.Entries()
 	keeps := map[string]bool{}
 	work := make(chan struct{}, pollWorkers)
 	var wait conc.WaitGroup
@@ -46,7 +45,7 @@
 			continue
 		}
 		for _, u := range p.Upstreams {
-			if keeper, ok := keeperOf(u.Name, hosts); !ok || keeper.Name != t.Host {
+			if !t.Keeps(u.Name) {
 				continue
 			}
 			keeps[u.Name] = true
@@ -60,7 +59,7 @@
 		}
 	}
 	wait.Wait()
-	t.forget(keeps, len(hosts))
+	t.forget(keeps)
 }
 
 // after returns the number of the last event of an engine that was read.
@@ -99,7 +98,7 @@
 }
 
 // forget drops the engines that this host keeps no more.
-func (t *Tracker) forget(keeps map[string]bool, hosts int) {
+func (t *Tracker) forget(keeps map[string]bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for name := range t.kept {
@@ -107,7 +106,6 @@
 			delete(t.kept, name)
 		}
 	}
-	t.heat.SetHosts(hosts)
 }
 
 // look returns what the keeper knows for a prompt with these pieces at the
--- a/engine/look.go
+++ b/engine/look.go
@@ -76,11 +76,10 @@
 // refresh asks the keepers of engines for what is not known or too old. It
 // asks a few keepers at most, those of the first engines first.
 func (t *Tracker) refresh(ctx context.Context, names []string, pieces []uint64, keepers int) {
-	hosts := t.Entries()
 	asks := map[string][]string{}
 	addresses := map[string]string{}
 	for _, name := range names {
-		keeper, ok := keeperOf(name, hosts)
+		keeper, ok := t.keeper(name)
 		if !ok || keeper.Name == t.Host || t.fresh(name, pieces) {
 			continue
 		}
--- a/engine/tracker_test.go
+++ b/engine/tracker_test.go
@@ -109,16 +109,16 @@
 	return w
 }
 
-// status waits until a host knows an engine as the condition says.
-func (w *world) await(t testing.TB, host, name string, holds func(engine.Status) bool) {
+// await waits until a host knows the first engine as the condition says.
+func (w *world) await(t testing.TB, host string, holds func(engine.Status) bool) {
 	t.Helper()
 	for range 500 {
-		if holds(w.trackers[host].Status(name)) {
+		if holds(w.trackers[host].Status("engine-0")) {
 			return
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
-	t.Fatalf("%s never came to know %s: %+v", host, name, w.trackers[host].Status(name))
+	t.Fatalf("%s never came to know it: %+v", host, w.trackers[host].Status("engine-0"))
 }
 
 func known(s engine.Status) bool { return s.Known }
@@ -161,7 +161,7 @@
 	w := newWorld(t, 3, 1)
 	w.cache("engine-0", "mill", "v1")
 	for host := range w.trackers {
-		w.await(t, host, "engine-0", known)
+		w.await(t, host, known)
 	}
 	eventually(t, func() bool { c, ok := w.choose("host-0", ask("mill")); return ok && c.CachedTokens > 0 })
 	for host := range w.trackers {
@@ -177,7 +177,7 @@
 	// The engine restarts empty.
 	w.report("engine-0", func(r *upstream.CacheReport) { r.Incarnation, r.Runs = 2, nil })
 	for host := range w.trackers {
-		w.await(t, host, "engine-0", func(s engine.Status) bool { return s.Incarnation == 2 })
+		w.await(t, host, func(s engine.Status) bool { return s.Incarnation == 2 })
 		c, ok := w.choose(host, ask("mill"))
 		is.True(ok)
 		is.Equal(c.CachedTokens, 0)
@@ -186,7 +186,7 @@
 	w.cache("engine-0", "mill", "v1")
 	w.report("engine-0", func(r *upstream.CacheReport) { r.Version = "v2" })
 	for host := range w.trackers {
-		w.await(t, host, "engine-0", func(s engine.Status) bool { return s.Version == "v2" })
+		w.await(t, host, func(s engine.Status) bool { return s.Version == "v2" })
 		_, ok := w.choose(host, ask("mill"))
 		is.True(!ok)
 	}
@@ -254,7 +254,7 @@
 	delete(w.reports, "engine-0")
 	w.mu.Unlock()
 	for host := range w.trackers {
-		w.await(t, host, "engine-0", func(s engine.Status) bool { return s.Known && !s.Reachable })
+		w.await(t, host, func(s engine.Status) bool { return s.Known && !s.Reachable })
 		_, ok := w.choose(host, ask("mill"))
 		is.True(!ok)
 	}
--- a/event/request.go
+++ b/event/request.go
@@ -7,7 +7,7 @@
 	// AttemptFailed reports one failed try at an upstream.
 	AttemptFailed = Event{2002, "attempt failed", "One attempt at an upstream failed; the request may go on at another."}
 	// ClaimFailed reports that a claim could not be agreed on the log.
-	ClaimFailed = Event{2003, "claim failed", "The log did not confirm a claim; the request was refused as not run."}
+	ClaimFailed = Event{2003, "claim failed", "The log did not confirm a claim; the call was not run, and is answered as unknown since an earlier one may have run."}
 	// ClaimAppendFailed reports that a batch of claims was not confirmed.
 	ClaimAppendFailed = Event{2006, "claim append failed", "The log did not confirm a batch of claims; its claims are refused and its ends are tried again."}
 	// RequestQuarantined reports a request that is refused from now on.
