--- a/emulator/main.go
+++ b/emulator/main.go
@@ -22,6 +22,8 @@
 	Weights  weightsCommand  `cmd:"" help:"Stand in for the weight store."`
 	Service  serviceCommand  `cmd:"" help:"Stand in for a plain service."`
 	Claims   claimsCommand   `cmd:"" help:"Measure claims against load and the number of hosts."`
+
+	Experiment experimentCommand `cmd:"" help:"Measure policies of routing and admission."`
 }
 
 // listenFlags is where a stand-in listens.
