feat: answer bad input at each door with a typed failure

Seen failing first: a folded header reached the runner, an unknown method was answered with plain text, keys of another case or standing twice were read (the engine may read the other one), dots and escaped slashes went on to services, and contents that are lists of parts were refused. A call that may be repeated ends with its caller; any other goes on.

--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -134,6 +134,7 @@
 	return upstream.Call{
 		Address: u.Address, Method: r.Method, Path: r.Path, Body: r.Body,
 		Request: r.ID, Attempt: attempt, Priority: r.Priority, Remaining: r.Remaining, Key: r.Key,
+		ContentType: r.ContentType, Accept: r.Accept,
 	}
 }
 
--- a/gateway/door.go
+++ b/gateway/door.go
@@ -1,10 +1,11 @@
 package gateway
 
 import (
-	"encoding/json"
+	"net/url"
 	"strconv"
 	"strings"
 	"time"
+	"unicode"
 
 	"github.com/gofiber/fiber/v3"
 	"github.com/google/uuid"
@@ -20,6 +21,12 @@
 	maxPriority = 9
 )
 
+// The paths of the doors.
+const (
+	chatPath     = "/chat/completions"
+	servicesPath = "/services/"
+)
+
 // The headers that callers may send.
 const (
 	keyHeader        = "Idempotency-Key"
@@ -32,8 +39,8 @@
 
 // authenticate returns the account of a bearer key.
 func authenticate(doc document.Document, header string) (document.Account, *request.Failure) {
-	key, ok := strings.CutPrefix(header, "Bearer ")
-	if !ok {
+	scheme, key, ok := strings.Cut(header, " ")
+	if !ok || !strings.EqualFold(scheme, "Bearer") {
 		return document.Account{}, request.Refuse(request.Unauthenticated, "the Authorization header holds no bearer key")
 	}
 	account, ok := doc.AccountByKeyHash(document.HashKey(key))
@@ -43,46 +50,30 @@
 	return account, nil
 }
 
-// completionBody is what the router reads of a completion request.
-type completionBody struct {
-	Model    string `json:"model"`
-	Stream   bool   `json:"stream"`
-	Prompt   string `json:"prompt"`
-	Messages []struct {
-		Role    string `json:"role"`
-		Content string `json:"content"`
-	} `json:"messages"`
-}
-
-// levels returns the parts of the prompt, each a level of sharing.
-func (b completionBody) levels() [][]byte {
-	if len(b.Messages) == 0 {
-		return [][]byte{[]byte(b.Prompt)}
-	}
-	var levels [][]byte
-	for _, m := range b.Messages {
-		levels = append(levels, []byte(m.Content))
-	}
-	return levels
-}
-
 // completion reads a completion request.
 func (g *Gateway) completion(c fiber.Ctx, doc document.Document, account document.Account) (request.Request, *request.Failure) {
 	r, failure := g.common(c, account)
 	if failure != nil {
 		return r, failure
 	}
-	var body completionBody
-	if err := json.Unmarshal(r.Body, &body); err != nil {
-		return r, request.Refuse(request.BadRequest, "the body is not a completion request: "+err.Error())
+	found, failure := decodeFields(r.Body)
+	if failure != nil {
+		return r, failure
+	}
+	body, failure := decodeCompletion(found, strings.HasSuffix(r.Path, chatPath))
+	if failure != nil {
+		return r, failure
 	}
-	if _, ok := doc.Model(body.Model); !ok {
-		return r, request.Refuse(request.NotFound, "there is no model "+strconv.Quote(body.Model))
+	if _, ok := doc.Model(body.model); !ok {
+		return r, request.Refuse(request.NotFound, "there is no model "+strconv.Quote(body.model))
 	}
-	if !account.AllowsModel(body.Model) {
+	if !account.AllowsModel(body.model) {
 		return r, request.Refuse(request.Forbidden, "the account may not use the model")
 	}
-	r.Kind, r.Model, r.Stream, r.Levels = request.Completion, body.Model, body.Stream, body.levels()
+	if !body.stream {
+		r.Body = found.streamed()
+	}
+	r.Kind, r.Model, r.Stream, r.Levels = request.Completion, body.model, body.stream, body.levels
 	r.Repeatable = true
 	return r, nil
 }
@@ -93,7 +84,10 @@
 	if failure != nil {
 		return r, failure
 	}
-	name := c.Params("service")
+	name, path, failure := servicePath(r.Path)
+	if failure != nil {
+		return r, failure
+	}
 	pool, ok := doc.Pool(name)
 	if !ok || pool.Kind != document.ServicePool {
 		return r, request.Refuse(request.NotFound, "there is no service "+strconv.Quote(name))
@@ -101,7 +95,8 @@
 	if !account.AllowsService(name) {
 		return r, request.Refuse(request.Forbidden, "the account may not use the service")
 	}
-	r.Kind, r.Service, r.Path = request.ServiceCall, name, "/"+c.Params("*")
+	r.Kind, r.Service, r.Path = request.ServiceCall, name, path
+	r.ContentType, r.Accept = c.Get(fiber.HeaderContentType), c.Get(fiber.HeaderAccept)
 	if query := c.RequestCtx().QueryArgs().String(); query != "" {
 		r.Path += "?" + query
 	}
@@ -112,22 +107,47 @@
 	return r, nil
 }
 
+// servicePath splits the path of a service call into the service and the
+// path at the service. A path that a service might resolve to a place outside
+// of what was asked for is refused.
+func servicePath(path string) (service, rest string, failure *request.Failure) {
+	service, rest, _ = strings.Cut(strings.TrimPrefix(path, servicesPath), "/")
+	refused := request.Refuse(request.BadRequest, "the path holds a segment that a service could misread")
+	for segment := range strings.SplitSeq(service+"/"+rest, "/") {
+		decoded, err := url.PathUnescape(segment)
+		if err != nil || decoded == "." || decoded == ".." || strings.ContainsAny(decoded, "/\\") || strings.ContainsFunc(decoded, unicode.IsControl) {
+			return "", "", refused
+		}
+	}
+	return service, "/" + rest, nil
+}
+
 // common reads what all requests have.
 func (g *Gateway) common(c fiber.Ctx, account document.Account) (request.Request, *request.Failure) {
+	if encoding := c.Get(fiber.HeaderContentEncoding); encoding != "" && encoding != "identity" {
+		return request.Request{}, request.Refuse(request.BadRequest, "the body must not be compressed")
+	}
+	repeatable := c.Get(repeatableHeader)
+	if repeatable != "" && repeatable != "true" && repeatable != "false" {
+		return request.Request{}, request.Refuse(request.BadRequest, repeatableHeader+" must be true or false")
+	}
 	r := request.Request{
 		ID:         c.GetRespHeader(requestIDHeader),
 		Account:    account.Name,
 		Method:     c.Method(),
 		Path:       c.Path(),
-		Body:       c.Body(),
+		Body:       c.BodyRaw(),
 		Key:        c.Get(keyHeader),
-		Repeatable: c.Get(repeatableHeader) == "true",
+		Repeatable: repeatable == "true",
 		Remaining:  time.Duration(g.Settings.Limits.DeadlineSeconds) * time.Second,
 	}
 	var failure *request.Failure
 	if r.Remaining, failure = numberHeader(c, deadlineHeader, r.Remaining, time.Millisecond, r.Remaining); failure != nil {
 		return r, failure
 	}
+	if r.Remaining == 0 {
+		return r, request.Refuse(request.DeadlineTooNear, "the deadline leaves no time")
+	}
 	priority, failure := numberHeader(c, priorityHeader, 0, 1, maxPriority)
 	if failure != nil {
 		return r, failure
--- a/gateway/failure.go
+++ b/gateway/failure.go
@@ -62,17 +62,23 @@
 	return b.Bytes()
 }
 
-// handleError turns errors of the HTTP library into typed answers.
+// libraryFailures tells what a caller is told of the HTTP library's errors.
+var libraryFailures = map[int]*request.Failure{
+	fiber.StatusNotFound:                    request.Refuse(request.NotFound, "there is nothing at this path"),
+	fiber.StatusMethodNotAllowed:            request.Refuse(request.NoMethod, "this path does not take the method"),
+	fiber.StatusNotImplemented:              request.Refuse(request.NoMethod, "the method is not known"),
+	fiber.StatusRequestEntityTooLarge:       request.Refuse(request.TooLarge, "the body is larger than this host takes"),
+	fiber.StatusRequestHeaderFieldsTooLarge: request.Refuse(request.HeadTooLarge, "the head is larger than this host takes"),
+	fiber.StatusRequestTimeout:              request.Refuse(request.TooSlow, "the request did not arrive in time"),
+}
+
+// handleError turns errors of the HTTP library into typed answers. None of
+// these requests has reached a handler.
 func (g *Gateway) handleError(c fiber.Ctx, err error) error {
-	f := request.Refuse(request.BadRequest, err.Error())
+	f := request.Refuse(request.BadRequest, "the request is not HTTP as this host takes it")
 	var e *fiber.Error
-	if errors.As(err, &e) {
-		switch e.Code {
-		case fiber.StatusNotFound, fiber.StatusMethodNotAllowed:
-			f = request.Refuse(request.NotFound, "there is nothing at this path for this method")
-		case fiber.StatusRequestEntityTooLarge:
-			f = request.Refuse(request.TooLarge, "the body is larger than this host takes")
-		}
+	if errors.As(err, &e) && libraryFailures[e.Code] != nil {
+		f = libraryFailures[e.Code]
 	}
-	return refuse(c, f)
+	return g.refused(c, "", f)
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -65,12 +66,14 @@
 		return nil, trace.Wrap(err, "listening for callers")
 	}
 	limits := o.Settings.Limits
+	idle := time.Duration(limits.IdleSeconds) * time.Second
+	listener = newLimitedListener(listener, wait, limits.Connections, idle)
 	g := &Gateway{Options: o, listener: listener}
 	g.app = fiber.New(fiber.Config{
 		BodyLimit:      limits.BodyBytes,
 		ReadBufferSize: limits.HeaderBytes,
-		Concurrency:    limits.Connections,
-		IdleTimeout:    time.Duration(limits.IdleSeconds) * time.Second,
+		IdleTimeout:    idle,
+		ReadTimeout:    idle,
 		ErrorHandler:   g.handleError,
 		// Values outlive the handler: streams go on after it returned.
 		Immutable: true,
@@ -81,7 +84,11 @@
 	g.app.Get("/v1/models", g.models)
 	g.app.Post("/v1/chat/completions", g.complete)
 	g.app.Post("/v1/completions", g.complete)
-	g.app.All("/services/:service/*", g.serve)
+	for _, method := range serviceMethods {
+		g.app.Add([]string{method}, servicesPath+":service/*", g.serve)
+	}
+	server := g.app.Server()
+	server.Handler = checkHeads(server.Handler)
 	wait.Go(func() { _ = g.app.Listener(listener, fiber.ListenConfig{DisableStartupMessage: true}) })
 	wait.Go(func() {
 		<-ctx.Done()
@@ -111,7 +118,7 @@
 // request uses from start to end.
 func (g *Gateway) begin(c fiber.Ctx) (document.Document, document.Account, *request.Failure) {
 	id := c.Get(requestIDHeader)
-	if id == "" || len(id) > maxIDBytes {
+	if id == "" || len(id) > maxIDBytes || strings.ContainsFunc(id, func(r rune) bool { return r <= ' ' || r > '~' }) {
 		id = uuid.NewString()
 	}
 	c.Set(requestIDHeader, id)
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -7,8 +7,30 @@
 	"github.com/gofiber/fiber/v3"
 
 	"github.com/kumquathoist/kumquathoist/placement"
+	"github.com/kumquathoist/kumquathoist/request"
 )
 
+// serviceMethods are the methods that plain services take. GET and HEAD may
+// be repeated; of the others the caller says so.
+var serviceMethods = []string{
+	fiber.MethodGet, fiber.MethodHead, fiber.MethodPost, fiber.MethodPut, fiber.MethodPatch, fiber.MethodDelete,
+}
+
+// callContext returns the context of a service call. A call that may be
+// repeated ends when its caller leaves; any other goes on, so that its
+// outcome is recorded.
+func callContext(c fiber.Ctx, r request.Request) (context.Context, func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	if !r.Repeatable {
+		return ctx, cancel
+	}
+	stop := watchCaller(c.RequestCtx().Conn(), cancel)
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
+
 // serve answers a call of a plain service.
 func (g *Gateway) serve(c fiber.Ctx) error {
 	doc, account, failure := g.begin(c)
@@ -21,7 +43,9 @@
 	}
 	g.open.Add(1)
 	defer g.open.Add(-1)
-	answer, failure := g.Runner.Serve(context.Background(), doc, r)
+	ctx, stop := callContext(c, r)
+	defer stop()
+	answer, failure := g.Runner.Serve(ctx, doc, r)
 	if failure != nil {
 		return g.refused(c, account.Name, failure)
 	}
@@ -54,6 +78,7 @@
 			list.Data = append(list.Data, modelEntry{m.Name, "model", "kumquathoist"})
 		}
 	}
+	g.finish(c.GetRespHeader(requestIDHeader), account.Name, nil)
 	return c.JSON(list)
 }
 
--- a/request/request.go
+++ b/request/request.go
@@ -45,7 +45,10 @@
 	Service string
 	// Method and Path go to the upstream.
 	Method, Path string
-	// Body is the request's body as the caller sent it.
+	// ContentType and Accept are passed on to a plain service.
+	ContentType, Accept string
+	// Body is the request's body; that of a completion always asks for a
+	// stream.
 	Body []byte
 	// Levels are the parts of the prompt in order, each a level of sharing.
 	Levels [][]byte
@@ -84,6 +87,10 @@
 const (
 	BadRequest      Code = "BadRequest"
 	TooLarge        Code = "TooLarge"
+	HeadTooLarge    Code = "HeadTooLarge"
+	TooSlow         Code = "TooSlow"
+	NoMethod        Code = "NoMethod"
+	TooManyOpen     Code = "TooManyOpen"
 	Unauthenticated Code = "Unauthenticated"
 	Forbidden       Code = "Forbidden"
 	NotFound        Code = "NotFound"
@@ -103,6 +110,10 @@
 var statuses = map[Code]int{
 	BadRequest:      http.StatusBadRequest,
 	TooLarge:        http.StatusRequestEntityTooLarge,
+	HeadTooLarge:    http.StatusRequestHeaderFieldsTooLarge,
+	TooSlow:         http.StatusRequestTimeout,
+	NoMethod:        http.StatusMethodNotAllowed,
+	TooManyOpen:     http.StatusServiceUnavailable,
 	Unauthenticated: http.StatusUnauthorized,
 	Forbidden:       http.StatusForbidden,
 	NotFound:        http.StatusNotFound,
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -3,6 +3,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"io"
@@ -20,6 +21,8 @@
 	Method  string
 	Path    string
 	Body    []byte
+	// ContentType and Accept are the caller's; without them the body is JSON.
+	ContentType, Accept string
 	// Request and Attempt identify the request and this try.
 	Request, Attempt string
 	// Salt separates the cached prefixes of accounts.
@@ -157,7 +160,8 @@
 	}
 	req.GetBody = nil
 	headers := map[string]string{
-		"Content-Type":         "application/json",
+		"Content-Type":         cmp.Or(call.ContentType, "application/json"),
+		"Accept":               call.Accept,
 		"X-Request-Id":         call.Request,
 		"X-Attempt-Id":         call.Attempt,
 		"X-Cache-Salt":         call.Salt,
