--- a/gateway/door.go
+++ b/gateway/door.go
@@ -35,6 +35,9 @@
 	priorityHeader   = "X-Priority"
 	repeatableHeader = "X-Repeatable"
 	lastEventHeader  = "Last-Event-ID"
+	// modelVersionHeader names the weights of an answer; a caller that goes
+	// on with a stream sends it back.
+	modelVersionHeader = "X-Model-Version"
 )
 
 // authenticate returns the account of a bearer key.
@@ -64,7 +67,8 @@
 	if failure != nil {
 		return r, failure
 	}
-	if _, ok := doc.Model(body.model); !ok {
+	model, ok := doc.Model(body.model)
+	if !ok {
 		return r, request.Refuse(request.NotFound, "there is no model "+strconv.Quote(body.model))
 	}
 	if !account.AllowsModel(body.model) {
@@ -75,7 +79,20 @@
 	}
 	r.Kind, r.Model, r.Stream, r.Levels = request.Completion, body.model, body.stream, body.levels
 	r.Repeatable = true
-	return r, nil
+	r.Version, failure = version(c, r, model)
+	return r, failure
+}
+
+// version returns the weights that the answer must come from: those in force,
+// or for a resumed stream those that it began with.
+func version(c fiber.Ctx, r request.Request, model document.Model) (string, *request.Failure) {
+	if r.ResumeAfter == 0 {
+		return model.Version, nil
+	}
+	if began := c.Get(modelVersionHeader); began != "" {
+		return began, nil
+	}
+	return "", request.Refuse(request.BadRequest, "a request with "+lastEventHeader+" needs the "+modelVersionHeader+" of the answer that it goes on with")
 }
 
 // serviceCall reads a call of a plain service.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -19,7 +19,7 @@
 	"github.com/kumquathoist/kumquathoist/dispatch"
 	"github.com/kumquathoist/kumquathoist/document"
 	"github.com/kumquathoist/kumquathoist/gateway"
-	"github.com/kumquathoist/kumquathoist/platform"
+	"github.com/kumquathoist/kumquathoist/membership"
 	"github.com/kumquathoist/kumquathoist/request"
 	"github.com/kumquathoist/kumquathoist/settings"
 	"github.com/kumquathoist/kumquathoist/upstream"
@@ -35,19 +35,25 @@
 	// hold, when set, must close before a request goes on.
 	hold chan struct{}
 	got  chan request.Request
-	// ended receives why the context of a held service call ended, or nil.
+	// ended receives why the context of a held request ended, or nil.
 	ended chan error
 }
 
-func (f *fakeRunner) Complete(_ context.Context, _ document.Document, r request.Request, sink dispatch.Sink) *request.Failure {
+func (f *fakeRunner) Complete(ctx context.Context, _ document.Document, r request.Request, sink dispatch.Sink) *request.Failure {
 	f.got <- r
 	for i, text := range f.texts {
 		data := fmt.Sprintf(`{"id":"x","choices":[{"delta":{"content":%q}}]}`, text)
 		if sink(upstream.Chunk{Position: i + 1, Data: []byte(data)}) != nil {
 			return nil
 		}
-		if f.hold != nil {
-			<-f.hold
+		if f.hold == nil {
+			continue
+		}
+		select {
+		case <-f.hold:
+		case <-ctx.Done():
+			f.ended <- ctx.Err()
+			return request.Refuse(request.UpstreamFailed, "left")
 		}
 	}
 	if f.failure == nil {
@@ -68,7 +74,7 @@
 	return upstream.Answer{Status: http.StatusCreated, ContentType: "text/plain", Body: []byte("booked")}, f.failure
 }
 
-func (f *fakeRunner) Entries() []platform.Host { return nil }
+func (f *fakeRunner) Hosts() []membership.Host { return nil }
 
 // mill may use one model and one service.
 var configuration = document.Document{
@@ -325,22 +331,26 @@
 	}
 }
 
-// TestCallerLeaves checks that a call that may be repeated ends with its
-// caller, and that any other goes on.
+// TestCallerLeaves checks that a completion and a call that may be repeated
+// end with their caller, and that any other goes on.
 func TestCallerLeaves(t *testing.T) {
-	for _, repeatable := range []bool{true, false} {
+	key := "Idempotency-Key: 0197a7a4-0000-7000-8000-000000000000"
+	for raw, ends := range map[string]bool{
+		post(chat, goodBody): true,
+		post("/services/approvals/x", "{}", key, "X-Repeatable: true"): true,
+		post("/services/approvals/x", "{}", key):                       false,
+	} {
 		is := is.New(t)
 		f := newRunner()
 		f.hold = make(chan struct{})
 		address := start(t, f)
 		conn, err := net.Dial("tcp", address)
 		is.NoErr(err)
-		_, err = conn.Write([]byte(post("/services/approvals/x", "{}", "Idempotency-Key: 0197a7a4-0000-7000-8000-000000000000",
-			fmt.Sprintf("X-Repeatable: %t", repeatable))))
+		_, err = conn.Write([]byte(raw))
 		is.NoErr(err)
 		<-f.got
 		is.NoErr(conn.Close())
-		if repeatable {
+		if ends {
 			is.Equal(<-f.ended, context.Canceled)
 			continue
 		}
