feat: catalogue page of events, and metrics of the callers' door

docs/EVENTS.md is generated from the catalogue and checked by a test; another reads the sources, so that log lines go through package event and those of a request carry its id or its attempt's. Answers to heads that could not be read have an id too.

--- a/crash/guard.go
+++ b/crash/guard.go
@@ -146,7 +146,7 @@
 	if g.table.Verdict(f, now) != quarantine.Condemned {
 		return false
 	}
-	event.RequestQuarantined.Info("Fingerprint", f, "Engine", engine)
+	event.RequestQuarantined.Info("Attempt", attempt, "Fingerprint", f, "Engine", engine)
 	return true
 }
 
--- /dev/null
+++ b/event/catalogue_test.go
@@ -0,0 +1,139 @@
+package event_test
+
+import (
+	"flag"
+	"fmt"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/kumquathoist/kumquathoist/event"
+)
+
+var update = flag.Bool("update", false, "write docs/EVENTS.md instead of checking it")
+
+const (
+	page     = "../docs/EVENTS.md"
+	klogPath = `"k8s.io/klog/v2"`
+)
+
+// TestCataloguePage keeps docs/EVENTS.md in step with the catalogue.
+func TestCataloguePage(t *testing.T) {
+	is := is.New(t)
+	var b strings.Builder
+	b.WriteString("# Events\n\nEvery log line of the daemon carries the number of one of these events.\nWritten by `go test ./event -update`.\n\n| number | event | meaning |\n|---|---|---|\n")
+	seen := map[int]bool{}
+	for _, e := range event.Catalogue() {
+		is.True(!seen[e.Number]) // a number stands for one event
+		seen[e.Number] = true
+		fmt.Fprintf(&b, "| %d | %s | %s |\n", e.Number, e.Name, e.Meaning)
+	}
+	if *update {
+		is.NoErr(os.WriteFile(page, []byte(b.String()), 0o644))
+	}
+	raw, err := os.ReadFile(page)
+	is.NoErr(err)
+	is.Equal(string(raw), b.String()) // run go test ./event -update
+}
+
+// sources parses every Go file that is not a test.
+func sources(t *testing.T) map[string]*ast.File {
+	t.Helper()
+	files := map[string]*ast.File{}
+	err := filepath.WalkDir("..", func(path string, d fs.DirEntry, err error) error {
+		if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		files[filepath.ToSlash(path)], err = parser.ParseFile(token.NewFileSet(), path, nil, 0)
+		return err
+	})
+	is.New(t).NoErr(err)
+	return files
+}
+
+// TestLogLines checks in the sources that log lines go through this package,
+// that every event is in the catalogue, and that the events of one request
+// name it or its attempt.
+func TestLogLines(t *testing.T) {
+	is := is.New(t)
+	// These concern batches, not one request.
+	batches := map[string]bool{"ShareFailed": true, "ClaimAppendFailed": true}
+	declared, ofRequests := 0, map[string]bool{}
+	files := sources(t)
+	for path, file := range files {
+		if strings.HasPrefix(path, "../event/") {
+			for _, name := range declaredEvents(file) {
+				declared++
+				ofRequests[name] = path == "../event/request.go" && !batches[name]
+			}
+			continue
+		}
+		for _, imported := range file.Imports {
+			// The command line flushes the log at its end.
+			is.True(imported.Path.Value != klogPath || path == "../cmd/root.go")
+			is.True(imported.Path.Value != `"log"`)
+		}
+	}
+	is.Equal(declared, len(event.Catalogue()))
+	for path, file := range files {
+		ast.Inspect(file, func(n ast.Node) bool {
+			call, ok := n.(*ast.CallExpr)
+			if ok && ofRequests[loggedEvent(call)] && !names(call, `"Request"`, `"Attempt"`) {
+				t.Errorf("%s logs %s without the id of the request or of its attempt", path, loggedEvent(call))
+			}
+			return true
+		})
+	}
+}
+
+// declaredEvents returns the events that a file declares.
+func declaredEvents(file *ast.File) []string {
+	var found []string
+	ast.Inspect(file, func(n ast.Node) bool {
+		spec, ok := n.(*ast.ValueSpec)
+		if !ok || len(spec.Values) != 1 {
+			return true
+		}
+		if literal, ok := spec.Values[0].(*ast.CompositeLit); ok && isIdent(literal.Type, "Event") {
+			found = append(found, spec.Names[0].Name)
+		}
+		return true
+	})
+	return found
+}
+
+// loggedEvent returns the X of a call event.X.Info or event.X.Error, or "".
+func loggedEvent(call *ast.CallExpr) string {
+	method, ok := call.Fun.(*ast.SelectorExpr)
+	if !ok || method.Sel.Name != "Info" && method.Sel.Name != "Error" {
+		return ""
+	}
+	name, ok := method.X.(*ast.SelectorExpr)
+	if !ok || !isIdent(name.X, "event") {
+		return ""
+	}
+	return name.Sel.Name
+}
+
+// names tells whether a call has one of the literals among its arguments.
+func names(call *ast.CallExpr, literals ...string) bool {
+	for _, a := range call.Args {
+		if l, ok := a.(*ast.BasicLit); ok && slices.Contains(literals, l.Value) {
+			return true
+		}
+	}
+	return false
+}
+
+func isIdent(e ast.Expr, name string) bool {
+	ident, ok := e.(*ast.Ident)
+	return ok && ident.Name == name
+}
--- a/gateway/complete.go
+++ b/gateway/complete.go
@@ -51,6 +51,7 @@
 		return g.refused(c, account.Name, failure)
 	}
 	g.open.Add(1)
+	begun := time.Now()
 	a := g.run(doc, r)
 	// A stream notices by its next event that the caller has left.
 	stop := watchCaller(c.RequestCtx().Conn(), a.cancel)
@@ -61,6 +62,7 @@
 		defer a.cancel()
 		return g.refused(c, account.Name, <-a.failure)
 	}
+	g.firstToken(begun)
 	c.Set(modelVersionHeader, r.Version)
 	if r.Stream {
 		return g.stream(c, r, a, first)
--- a/gateway/failure.go
+++ b/gateway/failure.go
@@ -80,5 +80,6 @@
 	if errors.As(err, &e) && libraryFailures[e.Code] != nil {
 		f = libraryFailures[e.Code]
 	}
+	g.identify(c)
 	return g.refused(c, "", f)
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -16,7 +16,6 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/kumquathoist/kumquathoist/document"
-	"github.com/kumquathoist/kumquathoist/event"
 	"github.com/kumquathoist/kumquathoist/request"
 	"github.com/kumquathoist/kumquathoist/settings"
 	"github.com/kumquathoist/kumquathoist/upstream"
@@ -48,21 +47,20 @@
 	Options
 
 	app      *fiber.App
-	listener net.Listener
+	limited  *limitedListener
 	stopping atomic.Bool
 	open     atomic.Int64
 }
 
 // New listens for callers and serves them until the context ends.
 func New(ctx context.Context, wait *conc.WaitGroup, o Options) (*Gateway, error) {
-	listener, err := net.Listen("tcp", o.Settings.Listen.Callers)
+	plain, err := net.Listen("tcp", o.Settings.Listen.Callers)
 	if err != nil {
 		return nil, trace.Wrap(err, "listening for callers")
 	}
 	limits := o.Settings.Limits
 	idle := time.Duration(limits.IdleSeconds) * time.Second
-	listener = newLimitedListener(listener, wait, limits.Connections, idle)
-	g := &Gateway{Options: o, listener: listener}
+	g := &Gateway{Options: o, limited: newLimitedListener(plain, wait, limits.Connections, idle)}
 	g.app = fiber.New(fiber.Config{
 		BodyLimit:      limits.BodyBytes,
 		ReadBufferSize: limits.HeaderBytes,
@@ -83,7 +81,8 @@
 	}
 	server := g.app.Server()
 	server.Handler = checkHeads(server.Handler)
-	wait.Go(func() { _ = g.app.Listener(listener, fiber.ListenConfig{DisableStartupMessage: true}) })
+	wait.Go(func() { _ = g.app.Listener(g.limited, fiber.ListenConfig{DisableStartupMessage: true}) })
+	wait.Go(func() { g.measure(ctx) })
 	wait.Go(func() {
 		<-ctx.Done()
 		_ = g.app.Shutdown()
@@ -92,7 +91,7 @@
 }
 
 // Address returns the IP:port that callers connect to.
-func (g *Gateway) Address() string { return g.listener.Addr().String() }
+func (g *Gateway) Address() string { return g.limited.Addr().String() }
 
 // Stop makes the host leave the address answers; it still serves.
 func (g *Gateway) Stop() { g.stopping.Store(true) }
@@ -108,14 +107,20 @@
 	return c.SendString("ready\n")
 }
 
-// begin authenticates a caller and returns the configuration that the
-// request uses from start to end.
-func (g *Gateway) begin(c fiber.Ctx) (document.Document, document.Account, *request.Failure) {
+// identify names the request in its answer: by the caller's id if it can be
+// logged, else by a new one.
+func (g *Gateway) identify(c fiber.Ctx) {
 	id := c.Get(requestIDHeader)
 	if id == "" || len(id) > maxIDBytes || strings.ContainsFunc(id, func(r rune) bool { return r <= ' ' || r > '~' }) {
 		id = uuid.NewString()
 	}
 	c.Set(requestIDHeader, id)
+}
+
+// begin authenticates a caller and returns the configuration that the
+// request uses from start to end.
+func (g *Gateway) begin(c fiber.Ctx) (document.Document, document.Account, *request.Failure) {
+	g.identify(c)
 	doc, ok := g.Document()
 	if !ok {
 		return doc, document.Account{}, request.Refuse(request.NotReady, "this host has no configuration yet").WithRetryAfter(time.Second)
@@ -123,13 +128,3 @@
 	account, failure := authenticate(doc, c.Get(fiber.HeaderAuthorization))
 	return doc, account, failure
 }
-
-// finish counts and logs the outcome of a request.
-func (g *Gateway) finish(id, account string, f *request.Failure) {
-	outcome, code := request.Done, request.Code("")
-	if f != nil {
-		outcome, code = f.Outcome, f.Code
-	}
-	g.Metrics.Tagged(map[string]string{"outcome": string(outcome)}).Counter("requests").Inc(1)
-	event.RequestEnded.Info("Request", id, "Account", account, "Outcome", outcome, "Code", code)
-}
