test: check metrics and secrets on the path; start the processes faster

Cause: each run of the command line ended with the race detector's sleep of 1 s at exit, and the harness runs it six times or more. Ruled out: the host list poll (host-3 served 180 ms after host-1), the start of processes (25 to 90 ms each). The harness also waited for 32 tokens where one will do.

--- a/endtoend/harness_test.go
+++ b/endtoend/harness_test.go
@@ -268,7 +268,8 @@
 func (s *system) command(router int, name string, args ...string) (string, error) {
 	args = append([]string{name, "--host", "http://" + s.routers[router].operators}, args...)
 	cmd := exec.Command(programs.router, args...)
-	cmd.Env = append(os.Environ(), "KUMQUATHOIST_OPERATOR_SECRET="+operatorKey)
+	// The race detector sleeps for a second at the exit of each program.
+	cmd.Env = append(os.Environ(), "KUMQUATHOIST_OPERATOR_SECRET="+operatorKey, "GORACE=atexit_sleep_ms=0")
 	output, err := cmd.CombinedOutput()
 	return string(output), err
 }
@@ -277,7 +278,7 @@
 func (s *system) awaitServing(t *testing.T, r *router) {
 	t.Helper()
 	eventually(t, r.name+" serves", func() bool {
-		body, status := r.send(t, http.MethodPost, "/v1/completions", nil, `{"model":"matcher","prompt":"ready?"}`)
+		body, status := r.send(t, http.MethodPost, "/v1/completions", nil, `{"model":"matcher","prompt":"ready?","max_tokens":1}`)
 		return status == http.StatusOK && strings.Contains(body, "finish_reason")
 	})
 }
--- a/endtoend/path_test.go
+++ b/endtoend/path_test.go
@@ -67,4 +67,41 @@
 			return err == nil && strings.Contains(output, "WasteWeight: 0.5")
 		})
 	}
+
+	// Operators' scrapers read what happened, and no output holds a secret.
+	metrics := s.metrics(t, 0)
+	for _, line := range []string{
+		`kumquathoist_requests{code="None",outcome="Done"}`, "kumquathoist_first_token_seconds_bucket",
+		"kumquathoist_open_requests", "kumquathoist_open_connections", "kumquathoist_ready 1",
+		`kumquathoist_upstream_attempts{answered="true"}`,
+	} {
+		if !strings.Contains(metrics, line) {
+			t.Errorf("no %s in the metrics:\n%s", line, metrics)
+		}
+	}
+	processes := []*process{s.log.process, s.hostList.process, s.service.process}
+	for _, e := range s.engines {
+		processes = append(processes, e.process)
+	}
+	for _, r := range s.routers {
+		processes = append(processes, r.process)
+	}
+	for _, p := range processes {
+		for _, secret := range []string{operatorKey, "peers-test", accountKey} {
+			is.True(!strings.Contains(p.output(), secret)) // the output holds no secret
+		}
+	}
+}
+
+// metrics reads the metrics of a router once they were reported.
+func (s *system) metrics(t *testing.T, router int) string {
+	t.Helper()
+	r := *s.routers[router]
+	r.callers = r.operators
+	var body string
+	eventually(t, "the metrics are reported", func() bool {
+		body, _ = r.send(t, http.MethodGet, "/metrics", nil, "")
+		return strings.Contains(body, "kumquathoist_ready 1")
+	})
+	return body
 }
--- a/node/node.go
+++ b/node/node.go
@@ -105,7 +105,7 @@
 		return err
 	}
 	dispatcher := dispatch.New(dispatch.Options{
-		Client: client, Engines: engines, Admit: admission.New(), Claims: claims, Leaving: directory.Leaving, Crashes: guard,
+		Client: client, Engines: meteredEngines{engines, metrics}, Admit: admission.New(), Claims: claims, Leaving: directory.Leaving, Crashes: guard,
 	})
 	n.runner = dispatcher
 	n.wait.Go(func() {
