--- a/local/local.go
+++ b/local/local.go
@@ -4,7 +4,7 @@
 
 import (
 	"context"
-	"fmt"
+	"os"
 	"time"
 
 	"github.com/goccy/go-yaml"
@@ -21,64 +21,97 @@
 const (
 	// anyPort lets the kernel choose a port on this machine.
 	anyPort = "127.0.0.1:0"
-	// Key is the key of the only account.
-	Key = "local-key"
-	// Model is the name of the only model.
-	Model = "matcher"
+	// peerVariable and operatorVariable hold the secrets of a local system.
+	peerVariable     = "KUMQUATHOIST_LOCAL_PEER_SECRET"
+	operatorVariable = "KUMQUATHOIST_LOCAL_OPERATOR_SECRET"
+	// OperatorSecret is what operators of a local system prove themselves with.
+	OperatorSecret = "local"
 	// startTimeout bounds the wait for the routers to be ready.
 	startTimeout = 10 * time.Second
 )
 
-// domains are the failure domains that hosts and engines are spread over.
-var domains = []string{"abbotsford", "chilliwack", "langley"}
-
-// Options sets the size of the system.
-type Options struct {
-	Routers, Engines int
-}
-
 // System is a running system.
 type System struct {
 	Log      *standin.Log
 	HostList *standin.HostList
 	Engines  []*standin.Engine
-	Service  *standin.Service
+	Services []*standin.Service
 	Routers  []*node.Node
+	// Key, Model and Service are what a caller may use.
+	Key, Model, Service string
+
+	plan plan
 }
 
 // New starts a system that ends with the context.
 func New(ctx context.Context, o Options) (*System, error) {
-	s := &System{}
-	var err error
+	for _, variable := range []string{peerVariable, operatorVariable} {
+		if err := os.Setenv(variable, OperatorSecret); err != nil {
+			return nil, trace.Wrap(err)
+		}
+	}
+	p, err := newPlan(o)
+	if err != nil {
+		return nil, err
+	}
+	s := &System{plan: p, Key: p.key, Model: p.document.Models.Models[0].Name, Service: p.service()}
 	if s.Log, err = standin.NewLog(ctx, anyPort); err != nil {
 		return nil, err
 	}
 	if s.HostList, err = standin.NewHostList(ctx, anyPort); err != nil {
 		return nil, err
 	}
-	if s.Service, err = standin.NewService(ctx, anyPort, "approvals"); err != nil {
+	if err := s.startUpstreams(ctx); err != nil {
 		return nil, err
 	}
-	for i := range o.Engines {
-		e, err := standin.NewEngine(ctx, anyPort, standin.DefaultEngineOptions(fmt.Sprintf("engine-%d", i+1)))
+	if err := s.configure(ctx); err != nil {
+		return nil, err
+	}
+	return s, s.startRouters(ctx)
+}
+
+// startUpstreams starts a stand-in for each upstream and notes its address.
+func (s *System) startUpstreams(ctx context.Context) error {
+	for _, pool := range s.plan.document.Capacity.Pools {
+		for i, u := range pool.Upstreams {
+			address, err := s.startUpstream(ctx, pool, u)
+			if err != nil {
+				return err
+			}
+			pool.Upstreams[i].Address = address
+		}
+	}
+	return nil
+}
+
+// startUpstream starts one stand-in and returns its address.
+func (s *System) startUpstream(ctx context.Context, pool document.Pool, u document.Upstream) (string, error) {
+	if pool.Kind == document.ServicePool {
+		service, err := standin.NewService(ctx, anyPort, pool.Name)
 		if err != nil {
-			return nil, err
+			return "", err
 		}
-		s.Engines = append(s.Engines, e)
+		s.Services = append(s.Services, service)
+		return service.Address(), nil
 	}
-	if err := s.configure(ctx); err != nil {
-		return nil, err
+	options := standin.DefaultEngineOptions(u.Name)
+	options.Version, options.ChecksFence = s.plan.document.Models.Models[0].Version, u.ChecksFence
+	e, err := standin.NewEngine(ctx, anyPort, options)
+	if err != nil {
+		return "", err
 	}
-	return s, s.startRouters(ctx, o.Routers)
+	s.Engines = append(s.Engines, e)
+	return e.Address(), nil
 }
 
-// configure publishes a first configuration.
+// configure publishes the first configuration.
 func (s *System) configure(ctx context.Context) error {
 	log := platform.NewLog(s.Log.URL())
 	bodies := map[document.Section]any{
-		document.CapacitySection: s.capacity(),
-		document.ModelsSection:   document.Models{Models: []document.Model{{Name: Model, Pool: "engines", Version: "v1"}}},
-		document.AccountsSection: document.Accounts{Accounts: []document.Account{{Name: "local", KeyHash: document.HashKey(Key), Weight: 1}}},
+		document.CapacitySection: s.plan.document.Capacity,
+		document.ModelsSection:   s.plan.document.Models,
+		document.AccountsSection: s.plan.document.Accounts,
+		document.RoutingSection:  s.plan.document.Routing,
 	}
 	for _, section := range document.Sections() {
 		value, ok := bodies[section]
@@ -100,26 +133,16 @@
 	return nil
 }
 
-// capacity lists the stand-ins as pools.
-func (s *System) capacity() document.Capacity {
-	engines := document.Pool{Name: "engines", Kind: document.EnginePool}
-	for i, e := range s.Engines {
-		engines.Upstreams = append(engines.Upstreams, document.Upstream{
-			Name: fmt.Sprintf("engine-%d", i+1), Address: e.Address(), FailureDomain: domains[i%len(domains)],
-		})
-	}
-	service := document.Pool{Name: "approvals", Kind: document.ServicePool, Upstreams: []document.Upstream{
-		{Name: "approvals-1", Address: s.Service.Address(), FailureDomain: domains[0]},
-	}}
-	return document.Capacity{Pools: []document.Pool{engines, service}}
-}
-
 // startRouters starts the routers and waits until they serve.
-func (s *System) startRouters(ctx context.Context, count int) error {
-	for i := range count {
+func (s *System) startRouters(ctx context.Context) error {
+	for _, host := range s.plan.hosts {
 		conf := settings.Default()
-		conf.Host = settings.Host{Name: fmt.Sprintf("host-%d", i+1), FailureDomain: domains[i%len(domains)], Region: "local"}
+		conf.Host = host
 		conf.Listen = settings.Listen{Callers: anyPort, Peers: anyPort, Operators: anyPort}
+		conf.Secrets = settings.Secrets{
+			Peers:     settings.Source{Environment: peerVariable},
+			Operators: settings.Source{Environment: operatorVariable},
+		}
 		conf.Platform = settings.Platform{Log: s.Log.URL(), HostList: s.HostList.URL()}
 		n, err := node.New(ctx, conf)
 		if err != nil {
@@ -127,8 +150,8 @@
 		}
 		s.Routers = append(s.Routers, n)
 		s.HostList.Put(platform.Host{
-			Name: conf.Host.Name, Role: platform.EntryHost, FailureDomain: conf.Host.FailureDomain,
-			Region: "local", State: platform.Live, Callers: n.Callers(), Peers: n.Peers(),
+			Name: host.Name, Role: platform.EntryHost, FailureDomain: host.FailureDomain,
+			Region: host.Region, State: platform.Live, Callers: n.Callers(), Peers: n.Peers(),
 		})
 	}
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
@@ -147,15 +170,3 @@
 		n.Wait()
 	}
 }
-
-// Greeting tells a person how to use the system.
-func Greeting(s *System) string {
-	first := s.Routers[0]
-	return fmt.Sprintf(`The system runs. Callers: http://%[1]s, operators: http://%[2]s
-
-Stream an answer:
-  curl -N http://%[1]s/v1/chat/completions -H 'Authorization: Bearer %[3]s' -d '{"model":"%[4]s","stream":true,"messages":[{"role":"user","content":"Match invoice 17."}]}'
-
-Stop with Ctrl-C.
-`, first.Callers(), first.Operators(), Key, Model)
-}
--- a/node/node.go
+++ b/node/node.go
@@ -94,8 +94,10 @@
 	if err != nil {
 		return err
 	}
-	n.ready = func() bool { return revisions.Ready() && len(directory.Entries()) > 0 }
 	engines := engine.NewTracker(ctx, &n.wait, client, func() document.Document { return revisions.State().Document }, directory.Leaving)
+	n.ready = func() bool {
+		return revisions.Ready() && len(directory.Entries()) > 0 && enginesKnown(revisions.State().Document, engines)
+	}
 	claims, err := n.startClaims(ctx, log, directory, pool)
 	if err != nil {
 		return err
@@ -160,7 +162,8 @@
 // readyInterval is the time between two looks at whether a host is ready.
 const readyInterval = 10 * time.Millisecond
 
-// AwaitReady returns when the host has a configuration and knows its engines.
+// AwaitReady returns when the host has a configuration and an engine of each
+// pool has reported.
 func (n *Node) AwaitReady(ctx context.Context) error {
 	for !n.ready() {
 		if ctx.Err() != nil {
