--- a/node/node.go
+++ b/node/node.go
@@ -8,10 +8,7 @@
 	"time"
 
 	"github.com/gravitational/trace"
-	promclient "github.com/prometheus/client_golang/prometheus"
 	"github.com/sourcegraph/conc"
-	"github.com/uber-go/tally/v4"
-	"github.com/uber-go/tally/v4/prometheus"
 
 	"github.com/kumquathoist/kumquathoist/admission"
 	"github.com/kumquathoist/kumquathoist/dispatch"
@@ -73,15 +70,7 @@
 
 // start makes the parts in the order of their needs.
 func (n *Node) start(ctx context.Context, credentials peer.Credentials, operatorSecret settings.Secret) error {
-	registry := promclient.NewRegistry()
-	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
-	metrics, closer := tally.NewRootScope(tally.ScopeOptions{
-		Prefix: "kumquathoist", CachedReporter: reporter, Separator: prometheus.DefaultSeparator,
-	}, time.Second)
-	n.wait.Go(func() {
-		<-ctx.Done()
-		_ = closer.Close()
-	})
+	metrics, exporter := n.startMetrics(ctx)
 	log := platform.NewLog(n.settings.Platform.Log)
 	client := upstream.NewClient()
 	var err error
@@ -98,12 +87,14 @@
 		return err
 	}
 	n.entries.Store(&entrySource{directory})
-	n.ready = func() bool { return revisions.Ready() && len(directory.Entries()) > 0 }
 	current := func() document.Document { return revisions.State().Document }
 	engines, err := n.startEngines(ctx, pool, client, directory, current, metrics)
 	if err != nil {
 		return err
 	}
+	n.ready = func() bool {
+		return revisions.Ready() && len(directory.Entries()) > 0 && enginesKnown(revisions.State().Document, engines)
+	}
 	claims, err := n.startClaims(ctx, log, directory, pool)
 	if err != nil {
 		return err
@@ -114,7 +105,7 @@
 		return err
 	}
 	dispatcher := dispatch.New(dispatch.Options{
-		Client: client, Engines: engines, Admit: admission.New(admission.Options{Estimator: engines, Metrics: metrics}),
+		Client: client, Engines: meteredEngines{engines, metrics}, Admit: admission.New(admission.Options{Estimator: engines, Metrics: metrics}),
 		Claims: claims, Leaving: directory.Leaving, Crashes: guard,
 	})
 	n.runner = dispatcher
@@ -124,7 +115,7 @@
 	})
 	n.operator, err = operator.New(ctx, &n.wait, operator.Options{
 		Settings: n.settings, Secret: operatorSecret, Editor: revisions, Directory: directory,
-		Engines: engines, Metrics: reporter.HTTPHandler(), Stop: n.Stop, Rollouts: keeper.Progress,
+		Engines: engines, Metrics: exporter, Stop: n.Stop, Rollouts: keeper.Progress,
 	})
 	if err != nil {
 		return err
@@ -170,7 +161,8 @@
 // readyInterval is the time between two looks at whether a host is ready.
 const readyInterval = 10 * time.Millisecond
 
-// AwaitReady returns when the host has a configuration and knows its engines.
+// AwaitReady returns when the host has a configuration and an engine of each
+// pool has reported.
 func (n *Node) AwaitReady(ctx context.Context) error {
 	for !n.ready() {
 		if ctx.Err() != nil {
