fix: know through keepers what orders have made of an engine

Cause: with keepers in place of polls a host knew of other hosts' engines neither that they load nor their fence, role and adapters, so rollouts saw engines as waiting that were loading: more than two loads at once (TestRolloutOutlivesItsKeeper).

--- a/engine/choice.go
+++ b/engine/choice.go
@@ -89,7 +89,7 @@
 	for i, c := range candidates {
 		names[i] = ring.Name(c.Engine)
 	}
-	t.refresh(ctx, names, p.pieces, askedKeepers)
+	t.refreshFor(ctx, names, p.pieces)
 	if chosen, ok := t.choose(policy, ring, p, candidates); ok {
 		return withUpstream(chosen, from), true
 	}
@@ -97,6 +97,13 @@
 	return withUpstream(chosen, from), ok
 }
 
+// refreshFor asks a few keepers for what a request needs.
+func (t *Tracker) refreshFor(ctx context.Context, names []string, pieces []uint64) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	t.refresh(ctx, names, pieces, askedKeepers)
+}
+
 // withUpstream fills in the upstream of a choice.
 func withUpstream(c Choice, from document.Pool) Choice {
 	i := slices.IndexFunc(from.Upstreams, func(u document.Upstream) bool { return u.Name == c.Upstream.Name })
@@ -167,7 +174,7 @@
 	if !l.known {
 		return true
 	}
-	return l.reachable && !l.leaving && l.version == p.version
+	return l.reachable && !l.leaving && !l.loading && l.version == p.version
 }
 
 // choose takes the best of the candidates that can take the request.
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -164,16 +164,31 @@
 // Status returns what is known of an engine. It asks the engine's keeper
 // unless this host keeps the engine or has asked lately.
 func (t *Tracker) Status(name string) Status {
-	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	t.refreshWithin(askTimeout, []string{name})
+	return t.status(name)
+}
+
+// Refresh asks the keepers of engines for what is not known or too old, for
+// calls of Status that follow.
+func (t *Tracker) Refresh(names []string) { t.refreshWithin(statusTimeout, names) }
+
+// refreshWithin asks every keeper of some engines.
+func (t *Tracker) refreshWithin(most time.Duration, names []string) {
+	ctx, cancel := context.WithTimeout(context.Background(), most)
 	defer cancel()
-	t.refresh(ctx, []string{name}, nil, 1)
+	t.refresh(ctx, names, nil, len(names))
+}
+
+// status returns what is known of an engine without asking.
+func (t *Tracker) status(name string) Status {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	l := t.lookLocked(name, nil)
 	return Status{
 		Load: upstream.Load{
 			Name: name, Incarnation: l.incarnation, Version: l.version,
-			Running: l.report.Running, Queued: l.report.Queued, Leaving: l.leaving,
+			Running: l.report.Running, Queued: l.report.Queued, Leaving: l.leaving, Loading: l.loading,
+			Fence: l.fence, Role: l.role, Adapters: l.adapters,
 		},
 		Reachable: l.reachable, Known: l.known, Sent: t.sent[name],
 	}
--- a/engine/estimate.go
+++ b/engine/estimate.go
@@ -29,7 +29,7 @@
 	for i, at := 0, rand.IntN(max(n, 1)); i < min(n, estimateVisits) && looked < estimateLooks; i++ {
 		u := from.Upstreams[(at+i)%n]
 		l := t.lookLocked(u.Name, nil)
-		if !l.known || !l.reachable || l.leaving || l.version != model.Version {
+		if !l.known || !l.reachable || l.leaving || l.loading || l.version != model.Version {
 			continue
 		}
 		looked++
--- a/engine/keeper.go
+++ b/engine/keeper.go
@@ -112,8 +112,9 @@
 // ends of its levels.
 func (k *kept) look(pieces []uint64, now time.Duration) look {
 	l := look{
-		known: k.reported, reachable: k.reachable, leaving: k.load.Leaving || k.load.Loading,
+		known: k.reported, reachable: k.reachable, leaving: k.load.Leaving, loading: k.load.Loading,
 		incarnation: k.load.Incarnation, version: k.load.Version,
+		fence: k.load.Fence, role: k.load.Role, adapters: k.load.Adapters,
 		report: routing.Report{At: k.at, Queued: k.load.Queued, Running: k.load.Running},
 		trust:  k.belief.Trust(now), joined: k.joined > 0 && now-k.joined < joinTime, at: now,
 	}
--- a/engine/look.go
+++ b/engine/look.go
@@ -18,6 +18,8 @@
 	// askTimeout bounds the wait for a keeper's answer. Without one the choice
 	// goes by hash order.
 	askTimeout = 25 * time.Millisecond
+	// statusTimeout bounds the wait for keepers when nobody's request waits.
+	statusTimeout = 300 * time.Millisecond
 	// askedKeepers bounds the keepers that are asked for one request.
 	askedKeepers = 2
 	// lookAge is how long an answer about the same prefix is used again.
@@ -33,10 +35,13 @@
 
 // look is what is known of one engine for one prompt.
 type look struct {
-	known, reachable, leaving, joined bool
-	incarnation                       int64
-	version                           string
-	report                            routing.Report
+	known, reachable, leaving, loading, joined bool
+	incarnation                                int64
+	version                                    string
+	report                                     routing.Report
+	fence                                      int64
+	role                                       string
+	adapters                                   []string
 	// piece is the deepest piece that levels was asked for.
 	piece  uint64
 	levels int
@@ -109,8 +114,6 @@
 
 // ask asks one keeper.
 func (t *Tracker) ask(ctx context.Context, keeper platform.Host, engines []string, pieces []uint64) {
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
 	t.Metrics.Counter("keeper_asks").Inc(1)
 	reply, err := t.Asker.Look(ctx, keeper.Peers, &peerpb.LookRequest{Engines: engines, Pieces: pieces})
 	if err != nil || len(reply.GetLooks()) != len(engines) {
@@ -132,8 +135,9 @@
 func received(l *peerpb.EngineLook, pieces []uint64, now time.Duration) look {
 	age := time.Duration(l.GetAgeMillis()) * time.Millisecond
 	return look{
-		known: l.GetKnown(), reachable: l.GetReachable(), leaving: l.GetLeaving(), joined: l.GetJoined(),
+		known: l.GetKnown(), reachable: l.GetReachable(), leaving: l.GetLeaving(), loading: l.GetLoading(), joined: l.GetJoined(),
 		incarnation: l.GetIncarnation(), version: l.GetVersion(),
+		fence: l.GetFence(), role: l.GetRole(), adapters: l.GetAdapters(),
 		report: routing.Report{At: now - age, Queued: int(l.GetQueued()), Running: int(l.GetRunning())},
 		piece:  deepest(pieces), levels: int(l.GetLevels()), trust: float64(l.GetTrustPercent()) / 100, at: now,
 	}
@@ -159,8 +163,9 @@
 // message returns the look as it goes to another host.
 func (l look) message(now time.Duration) *peerpb.EngineLook {
 	return &peerpb.EngineLook{
-		Known: l.known, Reachable: l.reachable, Leaving: l.leaving, Joined: l.joined,
+		Known: l.known, Reachable: l.reachable, Leaving: l.leaving, Loading: l.loading, Joined: l.joined,
 		Incarnation: l.incarnation, Version: l.version,
+		Fence: l.fence, Role: l.role, Adapters: l.adapters,
 		Queued: uint32(l.report.Queued), Running: uint32(l.report.Running),
 		AgeMillis: uint32((now - l.report.At).Milliseconds()), Levels: uint32(l.levels),
 		TrustPercent: uint32(100 * l.trust),
--- a/engine/ready.go
+++ b/engine/ready.go
@@ -16,10 +16,15 @@
 	if n == 0 {
 		return 0
 	}
-	sample, ready, from := min(n, readySample), 0, rand.IntN(n)
+	sample, from := min(n, readySample), rand.IntN(n)
+	names := make([]string, sample)
 	for i := range sample {
-		u := pool.Upstreams[(from+i)%n]
-		if s := t.Status(u.Name); s.serves(version) && !t.Leaving(u.Name) {
+		names[i] = pool.Upstreams[(from+i)%n].Name
+	}
+	t.refreshWithin(askTimeout, names)
+	ready := 0
+	for _, name := range names {
+		if t.status(name).serves(version) && !t.Leaving(name) {
 			ready++
 		}
 	}
@@ -28,5 +33,5 @@
 
 // serves tells whether an engine takes requests for a version.
 func (s Status) serves(version string) bool {
-	return s.Reachable && !s.Leaving && s.Version == version
+	return s.Reachable && !s.Leaving && !s.Loading && s.Version == version
 }
--- a/orders/orders.go
+++ b/orders/orders.go
@@ -38,6 +38,8 @@
 
 // statuses knows the engines, with a lag.
 type statuses interface {
+	// Refresh asks for what Status is to return.
+	Refresh(names []string)
 	Status(name string) engine.Status
 }
 
@@ -96,8 +98,13 @@
 	return all
 }
 
-// known returns the reports that are known without asking.
+// known returns the reports of the engines as their keepers know them.
 func (k *Keeper) known(d rollout.Demand) map[string]rollout.Report {
+	names := make([]string, len(d.Engines))
+	for i, e := range d.Engines {
+		names[i] = e.Name
+	}
+	k.Statuses.Refresh(names)
 	reports := map[string]rollout.Report{}
 	for _, e := range d.Engines {
 		s := k.Statuses.Status(e.Name)
