fix: take numbers with an exponent and no point

Cause: the YAML encoder writes 4000000.0 as 4e+06 and its parser reads that as text, so a section that was shown could not be published again, and the sample's Accounts section was refused. The golden file accounts-exponent failed before (wants a number, has text) and passes now.

--- a/problem/walk.go
+++ b/problem/walk.go
@@ -5,10 +5,12 @@
 	"fmt"
 	"math"
 	"reflect"
+	"strconv"
 	"strings"
 
 	"github.com/goccy/go-yaml"
 	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/token"
 )
 
 // walker decodes a YAML tree and collects its problems.
@@ -189,8 +191,24 @@
 			v.SetFloat(float64(i))
 		}
 	default:
-		w.report(path, "wants a number, has %s", kindOf(n))
+		number, ok := plainNumber(n)
+		if !ok {
+			w.report(path, "wants a number, has %s", kindOf(n))
+			return
+		}
+		v.SetFloat(number)
+	}
+}
+
+// plainNumber returns the number of a text without quotes such as 4e+06,
+// which the parser takes for text and the encoder writes.
+func plainNumber(n ast.Node) (float64, bool) {
+	s, ok := n.(*ast.StringNode)
+	if !ok || s.GetToken().Type != token.StringType {
+		return 0, false
 	}
+	number, err := strconv.ParseFloat(s.Value, 64)
+	return number, err == nil && !math.IsInf(number, 0) && !math.IsNaN(number)
 }
 
 func (w *walker) walkInteger(path string, n ast.Node, v reflect.Value) {
