--- /dev/null
+++ b/emulator/configuration.go
@@ -0,0 +1,214 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/gravitational/trace"
+	"github.com/sourcegraph/conc"
+
+	"github.com/kumquathoist/kumquathoist/document"
+	"github.com/kumquathoist/kumquathoist/operator"
+	"github.com/kumquathoist/kumquathoist/platform"
+	"github.com/kumquathoist/kumquathoist/standin"
+)
+
+// configurationCommand measures changes of the configuration against the
+// number of hosts, each a process of its own.
+type configurationCommand struct {
+	Program string        `required:"" type:"existingfile" help:"The router's program."`
+	Hosts   []int         `default:"3,9,30" help:"Numbers of hosts."`
+	Changes int           `default:"20" help:"Changes of each row, one after the other."`
+	Burst   int           `default:"30" help:"Changes of each row that are sent without a pause."`
+	Idle    time.Duration `default:"10s" help:"How long the idle hosts are measured."`
+	Cut     bool          `help:"Give the last host a log address that refuses."`
+}
+
+// pollInterval is the time between two looks at a host; it is the resolution
+// of the measured times.
+const pollInterval = 5 * time.Millisecond
+
+// reportInterval is more than the time after which hosts report a metric.
+const reportInterval = 2 * time.Second
+
+// Run prints a row for each number of hosts.
+func (c *configurationCommand) Run(ctx context.Context) error {
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "HOSTS\tACCEPT P50 MS\tALL P50 MS\tALL MAX MS\tLAST HOST MAX MS\tAPPENDS/CHANGE\tBYTES/RECORD\tSTATES FETCHED\tBURST CHANGES/S\tBURST ALL MS\tIDLE CPU %/HOST\tRSS MB/HOST")
+	for _, hosts := range c.Hosts {
+		row, err := c.row(ctx, hosts)
+		if err != nil {
+			return err
+		}
+		fmt.Fprintln(w, row)
+		if err := w.Flush(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// row measures one number of hosts.
+func (c *configurationCommand) row(ctx context.Context, hosts int) (string, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	dir, err := os.MkdirTemp("", "configuration")
+	if err != nil {
+		return "", trace.ConvertSystemError(err)
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	f := &fleet{dir: dir, program: c.Program}
+	defer f.stop()
+	if err := f.start(ctx, hosts, c.Cut); err != nil {
+		return "", err
+	}
+	m := &changes{fleet: f}
+	// The first change makes every host ready.
+	if err := m.change(ctx); err != nil {
+		return "", err
+	}
+	idle := f.idle(c.Idle)
+	m.accept, m.all, m.last, m.appends = nil, nil, nil, f.appends(ctx)
+	for range c.Changes {
+		if err := m.change(ctx); err != nil {
+			return "", err
+		}
+	}
+	appends := float64(f.appends(ctx)-m.appends) / float64(c.Changes)
+	rate, lag, err := m.burst(ctx, c.Burst)
+	if err != nil {
+		return "", err
+	}
+	time.Sleep(reportInterval)
+	return fmt.Sprintf("%d\t%.0f\t%.0f\t%.0f\t%.0f\t%.2f\t%d\t%d\t%.0f\t%.0f\t%.2f\t%.1f", hosts,
+		millis(median(m.accept)), millis(median(m.all)), millis(slices.Max(m.all)), millis(slices.Max(m.last)),
+		appends, m.recordBytes, f.statesFetched(ctx), rate, millis(lag), idle.cpuPercent, idle.residentMB), nil
+}
+
+func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+func median(values []time.Duration) time.Duration {
+	sorted := slices.Sorted(slices.Values(values))
+	return sorted[len(sorted)/2]
+}
+
+// changes publishes edits and measures them.
+type changes struct {
+	*fleet
+
+	revision    int64
+	count       int
+	recordBytes int
+	appends     int64
+	// accept is the time from sending an edit to its acceptance; all and last
+	// are the times from there until it is in force on every host and on the
+	// last host.
+	accept, all, last []time.Duration
+}
+
+// publish sends one edit through the hosts in turn.
+func (m *changes) publish(ctx context.Context) error {
+	m.count++
+	// A body as long as the section of some ten accounts.
+	e := document.Edit{
+		ID: uuid.NewString(), Section: document.RoutingSection, Base: m.revision, Author: "measure",
+		Body: fmt.Sprintf("# %0900d\nWasteWeight: 0.%d\n", m.count, m.count%10),
+	}
+	raw, err := document.EncodeEdit(e)
+	if err != nil {
+		return err
+	}
+	m.recordBytes = len(raw)
+	// The last host may be cut from the log.
+	through := m.hosts[m.count%(len(m.hosts)-1)]
+	var v document.Verdict
+	if err := through.post(ctx, "/operator/edits", e, &v); err != nil {
+		return err
+	}
+	if !v.Accepted {
+		return trace.CompareFailed("the edit was refused: %s", v.Reason)
+	}
+	m.revision = v.Current
+	return nil
+}
+
+// change publishes one edit and waits until it is in force everywhere.
+func (m *changes) change(ctx context.Context) error {
+	sent := time.Now()
+	if err := m.publish(ctx); err != nil {
+		return err
+	}
+	accepted := time.Now()
+	lags := m.awaitAll(ctx, accepted)
+	m.accept = append(m.accept, accepted.Sub(sent))
+	m.all = append(m.all, slices.Max(lags))
+	m.last = append(m.last, lags[len(lags)-1])
+	return ctx.Err()
+}
+
+// burst publishes edits without a pause and returns their rate and the time
+// from the last acceptance until it is in force everywhere.
+func (m *changes) burst(ctx context.Context, count int) (float64, time.Duration, error) {
+	began := time.Now()
+	for range count {
+		if err := m.publish(ctx); err != nil {
+			return 0, 0, err
+		}
+	}
+	ended := time.Now()
+	lags := m.awaitAll(ctx, ended)
+	return float64(count) / ended.Sub(began).Seconds(), slices.Max(lags), ctx.Err()
+}
+
+// awaitAll waits until every host has the newest revision and returns how
+// long after a moment each one had it.
+func (m *changes) awaitAll(ctx context.Context, since time.Time) []time.Duration {
+	lags := make([]time.Duration, len(m.hosts))
+	var wait conc.WaitGroup
+	for i, h := range m.hosts {
+		wait.Go(func() {
+			var answer operator.SectionAnswer
+			for answer.Revision < m.revision && ctx.Err() == nil {
+				if h.get(ctx, "/operator/sections/"+string(document.RoutingSection), &answer) != nil || answer.Revision < m.revision {
+					time.Sleep(pollInterval)
+				}
+			}
+			lags[i] = time.Since(since)
+		})
+	}
+	wait.Wait()
+	return lags
+}
+
+// start starts the stand-ins and the hosts.
+func (f *fleet) start(ctx context.Context, hosts int, cut bool) error {
+	var err error
+	if f.log, err = standin.NewLog(ctx, "127.0.0.1:0"); err != nil {
+		return err
+	}
+	if f.list, err = standin.NewHostList(ctx, "127.0.0.1:0"); err != nil {
+		return err
+	}
+	for i := range hosts {
+		log := f.log.URL()
+		if cut && i == hosts-1 {
+			log = "http://127.0.0.1:1"
+		}
+		h, err := f.startHost(fmt.Sprintf("host-%d", i+1), log, filepath.Join(f.dir, fmt.Sprintf("host-%d.yaml", i+1)))
+		if err != nil {
+			return err
+		}
+		f.hosts = append(f.hosts, h)
+		f.list.Put(platform.Host{
+			Name: h.name, Role: platform.EntryHost, FailureDomain: "domain-1", Region: "region-1",
+			State: platform.Live, Callers: h.callers, Peers: h.peers,
+		})
+	}
+	return nil
+}
--- /dev/null
+++ b/emulator/fleet.go
@@ -0,0 +1,202 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"regexp"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/goccy/go-yaml"
+	"github.com/gravitational/trace"
+
+	"github.com/kumquathoist/kumquathoist/settings"
+	"github.com/kumquathoist/kumquathoist/standin"
+)
+
+const (
+	// fleetSecret is what peers and operators of a measured fleet prove
+	// themselves with.
+	fleetSecret = "measured"
+	// ticksPerSecond is the unit of processor time in /proc.
+	ticksPerSecond = 100
+	bytesPerMB     = 1 << 20
+)
+
+// fleet is a set of router processes before stand-ins.
+type fleet struct {
+	dir, program string
+	log          *standin.Log
+	list         *standin.HostList
+	hosts        []*fleetHost
+}
+
+// fleetHost is one router process.
+type fleetHost struct {
+	name, callers, peers, operators string
+	cmd                             *exec.Cmd
+}
+
+var listening = regexp.MustCompile(`Callers="([^"]+)" Peers="([^"]+)" Operators="([^"]+)"`)
+
+// startHost starts one router and waits until it listens.
+func (f *fleet) startHost(name, log, path string) (*fleetHost, error) {
+	conf := settings.Default()
+	conf.Host = settings.Host{Name: name, FailureDomain: "domain-1", Region: "region-1"}
+	conf.Listen = settings.Listen{Callers: "127.0.0.1:0", Peers: "127.0.0.1:0", Operators: "127.0.0.1:0"}
+	conf.Platform = settings.Platform{Log: log, HostList: f.list.URL()}
+	raw, err := yaml.Marshal(conf)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if err := os.WriteFile(path, raw, 0o600); err != nil {
+		return nil, trace.ConvertSystemError(err)
+	}
+	cmd := exec.Command(f.program, "run", "--settings", path)
+	cmd.Env = append(os.Environ(), "KUMQUATHOIST_PEER_SECRET="+fleetSecret, "KUMQUATHOIST_OPERATOR_SECRET="+fleetSecret)
+	output, err := cmd.StderrPipe()
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if err := cmd.Start(); err != nil {
+		return nil, trace.Wrap(err, "starting %s", f.program)
+	}
+	scanner := bufio.NewScanner(output)
+	for scanner.Scan() {
+		if m := listening.FindStringSubmatch(scanner.Text()); m != nil {
+			go func() { _, _ = io.Copy(io.Discard, output) }()
+			return &fleetHost{name: name, callers: m[1], peers: m[2], operators: m[3], cmd: cmd}, nil
+		}
+	}
+	return nil, trace.ConnectionProblem(cmd.Wait(), "%s did not listen", name)
+}
+
+// stop ends the processes that the fleet started.
+func (f *fleet) stop() {
+	for _, h := range f.hosts {
+		_ = h.cmd.Process.Kill()
+		_ = h.cmd.Wait()
+	}
+}
+
+func (h *fleetHost) get(ctx context.Context, path string, into any) error {
+	return h.call(ctx, http.MethodGet, path, nil, into)
+}
+
+func (h *fleetHost) post(ctx context.Context, path string, body, into any) error {
+	raw, err := json.Marshal(body)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	return h.call(ctx, http.MethodPost, path, raw, into)
+}
+
+func (h *fleetHost) call(ctx context.Context, method, path string, body []byte, into any) error {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+h.operators+path, bytes.NewReader(body))
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+fleetSecret)
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return trace.ConnectionProblem(err, "no answer from %s", h.name)
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(resp.Body)
+	if err != nil || resp.StatusCode != http.StatusOK {
+		return trace.ConnectionProblem(err, "%s answered %s: %s", h.name, resp.Status, raw)
+	}
+	return trace.Wrap(json.Unmarshal(raw, into))
+}
+
+// appends returns how many records the log took.
+func (f *fleet) appends(ctx context.Context) int64 {
+	var answer struct{ Appends int64 }
+	raw, err := fetch(ctx, f.log.URL()+"/counts")
+	if err == nil {
+		err = json.Unmarshal(raw, &answer)
+	}
+	if err != nil {
+		return -1
+	}
+	return answer.Appends
+}
+
+// statesFetched returns how many whole states hosts took from each other.
+func (f *fleet) statesFetched(ctx context.Context) int {
+	total := 0.0
+	for _, h := range f.hosts {
+		raw, err := fetch(ctx, "http://"+h.operators+"/metrics")
+		if err != nil {
+			return -1
+		}
+		for line := range strings.Lines(string(raw)) {
+			if value, ok := strings.CutPrefix(line, "kumquathoist_configuration_states_fetched "); ok {
+				n, _ := strconv.ParseFloat(strings.TrimSpace(value), 64)
+				total += n
+			}
+		}
+	}
+	return int(total)
+}
+
+func fetch(ctx context.Context, url string) ([]byte, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, trace.ConnectionProblem(err, "no answer from %s", url)
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(resp.Body)
+	return raw, trace.Wrap(err)
+}
+
+// usage is what an idle host spends.
+type usage struct{ cpuPercent, residentMB float64 }
+
+// idle measures the mean over all hosts for a time.
+func (f *fleet) idle(period time.Duration) usage {
+	before := f.ticks()
+	time.Sleep(period)
+	var pages int
+	for _, h := range f.hosts {
+		var size, resident int
+		raw, _ := os.ReadFile(fmt.Sprintf("/proc/%d/statm", h.cmd.Process.Pid))
+		_, _ = fmt.Sscan(string(raw), &size, &resident)
+		pages += resident
+	}
+	hosts := float64(len(f.hosts))
+	spent := float64(f.ticks()-before) / ticksPerSecond
+	return usage{
+		cpuPercent: 100 * spent / period.Seconds() / hosts,
+		residentMB: float64(pages*os.Getpagesize()) / bytesPerMB / hosts,
+	}
+}
+
+// ticks returns the processor time of all hosts.
+func (f *fleet) ticks() int {
+	total := 0
+	for _, h := range f.hosts {
+		raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", h.cmd.Process.Pid))
+		fields := strings.Fields(string(raw[strings.LastIndexByte(string(raw), ')')+1:]))
+		if err != nil || len(fields) < 13 {
+			continue
+		}
+		user, _ := strconv.Atoi(fields[11])
+		system, _ := strconv.Atoi(fields[12])
+		total += user + system
+	}
+	return total
+}
--- a/emulator/main.go
+++ b/emulator/main.go
@@ -16,11 +16,12 @@
 
 // commands lists the stand-ins.
 type commands struct {
-	Log      logCommand      `cmd:"" help:"Stand in for the platform's log service."`
-	HostList hostListCommand `cmd:"" help:"Stand in for the platform's host list."`
-	Engine   engineCommand   `cmd:"" help:"Stand in for a model engine."`
-	Service  serviceCommand  `cmd:"" help:"Stand in for a plain service."`
-	Claims   claimsCommand   `cmd:"" help:"Measure claims against load and the number of hosts."`
+	Log           logCommand           `cmd:"" help:"Stand in for the platform's log service."`
+	HostList      hostListCommand      `cmd:"" help:"Stand in for the platform's host list."`
+	Engine        engineCommand        `cmd:"" help:"Stand in for a model engine."`
+	Service       serviceCommand       `cmd:"" help:"Stand in for a plain service."`
+	Claims        claimsCommand        `cmd:"" help:"Measure claims against load and the number of hosts."`
+	Configuration configurationCommand `cmd:"" help:"Measure changes of the configuration against the number of hosts."`
 }
 
 // listenFlags is where a stand-in listens.
