--- a/document/replica.go
+++ b/document/replica.go
@@ -105,7 +105,7 @@
 		}
 		return r, nil
 	}
-	s, err := n.State()
+	s, err := n.State(r.State)
 	if err != nil {
 		return r, err
 	}
--- a/document/section.go
+++ b/document/section.go
@@ -79,6 +79,23 @@
 	return nil, false
 }
 
+// withSectionOf returns the document with one section of another one.
+func (d Document) withSectionOf(other Document, s Section) Document {
+	switch s {
+	case CapacitySection:
+		d.Capacity = other.Capacity
+	case ModelsSection:
+		d.Models = other.Models
+	case AccountsSection:
+		d.Accounts = other.Accounts
+	case RoutingSection:
+		d.Routing = other.Routing
+	case AuditSection:
+		d.Audit = other.Audit
+	}
+	return d
+}
+
 // Encode returns the YAML of one section.
 func (d Document) Encode(s Section) ([]byte, error) {
 	values := map[Section]any{
--- a/document/snapshot.go
+++ b/document/snapshot.go
@@ -41,9 +41,11 @@
 	return snapshot
 }
 
-// State returns the state that a snapshot holds. It is an error if the
-// snapshot is damaged or needs newer rules than this program knows.
-func (n Snapshot) State() (State, error) {
+// State returns the state that a snapshot holds. Sections whose text an
+// earlier state has too are taken from that instead of being decoded again.
+// It is an error if the snapshot is damaged or needs newer rules than this
+// program knows.
+func (n Snapshot) State(earlier State) (State, error) {
 	if n.Rules > CurrentRules {
 		return State{}, trace.BadParameter("the snapshot needs rules %d, this program knows rules up to %d", n.Rules, CurrentRules)
 	}
@@ -53,11 +55,15 @@
 		if i < 0 {
 			continue
 		}
-		next, err := s.Document.WithSection(section, []byte(n.Bodies[i].Text))
-		if err != nil {
-			return State{}, trace.Wrap(err, "decoding section %s of a snapshot", section)
+		if known, ok := earlier.Body(section); ok && known.Text == n.Bodies[i].Text {
+			s.Document = s.Document.withSectionOf(earlier.Document, section)
+		} else {
+			next, err := s.Document.WithSection(section, []byte(n.Bodies[i].Text))
+			if err != nil {
+				return State{}, trace.Wrap(err, "decoding section %s of a snapshot", section)
+			}
+			s.Document = next
 		}
-		s.Document = next
 		s.Bodies = append(s.Bodies, n.Bodies[i])
 	}
 	s.Document.Position, s.Rules = n.Covers, n.Rules
--- a/endtoend/configuration_test.go
+++ b/endtoend/configuration_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"os/exec"
@@ -165,6 +166,26 @@
 	}
 }
 
+// TestRequestKeepsItsRevision removes the model of a request while its answer
+// streams.
+func TestRequestKeepsItsRevision(t *testing.T) {
+	is := is.New(t)
+	s := startSystem(t, options{routers: 2, engines: 1, engineArgs: []string{"--token-millis", "100"}})
+	resp, err := s.routers[0].open(http.MethodPost, "/v1/chat/completions", nil,
+		`{"model":"matcher","stream":true,"messages":[{"role":"user","content":"pair"}]}`)
+	is.NoErr(err)
+	defer resp.Body.Close()
+	_, code := s.run(1, "publish", "Models", file(t, "Models: []\n"))
+	is.Equal(code, exitOK)
+	eventually(t, "the model is gone for new requests", func() bool {
+		_, status := s.routers[0].send(t, http.MethodPost, "/v1/completions", nil, `{"model":"matcher","prompt":"x"}`)
+		return status >= 400 && status < 500
+	})
+	raw, err := io.ReadAll(resp.Body)
+	is.NoErr(err)
+	is.True(strings.HasSuffix(strings.TrimSpace(string(raw)), "data: [DONE]"))
+}
+
 // logPage reads the configuration stream.
 func (s *system) logPage(t *testing.T) platform.Page {
 	t.Helper()
--- a/revision/publish.go
+++ b/revision/publish.go
@@ -34,7 +34,10 @@
 		return document.Verdict{}, trace.BadParameter("the edit has no ID")
 	}
 	state := k.State()
-	if _, ok := state.Verdict(e.ID); ok {
+	if v, ok := state.Verdict(e.ID); ok {
+		if body, kept := state.BodyAt(v.Section, v.Offset+1); v.Section != e.Section || kept && body.Text != e.Body {
+			return document.Verdict{}, trace.BadParameter("the id %s belongs to another edit, of section %s", e.ID, v.Section)
+		}
 		return k.Outcome(ctx, e.ID)
 	}
 	if state.Halt != "" {
--- a/revision/revision_test.go
+++ b/revision/revision_test.go
@@ -165,6 +165,9 @@
 				again, err := k.Publish(context.Background(), e)
 				is.NoErr(err)
 				is.Equal(again, v)
+				e.Body = "WasteWeight: 0.9"
+				_, err = k.Publish(context.Background(), e)
+				is.True(trace.IsBadParameter(err)) // The ID is taken.
 			}
 		})
 	}
