--- a/node/node.go
+++ b/node/node.go
@@ -16,7 +16,6 @@
 	"github.com/kumquathoist/kumquathoist/admission"
 	"github.com/kumquathoist/kumquathoist/dispatch"
 	"github.com/kumquathoist/kumquathoist/document"
-	"github.com/kumquathoist/kumquathoist/engine"
 	"github.com/kumquathoist/kumquathoist/event"
 	"github.com/kumquathoist/kumquathoist/gateway"
 	"github.com/kumquathoist/kumquathoist/host"
@@ -100,17 +99,23 @@
 	}
 	n.entries.Store(&entrySource{directory})
 	n.ready = func() bool { return revisions.Ready() && len(directory.Entries()) > 0 }
-	engines := engine.NewTracker(ctx, &n.wait, client, func() document.Document { return revisions.State().Document }, directory.Leaving)
+	current := func() document.Document { return revisions.State().Document }
+	engines, err := n.startEngines(ctx, pool, client, directory, current, metrics)
+	if err != nil {
+		return err
+	}
 	claims, err := n.startClaims(ctx, log, directory, pool)
 	if err != nil {
 		return err
 	}
+	keeper := n.startOrders(ctx, log, directory, client, engines, revisions)
 	guard, err := n.newGuard(ctx, pool, directory)
 	if err != nil {
 		return err
 	}
 	dispatcher := dispatch.New(dispatch.Options{
-		Client: client, Engines: engines, Admit: admission.New(), Claims: claims, Leaving: directory.Leaving, Crashes: guard,
+		Client: client, Engines: engines, Admit: admission.New(admission.Options{Estimator: engines, Metrics: metrics}),
+		Claims: claims, Leaving: directory.Leaving, Crashes: guard,
 	})
 	n.runner = dispatcher
 	n.wait.Go(func() {
@@ -119,13 +124,13 @@
 	})
 	n.operator, err = operator.New(ctx, &n.wait, operator.Options{
 		Settings: n.settings, Secret: operatorSecret, Editor: revisions, Directory: directory,
-		Engines: engines, Metrics: reporter.HTTPHandler(), Stop: n.Stop,
+		Engines: engines, Metrics: reporter.HTTPHandler(), Stop: n.Stop, Rollouts: keeper.Progress,
 	})
 	if err != nil {
 		return err
 	}
 	n.gateway, err = gateway.New(ctx, &n.wait, gateway.Options{
-		Settings: n.settings, Runner: dispatcher, Directory: directory, Metrics: metrics,
+		Settings: n.settings, Runner: dispatcher, Directory: directory, Engines: engines, Metrics: metrics,
 		Document: func() (document.Document, bool) { return revisions.State().Document, revisions.Ready() },
 	})
 	if err != nil {
