fix: let hosts fetch states of more than 4 MiB

Cause: the reader of drpc takes no message above 4 MiB by default, so that a cut host could not fetch the state of 6,900 accounts with their older revisions (TestLargeStateIsFetched: never ready in 20 s). The client now reads up to 32 MiB; a section is at most 2 MiB and older revisions 4 MiB in all, so that a state stays below. Ruled out: streaming in parts, since a state is rarely fetched and bounded.

--- a/document/fold.go
+++ b/document/fold.go
@@ -6,8 +6,13 @@
 	"strings"
 )
 
-// maxBodyBytes bounds the body of one section.
-const maxBodyBytes = 4 << 20
+const (
+	// maxBodyBytes bounds the body of one section.
+	maxBodyBytes = 2 << 20
+	// maxPastBytes bounds the older revisions that are kept, all sections
+	// together.
+	maxPastBytes = 4 << 20
+)
 
 // Fold returns the state after one more record. A record at or before the
 // state's position changes nothing. A record under newer rules than this
--- a/document/state.go
+++ b/document/state.go
@@ -163,10 +163,12 @@
 		}
 	}
 	s.Verdicts = s.Verdicts[first:]
-	kept := map[Section]int{}
+	kept, bytes := map[Section]int{}, 0
 	var past []Body
 	for _, b := range slices.Backward(s.Past) {
-		if kept[b.Section]++; kept[b.Section] <= audit.Bodies {
+		kept[b.Section]++
+		bytes += len(b.Text)
+		if kept[b.Section] <= audit.Bodies && bytes <= maxPastBytes {
 			past = append(past, b)
 		}
 	}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -14,10 +14,12 @@
 	"github.com/gravitational/trace"
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmetadata"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcpool"
 	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcwire"
 
 	"github.com/kumquathoist/kumquathoist/settings"
 )
@@ -29,6 +31,8 @@
 	dialTimeout = time.Second
 	// idleExpiration is how long an idle connection is kept.
 	idleExpiration = 30 * time.Second
+	// MaxAnswerBytes bounds the answer to a call.
+	MaxAnswerBytes = 32 << 20
 	// connectionsPerPeer bounds idle connections to one peer.
 	connectionsPerPeer = 4
 )
@@ -111,7 +115,9 @@
 		if err != nil {
 			return nil, trace.ConnectionProblem(err, "connecting to peer %s", address)
 		}
-		return drpcconn.New(transport), nil
+		return drpcconn.NewWithOptions(transport, drpcconn.Options{
+			Manager: drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: MaxAnswerBytes}},
+		}), nil
 	})
 }
 
--- a/revision/exchange.go
+++ b/revision/exchange.go
@@ -64,6 +64,7 @@
 			continue
 		}
 		k.askMany(ctx)
+		k.measure()
 		pause(ctx, jitter(startInterval))
 	}
 }
