--- a/gateway/complete.go
+++ b/gateway/complete.go
@@ -51,13 +51,18 @@
 		return g.refused(c, account.Name, failure)
 	}
 	g.open.Add(1)
+	begun := time.Now()
 	a := g.run(doc, r)
+	// A stream notices by its next event that the caller has left.
+	stop := watchCaller(c.RequestCtx().Conn(), a.cancel)
+	defer stop()
 	first, ok := <-a.chunks
 	if !ok {
 		defer g.open.Add(-1)
 		defer a.cancel()
 		return g.refused(c, account.Name, <-a.failure)
 	}
+	g.firstToken(begun)
 	c.Set(modelVersionHeader, r.Version)
 	if r.Stream {
 		return g.stream(c, r, a, first)
