--- a/problem/walk.go
+++ b/problem/walk.go
@@ -5,10 +5,13 @@
 	"fmt"
 	"math"
 	"reflect"
+	"regexp"
+	"strconv"
 	"strings"
 
 	"github.com/goccy/go-yaml"
 	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/token"
 )
 
 // walker decodes a YAML tree and collects its problems.
@@ -189,8 +192,27 @@
 			v.SetFloat(float64(i))
 		}
 	default:
-		w.report(path, "wants a number, has %s", kindOf(n))
+		number, ok := exponential(n)
+		if !ok {
+			w.report(path, "wants a number, has %s", kindOf(n))
+			return
+		}
+		v.SetFloat(number)
+	}
+}
+
+// exponent matches numbers such as 1e+06, which the YAML library writes but
+// reads as text.
+var exponent = regexp.MustCompile(`^[-+]?[0-9]+(\.[0-9]*)?[eE][-+]?[0-9]+$`)
+
+// exponential returns the number of a plain text with an exponent.
+func exponential(n ast.Node) (float64, bool) {
+	s, ok := n.(*ast.StringNode)
+	if !ok || s.Token.Type != token.StringType || !exponent.MatchString(s.Value) {
+		return 0, false
 	}
+	number, err := strconv.ParseFloat(s.Value, 64)
+	return number, err == nil
 }
 
 func (w *walker) walkInteger(path string, n ast.Node, v reflect.Value) {
