--- a/cmd/status.go
+++ b/cmd/status.go
@@ -6,6 +6,7 @@
 	"text/tabwriter"
 
 	"github.com/kumquathoist/kumquathoist/operator"
+	"github.com/kumquathoist/kumquathoist/revision"
 )
 
 // statusCommand shows hosts and engines.
@@ -23,7 +24,7 @@
 		return printJSON(o.out, answer)
 	}
 	w := tabwriter.NewWriter(o.out, 0, 0, 2, ' ', 0)
-	fmt.Fprintf(w, "host %s, configuration position %d\n\n", answer.Host, answer.Position)
+	fmt.Fprintf(w, "host %s, configuration position %d, %s\n\n", answer.Host, answer.Position, standing(answer.Configuration))
 	fmt.Fprintln(w, "HOST\tFAILURE DOMAIN\tREGION\tCALLERS")
 	for _, h := range answer.Hosts {
 		fmt.Fprintf(w, "%s\t%s\t%s\t%s\n", h.Name, h.FailureDomain, h.Region, h.Callers)
@@ -39,6 +40,21 @@
 	return w.Flush()
 }
 
+// standing tells how far the configuration of a host can be relied on.
+func standing(s revision.Status) string {
+	text := "ready"
+	if !s.Ready {
+		text = "not ready"
+	}
+	if s.StaleSeconds >= 0 {
+		text += fmt.Sprintf(", known to be current %.0f s ago", s.StaleSeconds)
+	}
+	if s.Reason != "" {
+		text += ": " + s.Reason
+	}
+	return text
+}
+
 // drainCommand begins a planned stop.
 type drainCommand struct {
 	operatorFlags
