--- a/revision/revision_test.go
+++ b/revision/revision_test.go
@@ -86,7 +86,7 @@
 }
 
 // startKeeper starts a keeper with one peer.
-func startKeeper(t *testing.T, log *fakeLog, peers *fakePeers) *Keeper {
+func startKeeper(t testing.TB, log *fakeLog, peers *fakePeers) *Keeper {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	var wait conc.WaitGroup
--- a/revision/service_test.go
+++ b/revision/service_test.go
@@ -15,6 +15,39 @@
 	"github.com/kumquathoist/kumquathoist/platform"
 )
 
+// serve answers other hosts from a keeper.
+func serve(t testing.TB, k *Keeper) *peer.Server {
+	t.Helper()
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	var wait conc.WaitGroup
+	server, err := peer.NewServer("127.0.0.1:0", peer.Credentials{Secret: "secret"})
+	is.NoErr(err)
+	is.NoErr(peerpb.DRPCRegisterDocuments(server, Service{Keeper: k, Context: ctx}))
+	wait.Go(func() { _ = server.Serve(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		wait.Wait()
+	})
+	return server
+}
+
+// BenchmarkExchange measures the question that each host asks each second.
+func BenchmarkExchange(b *testing.B) {
+	k := startKeeper(b, &fakeLog{}, &fakePeers{})
+	server := serve(b, k)
+	pool := peer.NewPool(peer.Credentials{Secret: "secret"})
+	b.Cleanup(pool.Close)
+	client := Client{Pool: pool, Address: server.Address}
+	for b.Loop() {
+		if _, err := client.Fetch(context.Background(), server.Address(), k.State().Position()); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(pool.Sent())/float64(b.N), "sent-bytes/op")
+	b.ReportMetric(float64(pool.Received())/float64(b.N), "received-bytes/op")
+}
+
 // TestLargeStateIsFetched passes a state of several megabytes between hosts
 // over drpc.
 func TestLargeStateIsFetched(t *testing.T) {
@@ -25,9 +58,6 @@
 		cancel()
 		wait.Wait()
 	})
-	credentials := peer.Credentials{Secret: "secret"}
-	server, err := peer.NewServer("127.0.0.1:0", credentials)
-	is.NoErr(err)
 	log := &fakeLog{}
 	for i, id := range []string{"a", "b", "c"} {
 		raw, err := document.EncodeEdit(document.Edit{
@@ -39,10 +69,9 @@
 	}
 	first := startKeeper(t, log, &fakePeers{})
 	eventually(t, func() bool { return first.State().Position() == 2 })
-	is.NoErr(peerpb.DRPCRegisterDocuments(server, Service{Keeper: first, Context: ctx}))
-	wait.Go(func() { _ = server.Serve(ctx) })
+	server := serve(t, first)
 
-	pool := peer.NewPool(credentials)
+	pool := peer.NewPool(peer.Credentials{Secret: "secret"})
 	t.Cleanup(pool.Close)
 	cut := New(ctx, &wait, Options{
 		Host: "host-2", Log: &fakeLog{readErr: errDown}, Metrics: tally.NoopScope,
