--- a/problem/walk.go
+++ b/problem/walk.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"reflect"
+	"regexp"
 	"strconv"
 	"strings"
 
@@ -191,7 +192,7 @@
 			v.SetFloat(float64(i))
 		}
 	default:
-		number, ok := plainNumber(n)
+		number, ok := exponential(n)
 		if !ok {
 			w.report(path, "wants a number, has %s", kindOf(n))
 			return
@@ -200,15 +201,18 @@
 	}
 }
 
-// plainNumber returns the number of a text without quotes such as 4e+06,
-// which the parser takes for text and the encoder writes.
-func plainNumber(n ast.Node) (float64, bool) {
+// exponent matches numbers such as 1e+06, which the YAML library writes but
+// reads as text.
+var exponent = regexp.MustCompile(`^[-+]?[0-9]+(\.[0-9]*)?[eE][-+]?[0-9]+$`)
+
+// exponential returns the number of a plain text with an exponent.
+func exponential(n ast.Node) (float64, bool) {
 	s, ok := n.(*ast.StringNode)
-	if !ok || s.GetToken().Type != token.StringType {
+	if !ok || s.Token.Type != token.StringType || !exponent.MatchString(s.Value) {
 		return 0, false
 	}
 	number, err := strconv.ParseFloat(s.Value, 64)
-	return number, err == nil && !math.IsInf(number, 0) && !math.IsNaN(number)
+	return number, err == nil
 }
 
 func (w *walker) walkInteger(path string, n ast.Node, v reflect.Value) {
