--- a/document/section.go
+++ b/document/section.go
@@ -1,10 +1,10 @@
 package document
 
 import (
-	"bytes"
-
 	"github.com/goccy/go-yaml"
 	"github.com/gravitational/trace"
+
+	"github.com/kumquathoist/kumquathoist/problem"
 )
 
 // Section names a part of the document that one team edits.
@@ -16,32 +16,67 @@
 	ModelsSection   Section = "Models"
 	AccountsSection Section = "Accounts"
 	RoutingSection  Section = "Routing"
+	AuditSection    Section = "Audit"
 )
 
 // Sections lists every section in the order in which a new system is set up:
 // references point to earlier sections.
 func Sections() []Section {
-	return []Section{CapacitySection, ModelsSection, AccountsSection, RoutingSection}
+	return []Section{CapacitySection, ModelsSection, AccountsSection, RoutingSection, AuditSection}
 }
 
-// WithSection returns the document with one section replaced by decoded
-// YAML. A key that is unknown or a value of a wrong type is an error.
+// WithSection returns the document with one section replaced by decoded YAML.
+// The error lists every problem that can be seen without the other sections
+// (package problem).
 func (d Document) WithSection(s Section, body []byte) (Document, error) {
+	return d.replace(s, body, false)
+}
+
+// Replace returns the document with one section replaced by decoded YAML. The
+// error lists every problem, references between sections included.
+func (d Document) Replace(s Section, body []byte) (Document, error) {
+	return d.replace(s, body, true)
+}
+
+func (d Document) replace(s Section, body []byte, references bool) (Document, error) {
+	if len(body) > maxBodyBytes {
+		return d, trace.BadParameter("the body has %d bytes, more than %d", len(body), maxBodyBytes)
+	}
+	next := d
+	target, ok := next.empty(s)
+	if !ok {
+		return d, trace.NotFound("there is no section %q", s)
+	}
+	file, problems := problem.Decode(body, target)
+	if !file.Unread {
+		problems = problems.With(next.problems(s, file, references))
+	}
+	if len(problems) > 0 {
+		return d, problems
+	}
+	return next, nil
+}
+
+// empty empties a section and returns a pointer to it.
+func (d *Document) empty(s Section) (any, bool) {
 	switch s {
 	case CapacitySection:
 		d.Capacity = Capacity{}
-		return d, decode(body, &d.Capacity)
+		return &d.Capacity, true
 	case ModelsSection:
 		d.Models = Models{}
-		return d, decode(body, &d.Models)
+		return &d.Models, true
 	case AccountsSection:
 		d.Accounts = Accounts{}
-		return d, decode(body, &d.Accounts)
+		return &d.Accounts, true
 	case RoutingSection:
 		d.Routing = Routing{}
-		return d, decode(body, &d.Routing)
+		return &d.Routing, true
+	case AuditSection:
+		d.Audit = Audit{}
+		return &d.Audit, true
 	}
-	return d, trace.NotFound("there is no section %q", s)
+	return nil, false
 }
 
 // Encode returns the YAML of one section.
@@ -51,6 +86,7 @@
 		ModelsSection:   d.Models,
 		AccountsSection: d.Accounts,
 		RoutingSection:  d.Routing,
+		AuditSection:    d.Audit,
 	}
 	value, ok := values[s]
 	if !ok {
@@ -58,11 +94,3 @@
 	}
 	return yaml.Marshal(value)
 }
-
-func decode(body []byte, into any) error {
-	decoder := yaml.NewDecoder(bytes.NewReader(body), yaml.Strict())
-	if err := decoder.Decode(into); err != nil {
-		return trace.BadParameter("%s", yaml.FormatError(err, false, true))
-	}
-	return nil
-}
--- a/node/node.go
+++ b/node/node.go
@@ -23,7 +23,6 @@
 	"github.com/kumquathoist/kumquathoist/operator"
 	"github.com/kumquathoist/kumquathoist/peer"
 	"github.com/kumquathoist/kumquathoist/platform"
-	"github.com/kumquathoist/kumquathoist/revision"
 	"github.com/kumquathoist/kumquathoist/settings"
 	"github.com/kumquathoist/kumquathoist/upstream"
 )
@@ -37,7 +36,9 @@
 	peers     *peer.Server
 	directory *host.Directory
 	// open counts requests that have not ended, once callers are served.
-	open     atomic.Pointer[func() int64]
+	open atomic.Pointer[func() int64]
+	// entries knows the entry hosts, once membership has started.
+	entries  atomic.Pointer[entrySource]
 	wait     conc.WaitGroup
 	cancel   context.CancelFunc
 	stopOnce sync.Once
@@ -83,17 +84,21 @@
 		_ = closer.Close()
 	})
 	log := platform.NewLog(n.settings.Platform.Log)
-	revisions := revision.New(ctx, &n.wait, log)
 	client := upstream.NewClient()
 	var err error
 	if n.peers, err = peer.NewServer(n.settings.Listen.Peers, credentials); err != nil {
 		return err
 	}
 	pool := peer.NewPool(credentials)
+	revisions, err := n.startConfiguration(ctx, log, pool, metrics)
+	if err != nil {
+		return err
+	}
 	directory, err := n.startMembership(ctx, pool, revisions)
 	if err != nil {
 		return err
 	}
+	n.entries.Store(&entrySource{directory})
 	n.ready = func() bool { return revisions.Ready() && len(directory.Entries()) > 0 }
 	engines := engine.NewTracker(ctx, &n.wait, client, func() document.Document { return revisions.State().Document }, directory.Leaving)
 	claims, err := n.startClaims(ctx, log, directory, pool)
--- a/node/orders.go
+++ b/node/orders.go
@@ -36,5 +36,5 @@
 // fence returns the fencing number of a document's orders: the newest
 // revision of the sections that orders follow from.
 func fence(s document.State) int64 {
-	return max(s.Revisions[document.CapacitySection], s.Revisions[document.ModelsSection])
+	return max(s.Revision(document.CapacitySection), s.Revision(document.ModelsSection))
 }
