--- a/document/document.go
+++ b/document/document.go
@@ -158,6 +158,15 @@
 	return hex.EncodeToString(sum[:])
 }
 
+// Account returns the account with the name.
+func (d Document) Account(name string) (Account, bool) {
+	i := slices.IndexFunc(d.Accounts.Accounts, func(a Account) bool { return a.Name == name })
+	if i < 0 {
+		return Account{}, false
+	}
+	return d.Accounts.Accounts[i], true
+}
+
 // AccountByKeyHash returns the account with the key hash.
 func (d Document) AccountByKeyHash(hash string) (Account, bool) {
 	i := slices.IndexFunc(d.Accounts.Accounts, func(a Account) bool { return a.KeyHash == hash })
--- a/endtoend/membership_test.go
+++ b/endtoend/membership_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/kumquathoist/kumquathoist/document"
 	"github.com/kumquathoist/kumquathoist/gateway"
 	"github.com/kumquathoist/kumquathoist/standin"
 )
@@ -65,3 +66,41 @@
 	r[2].signal(syscall.SIGTERM)
 	agree("host-1 host-2 host-5", r[0], r[1], added)
 }
+
+// TestLimitsAcrossRouters sends more than an account's limits to all routers
+// at once.
+func TestLimitsAcrossRouters(t *testing.T) {
+	is := is.New(t)
+	s := startSystem(t, options{routers: 3, engines: 1})
+	s.publish(t, document.AccountsSection, document.Accounts{Accounts: []document.Account{
+		{Name: accountName, KeyHash: document.HashKey(accountKey), Weight: 1, Concurrency: 3},
+	}})
+	for _, r := range s.routers {
+		eventually(t, "the limit is in force", func() bool {
+			output, err := r.show(document.AccountsSection)
+			return err == nil && strings.Contains(output, "Concurrency: 3")
+		})
+	}
+	// Slow streams that hold slots: no more than the limit run at once.
+	s.engines[0].faults(t, standin.EngineFaults{SlowFactor: 100})
+	body := `{"model":"matcher","prompt":"pair","stream":true,"max_tokens":1000}`
+	running := 0
+	for i := range 12 {
+		resp, err := s.routers[i%3].open(http.MethodPost, "/v1/completions", nil, body)
+		is.NoErr(err)
+		defer resp.Body.Close()
+		if resp.StatusCode == http.StatusOK {
+			running++
+			continue
+		}
+		is.Equal(resp.StatusCode, http.StatusTooManyRequests)
+		is.True(resp.Header.Get("Retry-After") != "")
+	}
+	is.True(running >= 1 && running <= 3)
+}
+
+// show returns a section as one router shows it.
+func (r *router) show(section document.Section) (string, error) {
+	s := system{routers: []*router{r}}
+	return s.command(0, "show", string(section))
+}
--- a/node/node.go
+++ b/node/node.go
@@ -110,8 +110,12 @@
 	if err != nil {
 		return err
 	}
+	limits, err := n.startLimits(ctx, pool, directory, revisions)
+	if err != nil {
+		return err
+	}
 	dispatcher := dispatch.New(dispatch.Options{
-		Client: client, Engines: engines, Admit: admission.New(), Claims: claims, Leaving: directory.Leaving, Crashes: guard,
+		Client: client, Engines: engines, Admit: limitedGate{limits, admission.New()}, Claims: claims, Leaving: directory.Leaving, Crashes: guard,
 	})
 	n.runner = dispatcher
 	n.wait.Go(func() {
