--- a/node/node.go
+++ b/node/node.go
@@ -104,8 +104,13 @@
 	if err != nil {
 		return err
 	}
+	limits, err := n.startLimits(ctx, pool, directory, revisions)
+	if err != nil {
+		return err
+	}
 	dispatcher := dispatch.New(dispatch.Options{
-		Client: client, Engines: meteredEngines{engines, metrics}, Admit: admission.New(admission.Options{Estimator: engines, Metrics: metrics}),
+		Client: client, Engines: meteredEngines{engines, metrics},
+		Admit:  limitedGate{limits, admission.New(admission.Options{Estimator: engines, Metrics: metrics})},
 		Claims: claims, Leaving: directory.Leaving, Crashes: guard,
 	})
 	n.runner = dispatcher
