test: measure the routing of both users through real processes

The emulator's drive command sends a user's arrivals through running routers and reads the engines' counts.

--- a/emulator/main.go
+++ b/emulator/main.go
@@ -22,6 +22,7 @@
 	Service  serviceCommand  `cmd:"" help:"Stand in for a plain service."`
 	Claims   claimsCommand   `cmd:"" help:"Measure claims against load and the number of hosts."`
 
+	Drive      driveCommand      `cmd:"" help:"Send a user's arrivals through running routers."`
 	Experiment experimentCommand `cmd:"" help:"Measure policies of routing and admission."`
 }
 
--- /dev/null
+++ b/engine/bench_test.go
@@ -0,0 +1,108 @@
+package engine_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"strconv"
+	"sync/atomic"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/kumquathoist/kumquathoist/engine"
+	"github.com/kumquathoist/kumquathoist/peer"
+	"github.com/kumquathoist/kumquathoist/peerpb"
+	"github.com/kumquathoist/kumquathoist/prefix"
+)
+
+// BenchmarkChoose measures a choice with its messages to keepers: prompts
+// that were not seen before, as at the size where a host rarely sees the same
+// twice within a second.
+func BenchmarkChoose(b *testing.B) {
+	for _, size := range []struct{ hosts, engines int }{{6, 12}, {40, 100}, {340, 600}} {
+		b.Run(strconv.Itoa(size.hosts)+"x"+strconv.Itoa(size.engines), func(b *testing.B) {
+			w := startWorld(b, 1, size.hosts, size.engines)
+			eventually(b, func() bool { w.choose("host-0", ask("mill")); return w.asks > 0 })
+			w.asks, w.bytes = 0, 0
+			r := ask("")
+			r.Levels[0] = r.Levels[0][:prefix.PieceBytes]
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := 0; b.Loop(); i++ {
+				r.Account = strconv.Itoa(i)
+				if c, ok := w.choose("host-0", r); ok {
+					w.trackers["host-0"].Started(c)(engine.Report{Answered: true, Incarnation: "1", Weights: "v1"})
+				}
+			}
+			b.ReportMetric(float64(w.asks)/float64(b.N), "asks/op")
+			b.ReportMetric(float64(w.bytes)/float64(b.N), "payloadB/op")
+		})
+	}
+}
+
+// counted passes connections on to an address and counts their bytes.
+func counted(b *testing.B, address string) (string, *atomic.Int64) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(b).NoErr(err)
+	b.Cleanup(func() { _ = listener.Close() })
+	var bytes atomic.Int64
+	pass := func(to, from net.Conn) {
+		n, _ := io.Copy(to, from)
+		bytes.Add(n)
+		_ = to.Close()
+	}
+	go func() {
+		for {
+			in, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			out, err := net.Dial("tcp", address)
+			if err != nil {
+				return
+			}
+			go pass(out, in)
+			go pass(in, out)
+		}
+	}()
+	return listener.Addr().String(), &bytes
+}
+
+// BenchmarkLook measures an ask over a kept connection between two hosts,
+// with the bytes on it in both directions.
+func BenchmarkLook(b *testing.B) {
+	for _, engines := range []int{1, 3, 6, 12} {
+		b.Run(strconv.Itoa(engines), func(b *testing.B) {
+			is := is.New(b)
+			w := startWorld(b, 1, 1, engines)
+			eventually(b, func() bool { return w.trackers["host-0"].Status("engine-0").Known })
+			credentials := peer.Credentials{Secret: "0123456789abcdef0123456789abcdef"}
+			server, err := peer.NewServer("127.0.0.1:0", credentials)
+			is.NoErr(err)
+			is.NoErr(peerpb.DRPCRegisterEngines(server, w.trackers["host-0"]))
+			ctx, cancel := context.WithCancel(context.Background())
+			served := make(chan struct{})
+			go func() {
+				defer close(served)
+				_ = server.Serve(ctx)
+			}()
+			address, bytes := counted(b, server.Address())
+			pool := peer.NewPool(credentials)
+			r := &peerpb.LookRequest{Pieces: []uint64{1 << 60, 1 << 61, 1 << 62}}
+			for i := range engines {
+				r.Engines = append(r.Engines, fmt.Sprintf("engine-%d", i))
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				_, err := engine.Peers{Pool: pool}.Look(ctx, address, r)
+				is.NoErr(err)
+			}
+			pool.Close()
+			cancel()
+			<-served
+			b.ReportMetric(float64(bytes.Load())/float64(b.N), "wireB/op")
+		})
+	}
+}
--- a/engine/tracker_test.go
+++ b/engine/tracker_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -56,9 +55,12 @@
 	target, silent := w.trackers[address], w.silent[address]
 	w.asks++
 	w.mu.Unlock()
-	if silent || target == nil {
+	if silent {
 		return nil, errors.New("silent")
 	}
+	if target == nil {
+		return w.stub(r), nil
+	}
 	reply, err := target.Look(ctx, r)
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -66,6 +68,21 @@
 	return reply, err
 }
 
+// stub answers in place of a host that does not run.
+func (w *world) stub(r *peerpb.LookRequest) *peerpb.LookReply {
+	reply := &peerpb.LookReply{}
+	for range r.GetEngines() {
+		reply.Looks = append(reply.Looks, &peerpb.EngineLook{
+			Known: true, Reachable: true, Incarnation: 1796338800000000000, Version: "v1",
+			Queued: 3, Running: 9, AgeMillis: 700, Levels: 2, TrustPercent: 97,
+		})
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.bytes += proto.Size(r) + proto.Size(reply)
+	return reply
+}
+
 // entries returns the host list as a host sees it.
 func (w *world) entries(h platform.Host) []platform.Host {
 	w.mu.Lock()
@@ -77,7 +94,10 @@
 }
 
 // newWorld starts hosts before engines that hold nothing.
-func newWorld(t testing.TB, hosts, engines int) *world {
+func newWorld(t testing.TB, hosts, engines int) *world { return startWorld(t, hosts, hosts, engines) }
+
+// startWorld starts the first of some hosts.
+func startWorld(t testing.TB, running, hosts, engines int) *world {
 	w := &world{reports: map[string]upstream.CacheReport{}, trackers: map[string]*engine.Tracker{}, silent: map[string]bool{}, alone: map[string]bool{}}
 	pool := document.Pool{Name: "engines", Kind: document.EnginePool}
 	for i := range engines {
@@ -93,7 +113,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	var wait conc.WaitGroup
-	for _, h := range w.hosts {
+	for _, h := range w.hosts[:running] {
 		tracker := engine.NewTracker(ctx, &wait, engine.Options{
 			Host: h.Name, Reporter: w, Asker: w, Document: func() document.Document { return w.document },
 			Entries: func() []platform.Host { return w.entries(h) }, Leaving: func(string) bool { return false }, Metrics: tally.NoopScope,
@@ -270,27 +290,3 @@
 	}
 	t.Fatal("it never came to be")
 }
-
-// BenchmarkChoose measures a choice with its messages to keepers: prompts
-// that were not seen before, as at the size where a host rarely sees the same
-// twice within a second.
-func BenchmarkChoose(b *testing.B) {
-	for _, size := range []struct{ hosts, engines int }{{6, 12}, {40, 100}, {340, 600}} {
-		b.Run(strconv.Itoa(size.hosts)+"x"+strconv.Itoa(size.engines), func(b *testing.B) {
-			w := newWorld(b, size.hosts, size.engines)
-			time.Sleep(2 * time.Second)
-			w.asks, w.bytes = 0, 0
-			b.ReportAllocs()
-			b.ResetTimer()
-			for i := 0; b.Loop(); i++ {
-				r := ask(strconv.Itoa(i))
-				r.Levels[0] = r.Levels[0][:prefix.PieceBytes]
-				if c, ok := w.choose("host-0", r); ok {
-					w.trackers["host-0"].Started(c)(engine.Report{Answered: true, Incarnation: "1", Weights: "v1"})
-				}
-			}
-			b.ReportMetric(float64(w.asks)/float64(b.N), "asks/op")
-			b.ReportMetric(float64(w.bytes)/float64(b.N), "wireB/op")
-		})
-	}
-}
--- a/prefix/level.go
+++ b/prefix/level.go
@@ -18,21 +18,46 @@
 		parts = parts[:len(parts)-1]
 	}
 	levels := make([]Level, 0, len(parts))
-	key, piece := s.Root(), s.Root()
-	var rest []byte
-	tokens := 0
+	c := chain{piece: s.Root()}
 	for _, part := range parts {
-		key = key.Next(part)
-		rest = append(rest, part...)
-		for len(rest) >= PieceBytes {
-			piece, rest = piece.Next(rest[:PieceBytes]), rest[PieceBytes:]
-			tokens += PieceTokens
-		}
-		level := Level{Key: key, Tokens: tokens}
-		if tokens > 0 {
-			level.Piece = piece
+		c.add(part)
+		level := Level{Key: c.piece.Next(c.rest), Tokens: c.pieces * PieceTokens}
+		if c.pieces > 0 {
+			level.Piece = c.piece
 		}
 		levels = append(levels, level)
 	}
 	return levels
 }
+
+// chain cuts a text that comes in parts into pieces.
+type chain struct {
+	piece  Key
+	pieces int
+	rest   []byte
+}
+
+// add appends a part. Only what does not fill a piece is copied.
+func (c *chain) add(part []byte) {
+	if missing := PieceBytes - len(c.rest); len(c.rest) > 0 {
+		n := min(missing, len(part))
+		c.rest = append(c.rest, part[:n]...)
+		part = part[n:]
+		if n < missing {
+			return
+		}
+		c.cut(c.rest)
+		c.rest = c.rest[:0]
+	}
+	for len(part) >= PieceBytes {
+		c.cut(part[:PieceBytes])
+		part = part[PieceBytes:]
+	}
+	c.rest = append(c.rest, part...)
+}
+
+// cut ends a piece.
+func (c *chain) cut(text []byte) {
+	c.piece = c.piece.Next(text)
+	c.pieces++
+}
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -89,6 +89,7 @@
 	version     string
 	cache       *pieceCache
 	journal     *journal
+	counts      EngineCounts
 	running     int
 	queued      int
 	faults      EngineFaults
@@ -110,6 +111,7 @@
 	app.Post("/v1/completions", e.complete)
 	app.Get("/control/load", e.load)
 	app.Get("/control/events", e.events)
+	app.Get("/counts", e.reportCounts)
 	app.Post("/control/cancel", e.cancel)
 	app.Post("/faults", e.setFaults)
 	var err error
@@ -275,6 +277,9 @@
 	defer e.prefill.Unlock()
 	e.mu.Lock()
 	hits := e.cache.use(pieces)
+	e.counts.Requests++
+	e.counts.PromptTokens += prefix.Tokens(len(prompt))
+	e.counts.CachedTokens += hits * prefix.PieceTokens
 	e.mu.Unlock()
 	missing := prefix.Tokens(len(prompt)) - hits*prefix.PieceTokens
 	seconds := float64(missing) / e.options.PrefillTokensPerSecond
--- a/standin/engine_events.go
+++ b/standin/engine_events.go
@@ -125,3 +125,18 @@
 	e.cache = newPieceCache(e.options.CachePieces)
 	e.cache.changed = func(k prefix.Key, evicted bool) { e.journal.add(k, evicted, e.faults.EventLoss) }
 }
+
+// EngineCounts is what an engine has done since it was started.
+type EngineCounts struct {
+	Requests     int
+	PromptTokens int
+	// CachedTokens is how many of them were cached.
+	CachedTokens int
+}
+
+// reportCounts tells what the engine has done.
+func (e *Engine) reportCounts(c fiber.Ctx) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return c.JSON(e.counts)
+}
