--- a/node/node.go
+++ b/node/node.go
@@ -8,10 +8,7 @@
 	"time"
 
 	"github.com/gravitational/trace"
-	promclient "github.com/prometheus/client_golang/prometheus"
 	"github.com/sourcegraph/conc"
-	"github.com/uber-go/tally/v4"
-	"github.com/uber-go/tally/v4/prometheus"
 
 	"github.com/kumquathoist/kumquathoist/admission"
 	"github.com/kumquathoist/kumquathoist/dispatch"
@@ -22,7 +19,6 @@
 	"github.com/kumquathoist/kumquathoist/operator"
 	"github.com/kumquathoist/kumquathoist/peer"
 	"github.com/kumquathoist/kumquathoist/platform"
-	"github.com/kumquathoist/kumquathoist/revision"
 	"github.com/kumquathoist/kumquathoist/settings"
 	"github.com/kumquathoist/kumquathoist/upstream"
 )
@@ -36,7 +32,9 @@
 	peers     *peer.Server
 	directory *host.Directory
 	// open counts requests that have not ended, once callers are served.
-	open     atomic.Pointer[func() int64]
+	open atomic.Pointer[func() int64]
+	// entries knows the entry hosts, once membership has started.
+	entries  atomic.Pointer[entrySource]
 	wait     conc.WaitGroup
 	cancel   context.CancelFunc
 	stopOnce sync.Once
@@ -72,43 +70,42 @@
 
 // start makes the parts in the order of their needs.
 func (n *Node) start(ctx context.Context, credentials peer.Credentials, operatorSecret settings.Secret) error {
-	registry := promclient.NewRegistry()
-	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
-	metrics, closer := tally.NewRootScope(tally.ScopeOptions{
-		Prefix: "kumquathoist", CachedReporter: reporter, Separator: prometheus.DefaultSeparator,
-	}, time.Second)
-	n.wait.Go(func() {
-		<-ctx.Done()
-		_ = closer.Close()
-	})
+	metrics, exporter := n.startMetrics(ctx)
 	log := platform.NewLog(n.settings.Platform.Log)
-	revisions := revision.New(ctx, &n.wait, log)
 	client := upstream.NewClient()
 	var err error
 	if n.peers, err = peer.NewServer(n.settings.Listen.Peers, credentials); err != nil {
 		return err
 	}
 	pool := peer.NewPool(credentials)
+	revisions, err := n.startConfiguration(ctx, log, pool, metrics)
+	if err != nil {
+		return err
+	}
 	directory, err := n.startMembership(ctx, pool, revisions)
 	if err != nil {
 		return err
 	}
-	n.ready = func() bool { return revisions.Ready() && len(directory.Entries()) > 0 }
+	n.entries.Store(&entrySource{directory})
 	current := func() document.Document { return revisions.State().Document }
 	engines, err := n.startEngines(ctx, pool, client, directory, current, metrics)
 	if err != nil {
 		return err
 	}
+	n.ready = func() bool {
+		return revisions.Ready() && len(directory.Entries()) > 0 && enginesKnown(revisions.State().Document, engines)
+	}
 	claims, err := n.startClaims(ctx, log, directory, pool)
 	if err != nil {
 		return err
 	}
+	keeper := n.startOrders(ctx, log, directory, client, engines, revisions)
 	guard, err := n.newGuard(ctx, pool, directory)
 	if err != nil {
 		return err
 	}
 	dispatcher := dispatch.New(dispatch.Options{
-		Client: client, Engines: engines, Admit: admission.New(admission.Options{Estimator: engines, Metrics: metrics}),
+		Client: client, Engines: meteredEngines{engines, metrics}, Admit: admission.New(admission.Options{Estimator: engines, Metrics: metrics}),
 		Claims: claims, Leaving: directory.Leaving, Crashes: guard,
 	})
 	n.runner = dispatcher
@@ -118,13 +115,13 @@
 	})
 	n.operator, err = operator.New(ctx, &n.wait, operator.Options{
 		Settings: n.settings, Secret: operatorSecret, Editor: revisions, Directory: directory,
-		Engines: engines, Metrics: reporter.HTTPHandler(), Stop: n.Stop,
+		Engines: engines, Metrics: exporter, Stop: n.Stop, Rollouts: keeper.Progress,
 	})
 	if err != nil {
 		return err
 	}
 	n.gateway, err = gateway.New(ctx, &n.wait, gateway.Options{
-		Settings: n.settings, Runner: dispatcher, Directory: directory, Metrics: metrics,
+		Settings: n.settings, Runner: dispatcher, Directory: directory, Engines: engines, Metrics: metrics,
 		Document: func() (document.Document, bool) { return revisions.State().Document, revisions.Ready() },
 	})
 	if err != nil {
@@ -164,7 +161,8 @@
 // readyInterval is the time between two looks at whether a host is ready.
 const readyInterval = 10 * time.Millisecond
 
-// AwaitReady returns when the host has a configuration and knows its engines.
+// AwaitReady returns when the host has a configuration and an engine of each
+// pool has reported.
 func (n *Node) AwaitReady(ctx context.Context) error {
 	for !n.ready() {
 		if ctx.Err() != nil {
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -33,6 +33,8 @@
 	AnswerTokens int
 	// ChecksFence refuses orders with an old fencing number.
 	ChecksFence bool
+	// WeightStore is the base URL of the weight store, or "" for none.
+	WeightStore string
 }
 
 // DefaultEngineOptions returns an engine like those of today's users.
@@ -73,6 +75,11 @@
 	Running     int
 	Queued      int
 	Leaving     bool
+	// Loading tells that the engine loads and takes no requests.
+	Loading  bool
+	Fence    int64
+	Role     string
+	Adapters []string
 }
 
 // Engine stands in for a model engine with a prefix cache.
@@ -94,6 +101,7 @@
 	queued      int
 	faults      EngineFaults
 	cancelled   map[string]context.CancelFunc
+	orders      orders
 }
 
 // NewEngine serves an engine on an address until the context ends.
@@ -113,6 +121,8 @@
 	app.Get("/control/events", e.events)
 	app.Get("/counts", e.reportCounts)
 	app.Post("/control/cancel", e.cancel)
+	app.Post("/control/orders", e.order)
+	app.Get("/control/orders", e.ordersTaken)
 	app.Post("/faults", e.setFaults)
 	var err error
 	e.Server, err = newServer(ctx, address, app)
@@ -218,6 +228,9 @@
 	if f.Leaving {
 		return "leaving"
 	}
+	if reason := e.ordered(); reason != "" {
+		return reason
+	}
 	if want := c.Get("X-Expect-Incarnation"); want != "" && want != strconv.FormatInt(incarnation, 10) {
 		return "another incarnation"
 	}
--- a/standin/engine_events.go
+++ b/standin/engine_events.go
@@ -98,7 +98,8 @@
 func (e *Engine) reportedLoad() EngineLoad {
 	load := EngineLoad{
 		Name: e.options.Name, Incarnation: e.incarnation, Version: e.version,
-		Running: e.running, Queued: e.queued, Leaving: e.faults.Leaving,
+		Running: e.running, Queued: e.queued, Leaving: e.faults.Leaving || e.orders.leaving,
+		Loading: e.orders.loading, Fence: e.orders.fence, Role: e.orders.role, Adapters: e.orders.adapters,
 	}
 	if e.faults.LoadLagMillis > 0 {
 		past := e.journal.loadAt(time.Now().Add(-time.Duration(e.faults.LoadLagMillis) * time.Millisecond))
