fix: forget what was sent to an earlier incarnation of an engine on every host

A host expects the prompts that it sent to an engine within 2 s to be cached there. Only the engine's keeper dropped this when the engine restarted; the other hosts predicted 8192 cached tokens of an empty cache, and with no keeper's answer the call named no incarnation. Each host now follows the incarnation by its keeper's and the engine's own answers, and every choice that counts on cached tokens names it.

--- a/engine/bench_test.go
+++ b/engine/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -12,9 +13,11 @@
 	"github.com/matryer/is"
 
 	"github.com/kumquathoist/kumquathoist/engine"
+	"github.com/kumquathoist/kumquathoist/index"
 	"github.com/kumquathoist/kumquathoist/peer"
 	"github.com/kumquathoist/kumquathoist/peerpb"
 	"github.com/kumquathoist/kumquathoist/prefix"
+	"github.com/kumquathoist/kumquathoist/upstream"
 )
 
 // BenchmarkChoose measures a choice with its messages to keepers: prompts
@@ -106,3 +109,34 @@
 		})
 	}
 }
+
+// BenchmarkReport measures what a keeper does with one report of an engine:
+// decoding its events and applying them, and the bytes of the report.
+func BenchmarkReport(b *testing.B) {
+	for _, events := range []int{0, 10, 40, 400} {
+		b.Run(strconv.Itoa(events), func(b *testing.B) {
+			is := is.New(b)
+			report := upstream.CacheReport{Load: upstream.Load{Name: "engine-600", Incarnation: 1796338800000000000, Version: "v1", Running: 12}}
+			run := upstream.EventRun{First: 1_000_000}
+			for i := range events {
+				run.Changes = append(run.Changes, "+"+prefix.Key(uint64(i+1)*0x9e3779b97f4a7c15).String())
+			}
+			if events > 0 {
+				report.Runs = []upstream.EventRun{run}
+			}
+			raw, err := json.Marshal(report)
+			is.NoErr(err)
+			belief := index.New(38_000, 0)
+			b.ReportAllocs()
+			for i := uint64(1); b.Loop(); i++ {
+				var decoded upstream.CacheReport
+				is.NoErr(json.Unmarshal(raw, &decoded))
+				if events > 0 {
+					decoded.Runs[0].First = i * uint64(events)
+				}
+				belief.Apply(index.Source{Incarnation: 1, Weights: "v1"}, decoded.CacheEvents(), 0)
+			}
+			b.ReportMetric(float64(len(raw)), "bodyB/op")
+		})
+	}
+}
--- a/engine/choice.go
+++ b/engine/choice.go
@@ -185,7 +185,9 @@
 		if l.levels > 0 && l.levels <= len(p.levels) {
 			c.CachedTokens = p.levels[l.levels-1].Tokens
 		}
-		c.CachedTokens = max(c.CachedTokens, t.view.Expected(name, p.levels, now))
+		if t.confirmLocked(name, l) {
+			c.CachedTokens = max(c.CachedTokens, t.view.Expected(name, p.levels, now))
+		}
 		c.Wait, c.Load = t.view.Wait(name, l.report)
 		c.Trust, c.Joined = l.trust, l.joined
 		usable = append(usable, c)
@@ -200,12 +202,31 @@
 		levels: p.levels, tokens: p.tokens,
 		service: policy.Speed.Prefill(max(p.tokens-routing.Expected(chosen), 0)),
 	}
-	if l := t.lookLocked(choice.Upstream.Name, p.pieces); l.known && choice.CachedTokens > 0 {
-		choice.Incarnation = strconv.FormatInt(l.incarnation, 10)
+	if choice.CachedTokens > 0 {
+		choice.Incarnation = t.incarnations[choice.Upstream.Name]
 	}
 	return choice, true
 }
 
+// confirmLocked forgets what this host sent to an earlier incarnation of an
+// engine, and tells whether the incarnation is known; the caller holds mu.
+func (t *Tracker) confirmLocked(name string, l look) bool {
+	if l.known && l.reachable {
+		t.setIncarnationLocked(name, strconv.FormatInt(l.incarnation, 10))
+	}
+	return t.incarnations[name] != ""
+}
+
+// setIncarnationLocked notes which incarnation an engine is; the caller holds
+// mu.
+func (t *Tracker) setIncarnationLocked(name, incarnation string) {
+	if t.incarnations[name] == incarnation {
+		return
+	}
+	t.incarnations[name] = incarnation
+	t.view.Forget(name)
+}
+
 // Started counts an attempt until the returned function is called.
 func (t *Tracker) Started(c Choice) (ended func(Report)) {
 	name := c.Upstream.Name
@@ -235,6 +256,11 @@
 		t.avoided[name] = t.now() + avoidTime
 		return
 	}
+	if r.Incarnation != "" && r.Incarnation != t.incarnations[name] {
+		t.incarnations[name] = r.Incarnation
+		t.view.Forget(name)
+		t.view.Sent(name, c.levels, 0, t.now())
+	}
 	delete(t.avoided, name)
 	t.view.Served(routing.Speed{PrefillRate: prefillRate}.Prefill(max(c.tokens-r.CachedTokens, 0)))
 	t.Metrics.Counter("predicted_tokens").Inc(int64(c.CachedTokens))
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -83,11 +83,14 @@
 	looks map[string]look
 	// avoided tells until when an engine that failed gets no new work.
 	avoided map[string]time.Duration
-	sent    map[string]int
-	rings   map[string]pool
-	view    *routing.View
-	heat    *routing.Heat
-	turn    uint64
+	// incarnations holds the last known incarnation of each engine, as the
+	// engine writes it.
+	incarnations map[string]string
+	sent         map[string]int
+	rings        map[string]pool
+	view         *routing.View
+	heat         *routing.Heat
+	turn         uint64
 	// hosts is the host list as it was last read, names its names, and
 	// keepers the keepers that follow from it.
 	hosts   []platform.Host
@@ -100,7 +103,7 @@
 	t := &Tracker{
 		Options: o, start: time.Now(),
 		kept: map[string]*kept{}, looks: map[string]look{}, avoided: map[string]time.Duration{},
-		sent: map[string]int{}, rings: map[string]pool{}, view: routing.NewView(), heat: routing.NewHeat(1),
+		incarnations: map[string]string{}, sent: map[string]int{}, rings: map[string]pool{}, view: routing.NewView(), heat: routing.NewHeat(1),
 	}
 	wait.Go(func() {
 		ticker := time.NewTicker(pollInterval)
--- a/engine/keeper.go
+++ b/engine/keeper.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -90,8 +91,8 @@
 	if k.load.Incarnation != 0 && k.load.Incarnation != r.Incarnation {
 		event.EngineRestarted.Info("Engine", name, "Incarnation", r.Incarnation)
 		k.joined = now
-		t.view.Forget(name)
 	}
+	t.setIncarnationLocked(name, strconv.FormatInt(r.Incarnation, 10))
 	k.belief.Apply(source, r.CacheEvents(), now)
 	k.belief.Expire(now)
 	k.load, k.at, k.reported, k.reachable = r.Load, now-reportLag, true, true
--- a/engine/tracker_test.go
+++ b/engine/tracker_test.go
@@ -194,7 +194,12 @@
 		is.Equal(c.CachedTokens, 0) // another account has the same text
 		is.Equal(c.Incarnation, "")
 	}
-	// The engine restarts empty.
+	// Every host sends the prompt and expects it to be cached; then the engine
+	// restarts empty.
+	for host, tracker := range w.trackers {
+		c, _ := w.choose(host, ask("mill"))
+		tracker.Started(c)(engine.Report{Answered: true, Incarnation: "1", Weights: "v1"})
+	}
 	w.report("engine-0", func(r *upstream.CacheReport) { r.Incarnation, r.Runs = 2, nil })
 	for host := range w.trackers {
 		w.await(t, host, func(s engine.Status) bool { return s.Incarnation == 2 })
@@ -270,6 +275,10 @@
 func TestDeadEngineGetsNoWork(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(t, 3, 1)
+	w.cache("engine-0", "mill", "v1")
+	for host := range w.trackers {
+		w.await(t, host, known)
+	}
 	w.mu.Lock()
 	delete(w.reports, "engine-0")
 	w.mu.Unlock()
@@ -290,3 +299,24 @@
 	}
 	t.Fatal("it never came to be")
 }
+
+// TestExpectationNamesItsIncarnation checks that a host that hears of no
+// keeper still says which incarnation its own sends went to.
+func TestExpectationNamesItsIncarnation(t *testing.T) {
+	is := is.New(t)
+	w := startWorld(t, 1, 2, 1)
+	w.silent["host-0"], w.silent["host-1"] = true, true
+	w.mu.Lock()
+	w.hosts = w.hosts[1:]
+	w.mu.Unlock()
+	tracker := w.trackers["host-0"]
+	eventually(t, func() bool { return !tracker.Keeps("engine-0") })
+	c, ok := w.choose("host-0", ask("mill"))
+	is.True(ok)
+	is.Equal(c.CachedTokens, 0)
+	tracker.Started(c)(engine.Report{Answered: true, Incarnation: "7", Weights: "v1"})
+	c, ok = w.choose("host-0", ask("mill"))
+	is.True(ok)
+	is.Equal(c.CachedTokens, 2*prefix.PieceTokens)
+	is.Equal(c.Incarnation, "7")
+}
--- a/experiment/belief.go
+++ b/experiment/belief.go
@@ -9,7 +9,7 @@
 // Beliefs writes the table of routing under late and lossy cache events.
 func Beliefs(w io.Writer, o Options) {
 	m, s := DefaultModel(), DefaultScenario()
-	policy := chosen(m, o.Profile.WasteWeight)
+	policy := Chosen(m, o.Profile.WasteWeight)
 	t := newTable(w, "loss %", "lag s", "hit %", "false hits %", "missed hits %", "waste %", "p95 ms", "p99 ms")
 	for _, loss := range []float64{0, 0.01, 0.1, 0.5} {
 		for _, lag := range []time.Duration{100 * time.Millisecond, time.Second, 5 * time.Second} {
@@ -43,7 +43,7 @@
 	var points []Point
 	for i := range weightSteps + 1 {
 		weight := float64(i) / weightSteps
-		policies = append(policies, chosen(m, weight))
+		policies = append(policies, Chosen(m, weight))
 		points = append(points, Point{Weight: weight})
 	}
 	for i, runs := range o.measure(m, policies, DefaultScenario()) {
--- a/experiment/engine.go
+++ b/experiment/engine.go
@@ -144,7 +144,7 @@
 // importable returns how many pieces after the cached ones are worth
 // importing from the kept store.
 func (e *engine) importable(pieces []prefix.Key, hits int) int {
-	if !e.run.policy.Copies {
+	if !e.run.policy.imports() {
 		return 0
 	}
 	n := e.run.store.depth(pieces[hits:])
--- a/experiment/experiment_test.go
+++ b/experiment/experiment_test.go
@@ -58,7 +58,7 @@
 	m, s := experiment.DefaultModel(), experiment.DefaultScenario()
 	p := workload.HviezdnaKupola()
 	arrivals := p.WithRate(2.5*p.Rate).Generate(1, 30*time.Second)
-	policy := experiment.Policies(m, p.WasteWeight)[13]
+	policy := experiment.Chosen(m, p.WasteWeight)
 	open := experiment.Summarise(experiment.Run(m, policy, s, p.Engines, arrivals, 1), s.From, 30*time.Second)
 	s.Admission = true
 	gated := experiment.Summarise(experiment.Run(m, policy, s, p.Engines, arrivals, 1), s.From, 30*time.Second)
--- a/experiment/policies.go
+++ b/experiment/policies.go
@@ -24,7 +24,19 @@
 	for _, p := range base {
 		copied := p
 		copied.Copies, copied.Name = true, p.Name+" + copies"
+		if p.Corrects {
+			daemon := copied
+			daemon.NoImport, daemon.Name = true, p.Name+" + copies, no import"
+			all = append(all, p, daemon, copied)
+			continue
+		}
 		all = append(all, p, copied)
 	}
 	return all
 }
+
+// Chosen returns the policy that won the comparison.
+func Chosen(m Model, weight float64) Policy {
+	all := Policies(m, weight)
+	return all[len(all)-3]
+}
--- a/experiment/pressure.go
+++ b/experiment/pressure.go
@@ -16,19 +16,13 @@
 	capacityLeast, capacityMost = 0.5, 8.0
 )
 
-// chosen returns the policy that the daemon uses.
-func chosen(m Model, weight float64) Policy {
-	all := Policies(m, weight)
-	return all[len(all)-3]
-}
-
 // capacity returns the greatest scale of the rate at which most requests end
 // in time without admission.
 func (o Options) capacity(m Model, s Scenario) float64 {
 	least, most := capacityLeast, capacityMost
 	for range capacitySteps {
 		o.Scale = (least + most) / 2
-		runs := o.measure(m, []Policy{chosen(m, o.Profile.WasteWeight)}, s)[0]
+		runs := o.measure(m, []Policy{Chosen(m, o.Profile.WasteWeight)}, s)[0]
 		if SpreadOf(runs, func(r Summary) float64 { return r.OnTime }).Mean >= capacityShare {
 			least = o.Scale
 		} else {
@@ -49,7 +43,7 @@
 		o.Scale = capacity * load
 		for _, on := range []bool{false, true} {
 			s.Admission = on
-			runs := o.measure(m, []Policy{chosen(m, o.Profile.WasteWeight)}, s)[0]
+			runs := o.measure(m, []Policy{Chosen(m, o.Profile.WasteWeight)}, s)[0]
 			goodput := SpreadOf(runs, func(r Summary) float64 { return r.Goodput })
 			t.cells(fmt.Sprintf("%.1f", load), map[bool]string{true: "yes", false: "no"}[on],
 				percent(runs, func(r Summary) float64 { return r.OnTime }),
--- a/experiment/router.go
+++ b/experiment/router.go
@@ -127,7 +127,7 @@
 	c.Trust = k.belief.Trust(now)
 	c.Wait, c.Load = n.view.Wait(name, k.report.Report)
 	c.Joined = k.joined > 0 && now-k.joined < joinTime
-	if n.run.policy.Copies {
+	if n.run.policy.imports() {
 		c.ImportTokens = n.run.store.depth(j.Pieces[c.CachedTokens/prefix.PieceTokens:]) * prefix.PieceTokens
 	}
 }
@@ -139,7 +139,7 @@
 	c.CachedTokens, c.Trust = depth*prefix.PieceTokens, 1
 	c.Load = len(e.queue) + len(e.running)
 	c.Wait = e.wait(j.Class.Priority)
-	if n.run.policy.Copies {
+	if n.run.policy.imports() {
 		c.ImportTokens = n.run.store.depth(j.Pieces[depth:]) * prefix.PieceTokens
 	}
 }
--- a/experiment/run.go
+++ b/experiment/run.go
@@ -44,12 +44,17 @@
 	Name string
 	// Copies gives hot prefixes more copies and imports from the kept store.
 	Copies bool
+	// NoImport leaves out the kept store: copies are made by recomputing.
+	NoImport bool
 	// Oracle sees the true caches and queues.
 	Oracle bool
 	// Corrects learns from the reuse that engines report.
 	Corrects bool
 }
 
+// imports tells whether engines import from the kept store.
+func (p Policy) imports() bool { return p.Copies && !p.NoImport }
+
 // Scenario is what happens during a run.
 type Scenario struct {
 	Name string
@@ -237,7 +242,7 @@
 
 // holds tells whether any live engine or the kept store holds a piece.
 func (r *run) holds(k prefix.Key) bool {
-	if r.policy.Copies && r.store.has(k) {
+	if r.policy.imports() && r.store.has(k) {
 		return true
 	}
 	for _, e := range r.engines {
@@ -250,7 +255,7 @@
 
 // export puts pieces that were used twice into the kept store.
 func (r *run) export(j *job) {
-	if !r.policy.Copies {
+	if !r.policy.imports() {
 		return
 	}
 	for i := len(j.Pieces) - 1; i >= 0; i-- {
