--- a/engine/tracker_test.go
+++ b/engine/tracker_test.go
@@ -143,13 +143,13 @@
 
 func known(s engine.Status) bool { return s.Known }
 
-// report changes what an engine reports.
-func (w *world) report(name string, change func(*upstream.CacheReport)) {
+// report changes what the first engine reports.
+func (w *world) report(change func(*upstream.CacheReport)) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	r := w.reports[name]
+	r := w.reports["engine-0"]
 	change(&r)
-	w.reports[name] = r
+	w.reports["engine-0"] = r
 }
 
 func (w *world) choose(host string, r request.Request, tried ...string) (engine.Choice, bool) {
@@ -162,12 +162,13 @@
 	return request.Request{Account: account, Model: "m", Levels: [][]byte{shared, []byte("question")}}
 }
 
-// cache makes an engine report that it holds the shared part of a request.
-func (w *world) cache(name, account, weights string) {
-	scope := prefix.Scope{Account: account, Model: "m", Weights: weights}
-	w.report(name, func(r *upstream.CacheReport) {
+// cache makes the first engine report that it holds the shared part of the
+// requests of account mill for weights v1.
+func (w *world) cache() {
+	scope := prefix.Scope{Account: "mill", Model: "m", Weights: "v1"}
+	w.report(func(r *upstream.CacheReport) {
 		var changes []string
-		for _, k := range prefix.Pieces(scope, ask(account).Levels[0]) {
+		for _, k := range prefix.Pieces(scope, ask("mill").Levels[0]) {
 			changes = append(changes, "+"+k.String())
 		}
 		r.Runs = []upstream.EventRun{{First: 1, Changes: changes}}
@@ -179,7 +180,7 @@
 func TestBeliefIsNeverUsedAgainstItsSource(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(t, 3, 1)
-	w.cache("engine-0", "mill", "v1")
+	w.cache()
 	for host := range w.trackers {
 		w.await(t, host, known)
 	}
@@ -200,7 +201,7 @@
 		c, _ := w.choose(host, ask("mill"))
 		tracker.Started(c)(engine.Report{Answered: true, Incarnation: "1", Weights: "v1"})
 	}
-	w.report("engine-0", func(r *upstream.CacheReport) { r.Incarnation, r.Runs = 2, nil })
+	w.report(func(r *upstream.CacheReport) { r.Incarnation, r.Runs = 2, nil })
 	for host := range w.trackers {
 		w.await(t, host, func(s engine.Status) bool { return s.Incarnation == 2 })
 		c, ok := w.choose(host, ask("mill"))
@@ -208,8 +209,8 @@
 		is.Equal(c.CachedTokens, 0)
 	}
 	// The engine loads other weights: it gets no work, whatever it holds.
-	w.cache("engine-0", "mill", "v1")
-	w.report("engine-0", func(r *upstream.CacheReport) { r.Version = "v2" })
+	w.cache()
+	w.report(func(r *upstream.CacheReport) { r.Version = "v2" })
 	for host := range w.trackers {
 		w.await(t, host, func(s engine.Status) bool { return s.Version == "v2" })
 		_, ok := w.choose(host, ask("mill"))
@@ -254,7 +255,7 @@
 func TestTwoKeepers(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(t, 2, 1)
-	w.cache("engine-0", "mill", "v1")
+	w.cache()
 	w.mu.Lock()
 	w.alone["host-0"], w.alone["host-1"] = true, true
 	w.mu.Unlock()
@@ -275,7 +276,7 @@
 func TestDeadEngineGetsNoWork(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(t, 3, 1)
-	w.cache("engine-0", "mill", "v1")
+	w.cache()
 	for host := range w.trackers {
 		w.await(t, host, known)
 	}
