--- /dev/null
+++ b/engine/ready.go
@@ -0,0 +1,32 @@
+package engine
+
+import (
+	"math/rand/v2"
+
+	"github.com/kumquathoist/kumquathoist/document"
+)
+
+// readySample bounds the engines that one count looks at.
+const readySample = 12
+
+// Ready returns how many engines of a pool serve a version of the weights. Of
+// a large pool it looks at a sample and scales up.
+func (t *Tracker) Ready(pool document.Pool, version string) int {
+	n := len(pool.Upstreams)
+	if n == 0 {
+		return 0
+	}
+	sample, ready, from := min(n, readySample), 0, rand.IntN(n)
+	for i := range sample {
+		u := pool.Upstreams[(from+i)%n]
+		if s := t.Status(u.Name); s.serves(version) && !t.Leaving(u.Name) {
+			ready++
+		}
+	}
+	return ready * n / sample
+}
+
+// serves tells whether an engine takes requests for a version.
+func (s Status) serves(version string) bool {
+	return s.Reachable && !s.Leaving && s.Version == version
+}
--- a/local/local.go
+++ b/local/local.go
@@ -7,7 +7,6 @@
 	"os"
 	"time"
 
-	"github.com/goccy/go-yaml"
 	"github.com/google/uuid"
 	"github.com/gravitational/trace"
 
@@ -107,18 +106,8 @@
 // configure publishes the first configuration.
 func (s *System) configure(ctx context.Context) error {
 	log := platform.NewLog(s.Log.URL())
-	bodies := map[document.Section]any{
-		document.CapacitySection: s.plan.document.Capacity,
-		document.ModelsSection:   s.plan.document.Models,
-		document.AccountsSection: s.plan.document.Accounts,
-		document.RoutingSection:  s.plan.document.Routing,
-	}
 	for _, section := range document.Sections() {
-		value, ok := bodies[section]
-		if !ok {
-			continue
-		}
-		body, err := yaml.Marshal(value)
+		body, err := s.plan.document.Encode(section)
 		if err != nil {
 			return trace.Wrap(err)
 		}
--- a/samples/samples.go
+++ b/samples/samples.go
@@ -65,7 +65,7 @@
 		if err != nil {
 			continue
 		}
-		if d, err = d.WithSection(section, raw); err != nil {
+		if d, err = d.Replace(section, raw); err != nil {
 			return d, trace.Wrap(err, "%s/%s.yaml", name, section)
 		}
 	}
--- a/samples/samples_test.go
+++ b/samples/samples_test.go
@@ -15,7 +15,13 @@
 		is := is.New(t)
 		s, err := samples.New(name)
 		is.NoErr(err)
-		is.NoErr(s.Document.Check())
+		for _, section := range document.Sections() {
+			raw, err := s.Document.Encode(section)
+			is.NoErr(err)
+			again, err := s.Document.Replace(section, raw)
+			is.NoErr(err) // what is shown can be published again
+			is.Equal(again, s.Document)
+		}
 		is.Equal(len(s.Settings), 6)
 		is.Equal(len(s.Document.Accounts.Accounts), 8)
 		is.Equal(len(s.Document.Capacity.Pools), 2)
