feat: stand-in engines with priorities, freeze and KV transfers; kept store

Reading a prompt held a lock for its whole length and ignored cancel; a short prompt now passes between the pieces of a long one, and a cancelled one frees the accelerator. A piece counts as cached once it was read, not before.

--- /dev/null
+++ b/emulator/kept.go
@@ -0,0 +1,18 @@
+package main
+
+import (
+	"context"
+
+	"github.com/kumquathoist/kumquathoist/standin"
+)
+
+type keptCommand struct {
+	listenFlags
+
+	Pieces int `default:"65536" help:"Pieces of prompts that the store keeps."`
+}
+
+// Run serves a kept KV cache store.
+func (c *keptCommand) Run(ctx context.Context) error {
+	return announce(standin.NewKept(ctx, c.Listen, c.Pieces))
+}
--- a/emulator/main.go
+++ b/emulator/main.go
@@ -20,6 +20,7 @@
 	HostList hostListCommand `cmd:"" help:"Stand in for the platform's host list."`
 	Engine   engineCommand   `cmd:"" help:"Stand in for a model engine."`
 	Weights  weightsCommand  `cmd:"" help:"Stand in for the weight store."`
+	Kept     keptCommand     `cmd:"" help:"Stand in for a kept KV cache store."`
 	Service  serviceCommand  `cmd:"" help:"Stand in for a plain service."`
 	Claims   claimsCommand   `cmd:"" help:"Measure claims against load and the number of hosts."`
 
@@ -69,6 +70,8 @@
 	TokenMillis  float64 `default:"5" help:"Milliseconds between two tokens."`
 	AnswerTokens int     `default:"32" help:"Tokens of an answer."`
 	CachePieces  int     `default:"256" help:"Pieces of prompts that the engine keeps."`
+	Slots        int     `default:"16" help:"Requests that run at once."`
+	Prefill      float64 `default:"40000" help:"Tokens of prompts read a second."`
 	ChecksFence  bool    `help:"Refuse orders with an old fencing number."`
 	WeightStore  string  `help:"Base URL of the weight store."`
 }
--- a/local/local.go
+++ b/local/local.go
@@ -25,6 +25,8 @@
 	operatorVariable = "KUMQUATHOIST_LOCAL_OPERATOR_SECRET"
 	// OperatorSecret is what operators of a local system prove themselves with.
 	OperatorSecret = "local"
+	// keptPieces is how many pieces a kept store holds.
+	keptPieces = 65_536
 	// startTimeout bounds the wait for the routers to be ready.
 	startTimeout = 10 * time.Second
 )
@@ -71,7 +73,15 @@
 
 // startUpstreams starts a stand-in for each upstream and notes its address.
 func (s *System) startUpstreams(ctx context.Context) error {
-	for _, pool := range s.plan.document.Capacity.Pools {
+	pools := s.plan.document.Capacity.Pools
+	for n, pool := range pools {
+		if pool.KeptStore != "" {
+			kept, err := standin.NewKept(ctx, anyPort, keptPieces)
+			if err != nil {
+				return err
+			}
+			pools[n].KeptStore = kept.URL()
+		}
 		for i, u := range pool.Upstreams {
 			address, err := s.startUpstream(ctx, pool, u)
 			if err != nil {
--- a/local/plan.go
+++ b/local/plan.go
@@ -37,10 +37,6 @@
 	for _, s := range sample.Settings {
 		p.hosts = append(p.hosts, s.Host)
 	}
-	for i := range p.document.Capacity.Pools {
-		// No stand-in for the kept store runs here.
-		p.document.Capacity.Pools[i].KeptStore = ""
-	}
 	return p, nil
 }
 
--- a/standin/cache.go
+++ b/standin/cache.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"container/list"
-	"encoding/json"
 
 	"github.com/kumquathoist/kumquathoist/prefix"
 )
@@ -21,7 +20,8 @@
 	return &pieceCache{capacity: capacity, order: list.New(), elements: map[prefix.Key]*list.Element{}, changed: func(prefix.Key, bool) {}}
 }
 
-// use returns how many leading pieces were kept, and keeps all of them.
+// use returns how many leading pieces are kept, and makes them the most
+// recently used ones.
 func (c *pieceCache) use(pieces []prefix.Key) int {
 	hits := 0
 	for hits < len(pieces) {
@@ -30,10 +30,16 @@
 		}
 		hits++
 	}
+	c.keep(pieces[:hits])
+	return hits
+}
+
+// keep keeps pieces; the first becomes the most recently used one, since the
+// others are of no use without it.
+func (c *pieceCache) keep(pieces []prefix.Key) {
 	for i := len(pieces) - 1; i >= 0; i-- {
 		c.touch(pieces[i])
 	}
-	return hits
 }
 
 // touch makes a piece the most recently used one.
@@ -53,22 +59,4 @@
 	c.changed(key, true)
 }
 
-// promptOf returns the text that a request's cached pieces are cut from.
-func promptOf(body completionBody) []byte {
-	if len(body.Messages) == 0 {
-		return []byte(body.Prompt)
-	}
-	var messages []struct {
-		Content string `json:"content"`
-	}
-	if json.Unmarshal(body.Messages, &messages) != nil {
-		return body.Messages
-	}
-	var prompt bytes.Buffer
-	for _, m := range messages {
-		prompt.WriteString(m.Content)
-	}
-	return prompt.Bytes()
-}
-
 func contains(prompt []byte, text string) bool { return bytes.Contains(prompt, []byte(text)) }
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -27,6 +27,11 @@
 	PrefillTokensPerSecond float64
 	// TokenMillis is the time between two tokens of an answer.
 	TokenMillis float64
+	// BatchShare is how much longer a token takes for each other request that
+	// runs, as a share of TokenMillis.
+	BatchShare float64
+	// TransferMillis is the time to send one cached piece.
+	TransferMillis float64
 	// Slots is how many requests the engine runs at once.
 	Slots int
 	// AnswerTokens is the length of an answer that sets no bound.
@@ -41,7 +46,8 @@
 func DefaultEngineOptions(name string) EngineOptions {
 	return EngineOptions{
 		Name: name, Version: "v1", CachePieces: 256,
-		PrefillTokensPerSecond: 40_000, TokenMillis: 5, Slots: 16, AnswerTokens: 32,
+		PrefillTokensPerSecond: 40_000, TokenMillis: 5, BatchShare: 0.02,
+		TransferMillis: 2, Slots: 16, AnswerTokens: 32,
 	}
 }
 
@@ -49,6 +55,8 @@
 type EngineFaults struct {
 	// SlowFactor multiplies the time of every token; 0 means 1.
 	SlowFactor float64
+	// Frozen holds back every answer and every token until it is reset.
+	Frozen bool
 	// CutAfterTokens cuts streams after as many tokens; 0 cuts none.
 	CutAfterTokens int
 	// OmitEnd leaves out the end marker.
@@ -87,8 +95,8 @@
 	*Server
 
 	options EngineOptions
-	slots   chan struct{}
-	prefill sync.Mutex
+	slots   *gate
+	prefill *gate
 
 	// mu guards the fields below.
 	mu          sync.Mutex
@@ -99,21 +107,26 @@
 	running     int
 	queued      int
 	faults      EngineFaults
-	cancelled   map[string]context.CancelFunc
-	orders      orders
+	// thawed closes at the end of a freeze; nil means not frozen.
+	thawed    chan struct{}
+	cancelled map[string]context.CancelFunc
+	orders    orders
 }
 
 // NewEngine serves an engine on an address until the context ends.
 func NewEngine(ctx context.Context, address string, options EngineOptions) (*Engine, error) {
 	e := &Engine{
 		options:     options,
-		slots:       make(chan struct{}, options.Slots),
+		slots:       newGate(options.Slots),
+		prefill:     newGate(1),
 		incarnation: time.Now().UnixNano(),
 		version:     options.Version,
 		cancelled:   map[string]context.CancelFunc{},
 	}
 	e.emptyCache()
 	app := newApp()
+	app.Post("/faults", e.setFaults)
+	app.Use(e.whenThawed)
 	app.Post("/v1/chat/completions", e.complete)
 	app.Post("/v1/completions", e.complete)
 	app.Get("/control/load", e.load)
@@ -121,7 +134,9 @@
 	app.Post("/control/cancel", e.cancel)
 	app.Post("/control/orders", e.order)
 	app.Get("/control/orders", e.ordersTaken)
-	app.Post("/faults", e.setFaults)
+	app.Get("/kv/:piece", e.piece)
+	app.Post("/control/import", e.importPieces)
+	app.Post("/control/export", e.exportPieces)
 	var err error
 	e.Server, err = newServer(ctx, address, app)
 	return e, err
@@ -139,6 +154,7 @@
 		e.emptyCache()
 		f.Restart = false
 	}
+	e.freeze(f.Frozen)
 	e.faults = f
 	return c.JSON(f)
 }
@@ -165,7 +181,7 @@
 // completionBody is what an engine reads of a request.
 type completionBody struct {
 	Model     string          `json:"model"`
-	Prompt    string          `json:"prompt"`
+	Prompt    json.RawMessage `json:"prompt"`
 	Messages  json.RawMessage `json:"messages"`
 	MaxTokens int             `json:"max_tokens"`
 }
@@ -178,6 +194,7 @@
 	model    string
 	seed     uint64
 	from, to int
+	priority int
 	faults   EngineFaults
 }
 
@@ -207,9 +224,16 @@
 	if after := c.Get("X-Resume-After"); after != "" {
 		r.from, _ = strconv.Atoi(after)
 	}
+	r.priority, _ = strconv.Atoi(c.Get("X-Priority"))
 	ctx, stop := context.WithCancel(context.Background())
-	e.admit(r.attempt, stop)
-	cached := e.process(scope, prompt)
+	if !e.admit(ctx, r, stop) {
+		return fiber.NewError(http.StatusServiceUnavailable, "cancelled")
+	}
+	cached, whole := e.process(ctx, scope, prompt, r)
+	if !whole {
+		e.release(r.attempt, stop)
+		return fiber.NewError(http.StatusServiceUnavailable, "cancelled")
+	}
 	c.Set("X-Incarnation", strconv.FormatInt(incarnation, 10))
 	c.Set("X-Weights", version)
 	c.Set("X-Cached-Tokens", strconv.Itoa(cached))
@@ -255,55 +279,11 @@
 	}
 }
 
-// admit waits for a slot.
-func (e *Engine) admit(attempt string, stop context.CancelFunc) {
-	e.mu.Lock()
-	e.queued++
-	e.journal.load(e.running, e.queued)
-	e.cancelled[attempt] = stop
-	e.mu.Unlock()
-	e.slots <- struct{}{}
-	e.mu.Lock()
-	e.queued--
-	e.running++
-	e.journal.load(e.running, e.queued)
-	e.mu.Unlock()
-}
-
-// release gives the slot back.
-func (e *Engine) release(attempt string, stop context.CancelFunc) {
-	stop()
-	e.mu.Lock()
-	e.running--
-	e.journal.load(e.running, e.queued)
-	delete(e.cancelled, attempt)
-	e.mu.Unlock()
-	<-e.slots
-}
-
-// process reads a prompt and returns how many of its tokens were cached.
-func (e *Engine) process(scope prefix.Scope, prompt []byte) int {
-	pieces := prefix.Pieces(scope, prompt)
-	e.prefill.Lock()
-	defer e.prefill.Unlock()
-	e.mu.Lock()
-	hits := e.cache.use(pieces)
-	e.mu.Unlock()
-	missing := prefix.Tokens(len(prompt)) - hits*prefix.PieceTokens
-	seconds := float64(missing) / e.options.PrefillTokensPerSecond
-	time.Sleep(time.Duration(seconds * float64(time.Second)))
-	return hits * prefix.PieceTokens
-}
-
 // write streams the tokens of an answer.
 func (e *Engine) write(ctx context.Context, w *bufio.Writer, r run) {
-	factor := max(r.faults.SlowFactor, 1)
-	pause := time.Duration(e.options.TokenMillis * factor * float64(time.Millisecond))
 	for position := r.from + 1; position <= r.to; position++ {
-		select {
-		case <-ctx.Done():
+		if !e.rest(ctx, e.tokenTime()) {
 			return
-		case <-time.After(pause):
 		}
 		if r.faults.CutAfterTokens > 0 && position > r.faults.CutAfterTokens {
 			return
