--- a/node/node.go
+++ b/node/node.go
@@ -70,7 +70,7 @@
 
 // start makes the parts in the order of their needs.
 func (n *Node) start(ctx context.Context, credentials peer.Credentials, operatorSecret settings.Secret) error {
-	metrics, scraped := n.startMetrics(ctx)
+	metrics, exporter := n.startMetrics(ctx)
 	log := platform.NewLog(n.settings.Platform.Log)
 	client := upstream.NewClient()
 	var err error
@@ -115,7 +115,7 @@
 	})
 	n.operator, err = operator.New(ctx, &n.wait, operator.Options{
 		Settings: n.settings, Secret: operatorSecret, Editor: revisions, Directory: directory,
-		Engines: engines, Metrics: scraped, Stop: n.Stop, Rollouts: keeper.Progress,
+		Engines: engines, Metrics: exporter, Stop: n.Stop, Rollouts: keeper.Progress,
 	})
 	if err != nil {
 		return err
