--- a/document/section.go
+++ b/document/section.go
@@ -1,6 +1,8 @@
 package document
 
 import (
+	"strconv"
+
 	"github.com/goccy/go-yaml"
 	"github.com/gravitational/trace"
 
@@ -109,5 +111,11 @@
 	if !ok {
 		return nil, trace.NotFound("there is no section %q", s)
 	}
-	return yaml.Marshal(value)
+	return yaml.MarshalWithOptions(value, yaml.CustomMarshaler(plainNumber))
+}
+
+// plainNumber writes a number without an exponent: the library writes 2e+07
+// and reads that back as text.
+func plainNumber(f float64) ([]byte, error) {
+	return strconv.AppendFloat(nil, f, 'f', -1, 64), nil
 }
--- a/event/event.go
+++ b/event/event.go
@@ -7,6 +7,7 @@
 
 import (
 	"errors"
+	"io"
 	"slices"
 	"strings"
 
@@ -41,3 +42,9 @@
 	slices.SortFunc(all, func(a, b Event) int { return a.Number - b.Number })
 	return all
 }
+
+// Discard drops every log line, for programs whose output a person reads.
+func Discard() {
+	klog.LogToStderr(false)
+	klog.SetOutput(io.Discard)
+}
--- a/local/local.go
+++ b/local/local.go
@@ -7,7 +7,6 @@
 	"os"
 	"time"
 
-	"github.com/goccy/go-yaml"
 	"github.com/google/uuid"
 	"github.com/gravitational/trace"
 
@@ -26,6 +25,8 @@
 	operatorVariable = "KUMQUATHOIST_LOCAL_OPERATOR_SECRET"
 	// OperatorSecret is what operators of a local system prove themselves with.
 	OperatorSecret = "local"
+	// keptPieces is how many pieces a kept store holds.
+	keptPieces = 65_536
 	// startTimeout bounds the wait for the routers to be ready.
 	startTimeout = 10 * time.Second
 )
@@ -72,7 +73,15 @@
 
 // startUpstreams starts a stand-in for each upstream and notes its address.
 func (s *System) startUpstreams(ctx context.Context) error {
-	for _, pool := range s.plan.document.Capacity.Pools {
+	pools := s.plan.document.Capacity.Pools
+	for n, pool := range pools {
+		if pool.KeptStore != "" {
+			kept, err := standin.NewKept(ctx, anyPort, keptPieces)
+			if err != nil {
+				return err
+			}
+			pools[n].KeptStore = kept.URL()
+		}
 		for i, u := range pool.Upstreams {
 			address, err := s.startUpstream(ctx, pool, u)
 			if err != nil {
@@ -107,18 +116,8 @@
 // configure publishes the first configuration.
 func (s *System) configure(ctx context.Context) error {
 	log := platform.NewLog(s.Log.URL())
-	bodies := map[document.Section]any{
-		document.CapacitySection: s.plan.document.Capacity,
-		document.ModelsSection:   s.plan.document.Models,
-		document.AccountsSection: s.plan.document.Accounts,
-		document.RoutingSection:  s.plan.document.Routing,
-	}
 	for _, section := range document.Sections() {
-		value, ok := bodies[section]
-		if !ok {
-			continue
-		}
-		body, err := yaml.Marshal(value)
+		body, err := s.plan.document.Encode(section)
 		if err != nil {
 			return trace.Wrap(err)
 		}
--- a/node/node.go
+++ b/node/node.go
@@ -93,7 +93,7 @@
 		return err
 	}
 	n.ready = func() bool {
-		return revisions.Ready() && len(directory.Entries()) > 0 && enginesKnown(revisions.State().Document, engines)
+		return revisions.Ready() && len(directory.Entries()) > 0 && enginesKnown(current(), engines)
 	}
 	claims, err := n.startClaims(ctx, log, directory, pool)
 	if err != nil {
