--- a/endtoend/harness_test.go
+++ b/endtoend/harness_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -163,6 +164,8 @@
 
 // system is a set of running processes.
 type system struct {
+	streamSeconds int
+
 	log, hostList, service *emulated
 	engines                []*emulated
 	routers                []*router
@@ -172,6 +175,8 @@
 type options struct {
 	routers, engines int
 	engineArgs       []string
+	// streamSeconds is the allowance of a planned stop; 0 means 20.
+	streamSeconds int
 }
 
 var addresses = regexp.MustCompile(`Callers="([^"]+)" Peers="([^"]+)" Operators="([^"]+)"`)
@@ -180,6 +185,8 @@
 func startSystem(t *testing.T, o options) *system {
 	t.Helper()
 	s := &system{
+		streamSeconds: cmp.Or(o.streamSeconds, 20),
+
 		log:      startEmulator(t, "log"),
 		hostList: startEmulator(t, "host-list"),
 		service:  startEmulator(t, "service", "--name", "approvals"),
@@ -207,7 +214,7 @@
 	conf.Host = settings.Host{Name: name, FailureDomain: "abbotsford", Region: "fraser-valley"}
 	conf.Listen = settings.Listen{Callers: "127.0.0.1:0", Peers: "127.0.0.1:0", Operators: "127.0.0.1:0"}
 	conf.Platform = settings.Platform{Log: s.log.url(), HostList: s.hostList.url()}
-	conf.Stop = settings.Stop{AddressSeconds: 1, StreamSeconds: 20}
+	conf.Stop = settings.Stop{AddressSeconds: 1, StreamSeconds: s.streamSeconds}
 	raw, err := yaml.Marshal(conf)
 	if err != nil {
 		t.Fatal(err)
