--- a/document/document.go
+++ b/document/document.go
@@ -25,6 +25,8 @@
 	Accounts Accounts `yaml:"Accounts"`
 	// Routing sets how engines are chosen.
 	Routing Routing `yaml:"Routing"`
+	// Audit bounds what is kept of past edits.
+	Audit Audit `yaml:"Audit"`
 }
 
 // Capacity is the section of the capacity team.
@@ -64,6 +66,10 @@
 	Generation string `yaml:"Generation,omitempty"`
 	// ChecksFence tells that the upstream refuses orders with an old fencing number.
 	ChecksFence bool `yaml:"ChecksFence,omitempty"`
+	// Role is what the engine does, or "" for any.
+	Role string `yaml:"Role,omitempty"`
+	// Leave makes the engine finish what it has and take no more.
+	Leave bool `yaml:"Leave,omitempty"`
 }
 
 // Models is the section of the models team.
@@ -78,6 +84,14 @@
 	Pool string `yaml:"Pool"`
 	// Version names the weights in force.
 	Version string `yaml:"Version"`
+	// From names the weights before, which may serve while engines load.
+	From string `yaml:"From,omitempty"`
+	// Adapters are loaded beside the weights.
+	Adapters []string `yaml:"Adapters,omitempty"`
+	// Paused holds back loading on engines that don't run the version yet.
+	Paused bool `yaml:"Paused,omitempty"`
+	// Interrupt lets the last ready engine of the pool load.
+	Interrupt bool `yaml:"Interrupt,omitempty"`
 }
 
 // Accounts is the section of the accounts team.
@@ -110,6 +124,34 @@
 	WasteWeight float64 `yaml:"WasteWeight"`
 }
 
+// Audit is the section that bounds what is kept of past edits. It is in the
+// document, since all hosts have to keep the same.
+type Audit struct {
+	// Verdicts is the most entries of the audit trail; 0 means the default.
+	Verdicts int `yaml:"Verdicts,omitempty"`
+	// Days is the age past which entries are dropped; 0 means no bound.
+	Days int `yaml:"Days,omitempty"`
+	// Bodies is the most older revisions kept of each section; 0 means the
+	// default.
+	Bodies int `yaml:"Bodies,omitempty"`
+}
+
+const (
+	defaultVerdicts = 1000
+	defaultBodies   = 3
+)
+
+// withDefaults returns the section with its defaults set.
+func (a Audit) withDefaults() Audit {
+	if a.Verdicts == 0 {
+		a.Verdicts = defaultVerdicts
+	}
+	if a.Bodies == 0 {
+		a.Bodies = defaultBodies
+	}
+	return a
+}
+
 // HashKey returns the KeyHash of an account's key.
 func HashKey(key string) string {
 	sum := sha256.Sum256([]byte(key))
--- a/endtoend/harness_test.go
+++ b/endtoend/harness_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"bytes"
-	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -164,19 +163,20 @@
 
 // system is a set of running processes.
 type system struct {
-	streamSeconds int
-
 	log, hostList, service *emulated
 	engines                []*emulated
 	routers                []*router
+	// configure changes the settings of routers that are started.
+	configure func(*settings.Settings)
 }
 
 // options sets the size of a system.
 type options struct {
 	routers, engines int
 	engineArgs       []string
-	// streamSeconds is the allowance of a planned stop; 0 means 20.
-	streamSeconds int
+	// configure changes the settings of every router; the system has its
+	// stand-ins by then.
+	configure func(*system, *settings.Settings)
 }
 
 var addresses = regexp.MustCompile(`Callers="([^"]+)" Peers="([^"]+)" Operators="([^"]+)"`)
@@ -185,8 +185,6 @@
 func startSystem(t *testing.T, o options) *system {
 	t.Helper()
 	s := &system{
-		streamSeconds: cmp.Or(o.streamSeconds, 20),
-
 		log:      startEmulator(t, "log"),
 		hostList: startEmulator(t, "host-list"),
 		service:  startEmulator(t, "service", "--name", "approvals"),
@@ -195,6 +193,9 @@
 		args := append([]string{"--name", fmt.Sprintf("engine-%d", i+1)}, o.engineArgs...)
 		s.engines = append(s.engines, startEmulator(t, "engine", args...))
 	}
+	if o.configure != nil {
+		s.configure = func(conf *settings.Settings) { o.configure(s, conf) }
+	}
 	for i := range o.routers {
 		s.routers = append(s.routers, s.startRouter(t, fmt.Sprintf("host-%d", i+1)))
 	}
@@ -214,7 +215,10 @@
 	conf.Host = settings.Host{Name: name, FailureDomain: "abbotsford", Region: "fraser-valley"}
 	conf.Listen = settings.Listen{Callers: "127.0.0.1:0", Peers: "127.0.0.1:0", Operators: "127.0.0.1:0"}
 	conf.Platform = settings.Platform{Log: s.log.url(), HostList: s.hostList.url()}
-	conf.Stop = settings.Stop{AddressSeconds: 1, StreamSeconds: s.streamSeconds}
+	conf.Stop = settings.Stop{AddressSeconds: 1, StreamSeconds: 20}
+	if s.configure != nil {
+		s.configure(&conf)
+	}
 	raw, err := yaml.Marshal(conf)
 	if err != nil {
 		t.Fatal(err)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -16,7 +16,6 @@
 
 	"github.com/kumquathoist/kumquathoist/document"
 	"github.com/kumquathoist/kumquathoist/event"
-	"github.com/kumquathoist/kumquathoist/platform"
 	"github.com/kumquathoist/kumquathoist/request"
 	"github.com/kumquathoist/kumquathoist/settings"
 	"github.com/kumquathoist/kumquathoist/upstream"
@@ -33,9 +32,10 @@
 	Serve(ctx context.Context, doc document.Document, r request.Request) (upstream.Answer, *request.Failure)
 }
 
-// directory knows the entry hosts.
-type directory interface {
-	Entries() []platform.Host
+// engines knows which weights engines serve.
+type engines interface {
+	// Ready returns how many engines of a pool serve a version.
+	Ready(pool document.Pool, version string) int
 }
 
 // Options is what a gateway needs.
@@ -44,7 +44,8 @@
 	// Document returns the configuration in force and whether there is one.
 	Document  func() (document.Document, bool)
 	Runner    runner
-	Directory directory
+	Directory hosts
+	Engines   engines
 	Metrics   tally.Scope
 }
 
--- /dev/null
+++ b/node/configuration.go
@@ -0,0 +1,35 @@
+package node
+
+import (
+	"context"
+
+	"github.com/gravitational/trace"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/kumquathoist/kumquathoist/host"
+	"github.com/kumquathoist/kumquathoist/peer"
+	"github.com/kumquathoist/kumquathoist/peerpb"
+	"github.com/kumquathoist/kumquathoist/platform"
+	"github.com/kumquathoist/kumquathoist/revision"
+)
+
+// entrySource knows the entry hosts.
+type entrySource struct{ *host.Directory }
+
+// startConfiguration follows the configuration and answers other hosts that
+// ask for it. Until membership has started it knows no other host.
+func (n *Node) startConfiguration(ctx context.Context, log *platform.Log, pool *peer.Pool, metrics tally.Scope) (*revision.Keeper, error) {
+	keeper := revision.New(ctx, &n.wait, revision.Options{
+		Host: n.settings.Host.Name, Log: log, Metrics: metrics,
+		Members: func() []platform.Host {
+			if source := n.entries.Load(); source != nil {
+				return source.Entries()
+			}
+			return nil
+		},
+		Peers:     revision.Client{Pool: pool, Address: n.Peers},
+		Retention: n.settings.Configuration.LogRetention(), SnapshotShare: n.settings.Configuration.SnapshotShare,
+	})
+	err := peerpb.DRPCRegisterDocuments(n.peers, revision.Service{Keeper: keeper, Context: ctx})
+	return keeper, trace.Wrap(err, "registering the documents service")
+}
--- a/node/quarantine.go
+++ b/node/quarantine.go
@@ -6,16 +6,10 @@
 	"github.com/kumquathoist/kumquathoist/crash"
 	"github.com/kumquathoist/kumquathoist/host"
 	"github.com/kumquathoist/kumquathoist/peer"
-	"github.com/kumquathoist/kumquathoist/settings"
 )
 
 // newGuard starts the sharing of crash records with the other hosts.
-func (n *Node) newGuard(ctx context.Context, secret settings.Secret, directory *host.Directory) (*crash.Guard, error) {
-	pool := peer.NewPool(secret)
-	n.wait.Go(func() {
-		<-ctx.Done()
-		pool.Close()
-	})
+func (n *Node) newGuard(ctx context.Context, pool *peer.Pool, directory *host.Directory) (*crash.Guard, error) {
 	others := func() []string {
 		var addresses []string
 		for _, h := range directory.Entries() {
--- a/node/stop.go
+++ b/node/stop.go
@@ -36,6 +36,7 @@
 	}
 	event.Stopping.Info("Host", n.settings.Host.Name, "Open", n.gateway.Open())
 	n.gateway.Stop()
+	n.directory.Leave()
 	pause(ctx, n.settings.Stop.AddressTTL()+leaveSpread)
 	n.awaitNoneOpen(ctx, n.settings.Stop.StreamAllowance())
 	handed := n.gateway.Open()
