feat: losses of other engines weigh against condemning a request

Each engine that is lost without the request within half a minute asks for one more lost engine, up to the four that condemn in any case.

--- a/endtoend/stream_test.go
+++ b/endtoend/stream_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/kumquathoist/kumquathoist/settings"
 	"github.com/kumquathoist/kumquathoist/standin"
 )
 
@@ -194,3 +195,36 @@
 	is.Equal(status, http.StatusServiceUnavailable)
 	is.True(strings.Contains(answer, `"outcome":"NotRun"`))
 }
+
+// TestPlannedStop stops a router with SIGTERM: it leaves the address answers
+// first, still serves callers with a kept answer, cuts no request, and ends
+// the stream that is longer than its allowance with an event that tells how
+// to go on at another router.
+func TestPlannedStop(t *testing.T) {
+	is := is.New(t)
+	s := startSystem(t, options{
+		routers: 2, engines: 2, engineArgs: []string{"--token-millis", "20"},
+		configure: func(_ *system, conf *settings.Settings) { conf.Stop.StreamSeconds = 1 },
+	})
+	long := fmt.Sprintf(streamBody, 250, "a long reconciliation")
+	first := openStream(t, s.routers[0], long, 0, "")
+	first.read(5)
+	s.routers[0].signal(syscall.SIGTERM)
+	eventually(t, "the stopping router leaves its address answer", func() bool {
+		body, _ := s.routers[0].send(t, http.MethodGet, "/v1/addresses", nil, "")
+		return !strings.Contains(body, s.routers[0].callers) && strings.Contains(body, s.routers[1].callers)
+	})
+	short := fmt.Sprintf(streamBody, 5, "a quick flag")
+	is.Equal(whole(t, s.routers[0], short), whole(t, s.routers[1], short))
+
+	first.read(0)
+	is.True(!first.ended)
+	is.True(strings.Contains(first.failure, `"code":"HostStopping"`))
+	is.True(strings.Contains(first.failure, fmt.Sprintf("Last-Event-ID: %d and X-Model-Version: v1", len(first.events))))
+	second := openStream(t, s.routers[1], long, len(first.events), first.version)
+	second.read(0)
+	is.True(second.ended)
+	is.Equal(append(first.events, second.events...), whole(t, s.routers[1], long))
+	<-s.routers[0].done
+	is.True(strings.Contains(s.routers[0].output(), "HandedOver=1 Cut=0"))
+}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -165,33 +165,39 @@
 	return found
 }
 
-// otherLosses returns 1 when an engine without the request was lost shortly
-// before or after, else 0.
+// otherLosses counts engines that were lost without the request shortly
+// before or after, up to the number that leaves only mostEngines to count.
 func (t Table) otherLosses(f Fingerprint, losses map[string]Record) int {
+	engines := map[string]bool{}
 	for _, r := range t.records {
-		if _, with := losses[r.Engine]; with || r.Answered || r.Fingerprint == f {
-			continue
+		if _, with := losses[r.Engine]; !with && !r.Answered && r.Fingerprint != f && near(r, losses, background) {
+			engines[r.Engine] = true
 		}
-		for _, l := range losses {
-			if within(r, l, background) {
-				return 1
-			}
+	}
+	return min(len(engines), mostEngines-enoughEngines)
+}
+
+// near tells whether a record is within a time of one of the losses.
+func near(r Record, losses map[string]Record, d time.Duration) bool {
+	for _, l := range losses {
+		if within(r, l, d) {
+			return true
 		}
 	}
-	return 0
+	return false
 }
 
 // shared tells whether another request, not answered since, was on every one
 // of the lost engines.
 func (t Table) shared(f Fingerprint, losses map[string]Record, now time.Time) bool {
-	others := map[Fingerprint]bool{}
+	tested := map[Fingerprint]bool{f: true}
 	for _, r := range t.records {
-		if r.Fingerprint != f && !r.Answered {
-			others[r.Fingerprint] = true
+		l, with := losses[r.Engine]
+		if !with || tested[r.Fingerprint] || !within(r, l, sameLoss) {
+			continue
 		}
-	}
-	for other := range others {
-		if coversAll(t.losses(other, now), losses) {
+		tested[r.Fingerprint] = true
+		if coversAll(t.losses(r.Fingerprint, now), losses) {
 			return true
 		}
 	}
