feat: record that an answer was lost, so that repeats are told at once

A repeat of a booking whose answer was lost waited 5 s for an answer that could not come, then was told unknown. Ends no longer repeat the request's fingerprint.

--- a/claim/execution.go
+++ b/claim/execution.go
@@ -77,8 +77,8 @@
 // WithLost takes that the endpoint gave no answer and may have run the call.
 // The claim stays, so that no repeat runs.
 func (e Execution) WithLost() (Execution, Action) {
-	f := request.Refuse(request.UpstreamFailed, "the service did not answer").WithOutcome(request.Unknown)
-	return e, Action{Reply: &Reply{Failure: f}}
+	end := e.record.WithLoss()
+	return e, Action{End: &end, Reply: &Reply{Failure: lost()}}
 }
 
 // WithAnswer takes the endpoint's answer.
@@ -102,6 +102,12 @@
 	return Action{End: &end, Reply: &Reply{Failure: f}}
 }
 
+// lost is the answer when the service may have run the call.
+func lost() *request.Failure {
+	const message = "the service did not answer: the request may have run, and is not sent again"
+	return request.Refuse(request.UpstreamFailed, message).WithOutcome(request.Unknown)
+}
+
 // unconfirmed is the answer while the log does not answer.
 func unconfirmed() *request.Failure {
 	const message = "the log does not answer: this call was not run, but whether an earlier one with the same key was can't be told"
@@ -115,6 +121,8 @@
 		return &Reply{Failure: request.Refuse(request.AnswerNotKept, "the request ran and its answer was too large to keep").WithOutcome(request.Done)}
 	case s == Finished:
 		return &Reply{Answer: entry}
+	case s == Lost:
+		return &Reply{Failure: lost()}
 	case s == Running:
 		return &Reply{Failure: request.Refuse(request.InProgress, "the same request was sent before and its outcome is not known yet").WithOutcome(request.Unknown).WithRetryAfter(retryAfter)}
 	case s == Mismatch:
--- a/claim/record.go
+++ b/claim/record.go
@@ -35,6 +35,9 @@
 	Take Kind = "Take"
 	// Finish records the answer of the attempt that holds the key.
 	Finish Kind = "Finish"
+	// Lose tells that the attempt sent the request and got no answer, so that
+	// its outcome will stay unknown.
+	Lose Kind = "Lose"
 	// Release tells that the attempt never sent the request and never will.
 	Release Kind = "Release"
 )
@@ -62,7 +65,7 @@
 // WithAnswer returns the record that finishes the attempt. An answer larger
 // than MaxAnswerBytes is not kept.
 func (r Record) WithAnswer(status int, contentType string, body []byte) Record {
-	r.Kind, r.Status, r.ContentType = Finish, status, contentType
+	r.Kind, r.Fingerprint, r.Status, r.ContentType = Finish, "", status, contentType
 	r.Omitted = len(body) > MaxAnswerBytes
 	if !r.Omitted {
 		r.Body = body
@@ -70,9 +73,15 @@
 	return r
 }
 
+// WithLoss returns the record that tells that the answer was lost.
+func (r Record) WithLoss() Record {
+	r.Kind, r.Fingerprint = Lose, ""
+	return r
+}
+
 // WithRelease returns the record that gives the key back.
 func (r Record) WithRelease() Record {
-	r.Kind = Release
+	r.Kind, r.Fingerprint = Release, ""
 	return r
 }
 
--- a/claim/table.go
+++ b/claim/table.go
@@ -15,6 +15,8 @@
 	Running
 	// Finished means that the key has an answer.
 	Finished
+	// Lost means that another attempt sent the request and lost its answer.
+	Lost
 	// Expired means that the claim came outside the lifetime of its key, so
 	// that the log may have forgotten an earlier one.
 	Expired
@@ -29,6 +31,7 @@
 	// TakenMillis is the log's time of the winning claim.
 	TakenMillis int64
 	Finished    bool
+	Lost        bool
 	Status      int
 	ContentType string
 	Body        []byte
@@ -95,15 +98,27 @@
 func (t *Table) apply(r Record) {
 	k := name{r.Account, r.Key}
 	e, taken := t.entries[k]
-	switch {
-	case r.Kind == Take && !taken:
-		t.take(k, r)
-	case r.Kind == Finish && taken && e.Attempt == r.Attempt && !e.Finished:
-		e.Finished, e.Status, e.ContentType, e.Body, e.Omitted = true, r.Status, r.ContentType, r.Body, r.Omitted
-		t.entries[k] = e
-		t.keepAnswer(k, e)
-	case r.Kind == Release && (!taken || e.Attempt != r.Attempt || !e.Finished):
-		t.release(k, e, r)
+	holds := taken && e.Attempt == r.Attempt
+	switch r.Kind {
+	case Take:
+		if !taken {
+			t.take(k, r)
+		}
+	case Finish:
+		if holds && !e.Finished {
+			e.Finished, e.Status, e.ContentType, e.Body, e.Omitted = true, r.Status, r.ContentType, r.Body, r.Omitted
+			t.entries[k] = e
+			t.keepAnswer(k, e)
+		}
+	case Lose:
+		if holds && !e.Finished {
+			e.Lost = true
+			t.entries[k] = e
+		}
+	case Release:
+		if !holds || !e.Finished && !e.Lost {
+			t.release(k, e, r)
+		}
 	}
 }
 
@@ -189,6 +204,8 @@
 		return Mismatch, e
 	case e.Finished:
 		return Finished, e
+	case e.Lost:
+		return Lost, e
 	case e.Attempt == r.Attempt:
 		return Held, e
 	}
--- a/claim/table_test.go
+++ b/claim/table_test.go
@@ -230,6 +230,8 @@
 		{"finished", []claim.Record{take, take.WithAnswer(200, "", nil), other}, at, other, claim.Finished},
 		{"another body", []claim.Record{take, changed}, at, changed, claim.Mismatch},
 		{"another account", []claim.Record{take, foreign}, at, foreign, claim.Held},
+		{"answer lost", []claim.Record{take, take.WithLoss(), other}, at, other, claim.Lost},
+		{"release after the loss", []claim.Record{take, take.WithLoss(), take.WithRelease(), other}, at, other, claim.Lost},
 		{"released", []claim.Record{take, take.WithRelease(), other}, at, other, claim.Held},
 		{"claim lands after its release", []claim.Record{take.WithRelease(), take}, at, take, claim.Free},
 		{"release after the answer", []claim.Record{take, take.WithAnswer(200, "", nil), take.WithRelease(), other}, at, other, claim.Finished},
