--- a/dispatch/session_test.go
+++ b/dispatch/session_test.go
@@ -44,8 +44,10 @@
 	t       *testing.T
 	engines []document.Upstream
 	scripts [][]script
-	router  *dispatch.Dispatcher
-	caller  string
+	// onCancel is what engines do with a cancel, if anything.
+	onCancel func(ctx context.Context)
+	router   *dispatch.Dispatcher
+	caller   string
 	// mu guards the fields below. Cancels come at any time after a failure,
 	// so that they are kept apart.
 	mu      sync.Mutex
@@ -116,6 +118,9 @@
 func (s *session) answer(i int, w http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(r.Body)
 	if r.URL.Path == "/control/cancel" {
+		if s.onCancel != nil {
+			s.onCancel(r.Context())
+		}
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.calls++
--- a/dispatch/slow_test.go
+++ b/dispatch/slow_test.go
@@ -54,3 +54,22 @@
 	is.Equal(position, events)
 	is.NoErr(resp.Body.Close())
 }
+
+// TestAnswerBeforeCancel lets the engine take a cancel only once the caller
+// has its final answer.
+func TestAnswerBeforeCancel(t *testing.T) {
+	is := is.New(t)
+	s := newSession(t, []script{tokens(1, 2, hangs)})
+	answered, cancelled := make(chan struct{}), make(chan error, 1)
+	s.onCancel = func(ctx context.Context) {
+		select {
+		case <-answered:
+			cancelled <- nil
+		case <-ctx.Done():
+			cancelled <- ctx.Err()
+		}
+	}
+	s.send(nil, s.router.Stop)
+	close(answered)
+	is.NoErr(<-cancelled)
+}
--- a/endtoend/stream_test.go
+++ b/endtoend/stream_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -183,6 +184,24 @@
 	is.Equal(append(first.events, second.events...), whole(t, s.routers[1], body))
 }
 
+// TestRouterFrozen freezes a router in mid-stream for longer than it waits for
+// a token, and thaws it: the stream is whole.
+func TestRouterFrozen(t *testing.T) {
+	const frozen = 4 * time.Second
+	is := is.New(t)
+	s := startSystem(t, options{routers: 1, engines: 2, engineArgs: []string{"--token-millis", "20"}})
+	body := fmt.Sprintf(streamBody, 100, "prompt")
+	want := whole(t, s.routers[0], body)
+	c := openStream(t, s.routers[0], body, 0, "")
+	c.read(10)
+	s.routers[0].signal(syscall.SIGSTOP)
+	time.Sleep(frozen)
+	s.routers[0].signal(syscall.SIGCONT)
+	c.read(0)
+	is.True(c.ended)
+	is.Equal(c.events, want)
+}
+
 // TestResumeNeedsVersion refuses to go on with an answer whose weights are
 // not named, or are not there any more.
 func TestResumeNeedsVersion(t *testing.T) {
