--- a/document/section.go
+++ b/document/section.go
@@ -1,6 +1,8 @@
 package document
 
 import (
+	"strconv"
+
 	"github.com/goccy/go-yaml"
 	"github.com/gravitational/trace"
 
@@ -79,6 +81,23 @@
 	return nil, false
 }
 
+// withSectionOf returns the document with one section of another one.
+func (d Document) withSectionOf(other Document, s Section) Document {
+	switch s {
+	case CapacitySection:
+		d.Capacity = other.Capacity
+	case ModelsSection:
+		d.Models = other.Models
+	case AccountsSection:
+		d.Accounts = other.Accounts
+	case RoutingSection:
+		d.Routing = other.Routing
+	case AuditSection:
+		d.Audit = other.Audit
+	}
+	return d
+}
+
 // Encode returns the YAML of one section.
 func (d Document) Encode(s Section) ([]byte, error) {
 	values := map[Section]any{
@@ -92,5 +111,11 @@
 	if !ok {
 		return nil, trace.NotFound("there is no section %q", s)
 	}
-	return yaml.Marshal(value)
+	return yaml.MarshalWithOptions(value, yaml.CustomMarshaler(plainNumber))
+}
+
+// plainNumber writes a number without an exponent: the library writes 2e+07
+// and reads that back as text.
+func plainNumber(f float64) ([]byte, error) {
+	return strconv.AppendFloat(nil, f, 'f', -1, 64), nil
 }
--- a/endtoend/leaving_test.go
+++ b/endtoend/leaving_test.go
@@ -34,6 +34,7 @@
 // has an old host list; the engine itself tells nothing. Neither router gives
 // it new work, and no request fails.
 func TestStaleHostList(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	stale := startEmulator(t, "host-list")
 	s := startSystem(t, options{
--- a/endtoend/stream_test.go
+++ b/endtoend/stream_test.go
@@ -115,6 +115,7 @@
 // TestEngineFaults puts a fault into the engine of a running stream: the
 // caller's stream is whole, in order and has the same text.
 func TestEngineFaults(t *testing.T) {
+	t.Parallel()
 	const tokens = 150
 	faults := []struct {
 		name string
@@ -146,6 +147,7 @@
 // without its end marker: the caller gets the rest from other engines, or an
 // explicit error, never a silent end.
 func TestEngineStreamFaults(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	s := startSystem(t, options{routers: 1, engines: 3})
 	body := fmt.Sprintf(streamBody, 30, "prompt")
@@ -168,6 +170,7 @@
 // TestRouterKilled kills a router in mid-stream: the caller goes on at
 // another one after the last event that it has.
 func TestRouterKilled(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	s := startSystem(t, options{routers: 2, engines: 2, engineArgs: []string{"--token-millis", "20"}})
 	body := fmt.Sprintf(streamBody, 100, "prompt")
@@ -187,6 +190,7 @@
 // TestRouterFrozen freezes a router in mid-stream for longer than it waits for
 // a token, and thaws it: the stream is whole.
 func TestRouterFrozen(t *testing.T) {
+	t.Parallel()
 	const frozen = 4 * time.Second
 	is := is.New(t)
 	s := startSystem(t, options{routers: 1, engines: 2, engineArgs: []string{"--token-millis", "20"}})
@@ -205,6 +209,7 @@
 // TestResumeNeedsVersion refuses to go on with an answer whose weights are
 // not named, or are not there any more.
 func TestResumeNeedsVersion(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	s := startSystem(t, options{routers: 1, engines: 1})
 	body := fmt.Sprintf(streamBody, 10, "prompt")
@@ -220,6 +225,7 @@
 // the stream that is longer than its allowance with an event that tells how
 // to go on at another router.
 func TestPlannedStop(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	s := startSystem(t, options{
 		routers: 2, engines: 2, engineArgs: []string{"--token-millis", "20"},
--- a/node/node.go
+++ b/node/node.go
@@ -97,22 +97,25 @@
 		return err
 	}
 	n.ready = func() bool {
-		return revisions.Ready() && len(directory.Entries()) > 0 && enginesKnown(revisions.State().Document, engines)
+		return revisions.Ready() && len(directory.Entries()) > 0 && enginesKnown(current(), engines)
 	}
 	claims, err := n.startClaims(ctx, log, directory, pool)
 	if err != nil {
 		return err
 	}
 	keeper := n.startOrders(ctx, log, directory, client, engines, revisions)
-	guard, err := n.newGuard(ctx, pool, directory)
+	limits, err := n.startLimits(ctx, pool, directory, revisions)
 	if err != nil {
 		return err
 	}
-	dispatcher := dispatch.New(dispatch.Options{
-		Client: client, Engines: meteredEngines{engines, metrics}, Admit: admission.New(admission.Options{Estimator: engines, Metrics: metrics}),
-		Claims: claims, Leaving: leaving, Crashes: guard,
+	dispatcher, err := n.startDispatch(ctx, pool, directory, dispatch.Options{
+		Client: client, Engines: meteredEngines{engines, metrics},
+		Admit:  limitedGate{limits, admission.New(admission.Options{Estimator: engines, Metrics: metrics})},
+		Claims: claims, Leaving: leaving,
 	})
-	n.runner = dispatcher
+	if err != nil {
+		return err
+	}
 	n.wait.Go(func() {
 		defer pool.Close()
 		_ = n.peers.Serve(ctx)
