--- a/node/node.go
+++ b/node/node.go
@@ -104,20 +104,18 @@
 		return err
 	}
 	keeper := n.startOrders(ctx, log, directory, client, engines, revisions)
-	guard, err := n.newGuard(ctx, pool, directory)
-	if err != nil {
-		return err
-	}
 	limits, err := n.startLimits(ctx, pool, directory, revisions)
 	if err != nil {
 		return err
 	}
-	dispatcher := dispatch.New(dispatch.Options{
+	dispatcher, err := n.startDispatch(ctx, pool, directory, dispatch.Options{
 		Client: client, Engines: meteredEngines{engines, metrics},
 		Admit:  limitedGate{limits, admission.New(admission.Options{Estimator: engines, Metrics: metrics})},
-		Claims: claims, Leaving: leaving, Crashes: guard,
+		Claims: claims, Leaving: leaving,
 	})
-	n.runner = dispatcher
+	if err != nil {
+		return err
+	}
 	n.wait.Go(func() {
 		defer pool.Close()
 		_ = n.peers.Serve(ctx)
