fix: ask peers before the log at the start

Seen failing first: TestStartAsksPeersFirst ('0 != 1': the first read was from offset 0). Records are folded in parts of 64 KiB, so that a peer's state is not held up. Not measured: such a restart itself.

--- a/revision/exchange.go
+++ b/revision/exchange.go
@@ -58,6 +58,11 @@
 // exchange asks peers for a newer configuration until the context ends: many
 // of them until this host is ready, then one at a time.
 func (k *Keeper) exchange(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-k.greeted:
+	}
 	for ctx.Err() == nil {
 		if k.Ready() {
 			k.exchangeOnce(ctx)
@@ -127,8 +132,8 @@
 	}
 }
 
-// askMany asks several peers at once and makes the host ready if they gave a
-// configuration and the log was tried. A peer whose answer can't be used may
+// askMany asks several peers at once; a host that the log does not serve is
+// ready with what they gave. A peer whose answer can't be used may
 // have something newer, so that the host is not ready then.
 func (k *Keeper) askMany(ctx context.Context) {
 	chosen := k.pick(startFanout)
@@ -145,9 +150,8 @@
 	err := calls.Wait()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if err == nil && len(chosen) > 0 && k.logTried && k.replica.Position() >= 0 && k.replica.Halt == "" {
-		k.ready.Store(true)
-	}
+	k.told = err == nil && len(chosen) > 0
+	k.settle()
 }
 
 // ask asks one peer for a newer configuration and takes it.
--- a/revision/follow.go
+++ b/revision/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"iter"
 	"math/rand/v2"
 	"time"
 
@@ -19,10 +20,35 @@
 	readTimeout = 2 * time.Second
 	// retryInterval is the mean pause after a failed read.
 	retryInterval = 500 * time.Millisecond
+	// startGrace is how long a starting host waits to know another one, and
+	// startPause the time between two looks.
+	startGrace = 500 * time.Millisecond
+	startPause = 10 * time.Millisecond
+	// partBytes is how much of the log is folded in one step.
+	partBytes = 64 << 10
 )
 
+// greet asks peers before the first read of the log: what the log keeps may
+// take long to fold, and a peer has done so.
+func (k *Keeper) greet(ctx context.Context) {
+	defer close(k.greeted)
+	deadline := time.Now().Add(startGrace)
+	for len(k.pick(1)) == 0 && ctx.Err() == nil {
+		if time.Now().After(deadline) {
+			return
+		}
+		pause(ctx, startPause)
+	}
+	k.askMany(ctx)
+	if k.State().Position() < 0 {
+		// Hosts that started together don't read the log together.
+		pause(ctx, jitter(startInterval))
+	}
+}
+
 // follow reads the log until the context ends.
 func (k *Keeper) follow(ctx context.Context) {
+	k.greet(ctx)
 	wait := time.Duration(0)
 	for ctx.Err() == nil {
 		err := k.read(ctx, wait)
@@ -49,6 +75,16 @@
 		event.LogReachable.Info("Stream", platform.ConfigurationStream)
 	}
 	k.logTried, k.logDown = true, err != nil
+	k.settle()
+}
+
+// settle makes the host ready if the log was tried and peers gave a
+// configuration. The caller holds mu.
+func (k *Keeper) settle() {
+	behind := k.logDown || k.gap || k.reset
+	if k.told && k.logTried && behind && k.replica.Position() >= 0 && k.replica.Halt == "" {
+		k.ready.Store(true)
+	}
 }
 
 // read folds what one read of the log gives.
@@ -67,13 +103,33 @@
 	for i, r := range page.Records {
 		records[i] = document.Record(r)
 	}
-	k.take(page, document.Page{Records: records, First: page.First, Next: page.Next})
+	for part := range parts(records) {
+		k.update(func(r document.Replica) document.Replica {
+			return r.Read(document.Page{Records: part, First: page.First, Next: page.Next})
+		})
+	}
+	k.take(page, document.Page{First: page.First, Next: page.Next})
 	return nil
 }
 
-// take applies one page of the log.
+// parts splits records, so that no step of folding holds others up for long.
+func parts(records []document.Record) iter.Seq[[]document.Record] {
+	return func(yield func([]document.Record) bool) {
+		begin, bytes := 0, 0
+		for i, r := range records {
+			if bytes += len(r.Data); bytes < partBytes && i+1 < len(records) {
+				continue
+			}
+			if !yield(records[begin : i+1]) {
+				return
+			}
+			begin, bytes = i+1, 0
+		}
+	}
+}
+
+// take takes what a page tells beside its records.
 func (k *Keeper) take(raw platform.Page, page document.Page) {
-	k.update(func(r document.Replica) document.Replica { return r.Read(page) })
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	raw.Records = nil
--- a/revision/revision.go
+++ b/revision/revision.go
@@ -74,6 +74,9 @@
 	// heard holds a newer position that a heartbeat told of.
 	heard chan news
 
+	// greeted closes once peers were asked for the first time.
+	greeted chan struct{}
+
 	// mu guards the fields below. Nothing else is locked while it is held.
 	mu sync.Mutex
 	// changed closes with the next change of state.
@@ -89,6 +92,8 @@
 	// logTried tells that the log answered or failed once; logDown that its
 	// last answer is missing.
 	logTried, logDown bool
+	// told tells that every peer that answered gave what it has.
+	told bool
 	// gap and reset tell what the log lacks.
 	gap, reset bool
 }
@@ -97,7 +102,7 @@
 func New(ctx context.Context, wait *conc.WaitGroup, o Options) *Keeper {
 	k := &Keeper{
 		Options: o, changed: make(chan struct{}), replica: document.NewReplica(),
-		serving: make(chan struct{}, maxServing), advanced: make(chan struct{}, 1), heard: make(chan news, 1),
+		serving: make(chan struct{}, maxServing), advanced: make(chan struct{}, 1), heard: make(chan news, 1), greeted: make(chan struct{}),
 	}
 	initial := k.replica.State
 	k.state.Store(&initial)
--- a/revision/revision_test.go
+++ b/revision/revision_test.go
@@ -27,6 +27,8 @@
 	records []platform.Record
 	// readErr and appendErr are what calls fail with.
 	readErr, appendErr error
+	// from holds the offsets that were read from.
+	from []int64
 	// loseAnswers is how many appends take effect and lose their answer.
 	loseAnswers int
 }
@@ -49,6 +51,7 @@
 	pause(ctx, time.Millisecond)
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.from = append(l.from, from)
 	if l.readErr != nil {
 		return platform.Page{}, l.readErr
 	}
@@ -195,6 +198,22 @@
 	}
 }
 
+// TestStartAsksPeersFirst checks that a restarted host does not fold all that
+// the log keeps when a peer has folded it.
+func TestStartAsksPeersFirst(t *testing.T) {
+	is := is.New(t)
+	log := &fakeLog{}
+	raw, err := document.EncodeEdit(firstEdit)
+	is.NoErr(err)
+	_, err = log.Append(context.Background(), "", raw)
+	is.NoErr(err)
+	k := startKeeper(t, log, &fakePeers{offer: offerOf(t, 1)})
+	eventually(t, k.Ready)
+	log.mu.Lock()
+	defer log.mu.Unlock()
+	is.Equal(log.from[0], int64(1))
+}
+
 // TestTurnOrdersWriters checks that one host writes snapshots at once and each
 // other one waits longer.
 func TestTurnOrdersWriters(t *testing.T) {
