--- a/endtoend/configuration_test.go
+++ b/endtoend/configuration_test.go
@@ -8,13 +8,16 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 
 	"github.com/matryer/is"
 
 	"github.com/kumquathoist/kumquathoist/operator"
+	"github.com/kumquathoist/kumquathoist/placement"
 	"github.com/kumquathoist/kumquathoist/platform"
 	"github.com/kumquathoist/kumquathoist/settings"
 	"github.com/kumquathoist/kumquathoist/standin"
@@ -186,6 +189,34 @@
 	is.True(strings.HasSuffix(strings.TrimSpace(string(raw)), "data: [DONE]"))
 }
 
+// TestPausedSnapshotWriter freezes the host that writes snapshots until the log
+// has dropped every edit; another one writes, and the thawed host overrides
+// nothing.
+func TestPausedSnapshotWriter(t *testing.T) {
+	is := is.New(t)
+	s := startSystem(t, options{routers: 3, engines: 1, configure: func(_ *system, conf *settings.Settings) {
+		conf.Configuration.LogRetentionSeconds = 10
+	}})
+	writer := placement.Owner("configuration snapshot", []string{"host-1", "host-2", "host-3"})
+	paused := slices.IndexFunc(s.routers, func(r *router) bool { return r.name == writer })
+	other := (paused + 1) % len(s.routers)
+	s.routers[paused].signal(syscall.SIGSTOP)
+	_, code := s.run(other, "publish", "Routing", file(t, "WasteWeight: 0.7\n"))
+	is.Equal(code, exitOK)
+	edits := s.logPage(t).Next
+	s.log.faults(t, standin.LogFaults{RetentionMillis: 10_000})
+	eventually(t, "the log dropped every edit", func() bool { return s.logPage(t).First >= edits })
+	s.routers[paused].signal(syscall.SIGCONT)
+	s.shows(t, paused, "Routing", "WasteWeight: 0.7")
+	for i, r := range s.routers {
+		r.kill()
+		s.routers[i] = s.startRouter(t, r.name)
+	}
+	for i := range s.routers {
+		s.shows(t, i, "Routing", "WasteWeight: 0.7")
+	}
+}
+
 // logPage reads the configuration stream.
 func (s *system) logPage(t *testing.T) platform.Page {
 	t.Helper()
