--- a/node/node.go
+++ b/node/node.go
@@ -88,7 +88,11 @@
 	}
 	n.entries.Store(&entrySource{directory})
 	current := func() document.Document { return revisions.State().Document }
-	engines, err := n.startEngines(ctx, pool, client, directory, current, metrics)
+	leaving, err := n.startDepartures(ctx, pool, directory, current)
+	if err != nil {
+		return err
+	}
+	engines, err := n.startEngines(ctx, pool, client, directory, leaving, current, metrics)
 	if err != nil {
 		return err
 	}
@@ -111,30 +115,35 @@
 	dispatcher := dispatch.New(dispatch.Options{
 		Client: client, Engines: meteredEngines{engines, metrics},
 		Admit:  limitedGate{limits, admission.New(admission.Options{Estimator: engines, Metrics: metrics})},
-		Claims: claims, Leaving: directory.Leaving, Crashes: guard,
+		Claims: claims, Leaving: leaving, Crashes: guard,
 	})
 	n.runner = dispatcher
 	n.wait.Go(func() {
 		defer pool.Close()
 		_ = n.peers.Serve(ctx)
 	})
-	n.operator, err = operator.New(ctx, &n.wait, operator.Options{
+	return n.startDoors(ctx, operator.Options{
 		Settings: n.settings, Secret: operatorSecret, Editor: revisions, Directory: directory,
 		Engines: engines, Metrics: exporter, Stop: n.Stop, Rollouts: keeper.Progress,
+	}, gateway.Options{
+		Settings: n.settings, Runner: dispatcher, Directory: directory, Engines: engines, Metrics: metrics,
+		Document: func() (document.Document, bool) { return current(), revisions.Ready() },
 	})
-	if err != nil {
+}
+
+// startDoors opens the doors for operators and callers, and tells the other
+// hosts where they are.
+func (n *Node) startDoors(ctx context.Context, operators operator.Options, callers gateway.Options) error {
+	var err error
+	if n.operator, err = operator.New(ctx, &n.wait, operators); err != nil {
 		return err
 	}
-	n.gateway, err = gateway.New(ctx, &n.wait, gateway.Options{
-		Settings: n.settings, Runner: dispatcher, Directory: directory, Engines: engines, Metrics: metrics,
-		Document: func() (document.Document, bool) { return revisions.State().Document, revisions.Ready() },
-	})
-	if err != nil {
+	if n.gateway, err = gateway.New(ctx, &n.wait, callers); err != nil {
 		return err
 	}
 	open := n.gateway.Open
 	n.open.Store(&open)
-	directory.Announce(n.Callers(), n.Peers())
+	n.directory.Announce(n.Callers(), n.Peers())
 	event.Listening.Info("Host", n.settings.Host.Name, "Callers", n.Callers(), "Peers", n.Peers(), "Operators", n.Operators())
 	n.wait.Go(func() { n.finish(ctx) })
 	return nil
