fix: don't serve a half-read log

Cause: a restarted host that had read some records when the log went down became ready with them, although no peer had answered and the log had shown more records. Seen failing first: TestHalfReadLogIsNotServed ('not true: !k.Ready()'). Ruled out: waiting for the log in every case, which would stop restarts during an outage.

--- a/revision/exchange.go
+++ b/revision/exchange.go
@@ -136,21 +136,22 @@
 // ready with what they gave. A peer whose answer can't be used may
 // have something newer, so that the host is not ready then.
 func (k *Keeper) askMany(ctx context.Context) {
-	chosen := k.pick(startFanout)
+	var answered atomic.Int64
 	calls := pool.New().WithErrors()
-	for _, h := range chosen {
+	for _, h := range k.pick(startFanout) {
 		calls.Go(func() error {
 			err := k.ask(ctx, h.Peers)
 			if trace.IsConnectionProblem(err) {
 				return nil
 			}
+			answered.Add(1)
 			return err
 		})
 	}
 	err := calls.Wait()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.told = err == nil && len(chosen) > 0
+	k.told = err == nil && answered.Load() > 0
 	k.settle()
 }
 
--- a/revision/follow.go
+++ b/revision/follow.go
@@ -78,11 +78,16 @@
 	k.settle()
 }
 
-// settle makes the host ready if the log was tried and peers gave a
-// configuration. The caller holds mu.
+// settle makes the host ready if the log was tried, can't serve it, and peers
+// gave a configuration. A host that has seen that the log has more records
+// than it or its peers could read waits. The caller holds mu.
 func (k *Keeper) settle() {
-	behind := k.logDown || k.gap || k.reset
-	if k.told && k.logTried && behind && k.replica.Position() >= 0 && k.replica.Halt == "" {
+	lost := k.gap || k.reset
+	behind := k.replica.Position()+1 < k.page.Next
+	if !k.told || !k.logTried || k.replica.Position() < 0 || k.replica.Halt != "" {
+		return
+	}
+	if lost || k.logDown && !behind {
 		k.ready.Store(true)
 	}
 }
--- a/revision/revision_test.go
+++ b/revision/revision_test.go
@@ -27,6 +27,8 @@
 	records []platform.Record
 	// readErr and appendErr are what calls fail with.
 	readErr, appendErr error
+	// dieAfterFirst gives one record and then fails every read.
+	dieAfterFirst bool
 	// from holds the offsets that were read from.
 	from []int64
 	// loseAnswers is how many appends take effect and lose their answer.
@@ -55,6 +57,10 @@
 	if l.readErr != nil {
 		return platform.Page{}, l.readErr
 	}
+	if l.dieAfterFirst {
+		l.readErr = errDown
+		return platform.Page{Records: l.records[:1], Next: int64(len(l.records))}, nil
+	}
 	p := platform.Page{Next: int64(len(l.records)), NowMillis: time.Now().UnixMilli()}
 	if from < p.Next {
 		p.Records = append(p.Records, l.records[from:]...)
@@ -74,11 +80,19 @@
 	offer     Offer
 	err       error
 	confirmed int64
+	fetches   int
+}
+
+func (p *fakePeers) asked() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.fetches
 }
 
 func (p *fakePeers) Fetch(context.Context, string, int64) (Offer, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.fetches++
 	return p.offer, p.err
 }
 
@@ -198,6 +212,23 @@
 	}
 }
 
+// TestHalfReadLogIsNotServed checks that a host which knows that the log has
+// more than it could read does not serve the older revision.
+func TestHalfReadLogIsNotServed(t *testing.T) {
+	is := is.New(t)
+	log := &fakeLog{dieAfterFirst: true}
+	for _, body := range []string{"WasteWeight: 0.1", "WasteWeight: 0.2"} {
+		raw, err := document.EncodeEdit(document.Edit{ID: body, Section: document.RoutingSection, Base: int64(log.count()), Body: body})
+		is.NoErr(err)
+		_, err = log.Append(context.Background(), "", raw)
+		is.NoErr(err)
+	}
+	peers := &fakePeers{err: errDown}
+	k := startKeeper(t, log, peers)
+	eventually(t, func() bool { return peers.asked() > 3 && k.State().Position() == 0 })
+	is.True(!k.Ready())
+}
+
 // TestStartAsksPeersFirst checks that a restarted host does not fold all that
 // the log keeps when a peer has folded it.
 func TestStartAsksPeersFirst(t *testing.T) {
