fix: make hosts that no list shows known at once, and share departures

Now the identity is passed on, and a host whose targets were never heard greets another one each second. Both parts were undone in turn and TestStartBesideDeadHost failed each time.

The host list is read less often the longer it is, since at 340 hosts and 600 engines one read is near 190 KB; upstreams that leave travel on heartbeats instead.

--- a/emulator/main.go
+++ b/emulator/main.go
@@ -16,12 +16,13 @@
 
 // commands lists the stand-ins.
 type commands struct {
-	Log      logCommand      `cmd:"" help:"Stand in for the platform's log service."`
-	HostList hostListCommand `cmd:"" help:"Stand in for the platform's host list."`
-	Engine   engineCommand   `cmd:"" help:"Stand in for a model engine."`
-	Weights  weightsCommand  `cmd:"" help:"Stand in for the weight store."`
-	Service  serviceCommand  `cmd:"" help:"Stand in for a plain service."`
-	Claims   claimsCommand   `cmd:"" help:"Measure claims against load and the number of hosts."`
+	Log        logCommand        `cmd:"" help:"Stand in for the platform's log service."`
+	HostList   hostListCommand   `cmd:"" help:"Stand in for the platform's host list."`
+	Engine     engineCommand     `cmd:"" help:"Stand in for a model engine."`
+	Weights    weightsCommand    `cmd:"" help:"Stand in for the weight store."`
+	Service    serviceCommand    `cmd:"" help:"Stand in for a plain service."`
+	Membership membershipCommand `cmd:"" help:"Measure the heartbeats of many hosts in this process."`
+	Claims     claimsCommand     `cmd:"" help:"Measure claims against load and the number of hosts."`
 }
 
 // listenFlags is where a stand-in listens.
--- a/host/encoding.go
+++ b/host/encoding.go
@@ -9,6 +9,7 @@
 func encode(m membership.Message) *peerpb.Heartbeat {
 	h := &peerpb.Heartbeat{
 		Sender: encodeRecord(m.Sender), Position: m.Position, Digest: m.Digest, Answer: m.Answer, Final: m.Final,
+		Departing: m.Departing,
 	}
 	for _, r := range m.Records {
 		h.Members = append(h.Members, encodeRecord(r))
@@ -28,6 +29,7 @@
 func decode(h *peerpb.Heartbeat) membership.Message {
 	m := membership.Message{
 		Sender: decodeRecord(h.GetSender()), Position: h.GetPosition(), Digest: h.GetDigest(), Answer: h.GetAnswer(), Final: h.GetFinal(),
+		Departing: h.GetDeparting(),
 	}
 	for _, r := range h.GetMembers() {
 		m.Records = append(m.Records, decodeRecord(r))
--- a/host/host.go
+++ b/host/host.go
@@ -19,8 +19,15 @@
 	"github.com/kumquathoist/kumquathoist/platform"
 )
 
-// pollInterval is the time between two reads of the host list.
-const pollInterval = time.Second
+const (
+	// pollInterval is the least time between two reads of the host list.
+	pollInterval = time.Second
+	// listBytesPerSecond bounds what reading the host list costs; heartbeats
+	// tell what others read meanwhile.
+	listBytesPerSecond = 1000
+	// entryBytes is about the size of one host on the list.
+	entryBytes = 200
+)
 
 // lister is the platform's host list.
 type lister interface {
@@ -50,6 +57,8 @@
 	listed atomic.Pointer[[]platform.Host]
 	// hosts is what the view shows.
 	hosts atomic.Pointer[[]membership.Host]
+	// departing tells which upstreams leave by any host's list.
+	departing atomic.Pointer[func(name string) bool]
 
 	// mu guards the fields below; it is never held during I/O.
 	mu     sync.Mutex
@@ -73,7 +82,7 @@
 	}
 	d.listed.Store(&[]platform.Host{})
 	d.publish()
-	wait.Go(func() { every(ctx, pollInterval, d.poll) })
+	wait.Go(func() { d.follow(ctx) })
 	wait.Go(func() { every(ctx, membership.TickInterval, func(context.Context) { d.step(d.Status()) }) })
 	return d
 }
@@ -92,6 +101,20 @@
 	}
 }
 
+// follow reads the host list until the context ends, less often the longer
+// it is, and at times that differ from those of other hosts.
+func (d *Directory) follow(ctx context.Context) {
+	for ctx.Err() == nil {
+		d.poll(ctx)
+		size := len(*d.listed.Load()) * entryBytes
+		mean := max(pollInterval, time.Duration(size)*time.Second/listBytesPerSecond)
+		select {
+		case <-ctx.Done():
+		case <-time.After(time.Duration((0.5 + rand.Float64()) * float64(mean))):
+		}
+	}
+}
+
 // poll reads the host list once; without an answer the last one stays.
 func (d *Directory) poll(ctx context.Context) {
 	hosts, err := d.List.Hosts(ctx)
@@ -105,6 +128,9 @@
 	var in membership.HostList
 	for _, h := range hosts {
 		if h.Role != platform.EntryHost {
+			if h.State == platform.Leaving {
+				in.Departing = append(in.Departing, h.Name)
+			}
 			continue
 		}
 		in.Hosts = append(in.Hosts, membership.Listed{
@@ -135,6 +161,8 @@
 // publish shows the view's hosts to readers and logs what changed. The
 // caller holds mu, or is the constructor.
 func (d *Directory) publish() {
+	departing := d.view.Departing
+	d.departing.Store(&departing)
 	hosts := d.view.Hosts()
 	before := d.hosts.Swap(&hosts)
 	if before == nil {
@@ -205,9 +233,11 @@
 	return found
 }
 
-// Leaving tells whether the host list shows the named host as leaving.
+// Leaving tells whether the host list shows the named upstream host as
+// leaving, to this host or to another one.
 func (d *Directory) Leaving(name string) bool {
-	return slices.ContainsFunc(*d.listed.Load(), func(h platform.Host) bool {
+	shown := slices.ContainsFunc(*d.listed.Load(), func(h platform.Host) bool {
 		return h.Name == name && h.State == platform.Leaving
 	})
+	return shown || (*d.departing.Load())(name)
 }
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -100,6 +100,9 @@
 	Final bool
 	// Records holds at most MaxRecords changes.
 	Records []Record
+	// Departing names at most MaxRecords upstreams that a host list showed as
+	// leaving.
+	Departing []string
 }
 
 // Outgoing is a message for one peer.
@@ -143,6 +146,8 @@
 	patience map[string]int
 	// pending holds, newest first, changes to send and the rounds left.
 	pending []pendingRecord
+	// departing holds the upstreams that any host list showed as leaving.
+	departing map[string]departure
 	// digest sums up the members.
 	digest uint64
 	// changes counts changes of what Hosts returns.
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -239,3 +239,37 @@
 		is.Equal(h.State, membership.Live)
 	}
 }
+
+// TestDepartureReachesEveryHost shows a leaving upstream to one host only.
+func TestDepartureReachesEveryHost(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork(12, true, 19)
+	n.run(10 * time.Second)
+	n.step("host-04", membership.HostList{Hosts: n.list, Departing: []string{"engine-1"}})
+	n.run(3 * time.Second)
+	for _, name := range n.names {
+		is.True(n.views[name].Departing("engine-1"))
+	}
+	n.run(11 * time.Minute)
+	is.True(!n.views["host-00"].Departing("engine-1"))
+}
+
+// TestStartBesideDeadHost starts hosts that no list shows beside hosts of
+// which one is dead and still listed; the others must know them soon, also
+// when the dead one is all that the newcomer would send heartbeats to.
+func TestStartBesideDeadHost(t *testing.T) {
+	for count, newcomers := range map[int]int{3: 30, 30: 3} {
+		for newcomer := count; newcomer < count+newcomers; newcomer++ {
+			is := is.New(t)
+			n := newNetwork(count, true, uint64(newcomer))
+			n.run(5 * time.Second)
+			n.kill("host-00")
+			n.run(8 * time.Second)
+			n.start(newcomer, 100)
+			n.run(4 * time.Second)
+			for name := range n.views {
+				is.Equal(n.shows(name, identity(newcomer).Name), membership.Live)
+			}
+		}
+	}
+}
--- a/membership/record.go
+++ b/membership/record.go
@@ -26,6 +26,7 @@
 	for _, r := range m.Records[:min(len(m.Records), MaxRecords)] {
 		v = v.merge(r, now)
 	}
+	v = v.depart(m.Departing[:min(len(m.Departing), MaxRecords)], holdDeparture, now)
 	var out []Outgoing
 	if !sameMembers(before, v.members) {
 		v, out = v.connect(now)
@@ -68,7 +69,7 @@
 	}
 	if !known.identified && r.Incarnation == known.Incarnation && r.Identity.Name != "" {
 		known.Identity, known.identified = r.Identity, true
-		return v.put(known)
+		return v.put(known).queue(r.Name, true)
 	}
 	return v
 }
--- a/membership/step.go
+++ b/membership/step.go
@@ -22,7 +22,12 @@
 type Received struct{ Message Message }
 
 // HostList is an answer of the host list.
-type HostList struct{ Hosts []Listed }
+type HostList struct {
+	// Hosts are the entry hosts.
+	Hosts []Listed
+	// Departing names the upstreams that leave.
+	Departing []string
+}
 
 // Announce tells the addresses of this host, known once it listens.
 type Announce struct{ Callers, Peers string }
@@ -53,7 +58,7 @@
 	case Received:
 		return v.receive(in.Message, now)
 	case HostList:
-		return v.list(in.Hosts, now)
+		return v.list(in, now)
 	case Announce:
 		v.self.Identity.Callers, v.self.Identity.Peers = in.Callers, in.Peers
 		return v.reassert(), nil
@@ -76,9 +81,10 @@
 
 // list takes over an answer of the host list. It adds hosts and tells who is
 // leaving; it never says that a host is live that heartbeats know as failed.
-func (v View) list(hosts []Listed, now time.Time) (View, []Outgoing) {
-	listed := make(map[string]Listed, len(hosts))
-	for _, h := range hosts {
+func (v View) list(in HostList, now time.Time) (View, []Outgoing) {
+	v = v.depart(in.Departing, refreshAfter, now)
+	listed := make(map[string]Listed, len(in.Hosts))
+	for _, h := range in.Hosts {
 		listed[h.Name] = h
 	}
 	if maps.Equal(listed, v.listed) {
@@ -101,6 +107,7 @@
 		v = v.reassert()
 	}
 	v, changed := v.expire(now)
+	v = v.expireDepartures(now)
 	var out []Outgoing
 	if changed {
 		v, out = v.connect(now)
@@ -112,7 +119,27 @@
 	}
 	v.beat = now
 	v, round := v.round()
-	return v, append(append(out, round...), v.probe(random)...)
+	out = append(append(out, round...), v.probe(random)...)
+	return v, append(out, v.introduce(random)...)
+}
+
+// introduce sends a heartbeat to any host while a target was never heard of:
+// the targets of a host that just started may all be dead, and then nobody
+// would know it.
+func (v View) introduce(random *rand.Rand) []Outgoing {
+	unheard := func(name string) bool { return v.members[name].Incarnation == 0 }
+	if !slices.ContainsFunc(v.targets, unheard) {
+		return nil
+	}
+	var names []string
+	for name := range v.names() {
+		if v.members[name].State != Failed && v.identity(name).Peers != "" {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	self, _ := v.record(v.self.Name, true)
+	return []Outgoing{v.to(names[random.IntN(len(names))], Message{Records: []Record{self}})}
 }
 
 // excuse forgets the silence of others after this host itself was paused.
@@ -167,7 +194,7 @@
 
 // push sends pending changes at once, within the bound on rounds.
 func (v View) push() (View, []Outgoing) {
-	if len(v.pending) == 0 || v.pushes < 1 {
+	if len(v.pending) == 0 && len(v.news()) == 0 || v.pushes < 1 {
 		return v, nil
 	}
 	v.pushes--
@@ -176,13 +203,14 @@
 
 // round sends one message to every target.
 func (v View) round() (View, []Outgoing) {
-	records := v.takePending()
+	records, departing := v.takePending(), v.news()
 	var out []Outgoing
 	for _, name := range v.targets {
-		out = append(out, v.to(name, Message{Records: records}))
+		out = append(out, v.to(name, Message{Records: records, Departing: departing}))
 	}
 	if len(out) > 0 {
 		v.pending = v.afterRound()
+		v = v.told(departing)
 	}
 	return v, out
 }
