--- a/emulator/membership.go
+++ b/emulator/membership.go
@@ -205,11 +205,11 @@
 	return first, eventLimit
 }
 
-// usage is what the hosts used so far, or in each second.
-type usage struct{ writes, sent, list, cpu float64 }
+// consumption is what the hosts used so far, or in each second.
+type consumption struct{ writes, sent, list, cpu float64 }
 
-func (k *cluster) usage() usage {
-	var u usage
+func (k *cluster) usage() consumption {
+	var u consumption
 	for _, m := range k.members {
 		u.writes += float64(m.pool.Writes() + m.server.Writes())
 		u.sent += float64(m.pool.Sent() + m.server.Sent())
@@ -221,13 +221,13 @@
 	return u
 }
 
-func (u usage) since(before usage) usage {
-	return usage{u.writes - before.writes, u.sent - before.sent, u.list - before.list, u.cpu - before.cpu}
+func (u consumption) since(before consumption) consumption {
+	return consumption{u.writes - before.writes, u.sent - before.sent, u.list - before.list, u.cpu - before.cpu}
 }
 
-func (u usage) each(hosts, seconds int) usage {
+func (u consumption) each(hosts, seconds int) consumption {
 	n := float64(hosts * seconds)
-	return usage{u.writes / n, u.sent / n, u.list / n, u.cpu / n}
+	return consumption{u.writes / n, u.sent / n, u.list / n, u.cpu / n}
 }
 
 // pause waits for some seconds or the end of the context.
