--- a/membership/membership.go
+++ b/membership/membership.go
@@ -142,6 +142,8 @@
 	// this host, and to whom it sends.
 	watched map[string]bool
 	targets []string
+	// stale tells that members changed since watched and targets were computed.
+	stale bool
 	// patience holds the factor on SuspectAfter of hosts that refuted.
 	patience map[string]int
 	// pending holds, newest first, changes to send and the rounds left.
--- a/membership/record.go
+++ b/membership/record.go
@@ -15,7 +15,6 @@
 	if sender == v.self.Name || sender == "" {
 		return v, nil
 	}
-	before := v.members
 	known, ok := v.members[sender]
 	if !ok || m.Sender.newer(known.Record) {
 		v = v.store(m.Sender, now)
@@ -27,13 +26,9 @@
 		v = v.merge(r, now)
 	}
 	v = v.depart(m.Departing[:min(len(m.Departing), MaxRecords)], holdDeparture, now)
-	var out []Outgoing
-	if !sameMembers(before, v.members) {
-		v, out = v.connect(now)
-	}
 	v, answer := v.answer(m, now)
 	v, pushed := v.push()
-	return v, append(append(out, answer...), pushed...)
+	return v, append(answer, pushed...)
 }
 
 // hear notes that a watched host lives.
@@ -76,10 +71,12 @@
 
 // put replaces a member.
 func (v View) put(m member) View {
+	before, connected := v.identity(m.Name), v.connects(m.Name)
 	v.digest ^= v.members[m.Name].hash() ^ m.hash()
 	v.members = maps.Clone(v.members)
 	v.members[m.Name] = m
 	v.changes++
+	v.stale = v.stale || connected != v.connects(m.Name) || before != v.identity(m.Name)
 	return v
 }
 
@@ -210,10 +207,3 @@
 func (v View) sum() uint64 {
 	return v.digest ^ member{Record: v.self, identified: true}.hash()
 }
-
-// sameMembers tells whether two members' maps connect the same hosts.
-func sameMembers(a, b map[string]member) bool {
-	return maps.EqualFunc(a, b, func(x, y member) bool {
-		return (x.State == Failed) == (y.State == Failed) && x.Identity == y.Identity
-	})
-}
--- a/membership/step.go
+++ b/membership/step.go
@@ -61,6 +61,7 @@
 		return v.list(in, now)
 	case Announce:
 		v.self.Identity.Callers, v.self.Identity.Peers = in.Callers, in.Peers
+		v.stale = true
 		return v.reassert(), nil
 	case Leave:
 		if v.self.State == Live {
@@ -92,7 +93,8 @@
 	}
 	v.listed = listed
 	v.changes++
-	return v.connect(now)
+	v.stale = true
+	return v, nil
 }
 
 // tick passes time: it suspects, fails and forgets, then sends what is due.
@@ -106,10 +108,9 @@
 		v.self.Load, v.loaded = t.Load, now
 		v = v.reassert()
 	}
-	v, changed := v.expire(now)
-	v = v.expireDepartures(now)
+	v = v.expire(now).expireDepartures(now)
 	var out []Outgoing
-	if changed {
+	if v.stale {
 		v, out = v.connect(now)
 	}
 	if now.Sub(v.beat) < HeartbeatInterval {
@@ -133,7 +134,7 @@
 	}
 	var names []string
 	for name := range v.names() {
-		if v.members[name].State != Failed && v.identity(name).Peers != "" {
+		if v.connects(name) {
 			names = append(names, name)
 		}
 	}
@@ -158,13 +159,12 @@
 }
 
 // expire moves silent hosts on: to suspect, to failed, to forgotten.
-func (v View) expire(now time.Time) (View, bool) {
-	changed := false
+func (v View) expire(now time.Time) View {
 	for name, heard := range v.heard {
 		if v.members[name].State < Suspect && now.Sub(heard) > v.limit(name) {
 			r := v.members[name].Record
 			r.Name, r.State = name, Suspect
-			v, changed = v.store(r, now), true
+			v = v.store(r, now)
 		}
 	}
 	for name, m := range v.members {
@@ -173,15 +173,14 @@
 		case m.State == Suspect && now.Sub(m.since) > FailAfter:
 			r := m.Record
 			r.State = Failed
-			v, changed = v.store(r, now), true
+			v = v.store(r, now)
 		case m.State == Failed && !listed && now.Sub(m.since) > forgetAfter:
 			v.members = maps.Clone(v.members)
 			delete(v.members, name)
 			v.changes++
-			changed = true
 		}
 	}
-	return v, changed
+	return v
 }
 
 // limit returns how long a host may be silent.
@@ -244,13 +243,19 @@
 	return Outgoing{v.identity(name), m}
 }
 
+// connects tells whether a host takes part in heartbeats.
+func (v View) connects(name string) bool {
+	return v.members[name].State != Failed && v.identity(name).Peers != ""
+}
+
 // connect computes anew who sends heartbeats to whom, and tells former
 // targets that they won't hear from this host.
 func (v View) connect(now time.Time) (View, []Outgoing) {
+	v.stale = false
 	hosts := []Identity{v.self.Identity}
 	for name := range v.names() {
-		if i := v.identity(name); v.members[name].State != Failed && i.Peers != "" {
-			hosts = append(hosts, i)
+		if v.connects(name) {
+			hosts = append(hosts, v.identity(name))
 		}
 	}
 	all := edges(hosts)
@@ -271,7 +276,7 @@
 	v.watched, v.heard = watched, heard
 	var out []Outgoing
 	for _, name := range former {
-		if !slices.Contains(v.targets, name) && v.members[name].State != Failed && v.identity(name).Peers != "" {
+		if !slices.Contains(v.targets, name) && v.connects(name) {
 			out = append(out, v.to(name, Message{Final: true, Answer: true}))
 		}
 	}
