--- a/membership/step.go
+++ b/membership/step.go
@@ -22,7 +22,12 @@
 type Received struct{ Message Message }
 
 // HostList is an answer of the host list.
-type HostList struct{ Hosts []Listed }
+type HostList struct {
+	// Hosts are the entry hosts.
+	Hosts []Listed
+	// Departing names the upstreams that leave.
+	Departing []string
+}
 
 // Announce tells the addresses of this host, known once it listens.
 type Announce struct{ Callers, Peers string }
@@ -53,9 +58,10 @@
 	case Received:
 		return v.receive(in.Message, now)
 	case HostList:
-		return v.list(in.Hosts, now)
+		return v.list(in, now)
 	case Announce:
 		v.self.Identity.Callers, v.self.Identity.Peers = in.Callers, in.Peers
+		v.stale = true
 		return v.reassert(), nil
 	case Leave:
 		if v.self.State == Live {
@@ -76,9 +82,10 @@
 
 // list takes over an answer of the host list. It adds hosts and tells who is
 // leaving; it never says that a host is live that heartbeats know as failed.
-func (v View) list(hosts []Listed, now time.Time) (View, []Outgoing) {
-	listed := make(map[string]Listed, len(hosts))
-	for _, h := range hosts {
+func (v View) list(in HostList, now time.Time) (View, []Outgoing) {
+	v = v.depart(in.Departing, refreshAfter, now)
+	listed := make(map[string]Listed, len(in.Hosts))
+	for _, h := range in.Hosts {
 		listed[h.Name] = h
 	}
 	if maps.Equal(listed, v.listed) {
@@ -86,7 +93,8 @@
 	}
 	v.listed = listed
 	v.changes++
-	return v.connect(now)
+	v.stale = true
+	return v, nil
 }
 
 // tick passes time: it suspects, fails and forgets, then sends what is due.
@@ -100,9 +108,9 @@
 		v.self.Load, v.loaded = t.Load, now
 		v = v.reassert()
 	}
-	v, changed := v.expire(now)
+	v = v.expire(now).expireDepartures(now)
 	var out []Outgoing
-	if changed {
+	if v.stale {
 		v, out = v.connect(now)
 	}
 	if now.Sub(v.beat) < HeartbeatInterval {
@@ -112,7 +120,27 @@
 	}
 	v.beat = now
 	v, round := v.round()
-	return v, append(append(out, round...), v.probe(random)...)
+	out = append(append(out, round...), v.probe(random)...)
+	return v, append(out, v.introduce(random)...)
+}
+
+// introduce sends a heartbeat to any host while a target was never heard of:
+// the targets of a host that just started may all be dead, and then nobody
+// would know it.
+func (v View) introduce(random *rand.Rand) []Outgoing {
+	unheard := func(name string) bool { return v.members[name].Incarnation == 0 }
+	if !slices.ContainsFunc(v.targets, unheard) {
+		return nil
+	}
+	var names []string
+	for name := range v.names() {
+		if v.connects(name) {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	self, _ := v.record(v.self.Name, true)
+	return []Outgoing{v.to(names[random.IntN(len(names))], Message{Records: []Record{self}})}
 }
 
 // excuse forgets the silence of others after this host itself was paused.
@@ -131,13 +159,12 @@
 }
 
 // expire moves silent hosts on: to suspect, to failed, to forgotten.
-func (v View) expire(now time.Time) (View, bool) {
-	changed := false
+func (v View) expire(now time.Time) View {
 	for name, heard := range v.heard {
 		if v.members[name].State < Suspect && now.Sub(heard) > v.limit(name) {
 			r := v.members[name].Record
 			r.Name, r.State = name, Suspect
-			v, changed = v.store(r, now), true
+			v = v.store(r, now)
 		}
 	}
 	for name, m := range v.members {
@@ -146,15 +173,14 @@
 		case m.State == Suspect && now.Sub(m.since) > FailAfter:
 			r := m.Record
 			r.State = Failed
-			v, changed = v.store(r, now), true
+			v = v.store(r, now)
 		case m.State == Failed && !listed && now.Sub(m.since) > forgetAfter:
 			v.members = maps.Clone(v.members)
 			delete(v.members, name)
 			v.changes++
-			changed = true
 		}
 	}
-	return v, changed
+	return v
 }
 
 // limit returns how long a host may be silent.
@@ -167,7 +193,7 @@
 
 // push sends pending changes at once, within the bound on rounds.
 func (v View) push() (View, []Outgoing) {
-	if len(v.pending) == 0 || v.pushes < 1 {
+	if len(v.pending) == 0 && len(v.news()) == 0 || v.pushes < 1 {
 		return v, nil
 	}
 	v.pushes--
@@ -176,13 +202,14 @@
 
 // round sends one message to every target.
 func (v View) round() (View, []Outgoing) {
-	records := v.takePending()
+	records, departing := v.takePending(), v.news()
 	var out []Outgoing
 	for _, name := range v.targets {
-		out = append(out, v.to(name, Message{Records: records}))
+		out = append(out, v.to(name, Message{Records: records, Departing: departing}))
 	}
 	if len(out) > 0 {
 		v.pending = v.afterRound()
+		v = v.told(departing)
 	}
 	return v, out
 }
@@ -216,13 +243,19 @@
 	return Outgoing{v.identity(name), m}
 }
 
+// connects tells whether a host takes part in heartbeats.
+func (v View) connects(name string) bool {
+	return v.members[name].State != Failed && v.identity(name).Peers != ""
+}
+
 // connect computes anew who sends heartbeats to whom, and tells former
 // targets that they won't hear from this host.
 func (v View) connect(now time.Time) (View, []Outgoing) {
+	v.stale = false
 	hosts := []Identity{v.self.Identity}
 	for name := range v.names() {
-		if i := v.identity(name); v.members[name].State != Failed && i.Peers != "" {
-			hosts = append(hosts, i)
+		if v.connects(name) {
+			hosts = append(hosts, v.identity(name))
 		}
 	}
 	all := edges(hosts)
@@ -243,7 +276,7 @@
 	v.watched, v.heard = watched, heard
 	var out []Outgoing
 	for _, name := range former {
-		if !slices.Contains(v.targets, name) && v.members[name].State != Failed && v.identity(name).Peers != "" {
+		if !slices.Contains(v.targets, name) && v.connects(name) {
 			out = append(out, v.to(name, Message{Final: true, Answer: true}))
 		}
 	}
