fix: stand-in engines report prompts that wait to be read as queued

A request that waited for another prompt to be read counted as running, so every queue looked empty.

--- a/standin/engine.go
+++ b/standin/engine.go
@@ -272,6 +272,16 @@
 	e.mu.Unlock()
 }
 
+// requeue counts a request as queued instead of running while its prompt
+// waits to be read.
+func (e *Engine) requeue(n int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.queued += n
+	e.running -= n
+	e.journal.load(e.running, e.queued)
+}
+
 // release gives the slot back.
 func (e *Engine) release(attempt string, stop context.CancelFunc) {
 	stop()
@@ -286,8 +296,10 @@
 // process reads a prompt and returns how many of its tokens were cached.
 func (e *Engine) process(scope prefix.Scope, prompt []byte) int {
 	pieces := prefix.Pieces(scope, prompt)
+	e.requeue(1)
 	e.prefill.Lock()
 	defer e.prefill.Unlock()
+	e.requeue(-1)
 	e.mu.Lock()
 	hits := e.cache.use(pieces)
 	e.counts.Requests++
