fix: count a send that has ended no more as waiting; measure the router's cost

emulator overhead drives paired requests straight to a stand-in engine and through a router. It failed first: a lone caller who sent one request after the other was refused as "the engines are full", since every send after the last load report counted as waiting, ended ones too. View.Ended takes them out; its test failed without it. Still refused by the same estimate: 16 callers at once at an engine far faster than the estimate believes.

--- a/emulator/main.go
+++ b/emulator/main.go
@@ -24,6 +24,7 @@
 	Service  serviceCommand  `cmd:"" help:"Stand in for a plain service."`
 	Claims   claimsCommand   `cmd:"" help:"Measure claims against load and the number of hosts."`
 
+	Overhead   overheadCommand   `cmd:"" help:"Measure what a router adds to a request."`
 	Experiment experimentCommand `cmd:"" help:"Measure policies of routing and admission."`
 }
 
--- a/engine/choice.go
+++ b/engine/choice.go
@@ -215,14 +215,15 @@
 	t.sent[name]++
 	t.view.Sent(name, c.levels, c.service, now)
 	t.heat.Add(c.levels, c.service, now)
-	return func(r Report) { t.ended(c, r) }
+	return func(r Report) { t.ended(c, r, now) }
 }
 
 // ended learns from the engine's own word.
-func (t *Tracker) ended(c Choice, r Report) {
+func (t *Tracker) ended(c Choice, r Report, sent time.Duration) {
 	name := c.Upstream.Name
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.view.Ended(name, sent)
 	if t.sent[name]--; t.sent[name] <= 0 {
 		delete(t.sent, name)
 	}
--- a/local/local.go
+++ b/local/local.go
@@ -41,7 +41,8 @@
 	// Key, Model and Service are what a caller may use.
 	Key, Model, Service string
 
-	plan plan
+	plan   plan
+	engine func(*standin.EngineOptions)
 }
 
 // New starts a system that ends with the context.
@@ -55,7 +56,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &System{plan: p, Key: p.key, Model: p.document.Models.Models[0].Name, Service: p.service()}
+	s := &System{plan: p, Key: p.key, Model: p.document.Models.Models[0].Name, Service: p.service(), engine: o.Engine}
 	if s.Log, err = standin.NewLog(ctx, anyPort); err != nil {
 		return nil, err
 	}
@@ -105,6 +106,9 @@
 	}
 	options := standin.DefaultEngineOptions(u.Name)
 	options.Version, options.ChecksFence = s.plan.document.Models.Models[0].Version, u.ChecksFence
+	if s.engine != nil {
+		s.engine(&options)
+	}
 	e, err := standin.NewEngine(ctx, anyPort, options)
 	if err != nil {
 		return "", err
--- a/local/plan.go
+++ b/local/plan.go
@@ -7,6 +7,7 @@
 	"github.com/kumquathoist/kumquathoist/document"
 	"github.com/kumquathoist/kumquathoist/samples"
 	"github.com/kumquathoist/kumquathoist/settings"
+	"github.com/kumquathoist/kumquathoist/standin"
 )
 
 // Options sets the size of the system.
@@ -14,6 +15,8 @@
 	Routers, Engines int
 	// Sample names a sample deployment to run instead.
 	Sample string
+	// Engine, when set, changes the size and speed of each stand-in engine.
+	Engine func(*standin.EngineOptions)
 }
 
 // plan is what a system is started from. The upstreams of its document have
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -158,6 +158,11 @@
 	is.Equal(v.Expected("a", levels(2, 1, 1), 11*time.Second), 0)
 	v.Forget("a")
 	is.Equal(v.Expected("a", levels(1, 1, 1), 11*time.Second), 0)
+	v.Sent("b", levels(1, 1, 1), time.Second, 10*time.Second)
+	v.Ended("b", 10*time.Second)
+	wait, load = v.Wait("b", routing.Report{At: 9 * time.Second})
+	is.Equal(wait, time.Duration(0)) // ended before the next report
+	is.Equal(load, 0)
 }
 
 // BenchmarkDecision measures a choice from the shortlist to the engine.
--- a/routing/view.go
+++ b/routing/view.go
@@ -31,6 +31,8 @@
 	at      time.Duration
 	service time.Duration
 	levels  []prefix.Level
+	// ended tells that the request waits no more.
+	ended bool
 }
 
 // View is what one host knows from its own sends. Reports are late, so what
@@ -53,7 +55,18 @@
 	if len(list) >= maxSends {
 		list = append(list[:0], list[maxSends/2:]...)
 	}
-	v.sends[engine] = append(list, send{now, service, levels})
+	v.sends[engine] = append(list, send{at: now, service: service, levels: levels})
+}
+
+// Ended notes that a request that was sent at a time has ended: it waits no
+// more, though no report tells so yet.
+func (v *View) Ended(engine string, at time.Duration) {
+	for i, s := range v.sends[engine] {
+		if s.at == at && !s.ended {
+			v.sends[engine][i].ended = true
+			return
+		}
+	}
 }
 
 // Served notes how long an engine took to read a prompt.
@@ -66,7 +79,7 @@
 func (v *View) Wait(engine string, r Report) (wait time.Duration, load int) {
 	wait, load = time.Duration(r.Queued)*v.service, r.Queued+r.Running
 	for _, s := range v.sends[engine] {
-		if s.at > r.At {
+		if s.at > r.At && !s.ended {
 			wait += s.service
 			load++
 		}
