perf: read the body of a completion in one pass

Cause: a profile of a 64 KiB prompt showed the body copied twice as raw JSON and scanned six times. Each key is now decoded in place, and "stream" is set by splicing. Ruled out: keeping views of the body without a copy, since a request may outlive its handler.

--- a/gateway/body.go
+++ b/gateway/body.go
@@ -3,165 +3,201 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"strconv"
 
 	"github.com/kumquathoist/kumquathoist/request"
 )
 
-// fields are the top-level keys of a JSON object and their values. Keys keep
-// their case: an engine tells "model" from "Model", and so must the router.
-type fields map[string]json.RawMessage
+// completionBody is what the router reads of a completion request.
+type completionBody struct {
+	model  string
+	stream bool
+	// streamEnd is where the value of "stream" ends in the body, or 0.
+	streamEnd int64
+	answers   int
+	tokens    int
+	prompt    prompt
+	messages  []message
+}
+
+// message is one message of a chat.
+type message struct {
+	Role    string  `json:"role"`
+	Content content `json:"content"`
+}
+
+// prompt is a text, or a list that holds one text.
+type prompt struct {
+	set  bool
+	text []byte
+}
+
+// content is the text of a message's content. A part that is not text, such
+// as an image, counts as its JSON. A message may have no content, for
+// instance when it calls a tool.
+type content []byte
+
+// ignored is a value that the router does not read.
+type ignored struct{}
+
+// UnmarshalJSON reads nothing.
+func (*ignored) UnmarshalJSON([]byte) error { return nil }
+
+// errWrongType tells that a value is not of the type that its key wants.
+var errWrongType = errors.New("the value has the wrong type")
 
-// decodeFields reads one JSON object. A key that stands twice is refused,
-// since the engine might read the other one.
-func decodeFields(body []byte) (fields, *request.Failure) {
+// decodeCompletion reads the body of a completion request. Keys keep their
+// case, and a key that stands twice is refused: the engine might read the
+// other one.
+func decodeCompletion(body []byte, chat bool) (completionBody, *request.Failure) {
+	b := completionBody{answers: 1}
 	decoder := json.NewDecoder(bytes.NewReader(body))
 	if token, err := decoder.Token(); err != nil || token != json.Delim('{') {
-		return nil, badBody("it is not a JSON object")
+		return b, badBody("it is not a JSON object")
 	}
-	found := fields{}
+	seen := map[string]bool{}
 	for decoder.More() {
 		token, err := decoder.Token()
 		if err != nil {
-			return nil, badBody(err.Error())
+			return b, badBody(err.Error())
 		}
 		key, _ := token.(string)
-		if _, twice := found[key]; twice {
-			return nil, badBody("the key " + strconv.Quote(key) + " stands twice")
+		if seen[key] {
+			return b, badBody("the key " + strconv.Quote(key) + " stands twice")
 		}
-		var value json.RawMessage
-		if err := decoder.Decode(&value); err != nil {
-			return nil, badBody(err.Error())
+		seen[key] = true
+		if err := decoder.Decode(b.target(key)); err != nil {
+			return b, badBody(key + ": " + err.Error())
+		}
+		if key == "stream" {
+			b.streamEnd = decoder.InputOffset()
 		}
-		found[key] = value
 	}
 	if _, err := decoder.Token(); err != nil {
-		return nil, badBody("it stops before its end")
+		return b, badBody("it stops before its end")
 	}
 	if decoder.More() {
-		return nil, badBody("there is data after its end")
+		return b, badBody("there is data after its end")
 	}
-	return found, nil
+	return b, b.check(chat)
 }
 
-// badBody refuses a body.
-func badBody(why string) *request.Failure {
-	return request.Refuse(request.BadRequest, "the body is not a completion request: "+why)
+// target returns where the value of a key goes.
+func (b *completionBody) target(key string) any {
+	switch key {
+	case "model":
+		return &b.model
+	case "stream":
+		return &b.stream
+	case "n":
+		return &b.answers
+	case "max_tokens", "max_completion_tokens":
+		return &b.tokens
+	case "prompt":
+		return &b.prompt
+	case "messages":
+		return &b.messages
+	}
+	return &ignored{}
 }
 
-// completionBody is what the router reads of a completion request.
-type completionBody struct {
-	model  string
-	stream bool
-	// levels are the parts of the prompt, each a level of sharing.
-	levels [][]byte
-}
-
-// decodeCompletion reads the body of a completion request.
-func decodeCompletion(found fields, chat bool) (completionBody, *request.Failure) {
-	var b completionBody
-	answers, tokens := 1, 0
-	scalars := []struct {
-		key  string
-		into any
-	}{
-		{"model", &b.model}, {"stream", &b.stream}, {"n", &answers},
-		{"max_tokens", &tokens}, {"max_completion_tokens", &tokens},
-	}
-	for _, s := range scalars {
-		if raw, ok := found[s.key]; ok && json.Unmarshal(raw, s.into) != nil {
-			return b, badBody(s.key + " has the wrong type")
-		}
-		if tokens < 0 {
-			return b, badBody(s.key + " is negative")
+// check refuses a body that no engine could answer.
+func (b *completionBody) check(chat bool) *request.Failure {
+	switch {
+	case b.answers != 1:
+		return badBody("n must be 1")
+	case b.tokens < 0:
+		return badBody("the bound on tokens is negative")
+	case chat && len(b.messages) == 0:
+		return badBody("messages must be a list of messages")
+	case !chat && !b.prompt.set:
+		return badBody("prompt must be one text")
+	}
+	for i, m := range b.messages {
+		if m.Role == "" {
+			return badBody("messages[" + strconv.Itoa(i) + "] has no role")
 		}
 	}
-	if answers != 1 {
-		return b, badBody("n must be 1")
+	return nil
+}
+
+// levels returns the parts of the prompt, each a level of sharing.
+func (b *completionBody) levels(chat bool) [][]byte {
+	if !chat {
+		return [][]byte{b.prompt.text}
 	}
-	var failure *request.Failure
-	if chat {
-		b.levels, failure = messageLevels(found["messages"])
-	} else {
-		b.levels, failure = promptLevels(found["prompt"])
+	levels := make([][]byte, 0, len(b.messages))
+	for _, m := range b.messages {
+		levels = append(levels, m.Content)
 	}
-	return b, failure
+	return levels
 }
 
-// promptLevels reads a prompt: a text, or a list that holds one text.
-func promptLevels(raw json.RawMessage) ([][]byte, *request.Failure) {
-	var text string
-	if len(raw) > 0 && raw[0] == '"' && json.Unmarshal(raw, &text) == nil {
-		return [][]byte{[]byte(text)}, nil
+// streamed returns the body with "stream" set: the router always reads a
+// stream from the engine, also for a caller who waits for the whole answer.
+func (b *completionBody) streamed(body []byte) []byte {
+	if b.stream {
+		return body
 	}
-	var list []string
-	if json.Unmarshal(raw, &list) != nil || len(list) != 1 {
-		return nil, badBody("prompt must be one text")
+	if b.streamEnd == 0 {
+		start := bytes.IndexByte(body, '{') + 1
+		return bytes.Join([][]byte{body[:start], []byte(`"stream":true,`), body[start:]}, nil)
 	}
-	return [][]byte{[]byte(list[0])}, nil
+	before := bytes.TrimSuffix(bytes.TrimSuffix(body[:b.streamEnd], []byte("false")), []byte("null"))
+	return bytes.Join([][]byte{before, []byte("true"), body[b.streamEnd:]}, nil)
 }
 
-// messageLevels reads the messages of a chat; each is a level.
-func messageLevels(raw json.RawMessage) ([][]byte, *request.Failure) {
-	var messages []struct {
-		Role    string          `json:"role"`
-		Content json.RawMessage `json:"content"`
-	}
-	if json.Unmarshal(raw, &messages) != nil || len(messages) == 0 {
-		return nil, badBody("messages must be a list of messages")
+// badBody refuses a body.
+func badBody(why string) *request.Failure {
+	return request.Refuse(request.BadRequest, "the body is not a completion request: "+why)
+}
+
+// UnmarshalJSON reads a text or a list of one text.
+func (p *prompt) UnmarshalJSON(raw []byte) error {
+	var text string
+	p.set = true
+	if raw[0] == '"' {
+		err := json.Unmarshal(raw, &text)
+		p.text = []byte(text)
+		return err
 	}
-	levels := make([][]byte, 0, len(messages))
-	for i, m := range messages {
-		if m.Role == "" {
-			return nil, badBody("messages[" + strconv.Itoa(i) + "] has no role")
-		}
-		level, ok := contentText(m.Content)
-		if !ok {
-			return nil, badBody("messages[" + strconv.Itoa(i) + "].content must be a text or a list of parts")
-		}
-		levels = append(levels, level)
+	var list []string
+	if json.Unmarshal(raw, &list) != nil || len(list) != 1 {
+		return errWrongType
 	}
-	return levels, nil
+	p.text = []byte(list[0])
+	return nil
 }
 
-// contentText returns the text of a message's content. A part that is not
-// text, such as an image, counts as its JSON. A message may have no content,
-// for instance when it calls a tool.
-func contentText(raw json.RawMessage) ([]byte, bool) {
-	if len(raw) == 0 || string(raw) == "null" {
-		return nil, true
-	}
+// UnmarshalJSON reads a text, a list of parts, or null.
+func (c *content) UnmarshalJSON(raw []byte) error {
 	var text string
-	if raw[0] == '"' {
+	switch {
+	case string(raw) == "null":
+		return nil
+	case raw[0] == '"':
 		err := json.Unmarshal(raw, &text)
-		return []byte(text), err == nil
+		*c = []byte(text)
+		return err
 	}
 	var parts []json.RawMessage
 	if json.Unmarshal(raw, &parts) != nil {
-		return nil, false
+		return errWrongType
 	}
-	var joined []byte
 	for _, p := range parts {
 		var part struct {
 			Type string  `json:"type"`
 			Text *string `json:"text"`
 		}
 		if json.Unmarshal(p, &part) != nil || part.Type == "" {
-			return nil, false
+			return errWrongType
 		}
 		if part.Type == "text" && part.Text != nil {
-			joined = append(joined, *part.Text...)
+			*c = append(*c, *part.Text...)
 			continue
 		}
-		joined = append(joined, p...)
+		*c = append(*c, p...)
 	}
-	return joined, true
-}
-
-// streamed returns the body with "stream" set: the router always reads a
-// stream from the engine, also for a caller who waits for the whole answer.
-func (f fields) streamed() []byte {
-	f["stream"] = json.RawMessage("true")
-	raw, _ := json.Marshal(f)
-	return raw
+	return nil
 }
--- a/gateway/door.go
+++ b/gateway/door.go
@@ -60,11 +60,8 @@
 	if failure != nil {
 		return r, failure
 	}
-	found, failure := decodeFields(r.Body)
-	if failure != nil {
-		return r, failure
-	}
-	body, failure := decodeCompletion(found, strings.HasSuffix(r.Path, chatPath))
+	chat := strings.HasSuffix(r.Path, chatPath)
+	body, failure := decodeCompletion(r.Body, chat)
 	if failure != nil {
 		return r, failure
 	}
@@ -75,10 +72,8 @@
 	if !account.AllowsModel(body.model) {
 		return r, request.Refuse(request.Forbidden, "the account may not use the model")
 	}
-	if !body.stream {
-		r.Body = found.streamed()
-	}
-	r.Kind, r.Model, r.Stream, r.Levels = request.Completion, body.model, body.stream, body.levels
+	r.Body = body.streamed(r.Body)
+	r.Kind, r.Model, r.Stream, r.Levels = request.Completion, body.model, body.stream, body.levels(chat)
 	r.Repeatable = true
 	r.Version, failure = g.version(c, doc, r, model)
 	return r, failure
