--- a/upstream/stream.go
+++ b/upstream/stream.go
@@ -61,7 +61,7 @@
 			}
 			c.Position = position
 		case bytes.HasPrefix(line, []byte("data:")):
-			c.Data = bytes.Clone(bytes.TrimSpace(line[5:]))
+			c = c.withData(bytes.TrimSpace(line[5:]))
 		case bytes.HasPrefix(line, []byte("event:")) && string(bytes.TrimSpace(line[6:])) == "error":
 			return Chunk{}, ErrReported
 		}
@@ -72,6 +72,16 @@
 	return Chunk{}, ErrMissingEnd
 }
 
+// withData returns the event with one more line of data. Lines of JSON are
+// joined by a space: a raw line break can only stand between its tokens.
+func (c Chunk) withData(line []byte) Chunk {
+	if c.Data != nil {
+		c.Data = append(c.Data, ' ')
+	}
+	c.Data = append(c.Data, line...)
+	return c
+}
+
 // finished returns a whole event.
 func (c Chunk) finished() (Chunk, error) {
 	if string(c.Data) == "[DONE]" {
