--- a/emulator/main.go
+++ b/emulator/main.go
@@ -16,15 +16,17 @@
 
 // commands lists the stand-ins.
 type commands struct {
-	Log      logCommand      `cmd:"" help:"Stand in for the platform's log service."`
-	HostList hostListCommand `cmd:"" help:"Stand in for the platform's host list."`
-	Engine   engineCommand   `cmd:"" help:"Stand in for a model engine."`
-	Weights  weightsCommand  `cmd:"" help:"Stand in for the weight store."`
-	Kept     keptCommand     `cmd:"" help:"Stand in for a kept KV cache store."`
-	Service  serviceCommand  `cmd:"" help:"Stand in for a plain service."`
-	Claims   claimsCommand   `cmd:"" help:"Measure claims against load and the number of hosts."`
+	Log           logCommand           `cmd:"" help:"Stand in for the platform's log service."`
+	HostList      hostListCommand      `cmd:"" help:"Stand in for the platform's host list."`
+	Engine        engineCommand        `cmd:"" help:"Stand in for a model engine."`
+	Service       serviceCommand       `cmd:"" help:"Stand in for a plain service."`
+	Claims        claimsCommand        `cmd:"" help:"Measure claims against load and the number of hosts."`
+	Configuration configurationCommand `cmd:"" help:"Measure changes of the configuration against the number of hosts."`
+	Weights       weightsCommand       `cmd:"" help:"Stand in for the weight store."`
+	Kept          keptCommand          `cmd:"" help:"Stand in for a kept KV cache store."`
 
 	Overhead   overheadCommand   `cmd:"" help:"Measure what a router adds to a request."`
+	Drive      driveCommand      `cmd:"" help:"Send a user's arrivals through running routers."`
 	Experiment experimentCommand `cmd:"" help:"Measure policies of routing and admission."`
 }
 
--- a/engine/choice.go
+++ b/engine/choice.go
@@ -89,7 +89,7 @@
 	for i, c := range candidates {
 		names[i] = ring.Name(c.Engine)
 	}
-	t.refresh(ctx, names, p.pieces, askedKeepers)
+	t.refreshFor(ctx, names, p.pieces)
 	if chosen, ok := t.choose(policy, ring, p, candidates); ok {
 		return withUpstream(chosen, from), true
 	}
@@ -97,6 +97,13 @@
 	return withUpstream(chosen, from), ok
 }
 
+// refreshFor asks a few keepers for what a request needs.
+func (t *Tracker) refreshFor(ctx context.Context, names []string, pieces []uint64) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	t.refresh(ctx, names, pieces, askedKeepers)
+}
+
 // withUpstream fills in the upstream of a choice.
 func withUpstream(c Choice, from document.Pool) Choice {
 	i := slices.IndexFunc(from.Upstreams, func(u document.Upstream) bool { return u.Name == c.Upstream.Name })
@@ -167,7 +174,7 @@
 	if !l.known {
 		return true
 	}
-	return l.reachable && !l.leaving && l.version == p.version
+	return l.reachable && !l.leaving && !l.loading && l.version == p.version
 }
 
 // choose takes the best of the candidates that can take the request.
@@ -185,7 +192,9 @@
 		if l.levels > 0 && l.levels <= len(p.levels) {
 			c.CachedTokens = p.levels[l.levels-1].Tokens
 		}
-		c.CachedTokens = max(c.CachedTokens, t.view.Expected(name, p.levels, now))
+		if t.confirmLocked(name, l) {
+			c.CachedTokens = max(c.CachedTokens, t.view.Expected(name, p.levels, now))
+		}
 		c.Wait, c.Load = t.view.Wait(name, l.report)
 		c.Trust, c.Joined = l.trust, l.joined
 		usable = append(usable, c)
@@ -200,12 +209,31 @@
 		levels: p.levels, tokens: p.tokens,
 		service: policy.Speed.Prefill(max(p.tokens-routing.Expected(chosen), 0)),
 	}
-	if l := t.lookLocked(choice.Upstream.Name, p.pieces); l.known && choice.CachedTokens > 0 {
-		choice.Incarnation = strconv.FormatInt(l.incarnation, 10)
+	if choice.CachedTokens > 0 {
+		choice.Incarnation = t.incarnations[choice.Upstream.Name]
 	}
 	return choice, true
 }
 
+// confirmLocked forgets what this host sent to an earlier incarnation of an
+// engine, and tells whether the incarnation is known; the caller holds mu.
+func (t *Tracker) confirmLocked(name string, l look) bool {
+	if l.known && l.reachable {
+		t.setIncarnationLocked(name, strconv.FormatInt(l.incarnation, 10))
+	}
+	return t.incarnations[name] != ""
+}
+
+// setIncarnationLocked notes which incarnation an engine is; the caller holds
+// mu.
+func (t *Tracker) setIncarnationLocked(name, incarnation string) {
+	if t.incarnations[name] == incarnation {
+		return
+	}
+	t.incarnations[name] = incarnation
+	t.view.Forget(name)
+}
+
 // Started counts an attempt until the returned function is called.
 func (t *Tracker) Started(c Choice) (ended func(Report)) {
 	name := c.Upstream.Name
@@ -236,6 +264,11 @@
 		t.avoided[name] = t.now() + avoidTime
 		return
 	}
+	if r.Incarnation != "" && r.Incarnation != t.incarnations[name] {
+		t.incarnations[name] = r.Incarnation
+		t.view.Forget(name)
+		t.view.Sent(name, c.levels, 0, t.now())
+	}
 	delete(t.avoided, name)
 	t.view.Served(routing.Speed{PrefillRate: prefillRate}.Prefill(max(c.tokens-r.CachedTokens, 0)))
 	t.Metrics.Counter("predicted_tokens").Inc(int64(c.CachedTokens))
--- a/engine/keeper.go
+++ b/engine/keeper.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -90,8 +91,8 @@
 	if k.load.Incarnation != 0 && k.load.Incarnation != r.Incarnation {
 		event.EngineRestarted.Info("Engine", name, "Incarnation", r.Incarnation)
 		k.joined = now
-		t.view.Forget(name)
 	}
+	t.setIncarnationLocked(name, strconv.FormatInt(r.Incarnation, 10))
 	k.belief.Apply(source, r.CacheEvents(), now)
 	k.belief.Expire(now)
 	k.load, k.at, k.reported, k.reachable = r.Load, now-reportLag, true, true
@@ -112,8 +113,9 @@
 // ends of its levels.
 func (k *kept) look(pieces []uint64, now time.Duration) look {
 	l := look{
-		known: k.reported, reachable: k.reachable, leaving: k.load.Leaving || k.load.Loading,
+		known: k.reported, reachable: k.reachable, leaving: k.load.Leaving, loading: k.load.Loading,
 		incarnation: k.load.Incarnation, version: k.load.Version,
+		fence: k.load.Fence, role: k.load.Role, adapters: k.load.Adapters,
 		report: routing.Report{At: k.at, Queued: k.load.Queued, Running: k.load.Running},
 		trust:  k.belief.Trust(now), joined: k.joined > 0 && now-k.joined < joinTime, at: now,
 	}
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -104,6 +104,7 @@
 	version     string
 	cache       *pieceCache
 	journal     *journal
+	counts      EngineCounts
 	running     int
 	queued      int
 	faults      EngineFaults
@@ -131,6 +132,7 @@
 	app.Post("/v1/completions", e.complete)
 	app.Get("/control/load", e.load)
 	app.Get("/control/events", e.events)
+	app.Get("/counts", e.reportCounts)
 	app.Post("/control/cancel", e.cancel)
 	app.Post("/control/orders", e.order)
 	app.Get("/control/orders", e.ordersTaken)
--- a/standin/engine_batch.go
+++ b/standin/engine_batch.go
@@ -50,6 +50,9 @@
 	e.mu.Lock()
 	cache := e.cache
 	hits := cache.use(pieces)
+	e.counts.Requests++
+	e.counts.PromptTokens += prefix.Tokens(len(prompt))
+	e.counts.CachedTokens += hits * prefix.PieceTokens
 	e.mu.Unlock()
 	cached = hits * prefix.PieceTokens
 	for missing := prefix.Tokens(len(prompt)) - cached; missing > 0; missing -= prefix.PieceTokens {
