--- a/cmd/client.go
+++ b/cmd/client.go
@@ -23,7 +23,12 @@
 
 // get asks the operators' door.
 func (f operatorFlags) get(ctx context.Context, path string, into any) error {
-	return f.call(ctx, http.MethodGet, path, nil, into)
+	err := f.call(ctx, http.MethodGet, path, nil, into)
+	if trace.IsConnectionProblem(err) {
+		// A read that failed changed nothing.
+		return trace.Errorf("%s", trace.UserMessage(err))
+	}
+	return err
 }
 
 // post sends a JSON body to the operators' door.
--- a/cmd/root.go
+++ b/cmd/root.go
@@ -28,18 +28,18 @@
 
 // root lists the subcommands.
 type root struct {
-	Run         runCommand         `cmd:"" help:"Run the router daemon on this host."`
-	Local       localCommand       `cmd:"" help:"Run routers and stand-ins in one process, to try the system out."`
-	Check       checkCommand       `cmd:"" help:"Check a settings file or a configuration section without starting or changing anything."`
-	Publish     publishCommand     `cmd:"" help:"Publish a new body of a configuration section."`
-	RollForward rollForwardCommand `cmd:"" help:"Publish the body of an older accepted revision as a new edit."`
-	Diff        diffCommand        `cmd:"" help:"Compare a file with a configuration section in force."`
-	Show        showCommand        `cmd:"" help:"Show a configuration section in force and its revision."`
-	Audit       auditCommand       `cmd:"" help:"Show who changed what, when, and what came of it."`
-	Status      statusCommand      `cmd:"" help:"Show hosts and engines as one host sees them."`
-	Drain       drainCommand       `cmd:"" help:"Begin a planned stop of a host."`
-	Addresses   addressesCommand   `cmd:"" help:"Ask a host which addresses callers should use."`
-	Send        sendCommand        `cmd:"" help:"Send a completion request and print the answer as it comes."`
+	Run         runCommand         `cmd:"" group:"host" help:"Run the router daemon on this host."`
+	Local       localCommand       `cmd:"" group:"host" help:"Run routers and stand-ins in one process, to try the system out."`
+	Check       checkCommand       `cmd:"" group:"configuration" help:"Check a settings file or a configuration section without starting or changing anything."`
+	Publish     publishCommand     `cmd:"" group:"configuration" help:"Publish a new body of a configuration section."`
+	RollForward rollForwardCommand `cmd:"" group:"configuration" help:"Publish the body of an older accepted revision as a new edit."`
+	Diff        diffCommand        `cmd:"" group:"configuration" help:"Compare a file with a configuration section in force."`
+	Show        showCommand        `cmd:"" group:"configuration" help:"Show a configuration section in force and its revision."`
+	Audit       auditCommand       `cmd:"" group:"configuration" help:"Show who changed what, when, and what came of it."`
+	Status      statusCommand      `cmd:"" group:"operation" help:"Show hosts and engines as one host sees them."`
+	Drain       drainCommand       `cmd:"" group:"operation" help:"Begin a planned stop of a host."`
+	Addresses   addressesCommand   `cmd:"" group:"callers" help:"Ask a host which addresses callers should use."`
+	Send        sendCommand        `cmd:"" group:"callers" help:"Send a completion or a call of a plain service, and print the answer."`
 }
 
 // console is where commands write.
@@ -55,6 +55,12 @@
 	parser, err := kong.New(&r,
 		kong.Name("kumquathoist"),
 		kong.Description("A router for language-model traffic with long shared prompts.\n\nExit codes: 0 done; 1 failed, nothing was changed; 2 the command line can't be used; 3 refused; 4 unknown, it may have taken effect."),
+		kong.ExplicitGroups([]kong.Group{
+			{Key: "host", Title: "Run:"},
+			{Key: "configuration", Title: "Change the configuration:"},
+			{Key: "operation", Title: "Look after hosts:"},
+			{Key: "callers", Title: "Act as a caller:"},
+		}),
 		kong.Writers(out, errOut),
 		kong.Exit(func(c int) { code = c }),
 		kong.UsageOnError(),
--- a/cmd/run.go
+++ b/cmd/run.go
@@ -12,6 +12,11 @@
 	Settings string `required:"" type:"existingfile" help:"The settings file (YAML)."`
 }
 
+// Help tells where the daemon's secrets come from.
+func (runCommand) Help() string {
+	return "The settings say where the host stands, where it listens, where the platform's log and host list are, and where the secrets are read from. SIGTERM or SIGINT begins a planned stop."
+}
+
 // Run starts the daemon and carries out a planned stop on the first signal.
 func (c *runCommand) Run(ctx context.Context) error {
 	s, err := settings.Load(c.Settings)
--- a/cmd/status.go
+++ b/cmd/status.go
@@ -14,6 +14,11 @@
 	operatorFlags
 }
 
+// Help tells how to read the status.
+func (statusCommand) Help() string {
+	return "Shows what one host knows: the entry hosts, each engine's last load report, and how far each pool is with its version. Ask another host with --host to see whether they agree."
+}
+
 // Run prints the status as one host sees it.
 func (c *statusCommand) Run(ctx context.Context, o console) error {
 	var answer operator.StatusAnswer
@@ -60,6 +65,11 @@
 	operatorFlags
 }
 
+// Help tells what a planned stop does.
+func (drainCommand) Help() string {
+	return "The host leaves the address answers, serves until no kept answer names it, finishes its streams and ends. No request is cut; one that is longer than the allowance is told to go on at another host."
+}
+
 // Run begins a planned stop of the host that is asked.
 func (c *drainCommand) Run(ctx context.Context, o console) error {
 	var answer struct{ Stopping bool }
