--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -8,6 +8,8 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"regexp"
 	"strings"
 	"testing"
 	"time"
@@ -393,3 +395,18 @@
 	status, _ = exchange(t, address, head("GET /healthz", "", ""))
 	is.Equal(status, http.StatusOK)
 }
+
+// TestCodesPage checks that docs/API.md explains every code.
+func TestCodesPage(t *testing.T) {
+	is := is.New(t)
+	source, err := os.ReadFile("../request/request.go")
+	is.NoErr(err)
+	page, err := os.ReadFile("../docs/API.md")
+	is.NoErr(err)
+	codes := regexp.MustCompile(`Code = "(\w+)"`).FindAllStringSubmatch(string(source), -1)
+	is.True(len(codes) > 0)
+	for _, code := range codes {
+		status := (&request.Failure{Code: request.Code(code[1])}).Status()
+		is.True(strings.Contains(string(page), fmt.Sprintf("| %s | %d |", code[1], status))) // the page has the code
+	}
+}
