--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -8,6 +8,8 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"regexp"
 	"strings"
 	"testing"
 	"time"
@@ -265,8 +267,8 @@
 	}{
 		{chat, `{"model":"matcher","messages":[{"role":"system","content":"rules"},{"role":"user","content":"p\u00e1r"}]}`, []string{"rules", "pár"}},
 		{chat, `{"model":"matcher","messages":[{"role":"user","content":[{"type":"text","text":"a"},` + image + `,{"type":"text","text":"b"}]}]}`, []string{"a" + image + "b"}},
-		{chat, `{"model":"matcher","messages":[{"role":"assistant","content":null,"tool_calls":[]},{"role":"user","content":""}]}`, []string{"", ""}},
-		{"/v1/completions", `{"model":"matcher","prompt":"pair"}`, []string{"pair"}},
+		{chat, `{"model":"matcher","stream":null,"messages":[{"role":"assistant","content":null,"tool_calls":[]},{"role":"user","content":""}]}`, []string{"", ""}},
+		{"/v1/completions", ` {"model":"matcher","stream" : false ,"max_tokens":null,"max_completion_tokens":7,"prompt":"pair"}`, []string{"pair"}},
 		{"/v1/completions", `{"model":"matcher","prompt":["pair"]}`, []string{"pair"}},
 	}
 	f := newRunner()
@@ -282,8 +284,11 @@
 		}
 		is.Equal(levels, tt.levels)
 		is.Equal(r.Priority, 9)
+		is.Equal(r.MaxTokens > 0, strings.Contains(tt.body, ":7,"))
 		is.Equal(r.Remaining, 1500*time.Millisecond)
-		is.True(strings.Contains(string(r.Body), `"stream":true`)) // engines always stream
+		var sent struct{ Stream bool }
+		is.NoErr(json.Unmarshal(r.Body, &sent))
+		is.True(sent.Stream) // engines always stream
 	}
 }
 
@@ -391,3 +396,18 @@
 	status, _ = exchange(t, address, head("GET /healthz", "", ""))
 	is.Equal(status, http.StatusOK)
 }
+
+// TestCodesPage checks that docs/API.md explains every code.
+func TestCodesPage(t *testing.T) {
+	is := is.New(t)
+	source, err := os.ReadFile("../request/request.go")
+	is.NoErr(err)
+	page, err := os.ReadFile("../docs/API.md")
+	is.NoErr(err)
+	codes := regexp.MustCompile(`Code = "(\w+)"`).FindAllStringSubmatch(string(source), -1)
+	is.True(len(codes) > 0)
+	for _, code := range codes {
+		status := (&request.Failure{Code: request.Code(code[1])}).Status()
+		is.True(strings.Contains(string(page), fmt.Sprintf("| %s | %d |", code[1], status))) // the page has the code
+	}
+}
