fix: try a model's other weights when no engine takes those chosen

Ruled out: engines that all load at once (at most 2 did). A request that no engine can have started now tries the model's other weights once; the answer says which it came from.

--- a/attempt/attempt.go
+++ b/attempt/attempt.go
@@ -79,7 +79,10 @@
 	limits     Limits
 	repeatable bool
 	weights    string
-	deadline   time.Time
+	// other is a version of the weights that the request may use instead, as
+	// long as no engine can have started it.
+	other    string
+	deadline time.Time
 	// allowed is the time that the request had at first.
 	allowed time.Duration
 
@@ -105,10 +108,11 @@
 }
 
 // Begin returns the state of a request that was just accepted. The weights
-// are the model's version that every token must come from.
+// are the model's version that every token must come from, unless no engine
+// has it and the request names another.
 func Begin(l Limits, r request.Request, weights string, now time.Time) State {
 	return State{
-		limits: l, repeatable: r.Repeatable, weights: weights,
+		limits: l, repeatable: r.Repeatable, weights: weights, other: r.OtherVersion,
 		deadline: now.Add(r.Remaining), allowed: r.Remaining, position: r.ResumeAfter,
 	}
 }
@@ -119,6 +123,9 @@
 // Position returns the last token that was passed on to the caller.
 func (s State) Position() int { return s.position }
 
+// Weights returns the version that every token must come from.
+func (s State) Weights() string { return s.weights }
+
 // Attempt returns the id of the current attempt, or "".
 func (s State) Attempt() string { return s.id }
 
--- a/attempt/attempt_test.go
+++ b/attempt/attempt_test.go
@@ -81,6 +81,30 @@
 	is.Equal(len(w.sends), 4)
 }
 
+// TestOtherWeights shows that a request which no engine with its weights takes
+// tries the model's other weights once, and none after a start.
+func TestOtherWeights(t *testing.T) {
+	is := is.New(t)
+	now, random := time.Unix(1_000_000, 0), rand.New(rand.NewPCG(1, 1))
+	begin := func() State {
+		r := request.Request{Repeatable: true, Remaining: time.Minute, OtherVersion: "v2"}
+		s, _ := Step(Begin(DefaultLimits(), r, "v1", now), Admitted{}, now, random)
+		return s
+	}
+	s, actions := Step(begin(), NoneUsable{}, now, random)
+	is.Equal(actions, []Action{Choose{Weights: "v2"}})
+	s, _ = Step(s, NoneUsable{}, now, random)
+	is.Equal(s.Phase(), Ended)
+	s, actions = Step(begin(), Chosen{Target{Upstream: "engine-1"}}, now, random)
+	s, _ = Step(s, Failed{actions[0].(Send).Attempt, Cut}, now, random)
+	s, _ = Step(s, Budget{true}, now, random)
+	now = s.Wake()
+	s, _ = Step(s, Woken{}, now, random)
+	is.Equal(s.Phase(), Choosing)
+	s, _ = Step(s, NoneUsable{}, now, random)
+	is.Equal(s.Phase(), Ended) // it may have started with v1
+}
+
 // TestLosses shows that a request which kills every engine takes two.
 func TestLosses(t *testing.T) {
 	is := is.New(t)
--- a/attempt/message.go
+++ b/attempt/message.go
@@ -82,7 +82,11 @@
 type Action interface{ action() }
 
 // Choose asks for an engine that was not tried.
-type Choose struct{ Tried []string }
+type Choose struct {
+	// Weights is the version that the engine must have.
+	Weights string
+	Tried   []string
+}
 
 // Send sends an attempt.
 type Send struct {
--- a/attempt/outcome.go
+++ b/attempt/outcome.go
@@ -31,7 +31,7 @@
 	case !s.repeatable && s.started:
 		return s.finish(request.Refuse(request.UpstreamFailed, "the upstream did not answer"), random)
 	case s.sends >= s.limits.Attempts || s.losses >= s.limits.Losses:
-		return s.finish(s.exhausted(), random)
+		return s.exhaust(now, random)
 	case c.proven():
 		return s.choose(now, random)
 	}
@@ -43,6 +43,18 @@
 	return s, []Action{AskBudget{}}
 }
 
+// exhaust ends a request that no engine takes. One that cannot have started
+// tries the model's other weights once: while a pool is rolled, reports of
+// which engines have which weights lag.
+func (s State) exhaust(now time.Time, random *rand.Rand) (State, []Action) {
+	if s.other == "" || s.started {
+		return s.finish(s.exhausted(), random)
+	}
+	s.weights, s.other = s.other, ""
+	s.tried, s.sends = nil, 0
+	return s.choose(now, random)
+}
+
 // exhausted returns the failure of a request that no engine finished.
 func (s State) exhausted() *request.Failure {
 	if s.started {
--- a/attempt/step.go
+++ b/attempt/step.go
@@ -20,10 +20,31 @@
 		return s.finish(failure, random)
 	}
 	switch in := in.(type) {
+	case Opened, Token, End, Failed:
+		return s.answered(in, now, random)
 	case Admitted:
 		return s.admitted(now, random)
+	case NoneUsable:
+		if s.phase == Choosing {
+			return s.exhaust(now, random)
+		}
 	case Chosen:
 		return s.chosen(in.Target, now, random)
+	case Delivered:
+		if s.phase == Streaming {
+			s.wake = now.Add(s.limits.Token)
+		}
+	case Budget:
+		return s.budget(in, now, random)
+	case Woken:
+		return s.woken(now, random)
+	}
+	return s, nil
+}
+
+// answered takes an input of the engine's side.
+func (s State) answered(in Input, now time.Time, random *rand.Rand) (State, []Action) {
+	switch in := in.(type) {
 	case Opened:
 		return s.opened(in, now, random)
 	case Token:
@@ -34,14 +55,6 @@
 		if in.Attempt == s.id && s.open() {
 			return s.failed(in.Cause, now, random)
 		}
-	case Delivered:
-		if s.phase == Streaming {
-			s.wake = now.Add(s.limits.Token)
-		}
-	case Budget:
-		return s.budget(in, now, random)
-	case Woken:
-		return s.woken(now, random)
 	}
 	return s, nil
 }
@@ -52,8 +65,6 @@
 	switch in := in.(type) {
 	case Refused:
 		return in.Failure, s.phase == New
-	case NoneUsable:
-		return s.exhausted(), s.phase == Choosing
 	case Condemned:
 		return request.Refuse(request.Quarantined, "the request crashed the engines that ran it"), true
 	case CallerLeft:
@@ -87,7 +98,7 @@
 	if s.resume {
 		return s.send(now, random)
 	}
-	return s, []Action{Choose{Tried: slices.Clone(s.tried)}}
+	return s, []Action{Choose{Weights: s.weights, Tried: slices.Clone(s.tried)}}
 }
 
 func (s State) chosen(t Target, now time.Time, random *rand.Rand) (State, []Action) {
--- a/dispatch/completion.go
+++ b/dispatch/completion.go
@@ -138,6 +138,7 @@
 }
 
 func (c *completion) choose(ctx context.Context, a attempt.Choose) attempt.Input {
+	c.model.Version = a.Weights
 	choice, ok := c.engines.Choose(ctx, c.pool, c.model, c.request, a.Tried)
 	if !ok {
 		return attempt.NoneUsable{}
@@ -149,6 +150,7 @@
 // deliver hands the current event to the caller's side. It blocks while the
 // caller is slow, so that nothing more is read from the engine.
 func (c *completion) deliver() attempt.Input {
+	c.chunk.Weights = c.state.Weights()
 	if c.sink(c.chunk) != nil {
 		return attempt.CallerLeft{}
 	}
@@ -162,6 +164,6 @@
 		// The reader of a whole answer ends by itself.
 		c.abandon = func() {}
 		c.crashes.Answered(c.attempt, c.fingerprint)
-		_ = c.sink(upstream.Chunk{End: true})
+		_ = c.sink(upstream.Chunk{End: true, Weights: c.state.Weights()})
 	}
 }
--- a/gateway/complete.go
+++ b/gateway/complete.go
@@ -63,7 +63,7 @@
 		return g.refused(c, account.Name, <-a.failure)
 	}
 	g.firstToken(begun)
-	c.Set(modelVersionHeader, r.Version)
+	c.Set(modelVersionHeader, first.Weights)
 	if r.Stream {
 		return g.stream(c, r, a, first)
 	}
--- a/gateway/door.go
+++ b/gateway/door.go
@@ -75,21 +75,27 @@
 	r.Body = body.streamed(r.Body)
 	r.Kind, r.Model, r.Stream, r.Levels = request.Completion, body.model, body.stream, body.levels(chat)
 	r.Repeatable, r.MaxTokens = true, body.tokens
-	r.Version, failure = g.version(c, doc, r, model)
-	return r, failure
+	return g.withVersion(c, doc, r, model)
 }
 
-// version returns the weights that the answer must come from: those in force,
-// or for a resumed stream those that it began with.
-func (g *Gateway) version(c fiber.Ctx, doc document.Document, r request.Request, model document.Model) (string, *request.Failure) {
+// withVersion returns the request with the weights that the answer must come
+// from: those in force, and while a pool is rolled those before, or for a
+// resumed stream those that it began with.
+func (g *Gateway) withVersion(c fiber.Ctx, doc document.Document, r request.Request, model document.Model) (request.Request, *request.Failure) {
 	if r.ResumeAfter == 0 {
 		pool, _ := doc.Pool(model.Pool)
-		return rollout.Serving(model, pool, r.ID, func(version string) int { return g.Engines.Ready(pool, version) }), nil
+		r.Version = rollout.Serving(model, pool, r.ID, func(version string) int { return g.Engines.Ready(pool, version) })
+		if r.Version == model.From {
+			r.OtherVersion = model.Version
+		} else {
+			r.OtherVersion = model.From
+		}
+		return r, nil
 	}
-	if began := c.Get(modelVersionHeader); began != "" {
-		return began, nil
+	if r.Version = c.Get(modelVersionHeader); r.Version != "" {
+		return r, nil
 	}
-	return "", request.Refuse(request.BadRequest, "a request with "+lastEventHeader+" needs the "+modelVersionHeader+" of the answer that it goes on with")
+	return r, request.Refuse(request.BadRequest, "a request with "+lastEventHeader+" needs the "+modelVersionHeader+" of the answer that it goes on with")
 }
 
 // serviceCall reads a call of a plain service.
--- a/request/request.go
+++ b/request/request.go
@@ -59,8 +59,11 @@
 	Stream bool
 	// ResumeAfter is the position of the last event that the caller has.
 	ResumeAfter int
-	// Version is the model's version that a resumed answer came from, or "".
+	// Version is the model's version that the answer is to come from.
 	Version string
+	// OtherVersion may be used as long as no engine can have started the
+	// request, or "".
+	OtherVersion string
 	// Key is the caller's idempotency key, or "".
 	Key string
 	// KeyIssued is when the caller made the key.
--- a/upstream/stream.go
+++ b/upstream/stream.go
@@ -27,6 +27,8 @@
 	Position int
 	// Data is the event's JSON.
 	Data []byte
+	// Weights is the version that the token comes from.
+	Weights string
 	// End marks the end of a whole answer.
 	End bool
 }
