fix: end a whole answer from its outcome, not from its last chunk

Cause: the chunk of the end is dropped when the request's context is over while the caller's side is handed it. A stream then ended without a marker, and an answer without a first chunk was refused with a nil failure, which stopped the process. Seen as a panic in gateway.refuse, once in a run of the packages' tests and once in 24 parallel processes of the gateway's tests. The marker is now written when the outcome is done. Not mended here: TestBadInput answers 503 (NoMoreConnections) in a few of these parallel runs; it bounds connections and fails on a busy machine. Command: go test -race ./gateway ./dispatch

--- a/gateway/complete.go
+++ b/gateway/complete.go
@@ -58,9 +58,15 @@
 	defer stop()
 	first, ok := <-a.chunks
 	if !ok {
-		defer g.open.Add(-1)
-		defer a.cancel()
-		return g.refused(c, account.Name, <-a.failure)
+		failure := <-a.failure
+		if failure != nil {
+			defer g.open.Add(-1)
+			defer a.cancel()
+			return g.refused(c, account.Name, failure)
+		}
+		// The answer is whole and has no tokens.
+		first = upstream.Chunk{End: true}
+		a.failure <- nil
 	}
 	g.firstToken(begun)
 	c.Set(modelVersionHeader, r.Version)
@@ -107,14 +113,7 @@
 		defer a.cancel()
 		events := &eventWriter{w: w, extend: func() { _ = conn.SetWriteDeadline(time.Now().Add(writeTimeout)) }, left: a.cancel}
 		events.write(chunkEvent(first))
-		for chunk := range a.chunks {
-			events.write(chunkEvent(chunk))
-		}
-		failure := <-a.failure
-		if failure != nil {
-			events.write(failureEvent(failure))
-		}
-		g.finish(r.ID, r.Account, failure)
+		g.finish(r.ID, r.Account, events.writeAll(a))
 	})
 }
 
@@ -128,6 +127,21 @@
 	err  error
 }
 
+// writeAll writes the rest of an answer and its explicit end, and returns the
+// outcome.
+func (e *eventWriter) writeAll(a *answer) *request.Failure {
+	for chunk := range a.chunks {
+		e.write(chunkEvent(chunk))
+	}
+	failure := <-a.failure
+	if failure != nil {
+		e.write(failureEvent(failure))
+		return failure
+	}
+	e.write([]byte("data: [DONE]\n\n"))
+	return nil
+}
+
 func (e *eventWriter) write(raw []byte) {
 	if e.err != nil {
 		return
@@ -141,10 +155,11 @@
 	}
 }
 
-// chunkEvent returns the event of a chunk.
+// chunkEvent returns the event of a chunk. The end marker is written from the
+// outcome instead, since a chunk may be lost when the request's time is over.
 func chunkEvent(chunk upstream.Chunk) []byte {
 	if chunk.End {
-		return []byte("data: [DONE]\n\n")
+		return nil
 	}
 	return fmt.Appendf(nil, "id: %d\ndata: %s\n\n", chunk.Position, chunk.Data)
 }
