--- a/gateway/complete.go
+++ b/gateway/complete.go
@@ -32,6 +32,8 @@
 
 // answer is a completion on its way from the runner to the caller.
 type answer struct {
+	// version is the weights of the answer; it is set before the first chunk.
+	version string
 	// chunks holds events in order; it is closed after the last one.
 	chunks chan upstream.Chunk
 	// failure gets the outcome after chunks was closed.
@@ -63,7 +65,7 @@
 		return g.refused(c, account.Name, <-a.failure)
 	}
 	g.firstToken(begun)
-	c.Set(modelVersionHeader, r.Version)
+	c.Set(modelVersionHeader, a.version)
 	if r.Stream {
 		return g.stream(c, r, a, first)
 	}
@@ -75,22 +77,38 @@
 // run starts a completion.
 func (g *Gateway) run(doc document.Document, r request.Request) *answer {
 	ctx, cancel := context.WithTimeout(context.Background(), r.Remaining+deadlineGrace)
-	a := &answer{chunks: make(chan upstream.Chunk, bufferedChunks), failure: make(chan *request.Failure, 1), cancel: cancel}
+	a := &answer{version: r.Version, chunks: make(chan upstream.Chunk, bufferedChunks), failure: make(chan *request.Failure, 1), cancel: cancel}
+	sink := func(chunk upstream.Chunk) error {
+		select {
+		case a.chunks <- chunk:
+			return nil
+		case <-ctx.Done():
+			return errCallerLeft
+		}
+	}
 	go func() {
-		failure := g.Runner.Complete(ctx, doc, r, func(chunk upstream.Chunk) error {
-			select {
-			case a.chunks <- chunk:
-				return nil
-			case <-ctx.Done():
-				return errCallerLeft
-			}
-		})
+		failure := g.Runner.Complete(ctx, doc, r, sink)
+		if next, ok := otherWeights(doc, r, failure); ok {
+			a.version = next.Version
+			failure = g.Runner.Complete(ctx, doc, next, sink)
+		}
 		a.failure <- failure
 		close(a.chunks)
 	}()
 	return a
 }
 
+// otherWeights returns the request in the weights in force, if it did not run
+// because no engine serves those before any more.
+func otherWeights(doc document.Document, r request.Request, f *request.Failure) (request.Request, bool) {
+	model, _ := doc.Model(r.Model)
+	if f == nil || f.Code != request.NoUpstream || f.Outcome != request.NotRun || r.ResumeAfter > 0 || r.Version == model.Version {
+		return r, false
+	}
+	r.Version = model.Version
+	return r, true
+}
+
 // refused answers with a failure and counts it.
 func (g *Gateway) refused(c fiber.Ctx, account string, f *request.Failure) error {
 	g.finish(c.GetRespHeader(requestIDHeader), account, f)
