--- a/emulator/main.go
+++ b/emulator/main.go
@@ -26,6 +26,7 @@
 	Kept          keptCommand          `cmd:"" help:"Stand in for a kept KV cache store."`
 	Membership    membershipCommand    `cmd:"" help:"Measure the heartbeats of many hosts in this process."`
 
+	Overhead   overheadCommand   `cmd:"" help:"Measure what a router adds to a request."`
 	Drive      driveCommand      `cmd:"" help:"Send a user's arrivals through running routers."`
 	Experiment experimentCommand `cmd:"" help:"Measure policies of routing and admission."`
 }
