--- a/attempt/attempt.go
+++ b/attempt/attempt.go
@@ -111,6 +111,9 @@
 // are the model's version that every token must come from, unless no engine
 // has it and the request names another.
 func Begin(l Limits, r request.Request, weights string, now time.Time) State {
+	if r.ResumeAfter > 0 {
+		r.OtherVersion = ""
+	}
 	return State{
 		limits: l, repeatable: r.Repeatable, weights: weights, other: r.OtherVersion,
 		deadline: now.Add(r.Remaining), allowed: r.Remaining, position: r.ResumeAfter,
--- a/attempt/attempt_test.go
+++ b/attempt/attempt_test.go
@@ -86,16 +86,16 @@
 func TestOtherWeights(t *testing.T) {
 	is := is.New(t)
 	now, random := time.Unix(1_000_000, 0), rand.New(rand.NewPCG(1, 1))
-	begin := func() State {
-		r := request.Request{Repeatable: true, Remaining: time.Minute, OtherVersion: "v2"}
+	begin := func(resumeAfter int) State {
+		r := request.Request{Repeatable: true, Remaining: time.Minute, OtherVersion: "v2", ResumeAfter: resumeAfter}
 		s, _ := Step(Begin(DefaultLimits(), r, "v1", now), Admitted{}, now, random)
 		return s
 	}
-	s, actions := Step(begin(), NoneUsable{}, now, random)
+	s, actions := Step(begin(0), NoneUsable{}, now, random)
 	is.Equal(actions, []Action{Choose{Weights: "v2"}})
 	s, _ = Step(s, NoneUsable{}, now, random)
 	is.Equal(s.Phase(), Ended)
-	s, actions = Step(begin(), Chosen{Target{Upstream: "engine-1"}}, now, random)
+	s, actions = Step(begin(0), Chosen{Target{Upstream: "engine-1"}}, now, random)
 	s, _ = Step(s, Failed{actions[0].(Send).Attempt, Cut}, now, random)
 	s, _ = Step(s, Budget{true}, now, random)
 	now = s.Wake()
@@ -103,6 +103,10 @@
 	is.Equal(s.Phase(), Choosing)
 	s, _ = Step(s, NoneUsable{}, now, random)
 	is.Equal(s.Phase(), Ended) // it may have started with v1
+	s, _ = Step(begin(3), NoneUsable{}, now, random)
+	is.Equal(s.Phase(), Ended) // a resumed answer stays in its weights
+	s, _ = Step(Begin(DefaultLimits(), request.Request{OtherVersion: "v2"}, "v1", now), Refused{request.Refuse(request.RateLimited, "")}, now, random)
+	is.Equal(s.Phase(), Ended) // refused for another reason
 }
 
 // TestLosses shows that a request which kills every engine takes two.
