--- a/emulator/main.go
+++ b/emulator/main.go
@@ -24,6 +24,7 @@
 	Configuration configurationCommand `cmd:"" help:"Measure changes of the configuration against the number of hosts."`
 	Weights       weightsCommand       `cmd:"" help:"Stand in for the weight store."`
 	Kept          keptCommand          `cmd:"" help:"Stand in for a kept KV cache store."`
+	Membership    membershipCommand    `cmd:"" help:"Measure the heartbeats of many hosts in this process."`
 
 	Overhead   overheadCommand   `cmd:"" help:"Measure what a router adds to a request."`
 	Drive      driveCommand      `cmd:"" help:"Send a user's arrivals through running routers."`
--- a/endtoend/crash_test.go
+++ b/endtoend/crash_test.go
@@ -27,6 +27,7 @@
 // again and again: it takes two engines, then every router refuses it at
 // once, and the account's other requests go on.
 func TestCrasher(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	s := startSystem(t, options{routers: 3, engines: 6})
 	for _, e := range s.engines {
@@ -60,6 +61,7 @@
 // TestRestartAndReload restarts an engine at its address and changes its
 // weights while requests run: no stream mixes weights.
 func TestRestartAndReload(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	s := startSystem(t, options{routers: 1, engines: 2, engineArgs: []string{"--token-millis", "20"}})
 	body := fmt.Sprintf(streamBody, 60, "prompt")
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -100,6 +100,9 @@
 	Final bool
 	// Records holds at most MaxRecords changes.
 	Records []Record
+	// Departing names at most MaxRecords upstreams that a host list showed as
+	// leaving.
+	Departing []string
 }
 
 // Outgoing is a message for one peer.
@@ -139,10 +142,14 @@
 	// this host, and to whom it sends.
 	watched map[string]bool
 	targets []string
+	// stale tells that members changed since watched and targets were computed.
+	stale bool
 	// patience holds the factor on SuspectAfter of hosts that refuted.
 	patience map[string]int
 	// pending holds, newest first, changes to send and the rounds left.
 	pending []pendingRecord
+	// departing holds the upstreams that any host list showed as leaving.
+	departing map[string]departure
 	// digest sums up the members.
 	digest uint64
 	// changes counts changes of what Hosts returns.
