--- a/local/greeting.go
+++ b/local/greeting.go
@@ -14,7 +14,7 @@
 		fmt.Fprintf(&hosts, "  %-22s callers http://%s   operators http://%s\n", s.plan.hosts[i].Name, n.Callers(), n.Operators())
 	}
 	first := s.Routers[0]
-	return fmt.Sprintf(`kumquathoist runs in this process: %d routers, %d stand-in engines, %d endpoints of %s.
+	return fmt.Sprintf(`kumquathoist runs in this process: %d routers, %d stand-in engines, and the service %s (endpoints: %d).
 
 %s
 Stream an answer:
@@ -30,7 +30,7 @@
   KUMQUATHOIST_OPERATOR_SECRET=%s go run . status --host http://%s
 
 Stop it with Ctrl-C.
-`, len(s.Routers), len(s.Engines), len(s.Services), s.Service, hosts.String(),
+`, len(s.Routers), len(s.Engines), s.Service, len(s.Services), hosts.String(),
 		first.Callers(), s.Key, s.Model,
 		first.Callers(), s.Service, s.Key, uuid.Must(uuid.NewV7()),
 		OperatorSecret, first.Operators())
