fix: let an account that is alone fill the engines

Cause: an account that shares the engines with nobody was refused as using more than its share once the estimated wait passed 100 ms: the mean use of one account, rounded to whole nanoseconds, is below that account's use. Alone, an account may wait for 1 s, which leaves time for the prompt within the 1.4 s to the first token.

--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -78,3 +78,15 @@
 	release()
 	is.Equal(*limits, counting{2, 2})
 }
+
+// TestAlone lets an account that shares the engines with nobody fill them.
+func TestAlone(t *testing.T) {
+	is := is.New(t)
+	s := admission.NewState()
+	ask := admission.Ask{Account: "lone", Wait: 900 * time.Millisecond, Service: 7 * time.Millisecond, Remaining: time.Minute}
+	for i := range 100 {
+		is.True(s.Decide(ask, time.Duration(i)*time.Second/3).Admitted)
+	}
+	ask.Wait = 2 * time.Second
+	is.Equal(s.Decide(ask, 34*time.Second).Reason, admission.Full)
+}
--- a/admission/state.go
+++ b/admission/state.go
@@ -13,6 +13,10 @@
 	fullWait = 100 * time.Millisecond
 	// waitPerPriority is how much more wait each step of priority may see.
 	waitPerPriority = 50 * time.Millisecond
+	// aloneWait is the wait at which a pool counts as full for an account that
+	// shares it with nobody: it leaves time for the prompt within the 1.4 s to
+	// the first token that the system is designed for.
+	aloneWait = time.Second
 	// minRetryAfter and maxRetryAfter bound when a refused caller may come
 	// back.
 	minRetryAfter = time.Second
@@ -83,18 +87,36 @@
 	full := fullWait + time.Duration(a.Priority)*waitPerPriority
 	used := s.usages[a.Account].decayed(now)
 	if a.Wait > full {
-		fair := s.fair(now)
-		if used > fair {
-			return refuse(Share, a.Wait-full)
-		}
-		if a.Wait > 2*full && used > fair/2 {
-			return refuse(Full, a.Wait-full)
+		if reason := s.contended(a, used, full, now); reason != 0 {
+			return refuse(reason, a.Wait-full)
 		}
 	}
 	s.usages[a.Account] = usage{used + a.Service.Seconds()/float64(max(a.Weight, 1)), now}
 	return Verdict{Admitted: true}
 }
 
+// contended returns why a request is refused by a pool that is full, or 0.
+func (s *State) contended(a Ask, used float64, full, now time.Duration) Reason {
+	fair := s.fair(now)
+	switch {
+	case s.alone(a.Account):
+		if a.Wait > aloneWait {
+			return Full
+		}
+	case used > fair:
+		return Share
+	case a.Wait > 2*full && used > fair/2:
+		return Full
+	}
+	return 0
+}
+
+// alone tells whether no other account is active.
+func (s *State) alone(account string) bool {
+	_, active := s.usages[account]
+	return len(s.usages) == 0 || active && len(s.usages) == 1
+}
+
 // fair returns the use up to which an account has its share: half-way from
 // the mean use of all to that of the accounts above it, since those that use
 // less leave the rest of their share to the others.
