--- /dev/null
+++ b/emulator/control.go
@@ -0,0 +1,133 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/goccy/go-yaml"
+	"github.com/google/uuid"
+	"github.com/gravitational/trace"
+
+	"github.com/kumquathoist/kumquathoist/document"
+	"github.com/kumquathoist/kumquathoist/standin"
+)
+
+// controlCommand measures what hosts without requests spend on control, each
+// host a process of its own before stand-in engines.
+type controlCommand struct {
+	Program  string        `required:"" type:"existingfile" help:"The router's program."`
+	Hosts    []int         `default:"3,9,30" help:"Numbers of hosts."`
+	Engines  int           `default:"2" help:"Engines for each host."`
+	Accounts int           `default:"8" help:"Client accounts."`
+	Settle   time.Duration `default:"15s" help:"How long the hosts run before they are measured."`
+	Span     time.Duration `default:"20s" help:"How long the hosts are measured."`
+}
+
+// Run prints a row for each number of hosts.
+func (c *controlCommand) Run(ctx context.Context) error {
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "HOSTS\tENGINES\tACCOUNTS\tWIRE B/S/HOST\tCPU %/HOST\tRSS MB/HOST")
+	for _, hosts := range c.Hosts {
+		row, err := c.row(ctx, hosts)
+		if err != nil {
+			return err
+		}
+		fmt.Fprintln(w, row)
+		if err := w.Flush(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// row measures one number of hosts.
+func (c *controlCommand) row(ctx context.Context, hosts int) (string, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	dir, err := os.MkdirTemp("", "control")
+	if err != nil {
+		return "", trace.ConvertSystemError(err)
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	f := &fleet{dir: dir, program: c.Program}
+	defer f.stop()
+	if err := f.start(ctx, hosts, false); err != nil {
+		return "", err
+	}
+	if err := c.configure(ctx, f, hosts*c.Engines); err != nil {
+		return "", err
+	}
+	time.Sleep(c.Settle)
+	before, err := loopbackBytes()
+	if err != nil {
+		return "", err
+	}
+	idle := f.idle(c.Span)
+	after, err := loopbackBytes()
+	if err != nil {
+		return "", err
+	}
+	wire := float64(after-before) / c.Span.Seconds() / float64(hosts)
+	return fmt.Sprintf("%d\t%d\t%d\t%.0f\t%.2f\t%.1f", hosts, hosts*c.Engines, c.Accounts, wire, idle.cpuPercent, idle.residentMB), nil
+}
+
+// configure starts engines and publishes a configuration with them.
+func (c *controlCommand) configure(ctx context.Context, f *fleet, engines int) error {
+	pool := document.Pool{Name: "engines", Kind: document.EnginePool}
+	for i := range engines {
+		name := fmt.Sprintf("engine-%d", i+1)
+		e, err := standin.NewEngine(ctx, "127.0.0.1:0", standin.DefaultEngineOptions(name))
+		if err != nil {
+			return err
+		}
+		pool.Upstreams = append(pool.Upstreams, document.Upstream{Name: name, Address: e.Address(), FailureDomain: "domain-1"})
+	}
+	var accounts document.Accounts
+	for i := range c.Accounts {
+		name := fmt.Sprintf("account-%d", i+1)
+		accounts.Accounts = append(accounts.Accounts, document.Account{Name: name, KeyHash: document.HashKey(name), Weight: 1, RequestsPerSecond: 10})
+	}
+	sections := []struct {
+		section document.Section
+		body    any
+	}{
+		{document.CapacitySection, document.Capacity{Pools: []document.Pool{pool}}},
+		{document.ModelsSection, document.Models{Models: []document.Model{{Name: "model", Pool: "engines", Version: "v1"}}}},
+		{document.AccountsSection, accounts},
+	}
+	for _, s := range sections {
+		body, err := yaml.Marshal(s.body)
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		var v document.Verdict
+		e := document.Edit{ID: uuid.NewString(), Section: s.section, Author: "measure", Body: string(body)}
+		if err := f.hosts[0].post(ctx, "/operator/edits", e, &v); err != nil {
+			return trace.Wrap(err, "publishing %s", s.section)
+		}
+		if !v.Accepted {
+			return trace.CompareFailed("%s was refused: %s", s.section, v.Reason)
+		}
+	}
+	return nil
+}
+
+// loopbackBytes returns the bytes that the loopback interface has carried,
+// with the heads of TCP and IP; what one process sends another counts once.
+func loopbackBytes() (int64, error) {
+	raw, err := os.ReadFile("/proc/net/dev")
+	if err != nil {
+		return 0, trace.ConvertSystemError(err)
+	}
+	for line := range strings.Lines(string(raw)) {
+		if counters, ok := strings.CutPrefix(strings.TrimSpace(line), "lo:"); ok {
+			return strconv.ParseInt(strings.Fields(counters)[0], 10, 64)
+		}
+	}
+	return 0, trace.NotFound("there is no loopback interface")
+}
--- a/emulator/main.go
+++ b/emulator/main.go
@@ -20,6 +20,7 @@
 	HostList      hostListCommand      `cmd:"" help:"Stand in for the platform's host list."`
 	Engine        engineCommand        `cmd:"" help:"Stand in for a model engine."`
 	Service       serviceCommand       `cmd:"" help:"Stand in for a plain service."`
+	Control       controlCommand       `cmd:"" help:"Measure what idle hosts spend on control."`
 	Claims        claimsCommand        `cmd:"" help:"Measure claims against load and the number of hosts."`
 	Configuration configurationCommand `cmd:"" help:"Measure changes of the configuration against the number of hosts."`
 	Weights       weightsCommand       `cmd:"" help:"Stand in for the weight store."`
