--- a/emulator/configuration.go
+++ b/emulator/configuration.go
@@ -3,10 +3,8 @@
 import (
 	"context"
 	"fmt"
-	"os"
 	"path/filepath"
 	"slices"
-	"text/tabwriter"
 	"time"
 
 	"github.com/google/uuid"
@@ -39,35 +37,12 @@
 
 // Run prints a row for each number of hosts.
 func (c *configurationCommand) Run(ctx context.Context) error {
-	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "HOSTS\tACCEPT P50 MS\tALL P50 MS\tALL MAX MS\tLAST HOST MAX MS\tAPPENDS/CHANGE\tBYTES/RECORD\tSTATES FETCHED\tBURST CHANGES/S\tBURST ALL MS\tIDLE CPU %/HOST\tRSS MB/HOST")
-	for _, hosts := range c.Hosts {
-		row, err := c.row(ctx, hosts)
-		if err != nil {
-			return err
-		}
-		fmt.Fprintln(w, row)
-		if err := w.Flush(); err != nil {
-			return err
-		}
-	}
-	return nil
+	const head = "HOSTS\tACCEPT P50 MS\tALL P50 MS\tALL MAX MS\tLAST HOST MAX MS\tAPPENDS/CHANGE\tBYTES/RECORD\tSTATES FETCHED\tBURST CHANGES/S\tBURST ALL MS\tIDLE CPU %/HOST\tRSS MB/HOST"
+	return measureFleets(ctx, fleetOptions{program: c.Program, hosts: c.Hosts, cut: c.Cut}, head, c.row)
 }
 
-// row measures one number of hosts.
-func (c *configurationCommand) row(ctx context.Context, hosts int) (string, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	dir, err := os.MkdirTemp("", "configuration")
-	if err != nil {
-		return "", trace.ConvertSystemError(err)
-	}
-	defer func() { _ = os.RemoveAll(dir) }()
-	f := &fleet{dir: dir, program: c.Program}
-	defer f.stop()
-	if err := f.start(ctx, hosts, c.Cut); err != nil {
-		return "", err
-	}
+// row measures one fleet.
+func (c *configurationCommand) row(ctx context.Context, f *fleet) (string, error) {
 	m := &changes{fleet: f}
 	// The first change makes every host ready.
 	if err := m.change(ctx); err != nil {
@@ -86,7 +61,7 @@
 		return "", err
 	}
 	time.Sleep(reportInterval)
-	return fmt.Sprintf("%d\t%.0f\t%.0f\t%.0f\t%.0f\t%.2f\t%d\t%d\t%.0f\t%.0f\t%.2f\t%.1f", hosts,
+	return fmt.Sprintf("%d\t%.0f\t%.0f\t%.0f\t%.0f\t%.2f\t%d\t%d\t%.0f\t%.0f\t%.2f\t%.1f", len(f.hosts),
 		millis(median(m.accept)), millis(median(m.all)), millis(slices.Max(m.all)), millis(slices.Max(m.last)),
 		appends, m.recordBytes, f.statesFetched(ctx), rate, millis(lag), idle.cpuPercent, idle.residentMB), nil
 }
--- a/emulator/control.go
+++ b/emulator/control.go
@@ -6,7 +6,6 @@
 	"os"
 	"strconv"
 	"strings"
-	"text/tabwriter"
 	"time"
 
 	"github.com/goccy/go-yaml"
@@ -30,35 +29,13 @@
 
 // Run prints a row for each number of hosts.
 func (c *controlCommand) Run(ctx context.Context) error {
-	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "HOSTS\tENGINES\tACCOUNTS\tWIRE B/S/HOST\tCPU %/HOST\tRSS MB/HOST")
-	for _, hosts := range c.Hosts {
-		row, err := c.row(ctx, hosts)
-		if err != nil {
-			return err
-		}
-		fmt.Fprintln(w, row)
-		if err := w.Flush(); err != nil {
-			return err
-		}
-	}
-	return nil
+	const head = "HOSTS\tENGINES\tACCOUNTS\tWIRE B/S/HOST\tCPU %/HOST\tRSS MB/HOST"
+	return measureFleets(ctx, fleetOptions{program: c.Program, hosts: c.Hosts}, head, c.row)
 }
 
-// row measures one number of hosts.
-func (c *controlCommand) row(ctx context.Context, hosts int) (string, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	dir, err := os.MkdirTemp("", "control")
-	if err != nil {
-		return "", trace.ConvertSystemError(err)
-	}
-	defer func() { _ = os.RemoveAll(dir) }()
-	f := &fleet{dir: dir, program: c.Program}
-	defer f.stop()
-	if err := f.start(ctx, hosts, false); err != nil {
-		return "", err
-	}
+// row measures one fleet.
+func (c *controlCommand) row(ctx context.Context, f *fleet) (string, error) {
+	hosts := len(f.hosts)
 	if err := c.configure(ctx, f, hosts*c.Engines); err != nil {
 		return "", err
 	}
--- a/emulator/fleet.go
+++ b/emulator/fleet.go
@@ -13,6 +13,7 @@
 	"regexp"
 	"strconv"
 	"strings"
+	"text/tabwriter"
 	"time"
 
 	"github.com/goccy/go-yaml"
@@ -200,3 +201,46 @@
 	}
 	return total
 }
+
+// fleetOptions sets the fleets of a measurement.
+type fleetOptions struct {
+	program string
+	// hosts holds the number of hosts of each fleet.
+	hosts []int
+	// cut gives the last host a log address that refuses.
+	cut bool
+}
+
+// measureFleets prints a row for each fleet, which is started anew.
+func measureFleets(ctx context.Context, o fleetOptions, head string, measure func(context.Context, *fleet) (string, error)) error {
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, head)
+	for _, hosts := range o.hosts {
+		row, err := measureFleet(ctx, o, hosts, measure)
+		if err != nil {
+			return err
+		}
+		fmt.Fprintln(w, row)
+		if err := w.Flush(); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	return nil
+}
+
+// measureFleet starts a fleet, measures it and stops it.
+func measureFleet(ctx context.Context, o fleetOptions, hosts int, measure func(context.Context, *fleet) (string, error)) (string, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	dir, err := os.MkdirTemp("", "fleet")
+	if err != nil {
+		return "", trace.ConvertSystemError(err)
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	f := &fleet{dir: dir, program: o.program}
+	defer f.stop()
+	if err := f.start(ctx, hosts, o.cut); err != nil {
+		return "", err
+	}
+	return measure(ctx, f)
+}
