--- a/claimlog/claimlog.go
+++ b/claimlog/claimlog.go
@@ -10,7 +10,6 @@
 import (
 	"context"
 	"fmt"
-	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -61,16 +60,17 @@
 type Claims struct {
 	Options
 
-	ctx  context.Context
-	wait *conc.WaitGroup
-	// mu guards keepers.
-	mu      sync.Mutex
+	// keepers read their streams only once they are asked.
 	keepers [Streams]*keeper
 }
 
 // New returns claims that end with the context.
 func New(ctx context.Context, wait *conc.WaitGroup, o Options) *Claims {
-	return &Claims{Options: o, ctx: ctx, wait: wait}
+	c := &Claims{Options: o}
+	for stream := range c.keepers {
+		c.keepers[stream] = newKeeper(ctx, wait, o.Log, streamName(stream))
+	}
+	return c
 }
 
 // streamOf returns the stream of a key.
@@ -81,16 +81,6 @@
 // streamName returns the log's name of a stream.
 func streamName(stream int) string { return fmt.Sprintf("claims-%d", stream) }
 
-// keeper returns this host's keeper of a stream, made on first use.
-func (c *Claims) keeper(stream int) *keeper {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.keepers[stream] == nil {
-		c.keepers[stream] = newKeeper(c.ctx, c.wait, c.Log, streamName(stream))
-	}
-	return c.keepers[stream]
-}
-
 // Take claims a key for an attempt. While another attempt runs, it waits for
 // that one's answer for a while. After trace.LimitExceeded the claim is not
 // on the log; after any other error it may be, and is to be abandoned.
@@ -121,7 +111,7 @@
 // Abandon records, once the log answers, that an attempt never ran and never
 // will. It does not wait.
 func (c *Claims) Abandon(r claim.Record) {
-	if _, err := c.keeper(streamOf(r)).enqueue(r.WithRelease()); err != nil {
+	if _, err := c.keepers[streamOf(r)].enqueue(r.WithRelease()); err != nil {
 		event.ClaimFailed.Error(err, "Attempt", r.Attempt, "Kind", claim.Release)
 	}
 }
@@ -147,7 +137,7 @@
 			unsure = err
 		}
 	}
-	s, e, err := near(c.keeper(stream), ctx, r)
+	s, e, err := near(c.keepers[stream], ctx, r)
 	if err != nil && unsure != nil {
 		return s, e, unsure
 	}
--- a/claimlog/server.go
+++ b/claimlog/server.go
@@ -41,7 +41,7 @@
 	if len(records) != 1 || request.GetStream() < 0 || request.GetStream() >= Streams {
 		return nil, trace.BadParameter("a call carries one record of a known stream")
 	}
-	standing, e, err := near(s.claims.keeper(int(request.GetStream())), ctx, records[0])
+	standing, e, err := near(s.claims.keepers[request.GetStream()], ctx, records[0])
 	if err != nil {
 		return &peerpb.ClaimReply{Unsure: !trace.IsLimitExceeded(err)}, nil //nolint:nilerr // an unconfirmed claim is an outcome, not a failed call.
 	}
