fix: take a caller's word that a call may not be repeated

A completion sent with X-Repeatable: false was run as repeatable all the same, and so was a GET at a plain service. The first is refused now with the reason, the second needs a key and runs at most once. Both new rows failed before.

--- a/gateway/door.go
+++ b/gateway/door.go
@@ -60,6 +60,9 @@
 	if failure != nil {
 		return r, failure
 	}
+	if c.Get(repeatableHeader) == "false" {
+		return r, request.Refuse(request.BadRequest, "a completion may always be repeated; what may not belongs to a plain service")
+	}
 	chat := strings.HasSuffix(r.Path, chatPath)
 	body, failure := decodeCompletion(r.Body, chat)
 	if failure != nil {
@@ -120,7 +123,9 @@
 	if query := c.RequestCtx().QueryArgs().String(); query != "" {
 		r.Path += "?" + query
 	}
-	r.Repeatable = r.Repeatable || r.Method == fiber.MethodGet || r.Method == fiber.MethodHead
+	if c.Get(repeatableHeader) == "" {
+		r.Repeatable = r.Method == fiber.MethodGet || r.Method == fiber.MethodHead
+	}
 	if !r.Repeatable && r.Key == "" {
 		return r, request.Refuse(request.BadRequest, "a call that may not be repeated needs an "+keyHeader)
 	}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -210,6 +210,7 @@
 		{"key that tells no time", post("/services/approvals/x", "{}", "Idempotency-Key: 17"), 400, request.BadRequest},
 		{"key too long", post("/services/approvals/x", "{}", "Idempotency-Key: "+strings.Repeat("k", 300)), 400, request.BadRequest},
 		{"repeatable of a wrong kind", post("/services/approvals/x", "{}", keyed, "X-Repeatable: maybe"), 400, request.BadRequest},
+		{"completion that may not be repeated", post(chat, goodBody, "X-Repeatable: false"), 400, request.BadRequest},
 		{"dots in the path", post("/services/approvals/../seats/x", "{}", keyed), 400, request.BadRequest},
 		{"escaped dots", post("/services/approvals/%2e%2E/x", "{}", keyed), 400, request.BadRequest},
 		{"escaped slash", post("/services/approvals/a%2f..%2fb", "{}", keyed), 400, request.BadRequest},
@@ -328,6 +329,8 @@
 		ContentType: "application/x-www-form-urlencoded", Accept: "text/plain", Body: []byte("seat=4"),
 		Key: key, KeyIssued: r.KeyIssued, Remaining: time.Minute,
 	})
+	_, _ = exchange(t, address, head("GET /services/approvals/x", "Idempotency-Key: "+key+"\r\nX-Repeatable: false\r\nConnection: close\r\n\r\n"))
+	is.True(!(<-f.got).Repeatable) // the caller knows better than the method
 	for method, repeatable := range map[string]bool{"GET": true, "HEAD": true, "PUT": false, "PATCH": false, "DELETE": false} {
 		_, _ = exchange(t, address, head(method+" /services/approvals/x", "Idempotency-Key: "+key+"\r\nConnection: close\r\n\r\n"))
 		r := <-f.got
