fix: don't say not run of a keyed call that the configuration refuses

Cause: a booking that ran, and whose account, key or service was changed before its repeat, was refused with outcome NotRun, as was any booking at a host without a configuration. A clerk who reads that books again. These four codes now say Unknown for a service call with a key. TestBadInput asked for NotRun in all rows; it now asks for Unknown in these and NotRun in all others, which is as strict: three rows failed before the change.

--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -29,15 +29,29 @@
 	}
 }
 
+// keyedRefusal returns the refusal of a call with a key. An earlier send of
+// the key may have run under another configuration, so that a refusal that
+// follows from the configuration does not say "not run".
+func keyedRefusal(f *request.Failure, key string) *request.Failure {
+	if key == "" {
+		return f
+	}
+	switch f.Code {
+	case request.NotReady, request.Unauthenticated, request.Forbidden, request.NotFound:
+		return f.WithOutcome(request.Unknown)
+	}
+	return f
+}
+
 // serve answers a call of a plain service.
 func (g *Gateway) serve(c fiber.Ctx) error {
 	doc, account, failure := g.begin(c)
 	if failure != nil {
-		return g.refused(c, account.Name, failure)
+		return g.refused(c, account.Name, keyedRefusal(failure, c.Get(keyHeader)))
 	}
 	r, failure := g.serviceCall(c, doc, account)
 	if failure != nil {
-		return g.refused(c, account.Name, failure)
+		return g.refused(c, account.Name, keyedRefusal(failure, c.Get(keyHeader)))
 	}
 	g.open.Add(1)
 	defer g.open.Add(-1)
