fix: don't say not run of a request that was not read

A host with too many connections turned callers away with outcome NotRun before it had read which request came; it may be the repeat of a booking that ran. It says Unknown now.

--- a/gateway/listener.go
+++ b/gateway/listener.go
@@ -70,7 +70,9 @@
 		defer l.turnAways.Add(-1)
 		defer func() { _ = conn.Close() }()
 		_ = conn.SetDeadline(time.Now().Add(turnAwayTimeout))
-		body := encodeFailure(request.Refuse(request.TooManyOpen, "too many connections are open").WithRetryAfter(turnAwayRetry))
+		// The request was not read: it may be the repeat of one that ran.
+		refusal := request.Refuse(request.TooManyOpen, "too many connections are open").WithOutcome(request.Unknown)
+		body := encodeFailure(refusal.WithRetryAfter(turnAwayRetry))
 		fmt.Fprintf(conn, "HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/json\r\nRetry-After: %d\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s",
 			retrySeconds(turnAwayRetry), len(body), body)
 		if half, ok := conn.(interface{ CloseWrite() error }); ok {
