--- a/endtoend/harness_test.go
+++ b/endtoend/harness_test.go
@@ -89,6 +89,11 @@
 		close(p.done)
 	}()
 	t.Cleanup(func() {
+		select {
+		case <-p.done:
+			t.Logf("%s had ended before the test: %v", name, cmd.ProcessState)
+		default:
+		}
 		_ = cmd.Process.Signal(syscall.SIGCONT)
 		_ = cmd.Process.Kill()
 		<-p.done
