refactor: hold requests to limits inside the gate

The wrapper around the gate did what the gate's own Limiter does: ask it first and give its place back when the gate refuses. TestGate covers that; the wrapper had no test. TestLimitsAcrossRouters and TestPath pass as before.

--- a/node/limits.go
+++ b/node/limits.go
@@ -5,13 +5,11 @@
 
 	"github.com/gravitational/trace"
 
-	"github.com/kumquathoist/kumquathoist/admission"
 	"github.com/kumquathoist/kumquathoist/document"
 	"github.com/kumquathoist/kumquathoist/host"
 	"github.com/kumquathoist/kumquathoist/limiter"
 	"github.com/kumquathoist/kumquathoist/peer"
 	"github.com/kumquathoist/kumquathoist/peerpb"
-	"github.com/kumquathoist/kumquathoist/request"
 	"github.com/kumquathoist/kumquathoist/revision"
 )
 
@@ -25,27 +23,3 @@
 	err := peerpb.DRPCRegisterAccounts(n.peers, l)
 	return l, trace.Wrap(err, "registering the accounts service")
 }
-
-// limitedGate asks the limits before the gate.
-type limitedGate struct {
-	limits *limiter.Limiter
-	gate   *admission.Gate
-}
-
-// Admit returns a function to call at the request's end, or why the request
-// is refused.
-func (g limitedGate) Admit(doc document.Document, r request.Request) (release func(), refused *request.Failure) {
-	endLimit, refused := g.limits.Admit(doc, r)
-	if refused != nil {
-		return nil, refused
-	}
-	endGate, refused := g.gate.Admit(doc, r)
-	if refused != nil {
-		endLimit()
-		return nil, refused
-	}
-	return func() {
-		endGate()
-		endLimit()
-	}, nil
-}
--- a/node/node.go
+++ b/node/node.go
@@ -110,7 +110,7 @@
 	}
 	dispatcher, err := n.startDispatch(ctx, pool, directory, dispatch.Options{
 		Client: client, Engines: meteredEngines{engines, metrics},
-		Admit:  limitedGate{limits, admission.New(admission.Options{Estimator: engines, Metrics: metrics})},
+		Admit:  admission.New(admission.Options{Estimator: engines, Limiter: limits, Metrics: metrics}),
 		Claims: claims, Leaving: leaving,
 	})
 	if err != nil {
