--- a/address/address.go
+++ b/address/address.go
@@ -101,3 +101,34 @@
 	take(MaxHosts, any)
 	return chosen
 }
+
+// leastNear is how many hosts of a caller's failure domain are enough, so
+// that it survives the loss of one.
+const leastNear = 2
+
+// Near returns the hosts for a caller that chooses among them at random:
+// those of its failure domain, or all if these are too few. Hosts that leave,
+// are not ready or are under suspicion are left out while others are there.
+func Near(hosts []membership.Host, c Caller) []membership.Host {
+	var near, sound, any []membership.Host
+	for _, h := range hosts {
+		if h.Leaving || h.State == membership.Failed {
+			continue
+		}
+		any = append(any, h)
+		if h.State == membership.Suspect || h.Load >= membership.MaxLoad {
+			continue
+		}
+		sound = append(sound, h)
+		if h.FailureDomain == c.FailureDomain {
+			near = append(near, h)
+		}
+	}
+	switch {
+	case len(near) >= leastNear:
+		return near
+	case len(sound) > 0:
+		return sound
+	}
+	return any
+}
--- /dev/null
+++ b/allowance/allowance.go
@@ -0,0 +1,70 @@
+// Package allowance bounds how often requests are sent again, so that repeats
+// of all hosts together can't overload a service that is already failing.
+//
+// It answers the load of an outage: every request fails once, and without a
+// bound each would be sent twice. The package does no I/O.
+package allowance
+
+import (
+	"time"
+
+	"github.com/kumquathoist/kumquathoist/clock"
+)
+
+const (
+	// buckets is how finely the window is counted.
+	buckets = 20
+	// share is the part of the bound that is used: hosts see their requests
+	// at other moments than the services do.
+	share = 0.7
+)
+
+// Bound is what all hosts together may send again.
+type Bound struct {
+	// Ratio is the share of the requests of a window.
+	Ratio float64
+	// Window is its length.
+	Window time.Duration
+	// Slack is added for all hosts together.
+	Slack float64
+}
+
+// Allowance counts the requests of one host to one service. The zero value is
+// ready to use; its owner guards it.
+type Allowance struct {
+	first, again [buckets]int
+	at           [buckets]int64
+}
+
+// bucket returns the bucket of an instant, emptied if it is of an earlier
+// round.
+func (a *Allowance) bucket(b Bound, now clock.Instant) int {
+	number := int64(now) / int64(b.Window/buckets)
+	i := int(number % buckets)
+	if a.at[i] != number {
+		a.at[i], a.first[i], a.again[i] = number, 0, 0
+	}
+	return i
+}
+
+// First counts a request that is sent for the first time.
+func (a *Allowance) First(b Bound, now clock.Instant) { a.first[a.bucket(b, now)]++ }
+
+// Again counts one more send of a request and tells whether it is within this
+// host's part of the bound.
+func (a *Allowance) Again(b Bound, hosts int, now clock.Instant) bool {
+	current := a.bucket(b, now)
+	number := a.at[current]
+	first, again := 0, 0
+	for i := range buckets {
+		if number-a.at[i] < buckets {
+			first += a.first[i]
+			again += a.again[i]
+		}
+	}
+	if float64(again+1) > share*(b.Ratio*float64(first)+b.Slack/float64(max(1, hosts))) {
+		return false
+	}
+	a.again[current]++
+	return true
+}
--- a/claimlog/claimlog.go
+++ b/claimlog/claimlog.go
@@ -21,7 +21,7 @@
 	"github.com/kumquathoist/kumquathoist/event"
 	"github.com/kumquathoist/kumquathoist/peerpb"
 	"github.com/kumquathoist/kumquathoist/placement"
-	"github.com/kumquathoist/kumquathoist/platform"
+	"github.com/kumquathoist/kumquathoist/registry"
 )
 
 const (
@@ -37,7 +37,7 @@
 
 // directory knows the entry hosts.
 type directory interface {
-	Entries() []platform.Host
+	Entries() []registry.Host
 }
 
 // peers connects to other hosts.
@@ -145,7 +145,7 @@
 }
 
 // owner returns the host that keeps a stream, as this host sees it.
-func (c *Claims) owner(stream int) (platform.Host, bool) {
+func (c *Claims) owner(stream int) (registry.Host, bool) {
 	hosts := c.Directory.Entries()
 	names := make([]string, len(hosts))
 	for i, h := range hosts {
@@ -157,7 +157,7 @@
 			return h, true
 		}
 	}
-	return platform.Host{}, false
+	return registry.Host{}, false
 }
 
 // askPeer asks another host.
--- a/claimlog/claimlog_test.go
+++ b/claimlog/claimlog_test.go
@@ -14,14 +14,14 @@
 
 	"github.com/kumquathoist/kumquathoist/claim"
 	"github.com/kumquathoist/kumquathoist/claimlog"
-	"github.com/kumquathoist/kumquathoist/platform"
+	"github.com/kumquathoist/kumquathoist/registry"
 	"github.com/kumquathoist/kumquathoist/standin"
 )
 
 // alone makes a host believe that it keeps every stream.
 type alone struct{}
 
-func (alone) Entries() []platform.Host                    { return nil }
+func (alone) Entries() []registry.Host                    { return nil }
 func (alone) Conn(context.Context, string) drpc.Conn      { return nil }
 func (alone) Context(ctx context.Context) context.Context { return ctx }
 func start(t *testing.T, hosts int) (*standin.Log, []*claimlog.Claims) {
@@ -37,7 +37,7 @@
 	var all []*claimlog.Claims
 	for i := range hosts {
 		all = append(all, claimlog.New(ctx, wait, claimlog.Options{
-			Host: fmt.Sprint("host-", i), Log: platform.NewLog(log.URL()), Directory: alone{}, Peers: alone{},
+			Host: fmt.Sprint("host-", i), Log: registry.NewLog(log.URL()), Directory: alone{}, Peers: alone{},
 		}))
 	}
 	return log, all
--- a/claimlog/keeper.go
+++ b/claimlog/keeper.go
@@ -10,7 +10,7 @@
 
 	"github.com/kumquathoist/kumquathoist/claim"
 	"github.com/kumquathoist/kumquathoist/event"
-	"github.com/kumquathoist/kumquathoist/platform"
+	"github.com/kumquathoist/kumquathoist/registry"
 )
 
 const (
@@ -28,8 +28,8 @@
 
 // stream is the log service as this package uses it.
 type stream interface {
-	Append(ctx context.Context, stream string, data []byte) (platform.Appended, error)
-	Read(ctx context.Context, stream string, from int64, wait time.Duration) (platform.Page, error)
+	Append(ctx context.Context, stream string, data []byte) (registry.Appended, error)
+	Read(ctx context.Context, stream string, from int64, wait time.Duration) (registry.Page, error)
 }
 
 // waiting is a record that waits for its append.
@@ -158,14 +158,14 @@
 
 // catchUp folds the stream up to an append. When nothing else came between,
 // nothing has to be read.
-func (k *keeper) catchUp(ctx context.Context, a platform.Appended, raw []byte) error {
+func (k *keeper) catchUp(ctx context.Context, a registry.Appended, raw []byte) error {
 	k.readMu.Lock()
 	defer k.readMu.Unlock()
 	k.mu.Lock()
 	opened, next := k.opened, k.table.Next()
 	k.mu.Unlock()
 	if opened && next == a.Offset {
-		k.fold([]platform.Record{{Offset: a.Offset, AppendedMillis: a.AppendedMillis, Data: raw}})
+		k.fold([]registry.Record{{Offset: a.Offset, AppendedMillis: a.AppendedMillis, Data: raw}})
 		return nil
 	}
 	for next <= a.Offset {
@@ -197,7 +197,7 @@
 }
 
 // readPage folds one page. The caller holds readMu.
-func (k *keeper) readPage(ctx context.Context) (platform.Page, error) {
+func (k *keeper) readPage(ctx context.Context) (registry.Page, error) {
 	k.mu.Lock()
 	next := k.table.Next()
 	k.mu.Unlock()
@@ -209,7 +209,7 @@
 }
 
 // fold applies records.
-func (k *keeper) fold(records []platform.Record) {
+func (k *keeper) fold(records []registry.Record) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.opened = true
--- a/cmd/run.go
+++ b/cmd/run.go
@@ -2,9 +2,16 @@
 
 import (
 	"context"
+	"os"
+	"os/signal"
+	"syscall"
 
+	"github.com/sourcegraph/conc"
+
+	"github.com/kumquathoist/kumquathoist/event"
 	"github.com/kumquathoist/kumquathoist/node"
 	"github.com/kumquathoist/kumquathoist/settings"
+	"github.com/kumquathoist/kumquathoist/site"
 )
 
 // runCommand runs the daemon.
@@ -23,6 +30,9 @@
 	if err != nil {
 		return err
 	}
+	if s.Platform.Store != "" {
+		return c.runSite(ctx, s)
+	}
 	n, err := node.New(context.WithoutCancel(ctx), s)
 	if err != nil {
 		return err
@@ -32,3 +42,41 @@
 	n.Wait()
 	return nil
 }
+
+// runSite starts the daemon on a platform with a store.
+func (c *runCommand) runSite(ctx context.Context, s settings.Settings) error {
+	logs, stopLogs := context.WithCancel(context.WithoutCancel(ctx))
+	var wait conc.WaitGroup
+	defer wait.Wait()
+	defer stopLogs()
+	event.WriteTo(logs, &wait, os.Stdout)
+	n, err := site.New(context.WithoutCancel(ctx), s)
+	if err != nil {
+		return err
+	}
+	stopped := context.AfterFunc(ctx, n.Stop)
+	defer stopped()
+	wait.Go(func() { c.reload(logs) })
+	n.Wait()
+	return nil
+}
+
+// reload reads the settings again on each SIGHUP until the context ends. A
+// file that can't be used changes nothing.
+func (c *runCommand) reload(ctx context.Context) {
+	again := make(chan os.Signal, 1)
+	signal.Notify(again, syscall.SIGHUP)
+	defer signal.Stop(again)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-again:
+		}
+		if _, err := settings.Load(c.Settings); err != nil {
+			event.ReloadFailed.Error(err, "File", c.Settings)
+			continue
+		}
+		event.Reloaded.Info("File", c.Settings)
+	}
+}
--- /dev/null
+++ b/conduit/exchange.go
@@ -0,0 +1,216 @@
+package conduit
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net/http/httputil"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/valyala/fasthttp"
+
+	"github.com/kumquathoist/kumquathoist/call"
+)
+
+const (
+	// inlineBytes is the largest request that is written before the answer is
+	// read; an upstream may answer a longer one before it has read it all.
+	inlineBytes = 8 << 10
+	// strays bounds the answers to earlier requests that are skipped.
+	strays = 2
+	// maxStrayBytes bounds the body of a skipped answer.
+	maxStrayBytes = 1 << 20
+)
+
+// ErrNotSent is wrapped by errors that mean that no byte of the request left
+// this host.
+var ErrNotSent = errors.New("not sent")
+
+// Exchange is a request that was sent. Body ends with io.EOF only after a
+// complete answer.
+type Exchange struct {
+	call.Head
+
+	pool    *Pool
+	conn    *conn
+	body    io.Reader
+	release func() bool
+	wrote   chan error
+	whole   bool
+}
+
+// Send writes a request and reads the head of its answer. Ending the context
+// ends the connection. The id is that of the call, which answers repeat.
+func (p *Pool) Send(ctx context.Context, address, id, method string, raw []byte) (*Exchange, error) {
+	c, err := p.open(ctx, address)
+	if err != nil {
+		return nil, errors.Join(ErrNotSent, err)
+	}
+	if deadline, ok := ctx.Deadline(); ok {
+		_ = c.SetDeadline(deadline)
+	}
+	e := &Exchange{pool: p, conn: c, wrote: make(chan error, 1)}
+	e.release = context.AfterFunc(ctx, func() { c.Close() })
+	if len(raw) <= inlineBytes {
+		_, err = c.Write(raw)
+		e.wrote <- err
+	} else {
+		go func() {
+			_, err := c.Write(raw)
+			e.wrote <- err
+		}()
+	}
+	if err == nil {
+		err = e.readHead(id, method)
+	}
+	if err != nil {
+		e.Discard()
+		return nil, trace.ConnectionProblem(err, "no answer from %s", address)
+	}
+	return e, nil
+}
+
+// readHead reads heads until one belongs to the call.
+func (e *Exchange) readHead(id, method string) error {
+	for skipped := 0; ; skipped++ {
+		var h fasthttp.ResponseHeader
+		if err := h.Read(e.conn.in); err != nil {
+			return err
+		}
+		if h.StatusCode() < 200 {
+			continue
+		}
+		e.Head = e.pool.decoder.DecodeHead(&h)
+		e.body = e.framed(&h, method)
+		if e.Call == id {
+			return nil
+		}
+		if skipped == strays || e.Close {
+			return trace.BadParameter("the answer belongs to another request")
+		}
+		if _, err := io.Copy(io.Discard, io.LimitReader(e.body, maxStrayBytes)); err != nil || !e.whole {
+			return trace.BadParameter("an answer to another request has no end")
+		}
+		e.whole = false
+	}
+}
+
+// framed returns the body as the head frames it.
+func (e *Exchange) framed(h *fasthttp.ResponseHeader, method string) io.Reader {
+	length := h.ContentLength()
+	status := h.StatusCode()
+	switch {
+	case method == fasthttp.MethodHead || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified:
+		return &fixed{exchange: e}
+	case length >= 0:
+		return &fixed{exchange: e, left: int64(length)}
+	case length == -1:
+		return &chunked{exchange: e, in: httputil.NewChunkedReader(e.conn.in)}
+	}
+	e.Close = true
+	return &untilClosed{exchange: e}
+}
+
+// Read reads the body.
+func (e *Exchange) Read(b []byte) (int, error) { return e.body.Read(b) }
+
+// SetReadDeadline bounds the wait for more of the answer.
+func (e *Exchange) SetReadDeadline(t time.Time) { _ = e.conn.SetReadDeadline(t) }
+
+// Whole tells whether the answer has been read to its end.
+func (e *Exchange) Whole() bool { return e.whole }
+
+// Finish keeps the connection if the answer was read to its end and the whole
+// request was written, and closes it otherwise.
+func (e *Exchange) Finish() {
+	if !e.whole || e.Close || e.conn.in.Buffered() > 0 {
+		e.Discard()
+		return
+	}
+	select {
+	case err := <-e.wrote:
+		if err != nil {
+			e.Discard()
+			return
+		}
+	default:
+		e.Discard()
+		return
+	}
+	if e.release() {
+		e.pool.give(e.conn, e.KeepAlive)
+	}
+}
+
+// Discard closes the connection.
+func (e *Exchange) Discard() {
+	e.release()
+	e.conn.Close()
+}
+
+// fixed is a body of a known length.
+type fixed struct {
+	exchange *Exchange
+	left     int64
+}
+
+func (f *fixed) Read(b []byte) (int, error) {
+	if f.left == 0 {
+		f.exchange.whole = true
+		return 0, io.EOF
+	}
+	n, err := f.exchange.conn.in.Read(b[:min(int64(len(b)), f.left)])
+	f.left -= int64(n)
+	if err == io.EOF {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
+// chunked is a body in chunks.
+type chunked struct {
+	exchange *Exchange
+	in       io.Reader
+}
+
+func (c *chunked) Read(b []byte) (int, error) {
+	if c.exchange.whole {
+		return 0, io.EOF
+	}
+	n, err := c.in.Read(b)
+	if err == io.EOF {
+		if err = skipTrailer(c.exchange.conn.in); err == nil {
+			c.exchange.whole = true
+			err = io.EOF
+		}
+	}
+	return n, err
+}
+
+// skipTrailer reads the fields after the last chunk.
+func skipTrailer(in *bufio.Reader) error {
+	for {
+		line, err := in.ReadSlice('\n')
+		switch {
+		case err == io.EOF:
+			return io.ErrUnexpectedEOF
+		case err != nil:
+			return err
+		case len(line) <= 2:
+			return nil
+		}
+	}
+}
+
+// untilClosed is a body that ends with its connection. A reset is no end.
+type untilClosed struct{ exchange *Exchange }
+
+func (u *untilClosed) Read(b []byte) (int, error) {
+	n, err := u.exchange.conn.in.Read(b)
+	if err == io.EOF {
+		u.exchange.whole = true
+	}
+	return n, err
+}
--- a/dispatch/booking_test.go
+++ b/dispatch/booking_test.go
@@ -23,7 +23,7 @@
 	"github.com/kumquathoist/kumquathoist/dispatch"
 	"github.com/kumquathoist/kumquathoist/document"
 	"github.com/kumquathoist/kumquathoist/gateway"
-	"github.com/kumquathoist/kumquathoist/platform"
+	"github.com/kumquathoist/kumquathoist/registry"
 	"github.com/kumquathoist/kumquathoist/settings"
 	"github.com/kumquathoist/kumquathoist/standin"
 	"github.com/kumquathoist/kumquathoist/upstream"
@@ -32,7 +32,7 @@
 // noPeers makes each router keep every claim stream by itself.
 type noPeers struct{}
 
-func (noPeers) Entries() []platform.Host                    { return nil }
+func (noPeers) Entries() []registry.Host                    { return nil }
 func (noPeers) Conn(context.Context, string) drpc.Conn      { return nil }
 func (noPeers) Context(ctx context.Context) context.Context { return ctx }
 
@@ -70,7 +70,7 @@
 	conf.Listen.Callers = "127.0.0.1:0"
 	for i := range routers {
 		claims := claimlog.New(ctx, &wait, claimlog.Options{
-			Host: fmt.Sprint("host-", i+1), Log: platform.NewLog(b.log.URL()), Directory: noPeers{}, Peers: noPeers{},
+			Host: fmt.Sprint("host-", i+1), Log: registry.NewLog(b.log.URL()), Directory: noPeers{}, Peers: noPeers{},
 		})
 		runner := dispatch.New(dispatch.Options{
 			Client: upstream.NewClient(), Admit: admission.New(admission.Options{}), Claims: claims,
@@ -138,7 +138,7 @@
 	defer b.mu.Unlock()
 	all := "# The caller\n\n" + b.caller.String() + "# The service\n\n" + b.service.String() + "# The log\n\n"
 	for stream := range claimlog.Streams {
-		page, err := platform.NewLog(b.log.URL()).Read(context.Background(), fmt.Sprint("claims-", stream), 0, 0)
+		page, err := registry.NewLog(b.log.URL()).Read(context.Background(), fmt.Sprint("claims-", stream), 0, 0)
 		is.NoErr(err)
 		for _, r := range page.Records {
 			all += fmt.Sprintf("%d %s\n", r.Offset, r.Data)
--- a/emulator/claims.go
+++ b/emulator/claims.go
@@ -20,7 +20,7 @@
 	"github.com/kumquathoist/kumquathoist/claimlog"
 	"github.com/kumquathoist/kumquathoist/peer"
 	"github.com/kumquathoist/kumquathoist/peerpb"
-	"github.com/kumquathoist/kumquathoist/platform"
+	"github.com/kumquathoist/kumquathoist/registry"
 	"github.com/kumquathoist/kumquathoist/standin"
 )
 
@@ -51,11 +51,11 @@
 type claimHosts struct {
 	log   *standin.Log
 	hosts []*claimlog.Claims
-	list  []platform.Host
+	list  []registry.Host
 }
 
 // Entries returns every host.
-func (h *claimHosts) Entries() []platform.Host { return h.list }
+func (h *claimHosts) Entries() []registry.Host { return h.list }
 
 // newClaimHosts starts hosts that talk over drpc.
 func newClaimHosts(ctx context.Context, wait *conc.WaitGroup, count int) (*claimHosts, error) {
@@ -72,11 +72,11 @@
 			return nil, err
 		}
 		servers = append(servers, server)
-		h.list = append(h.list, platform.Host{Name: fmt.Sprintf("host-%d", i), Peers: server.Address()})
+		h.list = append(h.list, registry.Host{Name: fmt.Sprintf("host-%d", i), Peers: server.Address()})
 	}
 	for i, server := range servers {
 		claims := claimlog.New(ctx, wait, claimlog.Options{
-			Host: h.list[i].Name, Log: platform.NewLog(log.URL()), Directory: h, Peers: peer.NewPool(secret),
+			Host: h.list[i].Name, Log: registry.NewLog(log.URL()), Directory: h, Peers: peer.NewPool(secret),
 		})
 		if err := peerpb.DRPCRegisterClaims(server, claimlog.NewServer(claims)); err != nil {
 			return nil, err
--- a/emulator/configuration.go
+++ b/emulator/configuration.go
@@ -13,7 +13,7 @@
 
 	"github.com/kumquathoist/kumquathoist/document"
 	"github.com/kumquathoist/kumquathoist/operator"
-	"github.com/kumquathoist/kumquathoist/platform"
+	"github.com/kumquathoist/kumquathoist/registry"
 	"github.com/kumquathoist/kumquathoist/standin"
 )
 
@@ -180,9 +180,9 @@
 			return err
 		}
 		f.hosts = append(f.hosts, h)
-		f.list.Put(platform.Host{
-			Name: h.name, Role: platform.EntryHost, FailureDomain: "domain-1", Region: "region-1",
-			State: platform.Live, Callers: h.callers, Peers: h.peers,
+		f.list.Put(registry.Host{
+			Name: h.name, Role: registry.EntryHost, FailureDomain: "domain-1", Region: "region-1",
+			State: registry.Live, Callers: h.callers, Peers: h.peers,
 		})
 	}
 	return nil
--- a/emulator/membership.go
+++ b/emulator/membership.go
@@ -15,7 +15,7 @@
 	"github.com/kumquathoist/kumquathoist/membership"
 	"github.com/kumquathoist/kumquathoist/peer"
 	"github.com/kumquathoist/kumquathoist/peerpb"
-	"github.com/kumquathoist/kumquathoist/platform"
+	"github.com/kumquathoist/kumquathoist/registry"
 )
 
 const (
@@ -54,10 +54,10 @@
 }
 
 // Hosts implements the list that a directory reads.
-func (l *hostList) Hosts(context.Context) ([]platform.Host, error) {
+func (l *hostList) Hosts(context.Context) ([]registry.Host, error) {
 	raw := *l.answer.Load()
 	l.bytes.Add(int64(len(raw)))
-	var hosts []platform.Host
+	var hosts []registry.Host
 	return hosts, json.Unmarshal(raw, &hosts)
 }
 
@@ -109,17 +109,17 @@
 
 // publish shows every host that runs on the host list, and some upstreams.
 func (k *cluster) publish() {
-	var hosts []platform.Host
+	var hosts []registry.Host
 	for _, m := range k.members {
 		self := m.Self
-		hosts = append(hosts, platform.Host{
-			Name: self.Name, Role: platform.EntryHost, FailureDomain: self.FailureDomain, Region: self.Region,
-			State: platform.Live, Callers: "127.0.0.1:1", Peers: m.server.Address(),
+		hosts = append(hosts, registry.Host{
+			Name: self.Name, Role: registry.EntryHost, FailureDomain: self.FailureDomain, Region: self.Region,
+			State: registry.Live, Callers: "127.0.0.1:1", Peers: m.server.Address(),
 		})
 		for j := range upstreamsPerHost {
-			hosts = append(hosts, platform.Host{
-				Name: fmt.Sprintf("engine-%s-%d", self.Name, j), Role: platform.UpstreamHost,
-				FailureDomain: self.FailureDomain, Region: self.Region, State: platform.Live,
+			hosts = append(hosts, registry.Host{
+				Name: fmt.Sprintf("engine-%s-%d", self.Name, j), Role: registry.UpstreamHost,
+				FailureDomain: self.FailureDomain, Region: self.Region, State: registry.Live,
 			})
 		}
 	}
--- a/endtoend/configuration_test.go
+++ b/endtoend/configuration_test.go
@@ -18,7 +18,7 @@
 
 	"github.com/kumquathoist/kumquathoist/operator"
 	"github.com/kumquathoist/kumquathoist/placement"
-	"github.com/kumquathoist/kumquathoist/platform"
+	"github.com/kumquathoist/kumquathoist/registry"
 	"github.com/kumquathoist/kumquathoist/settings"
 	"github.com/kumquathoist/kumquathoist/standin"
 )
@@ -218,10 +218,10 @@
 }
 
 // logPage reads the configuration stream.
-func (s *system) logPage(t *testing.T) platform.Page {
+func (s *system) logPage(t *testing.T) registry.Page {
 	t.Helper()
-	var page platform.Page
-	call(t, http.MethodGet, s.log.url()+"/streams/"+platform.ConfigurationStream+"/records?From=0", nil, nil, &page)
+	var page registry.Page
+	call(t, http.MethodGet, s.log.url()+"/streams/"+registry.ConfigurationStream+"/records?From=0", nil, nil, &page)
 	return page
 }
 
--- a/endtoend/harness_test.go
+++ b/endtoend/harness_test.go
@@ -22,7 +22,7 @@
 	"github.com/matryer/is"
 
 	"github.com/kumquathoist/kumquathoist/document"
-	"github.com/kumquathoist/kumquathoist/platform"
+	"github.com/kumquathoist/kumquathoist/registry"
 	"github.com/kumquathoist/kumquathoist/settings"
 )
 
@@ -235,15 +235,15 @@
 	p := start(t, name, programs.router, "run", "--settings", path)
 	m := addresses.FindStringSubmatch(p.listening(t))
 	r := &router{process: p, name: name, callers: m[1], peers: m[2], operators: m[3]}
-	s.list(t, r, platform.Live)
+	s.list(t, r, registry.Live)
 	return r
 }
 
 // list puts a router on the host list.
-func (s *system) list(t *testing.T, r *router, state platform.HostState) {
+func (s *system) list(t *testing.T, r *router, state registry.HostState) {
 	t.Helper()
-	call(t, http.MethodPut, s.hostList.url()+"/hosts", nil, platform.Host{
-		Name: r.name, Role: platform.EntryHost, FailureDomain: "abbotsford", Region: "fraser-valley",
+	call(t, http.MethodPut, s.hostList.url()+"/hosts", nil, registry.Host{
+		Name: r.name, Role: registry.EntryHost, FailureDomain: "abbotsford", Region: "fraser-valley",
 		State: state, Callers: r.callers, Peers: r.peers,
 	}, nil)
 }
--- a/endtoend/leaving_test.go
+++ b/endtoend/leaving_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/kumquathoist/kumquathoist/platform"
+	"github.com/kumquathoist/kumquathoist/registry"
 	"github.com/kumquathoist/kumquathoist/settings"
 	"github.com/kumquathoist/kumquathoist/standin"
 )
@@ -46,13 +46,13 @@
 		},
 	})
 	for _, r := range s.routers {
-		call(t, http.MethodPut, stale.url()+"/hosts", nil, platform.Host{
-			Name: r.name, Role: platform.EntryHost, State: platform.Live, Callers: r.callers, Peers: r.peers,
+		call(t, http.MethodPut, stale.url()+"/hosts", nil, registry.Host{
+			Name: r.name, Role: registry.EntryHost, State: registry.Live, Callers: r.callers, Peers: r.peers,
 		}, nil)
 	}
 	is.True(s.takes(t, s.routers[1], s.engines[0], 0))
-	call(t, http.MethodPut, s.hostList.url()+"/hosts", nil, platform.Host{
-		Name: "engine-1", Role: platform.UpstreamHost, State: platform.Leaving,
+	call(t, http.MethodPut, s.hostList.url()+"/hosts", nil, registry.Host{
+		Name: "engine-1", Role: registry.UpstreamHost, State: registry.Leaving,
 	}, nil)
 	for i, r := range s.routers {
 		round, quiet := 100*i, 0
--- a/endtoend/session_test.go
+++ b/endtoend/session_test.go
@@ -18,7 +18,7 @@
 	"github.com/matryer/is"
 
 	"github.com/kumquathoist/kumquathoist/document"
-	"github.com/kumquathoist/kumquathoist/platform"
+	"github.com/kumquathoist/kumquathoist/registry"
 	"github.com/kumquathoist/kumquathoist/settings"
 )
 
@@ -44,7 +44,7 @@
 	}
 	defer resp.Body.Close()
 	answer, _ := io.ReadAll(resp.Body)
-	if strings.Contains(req.URL.Path, platform.ConfigurationStream) {
+	if strings.Contains(req.URL.Path, registry.ConfigurationStream) {
 		r.note(req, body, resp.StatusCode, answer)
 	}
 	w.WriteHeader(resp.StatusCode)
@@ -62,7 +62,7 @@
 		fmt.Fprintf(&r.appends, "%s %s\n%s\n%d %s\n", req.Method, req.URL, body, status, answer)
 		return
 	}
-	var page platform.Page
+	var page registry.Page
 	if json.Unmarshal(answer, &page) == nil && len(page.Records) > 0 {
 		fmt.Fprintf(&r.reads, "%s %s\n%d first %d, next %d\n", req.Method, req.URL, status, page.First, page.Next)
 		for _, record := range page.Records {
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -17,7 +17,7 @@
 	"github.com/kumquathoist/kumquathoist/document"
 	"github.com/kumquathoist/kumquathoist/peerpb"
 	"github.com/kumquathoist/kumquathoist/placement"
-	"github.com/kumquathoist/kumquathoist/platform"
+	"github.com/kumquathoist/kumquathoist/registry"
 	"github.com/kumquathoist/kumquathoist/routing"
 	"github.com/kumquathoist/kumquathoist/upstream"
 )
@@ -52,7 +52,7 @@
 	// Document returns the configuration in force.
 	Document func() document.Document
 	// Entries returns the live entry hosts.
-	Entries func() []platform.Host
+	Entries func() []registry.Host
 	// Leaving tells which engines get no new work.
 	Leaving func(engine string) bool
 	Metrics tally.Scope
@@ -93,9 +93,9 @@
 	turn         uint64
 	// hosts is the host list as it was last read, names its names, and
 	// keepers the keepers that follow from it.
-	hosts   []platform.Host
+	hosts   []registry.Host
 	names   []string
-	keepers map[string]platform.Host
+	keepers map[string]registry.Host
 }
 
 // NewTracker follows the engines that this host keeps until the context ends.
@@ -128,7 +128,7 @@
 // the host list may answer otherwise: then two hosts poll the engine, and
 // each host asks the one that it takes for the keeper. The answer is computed
 // once for each reading of the host list.
-func (t *Tracker) keeper(engine string) (platform.Host, bool) {
+func (t *Tracker) keeper(engine string) (registry.Host, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if keeper, ok := t.keepers[engine]; ok {
@@ -141,7 +141,7 @@
 			return h, true
 		}
 	}
-	return platform.Host{}, false
+	return registry.Host{}, false
 }
 
 // readHosts reads the host list.
@@ -154,7 +154,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.hosts, t.names = hosts, names
-	t.keepers = map[string]platform.Host{}
+	t.keepers = map[string]registry.Host{}
 	t.heat.SetHosts(len(hosts))
 }
 
--- a/engine/look.go
+++ b/engine/look.go
@@ -9,8 +9,8 @@
 	"github.com/kumquathoist/kumquathoist/index"
 	"github.com/kumquathoist/kumquathoist/peer"
 	"github.com/kumquathoist/kumquathoist/peerpb"
-	"github.com/kumquathoist/kumquathoist/platform"
 	"github.com/kumquathoist/kumquathoist/prefix"
+	"github.com/kumquathoist/kumquathoist/registry"
 	"github.com/kumquathoist/kumquathoist/routing"
 )
 
@@ -97,7 +97,7 @@
 	var wait conc.WaitGroup
 	defer wait.Wait()
 	for keeper, engines := range asks {
-		wait.Go(func() { t.ask(ctx, platform.Host{Name: keeper, Peers: addresses[keeper]}, engines, pieces) })
+		wait.Go(func() { t.ask(ctx, registry.Host{Name: keeper, Peers: addresses[keeper]}, engines, pieces) })
 	}
 }
 
@@ -113,7 +113,7 @@
 }
 
 // ask asks one keeper.
-func (t *Tracker) ask(ctx context.Context, keeper platform.Host, engines []string, pieces []uint64) {
+func (t *Tracker) ask(ctx context.Context, keeper registry.Host, engines []string, pieces []uint64) {
 	t.Metrics.Counter("keeper_asks").Inc(1)
 	reply, err := t.Asker.Look(ctx, keeper.Peers, &peerpb.LookRequest{Engines: engines, Pieces: pieces})
 	if err != nil || len(reply.GetLooks()) != len(engines) {
--- a/engine/tracker_test.go
+++ b/engine/tracker_test.go
@@ -17,8 +17,8 @@
 	"github.com/kumquathoist/kumquathoist/document"
 	"github.com/kumquathoist/kumquathoist/engine"
 	"github.com/kumquathoist/kumquathoist/peerpb"
-	"github.com/kumquathoist/kumquathoist/platform"
 	"github.com/kumquathoist/kumquathoist/prefix"
+	"github.com/kumquathoist/kumquathoist/registry"
 	"github.com/kumquathoist/kumquathoist/request"
 	"github.com/kumquathoist/kumquathoist/upstream"
 )
@@ -28,7 +28,7 @@
 	mu       sync.Mutex
 	document document.Document
 	reports  map[string]upstream.CacheReport
-	hosts    []platform.Host
+	hosts    []registry.Host
 	trackers map[string]*engine.Tracker
 	// silent names the hosts that don't answer others.
 	silent map[string]bool
@@ -84,11 +84,11 @@
 }
 
 // entries returns the host list as a host sees it.
-func (w *world) entries(h platform.Host) []platform.Host {
+func (w *world) entries(h registry.Host) []registry.Host {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.alone[h.Name] {
-		return []platform.Host{h}
+		return []registry.Host{h}
 	}
 	return w.hosts
 }
@@ -109,14 +109,14 @@
 	w.document.Models.Models = []document.Model{{Name: "m", Pool: "engines", Version: "v1"}}
 	for i := range hosts {
 		name := fmt.Sprintf("host-%d", i)
-		w.hosts = append(w.hosts, platform.Host{Name: name, Peers: name})
+		w.hosts = append(w.hosts, registry.Host{Name: name, Peers: name})
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	var wait conc.WaitGroup
 	for _, h := range w.hosts[:running] {
 		tracker := engine.NewTracker(ctx, &wait, engine.Options{
 			Host: h.Name, Reporter: w, Asker: w, Document: func() document.Document { return w.document },
-			Entries: func() []platform.Host { return w.entries(h) }, Leaving: func(string) bool { return false }, Metrics: tally.NoopScope,
+			Entries: func() []registry.Host { return w.entries(h) }, Leaving: func(string) bool { return false }, Metrics: tally.NoopScope,
 		})
 		w.mu.Lock()
 		w.trackers[h.Name] = tracker
--- a/event/event.go
+++ b/event/event.go
@@ -38,7 +38,7 @@
 
 // Catalogue returns every event, ordered by number.
 func Catalogue() []Event {
-	all := slices.Concat(processEvents, requestEvents, configurationEvents, membershipEvents, routingEvents)
+	all := slices.Concat(processEvents, requestEvents, configurationEvents, membershipEvents, routingEvents, knowledgeEvents)
 	slices.SortFunc(all, func(a, b Event) int { return a.Number - b.Number })
 	return all
 }
--- /dev/null
+++ b/event/knowledge.go
@@ -0,0 +1,37 @@
+package event
+
+// Events 6000 to 6999: what a host believes of the configuration, of the
+// upstreams and of the weights of engines.
+var (
+	// StoreLost reports that the platform's store does not answer.
+	StoreLost = Event{6001, "store lost", "Reads of a topic of the platform's store fail; the host goes on with what it knows and asks other hosts."}
+	// StoreBack reports that the platform's store answers again.
+	StoreBack = Event{6002, "store back", "Reads of a topic of the platform's store succeed again."}
+	// HistoryTrimmed reports records that the store no longer keeps.
+	HistoryTrimmed = Event{6003, "history trimmed", "The store no longer keeps the records after the position; the newest of each key are read."}
+	// CatalogChanged reports a new version of the configuration.
+	CatalogChanged = Event{6004, "catalog changed", "A version of the configuration arrived; InForce is the version in force after it."}
+	// WeightsNamed reports weights that operators want.
+	WeightsNamed = Event{6005, "weights named", "Operators named new weights of a model."}
+	// UpstreamChanged reports what an upstream says of itself.
+	UpstreamChanged = Event{6006, "upstream changed", "An upstream's entry in the store is new or has changed."}
+	// UpstreamGone reports an upstream that has no entry any more.
+	UpstreamGone = Event{6007, "upstream gone", "An upstream's entry was removed. Deferred removals take effect if it does not return within two seconds."}
+	// RecordRejected reports a record that can't be used.
+	RecordRejected = Event{6008, "record rejected", "A record of the store can't be used; what was known before stays."}
+	// WarrantTaken reports the right to order engines.
+	WarrantTaken = Event{6101, "warrant taken", "This host may order the engines given; Fence is the fencing number of its orders."}
+	// WarrantMissed reports that the right to order engines was not had.
+	WarrantMissed = Event{6102, "warrant missed", "The right to order engines was not had: another host took it, or the store did not answer."}
+	// WarrantHeard reports that another host may order engines.
+	WarrantHeard = Event{6103, "warrant heard", "Another host has the right to order the engines given."}
+	// LoadOrdered reports an order to load weights.
+	LoadOrdered = Event{6104, "load ordered", "An engine was ordered to load weights."}
+	// LoadEnded reports what became of such an order.
+	LoadEnded = Event{6105, "load ended", "An engine has the weights, or the order is given up for now."}
+)
+
+var knowledgeEvents = []Event{
+	StoreLost, StoreBack, HistoryTrimmed, CatalogChanged, WeightsNamed, UpstreamChanged, UpstreamGone, RecordRejected,
+	WarrantTaken, WarrantMissed, WarrantHeard, LoadOrdered, LoadEnded,
+}
--- a/event/process.go
+++ b/event/process.go
@@ -10,6 +10,16 @@
 	Stopped = Event{1003, "stopped", "The daemon ended. HandedOver counts requests that were told to go on at another host; Cut counts those that did not take that answer in time."}
 	// Ready reports that the host may be used by callers.
 	Ready = Event{1004, "ready", "The host has a configuration and serves requests."}
+	// ProcessPaused reports that the process did not run for a while.
+	ProcessPaused = Event{1005, "process paused", "The process or its host stood still for the time given. What it knows may be outdated; it refuses no caller and orders no engine until it has looked again."}
+	// Reloaded reports that the settings were read again.
+	Reloaded = Event{1006, "settings reloaded", "The settings were read again after SIGHUP; those that bind addresses take effect at the next start."}
+	// ReloadFailed reports settings that can't be used.
+	ReloadFailed = Event{1007, "settings not reloaded", "The settings file can't be used; the process goes on with those it has."}
+	// LinesDropped reports log lines that were not written.
+	LinesDropped = Event{1008, "lines dropped", "Log lines were dropped since the last such line, because their volume was above the limit or the output was blocked."}
+	// DoorFailed reports that an address can no longer be served.
+	DoorFailed = Event{1009, "door failed", "Connections on one of the daemon's addresses are no longer accepted."}
 )
 
-var processEvents = []Event{Listening, Stopping, Stopped, Ready}
+var processEvents = []Event{Listening, Stopping, Stopped, Ready, ProcessPaused, Reloaded, ReloadFailed, LinesDropped, DoorFailed}
--- a/event/request.go
+++ b/event/request.go
@@ -14,6 +14,20 @@
 	RequestQuarantined = Event{2004, "request quarantined", "A request crashed the engines that ran it; it is refused on every host for ten minutes after the last crash."}
 	// ShareFailed reports a host that did not take crash records.
 	ShareFailed = Event{2005, "share failed", "Another host did not take records of crashed engines; they are sent again within seconds."}
+	// CallPlaced reports the upstream that was chosen for a call.
+	CallPlaced = Event{2101, "call placed", "An upstream was chosen for a request. Cost is the expected cost of the choice; Held and Shared count shared prompt tokens; AgeMillis is the age of what the host knows."}
+	// TryFailed reports a send that brought no answer.
+	TryFailed = Event{2102, "try failed", "A send to an upstream brought no answer that can be passed on. NotSent and TurnedAway mean that it did not run."}
+	// CallRefused reports a request that was refused before any send.
+	CallRefused = Event{2103, "call refused", "A request was refused before anything was sent for it."}
+	// CallEnded reports the outcome of a request.
+	CallEnded = Event{2104, "call ended", "A request ended. Ran counts sends that may have run, TurnedAway those that did not."}
+	// StreamResumed reports a stream that goes on at another upstream.
+	StreamResumed = Event{2105, "stream resumed", "A stream broke and goes on at another upstream after the event given."}
+	// StreamBroken reports a stream that ended before its end.
+	StreamBroken = Event{2106, "stream broken", "A stream broke and could not go on; its caller sees a broken answer."}
+	// StreamEnded reports the end of a stream.
+	StreamEnded = Event{2107, "stream ended", "A stream was closed after the number of events given."}
 )
 
-var requestEvents = []Event{RequestEnded, AttemptFailed, ClaimFailed, RequestQuarantined, ShareFailed, ClaimAppendFailed}
+var requestEvents = []Event{RequestEnded, AttemptFailed, ClaimFailed, RequestQuarantined, ShareFailed, ClaimAppendFailed, CallPlaced, TryFailed, CallRefused, CallEnded, StreamResumed, StreamBroken, StreamEnded}
--- /dev/null
+++ b/forward/forward.go
@@ -0,0 +1,210 @@
+// Package forward carries a caller's request to an upstream and its answer
+// back. Which upstream, whether to try again and what to answer are decided
+// by packages allocation, allowance and delivery; this package does the I/O
+// around them.
+package forward
+
+import (
+	"context"
+	"hash/maphash"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/kumquathoist/kumquathoist/allowance"
+	"github.com/kumquathoist/kumquathoist/cachemap"
+	"github.com/kumquathoist/kumquathoist/call"
+	"github.com/kumquathoist/kumquathoist/clock"
+	"github.com/kumquathoist/kumquathoist/conduit"
+	"github.com/kumquathoist/kumquathoist/delivery"
+	"github.com/kumquathoist/kumquathoist/event"
+	"github.com/kumquathoist/kumquathoist/health"
+	"github.com/kumquathoist/kumquathoist/knowledge"
+	"github.com/kumquathoist/kumquathoist/quarantine"
+	"github.com/kumquathoist/kumquathoist/request"
+)
+
+const (
+	// returnSoon is when a caller may come back that was refused for a short
+	// lack: a host that has just started, engines that load weights.
+	returnSoon = 300 * time.Millisecond
+	// returnLater is when a caller may come back whose request crashes
+	// engines.
+	returnLater = 30 * time.Second
+	// leastLeft is the time below which nothing is sent any more.
+	leastLeft = 20 * time.Millisecond
+)
+
+// knower is what this host knows of the configuration and the upstreams.
+type knower interface {
+	Book() knowledge.Book
+	Fresh() bool
+	Age() time.Duration
+}
+
+// sender carries one request to one upstream.
+type sender interface {
+	Send(ctx context.Context, address, id, method string, raw []byte) (*conduit.Exchange, error)
+}
+
+// encoder writes requests as upstreams read them.
+type encoder interface {
+	EncodeSend(dst []byte, s call.Send) []byte
+}
+
+// guard knows requests that crash the upstreams that run them.
+type guard interface {
+	Admit(ctx context.Context, f quarantine.Fingerprint) (release func(), refused *request.Failure)
+	Lost(attempt string, f quarantine.Fingerprint, engine string) (condemned bool)
+	Answered(attempt string, f quarantine.Fingerprint)
+}
+
+// Options is what a router needs.
+type Options struct {
+	Knowledge knower
+	Sender    sender
+	Encoder   encoder
+	Guard     guard
+	Board     *health.Board
+	// Hosts returns how many hosts share the bound on repeats.
+	Hosts func() int
+	// FailureDomain is where this host stands.
+	FailureDomain string
+	// Repeats bounds what all hosts send again to one service.
+	Repeats allowance.Bound
+	// OldWeights is how long after newer weights were named older ones may
+	// still answer.
+	OldWeights time.Duration
+	Metrics    tally.Scope
+}
+
+// Router forwards requests.
+type Router struct {
+	Options
+
+	seed maphash.Seed
+	// mu guards allowances and cached.
+	mu         sync.Mutex
+	allowances map[string]*allowance.Allowance
+	cached     *cachemap.Map
+}
+
+// New returns a router.
+func New(o Options) *Router {
+	return &Router{Options: o, seed: maphash.MakeSeed(), allowances: map[string]*allowance.Allowance{}, cached: cachemap.New()}
+}
+
+// Forgot notes that an engine has dropped what it had cached.
+func (r *Router) Forgot(engine string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cached.Lost(engine)
+}
+
+// Serve has a request run and returns its answer. The context ends when the
+// caller leaves; it must stay alive until a stream is closed.
+func (r *Router) Serve(ctx context.Context, c call.Call) call.Answer {
+	d, refusal := r.admit(c)
+	if refusal != nil {
+		event.CallRefused.Info("Request", c.ID, "Reason", refusal.Reason, "Catalog", d.book.Catalog.Version, "AgeMillis", r.Knowledge.Age().Milliseconds(), "RetryAfter", refusal.RetryAfter)
+		r.count(d, *refusal)
+		return *refusal
+	}
+	ctx, cancel := context.WithTimeout(ctx, d.left())
+	release, condemned := d.guardAdmit(ctx)
+	if condemned {
+		cancel()
+		answer := call.Refuse(call.Quarantined).WithRetryAfter(returnLater)
+		d.finish(answer)
+		return answer
+	}
+	d.ctx, d.close = ctx, func() { release(); cancel() }
+	answer := d.run(ctx)
+	if answer.Stream == nil {
+		d.close()
+		d.finish(answer)
+	}
+	return answer
+}
+
+// admit finds out what a request asks for and whether it may.
+func (r *Router) admit(c call.Call) (*run, *call.Answer) {
+	d := &run{Router: r, call: c, book: r.Knowledge.Book(), tried: map[string]bool{}, spread: maphash.String(r.seed, c.ID)}
+	refuse := func(reason call.Reason) (*run, *call.Answer) {
+		a := call.Refuse(reason)
+		if a.Status == 503 {
+			a = a.WithRetryAfter(returnSoon)
+		}
+		return d, &a
+	}
+	if d.book.Catalog.Version == 0 {
+		return refuse(call.NotReady)
+	}
+	var ok bool
+	if d.route, ok = d.book.Catalog.Route(c.Host, c.Path); !ok {
+		return refuse(r.unlessStale(call.NoRoute))
+	}
+	if !d.route.Public && !d.book.Catalog.Open {
+		if d.account, ok = d.book.Catalog.Account(c.Key); !ok {
+			return refuse(r.unlessStale(call.NoAccount))
+		}
+	}
+	name := d.route.Service(d.spread)
+	if d.service, ok = d.book.Catalog.Service(name); !ok {
+		return refuse(call.NoUpstream)
+	}
+	wait := d.route.Timeout
+	if c.Remaining > 0 && (wait <= 0 || c.Remaining < wait) {
+		wait = c.Remaining
+	}
+	d.end = c.Arrived.Add(wait)
+	d.state = delivery.State{MayRepeat: d.route.MayRepeat(), MaxUpstreams: d.route.MaxUpstreams}
+	if d.left() < leastLeft {
+		return refuse(call.DeadlinePast)
+	}
+	return d, nil
+}
+
+// unlessStale returns the reason, or that the configuration may be too old to
+// refuse a proper request.
+func (r *Router) unlessStale(reason call.Reason) call.Reason {
+	if r.Knowledge.Fresh() {
+		return reason
+	}
+	return call.Stale
+}
+
+// repeat tells whether a service may be sent a request again.
+func (r *Router) repeat(service string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.allowance(service).Again(r.Repeats, r.Hosts(), clock.Now())
+}
+
+// first counts a request to a service.
+func (r *Router) first(service string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.allowance(service).First(r.Repeats, clock.Now())
+}
+
+// allowance returns a service's count. The caller holds mu.
+func (r *Router) allowance(service string) *allowance.Allowance {
+	a, ok := r.allowances[service]
+	if !ok {
+		a = &allowance.Allowance{}
+		r.allowances[service] = a
+	}
+	return a
+}
+
+// count adds an answer to the metrics.
+func (r *Router) count(d *run, a call.Answer) {
+	outcome := string(a.Reason)
+	if outcome == "" {
+		outcome = "Answered"
+	}
+	r.Metrics.Tagged(map[string]string{"outcome": outcome}).Counter("requests").Inc(1)
+	r.Metrics.Timer("request_time").Record(clock.Now().Sub(d.call.Arrived))
+}
--- /dev/null
+++ b/forward/place.go
@@ -0,0 +1,230 @@
+package forward
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/kumquathoist/kumquathoist/allocation"
+	"github.com/kumquathoist/kumquathoist/cachemap"
+	"github.com/kumquathoist/kumquathoist/call"
+	"github.com/kumquathoist/kumquathoist/clock"
+	"github.com/kumquathoist/kumquathoist/event"
+	"github.com/kumquathoist/kumquathoist/health"
+	"github.com/kumquathoist/kumquathoist/placement"
+	"github.com/kumquathoist/kumquathoist/roster"
+)
+
+const (
+	// patience is the part of the objective that a request waits for an
+	// upstream before it is refused; callers lose nothing up to there.
+	patience = 8
+	// lookInterval is the time between two looks for an upstream.
+	lookInterval = 15 * time.Millisecond
+	// oldWeightsFree is how long after newer weights were named answers of
+	// older ones keep their credit, oldWeightsLoss what they lose then (the
+	// users' rules).
+	oldWeightsFree = 1500 * time.Millisecond
+	oldWeightsLoss = 0.2
+	// defaultPriority is an engine's priority of a request that names none.
+	defaultPriority = 5
+	maxPriority     = 9
+	// promptWorth and plainWorth are what requests earn that are on time.
+	promptWorth = 4.0
+	plainWorth  = 1.0
+)
+
+// site is an upstream that could run the request.
+type site struct {
+	roster.Entry
+
+	state   health.State
+	weights int64
+	loss    float64
+}
+
+// place chooses an upstream, waiting a little if there is none.
+func (d *run) place(ctx context.Context) (target, bool) {
+	until := clock.Now().Add(d.route.Objective / patience)
+	for {
+		d.book = d.Knowledge.Book()
+		if sites := d.sites(); len(sites) > 0 {
+			return d.choose(sites), true
+		}
+		if !clock.Now().Before(until) {
+			return target{}, false
+		}
+		select {
+		case <-ctx.Done():
+			return target{}, false
+		case <-time.After(lookInterval):
+		}
+	}
+}
+
+// sites returns the upstreams that may be sent the request now.
+func (d *run) sites() []site {
+	now := clock.Now()
+	var found []site
+	for _, e := range d.book.Roster.Service(d.service.Name) {
+		state := d.Board.State(e.ID)
+		if e.Leaving || d.tried[e.ID] || !state.Usable(now) {
+			continue
+		}
+		s := site{Entry: e, state: state}
+		if d.call.Prompt.Model != "" && !d.weigh(&s, now) {
+			continue
+		}
+		found = append(found, s)
+	}
+	return found
+}
+
+// weigh finds out which weights an engine has and whether they may answer.
+func (d *run) weigh(s *site, now clock.Instant) bool {
+	s.weights = max(s.Weights[d.call.Prompt.Model], s.state.Weights)
+	if s.weights == 0 {
+		return false
+	}
+	named, ok := d.book.Weights(d.call.Prompt.Model)
+	if !ok || s.weights >= named.Number {
+		return true
+	}
+	age := now.Sub(named.Since)
+	if age > oldWeightsFree {
+		s.loss = oldWeightsLoss
+	}
+	return age < d.OldWeights
+}
+
+// salt keeps parts apart that were made by other weights or for accounts that
+// share nothing.
+func (d *run) salt(weights int64) string {
+	salt := "w" + strconv.FormatInt(weights, 10)
+	if d.account.Isolated {
+		salt += "/" + d.account.Name
+	}
+	return salt
+}
+
+// choose returns the target with the least cost.
+func (d *run) choose(sites []site) target {
+	now := clock.Now()
+	need := allocation.Need{Objective: d.route.Objective, Elapsed: now.Sub(d.call.Arrived), Worth: plainWorth, Input: d.call.Prompt.Input}
+	parts := d.parts(sites, &need, now)
+	candidates := make([]allocation.Candidate, len(sites))
+	for i, s := range sites {
+		candidates[i] = allocation.Candidate{
+			ID: s.ID, Running: s.state.Running, Waiting: s.state.Waiting, Slots: s.Slots,
+			Near: s.FailureDomain == d.FailureDomain, Held: parts.held[s.ID],
+			Failing: s.state.Failing(now), Lag: s.state.Lag(now), Loss: s.loss,
+		}
+	}
+	i := allocation.Choose(candidates, need, d.call.ID)
+	s := sites[i]
+	t := target{id: s.ID, address: s.Address, prefill: max(0, need.Input-candidates[i].Held)}
+	t.send = call.Send{Call: d.call, Instance: s.ID, Account: d.account.Name, Priority: -1}
+	if d.call.Prompt.Model != "" {
+		t.send.Priority = d.priority()
+		t.send.Weights = s.weights
+		t.send.Salt = d.salt(s.weights)
+		t.send.FetchFrom = parts.source(s)
+	}
+	event.CallPlaced.Info("Request", d.call.ID, "Service", d.service.Name, "Upstream", s.ID, "Cost", allocation.Cost(candidates[i], need), "Candidates", len(sites),
+		"Held", candidates[i].Held, "Shared", need.Shared, "FetchFrom", t.send.FetchFrom, "Weights", s.weights, "Running", s.state.Running, "Waiting", s.state.Waiting,
+		"Catalog", d.book.Catalog.Version, "AgeMillis", d.Knowledge.Age().Milliseconds())
+	return t
+}
+
+// priority returns the rank of the request at an engine.
+func (d *run) priority() int {
+	p := d.route.Priority
+	if d.account.Priority != nil {
+		p = *d.account.Priority
+	}
+	return min(max(p, 0), maxPriority)
+}
+
+// cachedParts tells where the shared parts of the prompt are believed to be.
+type cachedParts struct {
+	// held counts the shared tokens that engines hold.
+	held map[string]int
+	// sources maps weights to engines to fetch from, the best first.
+	sources map[int64][]site
+}
+
+// source returns where an engine should fetch parts from that it lacks, or "".
+func (p cachedParts) source(s site) string {
+	for _, from := range p.sources[s.weights] {
+		if from.ID == s.ID {
+			return ""
+		}
+		if p.held[from.ID] > p.held[s.ID] || p.held[s.ID] == 0 {
+			return from.Address
+		}
+	}
+	return ""
+}
+
+// parts finds out where the shared parts are and which engine is their home.
+func (d *run) parts(sites []site, need *allocation.Need, now clock.Instant) cachedParts {
+	found := cachedParts{held: map[string]int{}, sources: map[int64][]site{}}
+	shared := d.call.Prompt.Shared()
+	if d.call.Prompt.Model == "" || len(shared) == 0 {
+		return found
+	}
+	need.Worth = promptWorth
+	for _, p := range shared {
+		need.Shared += p.Tokens
+	}
+	byID := make(map[string]site, len(sites))
+	newest := int64(0)
+	for _, s := range sites {
+		byID[s.ID] = s
+		newest = max(newest, s.weights)
+	}
+	home := ""
+	chains := cachemap.Chains(d.salt(newest), shared)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	tokens := need.Shared
+	for i := len(chains) - 1; i >= 0; i-- {
+		for _, id := range d.cached.Holders(chains[i], now) {
+			if s, ok := byID[id]; ok && s.weights == newest && found.held[id] == 0 {
+				found.held[id] = tokens
+				found.sources[newest] = append(found.sources[newest], s)
+				need.Elsewhere = max(need.Elsewhere, tokens)
+			}
+		}
+		tokens -= shared[i].Tokens
+	}
+	home = homeOf(strconv.FormatUint(uint64(chains[len(chains)-1]), 16), sites, newest)
+	need.Home = home
+	if need.Elsewhere < need.Shared && home != "" {
+		// Another host may have had it read there.
+		found.sources[newest] = append(found.sources[newest], byID[home])
+	}
+	return found
+}
+
+// homeOf returns the engine that should read parts that nobody holds.
+func homeOf(key string, sites []site, weights int64) string {
+	best, bestScore := "", uint64(0)
+	for _, s := range sites {
+		if score := placement.Score(key, s.ID); s.weights == weights && (best == "" || score > bestScore) {
+			best, bestScore = s.ID, score
+		}
+	}
+	return best
+}
+
+// saw notes that an engine that has begun to answer holds the parts.
+func (d *run) saw(a *attempt) {
+	shared := d.call.Prompt.Shared()
+	if a.send.Weights == 0 || len(shared) == 0 {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.cached.Saw(a.id, cachemap.Chains(a.send.Salt, shared), clock.Now())
+}
--- /dev/null
+++ b/forward/run.go
@@ -0,0 +1,315 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync/atomic"
+	"time"
+
+	"github.com/kumquathoist/kumquathoist/call"
+	"github.com/kumquathoist/kumquathoist/catalog"
+	"github.com/kumquathoist/kumquathoist/clock"
+	"github.com/kumquathoist/kumquathoist/conduit"
+	"github.com/kumquathoist/kumquathoist/delivery"
+	"github.com/kumquathoist/kumquathoist/event"
+	"github.com/kumquathoist/kumquathoist/health"
+	"github.com/kumquathoist/kumquathoist/knowledge"
+	"github.com/kumquathoist/kumquathoist/quarantine"
+	"github.com/kumquathoist/kumquathoist/request"
+)
+
+const (
+	// firstEventWait is how long a resumable stream waits for its first event
+	// before it is tried elsewhere; callers give up after about twice that.
+	firstEventWait = 2500 * time.Millisecond
+	// answerShare is the part of the remaining time that the first try of a
+	// repeatable request gets, so that another can still be made.
+	answerShare = 0.5
+	// leastAnswerWait is the least time for such a try.
+	leastAnswerWait = 350 * time.Millisecond
+	// maxAnswerBytes bounds an answer that is held whole.
+	maxAnswerBytes = 16 << 20
+)
+
+// run is one request on its way.
+type run struct {
+	*Router
+
+	call    call.Call
+	book    knowledge.Book
+	route   catalog.Route
+	account catalog.Account
+	service catalog.Service
+	// spread is a number that spreads requests evenly.
+	spread uint64
+	// end is when the caller or the route's time-out ends the wait.
+	end   clock.Instant
+	state delivery.State
+	// tried holds the upstreams that were tried.
+	tried map[string]bool
+	// failure is an upstream's own error, passed on if nothing better comes.
+	failure     *call.Answer
+	fingerprint quarantine.Fingerprint
+	// arrivals counts the sends that reached an upstream.
+	arrivals int
+	// ctx ends when the caller leaves or the end is reached; close ends what
+	// the request holds.
+	ctx   context.Context
+	close func()
+}
+
+// left returns the time until the end.
+func (d *run) left() time.Duration { return d.end.Sub(clock.Now()) }
+
+// guardAdmit asks whether the request crashes upstreams. Requests without a
+// body are too alike to be told apart.
+func (d *run) guardAdmit(ctx context.Context) (release func(), condemned bool) {
+	if len(d.call.Body) == 0 {
+		return func() {}, false
+	}
+	d.fingerprint = quarantine.Of(request.Request{Model: d.account.Name, Path: d.call.Target, Body: d.call.Body})
+	release, refused := d.Guard.Admit(ctx, d.fingerprint)
+	return release, refused != nil
+}
+
+// run tries upstreams until there is an answer.
+func (d *run) run(ctx context.Context) call.Answer {
+	d.first(d.service.Name)
+	for {
+		t, ok := d.place(ctx)
+		if !ok {
+			return d.conclude(ctx)
+		}
+		answer, outcome := d.try(ctx, t, d.call.ResumeAfter)
+		if outcome == delivery.Answered {
+			return *answer
+		}
+		if !d.again(ctx, outcome) {
+			return d.conclude(ctx)
+		}
+	}
+}
+
+// again takes note of a failed try and tells whether another may be made.
+func (d *run) again(ctx context.Context, outcome delivery.Outcome) bool {
+	d.state = d.state.With(outcome)
+	if ctx.Err() != nil || d.left() < leastLeft || !d.state.Again() {
+		return false
+	}
+	return outcome == delivery.NotSent && d.arrivals == 0 || d.repeat(d.service.Name)
+}
+
+// conclude returns the answer of a request that is given up.
+func (d *run) conclude(ctx context.Context) call.Answer {
+	if d.failure != nil {
+		return *d.failure
+	}
+	reason := d.state.Final()
+	if errors.Is(ctx.Err(), context.Canceled) {
+		reason = call.CallerLeft
+	}
+	a := call.Refuse(reason)
+	if a.Status == 503 {
+		a = a.WithRetryAfter(returnSoon)
+	}
+	return a
+}
+
+// target is the upstream of one try.
+type target struct {
+	id, address string
+	send        call.Send
+	// prefill is how many prompt tokens it must read.
+	prefill int
+}
+
+// attempt is one try in progress.
+type attempt struct {
+	target
+
+	exchange *conduit.Exchange
+	cancel   context.CancelFunc
+	started  clock.Instant
+	// late tells that the time for this try ran out.
+	late atomic.Bool
+	// begun tells that the upstream has begun to answer.
+	begun bool
+}
+
+// try sends the request to an upstream and waits for its answer, for streams
+// for the first event.
+func (d *run) try(ctx context.Context, t target, resumeAfter string) (*call.Answer, delivery.Outcome) {
+	d.tried[t.id] = true
+	t.send.ResumeAfter, t.send.Left = resumeAfter, d.left()
+	a := &attempt{target: t, started: clock.Now()}
+	ctx, a.cancel = context.WithCancel(ctx)
+	timer := time.AfterFunc(d.tryTime(), func() { a.late.Store(true); a.cancel() })
+	defer timer.Stop()
+	d.Board.Update(t.id, func(s health.State) health.State { s.Running++; s.Waiting += t.prefill; return s })
+	raw := d.Encoder.EncodeSend(make([]byte, 0, len(d.call.Body)+1024), t.send)
+	var err error
+	a.exchange, err = d.Sender.Send(ctx, t.address, d.call.ID, d.call.Method, raw)
+	if err != nil {
+		outcome := delivery.Broken
+		switch {
+		case errors.Is(err, conduit.ErrNotSent):
+			outcome = delivery.NotSent
+		case a.late.Load():
+			outcome = delivery.Late
+		}
+		if outcome != delivery.NotSent {
+			d.arrivals++
+		}
+		return nil, d.failed(a, outcome, err)
+	}
+	d.arrivals++
+	return d.read(a)
+}
+
+// tryTime returns how long the next try may take.
+func (d *run) tryTime() time.Duration {
+	left := d.left()
+	last := !d.state.MayRepeat || d.state.Ran+1 >= d.state.MaxUpstreams
+	switch {
+	case last:
+		return left
+	case d.route.Kind == catalog.Stream:
+		return min(left, firstEventWait)
+	}
+	return min(left, max(leastAnswerWait, time.Duration(answerShare*float64(left))))
+}
+
+// read judges the head of an answer and reads as much of it as is needed
+// before the caller can be answered.
+func (d *run) read(a *attempt) (*call.Answer, delivery.Outcome) {
+	x := a.exchange
+	d.Board.Update(a.id, func(s health.State) health.State { return s.WithWeights(x.Weights) })
+	switch {
+	case x.NotRun || x.Status == 421:
+		d.readTurnedAway(a)
+		return nil, d.failed(a, delivery.TurnedAway, nil)
+	case !x.Certified || x.Encoded:
+		return nil, d.failed(a, delivery.Broken, errUncertified)
+	case d.route.Kind == catalog.Stream && x.Status < 300:
+		return d.beginStream(a)
+	}
+	body, err := io.ReadAll(io.LimitReader(x, maxAnswerBytes))
+	if err != nil || !x.Whole() {
+		if a.late.Load() {
+			return nil, d.failed(a, delivery.Late, err)
+		}
+		return nil, d.failed(a, delivery.Broken, err)
+	}
+	answer := call.Answer{Status: x.Status, Fields: x.Fields, Body: body}
+	d.begun(a)
+	x.Finish()
+	if x.Status >= 500 {
+		d.failure = &answer
+		return nil, d.failed(a, delivery.Failed, nil)
+	}
+	d.ended(a)
+	d.Guard.Answered(d.call.ID, d.fingerprint)
+	return &answer, delivery.Answered
+}
+
+// errUncertified is why an answer without the upstream's signature is not
+// passed on.
+var errUncertified = errors.New("the answer is not certified by the upstream")
+
+// readTurnedAway learns from an upstream that did not run the request.
+func (d *run) readTurnedAway(a *attempt) {
+	x := a.exchange
+	now := clock.Now()
+	d.Board.Update(a.id, func(s health.State) health.State {
+		switch {
+		case x.Status != 421:
+			return s.WithTurnedAway(now)
+		case x.Instance != "" && x.Instance != a.id:
+			s.Gone = true
+			return s
+		case a.send.Weights > 0:
+			// Only newer weights than expected can be there now.
+			if named, ok := d.Knowledge.Book().Weights(a.send.Prompt.Model); ok && named.Number > a.send.Weights {
+				return s.WithWeights(named.Number)
+			}
+		}
+		return s.WithTurnedAway(now)
+	})
+	if _, err := io.Copy(io.Discard, io.LimitReader(x, maxAnswerBytes)); err == nil {
+		x.Finish()
+	}
+}
+
+// begun notes the first sign of an answer.
+func (d *run) begun(a *attempt) {
+	if a.begun {
+		return
+	}
+	a.begun = true
+	now := clock.Now()
+	expected := d.route.Objective / 2
+	late := now.Sub(a.started) - expected
+	d.Board.Update(a.id, func(s health.State) health.State {
+		s.Waiting -= a.prefill
+		return s.WithAnswer(now, late)
+	})
+	d.saw(a)
+}
+
+// ended releases what a try holds.
+func (d *run) ended(a *attempt) {
+	a.cancel()
+	d.Board.Update(a.id, func(s health.State) health.State {
+		s.Running--
+		if !a.begun {
+			s.Waiting -= a.prefill
+		}
+		return s
+	})
+}
+
+// failed ends a try without an answer and returns its outcome.
+func (d *run) failed(a *attempt, o delivery.Outcome, err error) delivery.Outcome {
+	now := clock.Now()
+	if a.exchange != nil && !(o == delivery.TurnedAway || o == delivery.Failed) {
+		a.exchange.Discard()
+	}
+	d.ended(a)
+	left := errors.Is(err, context.Canceled) && !a.late.Load()
+	d.Board.Update(a.id, func(s health.State) health.State {
+		switch o {
+		case delivery.NotSent:
+			return s.WithRefused(now)
+		case delivery.Broken, delivery.Late, delivery.Failed:
+			if !left {
+				return s.WithFailure(now)
+			}
+		}
+		return s
+	})
+	if o == delivery.Broken && a.exchange == nil && !left && d.fingerprint != "" {
+		d.Guard.Lost(d.call.ID, d.fingerprint, a.id)
+	}
+	reason := ""
+	if err != nil {
+		reason = err.Error()
+	}
+	status := 0
+	if a.exchange != nil {
+		status = a.exchange.Status
+	}
+	event.TryFailed.Info("Request", d.call.ID, "Upstream", a.id, "Outcome", o, "Status", status, "Millis", now.Sub(a.started).Milliseconds(), "Weights", a.send.Weights, "Reason", reason)
+	return o
+}
+
+// finish logs and counts how a request ended.
+func (d *run) finish(a call.Answer) {
+	outcome := string(a.Reason)
+	if outcome == "" {
+		outcome = "Answered"
+	}
+	event.CallEnded.Info("Request", d.call.ID, "Route", d.route.Name, "Account", d.account.Name, "Outcome", outcome, "Status", a.Status,
+		"Millis", clock.Now().Sub(d.call.Arrived).Milliseconds(), "LeftMillis", d.left().Milliseconds(), "Ran", d.state.Ran, "TurnedAway", d.state.Turned, "RetryAfter", a.RetryAfter)
+	d.count(d, a)
+}
--- /dev/null
+++ b/forward/stream.go
@@ -0,0 +1,170 @@
+package forward
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"time"
+
+	"github.com/kumquathoist/kumquathoist/call"
+	"github.com/kumquathoist/kumquathoist/clock"
+	"github.com/kumquathoist/kumquathoist/delivery"
+	"github.com/kumquathoist/kumquathoist/event"
+)
+
+const (
+	// stall is how long a stream that can go on elsewhere may be silent; the
+	// callers give up after two seconds or more.
+	stall = 2 * time.Second
+	// eventBytes is the size of one read of a stream.
+	eventBytes = 4096
+	// maxEventBytes bounds one event.
+	maxEventBytes = 1 << 20
+)
+
+// stream passes on the events of an answer, each as soon as it is complete.
+// It goes on at another upstream where the route allows that.
+type stream struct {
+	*run
+
+	attempt *attempt
+	// in holds bytes of an event that is not complete, ready whole events.
+	in, ready []byte
+	// last is the id of the last complete event.
+	last   string
+	done   bool
+	events int
+}
+
+// beginStream waits for the first event, so that until then the request can
+// be tried elsewhere.
+func (d *run) beginStream(a *attempt) (*call.Answer, delivery.Outcome) {
+	s := &stream{run: d, attempt: a, last: a.send.ResumeAfter}
+	err := s.fill()
+	switch {
+	case err != nil && a.late.Load():
+		return nil, d.failed(a, delivery.Late, err)
+	case err != nil:
+		return nil, d.failed(a, delivery.Broken, err)
+	}
+	return &call.Answer{Status: a.exchange.Status, Fields: a.exchange.Fields, Stream: s}, delivery.Answered
+}
+
+// fill reads until at least one event is complete or the answer has ended.
+func (s *stream) fill() error {
+	x := s.attempt.exchange
+	for len(s.ready) == 0 && !s.done {
+		if len(s.in) > maxEventBytes {
+			return errors.New("an event is too long")
+		}
+		if s.attempt.begun && s.route.Resumable {
+			x.SetReadDeadline(time.Now().Add(min(stall, s.left())))
+		}
+		start := len(s.in)
+		s.in = append(s.in, make([]byte, eventBytes)...)
+		n, err := x.Read(s.in[start:])
+		s.in = s.in[:start+n]
+		if end := lastEnd(s.in); end > 0 {
+			s.ready, s.in = s.in[:end:end], bytes.Clone(s.in[end:])
+			s.note(s.ready)
+			s.begun(s.attempt)
+		}
+		switch {
+		case err == io.EOF && len(s.in) == 0:
+			s.done = true
+		case err == io.EOF:
+			return io.ErrUnexpectedEOF
+		case err != nil:
+			return err
+		}
+	}
+	return nil
+}
+
+// lastEnd returns the length of the complete events at the beginning.
+func lastEnd(b []byte) int {
+	if i := bytes.LastIndex(b, []byte("\n\n")); i >= 0 {
+		return i + 2
+	}
+	if i := bytes.LastIndex(b, []byte("\r\n\r\n")); i >= 0 {
+		return i + 4
+	}
+	return 0
+}
+
+// note remembers the id of the last event.
+func (s *stream) note(events []byte) {
+	for line := range bytes.Lines(events) {
+		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			s.last = string(bytes.TrimSpace(id))
+			s.events++
+		}
+	}
+}
+
+// Read returns the next bytes of complete events.
+func (s *stream) Read(b []byte) (int, error) {
+	for len(s.ready) == 0 {
+		if s.done {
+			return 0, io.EOF
+		}
+		if err := s.fill(); err != nil && len(s.ready) == 0 {
+			if err := s.resume(err); err != nil {
+				return 0, err
+			}
+		}
+	}
+	n := copy(b, s.ready)
+	s.ready = s.ready[n:]
+	return n, nil
+}
+
+// resume goes on at another upstream after a broken stream.
+func (s *stream) resume(cause error) error {
+	outcome := s.failed(s.attempt, delivery.Broken, cause)
+	s.attempt = nil
+	for s.again(s.ctx, outcome) {
+		t, ok := s.place(s.ctx)
+		if !ok {
+			break
+		}
+		var answer *call.Answer
+		answer, outcome = s.try(s.ctx, t, s.last)
+		if outcome != delivery.Answered {
+			continue
+		}
+		next, ok := answer.Stream.(*stream)
+		if !ok {
+			return errors.New("the stream did not go on")
+		}
+		event.StreamResumed.Info("Request", s.call.ID, "Upstream", t.id, "After", s.last, "Events", s.events)
+		s.attempt, s.in, s.ready, s.done = next.attempt, next.in, next.ready, next.done
+		s.last = next.last
+		s.events += next.events
+		return nil
+	}
+	event.StreamBroken.Info("Request", s.call.ID, "After", s.last, "Events", s.events, "Reason", cause.Error())
+	return cause
+}
+
+// Close ends the stream and keeps the connection if it was read whole.
+func (s *stream) Close() error {
+	answer := call.Answer{Status: 200}
+	switch {
+	case s.attempt == nil:
+		answer.Reason = call.Unknown
+	case s.done && len(s.ready) == 0:
+		s.attempt.exchange.Finish()
+		s.ended(s.attempt)
+		s.Guard.Answered(s.call.ID, s.fingerprint)
+	default:
+		answer.Reason = call.CallerLeft
+		s.attempt.exchange.Discard()
+		s.ended(s.attempt)
+	}
+	s.attempt = nil
+	s.run.close()
+	s.finish(answer)
+	event.StreamEnded.Info("Request", s.call.ID, "Events", s.events, "Millis", clock.Now().Sub(s.call.Arrived).Milliseconds())
+	return nil
+}
--- a/gateway/complete.go
+++ b/gateway/complete.go
@@ -14,6 +14,7 @@
 	"github.com/kumquathoist/kumquathoist/document"
 	"github.com/kumquathoist/kumquathoist/request"
 	"github.com/kumquathoist/kumquathoist/upstream"
+	"github.com/kumquathoist/kumquathoist/watch"
 )
 
 const (
@@ -54,7 +55,7 @@
 	begun := time.Now()
 	a := g.run(doc, r)
 	// A stream notices by its next event that the caller has left.
-	stop := watchCaller(c.RequestCtx().Conn(), a.cancel)
+	stop := watch.Caller(c.RequestCtx().Conn(), a.cancel)
 	defer stop()
 	first, ok := <-a.chunks
 	if !ok {
--- a/gateway/listener.go
+++ b/gateway/listener.go
@@ -99,6 +99,9 @@
 	return c.Conn.Write(b)
 }
 
+// NetConn returns the connection itself.
+func (c *callerConn) NetConn() net.Conn { return c.Conn }
+
 // Close closes the connection and frees its place.
 func (c *callerConn) Close() error {
 	c.once.Do(func() { c.listener.open.Add(-1) })
--- /dev/null
+++ b/health/health.go
@@ -0,0 +1,147 @@
+// Package health holds what this host has seen of upstreams: whether they
+// take connections, how many requests fail there, how late they answer, what
+// weights they have and what this host has running at them.
+package health
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"github.com/kumquathoist/kumquathoist/clock"
+)
+
+const (
+	// firstRest and maxRest bound how long an upstream that takes no
+	// connection is left alone; each further failure doubles the time.
+	firstRest = 250 * time.Millisecond
+	maxRest   = 2 * time.Second
+	// fullRest is how long an upstream that turned a request away is left
+	// alone.
+	fullRest = 150 * time.Millisecond
+	// memory is how fast old observations lose their weight.
+	memory = 5 * time.Second
+	// prior is how many good answers an upstream is credited with.
+	prior = 4.0
+	// lagGain is the weight of a new observation of lateness.
+	lagGain = 0.3
+	// forgetAfter is how long an upstream without news is remembered.
+	forgetAfter = 5 * time.Minute
+)
+
+// State is what is known of one upstream. It is immutable.
+type State struct {
+	// Rest is until when it is left alone, Loading until when it is expected
+	// to load weights, Gone that another upstream has its address.
+	Rest, Loading clock.Instant
+	Gone          bool
+	// Weights is the newest number of weights that it was seen with.
+	Weights int64
+	// Running counts this host's requests there, Waiting the prompt tokens of
+	// those that have not begun to answer.
+	Running, Waiting int
+	strikes          int
+	failed, answered float64
+	lag              time.Duration
+	seen             clock.Instant
+}
+
+// Usable tells whether requests may be sent.
+func (s State) Usable(now clock.Instant) bool {
+	return !s.Gone && !now.Before(s.Rest) && !now.Before(s.Loading)
+}
+
+// aged returns the state with older observations counting less.
+func (s State) aged(now clock.Instant) State {
+	if s.seen != 0 {
+		f := math.Exp(-float64(now.Sub(s.seen)) / float64(memory))
+		s.failed *= f
+		s.answered *= f
+		s.lag = time.Duration(float64(s.lag) * f)
+	}
+	s.seen = now
+	return s
+}
+
+// Failing returns the recent share of requests that failed.
+func (s State) Failing(now clock.Instant) float64 {
+	a := s.aged(now)
+	return a.failed / (a.failed + a.answered + prior)
+}
+
+// Lag returns how much later than expected it answered recently.
+func (s State) Lag(now clock.Instant) time.Duration { return s.aged(now).lag }
+
+// WithRefused returns the state after a connection that was not made.
+func (s State) WithRefused(now clock.Instant) State {
+	s = s.aged(now)
+	s.Rest = now.Add(min(maxRest, firstRest<<min(s.strikes, 8)))
+	s.strikes++
+	return s
+}
+
+// WithTurnedAway returns the state after a request that it did not run.
+func (s State) WithTurnedAway(now clock.Instant) State {
+	s.Rest = max(s.Rest, now.Add(fullRest))
+	return s
+}
+
+// WithFailure returns the state after a request that failed.
+func (s State) WithFailure(now clock.Instant) State {
+	s = s.aged(now)
+	s.failed++
+	return s
+}
+
+// WithAnswer returns the state after an answer that came later than expected
+// by a time, which may be below 0.
+func (s State) WithAnswer(now clock.Instant, late time.Duration) State {
+	s = s.aged(now)
+	s.answered++
+	s.strikes = 0
+	s.lag += time.Duration(lagGain * float64(max(0, late)-s.lag))
+	return s
+}
+
+// WithWeights returns the state after weights were seen; they never go back.
+func (s State) WithWeights(number int64) State {
+	if number > s.Weights {
+		s.Weights = number
+		s.Loading = 0
+	}
+	return s
+}
+
+// Board holds the states of all upstreams by id.
+type Board struct {
+	mu     sync.Mutex
+	states map[string]State
+}
+
+// NewBoard returns an empty board.
+func NewBoard() *Board { return &Board{states: map[string]State{}} }
+
+// State returns what is known of an upstream.
+func (b *Board) State(id string) State {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.states[id]
+}
+
+// Update changes what is known of an upstream.
+func (b *Board) Update(id string, change func(State) State) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.states[id] = change(b.states[id])
+}
+
+// Forget drops upstreams that had no news for long and run nothing.
+func (b *Board) Forget(now clock.Instant) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for id, s := range b.states {
+		if s.Running == 0 && s.seen != 0 && now.Sub(s.seen) > forgetAfter {
+			delete(b.states, id)
+		}
+	}
+}
--- a/host/host.go
+++ b/host/host.go
@@ -16,7 +16,7 @@
 	"github.com/kumquathoist/kumquathoist/event"
 	"github.com/kumquathoist/kumquathoist/membership"
 	"github.com/kumquathoist/kumquathoist/peer"
-	"github.com/kumquathoist/kumquathoist/platform"
+	"github.com/kumquathoist/kumquathoist/registry"
 )
 
 const (
@@ -31,7 +31,7 @@
 
 // lister is the platform's host list.
 type lister interface {
-	Hosts(ctx context.Context) ([]platform.Host, error)
+	Hosts(ctx context.Context) ([]registry.Host, error)
 }
 
 // Options is what a directory needs.
@@ -54,7 +54,7 @@
 	Options
 
 	// listed is the last answer of the host list, upstream hosts included.
-	listed atomic.Pointer[[]platform.Host]
+	listed atomic.Pointer[[]registry.Host]
 	// hosts is what the view shows.
 	hosts atomic.Pointer[[]membership.Host]
 	// departing tells which upstreams leave by any host's list.
@@ -80,7 +80,7 @@
 		view:   membership.New(o.Self, now.UnixMilli(), now),
 		random: rand.New(rand.NewPCG(uint64(now.UnixNano()), 0)),
 	}
-	d.listed.Store(&[]platform.Host{})
+	d.listed.Store(&[]registry.Host{})
 	d.publish()
 	wait.Go(func() { d.follow(ctx) })
 	wait.Go(func() { every(ctx, membership.TickInterval, func(context.Context) { d.step(d.Status()) }) })
@@ -127,15 +127,15 @@
 	d.listed.Store(&hosts)
 	var in membership.HostList
 	for _, h := range hosts {
-		if h.Role != platform.EntryHost {
-			if h.State == platform.Leaving {
+		if h.Role != registry.EntryHost {
+			if h.State == registry.Leaving {
 				in.Departing = append(in.Departing, h.Name)
 			}
 			continue
 		}
 		in.Hosts = append(in.Hosts, membership.Listed{
 			Identity: membership.Identity{Name: h.Name, FailureDomain: h.FailureDomain, Region: h.Region, Callers: h.Callers, Peers: h.Peers},
-			Leaving:  h.State == platform.Leaving,
+			Leaving:  h.State == registry.Leaving,
 		})
 	}
 	d.step(in)
@@ -205,28 +205,28 @@
 
 // Entries returns the entry hosts that take work, ordered by name: the hosts
 // that responsibilities are spread over.
-func (d *Directory) Entries() []platform.Host {
+func (d *Directory) Entries() []registry.Host {
 	return d.filter(func(h membership.Host) bool { return !h.Leaving })
 }
 
 // Peers returns every other entry host that can be reached, leaving ones
 // included, ordered by name.
-func (d *Directory) Peers() []platform.Host {
+func (d *Directory) Peers() []registry.Host {
 	return d.filter(func(h membership.Host) bool { return h.Name != d.Self.Name })
 }
 
-func (d *Directory) filter(accepts func(membership.Host) bool) []platform.Host {
-	var found []platform.Host
+func (d *Directory) filter(accepts func(membership.Host) bool) []registry.Host {
+	var found []registry.Host
 	for _, h := range d.Hosts() {
 		if !accepts(h) {
 			continue
 		}
-		state := platform.Live
+		state := registry.Live
 		if h.Leaving {
-			state = platform.Leaving
+			state = registry.Leaving
 		}
-		found = append(found, platform.Host{
-			Name: h.Name, Role: platform.EntryHost, FailureDomain: h.FailureDomain, Region: h.Region,
+		found = append(found, registry.Host{
+			Name: h.Name, Role: registry.EntryHost, FailureDomain: h.FailureDomain, Region: h.Region,
 			State: state, Callers: h.Callers, Peers: h.Peers,
 		})
 	}
@@ -236,8 +236,8 @@
 // Leaving tells whether the host list shows the named upstream host as
 // leaving, to this host or to another one.
 func (d *Directory) Leaving(name string) bool {
-	shown := slices.ContainsFunc(*d.listed.Load(), func(h platform.Host) bool {
-		return h.Name == name && h.State == platform.Leaving
+	shown := slices.ContainsFunc(*d.listed.Load(), func(h registry.Host) bool {
+		return h.Name == name && h.State == registry.Leaving
 	})
 	return shown || (*d.departing.Load())(name)
 }
--- /dev/null
+++ b/knowledge/keeper.go
@@ -0,0 +1,323 @@
+package knowledge
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/kumquathoist/kumquathoist/clock"
+	"github.com/kumquathoist/kumquathoist/event"
+)
+
+const (
+	// burstPause lets records that come together arrive in one read.
+	burstPause = 120 * time.Millisecond
+	// retryPause is the mean pause after a failed read of the store.
+	retryPause = 700 * time.Millisecond
+	// readAllowance is how much longer than its wait a read may take.
+	readAllowance = 1500 * time.Millisecond
+	// pullInterval is the mean time between two exchanges with other hosts;
+	// news must cross several hosts within two seconds.
+	pullInterval = 350 * time.Millisecond
+	// pullTimeout bounds one exchange.
+	pullTimeout = 600 * time.Millisecond
+	// tick is the time between two looks at the clock, gap the time between
+	// two ticks from which the process was not running.
+	tick = 100 * time.Millisecond
+	gap  = 700 * time.Millisecond
+	// returnAllowance is how long upstreams take to come back to a store that
+	// was away.
+	returnAllowance = 2 * time.Second
+	// unseen and passedOn are how long news may have been known to others
+	// that come with a first look at the store and from another host.
+	unseen   = 2500 * time.Millisecond
+	passedOn = time.Second
+	// freshFor is how long knowledge is good enough to refuse a caller.
+	freshFor = 2500 * time.Millisecond
+)
+
+// waits are how long a read of each topic waits for news.
+var waits = [topics]time.Duration{Operator: 3 * time.Second, Upstreams: 6 * time.Second}
+
+// ErrTrimmed means that records after a position are no longer kept.
+var ErrTrimmed = errors.New("records were trimmed")
+
+// store is the platform's store.
+type store interface {
+	// Read returns the records from a position on, waiting for the first.
+	Read(ctx context.Context, t Topic, from int64, wait time.Duration) (Delta, error)
+	// Newest returns the newest record of each key.
+	Newest(ctx context.Context, t Topic) (Delta, error)
+}
+
+// Reply is what another host knows.
+type Reply struct {
+	Deltas []Delta
+	// Age is how long ago the host's knowledge was confirmed by the store;
+	// below 0 if it never was.
+	Age time.Duration
+}
+
+// peers are the other hosts.
+type peers interface {
+	// Pull asks one of them for what it knows beyond the positions.
+	Pull(ctx context.Context, positions []int64) (Reply, error)
+}
+
+// Options is what a keeper needs.
+type Options struct {
+	Store  store
+	Peers  peers
+	Decode Decoder
+}
+
+// Keeper keeps a book up to date.
+type Keeper struct {
+	Options
+
+	book atomic.Pointer[Book]
+	// confirmed is when the book was last known to be complete.
+	confirmed atomic.Int64
+	// returned is until when removals are deferred.
+	returned atomic.Int64
+	// mu guards changes of book, and interrupt.
+	mu sync.Mutex
+	// changed closes with the next change; interrupt ends reads in progress.
+	changed   chan struct{}
+	interrupt context.CancelFunc
+	reading   context.Context
+}
+
+// NewKeeper follows the store and the other hosts until the context ends.
+func NewKeeper(ctx context.Context, wait *conc.WaitGroup, o Options) *Keeper {
+	k := &Keeper{Options: o, changed: make(chan struct{})}
+	k.book.Store(&Book{})
+	k.reading, k.interrupt = context.WithCancel(ctx)
+	wait.Go(func() { k.follow(ctx, Operator) })
+	wait.Go(func() { k.follow(ctx, Upstreams) })
+	wait.Go(func() { k.pull(ctx) })
+	wait.Go(func() { k.watch(ctx) })
+	return k
+}
+
+// Book returns what is known now.
+func (k *Keeper) Book() Book { return *k.book.Load() }
+
+// Changed returns a channel that closes with the next change.
+func (k *Keeper) Changed() <-chan struct{} {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.changed
+}
+
+// Age returns how long ago the book was known to be complete; below 0 if it
+// never was.
+func (k *Keeper) Age() time.Duration {
+	at := clock.Instant(k.confirmed.Load())
+	if at == 0 {
+		return -1
+	}
+	return clock.Now().Sub(at)
+}
+
+// Fresh tells whether the book is recent enough to refuse what it does not
+// hold.
+func (k *Keeper) Fresh() bool {
+	age := k.Age()
+	return age >= 0 && age < freshFor
+}
+
+// Ready tells whether a configuration and the upstreams are known.
+func (k *Keeper) Ready() bool {
+	b := k.Book()
+	return b.Catalog.Version > 0 && b.Roster.Len() > 0
+}
+
+// Answer returns what another host lacks.
+func (k *Keeper) Answer(positions []int64) Reply {
+	r := Reply{Age: k.Age()}
+	b := k.Book()
+	for t, from := range positions {
+		if t < int(topics) && b.Position(Topic(t)) > from {
+			r.Deltas = append(r.Deltas, b.Since(Topic(t), from))
+		}
+	}
+	return r
+}
+
+// merge takes over news that may have been in the store for a while.
+func (k *Keeper) merge(d Delta, source string, hidden time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := clock.Now()
+	at := Times{Known: now.Add(-hidden), Return: clock.Instant(k.returned.Load())}
+	before := *k.book.Load()
+	next, changes := before.With(d, k.Decode, at)
+	k.book.Store(&next)
+	for _, c := range changes {
+		logChange(c, source, next)
+	}
+	if len(changes) > 0 {
+		close(k.changed)
+		k.changed = make(chan struct{})
+	}
+}
+
+// confirm notes that the book was complete at an instant.
+func (k *Keeper) confirm(at clock.Instant) {
+	for {
+		known := k.confirmed.Load()
+		if int64(at) <= known || k.confirmed.CompareAndSwap(known, int64(at)) {
+			return
+		}
+	}
+}
+
+// follow reads a topic until the context ends.
+func (k *Keeper) follow(ctx context.Context, t Topic) {
+	listed, lost := false, false
+	for ctx.Err() == nil {
+		d, hidden, err := k.read(t, listed)
+		switch {
+		case errors.Is(err, ErrTrimmed):
+			event.HistoryTrimmed.Info("Topic", t, "Position", k.Book().Position(t))
+			listed = false
+		case err != nil && ctx.Err() == nil:
+			if !lost {
+				event.StoreLost.Error(err, "Topic", t)
+			}
+			lost = true
+			pause(ctx, time.Duration((0.5+rand.Float64())*float64(retryPause)))
+		case err == nil:
+			if lost {
+				k.returned.Store(int64(clock.Now().Add(returnAllowance)))
+				event.StoreBack.Info("Topic", t, "Position", d.Position)
+			}
+			listed, lost = true, false
+			k.merge(d, "Store", hidden)
+			if t == Operator {
+				k.confirm(clock.Now())
+			}
+			if len(d.Records) > 0 {
+				pause(ctx, burstPause)
+			}
+		}
+	}
+}
+
+// read asks the store once, and tells how long the answer may have been there
+// unread.
+func (k *Keeper) read(t Topic, listed bool) (Delta, time.Duration, error) {
+	k.mu.Lock()
+	reading := k.reading
+	k.mu.Unlock()
+	position := k.Book().Position(t)
+	if !listed {
+		ctx, cancel := context.WithTimeout(reading, readAllowance)
+		defer cancel()
+		d, err := k.Store.Newest(ctx, t)
+		return d, unseen, err
+	}
+	ctx, cancel := context.WithTimeout(reading, waits[t]+readAllowance)
+	defer cancel()
+	d, err := k.Store.Read(ctx, t, position, waits[t])
+	return d, burstPause, err
+}
+
+// pull asks other hosts until the context ends.
+func (k *Keeper) pull(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause(ctx, time.Duration((0.5+rand.Float64())*float64(pullInterval)))
+		k.pullOnce(ctx)
+	}
+}
+
+func (k *Keeper) pullOnce(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	defer cancel()
+	asked := clock.Now()
+	b := k.Book()
+	r, err := k.Peers.Pull(ctx, []int64{b.Position(Operator), b.Position(Upstreams)})
+	if err != nil {
+		// The peers' own beliefs tell when a host is lost.
+		return
+	}
+	for _, d := range r.Deltas {
+		k.merge(d, "Peer", passedOn)
+	}
+	if r.Age >= 0 {
+		k.confirm(asked.Add(-r.Age))
+	}
+}
+
+// watch notices that the process did not run for a while, and settles
+// deferred removals.
+func (k *Keeper) watch(ctx context.Context) {
+	last := clock.Now()
+	for ctx.Err() == nil {
+		pause(ctx, tick)
+		now := clock.Now()
+		if paused := now.Sub(last); paused > gap {
+			event.ProcessPaused.Info("Millis", paused.Milliseconds())
+			k.confirmed.Store(0)
+			k.restartReads(ctx)
+		}
+		last = now
+		k.settle(now)
+	}
+}
+
+// restartReads ends the reads in progress; they are asked anew.
+func (k *Keeper) restartReads(ctx context.Context) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.interrupt()
+	k.reading, k.interrupt = context.WithCancel(ctx)
+}
+
+func (k *Keeper) settle(now clock.Instant) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	next, gone := k.book.Load().Settled(now)
+	if len(gone) == 0 {
+		return
+	}
+	k.book.Store(&next)
+	for _, id := range gone {
+		event.UpstreamGone.Info("Upstream", id, "Source", "NotBack")
+	}
+	close(k.changed)
+	k.changed = make(chan struct{})
+}
+
+// logChange writes one line for a change of belief.
+func logChange(c Change, source string, b Book) {
+	switch {
+	case c.Rejected:
+		event.RecordRejected.Error(c.Err, "Topic", c.Topic, "Key", c.Key, "Offset", c.Offset, "Source", source)
+	case c.Removed && c.Topic == Upstreams:
+		event.UpstreamGone.Info("Upstream", c.Key, "Offset", c.Offset, "Source", source, "Deferred", c.Deferred)
+	case c.News.Catalog != nil:
+		event.CatalogChanged.Info("Version", c.News.Catalog.Version, "InForce", b.Catalog.Version, "Offset", c.Offset, "Source", source)
+	case c.News.Weights != nil:
+		event.WeightsNamed.Info("Model", c.News.Weights.Model, "Number", c.News.Weights.Number, "Offset", c.Offset, "Source", source)
+	case c.News.Entry != nil:
+		e := c.News.Entry
+		event.UpstreamChanged.Info("Upstream", e.ID, "Service", e.Service, "Address", e.Address, "Leaving", e.Leaving, "Beat", e.Beat, "Offset", c.Offset, "Source", source)
+	}
+}
+
+// pause waits for a duration or the end of the context.
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -15,8 +15,8 @@
 	"github.com/kumquathoist/kumquathoist/peer"
 	"github.com/kumquathoist/kumquathoist/peerpb"
 	"github.com/kumquathoist/kumquathoist/placement"
-	"github.com/kumquathoist/kumquathoist/platform"
 	"github.com/kumquathoist/kumquathoist/prefix"
+	"github.com/kumquathoist/kumquathoist/registry"
 	"github.com/kumquathoist/kumquathoist/request"
 )
 
@@ -30,7 +30,7 @@
 
 // directory knows the entry hosts.
 type directory interface {
-	Entries() []platform.Host
+	Entries() []registry.Host
 }
 
 // Options is what a limiter needs.
@@ -128,7 +128,7 @@
 }
 
 // home returns the host that leases the limits of an account.
-func home(name string, hosts []platform.Host) platform.Host {
+func home(name string, hosts []registry.Host) registry.Host {
 	names := make([]string, 0, len(hosts))
 	for _, h := range hosts {
 		names = append(names, h.Name)
@@ -139,13 +139,13 @@
 			return h
 		}
 	}
-	return platform.Host{}
+	return registry.Host{}
 }
 
 // renew asks each home for the leases that are due, and drops idle shares.
 func (l *Limiter) renew(ctx context.Context, now time.Time) {
 	hosts := l.Directory.Entries()
-	byHome := map[platform.Host]map[string]account.Ask{}
+	byHome := map[registry.Host]map[string]account.Ask{}
 	l.mu.Lock()
 	maps.DeleteFunc(l.homes, func(_ string, h account.Home) bool { return h.Idle(now) })
 	for name, s := range l.shares {
@@ -182,7 +182,7 @@
 }
 
 // ask asks a home for leases; without an answer it returns none.
-func (l *Limiter) ask(ctx context.Context, at platform.Host, asks map[string]account.Ask) map[string]account.Amount {
+func (l *Limiter) ask(ctx context.Context, at registry.Host, asks map[string]account.Ask) map[string]account.Amount {
 	leases := map[string]account.Amount{}
 	if at.Name == l.Host {
 		for name, ask := range asks {
--- a/local/local.go
+++ b/local/local.go
@@ -12,7 +12,7 @@
 
 	"github.com/kumquathoist/kumquathoist/document"
 	"github.com/kumquathoist/kumquathoist/node"
-	"github.com/kumquathoist/kumquathoist/platform"
+	"github.com/kumquathoist/kumquathoist/registry"
 	"github.com/kumquathoist/kumquathoist/settings"
 	"github.com/kumquathoist/kumquathoist/standin"
 )
@@ -119,7 +119,7 @@
 
 // configure publishes the first configuration.
 func (s *System) configure(ctx context.Context) error {
-	log := platform.NewLog(s.Log.URL())
+	log := registry.NewLog(s.Log.URL())
 	for _, section := range document.Sections() {
 		body, err := s.plan.document.Encode(section)
 		if err != nil {
@@ -129,7 +129,7 @@
 		if err != nil {
 			return err
 		}
-		if _, err := log.Append(ctx, platform.ConfigurationStream, raw); err != nil {
+		if _, err := log.Append(ctx, registry.ConfigurationStream, raw); err != nil {
 			return err
 		}
 	}
@@ -152,9 +152,9 @@
 			return err
 		}
 		s.Routers = append(s.Routers, n)
-		s.HostList.Put(platform.Host{
-			Name: host.Name, Role: platform.EntryHost, FailureDomain: host.FailureDomain,
-			Region: host.Region, State: platform.Live, Callers: n.Callers(), Peers: n.Peers(),
+		s.HostList.Put(registry.Host{
+			Name: host.Name, Role: registry.EntryHost, FailureDomain: host.FailureDomain,
+			Region: host.Region, State: registry.Live, Callers: n.Callers(), Peers: n.Peers(),
 		})
 	}
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
--- a/node/claims.go
+++ b/node/claims.go
@@ -9,11 +9,11 @@
 	"github.com/kumquathoist/kumquathoist/host"
 	"github.com/kumquathoist/kumquathoist/peer"
 	"github.com/kumquathoist/kumquathoist/peerpb"
-	"github.com/kumquathoist/kumquathoist/platform"
+	"github.com/kumquathoist/kumquathoist/registry"
 )
 
 // startClaims makes this host one of those that keep the streams of claims.
-func (n *Node) startClaims(ctx context.Context, log *platform.Log, directory *host.Directory, peers *peer.Pool) (*claimlog.Claims, error) {
+func (n *Node) startClaims(ctx context.Context, log *registry.Log, directory *host.Directory, peers *peer.Pool) (*claimlog.Claims, error) {
 	claims := claimlog.New(ctx, &n.wait, claimlog.Options{
 		Host: n.settings.Host.Name, Log: log, Directory: directory, Peers: peers,
 	})
--- a/node/configuration.go
+++ b/node/configuration.go
@@ -9,7 +9,7 @@
 	"github.com/kumquathoist/kumquathoist/host"
 	"github.com/kumquathoist/kumquathoist/peer"
 	"github.com/kumquathoist/kumquathoist/peerpb"
-	"github.com/kumquathoist/kumquathoist/platform"
+	"github.com/kumquathoist/kumquathoist/registry"
 	"github.com/kumquathoist/kumquathoist/revision"
 )
 
@@ -18,10 +18,10 @@
 
 // startConfiguration follows the configuration and answers other hosts that
 // ask for it. Until membership has started it knows no other host.
-func (n *Node) startConfiguration(ctx context.Context, log *platform.Log, pool *peer.Pool, metrics tally.Scope) (*revision.Keeper, error) {
+func (n *Node) startConfiguration(ctx context.Context, log *registry.Log, pool *peer.Pool, metrics tally.Scope) (*revision.Keeper, error) {
 	keeper := revision.New(ctx, &n.wait, revision.Options{
 		Host: n.settings.Host.Name, Log: log, Metrics: metrics,
-		Members: func() []platform.Host {
+		Members: func() []registry.Host {
 			if source := n.entries.Load(); source != nil {
 				return source.Entries()
 			}
--- a/node/membership.go
+++ b/node/membership.go
@@ -9,7 +9,7 @@
 	"github.com/kumquathoist/kumquathoist/membership"
 	"github.com/kumquathoist/kumquathoist/peer"
 	"github.com/kumquathoist/kumquathoist/peerpb"
-	"github.com/kumquathoist/kumquathoist/platform"
+	"github.com/kumquathoist/kumquathoist/registry"
 	"github.com/kumquathoist/kumquathoist/revision"
 )
 
@@ -18,7 +18,7 @@
 	place := n.settings.Host
 	n.directory = host.NewDirectory(ctx, &n.wait, host.Options{
 		Self: membership.Identity{Name: place.Name, FailureDomain: place.FailureDomain, Region: place.Region},
-		List: platform.NewHostList(n.settings.Platform.HostList),
+		List: registry.NewHostList(n.settings.Platform.HostList),
 		Pool: pool, Heard: revisions.Heard,
 		Status: func() membership.Tick {
 			return membership.Tick{Load: n.load(revisions.Ready()), Position: revisions.State().Document.Position}
--- a/node/node.go
+++ b/node/node.go
@@ -18,7 +18,7 @@
 	"github.com/kumquathoist/kumquathoist/host"
 	"github.com/kumquathoist/kumquathoist/operator"
 	"github.com/kumquathoist/kumquathoist/peer"
-	"github.com/kumquathoist/kumquathoist/platform"
+	"github.com/kumquathoist/kumquathoist/registry"
 	"github.com/kumquathoist/kumquathoist/settings"
 	"github.com/kumquathoist/kumquathoist/upstream"
 )
@@ -71,7 +71,7 @@
 // start makes the parts in the order of their needs.
 func (n *Node) start(ctx context.Context, credentials peer.Credentials, operatorSecret settings.Secret) error {
 	metrics, exporter := n.startMetrics(ctx)
-	log := platform.NewLog(n.settings.Platform.Log)
+	log := registry.NewLog(n.settings.Platform.Log)
 	client := upstream.NewClient()
 	var err error
 	if n.peers, err = peer.NewServer(n.settings.Listen.Peers, credentials); err != nil {
--- a/node/orders.go
+++ b/node/orders.go
@@ -9,14 +9,14 @@
 	"github.com/kumquathoist/kumquathoist/engine"
 	"github.com/kumquathoist/kumquathoist/host"
 	"github.com/kumquathoist/kumquathoist/orders"
-	"github.com/kumquathoist/kumquathoist/platform"
+	"github.com/kumquathoist/kumquathoist/registry"
 	"github.com/kumquathoist/kumquathoist/revision"
 	"github.com/kumquathoist/kumquathoist/rollout"
 	"github.com/kumquathoist/kumquathoist/upstream"
 )
 
 // startOrders makes this host one of those that keep pools of engines.
-func (n *Node) startOrders(ctx context.Context, log *platform.Log, directory *host.Directory, client *upstream.Client, engines *engine.Tracker, revisions *revision.Keeper) *orders.Keeper {
+func (n *Node) startOrders(ctx context.Context, log *registry.Log, directory *host.Directory, client *upstream.Client, engines *engine.Tracker, revisions *revision.Keeper) *orders.Keeper {
 	return orders.New(ctx, &n.wait, orders.Options{
 		Host: n.settings.Host.Name, Directory: directory, Engines: client, Statuses: engines,
 		Demands: func() []rollout.Demand {
@@ -24,7 +24,7 @@
 			return rollout.Demands(state.Document, fence(state))
 		},
 		Current: func(ctx context.Context, number int64) error {
-			page, err := log.Read(ctx, platform.ConfigurationStream, revisions.State().Document.Position+1, 0)
+			page, err := log.Read(ctx, registry.ConfigurationStream, revisions.State().Document.Position+1, 0)
 			if err == nil && (len(page.Records) > 0 || fence(revisions.State()) != number) {
 				err = trace.CompareFailed("the log holds a newer configuration")
 			}
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -19,7 +19,7 @@
 
 	"github.com/kumquathoist/kumquathoist/document"
 	"github.com/kumquathoist/kumquathoist/engine"
-	"github.com/kumquathoist/kumquathoist/platform"
+	"github.com/kumquathoist/kumquathoist/registry"
 	"github.com/kumquathoist/kumquathoist/revision"
 	"github.com/kumquathoist/kumquathoist/rollout"
 	"github.com/kumquathoist/kumquathoist/settings"
@@ -39,7 +39,7 @@
 
 // directory knows the entry hosts.
 type directory interface {
-	Entries() []platform.Host
+	Entries() []registry.Host
 }
 
 // statuses knows the engines.
@@ -184,7 +184,7 @@
 	Position int64
 	// Configuration tells whether the position is known to be current.
 	Configuration revision.Status
-	Hosts         []platform.Host
+	Hosts         []registry.Host
 	Engines       []EngineStatus
 	Rollouts      []rollout.Progress
 }
--- a/orders/orders.go
+++ b/orders/orders.go
@@ -13,7 +13,7 @@
 	"github.com/kumquathoist/kumquathoist/engine"
 	"github.com/kumquathoist/kumquathoist/event"
 	"github.com/kumquathoist/kumquathoist/placement"
-	"github.com/kumquathoist/kumquathoist/platform"
+	"github.com/kumquathoist/kumquathoist/registry"
 	"github.com/kumquathoist/kumquathoist/rollout"
 	"github.com/kumquathoist/kumquathoist/upstream"
 )
@@ -45,7 +45,7 @@
 
 // directory knows the entry hosts.
 type directory interface {
-	Entries() []platform.Host
+	Entries() []registry.Host
 }
 
 // Options is what a keeper needs.
--- /dev/null
+++ b/overseer/overseer.go
@@ -0,0 +1,372 @@
+// Package overseer brings engines to the weights that operators name. The
+// decisions are those of packages warrant and reload.
+package overseer
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/kumquathoist/kumquathoist/clock"
+	"github.com/kumquathoist/kumquathoist/event"
+	"github.com/kumquathoist/kumquathoist/health"
+	"github.com/kumquathoist/kumquathoist/knowledge"
+	"github.com/kumquathoist/kumquathoist/placement"
+	"github.com/kumquathoist/kumquathoist/reload"
+	"github.com/kumquathoist/kumquathoist/roster"
+	"github.com/kumquathoist/kumquathoist/warrant"
+)
+
+const (
+	// lookInterval is the time between two looks at what is to be done.
+	lookInterval = 100 * time.Millisecond
+	// reportInterval is the time between two looks at an engine that loads.
+	reportInterval = 200 * time.Millisecond
+	// callTimeout bounds one call to an engine or to the log.
+	callTimeout = 800 * time.Millisecond
+	// loadTimeout is how long an engine may take from the order to the new
+	// weights: its requests end first.
+	loadTimeout = 4 * time.Second
+	// lostAfter is how long after an order without an answer an engine that
+	// shows no sign of it has not taken it; its reports are that old.
+	lostAfter = 600 * time.Millisecond
+	// steerAway is how long other hosts send nothing to an engine that is to
+	// load, unless they hear of its end.
+	steerAway = 2500 * time.Millisecond
+	// restAfterFailure is how long an engine is left alone that did not take
+	// an order.
+	restAfterFailure = 500 * time.Millisecond
+)
+
+// Report is what an engine says of itself.
+type Report struct {
+	// Weights maps models to the number that is loaded.
+	Weights map[string]int64
+	// Busy tells that an order is being carried out.
+	Busy bool
+	// Orders counts the orders that it has accepted.
+	Orders int64
+}
+
+// Order is an order to load weights.
+type Order struct {
+	// Instance is the id of the engine that is meant.
+	Instance string
+	Model    string
+	Weights  int64
+	Holder   string
+	Fence    int64
+	// Expected is the count of orders after which it may be carried out.
+	Expected int64
+}
+
+// engines speaks to engines.
+type engines interface {
+	Report(ctx context.Context, address, instance string) (Report, error)
+	// Order returns whether the engine took the order; an error means that
+	// it may have.
+	Order(ctx context.Context, address string, o Order) (accepted bool, err error)
+}
+
+// claims is the log of claims.
+type claims interface {
+	// Claims returns the claims from an offset on, and the end of the log.
+	Claims(ctx context.Context, from int64) ([]warrant.Claim, int64, error)
+	// Claim appends a claim if the log ends at an offset.
+	Claim(ctx context.Context, c warrant.Claim, end int64) (ok bool, err error)
+}
+
+// Notice tells other hosts what this one does.
+type Notice struct {
+	Claim  warrant.Claim
+	Offset int64
+	// Loaded maps engines to the weights that they have now.
+	Loaded map[string]int64
+	// Freed are engines that were not reloaded after all.
+	Freed []string
+}
+
+// Options is what an overseer needs.
+type Options struct {
+	// Self names this host.
+	Self    string
+	Engines engines
+	Claims  claims
+	Board   *health.Board
+	Book    func() knowledge.Book
+	// Active tells whether this host may act now.
+	Active func() bool
+	// Hosts names the hosts that take work.
+	Hosts func() []string
+	// Tell sends a notice to all other hosts.
+	Tell func(Notice)
+	// Forgot is told of an engine that has dropped its cache.
+	Forgot func(engine string)
+	// Lease is how long after one host's order another host may order.
+	Lease time.Duration
+}
+
+// Overseer acts for one host.
+type Overseer struct {
+	Options
+
+	// mu guards the fields below.
+	mu      sync.Mutex
+	ledger  warrant.Ledger
+	loading map[string]bool
+	rest    map[string]clock.Instant
+	wait    *conc.WaitGroup
+}
+
+// New returns an overseer that acts until the context ends.
+func New(ctx context.Context, wait *conc.WaitGroup, o Options) *Overseer {
+	v := &Overseer{Options: o, loading: map[string]bool{}, rest: map[string]clock.Instant{}, wait: wait}
+	wait.Go(func() {
+		ticker := time.NewTicker(lookInterval)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.C:
+				v.look(ctx)
+			}
+		}
+	})
+	return v
+}
+
+// Heard takes a notice of another host.
+func (v *Overseer) Heard(n Notice) {
+	now := clock.Now()
+	if len(n.Claim.Upstreams) > 0 {
+		n.Claim.Offset = n.Offset
+		event.WarrantHeard.Info("Holder", n.Claim.Holder, "Upstreams", n.Claim.Upstreams, "Offset", n.Offset)
+		v.mu.Lock()
+		v.ledger = v.ledger.With(n.Claim, now)
+		v.mu.Unlock()
+	}
+	v.steer(n, now)
+}
+
+// steer changes where requests are sent by a notice.
+func (v *Overseer) steer(n Notice, now clock.Instant) {
+	for _, id := range n.Claim.Upstreams {
+		v.Board.Update(id, func(s health.State) health.State { s.Loading = now.Add(steerAway); return s })
+	}
+	for id, number := range n.Loaded {
+		v.Board.Update(id, func(s health.State) health.State { return s.WithWeights(number) })
+		v.Forgot(id)
+	}
+	for _, id := range n.Freed {
+		v.Board.Update(id, func(s health.State) health.State { s.Loading = 0; return s })
+	}
+}
+
+// look orders the engines whose turn it is.
+func (v *Overseer) look(ctx context.Context) {
+	if !v.Active() {
+		return
+	}
+	book := v.Book()
+	for model, services := range book.Catalog.Models() {
+		named, ok := book.Weights(model)
+		if !ok {
+			continue
+		}
+		var all []roster.Entry
+		for _, s := range services {
+			all = append(all, book.Roster.Service(s)...)
+		}
+		v.bring(ctx, model, named, all)
+	}
+}
+
+// bring takes one step to bring engines to the named weights.
+func (v *Overseer) bring(ctx context.Context, model string, named knowledge.Named, all []roster.Entry) {
+	now := clock.Now()
+	next, position := v.next(model, named, all, now)
+	if len(next) == 0 {
+		return
+	}
+	rank := slices.Index(placement.Rank(model, v.Hosts()), v.Self)
+	v.mu.Lock()
+	heard := now.Sub(v.ledger.Heard)
+	v.mu.Unlock()
+	if rank < 0 || !reload.Turn(rank, now.Sub(named.Since), heard) {
+		return
+	}
+	if position == 0 {
+		// What the log holds must be known before anything is claimed.
+		v.catchUp(ctx)
+		next, position = v.next(model, named, all, clock.Now())
+		if len(next) == 0 {
+			return
+		}
+	}
+	v.claim(ctx, model, named, all, next, position)
+}
+
+// next returns the engines to order now and the log's position.
+func (v *Overseer) next(model string, named knowledge.Named, all []roster.Entry, now clock.Instant) ([]string, int64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	pool := make([]reload.Engine, 0, len(all))
+	for _, e := range all {
+		s := v.Board.State(e.ID)
+		if s.Gone || e.Leaving {
+			continue
+		}
+		pool = append(pool, reload.Engine{
+			ID: e.ID, Weights: max(e.Weights[model], s.Weights), Loading: v.loading[e.ID], Running: s.Running,
+			Free: !now.Before(v.rest[e.ID]) && v.ledger.Free(e.ID, v.Self, v.Lease, now),
+		})
+	}
+	return reload.Next(pool, named.Number), v.ledger.Position
+}
+
+// catchUp reads the claims that this host does not know.
+func (v *Overseer) catchUp(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	v.mu.Lock()
+	from := v.ledger.Position
+	v.mu.Unlock()
+	claims, end, err := v.Claims.Claims(ctx, from)
+	if err != nil {
+		event.WarrantMissed.Error(err, "Position", from)
+		return
+	}
+	now := clock.Now()
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, c := range claims {
+		v.ledger = v.ledger.With(c, now)
+	}
+	v.ledger = v.ledger.WithPosition(end)
+}
+
+// claim takes the right to order engines and orders them.
+func (v *Overseer) claim(ctx context.Context, model string, named knowledge.Named, all []roster.Entry, ids []string, end int64) {
+	c := warrant.Claim{Holder: v.Self, Upstreams: ids, Offset: end}
+	sent := clock.Now()
+	appendCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	ok, err := v.Claims.Claim(appendCtx, c, end)
+	cancel()
+	if err != nil || !ok {
+		if err != nil {
+			event.WarrantMissed.Error(err, "Upstreams", ids, "Position", end)
+		} else {
+			event.WarrantMissed.Info("Upstreams", ids, "Position", end)
+		}
+		v.catchUp(ctx)
+		return
+	}
+	event.WarrantTaken.Info("Upstreams", ids, "Fence", end+1, "Model", model, "Weights", named.Number, "SinceMillis", sent.Sub(named.Since).Milliseconds())
+	n := Notice{Claim: c, Offset: end}
+	v.steer(n, sent)
+	v.Tell(n)
+	v.mu.Lock()
+	v.ledger = v.ledger.With(c, sent).WithPosition(end + 1)
+	for _, id := range ids {
+		v.loading[id] = true
+	}
+	v.mu.Unlock()
+	for _, e := range all {
+		if slices.Contains(ids, e.ID) {
+			v.wait.Go(func() { v.load(ctx, e, model, named.Number, end+1, sent) })
+		}
+	}
+}
+
+// load orders one engine to load weights and waits for the end.
+func (v *Overseer) load(ctx context.Context, e roster.Entry, model string, number, fence int64, claimed clock.Instant) {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	outcome := v.order(ctx, e, model, number, fence, claimed)
+	has := outcome == loaded
+	event.LoadEnded.Info("Upstream", e.ID, "Weights", number, "Fence", fence, "Outcome", string(outcome), "Millis", clock.Now().Sub(claimed).Milliseconds())
+	n := Notice{Freed: []string{e.ID}}
+	if has {
+		n = Notice{Loaded: map[string]int64{e.ID: number}}
+	}
+	now := clock.Now()
+	v.steer(n, now)
+	v.mu.Lock()
+	delete(v.loading, e.ID)
+	if !has {
+		v.rest[e.ID] = now.Add(restAfterFailure)
+	}
+	v.mu.Unlock()
+	v.Tell(n)
+}
+
+// result is how an order ended.
+type result string
+
+const (
+	loaded     result = "Loaded"
+	silent     result = "NoReport"
+	busy       result = "Busy"
+	tooLate    result = "WindowOver"
+	refused    result = "Refused"
+	lost       result = "Lost"
+	unfinished result = "Unfinished"
+)
+
+// order sends the order and follows the engine's reports.
+func (v *Overseer) order(ctx context.Context, e roster.Entry, model string, number, fence int64, claimed clock.Instant) result {
+	before, err := v.report(ctx, e)
+	switch {
+	case err != nil:
+		return silent
+	case before.Weights[model] >= number:
+		return loaded
+	case before.Busy:
+		return busy
+	}
+	if clock.Now().Sub(claimed) > warrant.Window {
+		return tooLate
+	}
+	orderCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	accepted, err := v.Engines.Order(orderCtx, e.Address, Order{
+		Instance: e.ID, Model: model, Weights: number, Holder: v.Self, Fence: fence, Expected: before.Orders,
+	})
+	cancel()
+	sent := clock.Now()
+	event.LoadOrdered.Info("Upstream", e.ID, "Model", model, "Weights", number, "Fence", fence, "Expected", before.Orders, "Accepted", accepted, "Answered", err == nil)
+	if err == nil && !accepted {
+		return refused
+	}
+	for ctx.Err() == nil {
+		pause(ctx, reportInterval)
+		r, reportErr := v.report(ctx, e)
+		switch {
+		case reportErr == nil && r.Weights[model] >= number:
+			return loaded
+		case reportErr == nil && err != nil && r.Orders == before.Orders && !r.Busy && clock.Now().Sub(sent) > lostAfter:
+			return lost
+		}
+	}
+	return unfinished
+}
+
+// report asks an engine how it is.
+func (v *Overseer) report(ctx context.Context, e roster.Entry) (Report, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return v.Engines.Report(ctx, e.Address, e.ID)
+}
+
+// pause waits for a duration or the end of the context.
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/platform/hostlist.go
+++ b/registry/hostlist.go
@@ -1,4 +1,4 @@
-package platform
+package registry
 
 import (
 	"context"
--- a/platform/log.go
+++ b/registry/log.go
@@ -1,6 +1,6 @@
-// Package platform holds clients of the services that the platform gives:
+// Package registry holds clients of the services that the platform gives:
 // the log service and the host list.
-package platform
+package registry
 
 import (
 	"bytes"
--- a/revision/exchange.go
+++ b/revision/exchange.go
@@ -15,7 +15,7 @@
 
 	"github.com/kumquathoist/kumquathoist/document"
 	"github.com/kumquathoist/kumquathoist/event"
-	"github.com/kumquathoist/kumquathoist/platform"
+	"github.com/kumquathoist/kumquathoist/registry"
 )
 
 const (
@@ -39,8 +39,8 @@
 
 // Pick returns up to count members other than this host, in random order. It
 // is deterministic for a given source of randomness.
-func Pick(members []platform.Host, self string, count int, random *rand.Rand) []platform.Host {
-	var others []platform.Host
+func Pick(members []registry.Host, self string, count int, random *rand.Rand) []registry.Host {
+	var others []registry.Host
 	for _, m := range members {
 		if m.Name != self && m.Peers != "" {
 			others = append(others, m)
@@ -51,7 +51,7 @@
 }
 
 // pick chooses peers with the process's randomness.
-func (k *Keeper) pick(count int) []platform.Host {
+func (k *Keeper) pick(count int) []registry.Host {
 	return Pick(k.Members(), k.Host, count, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 }
 
@@ -86,7 +86,7 @@
 		if k.reached(ctx, news.position) {
 			return
 		}
-		chosen = slices.DeleteFunc(k.pick(math.MaxInt), func(h platform.Host) bool { return h.Name != news.sender })
+		chosen = slices.DeleteFunc(k.pick(math.MaxInt), func(h registry.Host) bool { return h.Name != news.sender })
 	}
 	for _, h := range chosen {
 		_ = k.ask(ctx, h.Peers)
--- a/revision/follow.go
+++ b/revision/follow.go
@@ -10,7 +10,7 @@
 
 	"github.com/kumquathoist/kumquathoist/document"
 	"github.com/kumquathoist/kumquathoist/event"
-	"github.com/kumquathoist/kumquathoist/platform"
+	"github.com/kumquathoist/kumquathoist/registry"
 )
 
 const (
@@ -70,9 +70,9 @@
 	defer k.mu.Unlock()
 	switch {
 	case err != nil && !k.logDown:
-		event.LogUnreachable.Error(err, "Stream", platform.ConfigurationStream)
+		event.LogUnreachable.Error(err, "Stream", registry.ConfigurationStream)
 	case err == nil && k.logDown:
-		event.LogReachable.Info("Stream", platform.ConfigurationStream)
+		event.LogReachable.Info("Stream", registry.ConfigurationStream)
 	}
 	k.logTried, k.logDown = true, err != nil
 	k.settle()
@@ -99,7 +99,7 @@
 	k.mu.Lock()
 	from := k.replica.NextOffset()
 	k.mu.Unlock()
-	page, err := k.Log.Read(ctx, platform.ConfigurationStream, from, wait)
+	page, err := k.Log.Read(ctx, registry.ConfigurationStream, from, wait)
 	if err != nil {
 		k.Metrics.Counter("configuration_reads_failed").Inc(1)
 		return trace.Wrap(err)
@@ -134,7 +134,7 @@
 }
 
 // take takes what a page tells beside its records.
-func (k *Keeper) take(raw platform.Page, page document.Page) {
+func (k *Keeper) take(raw registry.Page, page document.Page) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	raw.Records = nil
--- a/revision/publish.go
+++ b/revision/publish.go
@@ -9,7 +9,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/kumquathoist/kumquathoist/document"
-	"github.com/kumquathoist/kumquathoist/platform"
+	"github.com/kumquathoist/kumquathoist/registry"
 )
 
 const (
@@ -105,7 +105,7 @@
 func (k *Keeper) append(ctx context.Context, raw []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
-	_, err := k.Log.Append(ctx, platform.ConfigurationStream, raw)
+	_, err := k.Log.Append(ctx, registry.ConfigurationStream, raw)
 	return trace.Wrap(err)
 }
 
@@ -144,7 +144,7 @@
 		if !v.Accepted || v.Section != section || v.Offset+1 != revision {
 			continue
 		}
-		page, err := k.Log.Read(ctx, platform.ConfigurationStream, v.Offset, 0)
+		page, err := k.Log.Read(ctx, registry.ConfigurationStream, v.Offset, 0)
 		if err != nil {
 			return document.Body{}, trace.Wrap(err)
 		}
--- a/revision/revision.go
+++ b/revision/revision.go
@@ -15,13 +15,13 @@
 
 	"github.com/kumquathoist/kumquathoist/document"
 	"github.com/kumquathoist/kumquathoist/event"
-	"github.com/kumquathoist/kumquathoist/platform"
+	"github.com/kumquathoist/kumquathoist/registry"
 )
 
 // stream is the log service as this package uses it.
 type stream interface {
-	Append(ctx context.Context, stream string, data []byte) (platform.Appended, error)
-	Read(ctx context.Context, stream string, from int64, wait time.Duration) (platform.Page, error)
+	Append(ctx context.Context, stream string, data []byte) (registry.Appended, error)
+	Read(ctx context.Context, stream string, from int64, wait time.Duration) (registry.Page, error)
 }
 
 // peers calls other hosts.
@@ -53,7 +53,7 @@
 	Log   stream
 	Peers peers
 	// Members returns the entry hosts of the system.
-	Members func() []platform.Host
+	Members func() []registry.Host
 	// Retention is how long the log keeps records.
 	Retention time.Duration
 	// SnapshotShare is the part of Retention after which a snapshot is due.
@@ -88,7 +88,7 @@
 	current time.Time
 	// page is the last answer of the log, without its records, and pageAt when
 	// it came.
-	page   platform.Page
+	page   registry.Page
 	pageAt time.Time
 	// logTried tells that the log answered or failed once; logDown that its
 	// last answer is missing.
--- a/revision/revision_test.go
+++ b/revision/revision_test.go
@@ -15,7 +15,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/kumquathoist/kumquathoist/document"
-	"github.com/kumquathoist/kumquathoist/platform"
+	"github.com/kumquathoist/kumquathoist/registry"
 )
 
 // testLimit bounds a wait; a passing run needs far less.
@@ -24,7 +24,7 @@
 // fakeLog is a log in memory.
 type fakeLog struct {
 	mu      sync.Mutex
-	records []platform.Record
+	records []registry.Record
 	// readErr and appendErr are what calls fail with.
 	readErr, appendErr error
 	// dieAfterFirst gives one record and then fails every read.
@@ -35,33 +35,33 @@
 	loseAnswers int
 }
 
-func (l *fakeLog) Append(_ context.Context, _ string, data []byte) (platform.Appended, error) {
+func (l *fakeLog) Append(_ context.Context, _ string, data []byte) (registry.Appended, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.appendErr != nil {
-		return platform.Appended{}, l.appendErr
+		return registry.Appended{}, l.appendErr
 	}
-	l.records = append(l.records, platform.Record{Offset: int64(len(l.records)), AppendedMillis: time.Now().UnixMilli(), Data: data})
+	l.records = append(l.records, registry.Record{Offset: int64(len(l.records)), AppendedMillis: time.Now().UnixMilli(), Data: data})
 	if l.loseAnswers > 0 {
 		l.loseAnswers--
-		return platform.Appended{}, trace.ConnectionProblem(nil, "the answer was lost")
+		return registry.Appended{}, trace.ConnectionProblem(nil, "the answer was lost")
 	}
-	return platform.Appended{Offset: int64(len(l.records) - 1)}, nil
+	return registry.Appended{Offset: int64(len(l.records) - 1)}, nil
 }
 
-func (l *fakeLog) Read(ctx context.Context, _ string, from int64, _ time.Duration) (platform.Page, error) {
+func (l *fakeLog) Read(ctx context.Context, _ string, from int64, _ time.Duration) (registry.Page, error) {
 	pause(ctx, time.Millisecond)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.from = append(l.from, from)
 	if l.readErr != nil {
-		return platform.Page{}, l.readErr
+		return registry.Page{}, l.readErr
 	}
 	if l.dieAfterFirst {
 		l.readErr = errDown
-		return platform.Page{Records: l.records[:1], Next: int64(len(l.records))}, nil
+		return registry.Page{Records: l.records[:1], Next: int64(len(l.records))}, nil
 	}
-	p := platform.Page{Next: int64(len(l.records)), NowMillis: time.Now().UnixMilli()}
+	p := registry.Page{Next: int64(len(l.records)), NowMillis: time.Now().UnixMilli()}
 	if from < p.Next {
 		p.Records = append(p.Records, l.records[from:]...)
 	}
@@ -109,8 +109,8 @@
 	var wait conc.WaitGroup
 	k := New(ctx, &wait, Options{
 		Host: "host-1", Log: log, Peers: peers, Retention: time.Hour, SnapshotShare: 0.5, Metrics: tally.NoopScope,
-		Members: func() []platform.Host {
-			return []platform.Host{{Name: "host-1", Peers: "127.0.0.1:1"}, {Name: "host-2", Peers: "127.0.0.1:2"}}
+		Members: func() []registry.Host {
+			return []registry.Host{{Name: "host-1", Peers: "127.0.0.1:1"}, {Name: "host-2", Peers: "127.0.0.1:2"}}
 		},
 	})
 	t.Cleanup(func() {
--- a/revision/service_test.go
+++ b/revision/service_test.go
@@ -12,7 +12,7 @@
 	"github.com/kumquathoist/kumquathoist/document"
 	"github.com/kumquathoist/kumquathoist/peer"
 	"github.com/kumquathoist/kumquathoist/peerpb"
-	"github.com/kumquathoist/kumquathoist/platform"
+	"github.com/kumquathoist/kumquathoist/registry"
 )
 
 // serve answers other hosts from a keeper.
@@ -76,7 +76,7 @@
 	cut := New(ctx, &wait, Options{
 		Host: "host-2", Log: &fakeLog{readErr: errDown}, Metrics: tally.NoopScope,
 		Peers:   Client{Pool: pool, Address: func() string { return "127.0.0.1:1" }},
-		Members: func() []platform.Host { return []platform.Host{{Name: "host-1", Peers: server.Address()}} },
+		Members: func() []registry.Host { return []registry.Host{{Name: "host-1", Peers: server.Address()}} },
 	})
 	eventually(t, func() bool { return cut.Ready() && cut.State().Position() == 2 })
 	is.Equal(cut.State().Checksum(), first.State().Checksum())
--- a/revision/snapshot.go
+++ b/revision/snapshot.go
@@ -8,7 +8,7 @@
 	"github.com/kumquathoist/kumquathoist/document"
 	"github.com/kumquathoist/kumquathoist/event"
 	"github.com/kumquathoist/kumquathoist/placement"
-	"github.com/kumquathoist/kumquathoist/platform"
+	"github.com/kumquathoist/kumquathoist/registry"
 )
 
 const (
@@ -84,7 +84,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
-	if _, err := k.Log.Append(ctx, platform.ConfigurationStream, raw); err != nil {
+	if _, err := k.Log.Append(ctx, registry.ConfigurationStream, raw); err != nil {
 		event.SnapshotFailed.Error(err, "Covers", state.Position())
 		return
 	}
--- a/settings/check.go
+++ b/settings/check.go
@@ -69,11 +69,16 @@
 // addresses checks where the daemon listens and what it connects to.
 func (c *checker) addresses(s Settings) {
 	taken := map[netip.AddrPort]string{}
-	for _, r := range []struct{ path, value string }{
+	listen := []struct{ path, value string }{
 		{"Listen.Callers", s.Listen.Callers},
 		{"Listen.Peers", s.Listen.Peers},
-		{"Listen.Operators", s.Listen.Operators},
-	} {
+	}
+	if s.Platform.Store == "" {
+		listen = append(listen, struct{ path, value string }{"Listen.Operators", s.Listen.Operators})
+	} else {
+		listen = append(listen, struct{ path, value string }{"Listen.Addresses", s.Listen.Addresses}, struct{ path, value string }{"Listen.Readiness", s.Listen.Readiness})
+	}
+	for _, r := range listen {
 		address, err := netip.ParseAddrPort(r.value)
 		switch other, twice := taken[address]; {
 		case err != nil:
@@ -84,6 +89,10 @@
 			taken[address] = r.path
 		}
 	}
+	if s.Platform.Store != "" {
+		c.store(s)
+		return
+	}
 	for _, r := range []struct{ path, value string }{
 		{"Platform.Log", s.Platform.Log},
 		{"Platform.HostList", s.Platform.HostList},
@@ -94,6 +103,40 @@
 	}
 }
 
+// store checks what a platform with a store needs.
+func (c *checker) store(s Settings) {
+	for i, address := range append([]string{s.Platform.Store}, s.Platform.Seeds...) {
+		path := "Platform.Store"
+		if i > 0 {
+			path = fmt.Sprintf("Platform.Seeds[%d]", i-1)
+		}
+		if _, err := netip.ParseAddrPort(address); err != nil {
+			c.report(path, "%q is not IP:port", address)
+		}
+	}
+	if s.Platform.Log != "" || s.Platform.HostList != "" {
+		c.report("Platform.Store", "stands beside a log or a host list; only one kind of platform can be used")
+	}
+	for _, r := range []struct {
+		path  string
+		value float64
+	}{
+		{"Machine.MemoryMB", float64(s.Machine.MemoryMB)},
+		{"Machine.Descriptors", float64(s.Machine.Descriptors)},
+		{"Bounds.LeaseMillis", float64(s.Bounds.LeaseMillis)},
+		{"Bounds.WeightsMillis", float64(s.Bounds.WeightsMillis)},
+		{"Bounds.GraceSeconds", s.Bounds.GraceSeconds},
+		{"Bounds.RepeatWindowSeconds", s.Bounds.RepeatWindowSeconds},
+	} {
+		if !(r.value > 0) {
+			c.report(r.path, "must be above 0")
+		}
+	}
+	if s.Bounds.RepeatRatio < 0 || s.Bounds.RepeatSlack < 0 {
+		c.report("Bounds", "RepeatRatio and RepeatSlack can't be below 0")
+	}
+}
+
 // numbers checks the ranges of numbers.
 func (c *checker) numbers(s Settings) {
 	for _, r := range []struct {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -34,6 +34,11 @@
 	Limits Limits `yaml:"Limits"`
 	// Stop sets how a planned stop proceeds.
 	Stop Stop `yaml:"Stop"`
+	// Machine tells what the host may use.
+	Machine Machine `yaml:"Machine,omitempty"`
+	// Bounds are the times and amounts that the platform's operators promise
+	// their users; they are used with Platform.Store.
+	Bounds Bounds `yaml:"Bounds,omitempty"`
 }
 
 // Host is this host's place in the system.
@@ -49,14 +54,63 @@
 	Callers   string `yaml:"Callers"`
 	Peers     string `yaml:"Peers"`
 	Operators string `yaml:"Operators"`
+	// Addresses answers callers that ask which hosts to use, and Readiness
+	// the platform's checks; they are used with Platform.Store.
+	Addresses string `yaml:"Addresses,omitempty"`
+	Readiness string `yaml:"Readiness,omitempty"`
 }
 
-// Platform holds the base URLs of the platform's services.
+// Platform tells where the platform's services are: either the base URLs of
+// its log and host list, or the address of a store that holds configuration,
+// upstreams and hosts.
 type Platform struct {
-	Log      string `yaml:"Log"`
-	HostList string `yaml:"HostList"`
+	Log      string `yaml:"Log,omitempty"`
+	HostList string `yaml:"HostList,omitempty"`
+	// Store is the IP:port of the store.
+	Store string `yaml:"Store,omitempty"`
+	// Seeds are peers' addresses (IP:port) of hosts that may exist.
+	Seeds []string `yaml:"Seeds,omitempty"`
 }
 
+// Machine tells what the host may use.
+type Machine struct {
+	// MemoryMB is the memory at which the process is killed.
+	MemoryMB int `yaml:"MemoryMB"`
+	// Descriptors is the most open files and sockets.
+	Descriptors int `yaml:"Descriptors"`
+}
+
+// Bounds are what operators promise their users.
+type Bounds struct {
+	// LeaseMillis is how long after one host's order to an engine another
+	// host may order it.
+	LeaseMillis int `yaml:"LeaseMillis"`
+	// WeightsMillis is how long after new weights were named a request may
+	// begin on older ones.
+	WeightsMillis int `yaml:"WeightsMillis"`
+	// GraceSeconds is the time from SIGTERM to SIGKILL.
+	GraceSeconds float64 `yaml:"GraceSeconds"`
+	// RepeatRatio, RepeatWindowSeconds and RepeatSlack bound what all hosts
+	// send again to a service: a share of a window's requests, and more.
+	RepeatRatio         float64 `yaml:"RepeatRatio"`
+	RepeatWindowSeconds float64 `yaml:"RepeatWindowSeconds"`
+	RepeatSlack         float64 `yaml:"RepeatSlack"`
+}
+
+// Lease is how long after one host's order another host may order.
+func (b Bounds) Lease() time.Duration { return time.Duration(b.LeaseMillis) * time.Millisecond }
+
+// Weights is how long older weights may answer.
+func (b Bounds) Weights() time.Duration { return time.Duration(b.WeightsMillis) * time.Millisecond }
+
+// Grace is the time from SIGTERM to SIGKILL.
+func (b Bounds) Grace() time.Duration { return seconds(b.GraceSeconds) }
+
+// RepeatWindow is the window in which repeats are bounded.
+func (b Bounds) RepeatWindow() time.Duration { return seconds(b.RepeatWindowSeconds) }
+
+func seconds(n float64) time.Duration { return time.Duration(n * float64(time.Second)) }
+
 // Configuration sets how the configuration document outlives the log's
 // retention.
 type Configuration struct {
--- /dev/null
+++ b/site/site.go
@@ -0,0 +1,250 @@
+// Package site puts the router daemon together on a host of a platform that
+// keeps configuration, upstreams and hosts in a store.
+package site
+
+import (
+	"context"
+	"runtime/debug"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/sourcegraph/conc"
+
+	"github.com/kumquathoist/kumquathoist/address"
+	"github.com/kumquathoist/kumquathoist/allowance"
+	"github.com/kumquathoist/kumquathoist/clock"
+	"github.com/kumquathoist/kumquathoist/conduit"
+	"github.com/kumquathoist/kumquathoist/crash"
+	"github.com/kumquathoist/kumquathoist/event"
+	"github.com/kumquathoist/kumquathoist/forward"
+	"github.com/kumquathoist/kumquathoist/health"
+	"github.com/kumquathoist/kumquathoist/host"
+	"github.com/kumquathoist/kumquathoist/knowledge"
+	"github.com/kumquathoist/kumquathoist/membership"
+	"github.com/kumquathoist/kumquathoist/overseer"
+	"github.com/kumquathoist/kumquathoist/peer"
+	"github.com/kumquathoist/kumquathoist/peerpb"
+	"github.com/kumquathoist/kumquathoist/platform"
+	"github.com/kumquathoist/kumquathoist/registry"
+	"github.com/kumquathoist/kumquathoist/relay"
+	"github.com/kumquathoist/kumquathoist/settings"
+)
+
+const (
+	// memoryShare is the part of the host's memory that the Go runtime may
+	// use; the rest is for stacks, sockets and what it does not count.
+	memoryShare = 0.55
+	// weightsMargin is how long before the operators' bound no request is
+	// sent to older weights, since it may wait there.
+	weightsMargin = 700 * time.Millisecond
+	// addressTTL is how long callers may keep addresses; some keep them three
+	// times as long, and a stopping host has to outlive that.
+	addressTTL = time.Second
+	// quietAfterStart is how long a new process orders no engine.
+	quietAfterStart = time.Second
+	// forgetInterval is the time between two cleanings of old beliefs.
+	forgetInterval = time.Minute
+)
+
+// Site is a running daemon.
+type Site struct {
+	settings  settings.Settings
+	store     *platform.Store
+	directory *host.Directory
+	keeper    *knowledge.Keeper
+	relay     *relay.Relay
+	board     *health.Board
+	router    *forward.Router
+	overseer  *overseer.Overseer
+	door      *platform.Door
+	hosts     *hostList
+	started   clock.Instant
+
+	wait     conc.WaitGroup
+	cancel   context.CancelFunc
+	stopOnce sync.Once
+	stop     chan struct{}
+}
+
+// New starts a daemon. It ends when the context ends or after a planned stop.
+func New(ctx context.Context, s settings.Settings) (*Site, error) {
+	secret, err := s.Secrets.Peers.Read()
+	if err != nil {
+		return nil, trace.Wrap(err, "reading the peers' secret")
+	}
+	debug.SetMemoryLimit(int64(memoryShare * float64(s.Machine.MemoryMB) * (1 << 20)))
+	ctx, cancel := context.WithCancel(ctx)
+	n := &Site{
+		settings: s, cancel: cancel, stop: make(chan struct{}), started: clock.Now(),
+		store: platform.NewStore(s.Platform.Store), board: health.NewBoard(),
+	}
+	if err := n.start(ctx, peer.Credentials{Secret: secret}); err != nil {
+		cancel()
+		n.wait.Wait()
+		return nil, err
+	}
+	return n, nil
+}
+
+// start makes the parts in the order of their needs.
+func (n *Site) start(ctx context.Context, credentials peer.Credentials) error {
+	scope, handler := startMetrics(ctx, &n.wait)
+	server, err := peer.NewServer(n.settings.Listen.Peers, credentials)
+	if err != nil {
+		return err
+	}
+	pool := peer.NewPool(credentials)
+	n.startPeers(ctx, pool)
+	guard := crash.NewGuard(ctx, &n.wait, crash.Options{Peers: n.others, Sender: crash.NewPeerSender(pool)})
+	connections := conduit.NewPool(platform.Wire{})
+	n.wait.Go(func() { connections.Sweep(ctx) })
+	bounds := n.settings.Bounds
+	n.router = forward.New(forward.Options{
+		Knowledge: n.keeper, Sender: connections, Encoder: platform.Wire{}, Guard: guard, Board: n.board,
+		Hosts:         func() int { return len(n.directory.Hosts()) },
+		FailureDomain: n.settings.Host.FailureDomain,
+		Repeats:       allowance.Bound{Ratio: bounds.RepeatRatio, Window: bounds.RepeatWindow(), Slack: bounds.RepeatSlack},
+		OldWeights:    bounds.Weights() - weightsMargin, Metrics: scope,
+	})
+	n.overseer = overseer.New(ctx, &n.wait, overseer.Options{
+		Self: n.settings.Host.Name, Engines: platform.NewEngines(), Claims: n.store, Board: n.board, Book: n.keeper.Book,
+		Active: n.mayOrder, Hosts: n.names, Tell: n.relay.Tell, Forgot: n.router.Forgot, Lease: bounds.Lease(),
+	})
+	for _, register := range []func() error{
+		func() error { return peerpb.DRPCRegisterMemberships(server, n.directory) },
+		func() error { return relay.Register(server, n.relay) },
+		func() error { return crash.Register(server, guard) },
+	} {
+		if err := register(); err != nil {
+			return trace.Wrap(err, "registering a service for peers")
+		}
+	}
+	n.wait.Go(func() {
+		defer pool.Close()
+		if err := server.Serve(ctx); err != nil && ctx.Err() == nil {
+			event.DoorFailed.Error(err, "Address", n.settings.Listen.Peers)
+		}
+	})
+	n.door, err = platform.NewDoor(&n.wait, platform.Options{
+		Callers: n.settings.Listen.Callers, Addresses: n.settings.Listen.Addresses, Readiness: n.settings.Listen.Readiness,
+		Router: n.router, Ready: n.keeper.Ready, Hosts: n.near, AddressTTL: addressTTL,
+		BodyLimit: func() int { return n.keeper.Book().Catalog.Limits.BodyBytes }, Metrics: handler,
+	})
+	if err != nil {
+		return err
+	}
+	n.directory.Announce(n.settings.Listen.Callers, n.settings.Listen.Peers)
+	n.wait.Go(func() { n.announce(ctx) })
+	n.wait.Go(func() { n.forget(ctx) })
+	n.wait.Go(func() { n.finish(ctx) })
+	event.Listening.Info("Host", n.settings.Host.Name, "Callers", n.settings.Listen.Callers, "Peers", n.settings.Listen.Peers)
+	return nil
+}
+
+// startPeers makes this host know the others and what they know.
+func (n *Site) startPeers(ctx context.Context, pool *peer.Pool) {
+	place := n.settings.Host
+	n.hosts = &hostList{store: n.store, learnt: func() []registry.Host { return n.relay.Learnt() }}
+	n.relay = relay.New(ctx, &n.wait, relay.Options{
+		Pool: pool, Others: n.others, Seeds: slices.DeleteFunc(slices.Clone(n.settings.Platform.Seeds), func(a string) bool { return a == n.settings.Listen.Peers }),
+		Answer: func(positions []int64) knowledge.Reply { return n.keeper.Answer(positions) },
+		Hosts:  func() []registry.Host { return n.directory.Entries() },
+		Heard:  func(notice overseer.Notice) { n.overseer.Heard(notice) },
+	})
+	n.directory = host.NewDirectory(ctx, &n.wait, host.Options{
+		Self: membership.Identity{Name: place.Name, FailureDomain: place.FailureDomain, Region: place.Region},
+		List: n.hosts, Pool: pool,
+		Status: func() membership.Tick {
+			if n.keeper == nil || !n.keeper.Ready() {
+				return membership.Tick{Load: membership.MaxLoad}
+			}
+			return membership.Tick{}
+		},
+	})
+	n.keeper = knowledge.NewKeeper(ctx, &n.wait, knowledge.Options{Store: n.store, Peers: n.relay, Decode: platform.Decode})
+}
+
+// others returns the peers' addresses of the other hosts.
+func (n *Site) others() []string {
+	if n.directory == nil {
+		return nil
+	}
+	var found []string
+	for _, h := range n.directory.Peers() {
+		if h.Peers != "" {
+			found = append(found, h.Peers)
+		}
+	}
+	return found
+}
+
+// names returns the hosts that share duties.
+func (n *Site) names() []string {
+	var names []string
+	for _, h := range n.directory.Entries() {
+		names = append(names, h.Name)
+	}
+	return names
+}
+
+// mayOrder tells whether this host may order engines now.
+func (n *Site) mayOrder() bool {
+	select {
+	case <-n.stop:
+		return false
+	default:
+	}
+	return n.keeper.Ready() && n.keeper.Fresh() && clock.Now().Sub(n.started) > quietAfterStart
+}
+
+// near returns the hosts that a caller should use.
+func (n *Site) near(region, failureDomain string) []registry.Host {
+	var found []registry.Host
+	for _, h := range address.Near(n.directory.Hosts(), address.Caller{Region: region, FailureDomain: failureDomain}) {
+		found = append(found, registry.Host{Name: h.Name, Callers: h.Callers})
+	}
+	return found
+}
+
+// announce writes this host's addresses to the store until that succeeds.
+func (n *Site) announce(ctx context.Context) {
+	self := registry.Host{
+		Name: n.settings.Host.Name, Role: registry.EntryHost, FailureDomain: n.settings.Host.FailureDomain, Region: n.settings.Host.Region,
+		State: registry.Live, Callers: n.settings.Listen.Callers, Peers: n.settings.Listen.Peers,
+	}
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, storeTimeout)
+		err := n.store.Announce(call, self)
+		cancel()
+		if err == nil {
+			return
+		}
+		pause(ctx, announcePause)
+	}
+}
+
+// forget drops old beliefs until the context ends.
+func (n *Site) forget(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause(ctx, forgetInterval)
+		n.board.Forget(clock.Now())
+	}
+}
+
+// Wait returns when the daemon has ended.
+func (n *Site) Wait() { n.wait.Wait() }
+
+// Stop begins a planned stop. It returns at once; Wait tells when it ended.
+func (n *Site) Stop() { n.stopOnce.Do(func() { close(n.stop) }) }
+
+// pause waits for a duration or the end of the context.
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/standin/hostlist.go
+++ b/standin/hostlist.go
@@ -9,7 +9,7 @@
 
 	"github.com/gofiber/fiber/v3"
 
-	"github.com/kumquathoist/kumquathoist/platform"
+	"github.com/kumquathoist/kumquathoist/registry"
 )
 
 // HostListFaults is what a test or a person puts into the host list.
@@ -25,7 +25,7 @@
 // hostListVersion is the list from one moment on.
 type hostListVersion struct {
 	since time.Time
-	hosts []platform.Host
+	hosts []registry.Host
 }
 
 // HostList stands in for the platform's host list.
@@ -35,7 +35,7 @@
 	// mu guards the fields below.
 	mu       sync.Mutex
 	versions []hostListVersion
-	shown    []platform.Host
+	shown    []registry.Host
 	faults   HostListFaults
 }
 
@@ -53,21 +53,21 @@
 }
 
 // Put adds or replaces a host.
-func (h *HostList) Put(host platform.Host) {
-	h.change(host.Name, func(hosts []platform.Host) []platform.Host { return append(hosts, host) })
+func (h *HostList) Put(host registry.Host) {
+	h.change(host.Name, func(hosts []registry.Host) []registry.Host { return append(hosts, host) })
 }
 
 // Remove takes a host off the list.
 func (h *HostList) Remove(name string) {
-	h.change(name, func(hosts []platform.Host) []platform.Host { return hosts })
+	h.change(name, func(hosts []registry.Host) []registry.Host { return hosts })
 }
 
 // change makes a new version without the named host and then edited.
-func (h *HostList) change(name string, edit func([]platform.Host) []platform.Host) {
+func (h *HostList) change(name string, edit func([]registry.Host) []registry.Host) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	latest := slices.Clone(h.versions[len(h.versions)-1].hosts)
-	latest = slices.DeleteFunc(latest, func(o platform.Host) bool { return o.Name == name })
+	latest = slices.DeleteFunc(latest, func(o registry.Host) bool { return o.Name == name })
 	h.versions = append(h.versions, hostListVersion{time.Now(), edit(latest)})
 }
 
@@ -88,7 +88,7 @@
 }
 
 func (h *HostList) put(c fiber.Ctx) error {
-	var host platform.Host
+	var host registry.Host
 	if err := c.Bind().JSON(&host); err != nil {
 		return err
 	}
@@ -110,7 +110,7 @@
 	if !h.faults.Frozen {
 		h.show(time.Now().Add(-time.Duration(h.faults.LagMillis) * time.Millisecond))
 	}
-	return c.JSON(struct{ Hosts []platform.Host }{h.shown})
+	return c.JSON(struct{ Hosts []registry.Host }{h.shown})
 }
 
 // show sets what is shown to the newest version of a moment. The caller
--- a/standin/log.go
+++ b/standin/log.go
@@ -9,7 +9,7 @@
 
 	"github.com/gofiber/fiber/v3"
 
-	"github.com/kumquathoist/kumquathoist/platform"
+	"github.com/kumquathoist/kumquathoist/registry"
 )
 
 // LogFaults is what a test or a person puts into the log.
@@ -29,7 +29,7 @@
 // logStream is the records of one stream.
 type logStream struct {
 	first   int64
-	records []platform.Record
+	records []registry.Record
 	changed chan struct{}
 }
 
@@ -102,11 +102,11 @@
 }
 
 // put appends a record and tells whether its answer is to be lost.
-func (l *Log) put(stream string, data []byte) (platform.Appended, bool) {
+func (l *Log) put(stream string, data []byte) (registry.Appended, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.stream(stream)
-	record := platform.Record{
+	record := registry.Record{
 		Offset:         s.first + int64(len(s.records)),
 		AppendedMillis: time.Now().UnixMilli(),
 		Data:           append([]byte(nil), data...),
@@ -119,7 +119,7 @@
 	if lost {
 		l.faults.LoseAnswers--
 	}
-	return platform.Appended{Offset: record.Offset, AppendedMillis: record.AppendedMillis}, lost
+	return registry.Appended{Offset: record.Offset, AppendedMillis: record.AppendedMillis}, lost
 }
 
 // stream returns a stream, made on first use. The caller holds mu.
@@ -163,16 +163,16 @@
 
 // page returns the records from an offset on and a channel that closes with
 // the next append.
-func (l *Log) page(stream string, from int64) (platform.Page, <-chan struct{}, bool) {
+func (l *Log) page(stream string, from int64) (registry.Page, <-chan struct{}, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.stream(stream)
 	l.expire(s)
-	page := platform.Page{
+	page := registry.Page{
 		First:     s.first,
 		Next:      s.first + int64(len(s.records)),
 		NowMillis: time.Now().UnixMilli(),
-		Records:   []platform.Record{},
+		Records:   []registry.Record{},
 	}
 	start := max(from-s.first, 0)
 	if start < int64(len(s.records)) {
--- a/gateway/caller.go
+++ b/watch/watch.go
@@ -1,4 +1,6 @@
-package gateway
+// Package watch notices that a caller closes its connection while its request
+// is being handled.
+package watch
 
 import (
 	"net"
@@ -6,18 +8,21 @@
 	"time"
 )
 
-// watchCaller calls left when the caller closes the connection while its
-// request is handled. The returned function ends the watch; it must be called
-// before the connection is read again.
-func watchCaller(conn net.Conn, left func()) (stop func()) {
-	if c, ok := conn.(*callerConn); ok {
-		conn = c.Conn
+// wrapped is a connection around another one.
+type wrapped interface{ NetConn() net.Conn }
+
+// Caller calls left when the caller closes the connection while its request
+// is handled. The returned function ends the watch; it must be called before
+// the connection is read again.
+func Caller(conn net.Conn, left func()) (stop func()) {
+	if w, ok := conn.(wrapped); ok {
+		conn = w.NetConn()
 	}
 	raw, ok := conn.(syscall.Conn)
 	if !ok {
 		return func() {}
 	}
-	// fasthttp left its deadline for reading the request.
+	// The HTTP library left its deadline for reading the request.
 	_ = conn.SetReadDeadline(time.Time{})
 	done := make(chan struct{})
 	go func() {
