--- a/cachemap/cachemap.go
+++ b/cachemap/cachemap.go
@@ -14,6 +14,7 @@
 
 	"github.com/kumquathoist/kumquathoist/call"
 	"github.com/kumquathoist/kumquathoist/clock"
+	"github.com/kumquathoist/kumquathoist/pulse"
 )
 
 const (
@@ -44,7 +45,7 @@
 
 // holder is an engine that was seen with a part.
 type holder struct {
-	engine string
+	engine pulse.Engine
 	at     clock.Instant
 }
 
@@ -57,7 +58,7 @@
 func New() *Map { return &Map{parts: map[Chain][]holder{}} }
 
 // Saw notes that an engine holds the chains.
-func (m *Map) Saw(engine string, chains []Chain, now clock.Instant) {
+func (m *Map) Saw(engine pulse.Engine, chains []Chain, now clock.Instant) {
 	if len(m.parts) > capacity {
 		m.expire(now)
 	}
@@ -82,7 +83,7 @@
 }
 
 // Lost forgets all that an engine held.
-func (m *Map) Lost(engine string) {
+func (m *Map) Lost(engine pulse.Engine) {
 	for c, list := range m.parts {
 		list = slices.DeleteFunc(list, func(h holder) bool { return h.engine == engine })
 		if len(list) == 0 {
@@ -94,9 +95,9 @@
 }
 
 // Holders returns the engines that were seen with a chain, the last first.
-func (m *Map) Holders(c Chain, now clock.Instant) []string {
+func (m *Map) Holders(c Chain, now clock.Instant) []pulse.Engine {
 	list := m.parts[c]
-	found := make([]string, 0, len(list))
+	found := make([]pulse.Engine, 0, len(list))
 	for _, h := range slices.Backward(list) {
 		if now.Sub(h.at) <= lifetime {
 			found = append(found, h.engine)
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -21,6 +21,7 @@
 	"github.com/kumquathoist/kumquathoist/event"
 	"github.com/kumquathoist/kumquathoist/health"
 	"github.com/kumquathoist/kumquathoist/knowledge"
+	"github.com/kumquathoist/kumquathoist/pulse"
 	"github.com/kumquathoist/kumquathoist/quarantine"
 	"github.com/kumquathoist/kumquathoist/request"
 )
@@ -60,6 +61,14 @@
 	Answered(attempt string, f quarantine.Fingerprint)
 }
 
+// pulses tell other hosts what this one does, and the reverse.
+type pulses interface {
+	// Elsewhere returns what the other hosts have at an engine.
+	Elsewhere(e pulse.Engine) pulse.Load
+	// Saw tells of cached parts that an engine holds.
+	Saw(seen ...pulse.Sighting)
+}
+
 // Options is what a router needs.
 type Options struct {
 	Knowledge knower
@@ -67,6 +76,7 @@
 	Encoder   encoder
 	Guard     guard
 	Board     *health.Board
+	Pulses    pulses
 	// Hosts returns how many hosts share the bound on repeats.
 	Hosts func() int
 	// FailureDomain is where this host stands.
@@ -99,7 +109,14 @@
 func (r *Router) Forgot(engine string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.cached.Lost(engine)
+	r.cached.Lost(pulse.Short(engine))
+}
+
+// Heard notes a cached part that another host saw.
+func (r *Router) Heard(s pulse.Sighting) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cached.Saw(s.Engine, []cachemap.Chain{cachemap.Chain(s.Chain)}, clock.Now())
 }
 
 // Serve has a request run and returns its answer. The context ends when the
--- a/forward/place.go
+++ b/forward/place.go
@@ -12,6 +12,7 @@
 	"github.com/kumquathoist/kumquathoist/event"
 	"github.com/kumquathoist/kumquathoist/health"
 	"github.com/kumquathoist/kumquathoist/placement"
+	"github.com/kumquathoist/kumquathoist/pulse"
 	"github.com/kumquathoist/kumquathoist/roster"
 )
 
@@ -38,7 +39,10 @@
 type site struct {
 	roster.Entry
 
-	state   health.State
+	state health.State
+	short pulse.Engine
+	// load is what all hosts have there.
+	load    pulse.Load
 	weights int64
 	loss    float64
 }
@@ -71,7 +75,8 @@
 		if e.Leaving || d.tried[e.ID] || !state.Usable(now) {
 			continue
 		}
-		s := site{Entry: e, state: state}
+		s := site{Entry: e, state: state, short: pulse.Short(e.ID)}
+		s.load = state.Load.Plus(d.Pulses.Elsewhere(s.short))
 		if d.call.Prompt.Model != "" && !d.weigh(&s, now) {
 			continue
 		}
@@ -87,10 +92,11 @@
 		return false
 	}
 	named, ok := d.book.Weights(d.call.Prompt.Model)
-	if !ok || s.weights >= named.Number {
+	since, replaced := named.Replaced(s.weights)
+	if !ok || !replaced {
 		return true
 	}
-	age := now.Sub(named.Since)
+	age := now.Sub(since)
 	if age > oldWeightsFree {
 		s.loss = oldWeightsLoss
 	}
@@ -112,30 +118,44 @@
 	now := clock.Now()
 	need := allocation.Need{Objective: d.route.Objective, Elapsed: now.Sub(d.call.Arrived), Worth: plainWorth, Input: d.call.Prompt.Input}
 	parts := d.parts(sites, &need, now)
+	rank := d.priority()
 	candidates := make([]allocation.Candidate, len(sites))
 	for i, s := range sites {
 		candidates[i] = allocation.Candidate{
-			ID: s.ID, Running: s.state.Running, Waiting: s.state.Waiting, Slots: s.Slots,
+			ID: s.ID, Running: s.load.Running, Waiting: s.load.Ahead(rank), Slots: s.Slots,
 			Near: s.FailureDomain == d.FailureDomain, Held: parts.held[s.ID],
 			Failing: s.state.Failing(now), Lag: s.state.Lag(now), Loss: s.loss,
 		}
 	}
 	i := allocation.Choose(candidates, need, d.call.ID)
 	s := sites[i]
-	t := target{id: s.ID, address: s.Address, prefill: max(0, need.Input-candidates[i].Held)}
+	t := target{id: s.ID, address: s.Address, prefill: max(0, need.Input-candidates[i].Held), rank: rank}
 	t.send = call.Send{Call: d.call, Instance: s.ID, Account: d.account.Name, Priority: -1}
 	if d.call.Prompt.Model != "" {
-		t.send.Priority = d.priority()
+		t.send.Priority = rank
 		t.send.Weights = s.weights
 		t.send.Salt = d.salt(s.weights)
-		t.send.FetchFrom = parts.source(s)
+		t.send.FetchFrom = parts.source(s, need.Shared, d.partStore())
+		if need.Elsewhere < need.Shared {
+			// Nobody is known to hold all; others will want them.
+			t.send.SaveTo = d.partStore()
+		}
 	}
 	event.CallPlaced.Info("Request", d.call.ID, "Service", d.service.Name, "Upstream", s.ID, "Cost", allocation.Cost(candidates[i], need), "Candidates", len(sites),
-		"Held", candidates[i].Held, "Shared", need.Shared, "FetchFrom", t.send.FetchFrom, "Weights", s.weights, "Running", s.state.Running, "Waiting", s.state.Waiting,
+		"Held", candidates[i].Held, "Shared", need.Shared, "FetchFrom", t.send.FetchFrom, "Weights", s.weights, "Running", s.load.Running, "Waiting", candidates[i].Waiting,
 		"Catalog", d.book.Catalog.Version, "AgeMillis", d.Knowledge.Age().Milliseconds())
 	return t
 }
 
+// partStore returns the address of the store of cached parts, or "".
+func (d *run) partStore() string {
+	stores := d.book.Catalog.PartStores()
+	if len(stores) == 0 {
+		return ""
+	}
+	return stores[0].Address
+}
+
 // priority returns the rank of the request at an engine.
 func (d *run) priority() int {
 	p := d.route.Priority
@@ -154,16 +174,16 @@
 }
 
 // source returns where an engine should fetch parts from that it lacks, or "".
-func (p cachedParts) source(s site) string {
+func (p cachedParts) source(s site, shared int, store string) string {
+	if shared == 0 || p.held[s.ID] >= shared {
+		return ""
+	}
 	for _, from := range p.sources[s.weights] {
-		if from.ID == s.ID {
-			return ""
-		}
-		if p.held[from.ID] > p.held[s.ID] || p.held[s.ID] == 0 {
+		if from.ID != s.ID && p.held[from.ID] > p.held[s.ID] {
 			return from.Address
 		}
 	}
-	return ""
+	return store
 }
 
 // parts finds out where the shared parts are and which engine is their home.
@@ -177,33 +197,27 @@
 	for _, p := range shared {
 		need.Shared += p.Tokens
 	}
-	byID := make(map[string]site, len(sites))
+	byShort := make(map[pulse.Engine]site, len(sites))
 	newest := int64(0)
 	for _, s := range sites {
-		byID[s.ID] = s
+		byShort[s.short] = s
 		newest = max(newest, s.weights)
 	}
-	home := ""
 	chains := cachemap.Chains(d.salt(newest), shared)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	tokens := need.Shared
 	for i := len(chains) - 1; i >= 0; i-- {
-		for _, id := range d.cached.Holders(chains[i], now) {
-			if s, ok := byID[id]; ok && s.weights == newest && found.held[id] == 0 {
-				found.held[id] = tokens
+		for _, holder := range d.cached.Holders(chains[i], now) {
+			if s, ok := byShort[holder]; ok && s.weights == newest && found.held[s.ID] == 0 {
+				found.held[s.ID] = tokens
 				found.sources[newest] = append(found.sources[newest], s)
 				need.Elsewhere = max(need.Elsewhere, tokens)
 			}
 		}
 		tokens -= shared[i].Tokens
 	}
-	home = homeOf(strconv.FormatUint(uint64(chains[len(chains)-1]), 16), sites, newest)
-	need.Home = home
-	if need.Elsewhere < need.Shared && home != "" {
-		// Another host may have had it read there.
-		found.sources[newest] = append(found.sources[newest], byID[home])
-	}
+	need.Home = homeOf(strconv.FormatUint(uint64(chains[len(chains)-1]), 16), sites, newest)
 	return found
 }
 
@@ -224,7 +238,11 @@
 	if a.send.Weights == 0 || len(shared) == 0 {
 		return
 	}
+	chains, short := cachemap.Chains(a.send.Salt, shared), pulse.Short(a.id)
+	for _, c := range chains {
+		d.Pulses.Saw(pulse.Sighting{Engine: short, Chain: uint64(c)})
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.cached.Saw(a.id, cachemap.Chains(a.send.Salt, shared), clock.Now())
+	d.cached.Saw(short, chains, clock.Now())
 }
--- a/forward/run.go
+++ b/forward/run.go
@@ -120,8 +120,8 @@
 type target struct {
 	id, address string
 	send        call.Send
-	// prefill is how many prompt tokens it must read.
-	prefill int
+	// prefill is how many prompt tokens it must read, rank its urgency.
+	prefill, rank int
 }
 
 // attempt is one try in progress.
@@ -146,7 +146,7 @@
 	ctx, a.cancel = context.WithCancel(ctx)
 	timer := time.AfterFunc(d.tryTime(), func() { a.late.Store(true); a.cancel() })
 	defer timer.Stop()
-	d.Board.Update(t.id, func(s health.State) health.State { s.Running++; s.Waiting += t.prefill; return s })
+	d.Board.Update(t.id, func(s health.State) health.State { return s.WithSend(t.rank, t.prefill) })
 	raw := d.Encoder.EncodeSend(make([]byte, 0, len(d.call.Body)+1024), t.send)
 	var err error
 	a.exchange, err = d.Sender.Send(ctx, t.address, d.call.ID, d.call.Method, raw)
@@ -251,8 +251,7 @@
 	expected := d.route.Objective / 2
 	late := now.Sub(a.started) - expected
 	d.Board.Update(a.id, func(s health.State) health.State {
-		s.Waiting -= a.prefill
-		return s.WithAnswer(now, late)
+		return s.WithAnswer(now, late).WithBegun(a.rank, a.prefill)
 	})
 	d.saw(a)
 }
@@ -261,11 +260,10 @@
 func (d *run) ended(a *attempt) {
 	a.cancel()
 	d.Board.Update(a.id, func(s health.State) health.State {
-		s.Running--
 		if !a.begun {
-			s.Waiting -= a.prefill
+			s = s.WithBegun(a.rank, a.prefill)
 		}
-		return s
+		return s.WithEnd()
 	})
 }
 
--- a/health/health.go
+++ b/health/health.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/kumquathoist/kumquathoist/clock"
+	"github.com/kumquathoist/kumquathoist/pulse"
 )
 
 const (
@@ -37,9 +38,8 @@
 	Gone          bool
 	// Weights is the newest number of weights that it was seen with.
 	Weights int64
-	// Running counts this host's requests there, Waiting the prompt tokens of
-	// those that have not begun to answer.
-	Running, Waiting int
+	// Load is what this host has there.
+	Load             pulse.Load
 	strikes          int
 	failed, answered float64
 	lag              time.Duration
@@ -103,6 +103,26 @@
 	return s
 }
 
+// WithSend returns the state after a request was sent whose prompt must be
+// read.
+func (s State) WithSend(rank, tokens int) State {
+	s.Load.Running++
+	s.Load.Waiting[min(rank, pulse.Ranks-1)] += tokens
+	return s
+}
+
+// WithBegun returns the state after such a request has begun to answer.
+func (s State) WithBegun(rank, tokens int) State {
+	s.Load.Waiting[min(rank, pulse.Ranks-1)] -= tokens
+	return s
+}
+
+// WithEnd returns the state after a request has ended.
+func (s State) WithEnd() State {
+	s.Load.Running--
+	return s
+}
+
 // WithWeights returns the state after weights were seen; they never go back.
 func (s State) WithWeights(number int64) State {
 	if number > s.Weights {
@@ -135,12 +155,25 @@
 	b.states[id] = change(b.states[id])
 }
 
+// Loads returns what this host has at upstreams.
+func (b *Board) Loads() map[pulse.Engine]pulse.Load {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	loads := map[pulse.Engine]pulse.Load{}
+	for id, s := range b.states {
+		if s.Load != (pulse.Load{}) {
+			loads[pulse.Short(id)] = s.Load
+		}
+	}
+	return loads
+}
+
 // Forget drops upstreams that had no news for long and run nothing.
 func (b *Board) Forget(now clock.Instant) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for id, s := range b.states {
-		if s.Running == 0 && s.seen != 0 && now.Sub(s.seen) > forgetAfter {
+		if s.Load.Running == 0 && s.seen != 0 && now.Sub(s.seen) > forgetAfter {
 			delete(b.states, id)
 		}
 	}
--- a/knowledge/book.go
+++ b/knowledge/book.go
@@ -69,6 +69,36 @@
 type Named struct {
 	Number int64
 	Since  clock.Instant
+	// before are the numbers that were named earlier, the newest first.
+	before []Named
+}
+
+// namedKept bounds the earlier numbers that are remembered; more are not
+// named within the time in which engines must follow.
+const namedKept = 32
+
+// Replaced returns since when weights are replaced by newer ones.
+func (n Named) Replaced(weights int64) (clock.Instant, bool) {
+	if n.Number <= weights {
+		return 0, false
+	}
+	since := n.Since
+	for _, earlier := range n.before {
+		if earlier.Number <= weights {
+			break
+		}
+		since = earlier.Since
+	}
+	return since, true
+}
+
+// with returns the named weights after newer ones were named.
+func (n Named) with(number int64, since clock.Instant) Named {
+	next := Named{Number: number, Since: since}
+	if n.Number > 0 {
+		next.before = append([]Named{{Number: n.Number, Since: n.Since}}, n.before[:min(len(n.before), namedKept)]...)
+	}
+	return next
 }
 
 // Change tells what a merge did, for the log.
@@ -189,7 +219,7 @@
 		b.Catalog = *n
 	}
 	if n := c.News.Weights; n != nil && n.Number > b.weights[n.Model].Number {
-		b.weights[n.Model] = Named{Number: n.Number, Since: at.Known}
+		b.weights[n.Model] = b.weights[n.Model].with(n.Number, at.Known)
 	}
 	if n := c.News.Entry; n != nil {
 		b.Roster = b.Roster.With(*n)
--- a/knowledge/keeper.go
+++ b/knowledge/keeper.go
@@ -17,6 +17,9 @@
 const (
 	// burstPause lets records that come together arrive in one read.
 	burstPause = 120 * time.Millisecond
+	// entryPause does that for entries of upstreams, which may be known a
+	// little later.
+	entryPause = 400 * time.Millisecond
 	// retryPause is the mean pause after a failed read of the store.
 	retryPause = 700 * time.Millisecond
 	// readAllowance is how much longer than its wait a read may take.
@@ -41,6 +44,9 @@
 	freshFor = 2500 * time.Millisecond
 )
 
+// pauses are how long a topic is left alone after news.
+var pauses = [topics]time.Duration{Operator: burstPause, Upstreams: entryPause}
+
 // waits are how long a read of each topic waits for news.
 var waits = [topics]time.Duration{Operator: 3 * time.Second, Upstreams: 6 * time.Second}
 
@@ -204,7 +210,7 @@
 				k.confirm(clock.Now())
 			}
 			if len(d.Records) > 0 {
-				pause(ctx, burstPause)
+				pause(ctx, pauses[t])
 			}
 		}
 	}
@@ -226,7 +232,7 @@
 	ctx, cancel := context.WithTimeout(reading, waits[t]+readAllowance)
 	defer cancel()
 	d, err := k.Store.Read(ctx, t, position, waits[t])
-	return d, burstPause, err
+	return d, pauses[t], err
 }
 
 // pull asks other hosts until the context ends.
--- a/overseer/overseer.go
+++ b/overseer/overseer.go
@@ -221,7 +221,7 @@
 			continue
 		}
 		pool = append(pool, reload.Engine{
-			ID: e.ID, Weights: max(e.Weights[model], s.Weights), Loading: v.loading[e.ID], Running: s.Running,
+			ID: e.ID, Weights: max(e.Weights[model], s.Weights), Loading: v.loading[e.ID], Running: s.Load.Running,
 			Free: !now.Before(v.rest[e.ID]) && v.ledger.Free(e.ID, v.Self, v.Lease, now),
 		})
 	}
--- /dev/null
+++ b/pulse/exchange.go
@@ -0,0 +1,183 @@
+package pulse
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/sourcegraph/conc"
+
+	"github.com/kumquathoist/kumquathoist/clock"
+	"github.com/kumquathoist/kumquathoist/event"
+)
+
+const (
+	// interval is the time between two pulses in a small system. It grows with
+	// the hosts, so that a host's traffic stays the same.
+	interval   = 100 * time.Millisecond
+	smallHosts = 9
+	// believed is how many intervals a host's load counts without news.
+	believed = 5
+	// maxBytes is the largest datagram that is sent.
+	maxBytes = 1400
+	// maxSeen bounds the sightings of one message.
+	maxSeen = 80
+	// queued bounds the sightings that wait.
+	queued = 512
+)
+
+// Options is what an exchange needs.
+type Options struct {
+	// Listen is this host's IP:port; all hosts use the same port.
+	Listen string
+	// Host is the short name of this host.
+	Host uint64
+	// Others returns the IP addresses of the other hosts.
+	Others func() []string
+	// Loads returns what this host has at engines.
+	Loads func() map[Engine]Load
+	// Saw takes a sighting of another host.
+	Saw func(Sighting)
+}
+
+// Exchange sends and takes pulses.
+type Exchange struct {
+	Options
+
+	conn *net.UDPConn
+	port uint16
+	// mu guards the fields below.
+	mu    sync.Mutex
+	seen  []Sighting
+	loads map[uint64]heard
+}
+
+// heard is the last pulse of a host.
+type heard struct {
+	number uint64
+	loads  map[Engine]Load
+	at     clock.Instant
+}
+
+// NewExchange exchanges pulses until the context ends.
+func NewExchange(ctx context.Context, wait *conc.WaitGroup, o Options) (*Exchange, error) {
+	address, err := netip.ParseAddrPort(o.Listen)
+	if err != nil {
+		return nil, trace.Wrap(err, "reading the address for pulses")
+	}
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
+	if err != nil {
+		return nil, trace.Wrap(err, "listening for pulses")
+	}
+	x := &Exchange{Options: o, conn: conn, port: address.Port(), loads: map[uint64]heard{}}
+	wait.Go(func() {
+		<-ctx.Done()
+		_ = conn.Close()
+	})
+	wait.Go(func() { x.receive(ctx) })
+	wait.Go(func() { x.send(ctx) })
+	return x, nil
+}
+
+// Saw tells the other hosts of sightings with the next pulse.
+func (x *Exchange) Saw(seen ...Sighting) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if len(x.seen) < queued {
+		x.seen = append(x.seen, seen...)
+	}
+}
+
+// Elsewhere returns what the other hosts have at an engine.
+func (x *Exchange) Elsewhere(e Engine) Load {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	now, sum := clock.Now(), Load{}
+	for _, h := range x.loads {
+		if now.Sub(h.at) < believed*x.pace(len(x.loads)) {
+			sum = sum.Plus(h.loads[e])
+		}
+	}
+	return sum
+}
+
+// pace returns the time between two pulses.
+func (x *Exchange) pace(hosts int) time.Duration {
+	return interval * time.Duration(max(hosts, smallHosts)) / smallHosts
+}
+
+// receive takes pulses until the socket is closed.
+func (x *Exchange) receive(ctx context.Context) {
+	buffer := make([]byte, 64<<10)
+	for ctx.Err() == nil {
+		n, _, err := x.conn.ReadFromUDPAddrPort(buffer)
+		if err != nil {
+			if ctx.Err() == nil {
+				event.DoorFailed.Error(err, "Address", x.Listen)
+			}
+			return
+		}
+		p, err := Decode(buffer[:n])
+		if err != nil || p.Host == x.Host {
+			continue
+		}
+		x.take(p)
+	}
+}
+
+func (x *Exchange) take(p Pulse) {
+	x.mu.Lock()
+	known := x.loads[p.Host]
+	now := clock.Now()
+	newer := p.Number > known.number || now.Sub(known.at) > believed*interval
+	if newer {
+		x.loads[p.Host] = heard{p.Number, p.Loads, now}
+	}
+	x.mu.Unlock()
+	for _, s := range p.Seen {
+		x.Options.Saw(s)
+	}
+}
+
+// send sends pulses until the context ends.
+func (x *Exchange) send(ctx context.Context) {
+	number, idle := uint64(0), 0
+	for ctx.Err() == nil {
+		others := x.Others()
+		timer := time.NewTimer(x.pace(len(others) + 1))
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		case <-timer.C:
+		}
+		x.mu.Lock()
+		seen := x.seen[:min(len(x.seen), maxSeen)]
+		x.seen = x.seen[len(seen):]
+		x.mu.Unlock()
+		loads := x.Loads()
+		if len(loads) == 0 && len(seen) == 0 {
+			// Two empty pulses clear what others believe.
+			if idle++; idle > 2 {
+				continue
+			}
+		} else {
+			idle = 0
+		}
+		number++
+		x.sendAll(others, Pulse{Host: x.Host, Number: number, Loads: loads, Seen: seen})
+	}
+}
+
+func (x *Exchange) sendAll(others []string, p Pulse) {
+	b := p.Encode(make([]byte, 0, maxBytes))
+	for _, ip := range others {
+		if address, err := netip.ParseAddr(ip); err == nil {
+			// A pulse that can't be sent is as one that was lost.
+			_, _ = x.conn.WriteToUDPAddrPort(b, netip.AddrPortFrom(address, x.port))
+		}
+	}
+}
--- a/settings/check.go
+++ b/settings/check.go
@@ -76,7 +76,7 @@
 	if s.Platform.Store == "" {
 		listen = append(listen, struct{ path, value string }{"Listen.Operators", s.Listen.Operators})
 	} else {
-		listen = append(listen, struct{ path, value string }{"Listen.Addresses", s.Listen.Addresses}, struct{ path, value string }{"Listen.Readiness", s.Listen.Readiness})
+		listen = append(listen, struct{ path, value string }{"Listen.Addresses", s.Listen.Addresses}, struct{ path, value string }{"Listen.Readiness", s.Listen.Readiness}, struct{ path, value string }{"Listen.Pulses", s.Listen.Pulses})
 	}
 	for _, r := range listen {
 		address, err := netip.ParseAddrPort(r.value)
--- a/site/site.go
+++ b/site/site.go
@@ -4,11 +4,13 @@
 
 import (
 	"context"
+	"net/netip"
 	"runtime/debug"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/gravitational/trace"
 	"github.com/sourcegraph/conc"
 
@@ -27,6 +29,7 @@
 	"github.com/kumquathoist/kumquathoist/peer"
 	"github.com/kumquathoist/kumquathoist/peerpb"
 	"github.com/kumquathoist/kumquathoist/platform"
+	"github.com/kumquathoist/kumquathoist/pulse"
 	"github.com/kumquathoist/kumquathoist/registry"
 	"github.com/kumquathoist/kumquathoist/relay"
 	"github.com/kumquathoist/kumquathoist/settings"
@@ -58,6 +61,7 @@
 	board     *health.Board
 	router    *forward.Router
 	overseer  *overseer.Overseer
+	pulses    *pulse.Exchange
 	door      *platform.Door
 	hosts     *hostList
 	started   clock.Instant
@@ -102,12 +106,18 @@
 	n.wait.Go(func() { connections.Sweep(ctx) })
 	bounds := n.settings.Bounds
 	n.router = forward.New(forward.Options{
-		Knowledge: n.keeper, Sender: connections, Encoder: platform.Wire{}, Guard: guard, Board: n.board,
+		Knowledge: n.keeper, Sender: connections, Encoder: platform.Wire{}, Guard: guard, Board: n.board, Pulses: sightings{n},
 		Hosts:         func() int { return len(n.directory.Hosts()) },
 		FailureDomain: n.settings.Host.FailureDomain,
 		Repeats:       allowance.Bound{Ratio: bounds.RepeatRatio, Window: bounds.RepeatWindow(), Slack: bounds.RepeatSlack},
 		OldWeights:    bounds.Weights() - weightsMargin, Metrics: scope,
 	})
+	if n.pulses, err = pulse.NewExchange(ctx, &n.wait, pulse.Options{
+		Listen: n.settings.Listen.Pulses, Host: xxhash.Sum64String(n.settings.Host.Name), Others: n.otherIPs,
+		Loads: n.board.Loads, Saw: func(s pulse.Sighting) { n.router.Heard(s) },
+	}); err != nil {
+		return err
+	}
 	n.overseer = overseer.New(ctx, &n.wait, overseer.Options{
 		Self: n.settings.Host.Name, Engines: platform.NewEngines(), Claims: n.store, Board: n.board, Book: n.keeper.Book,
 		Active: n.mayOrder, Hosts: n.names, Tell: n.relay.Tell, Forgot: n.router.Forgot, Lease: bounds.Lease(),
@@ -180,6 +190,26 @@
 	return found
 }
 
+// otherIPs returns the addresses of the other hosts without ports.
+func (n *Site) otherIPs() []string {
+	var ips []string
+	for _, a := range n.others() {
+		if address, err := netip.ParseAddrPort(a); err == nil {
+			ips = append(ips, address.Addr().String())
+		}
+	}
+	return ips
+}
+
+// sightings hands the router's news to the pulses, which start after it.
+type sightings struct{ site *Site }
+
+// Elsewhere returns what the other hosts have at an engine.
+func (s sightings) Elsewhere(e pulse.Engine) pulse.Load { return s.site.pulses.Elsewhere(e) }
+
+// Saw tells of cached parts that an engine holds.
+func (s sightings) Saw(seen ...pulse.Sighting) { s.site.pulses.Saw(seen...) }
+
 // names returns the hosts that share duties.
 func (n *Site) names() []string {
 	var names []string
