fix: name only hosts that were heard of lately

Ruled out: deleting records when a host fails, since nobody may live to do it. Pulses now tell who is alive; a host names itself and those.

--- a/pulse/exchange.go
+++ b/pulse/exchange.go
@@ -21,6 +21,12 @@
 	smallHosts = 9
 	// believed is how many intervals a host's load counts without news.
 	believed = 5
+	// idleInterval is the least time between two pulses of a host that has
+	// nothing to tell.
+	idleInterval = 500 * time.Millisecond
+	// silence is how long after its last pulse a host counts as alive, beyond
+	// the believed intervals.
+	silence = 1500 * time.Millisecond
 	// maxBytes is the largest datagram that is sent.
 	maxBytes = 1400
 	// maxSeen bounds the sightings of one message.
@@ -104,6 +110,14 @@
 	return sum
 }
 
+// Alive tells whether a host was heard of lately.
+func (x *Exchange) Alive(host uint64) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	h, ok := x.loads[host]
+	return ok && clock.Now().Sub(h.at) < silence+believed*x.pace(len(x.loads))
+}
+
 // pace returns the time between two pulses.
 func (x *Exchange) pace(hosts int) time.Duration {
 	return interval * time.Duration(max(hosts, smallHosts)) / smallHosts
@@ -144,7 +158,7 @@
 
 // send sends pulses until the context ends.
 func (x *Exchange) send(ctx context.Context) {
-	number, idle := uint64(0), 0
+	number, told := uint64(0), clock.Instant(0)
 	for ctx.Err() == nil {
 		others := x.Others()
 		timer := time.NewTimer(x.pace(len(others) + 1))
@@ -159,14 +173,11 @@
 		x.seen = x.seen[len(seen):]
 		x.mu.Unlock()
 		loads := x.Loads()
-		if len(loads) == 0 && len(seen) == 0 {
-			// Two empty pulses clear what others believe.
-			if idle++; idle > 2 {
-				continue
-			}
-		} else {
-			idle = 0
+		now := clock.Now()
+		if len(loads) == 0 && len(seen) == 0 && now.Sub(told) < idleInterval {
+			continue
 		}
+		told = now
 		number++
 		x.sendAll(others, Pulse{Host: x.Host, Number: number, Loads: loads, Seen: seen})
 	}
--- a/site/site.go
+++ b/site/site.go
@@ -113,7 +113,7 @@
 		OldWeights:    bounds.Weights() - weightsMargin, Metrics: scope,
 	})
 	if n.pulses, err = pulse.NewExchange(ctx, &n.wait, pulse.Options{
-		Listen: n.settings.Listen.Pulses, Host: xxhash.Sum64String(n.settings.Host.Name), Others: n.otherIPs,
+		Listen: n.settings.Listen.Pulses, Host: shortName(n.settings.Host.Name), Others: n.otherIPs,
 		Loads: n.board.Loads, Saw: func(s pulse.Sighting) { n.router.Heard(s) },
 	}); err != nil {
 		return err
@@ -229,10 +229,17 @@
 	return n.keeper.Ready() && n.keeper.Fresh() && clock.Now().Sub(n.started) > quietAfterStart
 }
 
-// near returns the hosts that a caller should use.
+// shortName returns the name of a host in pulses.
+func shortName(name string) uint64 { return xxhash.Sum64String(name) }
+
+// near returns the hosts that a caller should use: this one and those that
+// were heard of lately. A host that only the store lists may be long gone.
 func (n *Site) near(region, failureDomain string) []registry.Host {
+	hosts := slices.DeleteFunc(slices.Clone(n.directory.Hosts()), func(h membership.Host) bool {
+		return h.Name != n.settings.Host.Name && !n.pulses.Alive(shortName(h.Name))
+	})
 	var found []registry.Host
-	for _, h := range address.Near(n.directory.Hosts(), address.Caller{Region: region, FailureDomain: failureDomain}) {
+	for _, h := range address.Near(hosts, address.Caller{Region: region, FailureDomain: failureDomain}) {
 		found = append(found, registry.Host{Name: h.Name, Callers: h.Callers})
 	}
 	return found
