perf: weigh the time to the first event; three hosts read the store; cells in large systems

Cause: the estimate of waits left out what decoding loses to prompts being read, hosts with equally old news chose the same engine, and each host read each record of the store. Ruled out: more frequent pulses to all hosts of a large system (datagrams grow with the square).

--- a/allocation/allocation.go
+++ b/allocation/allocation.go
@@ -21,9 +21,9 @@
 	// fetchCost is the price of moving the parts of a prompt between engines
 	// (0.9 GB at 0.022 a GB), with the time that it takes.
 	fetchCost = 0.05
-	// crossingCost is the price of a request and its answer between failure
-	// domains (16 kB at 3,500 a GB).
-	crossingCost = 0.056
+	// crossingPerByte is the price of a byte between failure domains (the
+	// users' price lists: 3,500 and 3,600 a GB).
+	crossingPerByte = 3.5e-6
 	// lateShare is the part of a request's worth that is lost when it is late.
 	lateShare = 0.7
 	// comfort is the share of the objective up to which a wait costs little.
@@ -34,18 +34,48 @@
 	// slotCost is the price of one more request at an upstream, which slows
 	// the others there.
 	slotCost = 0.02
-	// DefaultPrefill is how many prompt tokens an engine reads in a
-	// millisecond (the users' sheets: 62 and 101).
-	DefaultPrefill = 60.0
+	// connectCost is the price of a new connection (the users' price list:
+	// 0.06 at the dearer site).
+	connectCost = 0.06
+	// prefillRate is how many prompt tokens an engine reads in a millisecond
+	// (the users' sheets: 62 and 101), pairsRate how many millions of pairs of
+	// tokens it relates meanwhile.
+	prefillRate = 60.0
+	pairsRate   = 2.7
+	// chunk is how many prompt tokens are read between two tokens of the
+	// requests that run.
+	chunk = 4096
+	// eventTokens is how many tokens an event holds at most.
+	eventTokens = 6
+	// baseWorth and worthPerToken tell what a request earns; a token of the
+	// answer counts as ten of the prompt.
+	baseWorth     = 0.5
+	worthPerToken = 1.0 / 2000
+	outputFactor  = 10
 )
 
+// Worth returns about what a request earns that is answered on time.
+func Worth(input, output int) float64 {
+	return baseWorth + worthPerToken*float64(input+outputFactor*output)
+}
+
+// Prefill returns the time in which an engine reads prompts.
+func Prefill(tokens int) time.Duration {
+	n := float64(tokens)
+	return time.Duration((n/prefillRate + n*n/2/1e6/pairsRate) * float64(time.Millisecond))
+}
+
 // Candidate is an upstream that could run the request.
 type Candidate struct {
 	ID string
-	// Running counts the requests that are known to be there, Waiting the
-	// prompt tokens of those that have not begun to answer.
-	Running, Waiting int
-	Slots            int
+	// Running counts the requests that are known to be there.
+	Running int
+	// Ahead counts the prompt tokens to be read before those of the request,
+	// Waiting all that are to be read.
+	Ahead, Waiting int
+	Slots          int
+	// Connected tells that a connection to it is idle.
+	Connected bool
 	// Near tells that it stands in this host's failure domain.
 	Near bool
 	// Held counts the shared tokens of the prompt that it is believed to hold.
@@ -60,8 +90,11 @@
 
 // Need is what is known of the request.
 type Need struct {
-	// Input and Shared count the tokens of the prompt.
-	Input, Shared int
+	// Input and Shared count the tokens of the prompt, Output those of the
+	// answer at most.
+	Input, Shared, Output int
+	// Bytes is the size of the request and its answer.
+	Bytes int
 	// Elsewhere counts the shared tokens that can be fetched.
 	Elsewhere int
 	// Home is the upstream that reads shared parts that nobody holds.
@@ -86,14 +119,25 @@
 		cost += rereadPerToken * float64(read)
 	}
 	if !c.Near {
-		cost += crossingCost
+		cost += crossingPerByte * float64(n.Bytes)
 	}
 	if c.Slots > 0 && c.Running >= c.Slots {
 		cost += n.Worth
 	}
-	own := n.Input - n.Shared
-	prefill := time.Duration(float64(c.Waiting+read+own) / DefaultPrefill * float64(time.Millisecond))
-	return cost + n.Worth*lateness(n.Elapsed+prefill+c.Lag, n.Objective)
+	if !c.Connected {
+		cost += connectCost
+	}
+	return cost + n.Worth*lateness(n.Elapsed+wait(c, n, read)+c.Lag, n.Objective)
+}
+
+// wait returns the expected time to the first event: the prompts ahead and
+// its own are read first, then its first tokens come between the pieces of
+// prompts that others still have to read.
+func wait(c Candidate, n Need, read int) time.Duration {
+	own := read + n.Input - n.Shared
+	first := Prefill(own) + time.Duration(float64(c.Ahead)/prefillRate*float64(time.Millisecond))
+	between := min(c.Waiting, min(n.Output, eventTokens)*chunk)
+	return first + time.Duration(float64(between)/prefillRate*float64(time.Millisecond))
 }
 
 // lateness returns the expected share of the worth that is lost by a wait.
--- a/conduit/conduit.go
+++ b/conduit/conduit.go
@@ -65,6 +65,14 @@
 	return p.dialled
 }
 
+// Idle tells whether a connection to an address waits for a request.
+func (p *Pool) Idle(address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[address]
+	return len(list) > 0 && !list[len(list)-1].old(clock.Now())
+}
+
 // Sweep closes old idle connections until the context ends, then all.
 func (p *Pool) Sweep(ctx context.Context) {
 	ticker := time.NewTicker(sweepInterval)
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -47,6 +47,8 @@
 // sender carries one request to one upstream.
 type sender interface {
 	Send(ctx context.Context, address, id, method string, raw []byte) (*conduit.Exchange, error)
+	// Idle tells whether a connection to an address waits for a request.
+	Idle(address string) bool
 }
 
 // encoder writes requests as upstreams read them.
@@ -67,6 +69,8 @@
 	Elsewhere(e pulse.Engine) pulse.Load
 	// Saw tells of cached parts that an engine holds.
 	Saw(seen ...pulse.Sighting)
+	// Hurry has other hosts told soon.
+	Hurry()
 }
 
 // Options is what a router needs.
@@ -79,6 +83,9 @@
 	Pulses    pulses
 	// Hosts returns how many hosts share the bound on repeats.
 	Hosts func() int
+	// Cells tells whether the hosts of each failure domain use its engines
+	// only and tell only each other what they do.
+	Cells func() bool
 	// FailureDomain is where this host stands.
 	FailureDomain string
 	// Repeats bounds what all hosts send again to one service.
--- a/forward/place.go
+++ b/forward/place.go
@@ -30,9 +30,18 @@
 	// defaultPriority is an engine's priority of a request that names none.
 	defaultPriority = 5
 	maxPriority     = 9
-	// promptWorth and plainWorth are what requests earn that are on time.
-	promptWorth = 4.0
-	plainWorth  = 1.0
+	// plainWorth is what a request without a prompt earns.
+	plainWorth = 1.0
+	// leastCell is how many engines of a cell are enough for its requests.
+	leastCell = 3
+	// answerBytes is the size of a plain answer, tokenBytes that of a token's
+	// share of a stream (the users' sheets).
+	answerBytes = 800
+	tokenBytes  = 60
+	// fewSites is how many upstreams are all weighed. Of more, as many are
+	// drawn beside those that hold cached parts, so that hosts whose news are
+	// equally old do not all choose the same.
+	fewSites = 12
 )
 
 // site is an upstream that could run the request.
@@ -66,21 +75,31 @@
 	}
 }
 
-// sites returns the upstreams that may be sent the request now.
+// sites returns the upstreams that may be sent the request now. In a system
+// of cells the engines of other failure domains are left to the hosts there
+// as long as there are enough in this one.
 func (d *run) sites() []site {
 	now := clock.Now()
-	var found []site
+	cells := d.call.Prompt.Model != "" && d.Cells()
+	var found, outside []site
 	for _, e := range d.book.Roster.Service(d.service.Name) {
 		state := d.Board.State(e.ID)
 		if e.Leaving || d.tried[e.ID] || !state.Usable(now) {
 			continue
 		}
 		s := site{Entry: e, state: state, short: pulse.Short(e.ID)}
-		s.load = state.Load.Plus(d.Pulses.Elsewhere(s.short))
 		if d.call.Prompt.Model != "" && !d.weigh(&s, now) {
 			continue
 		}
-		found = append(found, s)
+		s.load = state.Load.Plus(d.Pulses.Elsewhere(s.short))
+		if cells && e.FailureDomain != d.FailureDomain {
+			outside = append(outside, s)
+		} else {
+			found = append(found, s)
+		}
+	}
+	if len(found) < leastCell {
+		found = append(found, outside...)
 	}
 	return found
 }
@@ -116,13 +135,14 @@
 // choose returns the target with the least cost.
 func (d *run) choose(sites []site) target {
 	now := clock.Now()
-	need := allocation.Need{Objective: d.route.Objective, Elapsed: now.Sub(d.call.Arrived), Worth: plainWorth, Input: d.call.Prompt.Input}
+	need := allocation.Need{Objective: d.route.Objective, Elapsed: now.Sub(d.call.Arrived), Worth: plainWorth, Input: d.call.Prompt.Input, Output: d.call.Prompt.MostOutput, Bytes: len(d.call.Body) + answerBytes}
 	parts := d.parts(sites, &need, now)
+	sites = d.drawn(sites, parts, need.Home)
 	rank := d.priority()
 	candidates := make([]allocation.Candidate, len(sites))
 	for i, s := range sites {
 		candidates[i] = allocation.Candidate{
-			ID: s.ID, Running: s.load.Running, Waiting: s.load.Ahead(rank), Slots: s.Slots,
+			ID: s.ID, Running: s.load.Running, Ahead: s.load.Ahead(rank), Waiting: s.load.Ahead(pulse.Ranks), Slots: s.Slots, Connected: d.Sender.Idle(s.Address),
 			Near: s.FailureDomain == d.FailureDomain, Held: parts.held[s.ID],
 			Failing: s.state.Failing(now), Lag: s.state.Lag(now), Loss: s.loss,
 		}
@@ -142,11 +162,28 @@
 		}
 	}
 	event.CallPlaced.Info("Request", d.call.ID, "Service", d.service.Name, "Upstream", s.ID, "Cost", allocation.Cost(candidates[i], need), "Candidates", len(sites),
-		"Held", candidates[i].Held, "Shared", need.Shared, "FetchFrom", t.send.FetchFrom, "Weights", s.weights, "Running", s.load.Running, "Waiting", candidates[i].Waiting,
+		"Held", candidates[i].Held, "Shared", need.Shared, "FetchFrom", t.send.FetchFrom, "Weights", s.weights, "Running", s.load.Running, "Ahead", candidates[i].Ahead, "Waiting", candidates[i].Waiting,
 		"Catalog", d.book.Catalog.Version, "AgeMillis", d.Knowledge.Age().Milliseconds())
 	return t
 }
 
+// drawn returns the upstreams to weigh.
+func (d *run) drawn(sites []site, parts cachedParts, home string) []site {
+	if len(sites) <= fewSites {
+		return sites
+	}
+	chosen := make([]site, 0, 2*fewSites)
+	for i, s := range sites {
+		// Sites are in a fixed order: a step through them from a random place
+		// draws without preference.
+		away := (i + len(sites) - int(d.spread%uint64(len(sites)))) % len(sites)
+		if parts.held[s.ID] > 0 || s.ID == home || away*fewSites%len(sites) < fewSites {
+			chosen = append(chosen, s)
+		}
+	}
+	return chosen
+}
+
 // partStore returns the address of the store of cached parts, or "".
 func (d *run) partStore() string {
 	stores := d.book.Catalog.PartStores()
@@ -193,7 +230,8 @@
 	if d.call.Prompt.Model == "" || len(shared) == 0 {
 		return found
 	}
-	need.Worth = promptWorth
+	need.Bytes += tokenBytes * need.Output
+	need.Worth = allocation.Worth(need.Input, need.Output)
 	for _, p := range shared {
 		need.Shared += p.Tokens
 	}
--- a/forward/run.go
+++ b/forward/run.go
@@ -28,6 +28,9 @@
 	answerShare = 0.5
 	// leastAnswerWait is the least time for such a try.
 	leastAnswerWait = 350 * time.Millisecond
+	// longPrompt is how many tokens to be read make a request worth telling
+	// other hosts of at once.
+	longPrompt = 2000
 	// maxAnswerBytes bounds an answer that is held whole.
 	maxAnswerBytes = 16 << 20
 )
@@ -147,6 +150,9 @@
 	timer := time.AfterFunc(d.tryTime(), func() { a.late.Store(true); a.cancel() })
 	defer timer.Stop()
 	d.Board.Update(t.id, func(s health.State) health.State { return s.WithSend(t.rank, t.prefill) })
+	if t.prefill > longPrompt {
+		d.Pulses.Hurry()
+	}
 	raw := d.Encoder.EncodeSend(make([]byte, 0, len(d.call.Body)+1024), t.send)
 	var err error
 	a.exchange, err = d.Sender.Send(ctx, t.address, d.call.ID, d.call.Method, raw)
--- a/knowledge/keeper.go
+++ b/knowledge/keeper.go
@@ -26,7 +26,7 @@
 	readAllowance = 1500 * time.Millisecond
 	// pullInterval is the mean time between two exchanges with other hosts;
 	// news must cross several hosts within two seconds.
-	pullInterval = 350 * time.Millisecond
+	pullInterval = 300 * time.Millisecond
 	// pullTimeout bounds one exchange.
 	pullTimeout = 600 * time.Millisecond
 	// tick is the time between two looks at the clock, gap the time between
@@ -41,14 +41,17 @@
 	unseen   = 2500 * time.Millisecond
 	passedOn = time.Second
 	// freshFor is how long knowledge is good enough to refuse a caller.
-	freshFor = 2500 * time.Millisecond
+	freshFor = 3 * time.Second
+	// askedFor is how old what other hosts tell may be until a host reads the
+	// store itself.
+	askedFor = 2 * time.Second
 )
 
 // pauses are how long a topic is left alone after news.
 var pauses = [topics]time.Duration{Operator: burstPause, Upstreams: entryPause}
 
 // waits are how long a read of each topic waits for news.
-var waits = [topics]time.Duration{Operator: 3 * time.Second, Upstreams: 6 * time.Second}
+var waits = [topics]time.Duration{Operator: 800 * time.Millisecond, Upstreams: 6 * time.Second}
 
 // ErrTrimmed means that records after a position are no longer kept.
 var ErrTrimmed = errors.New("records were trimmed")
@@ -80,6 +83,9 @@
 	Store  store
 	Peers  peers
 	Decode Decoder
+	// Reads tells whether this host reads the store for others. One that does
+	// not reads it only while it hears nothing recent from those that do.
+	Reads func() bool
 }
 
 // Keeper keeps a book up to date.
@@ -188,6 +194,10 @@
 func (k *Keeper) follow(ctx context.Context, t Topic) {
 	listed, lost := false, false
 	for ctx.Err() == nil {
+		if age := k.Age(); listed && age >= 0 && age < askedFor && !k.Reads() {
+			pause(ctx, tick)
+			continue
+		}
 		d, hidden, err := k.read(t, listed)
 		switch {
 		case errors.Is(err, ErrTrimmed):
--- a/pulse/exchange.go
+++ b/pulse/exchange.go
@@ -19,6 +19,9 @@
 	// the hosts, so that a host's traffic stays the same.
 	interval   = 100 * time.Millisecond
 	smallHosts = 9
+	// urgent is the part of the interval after which news of a long prompt
+	// are sent.
+	urgent = 4
 	// believed is how many intervals a host's load counts without news.
 	believed = 5
 	// idleInterval is the least time between two pulses of a host that has
@@ -54,6 +57,7 @@
 	Options
 
 	conn *net.UDPConn
+	kick chan struct{}
 	port uint16
 	// mu guards the fields below.
 	mu    sync.Mutex
@@ -78,7 +82,7 @@
 	if err != nil {
 		return nil, trace.Wrap(err, "listening for pulses")
 	}
-	x := &Exchange{Options: o, conn: conn, port: address.Port(), loads: map[uint64]heard{}}
+	x := &Exchange{Options: o, conn: conn, port: address.Port(), kick: make(chan struct{}, 1), loads: map[uint64]heard{}}
 	wait.Go(func() {
 		<-ctx.Done()
 		_ = conn.Close()
@@ -88,6 +92,15 @@
 	return x, nil
 }
 
+// Hurry has the next pulse sent soon, since what this host has at engines
+// changed much.
+func (x *Exchange) Hurry() {
+	select {
+	case x.kick <- struct{}{}:
+	default:
+	}
+}
+
 // Saw tells the other hosts of sightings with the next pulse.
 func (x *Exchange) Saw(seen ...Sighting) {
 	x.mu.Lock()
@@ -161,13 +174,9 @@
 	number, told := uint64(0), clock.Instant(0)
 	for ctx.Err() == nil {
 		others := x.Others()
-		timer := time.NewTimer(x.pace(len(others) + 1))
-		select {
-		case <-ctx.Done():
-			timer.Stop()
-			return
-		case <-timer.C:
-		}
+		pace := x.pace(len(others) + 1)
+		pause(ctx, pace/urgent, nil)
+		pause(ctx, pace-pace/urgent, x.kick)
 		x.mu.Lock()
 		seen := x.seen[:min(len(x.seen), maxSeen)]
 		x.seen = x.seen[len(seen):]
@@ -192,3 +201,14 @@
 		}
 	}
 }
+
+// pause waits for a duration, the end of the context or a sign.
+func pause(ctx context.Context, d time.Duration, sign <-chan struct{}) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-sign:
+	case <-timer.C:
+	}
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -27,6 +27,10 @@
 	// the store.
 	tellMost = 100
 
+	// othersEach is how rarely a host is asked that does not read the store:
+	// one in so many times, since the readers may know less than others.
+	othersEach = 6
+
 	pullRPC = "/kumquathoist.Relay/Pull"
 	tellRPC = "/kumquathoist.Relay/Tell"
 )
@@ -45,14 +49,16 @@
 type PullRequest struct {
 	// Positions are what the asker knows of each topic.
 	Positions []int64
+	// Hosts asks for the hosts that are known, too.
+	Hosts bool
 }
 
 // PullReply holds news.
 type PullReply struct {
 	knowledge.Reply
 
-	// Hosts are the hosts that the answerer knows.
-	Hosts []registry.Host
+	// Hosts are the hosts that the answerer knows, if asked for.
+	Hosts []registry.Host `json:",omitempty"`
 }
 
 // TellReply is empty.
@@ -65,6 +71,8 @@
 	// may exist, asked when no other is known.
 	Others func() []string
 	Seeds  []string
+	// Prefer returns those of the others that read the store.
+	Prefer func() []string
 	// Answer and Hosts tell what this host knows.
 	Answer func(positions []int64) knowledge.Reply
 	Hosts  func() []registry.Host
@@ -102,21 +110,27 @@
 // Pull asks another host, chosen at random, for what it knows beyond the
 // positions.
 func (r *Relay) Pull(ctx context.Context, positions []int64) (knowledge.Reply, error) {
-	addresses := r.Others()
-	if len(addresses) == 0 {
+	addresses := r.Prefer()
+	if len(addresses) == 0 || rand.IntN(othersEach) == 0 {
+		addresses = r.Others()
+	}
+	unknown := len(addresses) == 0
+	if unknown {
 		addresses = r.Seeds
 	}
 	if len(addresses) == 0 {
 		return knowledge.Reply{}, trace.NotFound("no other host is known")
 	}
 	var reply PullReply
-	err := r.call(ctx, addresses[rand.IntN(len(addresses))], pullRPC, &PullRequest{positions}, &reply)
+	err := r.call(ctx, addresses[rand.IntN(len(addresses))], pullRPC, &PullRequest{positions, unknown}, &reply)
 	if err != nil {
 		return knowledge.Reply{}, err
 	}
-	r.mu.Lock()
-	r.learnt = reply.Hosts
-	r.mu.Unlock()
+	if unknown {
+		r.mu.Lock()
+		r.learnt = reply.Hosts
+		r.mu.Unlock()
+	}
 	return reply.Reply, nil
 }
 
@@ -152,7 +166,11 @@
 
 // Pull returns what this host knows.
 func (s server) Pull(_ context.Context, in *PullRequest) (*PullReply, error) {
-	return &PullReply{Reply: s.relay.Answer(in.Positions), Hosts: s.relay.Hosts()}, nil
+	reply := &PullReply{Reply: s.relay.Answer(in.Positions)}
+	if in.Hosts {
+		reply.Hosts = s.relay.Hosts()
+	}
+	return reply, nil
 }
 
 // Tell takes a notice.
--- a/site/site.go
+++ b/site/site.go
@@ -28,6 +28,7 @@
 	"github.com/kumquathoist/kumquathoist/overseer"
 	"github.com/kumquathoist/kumquathoist/peer"
 	"github.com/kumquathoist/kumquathoist/peerpb"
+	"github.com/kumquathoist/kumquathoist/placement"
 	"github.com/kumquathoist/kumquathoist/platform"
 	"github.com/kumquathoist/kumquathoist/pulse"
 	"github.com/kumquathoist/kumquathoist/registry"
@@ -47,10 +48,17 @@
 	addressTTL = time.Second
 	// quietAfterStart is how long a new process orders no engine.
 	quietAfterStart = time.Second
+	// mostInCell is how many hosts all tell each other what they do.
+	mostInCell = 20
+	// readers is how many hosts read the store; the others ask them.
+	readers = 3
 	// forgetInterval is the time between two cleanings of old beliefs.
 	forgetInterval = time.Minute
 )
 
+// readersKey is what the readers of the store are ranked by.
+const readersKey = "store readers"
+
 // Site is a running daemon.
 type Site struct {
 	settings  settings.Settings
@@ -108,12 +116,13 @@
 	n.router = forward.New(forward.Options{
 		Knowledge: n.keeper, Sender: connections, Encoder: platform.Wire{}, Guard: guard, Board: n.board, Pulses: sightings{n},
 		Hosts:         func() int { return len(n.directory.Hosts()) },
+		Cells:         n.cells,
 		FailureDomain: n.settings.Host.FailureDomain,
 		Repeats:       allowance.Bound{Ratio: bounds.RepeatRatio, Window: bounds.RepeatWindow(), Slack: bounds.RepeatSlack},
 		OldWeights:    bounds.Weights() - weightsMargin, Metrics: scope,
 	})
 	if n.pulses, err = pulse.NewExchange(ctx, &n.wait, pulse.Options{
-		Listen: n.settings.Listen.Pulses, Host: shortName(n.settings.Host.Name), Others: n.otherIPs,
+		Listen: n.settings.Listen.Pulses, Host: shortName(n.settings.Host.Name), Others: n.cellIPs,
 		Loads: n.board.Loads, Saw: func(s pulse.Sighting) { n.router.Heard(s) },
 	}); err != nil {
 		return err
@@ -162,6 +171,7 @@
 		Answer: func(positions []int64) knowledge.Reply { return n.keeper.Answer(positions) },
 		Hosts:  func() []registry.Host { return n.directory.Entries() },
 		Heard:  func(notice overseer.Notice) { n.overseer.Heard(notice) },
+		Prefer: n.readers,
 	})
 	n.directory = host.NewDirectory(ctx, &n.wait, host.Options{
 		Self: membership.Identity{Name: place.Name, FailureDomain: place.FailureDomain, Region: place.Region},
@@ -173,7 +183,7 @@
 			return membership.Tick{}
 		},
 	})
-	n.keeper = knowledge.NewKeeper(ctx, &n.wait, knowledge.Options{Store: n.store, Peers: n.relay, Decode: platform.Decode})
+	n.keeper = knowledge.NewKeeper(ctx, &n.wait, knowledge.Options{Store: n.store, Peers: n.relay, Decode: platform.Decode, Reads: n.reads})
 }
 
 // others returns the peers' addresses of the other hosts.
@@ -190,11 +200,16 @@
 	return found
 }
 
-// otherIPs returns the addresses of the other hosts without ports.
-func (n *Site) otherIPs() []string {
+// cellIPs returns the addresses of the other hosts of the cell, without
+// ports.
+func (n *Site) cellIPs() []string {
 	var ips []string
-	for _, a := range n.others() {
-		if address, err := netip.ParseAddrPort(a); err == nil {
+	cells := n.cells()
+	for _, h := range n.directory.Peers() {
+		if cells && h.FailureDomain != n.settings.Host.FailureDomain {
+			continue
+		}
+		if address, err := netip.ParseAddrPort(h.Peers); err == nil {
 			ips = append(ips, address.Addr().String())
 		}
 	}
@@ -210,6 +225,13 @@
 // Saw tells of cached parts that an engine holds.
 func (s sightings) Saw(seen ...pulse.Sighting) { s.site.pulses.Saw(seen...) }
 
+// Hurry has other hosts told soon.
+func (s sightings) Hurry() { s.site.pulses.Hurry() }
+
+// cells tells whether the system is so large that the hosts of each failure
+// domain keep to themselves.
+func (n *Site) cells() bool { return len(n.directory.Hosts()) > mostInCell }
+
 // names returns the hosts that share duties.
 func (n *Site) names() []string {
 	var names []string
@@ -219,6 +241,29 @@
 	return names
 }
 
+// readerNames returns the hosts that read the store for all.
+func (n *Site) readerNames() []string {
+	ranked := placement.Rank(readersKey, n.names())
+	return ranked[:min(readers, len(ranked))]
+}
+
+// reads tells whether this host reads the store for others.
+func (n *Site) reads() bool {
+	return n.directory == nil || slices.Contains(n.readerNames(), n.settings.Host.Name)
+}
+
+// readers returns the peers' addresses of the other hosts that read the store.
+func (n *Site) readers() []string {
+	names := n.readerNames()
+	var found []string
+	for _, h := range n.directory.Peers() {
+		if slices.Contains(names, h.Name) {
+			found = append(found, h.Peers)
+		}
+	}
+	return found
+}
+
 // mayOrder tells whether this host may order engines now.
 func (n *Site) mayOrder() bool {
 	select {
