--- a/forward/forward.go
+++ b/forward/forward.go
@@ -178,6 +178,10 @@
 	if d.service, ok = d.book.Catalog.Service(name); !ok {
 		return refuse(call.NoUpstream)
 	}
+	if d.service.Engine == nil {
+		// Only engines know prompts; the headers are passed on all the same.
+		d.call.Prompt = call.Prompt{}
+	}
 	wait := d.route.Timeout
 	if c.Remaining > 0 && (wait <= 0 || c.Remaining < wait) {
 		wait = c.Remaining
--- a/site/site.go
+++ b/site/site.go
@@ -8,6 +8,7 @@
 	"runtime/debug"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -65,14 +66,16 @@
 	store     *platform.Store
 	directory *host.Directory
 	keeper    *knowledge.Keeper
-	relay     *relay.Relay
-	board     *health.Board
-	router    *forward.Router
-	overseer  *overseer.Overseer
-	pulses    *pulse.Exchange
-	door      *platform.Door
-	hosts     *hostList
-	started   clock.Instant
+	// told is the keeper for those that run before it starts.
+	told     atomic.Pointer[knowledge.Keeper]
+	relay    *relay.Relay
+	board    *health.Board
+	router   *forward.Router
+	overseer *overseer.Overseer
+	pulses   *pulse.Exchange
+	door     *platform.Door
+	hosts    *hostList
+	started  clock.Instant
 
 	wait     conc.WaitGroup
 	cancel   context.CancelFunc
@@ -177,13 +180,14 @@
 		Self: membership.Identity{Name: place.Name, FailureDomain: place.FailureDomain, Region: place.Region},
 		List: n.hosts, Pool: pool,
 		Status: func() membership.Tick {
-			if n.keeper == nil || !n.keeper.Ready() {
+			if k := n.told.Load(); k == nil || !k.Ready() {
 				return membership.Tick{Load: membership.MaxLoad}
 			}
 			return membership.Tick{}
 		},
 	})
 	n.keeper = knowledge.NewKeeper(ctx, &n.wait, knowledge.Options{Store: n.store, Peers: n.relay, Decode: platform.Decode, Reads: n.reads})
+	n.told.Store(n.keeper)
 }
 
 // others returns the peers' addresses of the other hosts.
--- /dev/null
+++ b/standin/platform_engine.go
@@ -0,0 +1,302 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// PlatformEngine stands in for an engine or a plain service of the users'
+// platform.
+type PlatformEngine struct {
+	// ID names this start of it, Model is "" for a plain service.
+	ID, Service, Zone, Model string
+
+	server   *http.Server
+	listener net.Listener
+	born     int64
+	// mu guards the fields below.
+	mu      sync.Mutex
+	weights int64
+	orders  int64
+	beat    int64
+	leaving bool
+	fault   PlatformFault
+	faults  int
+	ran     map[string]int
+	seen    []http.Header
+	held    map[string]bool
+	fences  []int64
+	holders []string
+	left    int
+}
+
+// PlatformFault is what goes wrong with the next requests.
+type PlatformFault int
+
+// The faults.
+const (
+	// NoFault answers as it should.
+	NoFault PlatformFault = iota
+	// ResetFault ends the connection before the answer, after the run.
+	ResetFault
+	// CutFault ends a stream in the middle of its second event.
+	CutFault
+	// FullFault turns the request away.
+	FullFault
+	// ErrorFault answers with an error of its own.
+	ErrorFault
+	// ExtraFault sends a second answer after the first.
+	ExtraFault
+	// SilentFault runs the request and never answers.
+	SilentFault
+	// UncertifiedFault answers without a signature.
+	UncertifiedFault
+	// LostOrderFault carries an order out without answering it.
+	LostOrderFault
+)
+
+// NewPlatformEngine starts an engine with weights 1.
+func NewPlatformEngine(id, service, zone, model string) (*PlatformEngine, error) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	e := &PlatformEngine{ID: id, Service: service, Zone: zone, Model: model, listener: listener, weights: 1, born: time.Now().UnixMilli(), ran: map[string]int{}, held: map[string]bool{}}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /report", e.report)
+	mux.HandleFunc("POST /order", e.order)
+	mux.HandleFunc("/", e.serve)
+	e.server = &http.Server{Handler: mux}
+	go func() { _ = e.server.Serve(listener) }()
+	return e, nil
+}
+
+// Address returns the engine's IP:port.
+func (e *PlatformEngine) Address() string { return e.listener.Addr().String() }
+
+// Close crashes the engine.
+func (e *PlatformEngine) Close() { _ = e.server.Close() }
+
+// Fail makes the next requests go wrong.
+func (e *PlatformEngine) Fail(f PlatformFault, times int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.fault, e.faults = f, times
+}
+
+// Leave makes the next entry say that the engine is leaving.
+func (e *PlatformEngine) Leave() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.leaving = true
+}
+
+// Ran returns how often requests ran, by their ids.
+func (e *PlatformEngine) Ran() map[string]int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	all := map[string]int{}
+	for id, n := range e.ran {
+		all[id] = n
+	}
+	return all
+}
+
+// Seen returns the heads of the requests that reached the engine.
+func (e *PlatformEngine) Seen() []http.Header {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]http.Header{}, e.seen...)
+}
+
+// Weights returns the number of the loaded weights.
+func (e *PlatformEngine) Weights() int64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.weights
+}
+
+// Orders returns the fencing numbers and holders of the orders that came.
+func (e *PlatformEngine) Orders() ([]int64, []string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]int64{}, e.fences...), append([]string{}, e.holders...)
+}
+
+// Entry returns what the engine writes of itself in the store.
+func (e *PlatformEngine) Entry() map[string]any {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.beat++
+	state := "ready"
+	if e.leaving {
+		state = "draining"
+	}
+	entry := map[string]any{
+		"service": e.Service, "address": e.Address(), "zone": e.Zone, "version": "v1", "slots": 64, "state": state,
+		"cold_remaining_ms": 0, "seq": e.beat, "born": e.born,
+	}
+	if e.Model != "" {
+		entry["stage"], entry["models"] = "unified", e.models()
+	}
+	return entry
+}
+
+func (e *PlatformEngine) models() []map[string]any {
+	return []map[string]any{{"name": e.Model, "version": e.weights, "adapters": []any{}}}
+}
+
+func (e *PlatformEngine) report(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	platformJSON(w, http.StatusOK, map[string]any{"stage": "unified", "models": e.models(), "busy": false, "seq": e.orders, "born": e.born})
+}
+
+func (e *PlatformEngine) order(w http.ResponseWriter, r *http.Request) {
+	var o struct {
+		Version      int64  `json:"version"`
+		Holder       string `json:"holder"`
+		FencingToken int64  `json:"fencing_token"`
+		Expected     *int64 `json:"expected"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.fences, e.holders = append(e.fences, o.FencingToken), append(e.holders, o.Holder)
+	if o.Expected != nil && *o.Expected != e.orders {
+		w.WriteHeader(http.StatusConflict)
+		return
+	}
+	e.orders++
+	e.weights = o.Version
+	e.held = map[string]bool{}
+	if e.takeFault(LostOrderFault) {
+		panic(http.ErrAbortHandler)
+	}
+	w.WriteHeader(http.StatusAccepted)
+}
+
+// takeFault uses up one of the faults of a kind. The caller holds mu.
+func (e *PlatformEngine) takeFault(f PlatformFault) bool {
+	if e.fault != f || e.faults == 0 {
+		return false
+	}
+	e.faults--
+	return true
+}
+
+// turnedAway answers a request that does not run, and tells whether it did.
+func (e *PlatformEngine) turnedAway(w http.ResponseWriter, r *http.Request) bool {
+	status := 0
+	instance, version := r.Header.Get("X-Expect-Instance"), r.Header.Get("X-Expect-Version")
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.seen = append(e.seen, r.Header.Clone())
+	switch {
+	case instance != "" && instance != e.ID, version != "" && version != strconv.FormatInt(e.weights, 10):
+		status = http.StatusMisdirectedRequest
+	case e.takeFault(FullFault):
+		status = http.StatusServiceUnavailable
+	default:
+		e.ran[r.Header.Get("X-Attempt-Id")]++
+		return false
+	}
+	w.Header().Set("X-Not-Executed", "1")
+	w.Header().Set("X-Instance-Id", e.ID)
+	w.WriteHeader(status)
+	return true
+}
+
+// serve runs a request.
+func (e *PlatformEngine) serve(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	id := r.Header.Get("X-Attempt-Id")
+	w.Header().Set("X-Attempt-Id", id)
+	if e.turnedAway(w, r) {
+		return
+	}
+	e.mu.Lock()
+	fault := NoFault
+	if e.fault != LostOrderFault && e.takeFault(e.fault) {
+		fault = e.fault
+	}
+	weights := e.weights
+	e.mu.Unlock()
+	if fault != UncertifiedFault {
+		w.Header().Set("X-Response-Stamp", e.ID+"."+id)
+	}
+	switch fault {
+	case ResetFault:
+		panic(http.ErrAbortHandler)
+	case SilentFault:
+		<-r.Context().Done()
+		e.mu.Lock()
+		e.left++
+		e.mu.Unlock()
+		panic(http.ErrAbortHandler)
+	case ErrorFault:
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	case ExtraFault:
+		e.extra(w, id)
+		return
+	}
+	if e.Model == "" {
+		fmt.Fprintf(w, "%s %s %s", r.Method, r.URL.Path, body)
+		return
+	}
+	w.Header().Set("X-Weight-Versions", strconv.FormatInt(weights, 10))
+	e.stream(w, r, fault)
+}
+
+// extra sends a second answer after the first.
+func (e *PlatformEngine) extra(w http.ResponseWriter, id string) {
+	conn, buffered, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	for range 2 {
+		fmt.Fprintf(buffered, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Stamp: %s.%s\r\nContent-Length: 2\r\n\r\nok", id, e.ID, id)
+	}
+	_ = buffered.Flush()
+	time.Sleep(100 * time.Millisecond)
+}
+
+// platformEvents is how many events a stream has.
+const platformEvents = 6
+
+// stream sends events after the one that the caller has.
+func (e *PlatformEngine) stream(w http.ResponseWriter, r *http.Request, fault PlatformFault) {
+	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	w.Header().Set("Content-Type", "text/event-stream")
+	flush := http.NewResponseController(w)
+	for i := after + 1; i <= platformEvents; i++ {
+		if fault == CutFault && i == after+2 {
+			_, _ = io.WriteString(w, "id: "+strconv.Itoa(i)+"\nda")
+			_ = flush.Flush()
+			panic(http.ErrAbortHandler)
+		}
+		fmt.Fprintf(w, "id: %d\ndata: piece %d\n\n", i, i)
+		_ = flush.Flush()
+	}
+}
+
+// LeftBy returns how many silent requests were given up by their sender.
+func (e *PlatformEngine) LeftBy() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.left
+}
--- /dev/null
+++ b/standin/platform_store.go
@@ -0,0 +1,277 @@
+package standin
+
+import (
+	"context"
+	"encoding/binary"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// PlatformStore stands in for the users' platform's store: a log with topics
+// of one partition each, and the newest records of keyed topics.
+type PlatformStore struct {
+	server   *http.Server
+	listener net.Listener
+	// mu guards the fields below.
+	mu      sync.Mutex
+	topics  map[string]*platformTopic
+	changed chan struct{}
+	// refuse answers this status instead of doing anything, if set; a host is
+	// chosen by its remote IP, "" for all.
+	refuse map[string]int
+	// mute holds calls without an answer until it is closed.
+	mute chan struct{}
+	// lose does the next appends without answering.
+	lose  int
+	calls map[string]int
+}
+
+type platformTopic struct {
+	first   int64
+	records [][]byte
+	newest  map[string]newestRecord
+}
+
+type newestRecord struct {
+	value  []byte
+	offset int64
+}
+
+// NewPlatformStore starts a store on a port that the kernel chooses.
+func NewPlatformStore() (*PlatformStore, error) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	s := &PlatformStore{listener: listener, topics: map[string]*platformTopic{}, changed: make(chan struct{}), refuse: map[string]int{}, calls: map[string]int{}}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /log-append", s.append)
+	mux.HandleFunc("GET /log-read", s.read)
+	mux.HandleFunc("GET /log-newest", s.listNewest)
+	s.server = &http.Server{Handler: s.faulty(mux)}
+	go func() { _ = s.server.Serve(listener) }()
+	return s, nil
+}
+
+// Address returns the store's IP:port.
+func (s *PlatformStore) Address() string { return s.listener.Addr().String() }
+
+// Close ends the store.
+func (s *PlatformStore) Close() { _ = s.server.Close() }
+
+// Refuse answers calls of hosts at an IP ("" for all) with a status; 0 ends
+// that.
+func (s *PlatformStore) Refuse(ip string, status int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refuse[ip] = status
+}
+
+// Mute holds all calls without an answer; the returned function ends that.
+func (s *PlatformStore) Mute() (end func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	held := make(chan struct{})
+	s.mute = held
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.mute = nil
+		close(held)
+	}
+}
+
+// LoseAnswers does the next appends without answering them.
+func (s *PlatformStore) LoseAnswers(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lose = n
+}
+
+// Calls returns how often a path was called.
+func (s *PlatformStore) Calls(path string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls[path]
+}
+
+// Trim drops the records of a topic; the newest of each key stay.
+func (s *PlatformStore) Trim(topic string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.topic(topic)
+	t.first += int64(len(t.records))
+	t.records = nil
+}
+
+// Put writes the record of a key; a nil value removes the key.
+func (s *PlatformStore) Put(topic, key string, value any) {
+	record := append([]byte{byte(len(key))}, key...)
+	switch v := value.(type) {
+	case nil:
+	case []byte:
+		record = append(record, v...)
+	default:
+		raw, err := json.Marshal(v)
+		if err != nil {
+			panic(err)
+		}
+		record = append(record, raw...)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.add(topic, record)
+}
+
+// Records returns the records that a topic keeps.
+func (s *PlatformStore) Records(topic string) [][]byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([][]byte{}, s.topic(topic).records...)
+}
+
+// topic returns a topic. The caller holds mu.
+func (s *PlatformStore) topic(name string) *platformTopic {
+	t, ok := s.topics[name]
+	if !ok {
+		t = &platformTopic{newest: map[string]newestRecord{}}
+		s.topics[name] = t
+	}
+	return t
+}
+
+// add appends a record. The caller holds mu.
+func (s *PlatformStore) add(topic string, record []byte) int64 {
+	t := s.topic(topic)
+	offset := t.first + int64(len(t.records))
+	t.records = append(t.records, record)
+	if strings.HasPrefix(topic, "keyed.") && len(record) > int(record[0]) {
+		key, value := string(record[1:1+record[0]]), record[1+record[0]:]
+		if len(value) == 0 {
+			delete(t.newest, key)
+		} else {
+			t.newest[key] = newestRecord{value, offset}
+		}
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return offset
+}
+
+// faulty counts calls and applies the faults.
+func (s *PlatformStore) faulty(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ip, _, _ := net.SplitHostPort(r.RemoteAddr)
+		s.mu.Lock()
+		s.calls[r.URL.Path]++
+		status, mute := max(s.refuse[ip], s.refuse[""]), s.mute
+		s.mu.Unlock()
+		if mute != nil {
+			select {
+			case <-mute:
+			case <-r.Context().Done():
+			}
+			panic(http.ErrAbortHandler)
+		}
+		if status != 0 {
+			w.WriteHeader(status)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func platformJSON(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+func (s *PlatformStore) append(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	name := r.URL.Query().Get("topic")
+	s.mu.Lock()
+	t := s.topic(name)
+	end := t.first + int64(len(t.records))
+	if asOf := r.URL.Query().Get("as_of"); asOf != "" && asOf != strconv.FormatInt(end, 10) {
+		s.mu.Unlock()
+		platformJSON(w, http.StatusPreconditionFailed, map[string]int64{"end_offset": end})
+		return
+	}
+	offset := end
+	for len(body) >= 4 {
+		n := int(binary.BigEndian.Uint32(body))
+		s.add(name, append([]byte{}, body[4:4+n]...))
+		end++
+		body = body[4+n:]
+	}
+	lose := s.lose > 0
+	if lose {
+		s.lose--
+	}
+	s.mu.Unlock()
+	if lose {
+		panic(http.ErrAbortHandler)
+	}
+	platformJSON(w, http.StatusOK, map[string]int64{"offset": offset, "end_offset": end})
+}
+
+func (s *PlatformStore) read(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	from, _ := strconv.ParseInt(query.Get("from"), 10, 64)
+	wait, _ := strconv.Atoi(query.Get("wait_ms"))
+	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(wait)*time.Millisecond)
+	defer cancel()
+	for {
+		s.mu.Lock()
+		t, changed := s.topic(query.Get("topic")), s.changed
+		end := t.first + int64(len(t.records))
+		if from < t.first {
+			first := t.first
+			s.mu.Unlock()
+			platformJSON(w, http.StatusGone, map[string]int64{"first_offset": first})
+			return
+		}
+		if from < end || ctx.Err() != nil {
+			out := binary.BigEndian.AppendUint64(nil, uint64(end))
+			out = binary.BigEndian.AppendUint64(out, uint64(t.first))
+			for _, record := range t.records[min(from, end)-t.first:] {
+				out = append(binary.BigEndian.AppendUint32(out, uint32(len(record))), record...)
+			}
+			s.mu.Unlock()
+			_, _ = w.Write(out)
+			return
+		}
+		s.mu.Unlock()
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (s *PlatformStore) listNewest(w http.ResponseWriter, r *http.Request) {
+	type item struct {
+		Key    string `json:"key"`
+		Value  []byte `json:"value"`
+		Offset int64  `json:"offset"`
+	}
+	s.mu.Lock()
+	t := s.topic(r.URL.Query().Get("topic"))
+	items := []item{}
+	for key, n := range t.newest {
+		items = append(items, item{key, n.value, n.offset})
+	}
+	end := t.first + int64(len(t.records))
+	s.mu.Unlock()
+	platformJSON(w, http.StatusOK, map[string]any{"items": items, "has_more": false, "end_offset": end})
+}
