--- a/site/site.go
+++ b/site/site.go
@@ -149,7 +149,7 @@
 			event.DoorFailed.Error(err, "Address", n.settings.Listen.Peers)
 		}
 	})
-	n.door, err = platform.NewDoor(&n.wait, platform.Options{
+	n.door, err = platform.NewDoor(ctx, &n.wait, platform.Options{
 		Callers: n.settings.Listen.Callers, Addresses: n.settings.Listen.Addresses, Readiness: n.settings.Listen.Readiness,
 		Router: n.router, Ready: n.keeper.Ready, Hosts: n.near, AddressTTL: addressTTL,
 		BodyLimit: func() int { return n.keeper.Book().Catalog.Limits.BodyBytes }, Metrics: handler,
--- a/site/site_test.go
+++ b/site/site_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/kumquathoist/kumquathoist/site"
 	"github.com/kumquathoist/kumquathoist/standin"
 )
 
@@ -294,3 +295,16 @@
 	w.awaitReady(h)
 	is.Equal(w.addresses(h), []string{h.settings.Listen.Callers})
 }
+
+// TestAddressInUse fails to start where another program has an address, and
+// leaves nothing running.
+func TestAddressInUse(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 1, 1, 0)
+	s := w.hosts[0].settings
+	_, err := site.New(t.Context(), s)
+	is.True(err != nil)
+	s.Listen.Peers, s.Listen.Pulses = w.address("127.0.0.9"), w.pulses("127.0.0.9")
+	_, err = site.New(t.Context(), s)
+	is.True(err != nil)
+}
--- a/site/stop.go
+++ b/site/stop.go
@@ -28,7 +28,6 @@
 	defer n.cancel()
 	select {
 	case <-ctx.Done():
-		n.door.Close(ctx)
 		return
 	case <-n.stop:
 	}
