test: the pure decisions, each with the load it answers; fix: a record older than the position says nothing

Cause: TestOrderOfNews (random orders and pieces of news) showed that a list read before a removal was known could bring the removed upstream back: an unknown key's record below the position was taken. It failed before.

--- /dev/null
+++ b/allowance/allowance_test.go
@@ -0,0 +1,45 @@
+package allowance_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/kumquathoist/kumquathoist/allowance"
+	"github.com/kumquathoist/kumquathoist/clock"
+)
+
+// TestOutage plays an outage in which every request fails once: nine hosts
+// together stay below the bound in every window.
+func TestOutage(t *testing.T) {
+	is := is.New(t)
+	bound := allowance.Bound{Ratio: 0.2, Window: 10 * time.Second, Slack: 58}
+	const hosts, perSecond = 9, 12
+	counts := make([]allowance.Allowance, hosts)
+	now := clock.Instant(time.Hour)
+	var sent []int
+	for step := range 40 * perSecond {
+		now = now.Add(time.Second / perSecond)
+		again := 0
+		for i := range counts {
+			counts[i].First(bound, now)
+			if step > 5*perSecond && counts[i].Again(bound, hosts, now) {
+				again++
+			}
+		}
+		sent = append(sent, again)
+		window := 0
+		for _, n := range sent[max(0, len(sent)-10*perSecond):] {
+			window += n
+		}
+		requests := min(step+1, 10*perSecond) * hosts
+		is.True(float64(window) <= bound.Ratio*float64(requests)+bound.Slack)
+	}
+	is.True(sent[len(sent)-1]+sent[len(sent)-2] >= 0)
+	total := 0
+	for _, n := range sent {
+		total += n
+	}
+	is.True(total > 100) // the bound is used
+}
--- /dev/null
+++ b/health/health_test.go
@@ -0,0 +1,61 @@
+package health_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/kumquathoist/kumquathoist/clock"
+	"github.com/kumquathoist/kumquathoist/health"
+	"github.com/kumquathoist/kumquathoist/pulse"
+)
+
+const now = clock.Instant(time.Hour)
+
+// TestRest leaves an upstream alone that takes no connection, the longer the
+// more often, and forgets that with an answer.
+func TestRest(t *testing.T) {
+	is := is.New(t)
+	s := health.State{}.WithRefused(now)
+	is.True(!s.Usable(now.Add(200 * time.Millisecond)))
+	is.True(s.Usable(now.Add(300 * time.Millisecond)))
+	for range 20 {
+		s = s.WithRefused(now)
+	}
+	is.True(!s.Usable(now.Add(1900 * time.Millisecond)))
+	is.True(s.Usable(now.Add(2 * time.Second)))
+	s = s.WithAnswer(now, 0).WithRefused(now)
+	is.True(s.Usable(now.Add(300 * time.Millisecond)))
+}
+
+// TestFailing tells a grey upstream from one that failed once, and lets old
+// failures fade.
+func TestFailing(t *testing.T) {
+	is := is.New(t)
+	once := health.State{}.WithAnswer(now, 0).WithFailure(now)
+	grey := health.State{}
+	for range 10 {
+		grey = grey.WithAnswer(now, 0).WithFailure(now)
+	}
+	is.True(once.Failing(now) < 0.2)
+	is.True(grey.Failing(now) > 0.35)
+	is.True(grey.Failing(now.Add(30*time.Second)) < 0.01)
+}
+
+// TestLoad counts what a host has at an upstream.
+func TestLoad(t *testing.T) {
+	is := is.New(t)
+	s := health.State{}.WithSend(1, 100).WithSend(9, 50)
+	is.Equal(s.Load, pulse.Load{Running: 2, Waiting: [pulse.Ranks]int{0, 100, 0, 50}})
+	s = s.WithBegun(1, 100).WithEnd().WithBegun(9, 50).WithEnd()
+	is.Equal(s.Load, pulse.Load{})
+}
+
+// TestWeightsNeverGoBack keeps the newest weights that were seen.
+func TestWeightsNeverGoBack(t *testing.T) {
+	is := is.New(t)
+	s := health.State{Loading: now.Add(time.Second)}.WithWeights(4).WithWeights(3)
+	is.Equal(s.Weights, int64(4))
+	is.True(s.Usable(now))
+}
--- a/knowledge/book.go
+++ b/knowledge/book.go
@@ -171,7 +171,9 @@
 	listed := make(map[string]bool, len(d.Records))
 	for _, r := range d.Records {
 		listed[r.Key] = true
-		if known, ok := s.records[r.Key]; ok && known.Offset >= r.Offset {
+		// All below the position is known; an older record of a key that is
+		// not there was overtaken by its removal.
+		if known, ok := s.records[r.Key]; r.Offset < s.position || ok && known.Offset >= r.Offset {
 			continue
 		}
 		s.records[r.Key] = r
--- /dev/null
+++ b/knowledge/book_test.go
@@ -0,0 +1,162 @@
+package knowledge_test
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/kumquathoist/kumquathoist/catalog"
+	"github.com/kumquathoist/kumquathoist/clock"
+	"github.com/kumquathoist/kumquathoist/knowledge"
+	"github.com/kumquathoist/kumquathoist/roster"
+)
+
+// decode reads test records: "c7" is version 7 of the configuration, "w3"
+// weights number 3, "e1.2" an entry of start 1 and beat 2.
+func decode(_ knowledge.Topic, key string, value []byte) (knowledge.News, error) {
+	text := string(value)
+	kind, rest := text[:1], text[1:]
+	number, err := strconv.ParseInt(strings.Split(rest, ".")[0], 10, 64)
+	if err != nil {
+		return knowledge.News{}, errors.New("torn")
+	}
+	switch kind {
+	case "c":
+		c := catalog.New(number, catalog.Limits{}, nil, nil, nil, nil)
+		return knowledge.News{Catalog: &c}, nil
+	case "w":
+		return knowledge.News{Weights: &knowledge.Weights{Model: "m", Number: number}}, nil
+	}
+	e := roster.Entry{ID: key, Service: "s", Born: number}
+	if _, beat, ok := strings.Cut(rest, "."); ok {
+		e.Beat, _ = strconv.ParseInt(beat, 10, 64)
+	}
+	return knowledge.News{Entry: &e}, nil
+}
+
+func record(key string, offset int64, value string) knowledge.Record {
+	r := knowledge.Record{Key: key, Offset: offset}
+	if value != "" {
+		r.Value = []byte(value)
+	}
+	return r
+}
+
+// ids returns the upstreams of a book.
+func ids(b knowledge.Book) string {
+	var found []string
+	for _, e := range b.Roster.Service("s") {
+		found = append(found, fmt.Sprintf("%s@%d.%d", e.ID, e.Born, e.Beat))
+	}
+	return strings.Join(found, " ")
+}
+
+const now = clock.Instant(time.Hour)
+
+func merge(b knowledge.Book, d knowledge.Delta) knowledge.Book {
+	next, _ := b.With(d, decode, knowledge.Times{Known: now})
+	return next
+}
+
+func upstreams(position int64, full bool, records ...knowledge.Record) knowledge.Delta {
+	return knowledge.Delta{Topic: knowledge.Upstreams, Position: position, Full: full, Records: records}
+}
+
+// TestBookWith covers what each kind of news changes.
+func TestBookWith(t *testing.T) {
+	start := merge(knowledge.Book{}, upstreams(3, true, record("a", 1, "e1.1"), record("b", 2, "e1.1")))
+	for _, c := range []struct {
+		name  string
+		delta knowledge.Delta
+		want  string
+	}{
+		{"a later beat", upstreams(4, false, record("a", 3, "e1.2")), "a@1.2 b@1.1"},
+		{"a removal", upstreams(4, false, record("a", 3, "")), "b@1.1"},
+		{"an older record than known", upstreams(4, false, record("a", 0, "e1.0")), "a@1.1 b@1.1"},
+		{"an old record of a key that is gone", upstreams(4, false, record("c", 2, "e1.0")), "a@1.1 b@1.1"},
+		{"an entry of an earlier start", upstreams(4, false, record("a", 3, "e0.9")), "a@1.1 b@1.1"},
+		{"an earlier beat of the same start", upstreams(4, false, record("a", 3, "e1.0")), "a@1.1 b@1.1"},
+		{"a new start under the same id", upstreams(4, false, record("a", 3, "e2.0")), "a@2.0 b@1.1"},
+		{"a torn record", upstreams(4, false, record("a", 3, "eX")), "a@1.1 b@1.1"},
+		{"a full list without one", upstreams(9, true, record("a", 1, "e1.1")), "a@1.1"},
+		{"a full list of an earlier time", upstreams(1, true), "a@1.1 b@1.1"},
+	} {
+		t.Run(c.name, func(t *testing.T) { is.New(t).Equal(ids(merge(start, c.delta)), c.want) })
+	}
+}
+
+// TestReturnAfterOutage keeps upstreams whose entries lapsed while the store
+// was away for as long as they have to return.
+func TestReturnAfterOutage(t *testing.T) {
+	is := is.New(t)
+	b := merge(knowledge.Book{}, upstreams(3, true, record("a", 1, "e1.1"), record("b", 2, "e1.1")))
+	back := now.Add(2 * time.Second)
+	b, changes := b.With(upstreams(5, false, record("a", 3, ""), record("b", 4, "")), decode, knowledge.Times{Known: now, Return: back})
+	is.True(changes[0].Deferred)
+	is.Equal(ids(b), "a@1.1 b@1.1")
+	b = merge(b, upstreams(6, false, record("b", 5, "e1.2")))
+	b, gone := b.Settled(back)
+	is.Equal(gone, []string{"a"})
+	is.Equal(ids(b), "b@1.2")
+}
+
+// TestReplaced dates weights by the first newer ones that were named.
+func TestReplaced(t *testing.T) {
+	is := is.New(t)
+	var b knowledge.Book
+	for i, at := range []clock.Instant{now, now.Add(time.Second), now.Add(2 * time.Second)} {
+		d := knowledge.Delta{Topic: knowledge.Operator, Position: int64(i + 1), Records: []knowledge.Record{record("version/m", int64(i), fmt.Sprint("w", 2*i+1))}}
+		b, _ = b.With(d, decode, knowledge.Times{Known: at})
+	}
+	named, ok := b.Weights("m")
+	is.True(ok)
+	is.Equal(named.Number, int64(5))
+	for weights, want := range map[int64]clock.Instant{0: now, 1: now.Add(time.Second), 2: now.Add(time.Second), 3: now.Add(2 * time.Second)} {
+		since, replaced := named.Replaced(weights)
+		is.True(replaced)
+		is.Equal(since, want)
+	}
+	_, replaced := named.Replaced(5)
+	is.True(!replaced)
+}
+
+// TestOrderOfNews gives books the same records in any order, in any pieces
+// and from any sender: they end the same, and never go back meanwhile.
+func TestOrderOfNews(t *testing.T) {
+	is := is.New(t)
+	random := rand.New(rand.NewPCG(7, 7))
+	for range 300 {
+		var log []knowledge.Record
+		for offset := range int64(12) {
+			value := fmt.Sprintf("e1.%d", offset)
+			if random.IntN(4) == 0 {
+				value = ""
+			}
+			log = append(log, record([]string{"a", "b", "c"}[random.IntN(3)], offset, value))
+		}
+		newest := map[string]knowledge.Record{}
+		for _, r := range log {
+			newest[r.Key] = r
+		}
+		whole := merge(knowledge.Book{}, upstreams(12, false, log...))
+		var b knowledge.Book
+		for range 6 {
+			from := random.Int64N(12)
+			b = merge(b, upstreams(0, false, log[from:from+1+random.Int64N(12-from)]...))
+			before := b.Position(knowledge.Upstreams)
+			b = merge(b, merge(knowledge.Book{}, upstreams(6, false, log[:6]...)).Since(knowledge.Upstreams, b.Position(knowledge.Upstreams)))
+			is.True(b.Position(knowledge.Upstreams) >= before)
+		}
+		b = merge(b, whole.Since(knowledge.Upstreams, b.Position(knowledge.Upstreams)))
+		is.Equal(ids(b), ids(whole))
+		is.Equal(b.Position(knowledge.Upstreams), whole.Position(knowledge.Upstreams))
+		fresh := merge(knowledge.Book{}, whole.Since(knowledge.Upstreams, 0))
+		is.Equal(ids(fresh), ids(whole))
+	}
+}
