--- a/crash/guard.go
+++ b/crash/guard.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,6 +22,9 @@
 	fanOut = 5
 	// shareTimeout bounds one call to a host.
 	shareTimeout = time.Second
+	// gatherTime is how long new records are gathered before they are shared,
+	// since an engine that is lost takes many requests with it.
+	gatherTime = 250 * time.Millisecond
 	// repeatInterval is the time between two shares of everything with one
 	// host, for those that new records did not reach.
 	repeatInterval = 2 * time.Second
@@ -75,7 +79,7 @@
 			case <-ctx.Done():
 				return
 			case records := <-g.fresh:
-				g.share(ctx, records, fanOut)
+				g.share(ctx, g.gather(ctx, records), fanOut)
 			case <-ticker.C:
 				g.share(ctx, g.latest(), 1)
 			}
@@ -177,6 +181,22 @@
 	}
 }
 
+// gather returns new records together with those that follow shortly.
+func (g *Guard) gather(ctx context.Context, records []quarantine.Record) []quarantine.Record {
+	timer := time.NewTimer(gatherTime)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return records
+		case <-timer.C:
+			return records
+		case more := <-g.fresh:
+			records = append(records, more...)
+		}
+	}
+}
+
 // latest returns the newest records.
 func (g *Guard) latest() []quarantine.Record {
 	g.mu.Lock()
@@ -198,8 +218,11 @@
 	defer wait.Wait()
 	for _, address := range peers[:min(hosts, len(peers))] {
 		wait.Go(func() {
-			if err := g.Sender.Send(ctx, address, records[:min(batch, len(records))]); err != nil {
-				event.ShareFailed.Info("Peer", address, "Reason", err.Error())
+			for part := range slices.Chunk(records, batch) {
+				if err := g.Sender.Send(ctx, address, part); err != nil {
+					event.ShareFailed.Info("Peer", address, "Reason", err.Error())
+					return
+				}
 			}
 		})
 	}
--- a/overseer/overseer.go
+++ b/overseer/overseer.go
@@ -33,6 +33,9 @@
 	// lostAfter is how long after an order without an answer an engine that
 	// shows no sign of it has not taken it; its reports are that old.
 	lostAfter = 600 * time.Millisecond
+	// drainTime is how long after other hosts were told an engine is ordered,
+	// so that what is on its way there has begun.
+	drainTime = 150 * time.Millisecond
 	// steerAway is how long other hosts send nothing to an engine that is to
 	// load, unless they hear of its end.
 	steerAway = 2500 * time.Millisecond
@@ -319,6 +322,7 @@
 
 // order sends the order and follows the engine's reports.
 func (v *Overseer) order(ctx context.Context, e roster.Entry, model string, number, fence int64, claimed clock.Instant) result {
+	pause(ctx, drainTime)
 	before, err := v.report(ctx, e)
 	switch {
 	case err != nil:
--- a/pulse/exchange.go
+++ b/pulse/exchange.go
@@ -18,7 +18,7 @@
 	// interval is the time between two pulses in a small system. It grows with
 	// the hosts, so that a host's traffic stays the same.
 	interval   = 100 * time.Millisecond
-	smallHosts = 9
+	smallHosts = 17
 	// urgent is the part of the interval after which news of a long prompt
 	// are sent.
 	urgent = 4
--- a/site/harness_test.go
+++ b/site/harness_test.go
@@ -32,7 +32,7 @@
 
 // world is a small deployment: a store, engines, services and hosts.
 type world struct {
-	t        *testing.T
+	t        testing.TB
 	is       *is.I
 	store    *standin.PlatformStore
 	engines  []*standin.PlatformEngine
@@ -51,7 +51,7 @@
 }
 
 // newWorld starts a deployment and waits until every host is ready.
-func newWorld(t *testing.T, hosts, engines, services int) *world {
+func newWorld(t testing.TB, hosts, engines, services int) *world {
 	t.Helper()
 	t.Setenv("SITE_TEST_SECRET", "secret")
 	w := &world{t: t, is: is.New(t)}
--- a/site/site.go
+++ b/site/site.go
@@ -50,7 +50,7 @@
 	// quietAfterStart is how long a new process orders no engine.
 	quietAfterStart = time.Second
 	// mostInCell is how many hosts all tell each other what they do.
-	mostInCell = 20
+	mostInCell = 150
 	// readers is how many hosts read the store; the others ask them.
 	readers = 3
 	// forgetInterval is the time between two cleanings of old beliefs.
