--- a/cmd/root.go
+++ b/cmd/root.go
@@ -37,6 +37,7 @@
 	Show        showCommand        `cmd:"" group:"configuration" help:"Show a configuration section in force and its revision."`
 	Audit       auditCommand       `cmd:"" group:"configuration" help:"Show who changed what, when, and what came of it."`
 	Status      statusCommand      `cmd:"" group:"operation" help:"Show hosts and engines as one host sees them."`
+	Story       storyCommand       `cmd:"" group:"operation" help:"Tell from the logs of hosts what became of one request, and why."`
 	Drain       drainCommand       `cmd:"" group:"operation" help:"Begin a planned stop of a host."`
 	Addresses   addressesCommand   `cmd:"" group:"callers" help:"Ask a host which addresses callers should use."`
 	Send        sendCommand        `cmd:"" group:"callers" help:"Send a completion or a call of a plain service, and print the answer."`
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -234,5 +234,11 @@
 		outcome = "Answered"
 	}
 	r.Metrics.Tagged(map[string]string{"outcome": outcome}).Counter("requests").Inc(1)
-	r.Metrics.Timer("request_time").Record(clock.Now().Sub(d.call.Arrived))
+	r.Metrics.Histogram("request_time", timeBuckets).RecordDuration(clock.Now().Sub(d.call.Arrived))
+}
+
+// timeBuckets are the bounds of the histograms of times.
+var timeBuckets = tally.DurationBuckets{
+	5 * time.Millisecond, 20 * time.Millisecond, 50 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond, 400 * time.Millisecond,
+	600 * time.Millisecond, time.Second, 2 * time.Second, 4 * time.Second, 8 * time.Second, 15 * time.Second,
 }
--- a/forward/run.go
+++ b/forward/run.go
@@ -100,7 +100,11 @@
 	if ctx.Err() != nil || d.left() < leastLeft || !d.state.Again() {
 		return false
 	}
-	return outcome == delivery.NotSent && d.arrivals == 0 || d.repeat(d.service.Name)
+	if outcome == delivery.NotSent && d.arrivals == 0 || d.repeat(d.service.Name) {
+		return true
+	}
+	d.Metrics.Counter("repeats_refused").Inc(1)
+	return false
 }
 
 // conclude returns the answer of a request that is given up.
@@ -256,6 +260,7 @@
 	now := clock.Now()
 	expected := d.route.Objective / 2
 	late := now.Sub(a.started) - expected
+	d.Metrics.Histogram("first_event_time", timeBuckets).RecordDuration(now.Sub(a.started))
 	d.Board.Update(a.id, func(s health.State) health.State {
 		return s.WithAnswer(now, late).WithBegun(a.rank, a.prefill)
 	})
@@ -295,6 +300,7 @@
 	if o == delivery.Broken && a.exchange == nil && !left && d.fingerprint != "" {
 		d.Guard.Lost(d.call.ID, d.fingerprint, a.id)
 	}
+	d.Metrics.Tagged(map[string]string{"outcome": o.String()}).Counter("tries_failed").Inc(1)
 	reason := ""
 	if err != nil {
 		reason = err.Error()
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -58,6 +58,9 @@
 	// the platform's checks; they are used with Platform.Store.
 	Addresses string `yaml:"Addresses,omitempty"`
 	Readiness string `yaml:"Readiness,omitempty"`
+	// Metrics serves metrics to scrapers; without it nobody does with
+	// Platform.Store.
+	Metrics string `yaml:"Metrics,omitempty"`
 	// Pulses takes datagrams of other hosts, which use the same port; it is
 	// used with Platform.Store.
 	Pulses string `yaml:"Pulses,omitempty"`
--- a/site/metrics.go
+++ b/site/metrics.go
@@ -10,11 +10,31 @@
 	"github.com/uber-go/tally/v4/prometheus"
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fasthttp/fasthttpadaptor"
+
+	"github.com/kumquathoist/kumquathoist/conduit"
 )
 
 // metricsInterval is the time between two reports of metrics.
 const metricsInterval = time.Second
 
+// report shows gauges until the context ends.
+func (n *Site) report(ctx context.Context, scope tally.Scope, connections *conduit.Pool) {
+	for ctx.Err() == nil {
+		pause(ctx, metricsInterval)
+		book := n.keeper.Book()
+		for name, value := range map[string]float64{
+			"catalog_version":       float64(book.Catalog.Version),
+			"knowledge_age_seconds": n.keeper.Age().Seconds(),
+			"upstreams_known":       float64(book.Roster.Len()),
+			"connections_made":      float64(connections.Dialled()),
+			"requests_open":         float64(n.door.Open()),
+			"hosts_known":           float64(len(n.directory.Hosts())),
+		} {
+			scope.Gauge(name).Update(value)
+		}
+	}
+}
+
 // startMetrics returns the root of the metrics and the handler that shows
 // them to a scraper.
 func startMetrics(ctx context.Context, wait *conc.WaitGroup) (tally.Scope, fasthttp.RequestHandler) {
--- a/site/site.go
+++ b/site/site.go
@@ -150,7 +150,7 @@
 		}
 	})
 	n.door, err = platform.NewDoor(ctx, &n.wait, platform.Options{
-		Callers: n.settings.Listen.Callers, Addresses: n.settings.Listen.Addresses, Readiness: n.settings.Listen.Readiness,
+		Callers: n.settings.Listen.Callers, Addresses: n.settings.Listen.Addresses, Readiness: n.settings.Listen.Readiness, Scrapes: n.settings.Listen.Metrics,
 		Router: n.router, Ready: n.keeper.Ready, Hosts: n.near, AddressTTL: addressTTL,
 		BodyLimit: func() int { return n.keeper.Book().Catalog.Limits.BodyBytes }, Metrics: handler,
 	})
@@ -159,6 +159,7 @@
 	}
 	n.directory.Announce(n.settings.Listen.Callers, n.settings.Listen.Peers)
 	n.wait.Go(func() { n.announce(ctx) })
+	n.wait.Go(func() { n.report(ctx, scope, connections) })
 	n.wait.Go(func() { n.forget(ctx) })
 	n.wait.Go(func() { n.finish(ctx) })
 	event.Listening.Info("Host", n.settings.Host.Name, "Callers", n.settings.Listen.Callers, "Peers", n.settings.Listen.Peers)
--- /dev/null
+++ b/story/story_test.go
@@ -0,0 +1,44 @@
+package story_test
+
+import (
+	"flag"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/kumquathoist/kumquathoist/story"
+)
+
+var update = flag.Bool("update", false, "write golden files instead of checking them")
+
+// TestStories reads logs and compares the conclusions with golden files.
+func TestStories(t *testing.T) {
+	logs, err := filepath.Glob("testdata/*.log")
+	is.New(t).NoErr(err)
+	is.New(t).True(len(logs) >= 3)
+	for _, path := range logs {
+		t.Run(filepath.Base(path), func(t *testing.T) {
+			is := is.New(t)
+			raw, err := os.ReadFile(path)
+			is.NoErr(err)
+			id := strings.TrimSuffix(filepath.Base(path), ".log")
+			var lines []story.Line
+			for text := range strings.Lines(string(raw)) {
+				if l, ok := story.Read(strings.TrimSpace(text), id); ok {
+					lines = append(lines, l)
+				}
+			}
+			golden := strings.TrimSuffix(path, ".log") + ".golden"
+			got := story.New(lines).Cause + "\n"
+			if *update {
+				is.NoErr(os.WriteFile(golden, []byte(got), 0o644))
+			}
+			want, err := os.ReadFile(golden)
+			is.NoErr(err)
+			is.Equal(got, string(want))
+		})
+	}
+}
