--- a/conduit/conduit.go
+++ b/conduit/conduit.go
@@ -94,7 +94,7 @@
 		kept := list[:0]
 		for _, c := range list {
 			if match(c) {
-				c.Close()
+				_ = c.Close()
 			} else {
 				kept = append(kept, c)
 			}
@@ -151,7 +151,7 @@
 		if !c.old(now) && c.quiet() {
 			return c, nil
 		}
-		c.Close()
+		_ = c.Close()
 	}
 	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: limitSilence}
 	raw, err := dialer.DialContext(ctx, "tcp", address)
@@ -198,7 +198,7 @@
 	c.keep -= idleMargin
 	c.since = clock.Now()
 	if c.keep <= 0 || c.SetDeadline(time.Time{}) != nil {
-		c.Close()
+		_ = c.Close()
 		return
 	}
 	p.mu.Lock()
--- a/conduit/exchange.go
+++ b/conduit/exchange.go
@@ -52,7 +52,7 @@
 		_ = c.SetDeadline(deadline)
 	}
 	e := &Exchange{pool: p, conn: c, wrote: make(chan error, 1)}
-	e.release = context.AfterFunc(ctx, func() { c.Close() })
+	e.release = context.AfterFunc(ctx, func() { _ = c.Close() })
 	if len(raw) <= inlineBytes {
 		_, err = c.Write(raw)
 		e.wrote <- err
@@ -147,7 +147,7 @@
 // Discard closes the connection.
 func (e *Exchange) Discard() {
 	e.release()
-	e.conn.Close()
+	_ = e.conn.Close()
 }
 
 // fixed is a body of a known length.
@@ -163,7 +163,7 @@
 	}
 	n, err := f.exchange.conn.in.Read(b[:min(int64(len(b)), f.left)])
 	f.left -= int64(n)
-	if err == io.EOF {
+	if errors.Is(err, io.EOF) {
 		err = io.ErrUnexpectedEOF
 	}
 	return n, err
@@ -180,7 +180,7 @@
 		return 0, io.EOF
 	}
 	n, err := c.in.Read(b)
-	if err == io.EOF {
+	if errors.Is(err, io.EOF) {
 		if err = skipTrailer(c.exchange.conn.in); err == nil {
 			c.exchange.whole = true
 			err = io.EOF
@@ -194,7 +194,7 @@
 	for {
 		line, err := in.ReadSlice('\n')
 		switch {
-		case err == io.EOF:
+		case errors.Is(err, io.EOF):
 			return io.ErrUnexpectedEOF
 		case err != nil:
 			return err
@@ -209,7 +209,7 @@
 
 func (u *untilClosed) Read(b []byte) (int, error) {
 	n, err := u.exchange.conn.in.Read(b)
-	if err == io.EOF {
+	if errors.Is(err, io.EOF) {
 		u.exchange.whole = true
 	}
 	return n, err
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -28,8 +28,11 @@
 
 const (
 	// returnSoon is when a caller may come back that was refused for a short
-	// lack: a host that has just started, engines that load weights.
+	// lack of engines, such as while they load weights.
 	returnSoon = 300 * time.Millisecond
+	// returnStarted is when a host that has just started is likely to know the
+	// configuration; callers come back few times, so not earlier.
+	returnStarted = 900 * time.Millisecond
 	// returnLater is when a caller may come back whose request crashes
 	// engines.
 	returnLater = 30 * time.Second
@@ -143,10 +146,10 @@
 		d.finish(answer)
 		return answer
 	}
-	d.ctx, d.close = ctx, func() { release(); cancel() }
+	d.ctx, d.release = ctx, func() { release(); cancel() }
 	answer := d.run(ctx)
 	if answer.Stream == nil {
-		d.close()
+		d.release()
 		d.finish(answer)
 	}
 	return answer
@@ -157,7 +160,10 @@
 	d := &run{Router: r, call: c, book: r.Knowledge.Book(), tried: map[string]bool{}, spread: maphash.String(r.seed, c.ID)}
 	refuse := func(reason call.Reason) (*run, *call.Answer) {
 		a := call.Refuse(reason)
-		if a.Status == 503 {
+		switch {
+		case reason == call.NotReady:
+			a = a.WithRetryAfter(returnStarted)
+		case a.Status == 503:
 			a = a.WithRetryAfter(returnSoon)
 		}
 		return d, &a
--- a/forward/run.go
+++ b/forward/run.go
@@ -56,10 +56,10 @@
 	fingerprint quarantine.Fingerprint
 	// arrivals counts the sends that reached an upstream.
 	arrivals int
-	// ctx ends when the caller leaves or the end is reached; close ends what
+	// ctx ends when the caller leaves or the end is reached; release ends what
 	// the request holds.
-	ctx   context.Context
-	close func()
+	ctx     context.Context
+	release func()
 }
 
 // left returns the time until the end.
@@ -281,7 +281,7 @@
 // failed ends a try without an answer and returns its outcome.
 func (d *run) failed(a *attempt, o delivery.Outcome, err error) delivery.Outcome {
 	now := clock.Now()
-	if a.exchange != nil && !(o == delivery.TurnedAway || o == delivery.Failed) {
+	if a.exchange != nil && o != delivery.TurnedAway && o != delivery.Failed {
 		a.exchange.Discard()
 	}
 	d.ended(a)
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -70,9 +70,9 @@
 			s.begun(s.attempt)
 		}
 		switch {
-		case err == io.EOF && len(s.in) == 0:
+		case errors.Is(err, io.EOF) && len(s.in) == 0:
 			s.done = true
-		case err == io.EOF:
+		case errors.Is(err, io.EOF):
 			return io.ErrUnexpectedEOF
 		case err != nil:
 			return err
@@ -163,7 +163,7 @@
 		s.ended(s.attempt)
 	}
 	s.attempt = nil
-	s.run.close()
+	s.release()
 	s.finish(answer)
 	event.StreamEnded.Info("Request", s.call.ID, "Events", s.events, "Millis", clock.Now().Sub(s.call.Arrived).Milliseconds())
 	return nil
--- a/knowledge/keeper.go
+++ b/knowledge/keeper.go
@@ -127,12 +127,16 @@
 	return k.changed
 }
 
+// never is the age of a book that was not known to be complete since the
+// process started or stood still.
+const never = -time.Millisecond
+
 // Age returns how long ago the book was known to be complete; below 0 if it
 // never was.
 func (k *Keeper) Age() time.Duration {
 	at := clock.Instant(k.confirmed.Load())
 	if at == 0 {
-		return -1
+		return never
 	}
 	return clock.Now().Sub(at)
 }
--- a/site/harness_test.go
+++ b/site/harness_test.go
@@ -128,7 +128,7 @@
 func (w *world) address(ip string) string {
 	l, err := net.Listen("tcp4", ip+":0")
 	w.is.NoErr(err)
-	defer l.Close()
+	defer func() { _ = l.Close() }()
 	return l.Addr().String()
 }
 
@@ -137,7 +137,7 @@
 	if w.pulsePort == "" {
 		conn, err := net.ListenPacket("udp4", "127.0.0.1:0")
 		w.is.NoErr(err)
-		defer conn.Close()
+		defer func() { _ = conn.Close() }()
 		_, w.pulsePort, err = net.SplitHostPort(conn.LocalAddr().String())
 		w.is.NoErr(err)
 	}
@@ -208,7 +208,7 @@
 			return false
 		}
 		resp.Body.Close()
-		return resp.StatusCode == 200
+		return resp.StatusCode == http.StatusOK
 	})
 }
 
@@ -232,7 +232,7 @@
 func (w *world) client(h *testHost) *client {
 	conn, err := net.Dial("tcp4", h.settings.Listen.Callers)
 	w.is.NoErr(err)
-	w.t.Cleanup(func() { conn.Close() })
+	w.t.Cleanup(func() { _ = conn.Close() })
 	return &client{conn, bufio.NewReader(conn)}
 }
 
--- a/site/site.go
+++ b/site/site.go
@@ -51,6 +51,9 @@
 	quietAfterStart = time.Second
 	// mostInCell is how many hosts all tell each other what they do.
 	mostInCell = 150
+	// callersShare is the part of the descriptors that callers may use: one in
+	// so many. Upstreams, peers and the store need the rest.
+	callersShare = 2
 	// readers is how many hosts read the store; the others ask them.
 	readers = 3
 	// forgetInterval is the time between two cleanings of old beliefs.
@@ -151,7 +154,7 @@
 	})
 	n.door, err = platform.NewDoor(ctx, &n.wait, platform.Options{
 		Callers: n.settings.Listen.Callers, Addresses: n.settings.Listen.Addresses, Readiness: n.settings.Listen.Readiness, Scrapes: n.settings.Listen.Metrics,
-		Router: n.router, Ready: n.keeper.Ready, Hosts: n.near, AddressTTL: addressTTL,
+		Router: n.router, Ready: n.keeper.Ready, Hosts: n.near, Connections: n.settings.Machine.Descriptors / callersShare, AddressTTL: addressTTL,
 		BodyLimit: func() int { return n.keeper.Book().Catalog.Limits.BodyBytes }, Metrics: handler,
 	})
 	if err != nil {
--- a/site/site_test.go
+++ b/site/site_test.go
@@ -144,7 +144,7 @@
 	c := w.client(w.hosts[0])
 	c.write("POST", modelHost, "/flag/a", "left", prompt, "body")
 	w.await("the engine runs it", func() bool { return w.ran("left") == 1 })
-	c.conn.Close()
+	_ = c.conn.Close()
 	w.await("the engine's connection is closed", func() bool { return w.engines[0].LeftBy() == 1 })
 }
 
@@ -269,7 +269,7 @@
 			return false
 		}
 		resp.Body.Close()
-		return resp.StatusCode == 503
+		return resp.StatusCode == http.StatusServiceUnavailable
 	})
 	a := w.do(leaver, "GET", serviceHost, "/read/a", "late", nil, "")
 	is.Equal(a.status, 200) // it serves whoever still comes
--- a/standin/platform_engine.go
+++ b/standin/platform_engine.go
@@ -267,7 +267,7 @@
 	if err != nil {
 		return
 	}
-	defer conn.Close()
+	defer func() { _ = conn.Close() }()
 	for range 2 {
 		fmt.Fprintf(buffered, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Stamp: %s.%s\r\nContent-Length: 2\r\n\r\nok", id, e.ID, id)
 	}
--- a/standin/platform_store.go
+++ b/standin/platform_store.go
@@ -147,7 +147,7 @@
 }
 
 // add appends a record. The caller holds mu.
-func (s *PlatformStore) add(topic string, record []byte) int64 {
+func (s *PlatformStore) add(topic string, record []byte) {
 	t := s.topic(topic)
 	offset := t.first + int64(len(t.records))
 	t.records = append(t.records, record)
@@ -161,7 +161,6 @@
 	}
 	close(s.changed)
 	s.changed = make(chan struct{})
-	return offset
 }
 
 // faulty counts calls and applies the faults.
