fix: write an error line once

Cause: the log library hands a line of a severity to its own output and to those of all severities below, which were the same writer; the incidents' logs held each lost store several times. TestErrorLine failed before (3 != 1).

--- a/event/output.go
+++ b/event/output.go
@@ -42,7 +42,9 @@
 func WriteTo(ctx context.Context, wait *conc.WaitGroup, out io.Writer) {
 	b := &bounded{lines: make(chan []byte, queuedLines), dropped: make(chan struct{}, queuedLines*64)}
 	klog.LogToStderr(false)
-	klog.SetOutput(b)
+	// The library hands a line to the outputs of its severity and of all below.
+	klog.SetOutput(io.Discard)
+	klog.SetOutputBySeverity("INFO", b)
 	wait.Go(func() { b.write(ctx, out) })
 }
 
