--- a/knowledge/keeper.go
+++ b/knowledge/keeper.go
@@ -184,8 +184,12 @@
 	}
 }
 
-// confirm notes that the book was complete at an instant.
+// confirm notes that the book was complete at an instant. If that was not
+// known for long, the store was away for all hosts that this one hears of.
 func (k *Keeper) confirm(at clock.Instant) {
+	if age := k.Age(); age > freshFor {
+		k.returned.Store(int64(clock.Now().Add(returnAllowance)))
+	}
 	for {
 		known := k.confirmed.Load()
 		if int64(at) <= known || k.confirmed.CompareAndSwap(known, int64(at)) {
@@ -215,8 +219,11 @@
 			pause(ctx, time.Duration((0.5+rand.Float64())*float64(retryPause)))
 		case err == nil:
 			if lost {
-				k.returned.Store(int64(clock.Now().Add(returnAllowance)))
-				event.StoreBack.Info("Topic", t, "Position", d.Position)
+				away := !k.Fresh()
+				if away {
+					k.returned.Store(int64(clock.Now().Add(returnAllowance)))
+				}
+				event.StoreBack.Info("Topic", t, "Position", d.Position, "AwayForAll", away)
 			}
 			listed, lost = true, false
 			k.merge(d, "Store", hidden)
--- /dev/null
+++ b/knowledge/keeper_test.go
@@ -0,0 +1,108 @@
+package knowledge_test
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
+
+	"github.com/kumquathoist/kumquathoist/knowledge"
+)
+
+// fakeStore answers with what the test puts into it.
+type fakeStore struct {
+	mu   sync.Mutex
+	down bool
+	logs [2][]knowledge.Record
+	// reads counts reads of the upstreams' records that failed.
+	failed int
+}
+
+var errDown = errors.New("the store is down")
+
+func (s *fakeStore) set(change func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change()
+}
+
+func (s *fakeStore) Newest(ctx context.Context, t knowledge.Topic) (knowledge.Delta, error) {
+	d, err := s.Read(ctx, t, 0, 0)
+	d.Full = true
+	return d, err
+}
+
+func (s *fakeStore) Read(ctx context.Context, t knowledge.Topic, from int64, wait time.Duration) (knowledge.Delta, error) {
+	for end := time.Now().Add(wait); ; time.Sleep(5 * time.Millisecond) {
+		s.mu.Lock()
+		down, log := s.down, s.logs[t]
+		if down && t == knowledge.Upstreams {
+			s.failed++
+		}
+		s.mu.Unlock()
+		switch {
+		case ctx.Err() != nil:
+			return knowledge.Delta{}, ctx.Err()
+		case down:
+			return knowledge.Delta{}, errDown
+		case int64(len(log)) > from, time.Now().After(end):
+			return knowledge.Delta{Topic: t, Position: int64(len(log)), Records: log[min(from, int64(len(log))):]}, nil
+		}
+	}
+}
+
+// fakePeers know nothing more, but confirm or don't.
+type fakePeers struct{ confirm bool }
+
+func (p fakePeers) Pull(context.Context, []int64) (knowledge.Reply, error) {
+	if !p.confirm {
+		return knowledge.Reply{}, errDown
+	}
+	return knowledge.Reply{Age: time.Millisecond}, nil
+}
+
+// TestRemovalAfterLosingTheStore removes an upstream just as a host reaches
+// the store again. If the other hosts had the store all the while, the removal
+// is none that an outage caused, and counts at once.
+func TestRemovalAfterLosingTheStore(t *testing.T) {
+	for name, c := range map[string]struct {
+		confirm bool
+		want    string
+	}{
+		"the others had the store": {true, "b@1.1"},
+		"nobody had the store":     {false, "a@1.1 b@1.1"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := &fakeStore{}
+			s.logs[knowledge.Operator] = []knowledge.Record{record("config", 0, "c1")}
+			s.logs[knowledge.Upstreams] = []knowledge.Record{record("a", 0, "e1.1"), record("b", 1, "e1.1")}
+			ctx, cancel := context.WithCancel(t.Context())
+			var wait conc.WaitGroup
+			defer wait.Wait()
+			defer cancel()
+			k := knowledge.NewKeeper(ctx, &wait, knowledge.Options{Store: s, Peers: fakePeers{c.confirm}, Decode: decode, Reads: func() bool { return true }})
+			await := func(holds func() bool) {
+				for deadline := time.Now().Add(30 * time.Second); !holds(); time.Sleep(time.Millisecond) {
+					is.True(time.Now().Before(deadline)) // it comes to pass
+				}
+			}
+			await(func() bool { return k.Ready() && ids(k.Book()) == "a@1.1 b@1.1" })
+			s.set(func() { s.down = true })
+			await(func() bool { s.mu.Lock(); defer s.mu.Unlock(); return s.failed > 0 })
+			if !c.confirm {
+				await(func() bool { return !k.Fresh() })
+			}
+			s.set(func() {
+				s.down = false
+				s.logs[knowledge.Upstreams] = append(s.logs[knowledge.Upstreams], record("a", 2, ""))
+			})
+			await(func() bool { return k.Book().Position(knowledge.Upstreams) == 3 })
+			is.Equal(ids(k.Book()), c.want)
+		})
+	}
+}
