fix: date weights that were named before a host started

Ruled out: the limit itself, the rollout (the engine was one of the last). TestWeightsKnownBeforeTheStart failed before.

--- a/knowledge/keeper.go
+++ b/knowledge/keeper.go
@@ -36,9 +36,11 @@
 	// returnAllowance is how long upstreams take to come back to a store that
 	// was away.
 	returnAllowance = 2 * time.Second
-	// unseen and passedOn are how long news may have been known to others
-	// that come with a first look at the store and from another host.
-	unseen   = 2500 * time.Millisecond
+	// unseen is how long what a host learns first after its start counts as
+	// known: long enough that weights replaced before are out of use when
+	// operators count the host as settled, 3 to 4 s after its start.
+	unseen = 4500 * time.Millisecond
+	// passedOn is how long news from another host may have been known there.
 	passedOn = time.Second
 	// freshFor is how long knowledge is good enough to refuse a caller.
 	freshFor = 3 * time.Second
@@ -171,8 +173,11 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := clock.Now()
-	at := Times{Known: now.Add(-hidden), Return: clock.Instant(k.returned.Load())}
 	before := *k.book.Load()
+	if before.Position(d.Topic) == 0 {
+		hidden = max(hidden, unseen)
+	}
+	at := Times{Known: now.Add(-hidden), Return: clock.Instant(k.returned.Load())}
 	next, changes := before.With(d, k.Decode, at)
 	k.book.Store(&next)
 	for _, c := range changes {
@@ -248,7 +253,7 @@
 		ctx, cancel := context.WithTimeout(reading, readAllowance)
 		defer cancel()
 		d, err := k.Store.Newest(ctx, t)
-		return d, unseen, err
+		return d, pauses[t], err
 	}
 	ctx, cancel := context.WithTimeout(reading, waits[t]+readAllowance)
 	defer cancel()
--- a/knowledge/keeper_test.go
+++ b/knowledge/keeper_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 	"github.com/sourcegraph/conc"
 
+	"github.com/kumquathoist/kumquathoist/clock"
 	"github.com/kumquathoist/kumquathoist/knowledge"
 )
 
@@ -106,3 +107,28 @@
 		})
 	}
 }
+
+// tellingPeers know everything from the start.
+type tellingPeers struct{ deltas []knowledge.Delta }
+
+func (p tellingPeers) Pull(context.Context, []int64) (knowledge.Reply, error) {
+	return knowledge.Reply{Deltas: p.deltas, Age: time.Millisecond}, nil
+}
+
+// TestWeightsKnownBeforeTheStart dates weights that were named before a host
+// started: it can't know how long ago, whoever tells it.
+func TestWeightsKnownBeforeTheStart(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	var wait conc.WaitGroup
+	defer wait.Wait()
+	defer cancel()
+	delta := knowledge.Delta{Topic: knowledge.Operator, Position: 2, Full: true, Records: []knowledge.Record{record("config", 0, "c1"), record("version/m", 1, "w2")}}
+	k := knowledge.NewKeeper(ctx, &wait, knowledge.Options{Store: &fakeStore{down: true}, Peers: tellingPeers{[]knowledge.Delta{delta}}, Decode: decode, Reads: func() bool { return true }})
+	for deadline := time.Now().Add(30 * time.Second); k.Book().Catalog.Version == 0; time.Sleep(time.Millisecond) {
+		is.True(time.Now().Before(deadline)) // it comes to pass
+	}
+	named, ok := k.Book().Weights("m")
+	is.True(ok)
+	is.True(clock.Now().Sub(named.Since) >= 4*time.Second)
+}
