--- a/clock/clock.go
+++ b/clock/clock.go
@@ -6,6 +6,7 @@
 package clock
 
 import (
+	"context"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -31,3 +32,13 @@
 
 // Before tells whether the instant is earlier than another.
 func (i Instant) Before(other Instant) bool { return i < other }
+
+// Pause waits for a duration or the end of the context.
+func Pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/gateway/head.go
+++ b/gateway/head.go
@@ -1,11 +1,11 @@
 package gateway
 
 import (
-	"bytes"
 	"slices"
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/kumquathoist/kumquathoist/head"
 	"github.com/kumquathoist/kumquathoist/request"
 )
 
@@ -18,7 +18,7 @@
 func checkHeads(next fasthttp.RequestHandler) fasthttp.RequestHandler {
 	return func(ctx *fasthttp.RequestCtx) {
 		switch {
-		case folded(ctx.Request.Header.RawHeaders()):
+		case head.Folded(ctx.Request.Header.RawHeaders()):
 			refuseHead(ctx, request.Refuse(request.BadRequest, "a header is folded"))
 		case !slices.Contains(methods, string(ctx.Method())):
 			refuseHead(ctx, request.Refuse(request.NoMethod, "the method is not known"))
@@ -28,11 +28,6 @@
 	}
 }
 
-// folded tells whether a header goes on in a second line.
-func folded(raw []byte) bool {
-	return bytes.Contains(raw, []byte("\n ")) || bytes.Contains(raw, []byte("\n\t"))
-}
-
 // refuseHead answers and ends the connection.
 func refuseHead(ctx *fasthttp.RequestCtx, f *request.Failure) {
 	ctx.SetConnectionClose()
--- a/knowledge/keeper.go
+++ b/knowledge/keeper.go
@@ -208,7 +208,7 @@
 	listed, lost := false, false
 	for ctx.Err() == nil {
 		if age := k.Age(); listed && age >= 0 && age < askedFor && !k.Reads() {
-			pause(ctx, tick)
+			clock.Pause(ctx, tick)
 			continue
 		}
 		d, hidden, err := k.read(t, listed)
@@ -221,7 +221,7 @@
 				event.StoreLost.Error(err, "Topic", t)
 			}
 			lost = true
-			pause(ctx, time.Duration((0.5+rand.Float64())*float64(retryPause)))
+			clock.Pause(ctx, time.Duration((0.5+rand.Float64())*float64(retryPause)))
 		case err == nil:
 			if lost {
 				away := !k.Fresh()
@@ -236,7 +236,7 @@
 				k.confirm(clock.Now())
 			}
 			if len(d.Records) > 0 {
-				pause(ctx, pauses[t])
+				clock.Pause(ctx, pauses[t])
 			}
 		}
 	}
@@ -264,7 +264,7 @@
 // pull asks other hosts until the context ends.
 func (k *Keeper) pull(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause(ctx, time.Duration((0.5+rand.Float64())*float64(pullInterval)))
+		clock.Pause(ctx, time.Duration((0.5+rand.Float64())*float64(pullInterval)))
 		k.pullOnce(ctx)
 	}
 }
@@ -292,7 +292,7 @@
 func (k *Keeper) watch(ctx context.Context) {
 	last := clock.Now()
 	for ctx.Err() == nil {
-		pause(ctx, tick)
+		clock.Pause(ctx, tick)
 		now := clock.Now()
 		if paused := now.Sub(last); paused > gap {
 			event.ProcessPaused.Info("Millis", paused.Milliseconds())
@@ -343,13 +343,3 @@
 		event.UpstreamChanged.Info("Upstream", e.ID, "Service", e.Service, "Address", e.Address, "Leaving", e.Leaving, "Beat", e.Beat, "Offset", c.Offset, "Source", source)
 	}
 }
-
-// pause waits for a duration or the end of the context.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/node/node.go
+++ b/node/node.go
@@ -11,6 +11,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/kumquathoist/kumquathoist/admission"
+	"github.com/kumquathoist/kumquathoist/clock"
 	"github.com/kumquathoist/kumquathoist/dispatch"
 	"github.com/kumquathoist/kumquathoist/document"
 	"github.com/kumquathoist/kumquathoist/event"
@@ -162,14 +163,6 @@
 // Wait returns when the daemon has ended.
 func (n *Node) Wait() { n.wait.Wait() }
 
-// pause waits for a duration or the end of the context.
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // readyInterval is the time between two looks at whether a host is ready.
 const readyInterval = 10 * time.Millisecond
 
@@ -180,7 +173,7 @@
 		if ctx.Err() != nil {
 			return trace.ConnectionProblem(ctx.Err(), "host %s is not ready", n.settings.Host.Name)
 		}
-		pause(ctx, readyInterval)
+		clock.Pause(ctx, readyInterval)
 	}
 	return nil
 }
--- a/node/stop.go
+++ b/node/stop.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/kumquathoist/kumquathoist/clock"
 	"github.com/kumquathoist/kumquathoist/event"
 )
 
@@ -37,7 +38,7 @@
 	event.Stopping.Info("Host", n.settings.Host.Name, "Open", n.gateway.Open())
 	n.gateway.Stop()
 	n.directory.Leave()
-	pause(ctx, n.settings.Stop.AddressTTL()+leaveSpread)
+	clock.Pause(ctx, n.settings.Stop.AddressTTL()+leaveSpread)
 	n.awaitNoneOpen(ctx, n.settings.Stop.StreamAllowance())
 	handed := n.gateway.Open()
 	n.runner.Stop()
@@ -49,6 +50,6 @@
 func (n *Node) awaitNoneOpen(ctx context.Context, most time.Duration) {
 	deadline := time.Now().Add(most)
 	for n.gateway.Open() > 0 && time.Now().Before(deadline) && ctx.Err() == nil {
-		pause(ctx, openInterval)
+		clock.Pause(ctx, openInterval)
 	}
 }
--- a/overseer/overseer.go
+++ b/overseer/overseer.go
@@ -322,7 +322,7 @@
 
 // order sends the order and follows the engine's reports.
 func (v *Overseer) order(ctx context.Context, e roster.Entry, model string, number, fence int64, claimed clock.Instant) result {
-	pause(ctx, drainTime)
+	clock.Pause(ctx, drainTime)
 	before, err := v.report(ctx, e)
 	switch {
 	case err != nil:
@@ -346,7 +346,7 @@
 		return refused
 	}
 	for ctx.Err() == nil {
-		pause(ctx, reportInterval)
+		clock.Pause(ctx, reportInterval)
 		r, reportErr := v.report(ctx, e)
 		switch {
 		case reportErr == nil && r.Weights[model] >= number:
@@ -364,13 +364,3 @@
 	defer cancel()
 	return v.Engines.Report(ctx, e.Address, e.ID)
 }
-
-// pause waits for a duration or the end of the context.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/site/metrics.go
+++ b/site/metrics.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fasthttp/fasthttpadaptor"
 
+	"github.com/kumquathoist/kumquathoist/clock"
 	"github.com/kumquathoist/kumquathoist/conduit"
 )
 
@@ -20,7 +21,7 @@
 // report shows gauges until the context ends.
 func (n *Site) report(ctx context.Context, scope tally.Scope, connections *conduit.Pool) {
 	for ctx.Err() == nil {
-		pause(ctx, metricsInterval)
+		clock.Pause(ctx, metricsInterval)
 		book := n.keeper.Book()
 		for name, value := range map[string]float64{
 			"catalog_version":       float64(book.Catalog.Version),
--- a/site/site.go
+++ b/site/site.go
@@ -311,14 +311,14 @@
 		if err == nil {
 			return
 		}
-		pause(ctx, announcePause)
+		clock.Pause(ctx, announcePause)
 	}
 }
 
 // forget drops old beliefs until the context ends.
 func (n *Site) forget(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause(ctx, forgetInterval)
+		clock.Pause(ctx, forgetInterval)
 		n.board.Forget(clock.Now())
 	}
 }
@@ -328,13 +328,3 @@
 
 // Stop begins a planned stop. It returns at once; Wait tells when it ended.
 func (n *Site) Stop() { n.stopOnce.Do(func() { close(n.stop) }) }
-
-// pause waits for a duration or the end of the context.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/site/stop.go
+++ b/site/stop.go
@@ -36,9 +36,9 @@
 	n.door.Stop()
 	n.directory.Leave()
 	grace := n.settings.Bounds.Grace() - endMargin
-	pause(ctx, min(grace, keptAddresses*addressTTL+spread))
+	clock.Pause(ctx, min(grace, keptAddresses*addressTTL+spread))
 	for n.door.Open() > 0 && clock.Now().Sub(began) < grace && ctx.Err() == nil {
-		pause(ctx, openInterval)
+		clock.Pause(ctx, openInterval)
 	}
 	open := n.door.Open()
 	left, cancel := context.WithTimeout(ctx, max(endMargin/2, grace-clock.Now().Sub(began)))
