fix: share the first news of a lost engine at once

The first record goes at once, those that follow within 250 ms together (TestLostEngineWithManyRequests).

--- a/crash/guard.go
+++ b/crash/guard.go
@@ -22,8 +22,8 @@
 	fanOut = 5
 	// shareTimeout bounds one call to a host.
 	shareTimeout = time.Second
-	// gatherTime is how long new records are gathered before they are shared,
-	// since an engine that is lost takes many requests with it.
+	// gatherTime is how long further records are gathered after some were
+	// shared, since an engine that is lost takes many requests with it.
 	gatherTime = 250 * time.Millisecond
 	// repeatInterval is the time between two shares of everything with one
 	// host, for those that new records did not reach.
@@ -79,7 +79,12 @@
 			case <-ctx.Done():
 				return
 			case records := <-g.fresh:
-				g.share(ctx, g.gather(ctx, records), fanOut)
+				// The first news go at once, since the same request may be on
+				// its way to other hosts.
+				g.share(ctx, records, fanOut)
+				if more := g.gather(ctx); len(more) > 0 {
+					g.share(ctx, more, fanOut)
+				}
 			case <-ticker.C:
 				g.share(ctx, g.latest(), 1)
 			}
@@ -181,8 +186,9 @@
 	}
 }
 
-// gather returns new records together with those that follow shortly.
-func (g *Guard) gather(ctx context.Context, records []quarantine.Record) []quarantine.Record {
+// gather returns the records that come within a short time.
+func (g *Guard) gather(ctx context.Context) []quarantine.Record {
+	var records []quarantine.Record
 	timer := time.NewTimer(gatherTime)
 	defer timer.Stop()
 	for {
--- a/forward/place.go
+++ b/forward/place.go
@@ -27,9 +27,8 @@
 	// users' rules).
 	oldWeightsFree = 1500 * time.Millisecond
 	oldWeightsLoss = 0.2
-	// defaultPriority is an engine's priority of a request that names none.
-	defaultPriority = 5
-	maxPriority     = 9
+	// maxPriority is the last rank of a request at an engine.
+	maxPriority = 9
 	// plainWorth is what a request without a prompt earns.
 	plainWorth = 1.0
 	// leastCell is how many engines of a cell are enough for its requests.
