test: requests that end upstreams without end, failing

What callers saw: engines ended under one request again and again, and with each all that ran there.

--- /dev/null
+++ b/crash/calls_test.go
@@ -0,0 +1,44 @@
+package crash_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// TestEachLossOfACallCounts loses several engines under one call.
+func TestEachLossOfACallCounts(t *testing.T) {
+	is := is.New(t)
+	guard := startGuards(t, 1)[0]
+	is.True(!guard.Lost("call", "crasher", "engine-1"))
+	is.True(guard.Lost("call", "crasher", "engine-2"))
+}
+
+// TestAnAnswerAfterALossClearsTheCall answers a call that has lost an engine;
+// the next call like it is suspected anew, not condemned.
+func TestAnAnswerAfterALossClearsTheCall(t *testing.T) {
+	is := is.New(t)
+	guard := startGuards(t, 1)[0]
+	is.True(!guard.Lost("call", "innocent", "engine-1"))
+	guard.Answered("call", "innocent")
+	is.True(!guard.Lost("later", "innocent", "engine-2"))
+}
+
+// TestPopularRequestsOutliveAnOutage loses all engines at once with the same
+// request on each, which was answered before.
+func TestPopularRequestsOutliveAnOutage(t *testing.T) {
+	is := is.New(t)
+	guard := startGuards(t, 1)[0]
+	release, refused := guard.Admit(context.Background(), "first", "popular")
+	is.Equal(refused, nil)
+	guard.Answered("first", "popular")
+	release()
+	for i := range 6 {
+		is.True(!guard.Lost(fmt.Sprint("call-", i), "popular", fmt.Sprint("engine-", i)))
+	}
+	release, refused = guard.Admit(context.Background(), "next", "popular")
+	is.Equal(refused, nil)
+	release()
+}
--- a/site/harness_test.go
+++ b/site/harness_test.go
@@ -48,6 +48,8 @@
 	*site.Site
 
 	settings settings.Settings
+	// kill ends the daemon at once.
+	kill func()
 }
 
 // newWorld starts a deployment and waits until every host is ready.
@@ -186,8 +188,9 @@
 		cancel()
 		return nil, err
 	}
-	w.t.Cleanup(func() { cancel(); n.Wait() })
-	return &testHost{Site: n, settings: s}, nil
+	kill := func() { cancel(); n.Wait() }
+	w.t.Cleanup(kill)
+	return &testHost{Site: n, settings: s, kill: kill}, nil
 }
 
 // await waits until a condition holds.
--- a/standin/platform_engine.go
+++ b/standin/platform_engine.go
@@ -47,6 +47,8 @@
 	memories  map[string]bool
 	continued int
 	pace      time.Duration
+	// crash is what ends the engine, if set.
+	crash *platformCrash
 }
 
 // PlatformFault is what goes wrong with the next requests.
@@ -82,7 +84,13 @@
 
 // NewPlatformEngine starts an engine with weights 1.
 func NewPlatformEngine(id, service, zone, model string) (*PlatformEngine, error) {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	return NewPlatformEngineAt("127.0.0.1:0", id, service, zone, model)
+}
+
+// NewPlatformEngineAt starts an engine with weights 1 at an address, where
+// one that has crashed may have listened before.
+func NewPlatformEngineAt(address, id, service, zone, model string) (*PlatformEngine, error) {
+	listener, err := net.Listen("tcp4", address)
 	if err != nil {
 		return nil, err
 	}
@@ -288,6 +296,7 @@
 	if fault != UncertifiedFault {
 		w.Header().Set("X-Response-Stamp", e.ID+"."+id)
 	}
+	e.crashNow(w, r, BeforeHead)
 	switch fault {
 	case ResetFault:
 		panic(http.ErrAbortHandler)
@@ -309,6 +318,7 @@
 		return
 	}
 	w.Header().Set("X-Weight-Versions", strconv.FormatInt(weights, 10))
+	e.crashNow(w, r, AfterHead)
 	e.stream(w, r, fault)
 }
 
@@ -370,6 +380,7 @@
 		}
 		writeEvent(w, i)
 		_ = flush.Flush()
+		e.crashNow(w, r, AfterEvent)
 		if fault == PauseFault && i == after+1 {
 			select {
 			case <-r.Context().Done():
