fix: each engine lost in a call and its answer count

What callers saw: a call that lost two engines was held for one loss; one that was answered after a loss stayed suspected, so the next loss refused it. Cause: records had the call's id, and a table keeps the first record of an id. Why it works: each record has an id of its own; merging stays idempotent. Ruled out: ids made of call and engine, since an engine may end twice in a call.

--- a/crash/guard.go
+++ b/crash/guard.go
@@ -5,9 +5,11 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -58,6 +60,8 @@
 	Options
 
 	fresh chan []quarantine.Record
+	// serial tells the records of one attempt apart.
+	serial atomic.Int64
 	// mu guards table and trials.
 	mu     sync.Mutex
 	table  quarantine.Table
@@ -164,7 +168,7 @@
 // and tells whether the request is condemned now.
 func (g *Guard) Lost(attempt string, f quarantine.Fingerprint, engine string) (condemned bool) {
 	now := time.Now()
-	g.merge([]quarantine.Record{{ID: attempt, Fingerprint: f, Engine: engine, At: now}}, "Own")
+	g.merge([]quarantine.Record{{ID: g.recordID(attempt), Fingerprint: f, Engine: engine, At: now}}, "Own")
 	j := g.judge(f, now)
 	event.LossRecorded.Info("Attempt", attempt, "Fingerprint", f, "Upstream", engine, "Verdict", j.Verdict,
 		"Losses", j.Losses, "OtherLosses", j.OtherLosses, "Shared", j.Shared)
@@ -175,11 +179,14 @@
 func (g *Guard) Answered(attempt string, f quarantine.Fingerprint) {
 	now := time.Now()
 	if j := g.judge(f, now); j.Verdict != quarantine.Clean {
-		g.merge([]quarantine.Record{{ID: attempt, Fingerprint: f, Answered: true, At: now}}, "Own")
+		g.merge([]quarantine.Record{{ID: g.recordID(attempt), Fingerprint: f, Answered: true, At: now}}, "Own")
 		event.SuspicionEnded.Info("Attempt", attempt, "Fingerprint", f, "Verdict", j.Verdict, "Losses", j.Losses)
 	}
 }
 
+// recordID returns an id that no other record has.
+func (g *Guard) recordID(attempt string) string { return fmt.Sprint(attempt, "/", g.serial.Add(1)) }
+
 // judge tells how to treat a request and why.
 func (g *Guard) judge(f quarantine.Fingerprint, now time.Time) quarantine.Judgement {
 	g.mu.Lock()
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -44,9 +44,9 @@
 	return Fingerprint(hex.EncodeToString(h.Sum(nil)[:16]))
 }
 
-// Record tells what became of one attempt.
+// Record tells what became of a request at one engine.
 type Record struct {
-	// ID identifies the attempt, and so the record.
+	// ID identifies the record; one attempt may lead to several.
 	ID          string
 	Fingerprint Fingerprint
 	// Engine names the engine that was lost.
