fix: a caller that leaves is no failure of its upstream

What callers saw: requests whose callers had left were held against the request and against the upstream; after some, the same request was refused or found no upstream. Cause: the end of a request closes its connection, and the close was read as an end by the upstream. The check for cancelled requests never met one. Evidence: TestCallersThatLeaveAreNotHeldAgainstTheirRequest, failed before (the eighth request never reached an upstream), passes now. Why it works: an exchange tells why this side gave it up before it tells what the connection met, and only an end by the upstream's side is a loss. Ruled out: counting by the state of the request's context alone, since a try has a context of its own. Reasons of failed tries now hold the error below, on one line.

--- a/conduit/exchange.go
+++ b/conduit/exchange.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http/httputil"
 	"os"
+	"syscall"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -43,6 +44,8 @@
 	release func() bool
 	wrote   chan error
 	whole   bool
+	// ended returns why this side gave the request up, if it did.
+	ended func() error
 	// end is when the answer is given up, or zero.
 	end time.Time
 }
@@ -54,7 +57,7 @@
 	if err != nil {
 		return nil, errors.Join(ErrNotSent, err)
 	}
-	e := &Exchange{pool: p, conn: c, wrote: make(chan error, 1)}
+	e := &Exchange{pool: p, conn: c, wrote: make(chan error, 1), ended: ctx.Err}
 	if deadline, ok := ctx.Deadline(); ok {
 		e.end = deadline
 		_ = c.SetDeadline(deadline)
@@ -74,7 +77,7 @@
 	}
 	if err != nil {
 		e.Discard()
-		return nil, trace.ConnectionProblem(err, "no answer from %s", address)
+		return nil, trace.Wrap(e.cause(err), "no answer from %s", address)
 	}
 	return e, nil
 }
@@ -121,7 +124,29 @@
 }
 
 // Read reads the body.
-func (e *Exchange) Read(b []byte) (int, error) { return e.body.Read(b) }
+func (e *Exchange) Read(b []byte) (int, error) {
+	n, err := e.body.Read(b)
+	if err != nil && !errors.Is(err, io.EOF) {
+		err = e.cause(err)
+	}
+	return n, err
+}
+
+// cause returns why this side gave the request up, or else the error that the
+// connection met: its close by this side would hide the reason.
+func (e *Exchange) cause(err error) error {
+	if ended := e.ended(); ended != nil {
+		return ended
+	}
+	return err
+}
+
+// Cut tells whether an error means that the upstream's side ended the
+// connection before its answer was whole.
+func Cut(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) ||
+		errors.Is(err, syscall.EPIPE) || errors.Is(err, syscall.ETIMEDOUT)
+}
 
 // Await waits until there is more to read, or returns os.ErrDeadlineExceeded
 // after some time. The answer can be read on then all the same.
--- a/event/event.go
+++ b/event/event.go
@@ -32,10 +32,12 @@
 
 // Error logs the event as an error with structured values, on one line.
 func (e Event) Error(err error, keysAndValues ...any) {
-	plain := errors.New(strings.ReplaceAll(trace.UserMessage(err), "\n\t", ": "))
-	klog.ErrorSDepth(1, plain, e.Name, append([]any{"Event", e.Number}, keysAndValues...)...)
+	klog.ErrorSDepth(1, errors.New(Line(err)), e.Name, append([]any{"Event", e.Number}, keysAndValues...)...)
 }
 
+// Line returns an error's message on one line.
+func Line(err error) string { return strings.ReplaceAll(trace.UserMessage(err), "\n\t", ": ") }
+
 // Catalogue returns every event, ordered by number.
 func Catalogue() []Event {
 	all := slices.Concat(processEvents, requestEvents, configurationEvents, membershipEvents, routingEvents, knowledgeEvents)
--- a/forward/run.go
+++ b/forward/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"os"
 	"sync/atomic"
 	"time"
 
@@ -153,6 +154,14 @@
 	begun bool
 }
 
+// outcome returns how a try ended that was sent and met an error.
+func (a *attempt) outcome(err error) delivery.Outcome {
+	if a.late.Load() || errors.Is(err, context.DeadlineExceeded) || errors.Is(err, os.ErrDeadlineExceeded) {
+		return delivery.Late
+	}
+	return delivery.Broken
+}
+
 // try sends the request to an upstream and waits for its answer, for streams
 // for the first event.
 func (d *run) try(ctx context.Context, t target, resumeAfter string) (*call.Answer, delivery.Outcome) {
@@ -170,12 +179,9 @@
 	var err error
 	a.exchange, err = d.Sender.Send(ctx, t.address, d.call.ID, d.call.Method, raw)
 	if err != nil {
-		outcome := delivery.Broken
-		switch {
-		case errors.Is(err, conduit.ErrNotSent):
+		outcome := a.outcome(err)
+		if errors.Is(err, conduit.ErrNotSent) {
 			outcome = delivery.NotSent
-		case a.late.Load():
-			outcome = delivery.Late
 		}
 		if outcome != delivery.NotSent {
 			d.arrivals++
@@ -221,10 +227,7 @@
 	}
 	body, err := io.ReadAll(io.LimitReader(x, maxAnswerBytes))
 	if err != nil || !x.Whole() {
-		if a.late.Load() {
-			return nil, d.failed(a, delivery.Late, err)
-		}
-		return nil, d.failed(a, delivery.Broken, err)
+		return nil, d.failed(a, a.outcome(err), err)
 	}
 	answer := call.Answer{Status: x.Status, Fields: x.Fields, Body: body}
 	d.begun(a)
@@ -341,13 +344,13 @@
 	if errors.Is(err, conduit.ErrRefused) {
 		d.Pulses.Down(pulse.Short(a.id))
 	}
-	if o == delivery.Broken && a.exchange == nil && !left && d.fingerprint != "" {
+	if o == delivery.Broken && a.exchange == nil && conduit.Cut(err) && d.fingerprint != "" {
 		d.Guard.Lost(d.call.ID, d.fingerprint, a.id)
 	}
 	d.Metrics.Tagged(map[string]string{"outcome": o.String()}).Counter("tries_failed").Inc(1)
 	reason := ""
 	if err != nil {
-		reason = err.Error()
+		reason = event.Line(err)
 	}
 	status := 0
 	if a.exchange != nil {
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -48,11 +48,8 @@
 func (d *run) beginStream(a *attempt) (*call.Answer, delivery.Outcome) {
 	s := &stream{run: d, attempt: a, last: a.send.ResumeAfter}
 	err := s.fill()
-	switch {
-	case err != nil && a.late.Load():
-		return nil, d.failed(a, delivery.Late, err)
-	case err != nil:
-		return nil, d.failed(a, delivery.Broken, err)
+	if err != nil {
+		return nil, d.failed(a, a.outcome(err), err)
 	}
 	return &call.Answer{Status: a.exchange.Status, Fields: a.exchange.Fields, Stream: s}, delivery.Answered
 }
@@ -198,7 +195,7 @@
 
 // broke notes that the stream can't go on.
 func (s *stream) broke(cause error) error {
-	event.StreamBroken.Info("Request", s.call.ID, "After", s.last, "Events", s.events, "Reason", cause.Error())
+	event.StreamBroken.Info("Request", s.call.ID, "After", s.last, "Events", s.events, "Reason", event.Line(cause))
 	return cause
 }
 
--- a/site/crasher_test.go
+++ b/site/crasher_test.go
@@ -118,6 +118,35 @@
 	is.True(c.few())
 }
 
+// TestCallersThatLeaveAreNotHeldAgainstTheirRequest has callers leave while
+// upstreams work on their requests, and sends the same request again.
+func TestCallersThatLeaveAreNotHeldAgainstTheirRequest(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 1, 0, 4)
+	left := func() int {
+		n := 0
+		for _, e := range w.services {
+			n += e.LeftBy()
+		}
+		return n
+	}
+	for i := range 8 {
+		for _, e := range w.services {
+			e.Fail(standin.SilentFault, 1)
+		}
+		c := w.client(w.hosts[0])
+		id := fmt.Sprint("left-", i)
+		c.write("POST", serviceHost, "/post/a", id, nil, "body")
+		w.await("it arrives", func() bool { return w.arrived(id) == 1 })
+		is.NoErr(c.conn.Close())
+		w.await("it is given up", func() bool { return left() == i+1 })
+	}
+	for _, e := range w.services {
+		e.Fail(standin.NoFault, 0)
+	}
+	is.Equal(w.do(w.hosts[0], "POST", serviceHost, "/post/a", "stays", nil, "body").status, 200)
+}
+
 // TestReadsWithoutBodyThatEndUpstreamsAreRefused does that with reads, which
 // are known by their path and account alone.
 func TestReadsWithoutBodyThatEndUpstreamsAreRefused(t *testing.T) {
