fix: a head that isn't there at the deadline is a timeout

What callers saw: 502 instead of 504 at their deadline, and a failure and a loss held against the upstream. Cause: the HTTP library has an error of its own for the connection's deadline, which was taken for a broken connection where it came before the request's own timer. TestDeadlineIsATimeout guards the status; it did not fail before, since there the request's timer comes first. Why it works: the exchange translates that error to os.ErrDeadlineExceeded.

--- a/conduit/exchange.go
+++ b/conduit/exchange.go
@@ -138,6 +138,9 @@
 	if ended := e.ended(); ended != nil {
 		return ended
 	}
+	if errors.Is(err, fasthttp.ErrTimeout) {
+		return os.ErrDeadlineExceeded
+	}
 	return err
 }
 
--- a/site/site_test.go
+++ b/site/site_test.go
@@ -441,3 +441,15 @@
 	wait.Wait()
 	event.Discard()
 }
+
+// TestDeadlineIsATimeout has an upstream that does not answer a call before
+// its caller's deadline.
+func TestDeadlineIsATimeout(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 1, 0, 1)
+	w.services[0].Fail(standin.SilentFault, 20)
+	for i := range 10 {
+		a := w.do(w.hosts[0], "POST", serviceHost, "/post/a", fmt.Sprint("r", i), map[string]string{"X-Deadline-Ms": "150"}, fmt.Sprint(i))
+		is.Equal(a.status, 504)
+	}
+}
