fix: a stream whose engine ends counts against its request

What callers saw: streams under which engines end were sent on without end if the engine ended after the head of its answer. Cause: a try counted only if it ended before the head. Why it works: a try counts if the upstream ended the connection with at most its first eight events sent, as on the product's own path (attempt.Limits.Early). Ruled out: counting at any length. A long answer that meets two lost engines would be refused in the middle, and the longer it runs the likelier that is.

--- a/forward/run.go
+++ b/forward/run.go
@@ -34,6 +34,10 @@
 	// longPrompt is how many tokens to be read make a request worth telling
 	// other hosts of at once.
 	longPrompt = 2000
+	// earlyEvents is how many events of a stream count as its first, like
+	// attempt.Limits.Early: a request that ends its engine does so when it
+	// begins to run, and one that has run for long was only there.
+	earlyEvents = 8
 	// maxAnswerBytes bounds an answer that is held whole.
 	maxAnswerBytes = 16 << 20
 )
@@ -150,8 +154,16 @@
 	started  clock.Instant
 	// late tells that the time for this try ran out.
 	late atomic.Bool
-	// begun tells that the upstream has begun to answer.
-	begun bool
+	// begun tells that the upstream has begun to answer, events counts those
+	// that it has sent.
+	begun  bool
+	events int
+}
+
+// lostEarly tells whether the upstream ended the connection with no more than
+// its first events sent.
+func (a *attempt) lostEarly(o delivery.Outcome, err error) bool {
+	return o == delivery.Broken && conduit.Cut(err) && a.events <= earlyEvents
 }
 
 // outcome returns how a try ended that was sent and met an error.
@@ -344,7 +356,7 @@
 	if errors.Is(err, conduit.ErrRefused) {
 		d.Pulses.Down(pulse.Short(a.id))
 	}
-	if o == delivery.Broken && a.exchange == nil && conduit.Cut(err) && d.fingerprint != "" {
+	if a.lostEarly(o, err) && d.fingerprint != "" {
 		d.Guard.Lost(d.call.ID, d.fingerprint, a.id)
 	}
 	d.Metrics.Tagged(map[string]string{"outcome": o.String()}).Counter("tries_failed").Inc(1)
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -105,6 +105,7 @@
 		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			s.last = string(bytes.TrimSpace(id))
 			s.events++
+			s.attempt.events++
 		}
 	}
 }
