fix: a request that is condemned while it runs is not sent on

What callers saw: one call ended engine after engine, up to its route's bound. Cause: the verdict was asked when a call came, not before it was sent again or went on elsewhere; and a stream that had nothing left to run counted as answered, which cleared it. Why it works: the verdict is asked before each further send, whoever brought it about; what was not sent is refused, what was sent ends as unknown. Ruled out: the answer of Lost alone, which misses losses that other hosts saw.

--- a/crash/guard.go
+++ b/crash/guard.go
@@ -124,6 +124,15 @@
 	}
 }
 
+// Condemned tells whether a request that was admitted is refused by now.
+func (g *Guard) Condemned(attempt string, f quarantine.Fingerprint) bool {
+	if g.judge(f, time.Now()).Verdict != quarantine.Condemned {
+		return false
+	}
+	g.refused(attempt, f)
+	return true
+}
+
 // refused notes a request that is refused.
 func (g *Guard) refused(attempt string, f quarantine.Fingerprint) {
 	now := time.Now()
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -64,6 +64,8 @@
 // guard knows requests that crash the upstreams that run them.
 type guard interface {
 	Admit(ctx context.Context, attempt string, f quarantine.Fingerprint) (release func(), refused *request.Failure)
+	// Condemned tells whether the request is refused now.
+	Condemned(attempt string, f quarantine.Fingerprint) bool
 	Lost(attempt string, f quarantine.Fingerprint, engine string) (condemned bool)
 	Answered(attempt string, f quarantine.Fingerprint)
 }
--- a/forward/run.go
+++ b/forward/run.go
@@ -111,6 +111,10 @@
 	if ctx.Err() != nil || d.left() < leastLeft || !d.state.Again() {
 		return false
 	}
+	if d.fingerprint != "" && d.Guard.Condemned(d.call.ID, d.fingerprint) {
+		d.refusal = call.Refuse(call.Quarantined).WithRetryAfter(returnLater)
+		return false
+	}
 	if outcome == delivery.NotSent && d.arrivals == 0 || d.repeat(d.service.Name, d.stage) {
 		return true
 	}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -209,7 +209,10 @@
 	case s.done && len(s.ready) == 0:
 		s.attempt.exchange.Finish()
 		s.ended(s.attempt)
-		s.Guard.Answered(s.call.ID, s.fingerprint)
+		if s.attempt.events > 0 {
+			// Nothing was left to run for an engine that sent no event.
+			s.Guard.Answered(s.call.ID, s.fingerprint)
+		}
 	default:
 		answer.Reason = call.CallerLeft
 		s.attempt.exchange.Discard()
