fix: engines count by their ends, not by their names

What callers saw: in pools of up to three whose engines come back under their names, a request that ends them was never refused while anything else was lost too, or while another request was on the same engines. Cause: losses were counted by the engine's name, and up to four names were asked for. Class: a bound on distinct names where the pool has fewer than the bound. Why it works: a record holds when the engine was sent the request. Two losses of an engine are two ends if the second was sent after the first; four ends condemn whatever else was lost, two engines if nothing else explains them.

--- a/crash/calls_test.go
+++ b/crash/calls_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -12,8 +13,8 @@
 func TestEachLossOfACallCounts(t *testing.T) {
 	is := is.New(t)
 	guard := startGuards(t, 1)[0]
-	is.True(!guard.Lost("call", "crasher", "engine-1"))
-	is.True(guard.Lost("call", "crasher", "engine-2"))
+	is.True(!guard.Lost("call", "crasher", "engine-1", time.Now()))
+	is.True(guard.Lost("call", "crasher", "engine-2", time.Now()))
 }
 
 // TestAnAnswerAfterALossClearsTheCall answers a call that has lost an engine;
@@ -21,9 +22,9 @@
 func TestAnAnswerAfterALossClearsTheCall(t *testing.T) {
 	is := is.New(t)
 	guard := startGuards(t, 1)[0]
-	is.True(!guard.Lost("call", "innocent", "engine-1"))
+	is.True(!guard.Lost("call", "innocent", "engine-1", time.Now()))
 	guard.Answered("call", "innocent")
-	is.True(!guard.Lost("later", "innocent", "engine-2"))
+	is.True(!guard.Lost("later", "innocent", "engine-2", time.Now()))
 }
 
 // TestPopularRequestsOutliveAnOutage loses all engines at once with the same
@@ -35,8 +36,9 @@
 	is.Equal(refused, nil)
 	guard.Answered("first", "popular")
 	release()
+	sent := time.Now()
 	for i := range 6 {
-		is.True(!guard.Lost(fmt.Sprint("call-", i), "popular", fmt.Sprint("engine-", i)))
+		is.True(!guard.Lost(fmt.Sprint("call-", i), "popular", fmt.Sprint("engine-", i), sent))
 	}
 	release, refused = guard.Admit(context.Background(), "next", "popular")
 	is.Equal(refused, nil)
--- a/crash/guard.go
+++ b/crash/guard.go
@@ -173,11 +173,12 @@
 	}
 }
 
-// Lost records that an engine was lost during the first tokens of an attempt,
-// and tells whether the request is condemned now.
-func (g *Guard) Lost(attempt string, f quarantine.Fingerprint, engine string) (condemned bool) {
+// Lost records that an engine, which was sent a request at the time given, was
+// lost during the first tokens of an attempt. It tells whether the request is
+// condemned now.
+func (g *Guard) Lost(attempt string, f quarantine.Fingerprint, engine string, sent time.Time) (condemned bool) {
 	now := time.Now()
-	g.merge([]quarantine.Record{{ID: g.recordID(attempt), Fingerprint: f, Engine: engine, At: now}}, "Own")
+	g.merge([]quarantine.Record{{ID: g.recordID(attempt), Fingerprint: f, Engine: engine, Sent: sent, At: now}}, "Own")
 	j := g.judge(f, now)
 	event.LossRecorded.Info("Attempt", attempt, "Fingerprint", f, "Upstream", engine, "Verdict", j.Verdict,
 		"Losses", j.Losses, "OtherLosses", j.OtherLosses, "Shared", j.Shared)
--- a/crash/guard_test.go
+++ b/crash/guard_test.go
@@ -54,8 +54,8 @@
 func TestShared(t *testing.T) {
 	is := is.New(t)
 	guards := startGuards(t, 3)
-	is.True(!guards[0].Lost("attempt-1", "crasher", "engine-1"))
-	for !guards[1].Lost("attempt-2", "crasher", "engine-2") {
+	is.True(!guards[0].Lost("attempt-1", "crasher", "engine-1", time.Now()))
+	for !guards[1].Lost("attempt-2", "crasher", "engine-2", time.Now()) {
 		time.Sleep(10 * time.Millisecond)
 	}
 	ctx := context.Background()
@@ -78,7 +78,7 @@
 func TestTrial(t *testing.T) {
 	is := is.New(t)
 	guard := startGuards(t, 1)[0]
-	guard.Lost("attempt-1", "suspect", "engine-1")
+	guard.Lost("attempt-1", "suspect", "engine-1", time.Now())
 	ctx, cancel := context.WithCancel(context.Background())
 	release, refused := guard.Admit(ctx, "attempt", "suspect")
 	is.Equal(refused, nil)
@@ -104,9 +104,9 @@
 	for range b.N {
 		b.StopTimer()
 		guards := startGuards(b, 9)
-		guards[0].Lost("attempt-1", "crasher", "engine-1")
+		guards[0].Lost("attempt-1", "crasher", "engine-1", time.Now())
 		b.StartTimer()
-		guards[0].Lost("attempt-2", "crasher", "engine-2")
+		guards[0].Lost("attempt-2", "crasher", "engine-2", time.Now())
 		for _, guard := range guards {
 			for refused := false; !refused; {
 				release, failure := guard.Admit(ctx, "attempt", "crasher")
--- a/crash/share.go
+++ b/crash/share.go
@@ -54,7 +54,7 @@
 	for _, r := range records {
 		encoded = append(encoded, &peerpb.CrashRecord{
 			Id: r.ID, Fingerprint: string(r.Fingerprint), Engine: r.Engine, Answered: r.Answered,
-			AgeMillis: max(now.Sub(r.At).Milliseconds(), 0),
+			AgeMillis: max(now.Sub(r.At).Milliseconds(), 0), RanMillis: ran(r).Milliseconds(),
 		})
 	}
 	return encoded
@@ -64,10 +64,19 @@
 	decoded := make([]quarantine.Record, 0, len(records))
 	for _, r := range records {
 		age := time.Duration(max(r.GetAgeMillis(), 0)) * time.Millisecond
+		at := now.Add(-age)
 		decoded = append(decoded, quarantine.Record{
-			ID: r.GetId(), Fingerprint: quarantine.Fingerprint(r.GetFingerprint()), Engine: r.GetEngine(),
-			Answered: r.GetAnswered(), At: now.Add(-age),
+			ID: r.GetId(), Fingerprint: quarantine.Fingerprint(r.GetFingerprint()), Engine: r.GetEngine(), Answered: r.GetAnswered(),
+			Sent: at.Add(-time.Duration(max(r.GetRanMillis(), 0)) * time.Millisecond), At: at,
 		})
 	}
 	return decoded
 }
+
+// ran returns how long a request ran at its engine.
+func ran(r quarantine.Record) time.Duration {
+	if r.Sent.IsZero() {
+		return 0
+	}
+	return max(r.At.Sub(r.Sent), 0)
+}
--- a/dispatch/completion.go
+++ b/dispatch/completion.go
@@ -36,6 +36,8 @@
 	// attempt identifies the current or last attempt, choice is its engine.
 	attempt string
 	choice  engine.Choice
+	// sent is when the engine was sent the current attempt.
+	sent time.Time
 	// abandon ends the reader of the current attempt.
 	abandon context.CancelFunc
 	failure *request.Failure
@@ -120,13 +122,14 @@
 	case attempt.Choose:
 		c.pending = append(c.pending, c.choose(ctx, a))
 	case attempt.Send:
+		c.sent = time.Now()
 		c.send(a)
 	case attempt.Deliver:
 		c.pending = append(c.pending, c.deliver())
 	case attempt.AskBudget:
 		c.pending = append(c.pending, attempt.Budget{Granted: c.repeat()})
 	case attempt.Lost:
-		if c.crashes.Lost(a.Attempt, c.fingerprint, a.Upstream) {
+		if c.crashes.Lost(a.Attempt, c.fingerprint, a.Upstream, c.sent) {
 			c.pending = append(c.pending, attempt.Condemned{})
 		}
 	case attempt.Cancel:
--- a/forward/run.go
+++ b/forward/run.go
@@ -361,7 +361,7 @@
 		d.Pulses.Down(pulse.Short(a.id))
 	}
 	if a.lostEarly(o, err) && d.fingerprint != "" {
-		d.Guard.Lost(d.call.ID, d.fingerprint, a.id)
+		d.Guard.Lost(d.call.ID, d.fingerprint, a.id, time.Now().Add(-now.Sub(a.started)))
 	}
 	d.Metrics.Tagged(map[string]string{"outcome": o.String()}).Counter("tries_failed").Inc(1)
 	reason := ""
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -26,10 +26,13 @@
 	// background is how long the loss of another engine makes losses count
 	// less, since engines then fail for other reasons too.
 	background = 30 * time.Second
-	// enoughEngines condemns a request that alone was on each of them.
+	// enoughEngines condemns a request that alone was on each of them, while
+	// no other engine was lost.
 	enoughEngines = 2
-	// mostEngines condemns a request whoever else was there.
-	mostEngines = 4
+	// mostLosses condemns a request whoever else was there. One less refuses
+	// nine times as many innocent requests in an outage of half the engines
+	// (TestMeasure).
+	mostLosses = 4
 )
 
 // Fingerprint identifies what a request asks for, whoever sends it.
@@ -54,6 +57,9 @@
 	// Answered tells that the request was answered after all; what it was
 	// suspected of before then no longer counts.
 	Answered bool
+	// Sent is when the engine was sent the request; the zero time means just
+	// before At.
+	Sent time.Time
 	// At is when it happened, on this host's clock.
 	At time.Time
 }
@@ -76,68 +82,86 @@
 
 // Table is a set of records. It is immutable.
 type Table struct {
-	records map[string]Record
+	// records of each request are ordered by time and id.
+	records map[Fingerprint][]Record
+	count   int
 }
 
 // With returns the table with more records, and those of them that it did
 // not have. Records past their lifetime are left out, and so are those that a
 // full table drops: it may have had them before.
 func (t Table) With(now time.Time, more ...Record) (Table, []Record) {
-	merged := make(map[string]Record, len(t.records)+len(more))
-	for id, r := range t.records {
-		merged[id] = r
+	next := Table{records: make(map[Fingerprint][]Record, len(t.records)+len(more)), count: t.count}
+	for f, records := range t.records {
+		if expired(records[len(records)-1], now) {
+			next.count -= len(records)
+			continue
+		}
+		next.records[f] = records
 	}
 	var fresh []Record
 	for _, r := range more {
-		known, ok := merged[r.ID]
-		if ok && !r.At.Before(known.At) {
-			continue
-		}
-		merged[r.ID] = r
-		if !ok {
+		if !expired(r, now) && next.add(r) {
 			fresh = append(fresh, r)
 		}
 	}
-	next := Table{records: newest(merged, now)}
+	next.dropOldest()
 	return next, slices.DeleteFunc(fresh, func(r Record) bool {
-		_, kept := next.records[r.ID]
-		return !kept
+		return !slices.ContainsFunc(next.records[r.Fingerprint], func(kept Record) bool { return kept.ID == r.ID })
 	})
 }
 
-// newest drops records past their lifetime and the oldest above Capacity.
-func newest(records map[string]Record, now time.Time) map[string]Record {
-	for id, r := range records {
-		if now.Sub(r.At) >= Lifetime {
-			delete(records, id)
-		}
-	}
-	if len(records) <= Capacity {
-		return records
+func expired(r Record, now time.Time) bool { return now.Sub(r.At) >= Lifetime }
+
+// add adds a record to a table in the making, and tells whether it is new.
+// The earlier of two records with one id is kept.
+func (t *Table) add(r Record) bool {
+	records := t.records[r.Fingerprint]
+	i := slices.IndexFunc(records, func(known Record) bool { return known.ID == r.ID })
+	if i >= 0 && !r.At.Before(records[i].At) {
+		return false
 	}
-	for _, r := range sorted(records)[:len(records)-Capacity] {
-		delete(records, r.ID)
+	changed := slices.Clone(records)
+	if i >= 0 {
+		changed[i] = r
+	} else {
+		changed = append(changed, r)
+		t.count++
 	}
-	return records
+	slices.SortFunc(changed, byTime)
+	t.records[r.Fingerprint] = changed
+	return i < 0
 }
 
-// sorted returns records from the oldest to the newest.
-func sorted(records map[string]Record) []Record {
-	all := make([]Record, 0, len(records))
-	for _, r := range records {
-		all = append(all, r)
+// dropOldest drops records from a table in the making until it is within its
+// capacity.
+func (t *Table) dropOldest() {
+	if t.count <= Capacity {
+		return
 	}
-	slices.SortFunc(all, func(a, b Record) int {
-		return cmp.Or(a.At.Compare(b.At), cmp.Compare(a.ID, b.ID))
-	})
-	return all
+	for _, r := range t.Records()[:t.count-Capacity] {
+		kept := slices.DeleteFunc(slices.Clone(t.records[r.Fingerprint]), func(other Record) bool { return other.ID == r.ID })
+		if t.records[r.Fingerprint] = kept; len(kept) == 0 {
+			delete(t.records, r.Fingerprint)
+		}
+	}
+	t.count = Capacity
 }
 
+func byTime(a, b Record) int { return cmp.Or(a.At.Compare(b.At), cmp.Compare(a.ID, b.ID)) }
+
 // Len returns the number of records.
-func (t Table) Len() int { return len(t.records) }
+func (t Table) Len() int { return t.count }
 
 // Records returns the records from the oldest to the newest.
-func (t Table) Records() []Record { return sorted(t.records) }
+func (t Table) Records() []Record {
+	all := make([]Record, 0, t.count)
+	for _, records := range t.records {
+		all = append(all, records...)
+	}
+	slices.SortFunc(all, byTime)
+	return all
+}
 
 // Judgement is a verdict with what led to it.
 type Judgement struct {
@@ -154,65 +178,90 @@
 // Verdict tells how to treat a request.
 func (t Table) Verdict(f Fingerprint, now time.Time) Verdict { return t.Judge(f, now).Verdict }
 
-// Judge tells how to treat a request and why. It is condemned when it was on
-// several lost engines and no other request, not answered since, was on all
-// of them.
+// Judge tells how to treat a request and why. It is condemned when several
+// engines were lost under it, fewer if nothing else explains them: no other
+// engine was lost at the time, and no other request, not answered since, was
+// on all of them.
 func (t Table) Judge(f Fingerprint, now time.Time) Judgement {
 	losses := t.losses(f, now)
 	if len(losses) == 0 {
 		return Judgement{Verdict: Clean}
 	}
-	j := Judgement{Verdict: Suspect, Losses: len(losses), OtherLosses: t.otherLosses(f, losses)}
-	for _, l := range losses {
-		if l.At.After(j.Last) {
-			j.Last = l.At
-		}
-	}
-	if j.Losses >= enoughEngines {
-		j.Shared = t.shared(f, losses, now)
+	last := lastOfEach(losses)
+	j := Judgement{Verdict: Suspect, Losses: countLosses(losses), OtherLosses: t.otherLosses(f, last), Last: losses[len(losses)-1].At}
+	if len(last) >= enoughEngines {
+		j.Shared = t.shared(f, last, now)
 	}
-	if j.Losses >= mostEngines || j.Losses >= enoughEngines+j.OtherLosses && !j.Shared {
+	alone := len(last) >= enoughEngines && j.OtherLosses == 0 && !j.Shared
+	if j.Losses >= mostLosses || alone {
 		j.Verdict = Condemned
 	}
 	return j
 }
 
-// losses returns the last loss of each engine that was lost with a request
-// since it was last answered.
-func (t Table) losses(f Fingerprint, now time.Time) map[string]Record {
-	var answered time.Time
-	for _, r := range t.records {
-		if r.Fingerprint == f && r.Answered && r.At.After(answered) {
-			answered = r.At
+// losses returns the losses of a request since it was last answered, the
+// oldest first.
+func (t Table) losses(f Fingerprint, now time.Time) []Record {
+	var found []Record
+	for _, r := range t.records[f] {
+		switch {
+		case r.Answered:
+			found = nil
+		case !expired(r, now):
+			found = append(found, r)
 		}
 	}
-	found := map[string]Record{}
-	for _, r := range t.records {
-		if r.Fingerprint != f || r.Answered || !r.At.After(answered) || now.Sub(r.At) >= Lifetime {
-			continue
+	return found
+}
+
+// countLosses counts how often engines were lost. Those of one engine count
+// once if the request was sent before the loss before: that was the same end,
+// seen by several.
+func countLosses(losses []Record) int {
+	count := 0
+	ended := map[string]time.Time{}
+	for _, r := range losses {
+		sent := r.Sent
+		if sent.IsZero() {
+			sent = r.At
 		}
-		if last, ok := found[r.Engine]; !ok || r.At.After(last.At) {
-			found[r.Engine] = r
+		if before, ok := ended[r.Engine]; !ok || sent.After(before) {
+			count++
 		}
+		ended[r.Engine] = r.At
 	}
-	return found
+	return count
+}
+
+// lastOfEach returns the last loss of each engine.
+func lastOfEach(losses []Record) map[string]Record {
+	last := map[string]Record{}
+	for _, r := range losses {
+		last[r.Engine] = r
+	}
+	return last
 }
 
 // otherLosses counts engines that were lost without the request shortly
-// before or after, up to the number that leaves only mostEngines to count.
-func (t Table) otherLosses(f Fingerprint, losses map[string]Record) int {
+// before or after.
+func (t Table) otherLosses(f Fingerprint, last map[string]Record) int {
 	engines := map[string]bool{}
-	for _, r := range t.records {
-		if _, with := losses[r.Engine]; !with && !r.Answered && r.Fingerprint != f && near(r, losses, background) {
-			engines[r.Engine] = true
+	for other, records := range t.records {
+		if other == f {
+			continue
+		}
+		for _, r := range records {
+			if _, with := last[r.Engine]; !with && !r.Answered && near(r, last, background) {
+				engines[r.Engine] = true
+			}
 		}
 	}
-	return min(len(engines), mostEngines-enoughEngines)
+	return len(engines)
 }
 
 // near tells whether a record is within a time of one of the losses.
-func near(r Record, losses map[string]Record, d time.Duration) bool {
-	for _, l := range losses {
+func near(r Record, last map[string]Record, d time.Duration) bool {
+	for _, l := range last {
 		if within(r, l, d) {
 			return true
 		}
@@ -222,15 +271,9 @@
 
 // shared tells whether another request, not answered since, was on every one
 // of the lost engines.
-func (t Table) shared(f Fingerprint, losses map[string]Record, now time.Time) bool {
-	tested := map[Fingerprint]bool{f: true}
-	for _, r := range t.records {
-		l, with := losses[r.Engine]
-		if !with || tested[r.Fingerprint] || !within(r, l, sameLoss) {
-			continue
-		}
-		tested[r.Fingerprint] = true
-		if coversAll(t.losses(r.Fingerprint, now), losses) {
+func (t Table) shared(f Fingerprint, last map[string]Record, now time.Time) bool {
+	for other := range t.records {
+		if other != f && coversAll(lastOfEach(t.losses(other, now)), last) {
 			return true
 		}
 	}
