fix: what is known of a request that lost several engines is dropped last

What callers saw: a request that ends engines was sent on while other engines ended too. Cause: the table keeps 512 records, the newest; each lost engine brings one for each request that ran there, so a few of them push out what condemns. Why it works: a record holds how many losses its host knew of, so the newest one speaks for those that were dropped, and records that count few are dropped first. The order is total over records, so hosts still agree without an order (TestMerge). The share every two seconds sends what tells most, not what is newest. Ruled out: more room alone; 30 engines lost at once bring 1,920 records.

--- a/crash/guard.go
+++ b/crash/guard.go
@@ -96,7 +96,7 @@
 					g.share(ctx, more, fanOut)
 				}
 			case <-ticker.C:
-				g.share(ctx, g.latest(), 1)
+				g.share(ctx, g.heaviest(), 1)
 			}
 		}
 	})
@@ -178,7 +178,7 @@
 // condemned now.
 func (g *Guard) Lost(attempt string, f quarantine.Fingerprint, engine string, sent time.Time) (condemned bool) {
 	now := time.Now()
-	g.merge([]quarantine.Record{{ID: g.recordID(attempt), Fingerprint: f, Engine: engine, Sent: sent, At: now}}, "Own")
+	g.add(quarantine.Record{ID: g.recordID(attempt), Fingerprint: f, Engine: engine, Sent: sent, At: now})
 	j := g.judge(f, now)
 	event.LossRecorded.Info("Attempt", attempt, "Fingerprint", f, "Upstream", engine, "Verdict", j.Verdict,
 		"Losses", j.Losses, "OtherLosses", j.OtherLosses, "Shared", j.Shared)
@@ -189,11 +189,19 @@
 func (g *Guard) Answered(attempt string, f quarantine.Fingerprint) {
 	now := time.Now()
 	if j := g.judge(f, now); j.Verdict != quarantine.Clean {
-		g.merge([]quarantine.Record{{ID: g.recordID(attempt), Fingerprint: f, Answered: true, At: now}}, "Own")
+		g.add(quarantine.Record{ID: g.recordID(attempt), Fingerprint: f, Answered: true, At: now})
 		event.SuspicionEnded.Info("Attempt", attempt, "Fingerprint", f, "Verdict", j.Verdict, "Losses", j.Losses)
 	}
 }
 
+// add adds a record of this host, with what it knows of the request.
+func (g *Guard) add(r quarantine.Record) {
+	g.mu.Lock()
+	r = g.table.Counted(r, r.At)
+	g.mu.Unlock()
+	g.merge([]quarantine.Record{r}, "Own")
+}
+
 // recordID returns an id that no other record has.
 func (g *Guard) recordID(attempt string) string { return fmt.Sprint(attempt, "/", g.serial.Add(1)) }
 
@@ -256,8 +264,8 @@
 	}
 }
 
-// latest returns the newest records.
-func (g *Guard) latest() []quarantine.Record {
+// heaviest returns the records that tell most.
+func (g *Guard) heaviest() []quarantine.Record {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	records := g.table.Records()
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -19,8 +19,9 @@
 const (
 	// Lifetime is how long a record counts.
 	Lifetime = 10 * time.Minute
-	// Capacity bounds the records of a table; the newest are kept.
-	Capacity = 512
+	// Capacity bounds the records of a table: the requests that run on 30
+	// engines with 64 places each, lost at once, and some more.
+	Capacity = 2048
 	// sameLoss is how far apart the records of one lost engine may be.
 	sameLoss = 3 * time.Second
 	// background is how long the loss of another engine makes losses count
@@ -62,6 +63,9 @@
 	Sent time.Time
 	// At is when it happened, on this host's clock.
 	At time.Time
+	// Losses counts the losses that its host knew of, with this one; for an
+	// answer, those that it clears. It holds when their records are dropped.
+	Losses int
 }
 
 // Verdict tells how to treat a request.
@@ -105,7 +109,7 @@
 			fresh = append(fresh, r)
 		}
 	}
-	next.dropOldest()
+	next.dropLightest()
 	return next, slices.DeleteFunc(fresh, func(r Record) bool {
 		return !slices.ContainsFunc(next.records[r.Fingerprint], func(kept Record) bool { return kept.ID == r.ID })
 	})
@@ -133,9 +137,10 @@
 	return i < 0
 }
 
-// dropOldest drops records from a table in the making until it is within its
-// capacity.
-func (t *Table) dropOldest() {
+// dropLightest drops what tells least from a table in the making until it is
+// within its capacity, so that many requests on one lost engine don't push
+// out what is known of a request that lost several.
+func (t *Table) dropLightest() {
 	if t.count <= Capacity {
 		return
 	}
@@ -153,13 +158,14 @@
 // Len returns the number of records.
 func (t Table) Len() int { return t.count }
 
-// Records returns the records from the oldest to the newest.
+// Records returns the records from those that tell least to those that tell
+// most: by the losses that they count, and the oldest first.
 func (t Table) Records() []Record {
 	all := make([]Record, 0, t.count)
 	for _, records := range t.records {
 		all = append(all, records...)
 	}
-	slices.SortFunc(all, byTime)
+	slices.SortFunc(all, func(a, b Record) int { return cmp.Or(cmp.Compare(a.Losses, b.Losses), byTime(a, b)) })
 	return all
 }
 
@@ -199,6 +205,15 @@
 	return j
 }
 
+// Counted returns a record with the number of losses that the table knows of.
+func (t Table) Counted(r Record, now time.Time) Record {
+	if !r.Answered {
+		t, _ = t.With(now, r)
+	}
+	r.Losses = t.Judge(r.Fingerprint, now).Losses
+	return r
+}
+
 // losses returns the losses of a request since it was last answered, the
 // oldest first.
 func (t Table) losses(f Fingerprint, now time.Time) []Record {
@@ -218,7 +233,7 @@
 // once if the request was sent before the loss before: that was the same end,
 // seen by several.
 func countLosses(losses []Record) int {
-	count := 0
+	count, counted := 0, 0
 	ended := map[string]time.Time{}
 	for _, r := range losses {
 		sent := r.Sent
@@ -229,8 +244,9 @@
 			count++
 		}
 		ended[r.Engine] = r.At
+		counted = max(counted, r.Losses)
 	}
-	return count
+	return max(count, counted)
 }
 
 // lastOfEach returns the last loss of each engine.
