fix: an outage doesn't condemn a request that was answered before

What callers saw: when the engines that ran a popular request were lost together, it was refused for ten minutes. Cause: engines lost at one moment counted like engines lost one after the other. Why it works: hosts remember 2,048 requests that they answered within ten minutes; of such a request only losses that follow each other count. Ruled out: counting only losses in sequence for all requests, since a request that is sent to nine hosts at once would then take 18 engines instead of 9.

--- a/crash/guard.go
+++ b/crash/guard.go
@@ -62,6 +62,7 @@
 	fresh chan []quarantine.Record
 	// serial tells the records of one attempt apart.
 	serial atomic.Int64
+	sound  soundRequests
 	// mu guards table and trials.
 	mu     sync.Mutex
 	table  quarantine.Table
@@ -178,7 +179,7 @@
 // condemned now.
 func (g *Guard) Lost(attempt string, f quarantine.Fingerprint, engine string, sent time.Time) (condemned bool) {
 	now := time.Now()
-	g.add(quarantine.Record{ID: g.recordID(attempt), Fingerprint: f, Engine: engine, Sent: sent, At: now})
+	g.add(quarantine.Record{ID: g.recordID(attempt), Fingerprint: f, Engine: engine, Sent: sent, At: now, Sound: g.sound.has(f, now)})
 	j := g.judge(f, now)
 	event.LossRecorded.Info("Attempt", attempt, "Fingerprint", f, "Upstream", engine, "Verdict", j.Verdict,
 		"Losses", j.Losses, "OtherLosses", j.OtherLosses, "Shared", j.Shared)
@@ -188,6 +189,7 @@
 // Answered records that a request was answered, if it was suspected.
 func (g *Guard) Answered(attempt string, f quarantine.Fingerprint) {
 	now := time.Now()
+	g.sound.add(f, now)
 	if j := g.judge(f, now); j.Verdict != quarantine.Clean {
 		g.add(quarantine.Record{ID: g.recordID(attempt), Fingerprint: f, Answered: true, At: now})
 		event.SuspicionEnded.Info("Attempt", attempt, "Fingerprint", f, "Verdict", j.Verdict, "Losses", j.Losses)
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -66,6 +66,8 @@
 	// Losses counts the losses that its host knew of, with this one; for an
 	// answer, those that it clears. It holds when their records are dropped.
 	Losses int
+	// Sound tells that the request had been answered lately before the loss.
+	Sound bool
 }
 
 // Verdict tells how to treat a request.
@@ -198,7 +200,7 @@
 	if len(last) >= enoughEngines {
 		j.Shared = t.shared(f, last, now)
 	}
-	alone := len(last) >= enoughEngines && j.OtherLosses == 0 && !j.Shared
+	alone := len(last) >= enoughEngines && j.OtherLosses == 0 && !j.Shared && !sound(losses)
 	if j.Losses >= mostLosses || alone {
 		j.Verdict = Condemned
 	}
@@ -229,21 +231,31 @@
 	return found
 }
 
+func sound(losses []Record) bool {
+	return slices.ContainsFunc(losses, func(r Record) bool { return r.Sound })
+}
+
 // countLosses counts how often engines were lost. Those of one engine count
 // once if the request was sent before the loss before: that was the same end,
-// seen by several.
+// seen by several. Of a request that is known to be sound, only losses that
+// follow each other count, since an outage takes all that runs.
 func countLosses(losses []Record) int {
+	known := sound(losses)
 	count, counted := 0, 0
 	ended := map[string]time.Time{}
 	for _, r := range losses {
+		engine := r.Engine
+		if known {
+			engine = ""
+		}
 		sent := r.Sent
 		if sent.IsZero() {
 			sent = r.At
 		}
-		if before, ok := ended[r.Engine]; !ok || sent.After(before) {
+		if before, ok := ended[engine]; !ok || sent.After(before) {
 			count++
 		}
-		ended[r.Engine] = r.At
+		ended[engine] = r.At
 		counted = max(counted, r.Losses)
 	}
 	return max(count, counted)
