fix: requests without a body count, by path and account

What callers saw: a read that ends whatever runs it was sent on without end, twice a call: '24 upstreams in 12 calls' here, 'sent N times more, N ended' in the report. Cause: requests without a body were thought too alike to be told apart and never asked for a verdict. Class: an exception that turned a check off for a whole kind. Why it works: path and account are what the users' pages tell such requests by; one that is answered anywhere is cleared, and one that was answered before is not held for an outage. Also: who waits behind a trial of the same request until the deadline, or leaves, is no longer told that the request is refused for half a minute.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -168,12 +168,11 @@
 		return *refusal
 	}
 	ctx, cancel := context.WithTimeout(ctx, d.left())
-	release, condemned := d.guardAdmit(ctx)
-	if condemned {
+	release, refusal := d.guardAdmit(ctx)
+	if refusal != nil {
 		cancel()
-		answer := call.Refuse(call.Quarantined).WithRetryAfter(returnLater)
-		d.finish(answer)
-		return answer
+		d.finish(*refusal)
+		return *refusal
 	}
 	d.ctx, d.release = ctx, func() { release(); cancel() }
 	answer := d.run(ctx)
--- a/forward/run.go
+++ b/forward/run.go
@@ -76,15 +76,22 @@
 // left returns the time until the end.
 func (d *run) left() time.Duration { return d.end.Sub(clock.Now()) }
 
-// guardAdmit asks whether the request crashes upstreams. Requests without a
-// body are too alike to be told apart.
-func (d *run) guardAdmit(ctx context.Context) (release func(), condemned bool) {
-	if len(d.call.Body) == 0 {
-		return func() {}, false
-	}
+// guardAdmit asks whether the request crashes upstreams. It returns why the
+// request is refused, if it is.
+func (d *run) guardAdmit(ctx context.Context) (release func(), refusal *call.Answer) {
 	d.fingerprint = quarantine.Of(request.Request{Model: d.account.Name, Path: d.call.Target, Body: d.call.Body})
 	release, refused := d.Guard.Admit(ctx, d.call.ID, d.fingerprint)
-	return release, refused != nil
+	if refused == nil {
+		return release, nil
+	}
+	answer := call.Refuse(call.DeadlinePast)
+	switch {
+	case refused.Code == request.Quarantined:
+		answer = call.Refuse(call.Quarantined).WithRetryAfter(returnLater)
+	case errors.Is(ctx.Err(), context.Canceled):
+		answer = call.Refuse(call.CallerLeft)
+	}
+	return nil, &answer
 }
 
 // run tries upstreams until there is an answer.
@@ -111,7 +118,7 @@
 	if ctx.Err() != nil || d.left() < leastLeft || !d.state.Again() {
 		return false
 	}
-	if d.fingerprint != "" && d.Guard.Condemned(d.call.ID, d.fingerprint) {
+	if d.Guard.Condemned(d.call.ID, d.fingerprint) {
 		d.refusal = call.Refuse(call.Quarantined).WithRetryAfter(returnLater)
 		return false
 	}
@@ -360,7 +367,7 @@
 	if errors.Is(err, conduit.ErrRefused) {
 		d.Pulses.Down(pulse.Short(a.id))
 	}
-	if a.lostEarly(o, err) && d.fingerprint != "" {
+	if a.lostEarly(o, err) {
 		d.Guard.Lost(d.call.ID, d.fingerprint, a.id, time.Now().Add(-now.Sub(a.started)))
 	}
 	d.Metrics.Tagged(map[string]string{"outcome": o.String()}).Counter("tries_failed").Inc(1)
