fix: the platform's store keeps what condemns a request

What callers saw: a request that ends engines ran again after all hosts were started anew, and through a host that no other one could reach, though it reached the store. Cause: what condemns was kept in the hosts' memory and told from host to host only. Class: state that must outlast a process, kept in processes. Why it works: the host at which a request is condemned, or loses its third engine, writes the record to a keyed topic; every host follows that topic. At most two losses can be forgotten, so that with the four that condemn six engines end at most. Ruled out: reading at a start alone, which leaves hosts that are cut off; every record in the store, which costs a call for each request that meets a lost engine.

--- a/crash/guard.go
+++ b/crash/guard.go
@@ -51,6 +51,9 @@
 	Peers func() []string
 	// Sender calls other hosts.
 	Sender sender
+	// Store keeps records of requests that lost several engines; nil keeps
+	// none.
+	Store store
 	// Metrics counts records and verdicts; nil counts nothing.
 	Metrics tally.Scope
 }
@@ -63,10 +66,14 @@
 	// serial tells the records of one attempt apart.
 	serial atomic.Int64
 	sound  soundRequests
-	// mu guards table and trials.
+	// wake tells that there is a record to be written to the store.
+	wake chan struct{}
+	// mu guards the fields below.
 	mu     sync.Mutex
 	table  quarantine.Table
 	trials map[quarantine.Fingerprint]*trial
+	// unkept holds what is to be written to the store.
+	unkept map[quarantine.Fingerprint]quarantine.Record
 }
 
 // trial counts the requests with one fingerprint that run on this host.
@@ -81,7 +88,12 @@
 	if o.Metrics == nil {
 		o.Metrics = tally.NoopScope
 	}
-	g := &Guard{Options: o, fresh: make(chan []quarantine.Record, waiting), trials: map[quarantine.Fingerprint]*trial{}}
+	g := &Guard{Options: o, fresh: make(chan []quarantine.Record, waiting), trials: map[quarantine.Fingerprint]*trial{},
+		wake: make(chan struct{}, 1), unkept: map[quarantine.Fingerprint]quarantine.Record{}}
+	if g.Store != nil {
+		wait.Go(func() { g.follow(ctx) })
+		wait.Go(func() { g.write(ctx) })
+	}
 	wait.Go(func() {
 		ticker := time.NewTicker(repeatInterval)
 		defer ticker.Stop()
@@ -202,6 +214,10 @@
 	r = g.table.Counted(r, r.At)
 	g.mu.Unlock()
 	g.merge([]quarantine.Record{r}, "Own")
+	r.Condemned = g.judge(r.Fingerprint, r.At).Verdict == quarantine.Condemned
+	if r.Losses >= keptLosses || r.Condemned {
+		g.keep(r)
+	}
 }
 
 // recordID returns an id that no other record has.
--- /dev/null
+++ b/crash/kept.go
@@ -0,0 +1,147 @@
+package crash
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/kumquathoist/kumquathoist/clock"
+	"github.com/kumquathoist/kumquathoist/event"
+	"github.com/kumquathoist/kumquathoist/quarantine"
+)
+
+const (
+	// keptLosses is after how many lost engines a record is kept in the store.
+	// With one less, an outage of many engines would have hosts write one for
+	// each of the requests that met two of them.
+	keptLosses = 3
+	// storeWait is how long a read of the store waits for news: two calls a
+	// minute from each host while there are none.
+	storeWait = 25 * time.Second
+	// storeAllowance is how much longer than its wait a call may take.
+	storeAllowance = 1500 * time.Millisecond
+	// storePause is the mean pause after a failed call; other hosts tell the
+	// same meanwhile.
+	storePause = 2 * time.Second
+)
+
+// store keeps records beyond the life of the hosts, and brings them to hosts
+// that no other can reach.
+type store interface {
+	// Crashers returns the records from a position on and the next position,
+	// waiting for the first; below 0, the newest of each request at once.
+	Crashers(ctx context.Context, from int64, wait time.Duration) (records []quarantine.Record, next int64, err error)
+	// KeepCrasher keeps a record in place of the one before of its request.
+	KeepCrasher(ctx context.Context, r quarantine.Record) error
+	// DropCrasher removes the record of a request.
+	DropCrasher(ctx context.Context, f quarantine.Fingerprint) error
+}
+
+// follow merges what the store keeps until the context ends.
+func (g *Guard) follow(ctx context.Context) {
+	position, lost := int64(-1), false
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, storeWait+storeAllowance)
+		records, next, err := g.Store.Crashers(call, position, storeWait)
+		cancel()
+		switch {
+		case ctx.Err() != nil:
+			return
+		case err != nil:
+			if !lost {
+				event.KeptRecordsLost.Error(err)
+			}
+			lost = true
+			clock.Pause(ctx, storePause)
+			continue
+		case lost:
+			lost = false
+			event.KeptRecordsBack.Info("Position", next)
+		}
+		if position < 0 {
+			g.dropExpired(records)
+		}
+		position = next
+		g.merge(records, "Store")
+	}
+}
+
+// dropExpired has records removed that no longer count. Each host that starts
+// does its share.
+func (g *Guard) dropExpired(records []quarantine.Record) {
+	now := time.Now()
+	for _, r := range records {
+		if now.Sub(r.At) >= quarantine.Lifetime && rand.IntN(1+len(g.Peers())) == 0 {
+			r.Answered = true
+			g.keep(r)
+		}
+	}
+}
+
+// keep has a record written to the store; that of an answer removes what the
+// store has of its request.
+func (g *Guard) keep(r quarantine.Record) {
+	if g.Store == nil {
+		return
+	}
+	g.mu.Lock()
+	g.unkept[r.Fingerprint] = r
+	g.mu.Unlock()
+	select {
+	case g.wake <- struct{}{}:
+	default:
+	}
+}
+
+// write writes records to the store until the context ends.
+func (g *Guard) write(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-g.wake:
+		}
+		for r, ok := g.nextUnkept(); ok && ctx.Err() == nil; r, ok = g.nextUnkept() {
+			call, cancel := context.WithTimeout(ctx, storeAllowance)
+			err := g.writeOne(call, r)
+			cancel()
+			if err == nil {
+				event.RecordKept.Info("Fingerprint", r.Fingerprint, "Losses", r.Losses, "Removed", r.Answered)
+				g.kept(r)
+				continue
+			}
+			event.RecordNotKept.Error(err, "Fingerprint", r.Fingerprint)
+			clock.Pause(ctx, storePause)
+		}
+	}
+}
+
+func (g *Guard) writeOne(ctx context.Context, r quarantine.Record) error {
+	if r.Answered {
+		return g.Store.DropCrasher(ctx, r.Fingerprint)
+	}
+	return g.Store.KeepCrasher(ctx, r)
+}
+
+// nextUnkept returns a record that is to be written.
+func (g *Guard) nextUnkept() (quarantine.Record, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for f, r := range g.unkept {
+		if time.Since(r.At) >= quarantine.Lifetime && !r.Answered {
+			delete(g.unkept, f)
+			continue
+		}
+		return r, true
+	}
+	return quarantine.Record{}, false
+}
+
+// kept notes that a record was written, unless there is a newer one.
+func (g *Guard) kept(r quarantine.Record) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.unkept[r.Fingerprint].ID == r.ID {
+		delete(g.unkept, r.Fingerprint)
+	}
+}
--- a/event/knowledge.go
+++ b/event/knowledge.go
@@ -37,9 +37,18 @@
 	FeedBack = Event{6202, "feed back", "An engine or a store of parts tells again what it caches. With a gap, some parts may be believed that were dropped."}
 	// CacheLost reports an engine or store that has lost its cache.
 	CacheLost = Event{6203, "cache lost", "An engine or a store of parts has restarted with an empty cache."}
+	// KeptRecordsLost reports that the store's records can't be read.
+	KeptRecordsLost = Event{6301, "kept records lost", "The store's records of requests that crash engines can't be read; those that other hosts tell of are known all the same."}
+	// KeptRecordsBack reports that they can be read again.
+	KeptRecordsBack = Event{6302, "kept records back", "The store's records of requests that crash engines can be read again."}
+	// RecordKept reports a record that was written to the store.
+	RecordKept = Event{6303, "record kept", "A record of a request that lost several engines was written to the store, or removed there, so that it holds on hosts that start later."}
+	// RecordNotKept reports a record that was not written; it is tried again.
+	RecordNotKept = Event{6304, "record not kept", "The store did not take a record of a request that lost several engines; it is written again within seconds."}
 )
 
 var knowledgeEvents = []Event{
 	StoreLost, StoreBack, HistoryTrimmed, CatalogChanged, WeightsNamed, UpstreamChanged, UpstreamGone, RecordRejected,
 	WarrantTaken, WarrantMissed, WarrantHeard, LoadOrdered, LoadEnded, UpstreamRested, FeedLost, FeedBack, CacheLost,
+	KeptRecordsLost, KeptRecordsBack, RecordKept, RecordNotKept,
 }
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -68,6 +68,9 @@
 	Losses int
 	// Sound tells that the request had been answered lately before the loss.
 	Sound bool
+	// Condemned tells that the request was condemned with this loss, by a host
+	// whose other records are not at hand.
+	Condemned bool
 }
 
 // Verdict tells how to treat a request.
@@ -201,7 +204,7 @@
 		j.Shared = t.shared(f, last, now)
 	}
 	alone := len(last) >= enoughEngines && j.OtherLosses == 0 && !j.Shared && !sound(losses)
-	if j.Losses >= mostLosses || alone {
+	if j.Losses >= mostLosses || alone || condemned(losses) {
 		j.Verdict = Condemned
 	}
 	return j
@@ -235,6 +238,10 @@
 	return slices.ContainsFunc(losses, func(r Record) bool { return r.Sound })
 }
 
+func condemned(losses []Record) bool {
+	return slices.ContainsFunc(losses, func(r Record) bool { return r.Condemned })
+}
+
 // countLosses counts how often engines were lost. Those of one engine count
 // once if the request was sent before the loss before: that was the same end,
 // seen by several. Of a request that is known to be sound, only losses that
--- a/site/site.go
+++ b/site/site.go
@@ -117,7 +117,7 @@
 	}
 	pool := peer.NewPool(credentials)
 	n.startPeers(ctx, pool)
-	guard := crash.NewGuard(ctx, &n.wait, crash.Options{Peers: n.others, Sender: crash.NewPeerSender(pool), Metrics: scope})
+	guard := crash.NewGuard(ctx, &n.wait, crash.Options{Peers: n.others, Sender: crash.NewPeerSender(pool), Store: n.store, Metrics: scope})
 	connections := conduit.NewPool(platform.Wire{})
 	n.wait.Go(func() { connections.Sweep(ctx) })
 	bounds := n.settings.Bounds
