fix: hosts that are cut off from each other keep to their part of the repeats

What callers saw: nothing yet; found while the cause of the incident was looked for elsewhere. Cause: the slack of the bound on repeats is divided by the hosts that are heard of. Nine hosts that hear nobody each took all of it. Class: as in the incident, a bound that holds for all hosts rests on what one process knows just now. Evidence: TestHostsThatAreCutOffKeepTheBound failed before. Why it works: the most hosts known within ten minutes count, and at least as many as there are seeds, so that a host that starts alone takes no more. Ruled out: counting hosts by their records in the store, which stay after a host has gone. Not covered: hosts forget what they sent again when they are started anew; at worst that is 0.7 of the bound twice within its window.

--- a/allowance/allowance_test.go
+++ b/allowance/allowance_test.go
@@ -71,3 +71,37 @@
 	is.True(begun >= 5)
 	is.True(fresh+begun <= 40)
 }
+
+// TestHostsThatAreCutOffKeepTheBound plays an outage in which hosts no longer
+// hear of each other: each still takes its own part only.
+func TestHostsThatAreCutOffKeepTheBound(t *testing.T) {
+	is := is.New(t)
+	bound := allowance.Bound{Ratio: 0.2, Window: 10 * time.Second, Slack: 58}
+	const hosts, perSecond, cutAt = 9, 4, 10
+	counts, peaks := make([]allowance.Allowance, hosts), make([]allowance.Peak, hosts)
+	now := clock.Instant(time.Hour)
+	var sent []int
+	for step := range 60 * perSecond {
+		now = now.Add(time.Second / perSecond)
+		known, again := hosts, 0
+		if step > cutAt*perSecond {
+			known = 1
+		}
+		for i := range counts {
+			peaks[i] = peaks[i].With(known, now)
+			counts[i].First(bound, now)
+			for range 3 {
+				if step > cutAt*perSecond && counts[i].Again(bound, allowance.Begun, peaks[i].Hosts(), now) {
+					again++
+				}
+			}
+		}
+		sent = append(sent, again)
+		window := 0
+		for _, n := range sent[max(0, len(sent)-10*perSecond):] {
+			window += n
+		}
+		requests := min(step+1, 10*perSecond) * hosts
+		is.True(float64(window) <= bound.Ratio*float64(requests)+bound.Slack)
+	}
+}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -97,7 +97,7 @@
 	Mover     mover
 	// Background is waited for at the end.
 	Background *conc.WaitGroup
-	// Hosts returns how many hosts share the bound on repeats.
+	// Hosts returns how many hosts are known that share the bound on repeats.
 	Hosts func() int
 	// FailureDomain is where this host stands.
 	FailureDomain string
@@ -117,6 +117,7 @@
 	// mu guards the fields below.
 	mu         sync.Mutex
 	allowances map[string]*allowance.Allowance
+	peak       allowance.Peak
 	cached     *cachemap.Map
 	// streams are those that run at each engine.
 	streams map[string]map[*stream]struct{}
@@ -243,20 +244,28 @@
 func (r *Router) repeat(service string, s allowance.Stage) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.allowance(service).Again(r.Repeats, s, r.Hosts(), clock.Now())
+	return r.allowance(service).Again(r.Repeats, s, r.sharers(), clock.Now())
 }
 
 // mayRepeat tells whether a service may be sent a request again now.
 func (r *Router) mayRepeat(service string, s allowance.Stage) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.allowance(service).Room(r.Repeats, s, r.Hosts(), clock.Now())
+	return r.allowance(service).Room(r.Repeats, s, r.sharers(), clock.Now())
+}
+
+// sharers returns how many hosts share the bound on repeats. The caller holds
+// mu.
+func (r *Router) sharers() int {
+	r.peak = r.peak.With(r.Hosts(), clock.Now())
+	return r.peak.Hosts()
 }
 
 // first counts a request to a service.
 func (r *Router) first(service string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.sharers() // looks at each request, since a cut may come before a repeat
 	r.allowance(service).First(r.Repeats, clock.Now())
 }
 
--- a/site/site.go
+++ b/site/site.go
@@ -125,7 +125,7 @@
 	n.router = forward.New(forward.Options{
 		Knowledge: n.keeper, Sender: connections, Encoder: platform.Wire{}, Guard: guard, Board: n.board, Pulses: sightings{n},
 		Mover: engines, Background: &n.wait,
-		Hosts:         func() int { return len(n.directory.Hosts()) },
+		Hosts:         func() int { return max(len(n.directory.Hosts()), len(n.settings.Platform.Seeds)) },
 		FailureDomain: n.settings.Host.FailureDomain,
 		Repeats:       allowance.Bound{Ratio: bounds.RepeatRatio, Window: bounds.RepeatWindow(), Slack: bounds.RepeatSlack},
 		OldWeights:    bounds.Weights() - weightsMargin, Metrics: scope,
