fix: an outage is no series of engines that end

Cause: tries at an address whose upstream was gone counted as one end each, if they followed each other. In 200 ms four tries at two services condemned the read. Why it works: a loss holds which start of the engine it was, and one start ends once. Of a request that was answered lately, losses without a pause are one outage. A condemned request is tried again after its term, a minute and more (TestTerm). Ruled out: telling ends apart by when the request was sent, since a try at a dead engine is sent after its end too.

--- a/crash/calls_test.go
+++ b/crash/calls_test.go
@@ -7,14 +7,16 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/kumquathoist/kumquathoist/quarantine"
 )
 
 // TestEachLossOfACallCounts loses several engines under one call.
 func TestEachLossOfACallCounts(t *testing.T) {
 	is := is.New(t)
 	guard := startGuards(t, 1)[0]
-	is.True(!guard.Lost("call", "crasher", "engine-1", time.Now()))
-	is.True(guard.Lost("call", "crasher", "engine-2", time.Now()))
+	is.True(!guard.Lost(quarantine.Loss{Attempt: "call", Fingerprint: "crasher", Engine: "engine-1", Sent: time.Now()}))
+	is.True(guard.Lost(quarantine.Loss{Attempt: "call", Fingerprint: "crasher", Engine: "engine-2", Sent: time.Now()}))
 }
 
 // TestAnAnswerAfterALossClearsTheCall answers a call that has lost an engine;
@@ -22,9 +24,9 @@
 func TestAnAnswerAfterALossClearsTheCall(t *testing.T) {
 	is := is.New(t)
 	guard := startGuards(t, 1)[0]
-	is.True(!guard.Lost("call", "innocent", "engine-1", time.Now()))
+	is.True(!guard.Lost(quarantine.Loss{Attempt: "call", Fingerprint: "innocent", Engine: "engine-1", Sent: time.Now()}))
 	guard.Answered("call", "innocent")
-	is.True(!guard.Lost("later", "innocent", "engine-2", time.Now()))
+	is.True(!guard.Lost(quarantine.Loss{Attempt: "later", Fingerprint: "innocent", Engine: "engine-2", Sent: time.Now()}))
 }
 
 // TestPopularRequestsOutliveAnOutage loses all engines at once with the same
@@ -38,7 +40,7 @@
 	release()
 	sent := time.Now()
 	for i := range 6 {
-		is.True(!guard.Lost(fmt.Sprint("call-", i), "popular", fmt.Sprint("engine-", i), sent))
+		is.True(!guard.Lost(quarantine.Loss{Attempt: fmt.Sprint("call-", i), Fingerprint: "popular", Engine: fmt.Sprint("engine-", i), Sent: sent}))
 	}
 	release, refused = guard.Admit(context.Background(), "next", "popular")
 	is.Equal(refused, nil)
--- a/crash/flood_test.go
+++ b/crash/flood_test.go
@@ -45,7 +45,7 @@
 	g := crash.NewGuard(ctx, &wait, crash.Options{Sender: c, Peers: func() []string { return make([]string, peers) }})
 	for i := range requests {
 		f := quarantine.Fingerprint(fmt.Sprint("f", i))
-		g.Lost(fmt.Sprint("r", i), f, "engine", time.Now())
+		g.Lost(quarantine.Loss{Attempt: fmt.Sprint("r", i), Fingerprint: f, Engine: "engine", Sent: time.Now()})
 	}
 	told := func() (int, int) {
 		c.mu.Lock()
--- a/crash/guard.go
+++ b/crash/guard.go
@@ -186,14 +186,15 @@
 	}
 }
 
-// Lost records that an engine, which was sent a request at the time given, was
-// lost during the first tokens of an attempt. It tells whether the request is
-// condemned now.
-func (g *Guard) Lost(attempt string, f quarantine.Fingerprint, engine string, sent time.Time) (condemned bool) {
+// Lost records that an engine was lost during the first tokens of a request,
+// and tells whether the request is condemned now.
+func (g *Guard) Lost(l quarantine.Loss) (condemned bool) {
 	now := time.Now()
-	g.add(quarantine.Record{ID: g.recordID(attempt), Fingerprint: f, Engine: engine, Sent: sent, At: now, Sound: g.sound.has(f, now)})
-	j := g.judge(f, now)
-	event.LossRecorded.Info("Attempt", attempt, "Fingerprint", f, "Upstream", engine, "Verdict", j.Verdict,
+	g.add(quarantine.Record{
+		ID: g.recordID(l.Attempt), Fingerprint: l.Fingerprint, Engine: l.Engine, Start: l.Start, Sent: l.Sent, At: now, Sound: g.sound.has(l.Fingerprint, now),
+	})
+	j := g.judge(l.Fingerprint, now)
+	event.LossRecorded.Info("Attempt", l.Attempt, "Fingerprint", l.Fingerprint, "Upstream", l.Engine, "Start", l.Start, "Verdict", j.Verdict,
 		"Losses", j.Losses, "OtherLosses", j.OtherLosses, "Shared", j.Shared)
 	return j.Verdict == quarantine.Condemned
 }
--- a/crash/guard_test.go
+++ b/crash/guard_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/kumquathoist/kumquathoist/crash"
 	"github.com/kumquathoist/kumquathoist/peer"
+	"github.com/kumquathoist/kumquathoist/quarantine"
 	"github.com/kumquathoist/kumquathoist/request"
 )
 
@@ -54,8 +55,8 @@
 func TestShared(t *testing.T) {
 	is := is.New(t)
 	guards := startGuards(t, 3)
-	is.True(!guards[0].Lost("attempt-1", "crasher", "engine-1", time.Now()))
-	for !guards[1].Lost("attempt-2", "crasher", "engine-2", time.Now()) {
+	is.True(!guards[0].Lost(quarantine.Loss{Attempt: "attempt-1", Fingerprint: "crasher", Engine: "engine-1", Sent: time.Now()}))
+	for !guards[1].Lost(quarantine.Loss{Attempt: "attempt-2", Fingerprint: "crasher", Engine: "engine-2", Sent: time.Now()}) {
 		time.Sleep(10 * time.Millisecond)
 	}
 	ctx := context.Background()
@@ -78,7 +79,7 @@
 func TestTrial(t *testing.T) {
 	is := is.New(t)
 	guard := startGuards(t, 1)[0]
-	guard.Lost("attempt-1", "suspect", "engine-1", time.Now())
+	guard.Lost(quarantine.Loss{Attempt: "attempt-1", Fingerprint: "suspect", Engine: "engine-1", Sent: time.Now()})
 	ctx, cancel := context.WithCancel(context.Background())
 	release, refused := guard.Admit(ctx, "attempt", "suspect")
 	is.Equal(refused, nil)
@@ -104,9 +105,9 @@
 	for range b.N {
 		b.StopTimer()
 		guards := startGuards(b, 9)
-		guards[0].Lost("attempt-1", "crasher", "engine-1", time.Now())
+		guards[0].Lost(quarantine.Loss{Attempt: "attempt-1", Fingerprint: "crasher", Engine: "engine-1", Sent: time.Now()})
 		b.StartTimer()
-		guards[0].Lost("attempt-2", "crasher", "engine-2", time.Now())
+		guards[0].Lost(quarantine.Loss{Attempt: "attempt-2", Fingerprint: "crasher", Engine: "engine-2", Sent: time.Now()})
 		for _, guard := range guards {
 			for refused := false; !refused; {
 				release, failure := guard.Admit(ctx, "attempt", "crasher")
--- a/crash/share.go
+++ b/crash/share.go
@@ -53,7 +53,7 @@
 	encoded := make([]*peerpb.CrashRecord, 0, len(records))
 	for _, r := range records {
 		encoded = append(encoded, &peerpb.CrashRecord{
-			Id: r.ID, Fingerprint: string(r.Fingerprint), Engine: r.Engine, Answered: r.Answered,
+			Id: r.ID, Fingerprint: string(r.Fingerprint), Engine: r.Engine, Start: r.Start, Answered: r.Answered,
 			AgeMillis: max(now.Sub(r.At).Milliseconds(), 0), RanMillis: ran(r).Milliseconds(), Losses: int32(r.Losses), Sound: r.Sound,
 		})
 	}
@@ -66,7 +66,7 @@
 		age := time.Duration(max(r.GetAgeMillis(), 0)) * time.Millisecond
 		at := now.Add(-age)
 		decoded = append(decoded, quarantine.Record{
-			ID: r.GetId(), Fingerprint: quarantine.Fingerprint(r.GetFingerprint()), Engine: r.GetEngine(), Answered: r.GetAnswered(),
+			ID: r.GetId(), Fingerprint: quarantine.Fingerprint(r.GetFingerprint()), Engine: r.GetEngine(), Start: r.GetStart(), Answered: r.GetAnswered(),
 			Sent: at.Add(-time.Duration(max(r.GetRanMillis(), 0)) * time.Millisecond), At: at, Losses: int(r.GetLosses()), Sound: r.GetSound(),
 		})
 	}
--- a/dispatch/completion.go
+++ b/dispatch/completion.go
@@ -129,7 +129,9 @@
 	case attempt.AskBudget:
 		c.pending = append(c.pending, attempt.Budget{Granted: c.repeat()})
 	case attempt.Lost:
-		if c.crashes.Lost(a.Attempt, c.fingerprint, a.Upstream, c.sent) {
+		if c.crashes.Lost(quarantine.Loss{
+			Attempt: a.Attempt, Fingerprint: c.fingerprint, Engine: a.Upstream, Start: c.choice.Incarnation, Sent: c.sent,
+		}) {
 			c.pending = append(c.pending, attempt.Condemned{})
 		}
 	case attempt.Cancel:
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -71,7 +71,7 @@
 	Admit(ctx context.Context, attempt string, f quarantine.Fingerprint) (release func(), refused *request.Failure)
 	// Lost records an engine that was lost in the first tokens of an
 	// attempt, and tells whether the request is condemned.
-	Lost(attempt string, f quarantine.Fingerprint, engine string, sent time.Time) (condemned bool)
+	Lost(l quarantine.Loss) (condemned bool)
 	// Answered records that a request was answered whole.
 	Answered(attempt string, f quarantine.Fingerprint)
 }
@@ -166,7 +166,7 @@
 }
 
 // Lost condemns no request.
-func (unsuspecting) Lost(string, quarantine.Fingerprint, string, time.Time) bool { return false }
+func (unsuspecting) Lost(quarantine.Loss) bool { return false }
 
 // Answered records nothing.
 func (unsuspecting) Answered(string, quarantine.Fingerprint) {}
--- a/event/request.go
+++ b/event/request.go
@@ -17,7 +17,7 @@
 	// QuarantineKept reports a refusal of a request that crashed engines.
 	QuarantineKept = Event{2009, "quarantine kept", "A request was refused because it crashed the engines that ran it. LastLossMillis is how long ago the last of them was lost."}
 	// RequestQuarantined reports a request that is refused from now on.
-	RequestQuarantined = Event{2004, "request quarantined", "A request crashed the engines that ran it; it is refused on every host for ten minutes after the last crash."}
+	RequestQuarantined = Event{2004, "request quarantined", "A request crashed the engines that ran it; it is refused on every host for a time after the last crash: a minute after two, twice that with each further one."}
 	// ShareFailed reports a host that did not take crash records.
 	ShareFailed = Event{2005, "share failed", "Another host did not take records of crashed engines; they are sent again within seconds."}
 	// CallPlaced reports the upstream that was chosen for a call.
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -66,7 +66,7 @@
 	Admit(ctx context.Context, attempt string, f quarantine.Fingerprint) (release func(), refused *request.Failure)
 	// Condemned tells whether the request is refused now.
 	Condemned(attempt string, f quarantine.Fingerprint) bool
-	Lost(attempt string, f quarantine.Fingerprint, engine string, sent time.Time) (condemned bool)
+	Lost(l quarantine.Loss) (condemned bool)
 	Answered(attempt string, f quarantine.Fingerprint)
 }
 
--- a/forward/run.go
+++ b/forward/run.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"os"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -163,6 +164,8 @@
 	exchange *conduit.Exchange
 	cancel   context.CancelFunc
 	started  clock.Instant
+	// start tells the upstream's start from others, if known.
+	start string
 	// late tells that the time for this try ran out.
 	late atomic.Bool
 	// begun tells that the upstream has begun to answer, events counts those
@@ -190,7 +193,7 @@
 func (d *run) try(ctx context.Context, t target, resumeAfter string) (*call.Answer, delivery.Outcome) {
 	d.tried[t.id] = true
 	t.send.ResumeAfter, t.send.Left = resumeAfter, d.left()
-	a := &attempt{target: t, started: clock.Now()}
+	a := &attempt{target: t, started: clock.Now(), start: d.startOf(t.id)}
 	ctx, a.cancel = context.WithCancel(ctx)
 	timer := time.AfterFunc(d.tryTime(), func() { a.late.Store(true); a.cancel() })
 	defer timer.Stop()
@@ -215,6 +218,15 @@
 	return d.read(a)
 }
 
+// startOf returns what tells an upstream's start from others under its id, as
+// far as its entry shows.
+func (d *run) startOf(id string) string {
+	if e, ok := d.book.Roster.Entry(id); ok && e.Born > 0 {
+		return strconv.FormatInt(e.Born, 10)
+	}
+	return ""
+}
+
 // tryTime returns how long the next try may take: all the time that is left
 // if the request may not be sent again after it.
 func (d *run) tryTime() time.Duration {
@@ -368,7 +380,9 @@
 		d.Pulses.Down(pulse.Short(a.id))
 	}
 	if a.lostEarly(o, err) {
-		d.Guard.Lost(d.call.ID, d.fingerprint, a.id, time.Now().Add(-now.Sub(a.started)))
+		d.Guard.Lost(quarantine.Loss{
+			Attempt: d.call.ID, Fingerprint: d.fingerprint, Engine: a.id, Start: a.start, Sent: time.Now().Add(-now.Sub(a.started)),
+		})
 	}
 	d.Metrics.Tagged(map[string]string{"outcome": o.String()}).Counter("tries_failed").Inc(1)
 	reason := ""
--- a/quarantine/ends_test.go
+++ b/quarantine/ends_test.go
@@ -71,3 +71,41 @@
 		})
 	}
 }
+
+// TestAnOutageIsNoSeriesOfEnds tries the same request again and again at two
+// engines that are gone while their entries still stand.
+func TestAnOutageIsNoSeriesOfEnds(t *testing.T) {
+	for _, sound := range []bool{false, true} {
+		t.Run(fmt.Sprint(sound), func(t *testing.T) {
+			is := is.New(t)
+			table, at := quarantine.Table{}, time.Duration(0)
+			for try := range 100 {
+				at += 100 * time.Millisecond
+				r := loss("x", fmt.Sprint("engine-", try%2), at)
+				r.Start, r.Sent, r.Sound = "1", r.At.Add(-time.Millisecond), sound
+				table, _ = table.With(start.Add(at), table.Counted(r, start.Add(at)))
+				beside := r
+				beside.ID, beside.Fingerprint = fmt.Sprint("beside-", try), quarantine.Fingerprint(fmt.Sprint("beside-", try/4))
+				table, _ = table.With(start.Add(at), table.Counted(beside, start.Add(at)))
+			}
+			is.Equal(table.Verdict("x", start.Add(at)), quarantine.Suspect)
+		})
+	}
+}
+
+// TestTerm lets a condemned request be tried again after a time that doubles
+// with each engine lost under it.
+func TestTerm(t *testing.T) {
+	is := is.New(t)
+	table, at := quarantine.Table{}, time.Duration(0)
+	for losses := 1; losses <= 5; losses++ {
+		at += time.Second
+		table, _ = table.With(start.Add(at), loss("x", fmt.Sprint("engine-", losses), at))
+		if losses == 1 {
+			continue
+		}
+		term := 15 * time.Second << losses
+		is.Equal(table.Verdict("x", start.Add(at+term-1)), quarantine.Condemned)
+		is.Equal(table.Verdict("x", start.Add(at+term)), quarantine.Suspect)
+	}
+}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -22,7 +22,8 @@
 	// Capacity bounds the records of a table: the requests that run on 30
 	// engines with 64 places each, lost at once, and some more.
 	Capacity = 2048
-	// sameLoss is how far apart the records of one lost engine may be.
+	// sameLoss is how far apart the records of one lost engine may be, and how
+	// long an outage may pause.
 	sameLoss = 3 * time.Second
 	// background is how long the loss of another engine makes losses count
 	// less, since engines then fail for other reasons too.
@@ -34,6 +35,12 @@
 	// nine times as many innocent requests in an outage of half the engines
 	// (TestMeasure).
 	mostLosses = 4
+	// firstTerm doubles with each loss to the time for which a condemned
+	// request is refused after the last: a minute after two losses, eight after
+	// five. Then it is a suspect again, since some are condemned by mistake.
+	firstTerm = 15 * time.Second
+	// maxDoublings takes the term beyond the lifetime of a record.
+	maxDoublings = 6
 )
 
 // Fingerprint identifies what a request asks for, whoever sends it.
@@ -48,13 +55,26 @@
 	return Fingerprint(hex.EncodeToString(h.Sum(nil)[:16]))
 }
 
+// Loss is an engine that was lost while it ran a request.
+type Loss struct {
+	// Attempt identifies the send.
+	Attempt     string
+	Fingerprint Fingerprint
+	Engine      string
+	// Start tells this start of the engine from others, as far as its host
+	// knew when it sent the request; "" if it did not.
+	Start string
+	// Sent is when the engine was sent the request.
+	Sent time.Time
+}
+
 // Record tells what became of a request at one engine.
 type Record struct {
 	// ID identifies the record; one attempt may lead to several.
 	ID          string
 	Fingerprint Fingerprint
-	// Engine names the engine that was lost.
-	Engine string
+	// Engine names the engine that was lost, Start its start if known.
+	Engine, Start string
 	// Answered tells that the request was answered after all; what it was
 	// suspected of before then no longer counts.
 	Answered bool
@@ -192,7 +212,7 @@
 // Judge tells how to treat a request and why. It is condemned when several
 // engines were lost under it, fewer if nothing else explains them: no other
 // engine was lost at the time, and no other request, not answered since, was
-// on all of them.
+// on all of them. After its term it may be tried again.
 func (t Table) Judge(f Fingerprint, now time.Time) Judgement {
 	losses := t.losses(f, now)
 	if len(losses) == 0 {
@@ -207,6 +227,9 @@
 	if j.Losses >= mostLosses || alone || condemned(losses) {
 		j.Verdict = Condemned
 	}
+	if now.Sub(j.Last) >= firstTerm<<min(j.Losses, maxDoublings) {
+		j.Verdict = Suspect
+	}
 	return j
 }
 
@@ -242,32 +265,36 @@
 	return slices.ContainsFunc(losses, func(r Record) bool { return r.Condemned })
 }
 
-// countLosses counts how often engines were lost. Those of one engine count
-// once if the request was sent before the loss before: that was the same end,
-// seen by several. Of a request that is known to be sound, only losses that
-// follow each other count, since an outage takes all that runs.
+// countLosses counts how often engines were lost. Of a request that is known
+// to be sound, losses that follow each other closely are one outage.
 func countLosses(losses []Record) int {
-	known := sound(losses)
+	outages := sound(losses)
 	count, counted := 0, 0
-	ended := map[string]time.Time{}
+	type start struct{ engine, start string }
+	ended := map[start]time.Time{}
 	for _, r := range losses {
-		engine := r.Engine
-		if known {
-			engine = ""
+		s := start{r.Engine, r.Start}
+		if outages {
+			s = start{}
 		}
-		sent := r.Sent
-		if sent.IsZero() {
-			sent = r.At
-		}
-		if before, ok := ended[engine]; !ok || sent.After(before) {
+		before, known := ended[s]
+		if !known || s.start == "" && r.sent().Sub(before) >= sameLoss {
 			count++
 		}
-		ended[engine] = r.At
+		ended[s] = r.At
 		counted = max(counted, r.Losses)
 	}
 	return max(count, counted)
 }
 
+// sent returns when the engine was sent the request.
+func (r Record) sent() time.Time {
+	if r.Sent.IsZero() {
+		return r.At
+	}
+	return r.Sent
+}
+
 // lastOfEach returns the last loss of each engine.
 func lastOfEach(losses []Record) map[string]Record {
 	last := map[string]Record{}
