feat: the soak sends a request that ends its upstreams

Ruled out: a fault that comes now and then; the request must come again all the time, or the other faults don't fall between its ends.

--- a/soak/caller.go
+++ b/soak/caller.go
@@ -33,6 +33,8 @@
 	sent, ended       time.Time
 	// answer has the status 0 if no head of it came.
 	answer standin.PlatformAnswer
+	// crasher tells that it ends the upstreams that run it.
+	crasher bool
 }
 
 // recorder keeps all calls.
@@ -107,6 +109,9 @@
 
 func (w *world) send(conn *connection, c *call, key string) bool {
 	r := standin.PlatformRequest{ID: c.id, Method: http.MethodPost, Host: plainHost, Path: "/" + c.kind + "/a", Key: key, Deadline: callDeadline, Body: "of " + c.id}
+	if c.crasher {
+		r.Path, r.Body = "/"+c.kind+"/"+crasherMark, crasherMark
+	}
 	switch c.kind {
 	case "full", "flag":
 		r.Host = modelHost
--- a/soak/check.go
+++ b/soak/check.go
@@ -26,12 +26,13 @@
 		}
 	}
 	for id := range runs {
-		if known[id] == nil {
+		if known[id] == nil && !strings.HasPrefix(id, crasherMark) {
 			report("%s ran, which no caller sent", id)
 		}
 	}
 	w.checkHeads(known, report)
 	w.checkOrders(report)
+	w.checkCrasher(report)
 	for _, s := range stops {
 		s.check(calls, runs, report)
 	}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -86,10 +86,12 @@
 	report := Report{Faults: len(plan)}
 	calling, stopCalling := context.WithTimeout(ctx, o.Span)
 	var callers, faults conc.WaitGroup
+	callers.Go(func() { w.sendCrasher(calling, o.Seed) })
 	for i := range o.Callers {
 		callers.Go(func() { w.caller(calling, i, o.Seed, calls) })
 	}
 	s := &strikes{world: w, struck: map[*host]time.Time{}}
+	w.crashed = s.crashed
 	began := time.Now()
 	for _, f := range plan {
 		faults.Go(func() {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -53,6 +53,9 @@
 	for _, o := range []soak.Options{
 		{Seed: 1, Span: 6 * time.Second, Hosts: 3, Engines: 4, Services: 2, Callers: 8},
 		{Seed: 2, Span: 6 * time.Second, Hosts: 3, Engines: 4, Services: 2, Callers: 8},
+		// A call and a read that end upstreams were sent on without end.
+		{Seed: 5003, Span: 12 * time.Second, Hosts: 4, Engines: 5, Services: 2, Callers: 16},
+		{Seed: 5004, Span: 12 * time.Second, Hosts: 4, Engines: 5, Services: 2, Callers: 16},
 		// An engine loaded for a host that was killed; others took it for newer
 		// than it was, each time it refused them, and never ordered it again.
 		{Seed: 2009, Span: 14 * time.Second, Hosts: 3, Engines: 6, Services: 2, Callers: 24},
--- a/soak/world.go
+++ b/soak/world.go
@@ -48,6 +48,10 @@
 	// past are upstreams that have ended; they are still asked what ran there.
 	past    []*standin.PlatformEngine
 	started int
+	crasher crasher
+	// crashed is told of upstreams that the crasher has ended, ends tells when.
+	crashed func(*upstream)
+	ends    []time.Time
 	version int
 	weights int64
 	// keys are those of the accounts now, taken those that were taken away.
@@ -78,7 +82,7 @@
 
 // newWorld starts a deployment.
 func newWorld(ctx context.Context, wait *conc.WaitGroup, o Options, dir string) (*world, error) {
-	w := &world{ctx: ctx, wait: wait, dir: dir, keys: map[string]string{"mill": "key-mill-0", "grocer": "key-grocer-0"}, weights: 1}
+	w := &world{ctx: ctx, wait: wait, dir: dir, keys: map[string]string{"mill": "key-mill-0", "grocer": "key-grocer-0"}, weights: 1, crasher: newCrasher(o.Seed)}
 	var err error
 	if w.store, err = standin.NewPlatformStore(); err != nil {
 		return nil, trace.Wrap(err)
@@ -128,13 +132,18 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.started++
-	e, err := standin.NewPlatformEngine(fmt.Sprintf("%s-%d", u.service, w.started), u.service, "north", u.model)
+	id := fmt.Sprintf("%s-%d", u.service, w.started)
+	if u.now != nil && w.crasher.keepsName {
+		id = u.now.ID
+	}
+	e, err := standin.NewPlatformEngine(id, u.service, "north", u.model)
 	if err != nil {
 		return trace.Wrap(err, "starting an upstream")
 	}
 	e.Advertised = u.link.address()
 	e.Pace(eventPause)
 	e.Load(w.weights)
+	e.CrashOn(crasherMark, w.crasher.point, func() { w.crashed(u) })
 	u.link.point(e.Address())
 	u.now = e
 	w.store.Enter(e)
