feat: what an upstream says of itself is one state, and hosts keep to it

What it does: package standing folds both from answers and other hosts' news, with source, time and the start of the upstream that said it; the word of another start doesn't hold. An upstream that leaves gets nothing more, other hosts are told within a pulse. If all of a service ask, requests are refused at once as Resting, with the earliest end as Retry-After. What is no number of seconds is logged, counted and not obeyed. Ruled out: telling other hosts of a rest, since it is asked of one host; a shorter Retry-After than the rest's end to spread callers, who come back once and would be refused again.

--- a/call/call.go
+++ b/call/call.go
@@ -108,6 +108,12 @@
 	// KeepAlive is how long the upstream keeps an idle connection; 0 if not
 	// said.
 	KeepAlive time.Duration
+	// Leaving tells that the upstream takes no more requests.
+	Leaving bool
+	// Rest is how long the upstream wants no requests; 0 if it doesn't say.
+	// Unusable holds what it said if that is no such time.
+	Rest     time.Duration
+	Unusable string
 	// Fields are passed on to the caller.
 	Fields []Field
 }
@@ -139,6 +145,7 @@
 	NoUpstream   Reason = "NoUpstream"   // 503: none can run it now
 	NotRun       Reason = "NotRun"       // 503: upstreams turned it away
 	Overloaded   Reason = "Overloaded"   // 503: too much waits everywhere
+	Resting      Reason = "Resting"      // 503: all that could run it have asked for time
 	Stopping     Reason = "Stopping"     // 503: this host is about to end
 	Quarantined  Reason = "Quarantined"  // 503: it crashed the upstreams that ran it
 	Unknown      Reason = "Unknown"      // 502: it may have run
@@ -151,7 +158,7 @@
 // are used only for reasons that imply it.
 var statuses = map[Reason]int{
 	NotReady: 503, Stale: 503, NoRoute: 404, NoAccount: 401, BadCall: 400, NoUpstream: 503,
-	NotRun: 503, Overloaded: 503, Stopping: 503, Quarantined: 503, Unknown: 502, TimedOut: 504, DeadlinePast: 504, CallerLeft: 502,
+	NotRun: 503, Overloaded: 503, Resting: 503, Stopping: 503, Quarantined: 503, Unknown: 502, TimedOut: 504, DeadlinePast: 504, CallerLeft: 502,
 }
 
 // Refuse returns an answer of our own.
--- a/event/knowledge.go
+++ b/event/knowledge.go
@@ -37,6 +37,12 @@
 	FeedBack = Event{6202, "feed back", "An engine or a store of parts tells again what it caches. With a gap, some parts may be believed that were dropped."}
 	// CacheLost reports an engine or store that has lost its cache.
 	CacheLost = Event{6203, "cache lost", "An engine or a store of parts has restarted with an empty cache."}
+	// UpstreamLeaves reports an upstream that takes no more requests.
+	UpstreamLeaves = Event{6107, "upstream leaves", "An upstream said in an answer that it leaves, or another host passed that on; it is sent no more requests. Another host's word holds for 15 s."}
+	// UpstreamRests reports an upstream that wants nothing for a time.
+	UpstreamRests = Event{6108, "upstream rests", "An upstream turned a request away and asked this host for a time without requests; at most two are sent to it until then."}
+	// RestUnusable reports a time that can't be used.
+	RestUnusable = Event{6109, "rest unusable", "An upstream asked for a time without requests that is no number of seconds; it is not obeyed."}
 	// KeptRecordsLost reports that the store's records can't be read.
 	KeptRecordsLost = Event{6301, "kept records lost", "The store's records of requests that crash engines can't be read; those that other hosts tell of are known all the same."}
 	// KeptRecordsBack reports that they can be read again.
@@ -50,5 +56,5 @@
 var knowledgeEvents = []Event{
 	StoreLost, StoreBack, HistoryTrimmed, CatalogChanged, WeightsNamed, UpstreamChanged, UpstreamGone, RecordRejected,
 	WarrantTaken, WarrantMissed, WarrantHeard, LoadOrdered, LoadEnded, UpstreamRested, FeedLost, FeedBack, CacheLost,
-	KeptRecordsLost, KeptRecordsBack, RecordKept, RecordNotKept,
+	UpstreamLeaves, UpstreamRests, RestUnusable, KeptRecordsLost, KeptRecordsBack, RecordKept, RecordNotKept,
 }
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -82,6 +82,8 @@
 	// weights an engine has.
 	Down(e pulse.Engine)
 	Loaded(l pulse.Loaded)
+	// Leaving tells that an engine takes no more requests.
+	Leaving(l pulse.Leaving)
 	// Pace returns how old what other hosts told is at most.
 	Pace() time.Duration
 }
--- a/forward/place.go
+++ b/forward/place.go
@@ -71,6 +71,10 @@
 		if sites := d.usable(d.book, d.service, d.call.Prompt.Model, func(id string) bool { return d.tried[id] }); len(sites) > 0 {
 			return d.choose(sites)
 		}
+		if back, all := d.resting(); all && d.state.Ran == 0 {
+			d.refusal = call.Refuse(call.Resting).WithRetryAfter(back)
+			return target{}, false
+		}
 		if !clock.Now().Before(until) {
 			return target{}, false
 		}
@@ -82,13 +86,33 @@
 	}
 }
 
+// resting tells whether all upstreams of the service that don't leave have
+// asked for time, and when the first of them may be sent a request again.
+func (d *run) resting() (back time.Duration, all bool) {
+	now := clock.Now()
+	for _, e := range d.book.Roster.Service(d.service.Name) {
+		s := d.Board.Known(e.ID, e.Born, now)
+		if e.Leaving || s.Leaving(now) {
+			continue
+		}
+		left := s.Back(now)
+		if left == 0 {
+			return 0, false
+		}
+		if !all || left < back {
+			back, all = left, true
+		}
+	}
+	return back, all
+}
+
 // usable returns the upstreams of a service that may be sent a request now,
 // for a model unless that is "".
 func (r *Router) usable(book knowledge.Book, service catalog.Service, model string, except func(id string) bool) []site {
 	now := clock.Now()
 	var found []site
 	for _, e := range book.Roster.Service(service.Name) {
-		state := r.Board.Known(e.ID, now)
+		state := r.Board.Known(e.ID, e.Born, now)
 		if e.Leaving || except(e.ID) || !state.Usable(now) {
 			continue
 		}
--- a/forward/run.go
+++ b/forward/run.go
@@ -197,7 +197,7 @@
 	ctx, a.cancel = context.WithCancel(ctx)
 	timer := time.AfterFunc(d.tryTime(), func() { a.late.Store(true); a.cancel() })
 	defer timer.Stop()
-	d.Board.Update(t.id, func(s health.State) health.State { return s.WithSend(t.rank, t.prefill) })
+	d.Board.Update(t.id, func(s health.State) health.State { return s.WithSend(t.rank, t.prefill, clock.Now()) })
 	if t.prefill > longPrompt {
 		d.Pulses.Hurry()
 	}
@@ -251,6 +251,7 @@
 func (d *run) read(a *attempt) (*call.Answer, delivery.Outcome) {
 	x := a.exchange
 	d.sawWeights(a.id, x.Weights)
+	d.heardOf(a)
 	switch {
 	case x.NotRun || x.Status == 421:
 		d.readTurnedAway(a)
--- a/health/health.go
+++ b/health/health.go
@@ -10,6 +10,7 @@
 
 	"github.com/kumquathoist/kumquathoist/clock"
 	"github.com/kumquathoist/kumquathoist/pulse"
+	"github.com/kumquathoist/kumquathoist/standing"
 )
 
 const (
@@ -35,6 +36,9 @@
 
 // State is what is known of one upstream. It is immutable.
 type State struct {
+	// Standing is what it has said of itself.
+	standing.Standing
+
 	// Rest is until when it is left alone, Loading until when it is expected
 	// to load weights, Gone that another upstream has its address.
 	Rest, Loading clock.Instant
@@ -54,7 +58,13 @@
 
 // Usable tells whether requests may be sent.
 func (s State) Usable(now clock.Instant) bool {
-	return !s.Gone && !now.Before(s.Rest) && !now.Before(s.Loading)
+	return !s.Gone && !now.Before(s.Rest) && !now.Before(s.Loading) && s.Takes(s.Load.Running, now)
+}
+
+// Of returns the state of one start of the upstream.
+func (s State) Of(start int64) State {
+	s.Standing = s.Standing.Of(start)
+	return s
 }
 
 // Joined returns since when it takes requests as far as this host knows.
@@ -129,7 +139,8 @@
 
 // WithSend returns the state after a request was sent whose prompt must be
 // read.
-func (s State) WithSend(rank, tokens int) State {
+func (s State) WithSend(rank, tokens int, now clock.Instant) State {
+	s.Standing = s.Standing.WithSend(now)
 	s.Load.Running++
 	s.Load.Waiting[min(rank, pulse.Ranks-1)] += tokens
 	return s
@@ -194,13 +205,13 @@
 	return b.states[id]
 }
 
-// Known returns what is known of an upstream, and notes that it is.
-func (b *Board) Known(id string, now clock.Instant) State {
+// Known returns what is known of a start of an upstream, and notes that it is.
+func (b *Board) Known(id string, start int64, now clock.Instant) State {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.states[id]
-	if s.joined == 0 {
-		s = s.WithKnown(now)
+	if s.joined == 0 || s.Start != start {
+		s = s.WithKnown(now).Of(start)
 		b.states[id] = s
 	}
 	return s
--- a/health/health_test.go
+++ b/health/health_test.go
@@ -46,7 +46,7 @@
 // TestLoad counts what a host has at an upstream.
 func TestLoad(t *testing.T) {
 	is := is.New(t)
-	s := health.State{}.WithSend(1, 100).WithSend(9, 50)
+	s := health.State{}.WithSend(1, 100, now).WithSend(9, 50, now)
 	is.Equal(s.Load, pulse.Load{Running: 2, Waiting: [pulse.Ranks]int{0, 100, pulse.Ranks - 1: 50}})
 	s = s.WithBegun(1, 100).WithEnd().WithBegun(9, 50).WithEnd()
 	is.Equal(s.Load, pulse.Load{})
--- a/overseer/overseer.go
+++ b/overseer/overseer.go
@@ -232,7 +232,7 @@
 	pool := make([]reload.Engine, 0, len(all))
 	for _, e := range all {
 		s := v.Board.State(e.ID)
-		if s.Gone || e.Leaving {
+		if s.Gone || e.Leaving || s.Leaving(now) {
 			continue
 		}
 		since, out := v.out[e.ID]
--- a/pulse/exchange.go
+++ b/pulse/exchange.go
@@ -46,6 +46,8 @@
 	Down         func(Engine)
 	// Loaded takes the weights that another host found an engine to have.
 	Loaded func(Loaded)
+	// Leaving takes an engine that told another host that it leaves.
+	Leaving func(Leaving)
 }
 
 // Exchange sends and takes pulses.
@@ -79,18 +81,21 @@
 	if len(n.Loaded) < maxEngines {
 		n.Loaded = append(n.Loaded, more.Loaded...)
 	}
+	if len(n.Leaving) < maxEngines {
+		n.Leaving = append(n.Leaving, more.Leaving...)
+	}
 }
 
 // empty tells whether there are none.
 func (n *News) empty() bool {
-	return len(n.Seen) == 0 && len(n.Dropped) == 0 && len(n.Down) == 0 && len(n.Loaded) == 0
+	return len(n.Seen) == 0 && len(n.Dropped) == 0 && len(n.Down) == 0 && len(n.Loaded) == 0 && len(n.Leaving) == 0
 }
 
 // take takes what goes into one message, what was dropped first: a part that
 // is wrongly believed costs more than one that is not known.
 func (n *News) take() News {
-	taken := News{Down: n.Down, Loaded: n.Loaded}
-	n.Down, n.Loaded = nil, nil
+	taken := News{Down: n.Down, Loaded: n.Loaded, Leaving: n.Leaving}
+	n.Down, n.Loaded, n.Leaving = nil, nil, nil
 	taken.Dropped = n.Dropped[:min(len(n.Dropped), maxSeen)]
 	n.Dropped = n.Dropped[len(taken.Dropped):]
 	taken.Seen = n.Seen[:min(len(n.Seen), maxSeen-len(taken.Dropped))]
@@ -157,6 +162,14 @@
 	x.Hurry()
 }
 
+// Leaving tells the other hosts soon that an engine takes no more requests.
+func (x *Exchange) Leaving(l Leaving) {
+	x.mu.Lock()
+	x.own.add(News{Leaving: []Leaving{l}})
+	x.mu.Unlock()
+	x.Hurry()
+}
+
 // Elsewhere returns what the other hosts have at an engine.
 func (x *Exchange) Elsewhere(e Engine) Load {
 	x.mu.Lock()
@@ -230,6 +243,9 @@
 	for _, l := range n.Loaded {
 		x.Options.Loaded(l)
 	}
+	for _, l := range n.Leaving {
+		x.Options.Leaving(l)
+	}
 }
 
 func (x *Exchange) takePulse(p Pulse) *News {
--- a/pulse/pulse.go
+++ b/pulse/pulse.go
@@ -94,6 +94,15 @@
 	Down []Engine
 	// Loaded are engines that were found to have newer weights.
 	Loaded []Loaded
+	// Leaving are engines that said that they take no more requests.
+	Leaving []Leaving
+}
+
+// Leaving tells which start of an engine takes no more requests.
+type Leaving struct {
+	Engine Engine
+	// Start is the time of day of its start in Unix milliseconds, 0 if unknown.
+	Start uint64
 }
 
 // Loaded tells the number of weights that an engine has.
@@ -180,6 +189,11 @@
 		b = binary.BigEndian.AppendUint32(b, uint32(l.Engine))
 		b = binary.AppendUvarint(b, l.Number)
 	}
+	b = binary.AppendUvarint(b, uint64(len(n.Leaving)))
+	for _, l := range n.Leaving {
+		b = binary.BigEndian.AppendUint32(b, uint32(l.Engine))
+		b = binary.AppendUvarint(b, l.Start)
+	}
 	return b
 }
 
@@ -251,6 +265,9 @@
 	for left := r.uvarint(); left > 0 && !r.damaged; left-- {
 		n.Loaded = append(n.Loaded, Loaded{r.engine(), r.uvarint()})
 	}
+	for left := r.uvarint(); left > 0 && !r.damaged; left-- {
+		n.Leaving = append(n.Leaving, Leaving{r.engine(), r.uvarint()})
+	}
 	return n
 }
 
--- a/site/caches.go
+++ b/site/caches.go
@@ -3,11 +3,13 @@
 import (
 	"github.com/kumquathoist/kumquathoist/cachefeed"
 	"github.com/kumquathoist/kumquathoist/cachemap"
+	"github.com/kumquathoist/kumquathoist/catalog"
 	"github.com/kumquathoist/kumquathoist/clock"
 	"github.com/kumquathoist/kumquathoist/event"
 	"github.com/kumquathoist/kumquathoist/health"
 	"github.com/kumquathoist/kumquathoist/placement"
 	"github.com/kumquathoist/kumquathoist/pulse"
+	"github.com/kumquathoist/kumquathoist/standing"
 )
 
 // caches returns the engines and stores of parts that this host listens to
@@ -85,17 +87,38 @@
 	n.updateEngine(l.Engine, func(_ string, s health.State) health.State { return s.WithWeights(int64(l.Number)) })
 }
 
+// engineLeaving sends nothing more to an upstream that told another host that
+// it leaves.
+func (n *Site) engineLeaving(l pulse.Leaving) {
+	now := clock.Now()
+	for _, s := range n.keeper.Book().Catalog.Services() {
+		n.updateOf(s, l.Engine, func(id string, s health.State) health.State {
+			if s.Start != 0 && l.Start != 0 && uint64(s.Start) != l.Start {
+				return s // another start of it
+			}
+			if !s.Leaving(now) {
+				event.UpstreamLeaves.Info("Upstream", id, "Source", standing.Peer)
+			}
+			s.Standing = s.WithLeaving(standing.Peer, now)
+			return s
+		})
+	}
+}
+
 // updateEngine changes what is known of an engine by its short name.
 func (n *Site) updateEngine(short pulse.Engine, change func(id string, s health.State) health.State) {
-	book := n.keeper.Book()
-	for _, s := range book.Catalog.Services() {
-		if s.Engine == nil {
-			continue
+	for _, s := range n.keeper.Book().Catalog.Services() {
+		if s.Engine != nil {
+			n.updateOf(s, short, change)
 		}
-		for _, e := range book.Roster.Service(s.Name) {
-			if pulse.Short(e.ID) == short {
-				n.board.Update(e.ID, func(s health.State) health.State { return change(e.ID, s) })
-			}
+	}
+}
+
+// updateOf does so for an upstream of a service.
+func (n *Site) updateOf(service catalog.Service, short pulse.Engine, change func(id string, s health.State) health.State) {
+	for _, e := range n.keeper.Book().Roster.Service(service.Name) {
+		if pulse.Short(e.ID) == short {
+			n.board.Update(e.ID, func(s health.State) health.State { return change(e.ID, s) })
 		}
 	}
 }
--- a/site/site.go
+++ b/site/site.go
@@ -132,7 +132,7 @@
 	})
 	if n.pulses, err = pulse.NewExchange(ctx, &n.wait, pulse.Options{
 		Listen: n.settings.Listen.Pulses, Host: n.settings.Host.Name, FailureDomain: n.settings.Host.FailureDomain, Others: n.pulsePeers,
-		Loads: n.board.Loads, Saw: n.router.Heard, Dropped: func(s pulse.Sighting) { n.router.Dropped(s) }, Down: n.engineDown, Loaded: n.engineLoaded,
+		Loads: n.board.Loads, Saw: n.router.Heard, Dropped: func(s pulse.Sighting) { n.router.Dropped(s) }, Down: n.engineDown, Loaded: n.engineLoaded, Leaving: n.engineLeaving,
 	}); err != nil {
 		return err
 	}
@@ -244,6 +244,9 @@
 // Loaded tells which weights an engine has.
 func (s sightings) Loaded(l pulse.Loaded) { s.site.pulses.Loaded(l) }
 
+// Leaving tells that an engine takes no more requests.
+func (s sightings) Leaving(l pulse.Leaving) { s.site.pulses.Leaving(l) }
+
 // Pace returns how old what other hosts told is at most.
 func (s sightings) Pace() time.Duration { return s.site.pulses.Pace() }
 
--- a/standin/platform_engine.go
+++ b/standin/platform_engine.go
@@ -34,8 +34,10 @@
 	faults   int
 	ran      map[string]int
 	seen     []http.Header
-	orders   []PlatformOrder
-	left     int
+	// times are when they came.
+	times  []time.Time
+	orders []PlatformOrder
+	left   int
 	// cached are the parts that it holds, events the news of them, told closes
 	// with the next.
 	cached map[cachePart]bool
@@ -49,6 +51,11 @@
 	pace      time.Duration
 	// crash is what ends the engine, if set.
 	crash *platformCrash
+	// ask is what it answers to requests until askUntil instead of running them.
+	ask      string
+	askUntil time.Time
+	// said tells that its answers say that it leaves.
+	said bool
 }
 
 // PlatformFault is what goes wrong with the next requests.
@@ -136,6 +143,28 @@
 	e.leaving = true
 }
 
+// SayLeaving makes all further answers say that the engine leaves.
+func (e *PlatformEngine) SayLeaving() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.said = true
+}
+
+// AskForTime turns requests away for a time, and asks with the text given for
+// none to be sent.
+func (e *PlatformEngine) AskForTime(text string, d time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.ask, e.askUntil = text, time.Now().Add(d)
+}
+
+// Times returns when requests reached the engine.
+func (e *PlatformEngine) Times() []time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]time.Time{}, e.times...)
+}
+
 // Ran returns how often requests ran, by their ids.
 func (e *PlatformEngine) Ran() map[string]int {
 	e.mu.Lock()
@@ -249,7 +278,14 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.seen = append(e.seen, r.Header.Clone())
+	e.times = append(e.times, time.Now())
+	if e.said {
+		w.Header().Set("Server-Leaving", "1")
+	}
 	switch {
+	case time.Now().Before(e.askUntil):
+		w.Header().Set("Retry-After", e.ask)
+		status = http.StatusServiceUnavailable
 	case instance != "" && instance != e.ID, version != "" && version != strconv.FormatInt(e.weights, 10):
 		status = http.StatusMisdirectedRequest
 	case e.takeFault(FullFault):
