feat: the soak's upstreams ask for time and say that they leave

What it does: an upstream asks for up to 2.5 s, whole or not; another says in its answers alone that it leaves, serves on for four seconds and ends. A host that met no fault since may send at most two requests into a rest, and none of a caller that came two seconds after it passed on such an answer. The new faults are drawn apart, so that those of earlier seeds stay as they were. Ruled out: marking the answers that callers get; hosts don't pass the word on.

--- a/soak/plan.go
+++ b/soak/plan.go
@@ -40,6 +40,10 @@
 	// NameWeights names new weights.
 	Configure   Kind = "Configure"
 	NameWeights Kind = "NameWeights"
+	// RestEngine makes an upstream ask for a time without requests, SayLeaving
+	// one say in its answers alone that it leaves; another starts later.
+	RestEngine Kind = "RestEngine"
+	SayLeaving Kind = "SayLeaving"
 	// StrikeOrderer names new weights, ends or pauses the host that gives the
 	// first order, and names newer ones.
 	StrikeOrderer Kind = "StrikeOrderer"
@@ -51,6 +55,13 @@
 	RefuseStore, MuteStore, LoseStore, TrimStore, Configure, Configure, NameWeights, StrikeOrderer, StrikeOrderer,
 }
 
+// words are the kinds that upstreams bring about themselves. They are drawn
+// apart, so that the other faults of a seed stay what they were.
+var words = []Kind{RestEngine, RestEngine, SayLeaving}
+
+// wordsEvery is the mean time between two of them.
+const wordsEvery = 3 * time.Second
+
 // Fault is one planned fault.
 type Fault struct {
 	// At is when it begins, For how long it lasts.
@@ -91,6 +102,10 @@
 			start += time.Duration(random.Int64N(int64(longestGap)))
 		}
 	}
+	random = rand.New(rand.NewPCG(seed, 5))
+	for at := begin; at < end; at += time.Duration(random.Int64N(int64(2 * wordsEvery))) {
+		faults = append(faults, Fault{At: at, For: time.Duration(random.Int64N(int64(longestFault))), Kind: words[random.IntN(len(words))], Target: random.IntN(1 << 16), Variant: random.IntN(1 << 16)})
+	}
 	slices.SortStableFunc(faults, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return faults
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -14,6 +14,7 @@
 	"net/http"
 	"os"
 	"slices"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -90,7 +91,7 @@
 	for i := range o.Callers {
 		callers.Go(func() { w.caller(calling, i, o.Seed, calls) })
 	}
-	s := &strikes{world: w, struck: map[*host]time.Time{}}
+	s := &strikes{world: w, struck: map[*host]time.Time{}, touched: map[*host][]touch{}}
 	w.crashed = s.crashed
 	began := time.Now()
 	for _, f := range plan {
@@ -105,6 +106,7 @@
 	report.Wrong = append(report.Wrong, w.calm(calls)...)
 	all := calls.all()
 	report.Wrong = append(report.Wrong, w.check(all, s.stops)...)
+	report.Wrong = append(report.Wrong, s.checkStanding(all)...)
 	report.Calls, report.Stops = len(all), len(s.stops)
 	for _, c := range all {
 		if c.answer.Status == http.StatusOK && c.answer.Whole {
@@ -129,6 +131,7 @@
 	// meet a fault, upstreams the same of any upstream, and busy what is being
 	// ended and started again.
 	struck    map[*host]time.Time
+	touched   map[*host][]touch
 	upstreams time.Time
 	busy      sync.Map
 	stops     []stop
@@ -140,6 +143,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	quiet = time.Since(s.struck[h]) > quietBefore
+	s.touched[h] = append(s.touched[h], touch{time.Now(), until})
 	if until.After(s.struck[h]) {
 		s.struck[h] = until
 	}
@@ -175,6 +179,18 @@
 		s.touchUpstreams(until.Add(callDeadline))
 		fault := []standin.PlatformFault{standin.ResetFault, standin.CutFault, standin.FullFault, standin.ErrorFault, standin.ExtraFault, standin.SilentFault, standin.LostOrderFault, standin.NoRoomFault}
 		s.place(f.Target).now.Fail(fault[f.Variant%len(fault)], 1+f.Variant%4)
+	case RestEngine:
+		s.place(f.Target).now.AskForTime(strconv.FormatFloat(f.For.Seconds(), 'f', 1+2*(f.Variant%2), 64), f.For)
+	case SayLeaving:
+		u := s.place(f.Target)
+		if _, taken := s.busy.LoadOrStore(u, true); taken {
+			return
+		}
+		defer s.busy.Delete(u)
+		u.now.SayLeaving()
+		s.pause(leavingTime)
+		s.touchUpstreams(time.Now().Add(2 * lapse))
+		_ = s.replaceUpstream(u, false) // as above
 	case DelayLink, ResetLink, SilenceLink:
 		s.harmLink(f, h, until)
 	case RefuseStore:
--- a/standin/platform_caller.go
+++ b/standin/platform_caller.go
@@ -88,14 +88,21 @@
 	ID, Account string
 	// Keyed tells that it still bore the caller's key.
 	Keyed bool
+	// At is when it came. Asked is the time without requests that the engine
+	// asked for in its answer, Leaving tells that the answer said it leaves.
+	At      time.Time
+	Asked   time.Duration
+	Leaving bool
 }
 
 // Arrivals returns what the engine was told with each request.
 func (e *PlatformEngine) Arrivals() []PlatformArrival {
-	seen := e.Seen()
-	all := make([]PlatformArrival, len(seen))
-	for i, head := range seen {
-		all[i] = PlatformArrival{ID: head.Get("X-Attempt-Id"), Account: head.Get("X-Tenant"), Keyed: head.Get("X-Api-Key") != ""}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	all := make([]PlatformArrival, len(e.seen))
+	for i, head := range e.seen {
+		all[i] = e.answers[i]
+		all[i].ID, all[i].Account, all[i].Keyed = head.Get("X-Attempt-Id"), head.Get("X-Tenant"), head.Get("X-Api-Key") != ""
 	}
 	return all
 }
--- a/standin/platform_engine.go
+++ b/standin/platform_engine.go
@@ -34,10 +34,10 @@
 	faults   int
 	ran      map[string]int
 	seen     []http.Header
-	// times are when they came.
-	times  []time.Time
-	orders []PlatformOrder
-	left   int
+	// answers are when they came and what their answers said of the engine.
+	answers []PlatformArrival
+	orders  []PlatformOrder
+	left    int
 	// cached are the parts that it holds, events the news of them, told closes
 	// with the next.
 	cached map[cachePart]bool
@@ -158,13 +158,6 @@
 	e.ask, e.askUntil = text, time.Now().Add(d)
 }
 
-// Times returns when requests reached the engine.
-func (e *PlatformEngine) Times() []time.Time {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return append([]time.Time{}, e.times...)
-}
-
 // Ran returns how often requests ran, by their ids.
 func (e *PlatformEngine) Ran() map[string]int {
 	e.mu.Lock()
@@ -278,13 +271,17 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.seen = append(e.seen, r.Header.Clone())
-	e.times = append(e.times, time.Now())
+	arrival := PlatformArrival{At: time.Now(), Leaving: e.said}
+	defer func() { e.answers = append(e.answers, arrival) }()
 	if e.said {
 		w.Header().Set("Server-Leaving", "1")
 	}
 	switch {
 	case time.Now().Before(e.askUntil):
 		w.Header().Set("Retry-After", e.ask)
+		if seconds, err := strconv.ParseFloat(e.ask, 64); err == nil {
+			arrival.Asked = time.Duration(seconds * float64(time.Second))
+		}
 		status = http.StatusServiceUnavailable
 	case instance != "" && instance != e.ID, version != "" && version != strconv.FormatInt(e.weights, 10):
 		status = http.StatusMisdirectedRequest
