fix: bytes without end are given up within bounds

What callers saw: an upstream that sends informational heads or fields after a body without end held its request, a place and a processor until the deadline; one that turns a request away with a body that doesn't end held the caller's next try; a body was held up to 16 MB, and all of them together without a bound. Cause: each bound was one of a single read, none of what is read in a row, and none of all answers. Ruled out: heads, header lines, chunk extensions and chunk sizes without end; they met bounds before.

--- /dev/null
+++ b/conduit/endless_test.go
@@ -0,0 +1,114 @@
+package conduit_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/kumquathoist/kumquathoist/conduit"
+	"github.com/kumquathoist/kumquathoist/platform"
+)
+
+// endless is an upstream that answers every request with a beginning and then
+// sends the same again and again.
+func endless(t *testing.T, begin, again string) string {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				if _, err := c.Read(make([]byte, 4096)); err != nil {
+					return
+				}
+				_, err := io.WriteString(c, begin)
+				if again == "" {
+					_, _ = c.Read(make([]byte, 1)) // until the caller closes
+					return
+				}
+				block := strings.Repeat(again, 1+4096/len(again))
+				for err == nil {
+					_, err = io.WriteString(c, block)
+				}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// TestBytesWithoutEnd reads answers that never end: each is given up long
+// before the request's deadline, after a bounded number of bytes.
+func TestBytesWithoutEnd(t *testing.T) {
+	const (
+		head     = "HTTP/1.1 200 OK\r\nX-Attempt-Id: r\r\nX-Response-Stamp: s\r\n"
+		deadline = 20 * time.Second
+		most     = 1 << 20
+	)
+	for _, tt := range []struct{ name, begin, again string }{
+		{"informational heads", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+		{"a head without a line's end", "HTTP/1.1 200 OK\r\nX-Long: ", "a"},
+		{"header lines", "HTTP/1.1 200 OK\r\n", "X-More: b\r\n"},
+		{"a status line", "HTTP/1.1 200 ", "OK"},
+		{"a chunk's extension", head + "Transfer-Encoding: chunked\r\n\r\n5;a=", "b"},
+		{"a chunk's size", head + "Transfer-Encoding: chunked\r\n\r\n", "0"},
+		{"fields after the last chunk", head + "Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n", "X-More: b\r\n"},
+		{"answers to another request", "", "HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\nContent-Length: 1\r\n\r\na"},
+		{"an answer to another request", "HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\na\r\n"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			pool := conduit.NewPool(platform.Wire{})
+			ctx, cancel := context.WithTimeout(context.Background(), deadline)
+			defer cancel()
+			read := 0
+			x, err := pool.Send(ctx, endless(t, tt.begin, tt.again), "r", "GET", []byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"))
+			for err == nil {
+				var n int
+				n, err = x.Read(make([]byte, 4096))
+				read += n
+			}
+			is.True(!errors.Is(err, io.EOF))
+			is.NoErr(ctx.Err()) // it was given up before the deadline
+			is.True(read < most)
+		})
+	}
+}
+
+// TestRestOfAnswer reads the rest of answers that nobody needs: it takes
+// little, whatever comes.
+func TestRestOfAnswer(t *testing.T) {
+	const head = "HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: r\r\n"
+	for _, tt := range []struct{ name, begin, again string }{
+		{"chunks", head + "Transfer-Encoding: chunked\r\n\r\n", "1\r\na\r\n"},
+		{"a length", head + "Content-Length: 1000000000\r\n\r\n", "a"},
+		{"no length", head + "\r\n", "a"},
+		{"nothing more", head + "Content-Length: 10\r\n\r\n", ""},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			pool := conduit.NewPool(platform.Wire{})
+			ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+			defer cancel()
+			address := endless(t, tt.begin, tt.again)
+			x, err := pool.Send(ctx, address, "r", "GET", []byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"))
+			is.NoErr(err)
+			x.Drop()
+			is.NoErr(ctx.Err())
+			is.True(!pool.Idle(address))
+		})
+	}
+}
--- a/conduit/exchange.go
+++ b/conduit/exchange.go
@@ -24,6 +24,15 @@
 	strays = 2
 	// maxStrayBytes bounds the body of a skipped answer.
 	maxStrayBytes = 1 << 20
+	// maxInformational bounds the heads before that of the answer; upstreams
+	// send one or two.
+	maxInformational = 8
+	// maxTrailerBytes bounds the fields after a body.
+	maxTrailerBytes = 4096
+	// dropBytes and dropTime bound the rest of an answer that is read only to
+	// keep its connection, which costs about a millisecond to make anew.
+	dropBytes = 64 << 10
+	dropTime  = 20 * time.Millisecond
 )
 
 // ErrNotSent is wrapped by errors that mean that no byte of the request left
@@ -84,12 +93,16 @@
 
 // readHead reads heads until one belongs to the call.
 func (e *Exchange) readHead(id, method string) error {
-	for skipped := 0; ; skipped++ {
+	for skipped, informational := 0, 0; ; skipped++ {
 		var h fasthttp.ResponseHeader
 		if err := h.Read(e.conn.in); err != nil {
 			return err
 		}
 		if h.StatusCode() < 200 {
+			skipped--
+			if informational++; informational > maxInformational {
+				return trace.LimitExceeded("more than %d informational heads", maxInformational)
+			}
 			continue
 		}
 		e.Head = e.pool.decoder.DecodeHead(&h)
@@ -191,6 +204,17 @@
 	}
 }
 
+// Drop reads the rest of an answer that nobody needs and keeps the connection,
+// or closes it.
+func (e *Exchange) Drop() {
+	_ = e.conn.SetReadDeadline(time.Now().Add(dropTime))
+	if _, err := io.Copy(io.Discard, io.LimitReader(e, dropBytes)); err != nil {
+		e.Discard()
+		return
+	}
+	e.Finish()
+}
+
 // Discard closes the connection.
 func (e *Exchange) Discard() {
 	e.release()
@@ -238,9 +262,12 @@
 
 // skipTrailer reads the fields after the last chunk.
 func skipTrailer(in *bufio.Reader) error {
-	for {
+	for read := 0; ; {
 		line, err := in.ReadSlice('\n')
+		read += len(line)
 		switch {
+		case read > maxTrailerBytes:
+			return trace.LimitExceeded("the fields after a body are over %d bytes", maxTrailerBytes)
 		case errors.Is(err, io.EOF):
 			return io.ErrUnexpectedEOF
 		case err != nil:
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -8,6 +8,7 @@
 	"context"
 	"hash/maphash"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -108,7 +109,9 @@
 	// OldWeights is how long after newer weights were named older ones may
 	// still answer.
 	OldWeights time.Duration
-	Metrics    tally.Scope
+	// HeldBytes bounds what is held of answers that come in.
+	HeldBytes int64
+	Metrics   tally.Scope
 }
 
 // Router forwards requests.
@@ -116,6 +119,8 @@
 	Options
 
 	seed maphash.Seed
+	// held counts the bytes of answers that come in.
+	held atomic.Int64
 	// mu guards the fields below.
 	mu         sync.Mutex
 	allowances map[string]*allowance.Allowance
--- a/forward/run.go
+++ b/forward/run.go
@@ -39,8 +39,10 @@
 	// attempt.Limits.Early: a request that ends its engine does so when it
 	// begins to run, and one that has run for long was only there.
 	earlyEvents = 8
-	// maxAnswerBytes bounds an answer that is held whole.
-	maxAnswerBytes = 16 << 20
+	// maxAnswerBytes bounds an answer that is held whole, bodyBlock is in which
+	// pieces it is read.
+	maxAnswerBytes = 4 << 20
+	bodyBlock      = 4 << 10
 )
 
 // run is one request on its way.
@@ -261,7 +263,7 @@
 	case d.route.Kind == catalog.Stream && x.Status < 300:
 		return d.beginStream(a)
 	}
-	body, err := io.ReadAll(io.LimitReader(x, maxAnswerBytes))
+	body, err := d.readBody(x)
 	if err != nil || !x.Whole() {
 		return nil, d.failed(a, a.outcome(err), err)
 	}
@@ -277,6 +279,34 @@
 	return &answer, delivery.Answered
 }
 
+// errHeld is why an answer is given up that would take too much memory.
+var errHeld = errors.New("too much is held of answers that are not whole")
+
+// readBody reads an answer that is held whole, within what this host may hold
+// of all such answers while they come in.
+func (d *run) readBody(x *conduit.Exchange) ([]byte, error) {
+	var body []byte
+	held := 0
+	defer func() { d.held.Add(-int64(held)) }()
+	for len(body) < maxAnswerBytes {
+		start := len(body)
+		body = append(body, make([]byte, bodyBlock)...)
+		n, err := x.Read(body[start:])
+		body = body[:start+n]
+		held += n
+		if d.held.Add(int64(n)) > d.HeldBytes {
+			return nil, errHeld
+		}
+		switch {
+		case errors.Is(err, io.EOF):
+			return body, nil
+		case err != nil:
+			return nil, err
+		}
+	}
+	return nil, errHeld
+}
+
 // errUncertified is why an answer without the upstream's signature is not
 // passed on.
 var errUncertified = errors.New("the answer is not certified by the upstream")
@@ -304,9 +334,7 @@
 	if x.Status == 421 && x.Instance != "" && x.Instance != a.id {
 		d.Pulses.Down(pulse.Short(a.id))
 	}
-	if _, err := io.Copy(io.Discard, io.LimitReader(x, maxAnswerBytes)); err == nil {
-		x.Finish()
-	}
+	x.Drop()
 }
 
 // sawWeights notes which weights an engine has, and tells other hosts if they
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -17,8 +17,9 @@
 const (
 	// eventBytes is the size of one read of a stream.
 	eventBytes = 4096
-	// maxEventBytes bounds one event.
-	maxEventBytes = 1 << 20
+	// maxEventBytes bounds one event; those of the users' engines hold a few
+	// tokens.
+	maxEventBytes = 256 << 10
 )
 
 // stream passes on the events of an answer, each as soon as it is complete.
--- a/site/site.go
+++ b/site/site.go
@@ -42,6 +42,9 @@
 	// memoryShare is the part of the host's memory that the Go runtime may
 	// use; the rest is for stacks, sockets and what it does not count.
 	memoryShare = 0.55
+	// heldShare is the part of it that answers may take while they come in;
+	// callers, caches and beliefs need the rest.
+	heldShare = 0.1
 	// weightsMargin is how long before the operators' bound no request is
 	// sent to older weights, since it may wait there.
 	weightsMargin = 700 * time.Millisecond
@@ -128,7 +131,7 @@
 		Hosts:         func() int { return max(len(n.directory.Hosts()), len(n.settings.Platform.Seeds)) },
 		FailureDomain: n.settings.Host.FailureDomain,
 		Repeats:       allowance.Bound{Ratio: bounds.RepeatRatio, Window: bounds.RepeatWindow(), Slack: bounds.RepeatSlack},
-		OldWeights:    bounds.Weights() - weightsMargin, Metrics: scope,
+		OldWeights:    bounds.Weights() - weightsMargin, HeldBytes: int64(heldShare * float64(n.settings.Machine.MemoryMB) * (1 << 20)), Metrics: scope,
 	})
 	if n.pulses, err = pulse.NewExchange(ctx, &n.wait, pulse.Options{
 		Listen: n.settings.Listen.Pulses, Host: n.settings.Host.Name, FailureDomain: n.settings.Host.FailureDomain, Others: n.pulsePeers,
