fix: a request that waits at replaced weights is withdrawn in time

Cause: requests were sent to older weights up to 0.7 s before the bound, whatever waited there. With most engines waiting for a load, the others had seconds of prompts ahead, and requests began up to 2.8 s after they were sent. Why it works: while a request has not begun, the host looks at its weights every 150 ms and closes its connection 0.3 s before the bound; the engine then drops it.

--- a/event/request.go
+++ b/event/request.go
@@ -38,8 +38,10 @@
 	RunMoved = Event{2108, "run moved", "A running request was to move to another engine, since its own is to load weights. Stopped tells that it no longer runs there, Arrived that the other engine has its memory."}
 	// CallOverloaded reports a request that is refused for what waits before it.
 	CallOverloaded = Event{2109, "call overloaded", "So much waits at the engines that a request can't be answered before its deadline; it is refused with when to come back."}
+	// RunWithdrawn reports a request that waited too long at replaced weights.
+	RunWithdrawn = Event{2111, "run withdrawn", "A request had not begun at an engine when its weights were replaced too long ago; it was taken back and goes on elsewhere if it may. Named is the newest number, AgeMillis how long ago a newer one than its own was named."}
 	// StreamAwaited reports a silent stream that nobody could take over.
 	StreamAwaited = Event{2110, "stream awaited", "An upstream is silent in the middle of a stream and no other could go on; it is waited for until the deadline."}
 )
 
-var requestEvents = []Event{RequestEnded, AttemptFailed, ClaimFailed, RequestQuarantined, ShareFailed, ClaimAppendFailed, LossRecorded, SuspicionEnded, QuarantineKept, CallPlaced, TryFailed, CallRefused, CallEnded, StreamResumed, StreamBroken, StreamEnded, RunMoved, CallOverloaded, StreamAwaited}
+var requestEvents = []Event{RequestEnded, AttemptFailed, ClaimFailed, RequestQuarantined, ShareFailed, ClaimAppendFailed, LossRecorded, SuspicionEnded, QuarantineKept, CallPlaced, TryFailed, CallRefused, CallEnded, StreamResumed, StreamBroken, StreamEnded, RunMoved, CallOverloaded, StreamAwaited, RunWithdrawn}
--- a/forward/run.go
+++ b/forward/run.go
@@ -199,6 +199,7 @@
 	ctx, a.cancel = context.WithCancel(ctx)
 	timer := time.AfterFunc(d.tryTime(), func() { a.late.Store(true); a.cancel() })
 	defer timer.Stop()
+	defer d.withdraw(a)()
 	d.Board.Update(t.id, func(s health.State) health.State { return s.WithSend(t.rank, t.prefill, clock.Now()) })
 	if t.prefill > longPrompt {
 		d.Pulses.Hurry()
--- a/site/harness_test.go
+++ b/site/harness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -39,6 +40,8 @@
 	services []*standin.PlatformEngine
 	hosts    []*testHost
 	version  int
+	// weightsMillis is how long older weights may answer; 0 for the usual time.
+	weightsMillis int
 	// pulsePort is the port that all hosts use for pulses.
 	pulsePort string
 }
@@ -181,7 +184,7 @@
 	}
 	s.Secrets.Peers = settings.Source{Environment: "SITE_TEST_SECRET"}
 	s.Machine = settings.Machine{MemoryMB: 512, Descriptors: 4096}
-	s.Bounds = settings.Bounds{LeaseMillis: 1000, WeightsMillis: 6000, GraceSeconds: 8, RepeatRatio: 0.2, RepeatWindowSeconds: 10, RepeatSlack: 50}
+	s.Bounds = settings.Bounds{LeaseMillis: 1000, WeightsMillis: cmp.Or(w.weightsMillis, 6000), GraceSeconds: 8, RepeatRatio: 0.2, RepeatWindowSeconds: 10, RepeatSlack: 50}
 	ctx, cancel := context.WithCancel(context.Background())
 	n, err := site.New(ctx, s)
 	if err != nil {
