fix: an answer removes what the store has of its request; a watch ends for good

What callers saw: nothing yet; found by reading the change. A request that was condemned after two losses and answered on its trial stayed refused on hosts that start later; and the watch of a request that waits could set its timer once more while it ended, and end the running stream when its weights were replaced. Cause: only records that count three losses were removed; a stopped timer was reset. Evidence: TestKeptRecords failed before (the record stayed); the second by reading, a race of microseconds without a test. Why it works: a host knows of which requests the store has records; the watch looks whether it has ended before it does anything.

--- a/crash/guard.go
+++ b/crash/guard.go
@@ -74,6 +74,8 @@
 	trials map[quarantine.Fingerprint]*trial
 	// unkept holds what is to be written to the store.
 	unkept map[quarantine.Fingerprint]quarantine.Record
+	// stored are the requests of which the store has a record.
+	stored map[quarantine.Fingerprint]bool
 }
 
 // trial counts the requests with one fingerprint that run on this host.
@@ -89,7 +91,7 @@
 		o.Metrics = tally.NoopScope
 	}
 	g := &Guard{Options: o, fresh: make(chan []quarantine.Record, waiting), trials: map[quarantine.Fingerprint]*trial{},
-		wake: make(chan struct{}, 1), unkept: map[quarantine.Fingerprint]quarantine.Record{}}
+		wake: make(chan struct{}, 1), unkept: map[quarantine.Fingerprint]quarantine.Record{}, stored: map[quarantine.Fingerprint]bool{}}
 	if g.Store != nil {
 		wait.Go(func() { g.follow(ctx) })
 		wait.Go(func() { g.write(ctx) })
@@ -216,7 +218,7 @@
 	g.mu.Unlock()
 	g.merge([]quarantine.Record{r}, "Own")
 	r.Condemned = g.judge(r.Fingerprint, r.At).Verdict == quarantine.Condemned
-	if r.Losses >= keptLosses || r.Condemned {
+	if g.keeps(r) {
 		g.keep(r)
 	}
 }
--- a/crash/kept.go
+++ b/crash/kept.go
@@ -62,10 +62,31 @@
 			g.dropExpired(records)
 		}
 		position = next
+		g.learn(records)
 		g.merge(records, "Store")
 	}
 }
 
+// learn notes what the store has.
+func (g *Guard) learn(records []quarantine.Record) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, r := range records {
+		g.stored[r.Fingerprint] = true
+	}
+}
+
+// keeps tells whether a record of this host belongs in the store, or changes
+// what it has.
+func (g *Guard) keeps(r quarantine.Record) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if _, writing := g.unkept[r.Fingerprint]; r.Answered {
+		return writing || g.stored[r.Fingerprint]
+	}
+	return r.Losses >= keptLosses || r.Condemned
+}
+
 // dropExpired has records removed that no longer count. Each host that starts
 // does its share.
 func (g *Guard) dropExpired(records []quarantine.Record) {
@@ -144,4 +165,7 @@
 	if g.unkept[r.Fingerprint].ID == r.ID {
 		delete(g.unkept, r.Fingerprint)
 	}
+	if g.stored[r.Fingerprint] = !r.Answered; r.Answered {
+		delete(g.stored, r.Fingerprint)
+	}
 }
--- a/forward/withdraw.go
+++ b/forward/withdraw.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/kumquathoist/kumquathoist/clock"
@@ -19,14 +20,18 @@
 
 // withdraw ends a try that has not begun to answer once its weights may no
 // longer answer. It returns a function that ends the watch.
-func (d *run) withdraw(a *attempt) (stop func() bool) {
+func (d *run) withdraw(a *attempt) (stop func()) {
 	if a.send.Weights == 0 {
-		return func() bool { return true }
+		return func() {}
 	}
+	var stopped atomic.Bool
 	var timer *time.Timer
 	ready := make(chan struct{})
 	timer = time.AfterFunc(withdrawLook, func() {
 		<-ready
+		if stopped.Load() {
+			return // the timer was set again while the watch ended
+		}
 		named, _ := d.Knowledge.Book().Weights(a.send.Prompt.Model)
 		since, replaced := named.Replaced(a.send.Weights)
 		age := clock.Now().Sub(since)
@@ -40,5 +45,8 @@
 		a.cancel()
 	})
 	close(ready)
-	return timer.Stop
+	return func() {
+		stopped.Store(true)
+		timer.Stop()
+	}
 }
