--- a/soak/soak.go
+++ b/soak/soak.go
@@ -14,7 +14,6 @@
 	"net/http"
 	"os"
 	"slices"
-	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -179,18 +178,8 @@
 		s.touchUpstreams(until.Add(callDeadline))
 		fault := []standin.PlatformFault{standin.ResetFault, standin.CutFault, standin.FullFault, standin.ErrorFault, standin.ExtraFault, standin.SilentFault, standin.LostOrderFault, standin.NoRoomFault}
 		s.place(f.Target).now.Fail(fault[f.Variant%len(fault)], 1+f.Variant%4)
-	case RestEngine:
-		s.place(f.Target).now.AskForTime(strconv.FormatFloat(f.For.Seconds(), 'f', 1+2*(f.Variant%2), 64), f.For)
-	case SayLeaving:
-		u := s.place(f.Target)
-		if _, taken := s.busy.LoadOrStore(u, true); taken {
-			return
-		}
-		defer s.busy.Delete(u)
-		u.now.SayLeaving()
-		s.pause(leavingTime)
-		s.touchUpstreams(time.Now().Add(2 * lapse))
-		_ = s.replaceUpstream(u, false) // as above
+	case RestEngine, SayLeaving:
+		s.say(f)
 	case DelayLink, ResetLink, SilenceLink:
 		s.harmLink(f, h, until)
 	case RefuseStore:
--- a/soak/standing.go
+++ b/soak/standing.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -21,6 +22,25 @@
 	restSends        = 2
 )
 
+// say has an upstream ask for a time without requests, or say that it leaves.
+func (s *strikes) say(f Fault) {
+	u := s.place(f.Target)
+	if f.Kind == RestEngine {
+		u.now.AskForTime(strconv.FormatFloat(f.For.Seconds(), 'f', 1+2*(f.Variant%2), 64), f.For)
+		return
+	}
+	if _, taken := s.busy.LoadOrStore(u, true); taken {
+		return
+	}
+	defer s.busy.Delete(u)
+	u.now.SayLeaving()
+	s.pause(leavingTime)
+	s.touchUpstreams(time.Now().Add(2 * lapse))
+	// A place that can't start another upstream stays empty, which the end of
+	// the run shows.
+	_ = s.replaceUpstream(u, false)
+}
+
 // touch is a time in which a host's process or links met a fault.
 type touch struct{ from, until time.Time }
 
