--- a/soak/crasher.go
+++ b/soak/crasher.go
@@ -58,6 +58,20 @@
 	}
 }
 
+// tell has a function told of upstreams that the crasher ends.
+func (w *world) tell(crashed func(*upstream)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.crashed = crashed
+}
+
+func (w *world) told(u *upstream) {
+	w.mu.Lock()
+	crashed := w.crashed
+	w.mu.Unlock()
+	crashed(u)
+}
+
 // crashed starts an upstream again that the request has ended.
 func (s *strikes) crashed(u *upstream) {
 	s.world.mu.Lock()
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -91,7 +91,7 @@
 		callers.Go(func() { w.caller(calling, i, o.Seed, calls) })
 	}
 	s := &strikes{world: w, struck: map[*host]time.Time{}, touched: map[*host][]touch{}}
-	w.crashed = s.crashed
+	w.tell(s.crashed)
 	began := time.Now()
 	for _, f := range plan {
 		faults.Go(func() {
--- a/soak/world.go
+++ b/soak/world.go
@@ -143,7 +143,7 @@
 	e.Advertised = u.link.address()
 	e.Pace(eventPause)
 	e.Load(w.weights)
-	e.CrashOn(crasherMark, w.crasher.point, func() { w.crashed(u) })
+	e.CrashOn(crasherMark, w.crasher.point, func() { w.told(u) })
 	u.link.point(e.Address())
 	u.now = e
 	w.store.Enter(e)
