fix: the test of two keepers holds its world ready before the hosts start

Cause: TestTwoKeepers gave the engine its cached prompt after the trackers had started. Their first poll comes at once; when it was before the prompt, the keeper knew the engine, believed nothing of its cache, and the choice found 0 of 8192 tokens until the poll half a second later. The test waited only for the engine to be known.

Ruled out: a fault of the tracker. A keeper that has polled an engine before it cached a prompt is right to expect nothing of it.

Now the world is complete before the hosts start: the checks are the same, and hold from the first poll on.

--- a/engine/tracker_test.go
+++ b/engine/tracker_test.go
@@ -96,8 +96,8 @@
 // newWorld starts hosts before engines that hold nothing.
 func newWorld(t testing.TB, hosts, engines int) *world { return startWorld(t, hosts, hosts, engines) }
 
-// startWorld starts the first of some hosts.
-func startWorld(t testing.TB, running, hosts, engines int) *world {
+// startWorld starts the first of some hosts before a world prepared so.
+func startWorld(t testing.TB, running, hosts, engines int, prepare ...func(*world)) *world {
 	w := &world{reports: map[string]upstream.CacheReport{}, trackers: map[string]*engine.Tracker{}, silent: map[string]bool{}, alone: map[string]bool{}}
 	pool := document.Pool{Name: "engines", Kind: document.EnginePool}
 	for i := range engines {
@@ -111,6 +111,9 @@
 		name := fmt.Sprintf("host-%d", i)
 		w.hosts = append(w.hosts, registry.Host{Name: name, Peers: name})
 	}
+	for _, change := range prepare {
+		change(w)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	var wait conc.WaitGroup
 	for _, h := range w.hosts[:running] {
@@ -254,11 +257,10 @@
 // keeper of an engine believe and choose alike.
 func TestTwoKeepers(t *testing.T) {
 	is := is.New(t)
-	w := newWorld(t, 2, 1)
-	w.cache()
-	w.mu.Lock()
-	w.alone["host-0"], w.alone["host-1"] = true, true
-	w.mu.Unlock()
+	// Both take the engine for theirs and find the prompt there from the first poll on.
+	w := startWorld(t, 2, 2, 1, (*world).cache, func(w *world) {
+		w.alone["host-0"], w.alone["host-1"] = true, true
+	})
 	for host, tracker := range w.trackers {
 		eventually(t, func() bool {
 			reply, err := tracker.Look(context.Background(), &peerpb.LookRequest{Engines: []string{"engine-0"}})
