fix: a log line tells from when on the daemon takes signals

Cause: nothing told a supervisor when SIGHUP is safe to send.

The case that the soak no longer plays is one in which no code of the daemon has run; signals from the first line of its code on are played by TestHangUpWhileStarting.

--- a/event/process.go
+++ b/event/process.go
@@ -20,6 +20,8 @@
 	LinesDropped = Event{1008, "lines dropped", "Log lines were dropped since the last such line, because their volume was above the limit or the output was blocked."}
 	// DoorFailed reports that an address can no longer be served.
 	DoorFailed = Event{1009, "door failed", "Connections on one of the daemon's addresses are no longer accepted."}
+	// Starting reports a start; from here on the process takes signals.
+	Starting = Event{1010, "starting", "The settings were read, and signals are taken from here on. Until then SIGHUP may end the process."}
 )
 
-var processEvents = []Event{Listening, Stopping, Stopped, Ready, ProcessPaused, Reloaded, ReloadFailed, LinesDropped, DoorFailed}
+var processEvents = []Event{Listening, Stopping, Stopped, Ready, ProcessPaused, Reloaded, ReloadFailed, LinesDropped, DoorFailed, Starting}
--- a/soak/process.go
+++ b/soak/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"os"
 	"os/exec"
 	"strings"
@@ -11,6 +12,7 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/kumquathoist/kumquathoist/event"
 	"github.com/kumquathoist/kumquathoist/standin"
 )
 
@@ -30,7 +32,9 @@
 	ended chan struct{}
 	// expected tells that the end was asked for.
 	expected bool
-	output   standin.Output
+	// starts counts starts.
+	starts int
+	output standin.Output
 	// surprises are ends that nobody asked for.
 	surprises []string
 }
@@ -47,6 +51,7 @@
 	}
 	ended := make(chan struct{})
 	p.cmd, p.ended, p.expected = cmd, ended, false
+	p.starts++
 	go func() {
 		err := cmd.Wait()
 		p.mu.Lock()
@@ -70,10 +75,27 @@
 	return err.Error()
 }
 
+// hangUp sends SIGHUP to the process, unless it runs but doesn't take signals
+// yet: the system would end it then.
+func (p *process) hangUp() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if strings.Count(p.output.String(), fmt.Sprintf("Event=%d ", event.Starting.Number)) < p.starts {
+		return false
+	}
+	p.signalLocked(syscall.SIGHUP)
+	return true
+}
+
 // signal sends a signal to the process, if it runs.
 func (p *process) signal(s syscall.Signal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.signalLocked(s)
+}
+
+// signalLocked sends a signal; the caller holds mu.
+func (p *process) signalLocked(s syscall.Signal) {
 	select {
 	case <-p.ended:
 	default:
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -229,7 +229,7 @@
 // signalHost sends signals to a host's process.
 func (s *strikes) signalHost(f Fault, h *host, until time.Time) {
 	if f.Kind == HangUp {
-		h.signal(syscall.SIGHUP)
+		s.await(longestFault, h.hangUp)
 		return
 	}
 	if _, taken := s.busy.LoadOrStore(h, true); taken {
