fix: the stand-in refuses orders that name another instance

The platform's engines answer 421 to such an order and count nothing; the stand-in carried it out.

Evidence: TestOrderForAnotherInstance failed before (202 != 421).

--- a/standin/platform_engine.go
+++ b/standin/platform_engine.go
@@ -237,6 +237,10 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if instance := r.Header.Get("X-Expect-Instance"); instance != "" && instance != e.ID {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.orders = append(e.orders, PlatformOrder{o.FencingToken, o.Holder, time.Now()})
