--- a/conduit/endless_test.go
+++ b/conduit/endless_test.go
@@ -4,8 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"net"
-	"strings"
 	"testing"
 	"time"
 
@@ -13,41 +11,19 @@
 
 	"github.com/kumquathoist/kumquathoist/conduit"
 	"github.com/kumquathoist/kumquathoist/platform"
+	"github.com/kumquathoist/kumquathoist/standin"
 )
 
-// endless is an upstream that answers every request with a beginning and then
-// sends the same again and again.
-func endless(t *testing.T, begin, again string) string {
+// endless starts an upstream that answers every request with a beginning and
+// then sends the same again and again.
+func endless(t testing.TB, begin, again string) *standin.Endless {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	e, err := standin.NewEndless(standin.EndlessOptions{Begin: func(string) string { return begin }, Again: again})
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				if _, err := c.Read(make([]byte, 4096)); err != nil {
-					return
-				}
-				_, err := io.WriteString(c, begin)
-				if again == "" {
-					_, _ = c.Read(make([]byte, 1)) // until the caller closes
-					return
-				}
-				block := strings.Repeat(again, 1+4096/len(again))
-				for err == nil {
-					_, err = io.WriteString(c, block)
-				}
-			}()
-		}
-	}()
-	return l.Addr().String()
+	t.Cleanup(e.Close)
+	return e
 }
 
 // TestBytesWithoutEnd reads answers that never end: each is given up long
@@ -75,12 +51,15 @@
 			ctx, cancel := context.WithTimeout(context.Background(), deadline)
 			defer cancel()
 			read := 0
-			x, err := pool.Send(ctx, endless(t, tt.begin, tt.again), "r", "GET", []byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"))
+			x, err := pool.Send(ctx, endless(t, tt.begin, tt.again).Address(), "r", "GET", []byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"))
 			for err == nil {
 				var n int
 				n, err = x.Read(make([]byte, 4096))
 				read += n
 			}
+			if x != nil {
+				x.Discard()
+			}
 			is.True(!errors.Is(err, io.EOF))
 			is.NoErr(ctx.Err()) // it was given up before the deadline
 			is.True(read < most)
@@ -103,7 +82,7 @@
 			pool := conduit.NewPool(platform.Wire{})
 			ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 			defer cancel()
-			address := endless(t, tt.begin, tt.again)
+			address := endless(t, tt.begin, tt.again).Address()
 			x, err := pool.Send(ctx, address, "r", "GET", []byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"))
 			is.NoErr(err)
 			x.Drop()
--- a/site/endless_test.go
+++ b/site/endless_test.go
@@ -1,10 +1,7 @@
 package site_test
 
 import (
-	"bufio"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"runtime"
 	"strings"
@@ -13,36 +10,22 @@
 
 	"github.com/matryer/is"
 	"github.com/sourcegraph/conc"
+
+	"github.com/kumquathoist/kumquathoist/standin"
 )
 
-// endlessService listens as a service that answers every request properly at
-// first and then sends the same again and again until its caller closes.
+// endlessService starts a service that answers every request properly at first
+// and then sends the same again and again until its caller closes.
 func endlessService(w *world, begin, again string, pause time.Duration) string {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	e, err := standin.NewEndless(standin.EndlessOptions{
+		Begin: func(id string) string {
+			return fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Stamp: s.%s\r\n%s", id, id, begin)
+		},
+		Again: again, Pause: pause,
+	})
 	w.is.NoErr(err)
-	w.t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				r, err := http.ReadRequest(bufio.NewReader(c))
-				if err != nil {
-					return
-				}
-				id := r.Header.Get("X-Attempt-Id")
-				_, err = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Stamp: s.%s\r\n%s", id, id, begin)
-				for err == nil {
-					_, err = io.WriteString(c, again)
-					time.Sleep(pause)
-				}
-			}()
-		}
-	}()
-	return l.Addr().String()
+	w.t.Cleanup(e.Close)
+	return e.Address()
 }
 
 // TestUpstreamsThatSendWithoutEnd has a service send what never ends, fast and
--- /dev/null
+++ b/standin/endless.go
@@ -0,0 +1,96 @@
+package standin
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/sourcegraph/conc"
+)
+
+// endlessBlock is about how many bytes an endless server writes at once.
+const endlessBlock = 4096
+
+// EndlessOptions say what an endless server sends.
+type EndlessOptions struct {
+	// Begin returns the beginning of an answer to the request with an id.
+	Begin func(id string) string
+	// Again is sent again and again after it. If it is empty, nothing more
+	// comes.
+	Again string
+	// Pause is the time between two pieces of one Again each; 0 sends as fast
+	// as the caller reads.
+	Pause time.Duration
+}
+
+// Endless is an HTTP server whose answers have no end.
+type Endless struct {
+	options  EndlessOptions
+	listener net.Listener
+	written  atomic.Int64
+	wait     conc.WaitGroup
+}
+
+// NewEndless starts a server on a port of its own.
+func NewEndless(o EndlessOptions) (*Endless, error) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	e := &Endless{options: o, listener: l}
+	e.wait.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			e.wait.Go(func() { e.serve(c) })
+		}
+	})
+	return e, nil
+}
+
+// Address returns the server's IP:port.
+func (e *Endless) Address() string { return e.listener.Addr().String() }
+
+// Written returns how many bytes of answers it has written.
+func (e *Endless) Written() int64 { return e.written.Load() }
+
+// Close takes no more connections and waits until all callers have closed
+// theirs.
+func (e *Endless) Close() {
+	_ = e.listener.Close()
+	e.wait.Wait()
+}
+
+// serve answers one request until its caller closes the connection.
+func (e *Endless) serve(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	r, err := http.ReadRequest(bufio.NewReader(c))
+	if err != nil {
+		return
+	}
+	err = e.write(c, []byte(e.options.Begin(r.Header.Get("X-Attempt-Id"))))
+	if e.options.Again == "" {
+		_, _ = io.Copy(io.Discard, c)
+		return
+	}
+	piece := []byte(e.options.Again)
+	if e.options.Pause == 0 {
+		piece = bytes.Repeat(piece, 1+endlessBlock/len(piece))
+	}
+	for err == nil {
+		err = e.write(c, piece)
+		time.Sleep(e.options.Pause)
+	}
+}
+
+func (e *Endless) write(c net.Conn, b []byte) error {
+	n, err := c.Write(b)
+	e.written.Add(int64(n))
+	return err
+}
