fix: bound the answers of plain services and of the log

Cause: the client of plain services on a platform without a store read a body to its end, however long, and held it whole; so did the client of the log service.

Evidence: TestServiceThatSendsWithoutEnd, with the process's memory limited to 6 GB: 'out of memory' within the test's minute before, given up after 32 MiB as one that may have run now. The log's bound (64 MiB) has no test of its own.

--- a/registry/log.go
+++ b/registry/log.go
@@ -7,14 +7,18 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"time"
 
 	"github.com/gravitational/trace"
+
+	"github.com/kumquathoist/kumquathoist/bounded"
 )
 
+// maxAnswerBytes bounds one answer of the log, a page of records.
+const maxAnswerBytes = 64 << 20
+
 // ConfigurationStream is the log's stream of configuration edits.
 const ConfigurationStream = "configuration"
 
@@ -54,7 +58,9 @@
 
 // NewLog returns a client of the log service at the base URL.
 func NewLog(base string) *Log {
-	return &Log{base: base, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: 30 * time.Second}}}
+	return &Log{base: base, client: &http.Client{Transport: &http.Transport{
+		MaxIdleConnsPerHost: 4, IdleConnTimeout: 30 * time.Second, MaxResponseHeaderBytes: bounded.MaxHeadBytes,
+	}}}
 }
 
 // Append appends one record to a stream.
@@ -84,7 +90,7 @@
 		return trace.ConnectionProblem(err, "no answer from %s", req.URL.Host)
 	}
 	defer resp.Body.Close()
-	raw, err := io.ReadAll(resp.Body)
+	raw, err := bounded.ReadAll(resp.Body, maxAnswerBytes)
 	if err != nil {
 		return trace.ConnectionProblem(err, "answer from %s was cut", req.URL.Host)
 	}
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/gravitational/trace"
+
+	"github.com/kumquathoist/kumquathoist/bounded"
 )
 
 const (
@@ -21,6 +23,8 @@
 	dialTimeout = time.Second
 	// drainTimeout bounds the wait for the last bytes of an ended stream.
 	drainTimeout = 100 * time.Millisecond
+	// maxAnswerBytes bounds an answer of a plain service, which is held whole.
+	maxAnswerBytes = 32 << 20
 )
 
 // Call is one attempt at an upstream.
@@ -89,10 +93,11 @@
 // upstream.
 func NewClient() *Client {
 	transport := &http.Transport{
-		MaxIdleConnsPerHost: 64,
-		IdleConnTimeout:     30 * time.Second,
-		DisableCompression:  true,
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdleConnsPerHost:    64,
+		IdleConnTimeout:        30 * time.Second,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: bounded.MaxHeadBytes,
+		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
 	}
 	return &Client{http: &http.Client{Transport: transport}}
 }
@@ -157,7 +162,7 @@
 		return Answer{}, err
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
+	body, err := bounded.ReadAll(resp.Body, maxAnswerBytes)
 	if err != nil {
 		return Answer{}, trace.ConnectionProblem(err, "the answer was cut")
 	}
