fix: what is told of a head that can't be read is short

Cause: the parser quotes the line that it can't read; each failed send then wrote several times that line into the log, whatever the upstream sent.

--- a/conduit/endless_test.go
+++ b/conduit/endless_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"strings"
 	"testing"
 	"time"
 
@@ -97,3 +98,26 @@
 		})
 	}
 }
+
+// TestReasonOfUnreadableHead checks that what is told of a head that can't be
+// read is short, and still tells whether the connection was cut.
+func TestReasonOfUnreadableHead(t *testing.T) {
+	for _, tt := range []struct {
+		name, answer string
+		cut          bool
+	}{
+		{"bytes that are no head", strings.Repeat("\xf5", 3000) + " 0\n0\n", false},
+		{"a head that ends early", "HTTP/1.1 200 OK\r\nX-Long: " + strings.Repeat("\xf5", 3000), true},
+		{"nothing", "", true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newScript(t)
+			answer := []byte(tt.answer)
+			s.answer.Store(&answer)
+			_, err := conduit.NewPool(platform.Wire{}).Send(t.Context(), s.listener.Addr().String(), "r", "GET", []byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"))
+			is.True(len(err.Error()) < 400)
+			is.Equal(conduit.Cut(err), tt.cut)
+		})
+	}
+}
--- a/conduit/exchange.go
+++ b/conduit/exchange.go
@@ -33,6 +33,8 @@
 	// of a body may take. The smallest events of a stream are several times as
 	// large as their framing.
 	maxFramingBytes = 64 << 10
+	// maxReasonBytes bounds what is told of a head that can't be read.
+	maxReasonBytes = 256
 	// dropBytes and dropTime bound the rest of an answer that is read only to
 	// keep its connection, which costs about a millisecond to make anew.
 	dropBytes = 64 << 10
@@ -100,7 +102,7 @@
 	for skipped, informational := 0, 0; ; skipped++ {
 		var h fasthttp.ResponseHeader
 		if err := h.Read(e.conn.in); err != nil {
-			return err
+			return unreadableHead{err}
 		}
 		if h.StatusCode() < 200 {
 			skipped--
@@ -124,6 +126,18 @@
 	}
 }
 
+// unreadableHead is why a head can't be read. Its text is short, whatever the
+// upstream sent.
+type unreadableHead struct{ cause error }
+
+func (u unreadableHead) Error() string {
+	text := u.cause.Error()
+	return text[:min(len(text), maxReasonBytes)]
+}
+
+// Unwrap returns what tells a cut connection from bytes that are no head.
+func (u unreadableHead) Unwrap() error { return u.cause }
+
 // framed returns the body as the head frames it.
 func (e *Exchange) framed(h *fasthttp.ResponseHeader, method string) io.Reader {
 	length := h.ContentLength()
--- /dev/null
+++ b/conduit/fuzz_test.go
@@ -0,0 +1,113 @@
+package conduit_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/kumquathoist/kumquathoist/conduit"
+	"github.com/kumquathoist/kumquathoist/platform"
+)
+
+// allocated returns all bytes that were ever allocated.
+func allocated() uint64 {
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.TotalAlloc
+}
+
+// script is an upstream that answers with given bytes and closes.
+type script struct {
+	listener net.Listener
+	answer   atomic.Pointer[[]byte]
+}
+
+func newScript(t testing.TB) *script {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &script{listener: l}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+				_, _ = c.Write(*s.answer.Load())
+			}
+			_ = c.Close()
+		}
+	}()
+	return s
+}
+
+// FuzzAnswer reads heads and bodies that are any bytes: the end of an answer is
+// only seen where its framing ends it, no more is read than came, and the
+// memory that it takes is bounded by what came.
+func FuzzAnswer(f *testing.F) {
+	const head = "HTTP/1.1 200 OK\r\nX-Attempt-Id: r\r\nX-Response-Stamp: s\r\n"
+	for _, answer := range []string{
+		head + "Content-Length: 4\r\n\r\nbody",
+		head + "Content-Length: 4\r\nContent-Length: 5\r\n\r\nbody",
+		head + "Content-Length: 99999999999999999999\r\n\r\nbody",
+		head + "Content-Length: -1\r\n\r\nbody",
+		head + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX-After: b\r\n\r\n",
+		head + "Transfer-Encoding: chunked\r\n\r\nffffffffffffffff\r\nbody",
+		head + "Transfer-Encoding: chunked\r\n\r\n7fffffff;a=b\r\nbody",
+		head + "Transfer-Encoding: gzip, chunked\r\nContent-Length: 4\r\n\r\nbody",
+		head + "\r\nbody",
+		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" + head + "Content-Length: 0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\nContent-Length: 1\r\n\r\na" + head + "Content-Length: 0\r\n\r\n",
+		"HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: r\r\nRetry-After: 0.5\r\nServer-Leaving: 1\r\nContent-Length: 0\r\n\r\n",
+		head + "Retry-After: -1e999\r\nX-Weight-Versions: 99999999999999999999\r\nKeep-Alive: timeout=-5\r\n\r\n",
+		"HTTP/0.9 000\r\n\r\n", "\r\n\r\n", "", "HTTP/1.1 200 OK\n\nbody", "HTTP/1.1 204 No Content\r\nX-Attempt-Id: r\r\nContent-Length: 9\r\n\r\n",
+	} {
+		f.Add([]byte(answer))
+	}
+	s := newScript(f)
+	f.Fuzz(func(t *testing.T, answer []byte) {
+		// A hundred answers at once may take a quarter of the memory of a host of
+		// 112 MB.
+		const most = 112 << 20 / 4 / 100
+		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+		defer cancel()
+		pool := conduit.NewPool(platform.Wire{})
+		before := allocated()
+		s.answer.Store(&answer)
+		x, err := pool.Send(ctx, s.listener.Addr().String(), "r", "GET", []byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"))
+		read := 0
+		buffer := make([]byte, 4096)
+		for err == nil {
+			var n int
+			n, err = x.Read(buffer)
+			read += n
+		}
+		if took := allocated() - before; took > most {
+			t.Errorf("%d bytes took %d bytes of memory", len(answer), took)
+		}
+		if ctx.Err() != nil {
+			t.Error("the answer was read until the deadline")
+		}
+		if read > len(answer) {
+			t.Errorf("%d bytes were read of %d", read, len(answer))
+		}
+		if x == nil {
+			return
+		}
+		defer x.Discard()
+		if errors.Is(err, io.EOF) != x.Whole() {
+			t.Errorf("the answer ended with %v, whole: %v", err, x.Whole())
+		}
+	})
+}
