feat: hear what engines say of themselves in reports and cache events

What was seen: an engine that leaves says so in all its answers; hosts read it in answers to requests only. So a request had to be sent there first, on an engine that nobody is sent to for a while, and it was the next ones that were spared.

Now the header is read in answers to reports, orders, moves and cache events too, by the same code (forward.Told), and other hosts are told. What an answer says counts only for the engine that was asked: one that another engine gives at its address says nothing of it.

Evidence: TestAnEngineThatReportsThatItLeavesGetsNothing failed before ('never: both hosts know' within 30 s) and passes; the engine is sent none of 100 requests.

--- a/call/call.go
+++ b/call/call.go
@@ -88,17 +88,29 @@
 	Arrived bool
 }
 
+// Word is what an upstream says of itself in an answer.
+type Word struct {
+	Status int
+	// Instance is the id of the upstream that answered, if it says so.
+	Instance string
+	// Leaving tells that the upstream takes no more requests.
+	Leaving bool
+	// Rest is how long the upstream wants no requests; 0 if it doesn't say.
+	// Unusable holds what it said if that is no such time.
+	Rest     time.Duration
+	Unusable string
+}
+
 // Head is the beginning of an upstream's answer.
 type Head struct {
-	Status int
+	Word
+
 	// Call is the id of the call that the answer belongs to.
 	Call string
 	// Certified answers bear the upstream's signature.
 	Certified bool
 	// NotRun answers promise that the upstream did not run the request.
 	NotRun bool
-	// Instance is the id of the upstream that answered, if it says so.
-	Instance string
 	// Encoded bodies are not as the upstream made them.
 	Encoded bool
 	// Weights is the number of the weights that answer; 0 if not said.
@@ -108,12 +120,6 @@
 	// KeepAlive is how long the upstream keeps an idle connection; 0 if not
 	// said.
 	KeepAlive time.Duration
-	// Leaving tells that the upstream takes no more requests.
-	Leaving bool
-	// Rest is how long the upstream wants no requests; 0 if it doesn't say.
-	// Unusable holds what it said if that is no such time.
-	Rest     time.Duration
-	Unusable string
 	// Fields are passed on to the caller.
 	Fields []Field
 }
--- a/forward/run.go
+++ b/forward/run.go
@@ -254,7 +254,7 @@
 func (d *run) read(a *attempt) (*call.Answer, delivery.Outcome) {
 	x := a.exchange
 	d.sawWeights(a.id, x.Weights)
-	d.heardOf(a)
+	d.Told(a.id, a.exchange.Word, d.call.ID)
 	switch {
 	case x.NotRun || x.Status == 421:
 		d.readTurnedAway(a)
--- a/site/site.go
+++ b/site/site.go
@@ -17,6 +17,7 @@
 	"github.com/kumquathoist/kumquathoist/address"
 	"github.com/kumquathoist/kumquathoist/allowance"
 	"github.com/kumquathoist/kumquathoist/cachefeed"
+	"github.com/kumquathoist/kumquathoist/call"
 
 	"github.com/kumquathoist/kumquathoist/clock"
 	"github.com/kumquathoist/kumquathoist/conduit"
@@ -124,7 +125,7 @@
 	connections := conduit.NewPool(platform.Wire{})
 	n.wait.Go(func() { connections.Sweep(ctx) })
 	bounds := n.settings.Bounds
-	engines := platform.NewEngines()
+	engines := platform.NewEngines(func(instance string, w call.Word) { n.router.Told(instance, w, "") })
 	n.router = forward.New(forward.Options{
 		Knowledge: n.keeper, Sender: connections, Encoder: platform.Wire{}, Guard: guard, Board: n.board, Pulses: sightings{n},
 		Mover: engines, Background: &n.wait,
--- a/site/standing_test.go
+++ b/site/standing_test.go
@@ -80,6 +80,28 @@
 	is.True(len(next.Seen()) > 0)
 }
 
+// TestAnEngineThatReportsThatItLeavesGetsNothing has an engine say only in
+// answers about itself that it leaves: before any request was sent there, all
+// hosts know.
+func TestAnEngineThatReportsThatItLeavesGetsNothing(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 2, 2, 0)
+	w.await("the hosts hear each other", func() bool { return len(w.addresses(w.hosts[0])) == 2 && len(w.addresses(w.hosts[1])) == 2 })
+	var log standin.Output
+	var wait conc.WaitGroup
+	ctx, cancel := context.WithCancel(context.Background())
+	defer wait.Wait()
+	defer cancel()
+	event.WriteTo(ctx, &wait, &log)
+	w.engines[0].ReportLeaving()
+	w.await("both hosts know", func() bool { return count(&log, "upstream leaves") >= 2 })
+	for i := range 100 {
+		a := w.do(w.hosts[i%2], "POST", modelHost, "/full/a", fmt.Sprint("r", i), prompt, "body")
+		is.Equal(a.status, http.StatusOK)
+	}
+	is.Equal(len(w.engines[0].Seen()), 0)
+}
+
 // TestAnUpstreamThatAsksForTimeGetsIt has upstreams turn requests away and ask
 // for time: one of several is left alone, and if all ask, callers are told at
 // once when to come back.
--- a/soak/standing.go
+++ b/soak/standing.go
@@ -34,6 +34,7 @@
 	}
 	defer s.busy.Delete(u)
 	u.now.SayLeaving()
+	u.now.ReportLeaving()
 	s.pause(leavingTime)
 	s.touchUpstreams(time.Now().Add(2 * lapse))
 	// A place that can't start another upstream stays empty, which the end of
--- a/standin/platform_engine.go
+++ b/standin/platform_engine.go
@@ -54,8 +54,9 @@
 	// ask is what it answers to requests until askUntil instead of running them.
 	ask      string
 	askUntil time.Time
-	// said tells that its answers say that it leaves.
-	said bool
+	// said tells that its answers to requests say that it leaves, reported
+	// that those about itself do.
+	said, reported bool
 }
 
 // PlatformFault is what goes wrong with the next requests.
@@ -104,10 +105,10 @@
 	e := &PlatformEngine{ID: id, Service: service, Zone: zone, Model: model, listener: listener, weights: 1, born: time.Now().UnixMilli(), ran: map[string]int{},
 		cached: map[cachePart]bool{}, told: make(chan struct{}), running: map[string]chan struct{}{}, memories: map[string]bool{}}
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /report", e.report)
-	mux.HandleFunc("POST /order", e.order)
-	mux.HandleFunc("GET /kv-events", e.cacheEvents)
-	mux.HandleFunc("POST /kv-move", e.move)
+	mux.HandleFunc("GET /report", e.aboutItself(e.report))
+	mux.HandleFunc("POST /order", e.aboutItself(e.order))
+	mux.HandleFunc("GET /kv-events", e.aboutItself(e.cacheEvents))
+	mux.HandleFunc("POST /kv-move", e.aboutItself(e.move))
 	mux.HandleFunc("POST /keep", e.keep)
 	mux.HandleFunc("POST /memory", e.memory)
 	mux.HandleFunc("/", e.serve)
@@ -143,13 +144,34 @@
 	e.leaving = true
 }
 
-// SayLeaving makes all further answers say that the engine leaves.
+// SayLeaving makes all further answers to requests say that the engine leaves.
 func (e *PlatformEngine) SayLeaving() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.said = true
 }
 
+// ReportLeaving makes all further answers about the engine itself say that it
+// leaves.
+func (e *PlatformEngine) ReportLeaving() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.reported = true
+}
+
+// aboutItself says with an answer to a call about the engine what it says of
+// itself.
+func (e *PlatformEngine) aboutItself(h http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		e.mu.Lock()
+		if e.reported {
+			w.Header().Set("Server-Leaving", "1")
+		}
+		e.mu.Unlock()
+		h(w, r)
+	}
+}
+
 // AskForTime turns requests away for a time, and asks with the text given for
 // none to be sent.
 func (e *PlatformEngine) AskForTime(text string, d time.Duration) {
