fix: weights count from when they may have been named, not from when they were heard

Cause: a host dated a number of weights by when it heard of it, less a fixed time. While its readers stand still a host hears nothing until its knowledge is 2 s old; then it asks the store and dated what it found there to that moment, up to 1.9 s after the naming. Requests on older weights were sent, and not withdrawn, for that much longer.

Ruled out: requests that wait too long at their engine (the ones seen had been sent 0.4 s before); a host that trusts another's order.

Now a number counts from the last instant at which the host knew all, also before a pause of its own; only while the store doesn't answer it, from when it was heard. The log tells the age (event 6005). One fault of the class is left: a host alone cut from the store for long dates what it hears at its end by its end.

--- a/event/knowledge.go
+++ b/event/knowledge.go
@@ -12,7 +12,7 @@
 	// CatalogChanged reports a new version of the configuration.
 	CatalogChanged = Event{6004, "catalog changed", "A version of the configuration arrived; InForce is the version in force after it."}
 	// WeightsNamed reports weights that operators want.
-	WeightsNamed = Event{6005, "weights named", "Operators named new weights of a model."}
+	WeightsNamed = Event{6005, "weights named", "Operators named new weights of a model. AgeMillis is how long ago that may have been; requests on older weights end by it."}
 	// UpstreamChanged reports what an upstream says of itself.
 	UpstreamChanged = Event{6006, "upstream changed", "An upstream's entry in the store is new or has changed."}
 	// UpstreamGone reports an upstream that has no entry any more.
--- a/knowledge/book.go
+++ b/knowledge/book.go
@@ -172,6 +172,9 @@
 type Times struct {
 	// Known is when the news could first have been known.
 	Known clock.Instant
+	// Named is that for weights, which count from when they were named: it is
+	// earlier while nobody told this host anything.
+	Named clock.Instant
 	// Return is when removals are believed that an outage of the store may
 	// have caused; the zero value if there was none.
 	Return clock.Instant
@@ -234,7 +237,7 @@
 		b.Catalog = *n
 	}
 	if n := c.News.Weights; n != nil && n.Number > b.weights[n.Model].Number {
-		b.weights[n.Model] = b.weights[n.Model].with(n.Number, at.Known)
+		b.weights[n.Model] = b.weights[n.Model].with(n.Number, at.Named)
 	}
 	if n := c.News.Entry; n != nil {
 		b.Roster = b.Roster.With(*n)
--- a/knowledge/book_test.go
+++ b/knowledge/book_test.go
@@ -112,7 +112,7 @@
 	var b knowledge.Book
 	for i, at := range []clock.Instant{now, now.Add(time.Second), now.Add(2 * time.Second)} {
 		d := knowledge.Delta{Topic: knowledge.Operator, Position: int64(i + 1), Records: []knowledge.Record{record("version/m", int64(i), fmt.Sprint("w", 2*i+1))}}
-		b, _ = b.With(d, decode, knowledge.Times{Known: at})
+		b, _ = b.With(d, decode, knowledge.Times{Named: at})
 	}
 	named, ok := b.Weights("m")
 	is.True(ok)
--- a/knowledge/keeper.go
+++ b/knowledge/keeper.go
@@ -58,6 +58,9 @@
 // ErrTrimmed means that records after a position are no longer kept.
 var ErrTrimmed = errors.New("records were trimmed")
 
+// errInterrupted means that this side ended a read, to begin anew.
+var errInterrupted = errors.New("the read was interrupted")
+
 // store is the platform's store.
 type store interface {
 	// Read returns the records from a position on, waiting for the first.
@@ -97,6 +100,10 @@
 	book atomic.Pointer[Book]
 	// confirmed is when the book was last known to be complete.
 	confirmed atomic.Int64
+	// complete is the same, but outlasts a pause of the process; away tells
+	// that the last read of the operators' topic failed.
+	complete atomic.Int64
+	away     atomic.Bool
 	// returned is until when removals are deferred.
 	returned atomic.Int64
 	// mu guards changes of book, and interrupt.
@@ -177,7 +184,7 @@
 	if before.Position(d.Topic) == 0 {
 		hidden = max(hidden, unseen)
 	}
-	at := Times{Known: now.Add(-hidden), Return: clock.Instant(k.returned.Load())}
+	at := Times{Known: now.Add(-hidden), Named: now.Add(-max(hidden, k.unheard(now))), Return: clock.Instant(k.returned.Load())}
 	next, changes := before.With(d, k.Decode, at)
 	k.book.Store(&next)
 	for _, c := range changes {
@@ -189,16 +196,25 @@
 	}
 }
 
+// unheard returns how long news may have been in the store without a word of
+// it. While the store does not answer this host, nobody is taken to have put
+// news into it.
+func (k *Keeper) unheard(now clock.Instant) time.Duration {
+	complete := clock.Instant(k.complete.Load())
+	if complete == 0 || k.away.Load() {
+		return 0
+	}
+	return now.Sub(complete)
+}
+
 // confirm notes that the book was complete at an instant. If that was not
 // known for long, the store was away for all hosts that this one hears of.
 func (k *Keeper) confirm(at clock.Instant) {
 	if age := k.Age(); age > freshFor {
 		k.returned.Store(int64(clock.Now().Add(returnAllowance)))
 	}
-	for {
-		known := k.confirmed.Load()
-		if int64(at) <= known || k.confirmed.CompareAndSwap(known, int64(at)) {
-			return
+	for _, latest := range []*atomic.Int64{&k.confirmed, &k.complete} {
+		for known := latest.Load(); int64(at) > known && !latest.CompareAndSwap(known, int64(at)); known = latest.Load() {
 		}
 	}
 }
@@ -221,6 +237,9 @@
 				event.StoreLost.Error(err, "Topic", t)
 			}
 			lost = true
+			if t == Operator && !errors.Is(err, errInterrupted) {
+				k.away.Store(true)
+			}
 			clock.Pause(ctx, time.Duration((0.5+rand.Float64())*float64(retryPause)))
 		case err == nil:
 			if lost {
@@ -233,6 +252,7 @@
 			listed, lost = true, false
 			k.merge(d, "Store", hidden)
 			if t == Operator {
+				k.away.Store(false)
 				k.confirm(clock.Now())
 			}
 			if len(d.Records) > 0 {
@@ -253,12 +273,20 @@
 		ctx, cancel := context.WithTimeout(reading, readAllowance)
 		defer cancel()
 		d, err := k.Store.Newest(ctx, t)
-		return d, pauses[t], err
+		return d, pauses[t], interrupted(reading, err)
 	}
 	ctx, cancel := context.WithTimeout(reading, waits[t]+readAllowance)
 	defer cancel()
 	d, err := k.Store.Read(ctx, t, position, waits[t])
-	return d, pauses[t], err
+	return d, pauses[t], interrupted(reading, err)
+}
+
+// interrupted returns the error of a read, or that this side ended it.
+func interrupted(reading context.Context, err error) error {
+	if err != nil && reading.Err() != nil {
+		return errors.Join(errInterrupted, err)
+	}
+	return err
 }
 
 // pull asks other hosts until the context ends.
@@ -337,7 +365,9 @@
 	case c.News.Catalog != nil:
 		event.CatalogChanged.Info("Version", c.News.Catalog.Version, "InForce", b.Catalog.Version, "Offset", c.Offset, "Source", source)
 	case c.News.Weights != nil:
-		event.WeightsNamed.Info("Model", c.News.Weights.Model, "Number", c.News.Weights.Number, "Offset", c.Offset, "Source", source)
+		w := c.News.Weights
+		named, _ := b.Weights(w.Model)
+		event.WeightsNamed.Info("Model", w.Model, "Number", w.Number, "AgeMillis", clock.Now().Sub(named.Since).Milliseconds(), "Offset", c.Offset, "Source", source)
 	case c.News.Entry != nil:
 		e := c.News.Entry
 		event.UpstreamChanged.Info("Upstream", e.ID, "Service", e.Service, "Address", e.Address, "Leaving", e.Leaving, "Beat", e.Beat, "Offset", c.Offset, "Source", source)
