feat: hosts may be told another address than they listen on; the soak harms links between hosts

The setting Listen.AnnouncedPeers is what other hosts are told instead of Listen.Peers, for hosts behind a forwarder; check refuses what is no IP:port.

The soak uses it to put a proxy between hosts: connections from others to a host are delayed, reset and silenced (DelayPeers, ResetPeers, SilencePeers), drawn apart, so that the other faults of a seed stay what they were. Datagrams between hosts and clocks are not harmed.

--- a/settings/check.go
+++ b/settings/check.go
@@ -105,6 +105,11 @@
 
 // store checks what a platform with a store needs.
 func (c *checker) store(s Settings) {
+	if a := s.Listen.AnnouncedPeers; a != "" {
+		if address, err := netip.ParseAddrPort(a); err != nil || address.Port() == 0 {
+			c.report("Listen.AnnouncedPeers", "%q is not IP:port with a port above 0", a)
+		}
+	}
 	for i, address := range append([]string{s.Platform.Store}, s.Platform.Seeds...) {
 		path := "Platform.Store"
 		if i > 0 {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -7,6 +7,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"os"
 	"time"
 
@@ -64,8 +65,15 @@
 	// Pulses takes datagrams of other hosts, which use the same port; it is
 	// used with Platform.Store.
 	Pulses string `yaml:"Pulses,omitempty"`
+	// AnnouncedPeers is what other hosts are told instead of Peers, for hosts
+	// behind a forwarder. Pulses come to its IP. It is used with
+	// Platform.Store.
+	AnnouncedPeers string `yaml:"AnnouncedPeers,omitempty"`
 }
 
+// PeersAddress returns the address at which other hosts reach this one.
+func (l Listen) PeersAddress() string { return cmp.Or(l.AnnouncedPeers, l.Peers) }
+
 // Platform tells where the platform's services are: either the base URLs of
 // its log and host list, or the address of a store that holds configuration,
 // upstreams and hosts.
--- a/site/site.go
+++ b/site/site.go
@@ -171,7 +171,7 @@
 	if err != nil {
 		return err
 	}
-	n.directory.Announce(n.settings.Listen.Callers, n.settings.Listen.Peers)
+	n.directory.Announce(n.settings.Listen.Callers, n.settings.Listen.PeersAddress())
 	n.wait.Go(func() { n.announce(ctx) })
 	n.wait.Go(func() { n.report(ctx, scope, connections) })
 	n.wait.Go(func() { n.forget(ctx) })
@@ -185,7 +185,7 @@
 	place := n.settings.Host
 	n.hosts = &hostList{store: n.store, learnt: func() []registry.Host { return n.relay.Learnt() }}
 	n.relay = relay.New(ctx, &n.wait, relay.Options{
-		Pool: pool, Others: n.others, Seeds: slices.DeleteFunc(slices.Clone(n.settings.Platform.Seeds), func(a string) bool { return a == n.settings.Listen.Peers }),
+		Pool: pool, Others: n.others, Seeds: slices.DeleteFunc(slices.Clone(n.settings.Platform.Seeds), func(a string) bool { return a == n.settings.Listen.PeersAddress() }),
 		Answer: func(positions []int64) knowledge.Reply { return n.keeper.Answer(positions) },
 		Hosts:  func() []registry.Host { return n.directory.Entries() },
 		Heard:  func(notice overseer.Notice) { n.overseer.Heard(notice) },
@@ -325,7 +325,7 @@
 func (n *Site) announce(ctx context.Context) {
 	self := registry.Host{
 		Name: n.settings.Host.Name, Role: registry.EntryHost, FailureDomain: n.settings.Host.FailureDomain, Region: n.settings.Host.Region,
-		State: registry.Live, Callers: n.settings.Listen.Callers, Peers: n.settings.Listen.Peers,
+		State: registry.Live, Callers: n.settings.Listen.Callers, Peers: n.settings.Listen.PeersAddress(),
 	}
 	for ctx.Err() == nil {
 		call, cancel := context.WithTimeout(ctx, storeTimeout)
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -30,6 +30,11 @@
 	DelayLink   Kind = "DelayLink"
 	ResetLink   Kind = "ResetLink"
 	SilenceLink Kind = "SilenceLink"
+	// DelayPeers, ResetPeers and SilencePeers harm the connections that other
+	// hosts have to one.
+	DelayPeers   Kind = "DelayPeers"
+	ResetPeers   Kind = "ResetPeers"
+	SilencePeers Kind = "SilencePeers"
 	// RefuseStore and MuteStore make the store useless for all, LoseStore
 	// loses answers to appends, TrimStore drops its history.
 	RefuseStore Kind = "RefuseStore"
@@ -59,9 +64,16 @@
 // apart, so that the other faults of a seed stay what they were.
 var words = []Kind{RestEngine, RestEngine, SayLeaving}
 
+// between are the kinds that harm what other hosts send to one. They are drawn
+// apart too.
+var between = []Kind{DelayPeers, ResetPeers, SilencePeers}
+
 // wordsEvery is the mean time between two of them.
 const wordsEvery = 3 * time.Second
 
+// betweenEvery is the mean time between two harms of links between hosts.
+const betweenEvery = 2 * time.Second
+
 // Fault is one planned fault.
 type Fault struct {
 	// At is when it begins, For how long it lasts.
@@ -85,6 +97,16 @@
 	longestSeries = 3
 )
 
+// apart draws single faults of some kinds from a stream of its own.
+func apart(seed, stream uint64, from []Kind, every, begin, end time.Duration) []Fault {
+	random := rand.New(rand.NewPCG(seed, stream))
+	var faults []Fault
+	for at := begin; at < end; at += time.Duration(random.Int64N(int64(2 * every))) {
+		faults = append(faults, Fault{At: at, For: time.Duration(random.Int64N(int64(longestFault))), Kind: from[random.IntN(len(from))], Target: random.IntN(1 << 16), Variant: random.IntN(1 << 16)})
+	}
+	return faults
+}
+
 // Plan returns the faults of a run: series of one kind each, which overlap.
 func Plan(seed uint64, span time.Duration) []Fault {
 	random := rand.New(rand.NewPCG(seed, 1))
@@ -102,10 +124,8 @@
 			start += time.Duration(random.Int64N(int64(longestGap)))
 		}
 	}
-	random = rand.New(rand.NewPCG(seed, 5))
-	for at := begin; at < end; at += time.Duration(random.Int64N(int64(2 * wordsEvery))) {
-		faults = append(faults, Fault{At: at, For: time.Duration(random.Int64N(int64(longestFault))), Kind: words[random.IntN(len(words))], Target: random.IntN(1 << 16), Variant: random.IntN(1 << 16)})
-	}
+	faults = append(faults, apart(seed, 5, words, wordsEvery, begin, end)...)
+	faults = append(faults, apart(seed, 6, between, betweenEvery, begin, end)...)
 	slices.SortStableFunc(faults, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return faults
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -182,6 +182,8 @@
 		s.say(f)
 	case DelayLink, ResetLink, SilenceLink:
 		s.harmLink(f, h, until)
+	case DelayPeers, ResetPeers, SilencePeers:
+		s.disturb(f, h.peers)
 	case RefuseStore:
 		s.store.Refuse("", []int{http.StatusServiceUnavailable, http.StatusTooManyRequests}[f.Variant%2])
 		s.pause(f.For)
@@ -274,14 +276,19 @@
 		link = h.door
 		s.touch(h, until.Add(callDeadline))
 	}
+	s.disturb(f, link)
+}
+
+// disturb harms a link for as long as the fault lasts.
+func (s *strikes) disturb(f Fault, link *proxy) {
 	harms := []harm{{toServer: true}, {toCaller: true}, {toServer: true, toCaller: true}}
 	switch f.Kind {
-	case DelayLink:
+	case DelayLink, DelayPeers:
 		link.set(harm{delay: shortDelay})
-	case ResetLink:
+	case ResetLink, ResetPeers:
 		link.reset()
 		return
-	case SilenceLink:
+	case SilenceLink, SilencePeers:
 		link.set(harms[f.Variant/3%len(harms)])
 	}
 	s.pause(f.For)
--- a/soak/world.go
+++ b/soak/world.go
@@ -68,9 +68,9 @@
 
 	name string
 	// callers is the address that callers are told, door the proxy before it,
-	// store that to the store.
+	// store that to the store, peers that which other hosts use.
 	callers, readiness, addresses string
-	door, store                   *proxy
+	door, store, peers            *proxy
 }
 
 // upstream is a place where one upstream after the other runs.
@@ -287,6 +287,11 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
+	peers, err := newProxy(w.ctx, w.wait, ip, s.Listen.Peers)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	s.Listen.AnnouncedPeers = peers.address()
 	s.Platform = settings.Platform{Store: store.address()}
 	if len(w.hosts) > 0 {
 		s.Platform.Seeds = []string{w.hosts[0].seed}
@@ -303,8 +308,8 @@
 		return trace.Wrap(err, "writing settings")
 	}
 	h := &host{
-		process: &process{program: program, settings: path, ip: ip, seed: s.Listen.Peers}, name: s.Host.Name,
-		callers: s.Listen.Callers, readiness: s.Listen.Readiness, addresses: s.Listen.Addresses, door: door, store: store,
+		process: &process{program: program, settings: path, ip: ip, seed: peers.address()}, name: s.Host.Name,
+		callers: s.Listen.Callers, readiness: s.Listen.Readiness, addresses: s.Listen.Addresses, door: door, store: store, peers: peers,
 	}
 	w.hosts = append(w.hosts, h)
 	release()
