fix: a host that hears of the store through others notices that it is back

A host that has others to read for it makes none after an outage, so it dated weights as before from then on.

Evidence: the new case of TestWeightsNamedWhileTheReadersWereSilent (after an outage of the store) failed before. Found by reading.

Now any news that the book was complete takes it back.

--- a/knowledge/keeper.go
+++ b/knowledge/keeper.go
@@ -101,7 +101,7 @@
 	// confirmed is when the book was last known to be complete.
 	confirmed atomic.Int64
 	// complete is the same, but outlasts a pause of the process; away tells
-	// that the last read of the operators' topic failed.
+	// that a read of the operators' topic has failed since.
 	complete atomic.Int64
 	away     atomic.Bool
 	// returned is until when removals are deferred.
@@ -214,7 +214,11 @@
 		k.returned.Store(int64(clock.Now().Add(returnAllowance)))
 	}
 	for _, latest := range []*atomic.Int64{&k.confirmed, &k.complete} {
-		for known := latest.Load(); int64(at) > known && !latest.CompareAndSwap(known, int64(at)); known = latest.Load() {
+		for known := latest.Load(); int64(at) > known; known = latest.Load() {
+			if latest.CompareAndSwap(known, int64(at)) {
+				k.away.Store(false)
+				break
+			}
 		}
 	}
 }
@@ -233,28 +237,12 @@
 			event.HistoryTrimmed.Info("Topic", t, "Position", k.Book().Position(t))
 			listed = false
 		case err != nil && ctx.Err() == nil:
-			if !lost {
-				event.StoreLost.Error(err, "Topic", t)
-			}
+			k.noteFailure(t, err, lost)
 			lost = true
-			if t == Operator && !errors.Is(err, errInterrupted) {
-				k.away.Store(true)
-			}
 			clock.Pause(ctx, time.Duration((0.5+rand.Float64())*float64(retryPause)))
 		case err == nil:
-			if lost {
-				away := !k.Fresh()
-				if away {
-					k.returned.Store(int64(clock.Now().Add(returnAllowance)))
-				}
-				event.StoreBack.Info("Topic", t, "Position", d.Position, "AwayForAll", away)
-			}
+			k.take(t, d, hidden, lost)
 			listed, lost = true, false
-			k.merge(d, "Store", hidden)
-			if t == Operator {
-				k.away.Store(false)
-				k.confirm(clock.Now())
-			}
 			if len(d.Records) > 0 {
 				clock.Pause(ctx, pauses[t])
 			}
@@ -262,6 +250,32 @@
 	}
 }
 
+// noteFailure notes a failed read, the first in a row if the topic was not
+// lost.
+func (k *Keeper) noteFailure(t Topic, err error, lost bool) {
+	if !lost {
+		event.StoreLost.Error(err, "Topic", t)
+	}
+	if t == Operator && !errors.Is(err, errInterrupted) {
+		k.away.Store(true)
+	}
+}
+
+// take takes over what a read brought, after failures if the topic was lost.
+func (k *Keeper) take(t Topic, d Delta, hidden time.Duration, lost bool) {
+	if lost {
+		away := !k.Fresh()
+		if away {
+			k.returned.Store(int64(clock.Now().Add(returnAllowance)))
+		}
+		event.StoreBack.Info("Topic", t, "Position", d.Position, "AwayForAll", away)
+	}
+	k.merge(d, "Store", hidden)
+	if t == Operator {
+		k.confirm(clock.Now())
+	}
+}
+
 // read asks the store once, and tells how long the answer may have been there
 // unread.
 func (k *Keeper) read(t Topic, listed bool) (Delta, time.Duration, error) {
--- a/knowledge/keeper_test.go
+++ b/knowledge/keeper_test.go
@@ -145,30 +145,42 @@
 // after the hosts that read the store for others had fallen silent: they count
 // from when this host last knew all, not from when it asked the store itself.
 func TestWeightsNamedWhileTheReadersWereSilent(t *testing.T) {
-	is := is.New(t)
-	s := &fakeStore{}
-	s.logs[knowledge.Operator] = []knowledge.Record{record("config", 0, "c1"), record("version/m", 1, "w1")}
-	s.logs[knowledge.Upstreams] = []knowledge.Record{record("a", 0, "e1.1")}
-	ctx, cancel := context.WithCancel(t.Context())
-	var wait conc.WaitGroup
-	defer wait.Wait()
-	defer cancel()
-	var silent atomic.Bool
-	k := knowledge.NewKeeper(ctx, &wait, knowledge.Options{Store: s, Peers: switchedPeers{&silent}, Decode: decode, Reads: func() bool { return false }})
-	await := func(holds func() bool) {
-		for deadline := time.Now().Add(30 * time.Second); !holds(); time.Sleep(time.Millisecond) {
-			is.True(time.Now().Before(deadline)) // it comes to pass
-		}
+	for name, outage := range map[string]bool{"at once": false, "after an outage of the store": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := &fakeStore{}
+			s.logs[knowledge.Operator] = []knowledge.Record{record("config", 0, "c1"), record("version/m", 1, "w1")}
+			s.logs[knowledge.Upstreams] = []knowledge.Record{record("a", 0, "e1.1")}
+			ctx, cancel := context.WithCancel(t.Context())
+			var wait conc.WaitGroup
+			defer wait.Wait()
+			defer cancel()
+			var silent atomic.Bool
+			k := knowledge.NewKeeper(ctx, &wait, knowledge.Options{Store: s, Peers: switchedPeers{&silent}, Decode: decode, Reads: func() bool { return false }})
+			await := func(holds func() bool) {
+				for deadline := time.Now().Add(30 * time.Second); !holds(); time.Sleep(time.Millisecond) {
+					is.True(time.Now().Before(deadline)) // it comes to pass
+				}
+			}
+			await(func() bool { return k.Ready() && k.Fresh() })
+			if outage {
+				s.set(func() { s.down = true })
+				silent.Store(true)
+				await(func() bool { return !k.Fresh() })
+				silent.Store(false)
+				await(k.Fresh)
+				s.set(func() { s.down = false })
+			}
+			// What was read last is done with.
+			time.Sleep(time.Second)
+			silent.Store(true)
+			named := clock.Now()
+			s.set(func() {
+				s.logs[knowledge.Operator] = append(s.logs[knowledge.Operator], record("version/m", 2, "w2"))
+			})
+			await(func() bool { w, _ := k.Book().Weights("m"); return w.Number == 2 })
+			w, _ := k.Book().Weights("m")
+			is.True(!named.Before(w.Since))
+		})
 	}
-	await(func() bool { return k.Ready() && k.Fresh() })
-	// What was read last is done with.
-	time.Sleep(time.Second)
-	silent.Store(true)
-	named := clock.Now()
-	s.set(func() {
-		s.logs[knowledge.Operator] = append(s.logs[knowledge.Operator], record("version/m", 2, "w2"))
-	})
-	await(func() bool { w, _ := k.Book().Weights("m"); return w.Number == 2 })
-	w, _ := k.Book().Weights("m")
-	is.True(!named.Before(w.Since))
 }
