--- a/site/endless_test.go
+++ b/site/endless_test.go
@@ -41,7 +41,10 @@
 		{"a body in chunks", "/read/a", "Transfer-Encoding: chunked\r\n\r\n", piece, 0},
 		{"a body, a little at a time", "/read/a", "\r\n", "a", 50 * time.Millisecond},
 		{"header lines", "/read/a", "", strings.Repeat("X-More: b\r\n", 100), 0},
+		// An engine's cache events and reports are as endless as its answers.
 		{"an event without its end", "/flag/a", "Transfer-Encoding: chunked\r\n\r\n", piece, 0},
+		{"chunks of a byte", "/flag/a", "Transfer-Encoding: chunked\r\n\r\n", strings.Repeat("1\r\na\r\n", 1000), 0},
+		{"header lines of an engine", "/flag/a", "", strings.Repeat("X-More: b\r\n", 100), 0},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
