--- a/soak/soak.go
+++ b/soak/soak.go
@@ -79,7 +79,11 @@
 	if err != nil {
 		return Report{}, err
 	}
-	if !w.await(startLimit, w.ready) {
+	ready := w.await(startLimit, w.ready)
+	if err := ctx.Err(); err != nil {
+		return Report{}, trace.Wrap(err, "the soak was interrupted")
+	}
+	if !ready {
 		return Report{}, trace.ConnectionProblem(nil, "the hosts did not get ready:\n%s", w.hosts[0].output.String())
 	}
 	plan, calls := Plan(o.Seed, o.Span), &recorder{}
@@ -103,6 +107,9 @@
 	stopCalling()
 	faults.Wait()
 	report.Wrong = append(report.Wrong, w.calm(calls)...)
+	if err := ctx.Err(); err != nil {
+		return Report{}, trace.Wrap(err, "the soak was interrupted")
+	}
 	all := calls.all()
 	report.Wrong = append(report.Wrong, w.check(all, s.stops)...)
 	report.Wrong = append(report.Wrong, s.checkStanding(all)...)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"os/exec"
@@ -56,6 +57,10 @@
 		// A call and a read that end upstreams were sent on without end.
 		{Seed: 5003, Span: 12 * time.Second, Hosts: 4, Engines: 5, Services: 2, Callers: 16},
 		{Seed: 5004, Span: 12 * time.Second, Hosts: 4, Engines: 5, Services: 2, Callers: 16},
+		// A host got SIGHUP before it took signals, and ended.
+		{Seed: 8029, Span: 12 * time.Second, Hosts: 4, Engines: 5, Services: 2, Callers: 16},
+		// The stand-in carried out orders for another instance.
+		{Seed: 9002, Span: 10 * time.Second, Hosts: 4, Engines: 5, Services: 2, Callers: 16},
 		// An engine loaded for a host that was killed; others took it for newer
 		// than it was, each time it refused them, and never ordered it again.
 		{Seed: 2009, Span: 14 * time.Second, Hosts: 3, Engines: 6, Services: 2, Callers: 24},
@@ -72,3 +77,17 @@
 		})
 	}
 }
+
+// TestInterrupted ends a soak early: it tells that, and no broken promise.
+func TestInterrupted(t *testing.T) {
+	for _, after := range []time.Duration{0, 4 * time.Second} {
+		t.Run(after.String(), func(t *testing.T) {
+			is := is.New(t)
+			ctx, cancel := context.WithTimeout(context.Background(), after)
+			defer cancel()
+			report, err := soak.Run(ctx, soak.Options{Program: program, Seed: 1, Span: time.Minute, Hosts: 2, Engines: 2, Services: 1, Callers: 2})
+			is.True(errors.Is(err, context.DeadlineExceeded))
+			is.Equal(report.Wrong, nil)
+		})
+	}
+}
