--- a/site/standing_test.go
+++ b/site/standing_test.go
@@ -15,18 +15,26 @@
 	"github.com/kumquathoist/kumquathoist/standin"
 )
 
+// logged returns the log lines of a test from here on.
+func logged(t *testing.T) *standin.Output {
+	var log standin.Output
+	var wait conc.WaitGroup
+	ctx, cancel := context.WithCancel(context.Background())
+	event.WriteTo(ctx, &wait, &log)
+	t.Cleanup(func() {
+		cancel()
+		wait.Wait()
+	})
+	return &log
+}
+
 // TestAnEngineThatSaysItLeavesGetsNoMore has an engine say in its answers that
 // it leaves, while its entry says nothing: no host sends to it once one knows.
 func TestAnEngineThatSaysItLeavesGetsNoMore(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(t, 2, 2, 2)
 	w.await("the hosts hear each other", func() bool { return len(w.addresses(w.hosts[0])) == 2 && len(w.addresses(w.hosts[1])) == 2 })
-	var log standin.Output
-	var wait conc.WaitGroup
-	ctx, cancel := context.WithCancel(context.Background())
-	defer wait.Wait()
-	defer cancel()
-	event.WriteTo(ctx, &wait, &log)
+	log := logged(t)
 	leaving, others := []*standin.PlatformEngine{w.engines[0], w.services[0]}, []*standin.PlatformEngine{w.engines[1], w.services[1]}
 	clients := map[*testHost]*client{}
 	for _, h := range w.hosts {
@@ -59,7 +67,7 @@
 	}
 	is.Equal(seen(), len(leaving))
 	w.await("the other host is told", func() bool {
-		return count(&log, "upstream leaves") == 2*len(leaving)
+		return count(log, "upstream leaves") == 2*len(leaving)
 	})
 	for range 50 {
 		send(w.hosts[1])
@@ -87,14 +95,9 @@
 	is := is.New(t)
 	w := newWorld(t, 2, 2, 0)
 	w.await("the hosts hear each other", func() bool { return len(w.addresses(w.hosts[0])) == 2 && len(w.addresses(w.hosts[1])) == 2 })
-	var log standin.Output
-	var wait conc.WaitGroup
-	ctx, cancel := context.WithCancel(context.Background())
-	defer wait.Wait()
-	defer cancel()
-	event.WriteTo(ctx, &wait, &log)
+	log := logged(t)
 	w.engines[0].ReportLeaving()
-	w.await("both hosts know", func() bool { return count(&log, "upstream leaves") >= 2 })
+	w.await("both hosts know", func() bool { return count(log, "upstream leaves") >= 2 })
 	for i := range 100 {
 		a := w.do(w.hosts[i%2], "POST", modelHost, "/full/a", fmt.Sprint("r", i), prompt, "body")
 		is.Equal(a.status, http.StatusOK)
--- a/standin/endless.go
+++ b/standin/endless.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -31,7 +30,6 @@
 type Endless struct {
 	options  EndlessOptions
 	listener net.Listener
-	written  atomic.Int64
 	wait     conc.WaitGroup
 }
 
@@ -57,9 +55,6 @@
 // Address returns the server's IP:port.
 func (e *Endless) Address() string { return e.listener.Addr().String() }
 
-// Written returns how many bytes of answers it has written.
-func (e *Endless) Written() int64 { return e.written.Load() }
-
 // Close takes no more connections and waits until all callers have closed
 // theirs.
 func (e *Endless) Close() {
@@ -74,7 +69,7 @@
 	if err != nil {
 		return
 	}
-	err = e.write(c, []byte(e.options.Begin(r.Header.Get("X-Attempt-Id"))))
+	_, err = io.WriteString(c, e.options.Begin(r.Header.Get("X-Attempt-Id")))
 	if e.options.Again == "" {
 		_, _ = io.Copy(io.Discard, c)
 		return
@@ -84,13 +79,7 @@
 		piece = bytes.Repeat(piece, 1+endlessBlock/len(piece))
 	}
 	for err == nil {
-		err = e.write(c, piece)
+		_, err = c.Write(piece)
 		time.Sleep(e.options.Pause)
 	}
 }
-
-func (e *Endless) write(c net.Conn, b []byte) error {
-	n, err := c.Write(b)
-	e.written.Add(int64(n))
-	return err
-}
