fix: the soak reads the upstream of a place under its lock

A fault could so meet an upstream that had ended; no check of a daemon was wrong by it.

Now a lock guards it, and a soak that is interrupted strikes no more (all faults that were left came at one moment).

--- a/soak/soak.go
+++ b/soak/soak.go
@@ -96,13 +96,7 @@
 	}
 	s := &strikes{world: w, struck: map[*host]time.Time{}, touched: map[*host][]touch{}}
 	w.tell(s.crashed)
-	began := time.Now()
-	for _, f := range plan {
-		faults.Go(func() {
-			w.pause(time.Until(began.Add(f.At)))
-			s.strike(f)
-		})
-	}
+	s.follow(&faults, plan)
 	callers.Wait()
 	stopCalling()
 	faults.Wait()
@@ -143,6 +137,19 @@
 	stops     []stop
 }
 
+// follow carries out a plan, unless the soak is interrupted.
+func (s *strikes) follow(wait *conc.WaitGroup, plan []Fault) {
+	began := time.Now()
+	for _, f := range plan {
+		wait.Go(func() {
+			s.pause(time.Until(began.Add(f.At)))
+			if s.ctx.Err() == nil {
+				s.strike(f)
+			}
+		})
+	}
+}
+
 // touch notes that a host meets a fault until a time, and tells whether it was
 // without one before.
 func (s *strikes) touch(h *host, until time.Time) (quiet bool) {
@@ -184,7 +191,7 @@
 	case FailEngine:
 		s.touchUpstreams(until.Add(callDeadline))
 		fault := []standin.PlatformFault{standin.ResetFault, standin.CutFault, standin.FullFault, standin.ErrorFault, standin.ExtraFault, standin.SilentFault, standin.LostOrderFault, standin.NoRoomFault}
-		s.place(f.Target).now.Fail(fault[f.Variant%len(fault)], 1+f.Variant%4)
+		s.current(s.place(f.Target)).Fail(fault[f.Variant%len(fault)], 1+f.Variant%4)
 	case RestEngine, SayLeaving:
 		s.say(f)
 	case DelayLink, ResetLink, SilenceLink:
--- a/soak/standing.go
+++ b/soak/standing.go
@@ -26,15 +26,16 @@
 func (s *strikes) say(f Fault) {
 	u := s.place(f.Target)
 	if f.Kind == RestEngine {
-		u.now.AskForTime(strconv.FormatFloat(f.For.Seconds(), 'f', 1+2*(f.Variant%2), 64), f.For)
+		s.current(u).AskForTime(strconv.FormatFloat(f.For.Seconds(), 'f', 1+2*(f.Variant%2), 64), f.For)
 		return
 	}
 	if _, taken := s.busy.LoadOrStore(u, true); taken {
 		return
 	}
 	defer s.busy.Delete(u)
-	u.now.SayLeaving()
-	u.now.ReportLeaving()
+	leaving := s.current(u)
+	leaving.SayLeaving()
+	leaving.ReportLeaving()
 	s.pause(leavingTime)
 	s.touchUpstreams(time.Now().Add(2 * lapse))
 	// A place that can't start another upstream stays empty, which the end of
--- a/soak/world.go
+++ b/soak/world.go
@@ -77,7 +77,8 @@
 type upstream struct {
 	service, model string
 	link           *proxy
-	now            *standin.PlatformEngine
+	// now is guarded by the world's mu.
+	now *standin.PlatformEngine
 }
 
 // newWorld starts a deployment.
@@ -150,6 +151,13 @@
 	return nil
 }
 
+// current returns the upstream that runs at a place.
+func (w *world) current(u *upstream) *standin.PlatformEngine {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return u.now
+}
+
 // replaceUpstream ends an upstream and starts another in its place. One that
 // leaves says so first.
 func (w *world) replaceUpstream(u *upstream, leaves bool) error {
