feat: a soak tells what its hosts still miss at the end

A condition that doesn't hold now says what it misses, and the test prints the end of each host's output.

--- a/soak/caller.go
+++ b/soak/caller.go
@@ -96,13 +96,6 @@
 	}
 }
 
-// ask sends one request with a key on a new connection and returns the status
-// of its answer, or 0.
-func (w *world) ask(raw net.Conn, c *call, key string) int {
-	w.send(&connection{Conn: raw, in: bufio.NewReader(raw)}, c, key)
-	return c.answer.Status
-}
-
 // do sends a request and reads its answer; it tells whether the connection
 // can be used again.
 func (w *world) do(conn *connection, c *call) bool { return w.send(conn, c, w.key(c.account)) }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -9,7 +9,9 @@
 package soak
 
 import (
+	"bufio"
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"os"
@@ -328,58 +330,72 @@
 // calm waits until the deployment is well again after the last fault, and
 // returns what is not.
 func (w *world) calm(calls *recorder) []string {
-	ask := func(h *host, kind string, by credential) int {
-		raw, err := net.DialTimeout("tcp4", h.callers, time.Second)
-		if err != nil {
-			return 0
-		}
-		defer func() { _ = raw.Close() }()
-		c := &call{id: by.account + "-calm-" + h.name + "-" + kind + time.Now().Format("150405.000000000"), kind: kind, account: by.account, host: h}
-		status := w.ask(raw, c, by.key)
-		calls.add(c)
-		return status
-	}
 	conditions := []struct {
-		text  string
-		holds func() bool
+		text string
+		// missing returns what the condition still misses, or "".
+		missing func() string
 	}{
-		{"all hosts are ready", w.ready},
-		{"all engines have the newest weights", func() bool {
-			w.mu.Lock()
-			defer w.mu.Unlock()
-			for _, u := range w.upstreams {
-				if u.model != "" && u.now.Weights() != w.weights {
-					return false
+		{"all hosts are ready", func() string {
+			for _, h := range w.hosts {
+				if !standin.PlatformReady(h.readiness) {
+					return h.name + " is not"
 				}
 			}
-			return true
+			return ""
 		}},
-		{"every host serves every kind of request", func() bool {
+		{"all engines have the newest weights", w.outdated},
+		{"every host serves every kind of request", func() string {
 			for _, h := range w.hosts {
 				for _, kind := range []string{"full", "flag", "post", "read"} {
-					if ask(h, kind, credential{"mill", w.key("mill")}) != http.StatusOK {
-						return false
+					if c := w.calmCall(calls, h, kind, credential{"mill", w.key("mill")}); c.answer.Status != http.StatusOK {
+						return fmt.Sprintf("%s answered %s with %+v", h.name, c.id, c.answer)
 					}
 				}
 			}
-			return true
+			return ""
 		}},
-		{"every host refuses keys that were taken away", func() bool {
+		{"every host refuses keys that were taken away", func() string {
 			for _, h := range w.hosts {
 				for _, taken := range w.taken {
-					if ask(h, "read", taken) != http.StatusUnauthorized {
-						return false
+					if c := w.calmCall(calls, h, "read", taken); c.answer.Status != http.StatusUnauthorized {
+						return fmt.Sprintf("%s answered %s with %+v", h.name, c.id, c.answer)
 					}
 				}
 			}
-			return true
+			return ""
 		}},
 	}
 	var wrong []string
 	for _, c := range conditions {
-		if !w.await(calmLimit, c.holds) {
-			wrong = append(wrong, "after the last fault it never came to pass that "+c.text)
+		missing := ""
+		if !w.await(calmLimit, func() bool { missing = c.missing(); return missing == "" }) {
+			wrong = append(wrong, fmt.Sprintf("after the last fault it never came to pass that %s: %s", c.text, missing))
 		}
 	}
 	return wrong
 }
+
+// outdated names an engine without the newest weights, or returns "".
+func (w *world) outdated() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, u := range w.upstreams {
+		if u.model != "" && u.now.Weights() != w.weights {
+			return fmt.Sprintf("%s has version %d of %d", u.now.ID, u.now.Weights(), w.weights)
+		}
+	}
+	return ""
+}
+
+// calmCall sends a host one request on a new connection.
+func (w *world) calmCall(calls *recorder, h *host, kind string, by credential) *call {
+	c := &call{id: by.account + "-calm-" + h.name + "-" + kind + time.Now().Format("150405.000000000"), kind: kind, account: by.account, host: h}
+	raw, err := net.DialTimeout("tcp4", h.callers, time.Second)
+	if err != nil {
+		return c
+	}
+	defer func() { _ = raw.Close() }()
+	w.send(&connection{Conn: raw, in: bufio.NewReader(raw)}, c, by.key)
+	calls.add(c)
+	return c
+}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -67,17 +67,37 @@
 	} {
 		t.Run(fmt.Sprint(o.Seed), func(t *testing.T) {
 			is := is.New(t)
-			o.Program = program
+			o.Program, o.Keep = program, t.TempDir()
 			report, err := soak.Run(context.Background(), o)
 			is.NoErr(err)
 			for _, wrong := range report.Wrong {
 				t.Error(wrong)
 			}
+			if t.Failed() {
+				logTails(t, o.Keep)
+			}
 			is.True(report.Answered > 0)
 		})
 	}
 }
 
+// logTails logs the end of each host's output.
+func logTails(t *testing.T, dir string) {
+	t.Helper()
+	const most = 8 << 10
+	paths, err := filepath.Glob(filepath.Join(dir, "*.log"))
+	if err != nil {
+		t.Error(err)
+	}
+	for _, path := range paths {
+		raw, err := os.ReadFile(path)
+		if err != nil {
+			t.Error(err)
+		}
+		t.Logf("%s ends with\n%s", filepath.Base(path), raw[max(0, len(raw)-most):])
+	}
+}
+
 // TestInterrupted ends a soak early: it tells that, and no broken promise.
 func TestInterrupted(t *testing.T) {
 	for _, after := range []time.Duration{0, 4 * time.Second} {
