fix: a request that others have answered isn't condemned for them

What callers saw: a popular request, such as the same GET of many callers, was refused by every host for a minute after one host had lost two upstreams under it.

Cause: only the host that loses an upstream asked whether it had answered the request lately. A host that had just started has answered nothing, so its losses condemn at once, as losses for all hosts and as a verdict in the store, and nobody is left to answer the request and so to clear it.

Ruled out: that the verdict ends by itself when the records of the request that really ended the upstreams come; a record with the verdict (from the store) holds whatever else is known.

Now each host that hears of a loss notes that the request is sound if it has answered it lately, and passes that on; the verdict of another host holds for a sound request from three losses on, which the bound on sends to upstreams after the third needs. A request that nobody has answered is condemned as before.

--- a/crash/guard.go
+++ b/crash/guard.go
@@ -239,6 +239,10 @@
 // merge adds records and logs the requests that they condemn.
 func (g *Guard) merge(records []quarantine.Record, source string) {
 	now := time.Now()
+	records = slices.Clone(records)
+	for i, r := range records {
+		records[i].Sound = r.Sound || !r.Answered && g.sound.has(r.Fingerprint, now)
+	}
 	g.mu.Lock()
 	before := g.table
 	after, fresh := before.With(now, records...)
--- /dev/null
+++ b/crash/popular_test.go
@@ -0,0 +1,70 @@
+package crash_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/kumquathoist/kumquathoist/crash"
+	"github.com/kumquathoist/kumquathoist/quarantine"
+)
+
+// admits tells whether a guard lets a request run.
+func admits(g *crash.Guard, f quarantine.Fingerprint) bool {
+	release, refused := g.Admit(context.Background(), "attempt", f)
+	if refused != nil {
+		return false
+	}
+	release()
+	return true
+}
+
+// TestAnsweredRequestsOutliveVerdictsOfOthers hears from another host that a
+// request has ended engines.
+func TestAnsweredRequestsOutliveVerdictsOfOthers(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		answered bool
+		losses   int
+		admitted bool
+	}{
+		{"never answered", false, 2, false},
+		{"answered here", true, 2, true},
+		{"answered here, and three ended", true, 3, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			guard := startGuards(t, 1)[0]
+			if test.answered {
+				guard.Answered("attempt-1", "read")
+			}
+			var records []quarantine.Record
+			for i := range test.losses {
+				engine := string(rune('a' + i))
+				records = append(records, quarantine.Record{ID: engine, Fingerprint: "read", Engine: engine, At: time.Now(), Losses: i + 1, Condemned: i > 0})
+			}
+			guard.Merge(records)
+			is.Equal(admits(guard, "read"), test.admitted)
+		})
+	}
+}
+
+// TestOthersAnswersEndAVerdict lets a host condemn a request that others have
+// answered lately: they go on, and their answer ends its verdict.
+func TestOthersAnswersEndAVerdict(t *testing.T) {
+	is := is.New(t)
+	guards := startGuards(t, 3)
+	guards[0].Answered("attempt-1", "read")
+	guards[1].Answered("attempt-2", "read")
+	guards[2].Lost(quarantine.Loss{Attempt: "attempt-3", Fingerprint: "read", Engine: "engine-1", Sent: time.Now()})
+	is.True(guards[2].Lost(quarantine.Loss{Attempt: "attempt-4", Fingerprint: "read", Engine: "engine-2", Sent: time.Now()}))
+	for deadline := time.Now().Add(20 * time.Second); !admits(guards[2], "read"); time.Sleep(10 * time.Millisecond) {
+		is.True(time.Now().Before(deadline)) // guards[2] hears of an answer
+		for i, g := range guards[:2] {
+			is.True(admits(g, "read")) // the others go on
+			g.Answered([]string{"attempt-5", "attempt-6"}[i], "read")
+		}
+	}
+}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -35,6 +35,10 @@
 	// nine times as many innocent requests in an outage of half the engines
 	// (TestMeasure).
 	mostLosses = 4
+	// enoughDespite is from how many lost engines the verdict of a host holds
+	// for others that know the request to be sound. Callers' rules bound what
+	// is sent after the third.
+	enoughDespite = 3
 	// firstTerm doubles with each loss to the time for which a condemned
 	// request is refused after the last: a minute after two losses, eight after
 	// five. Then it is a suspect again, since some are condemned by mistake.
@@ -86,10 +90,12 @@
 	// Losses counts the losses that its host knew of, with this one; for an
 	// answer, those that it clears. It holds when their records are dropped.
 	Losses int
-	// Sound tells that the request had been answered lately before the loss.
+	// Sound tells that the request had been answered lately, by the host that
+	// lost the engine or one that passed the record on.
 	Sound bool
 	// Condemned tells that the request was condemned with this loss, by a host
-	// whose other records are not at hand.
+	// whose other records are not at hand. Of a sound request that holds from
+	// enoughDespite losses on.
 	Condemned bool
 }
 
@@ -224,7 +230,7 @@
 		j.Shared = t.shared(f, last, now)
 	}
 	alone := len(last) >= enoughEngines && j.OtherLosses == 0 && !j.Shared && !sound(losses)
-	if j.Losses >= mostLosses || alone || condemned(losses) {
+	if j.Losses >= mostLosses || alone || condemned(losses) && (!sound(losses) || j.Losses >= enoughDespite) {
 		j.Verdict = Condemned
 	}
 	if now.Sub(j.Last) >= firstTerm<<min(j.Losses, maxDoublings) {
