fix: the store drops a loss that an answer on another host has cleared

What callers saw: a host that started after a request had been condemned and then answered elsewhere refused it for the rest of its term, a minute or more, until another host's periodic share brought the answer.

Cause: only the host that answers a request while it suspects it drops the store's record, and only if it knows of the record by then. A record that is written later, or by another host, stayed for its lifetime (10 minutes).

Evidence: the three cases of TestAnswersElsewhereDropKeptRecords failed before (30 s each without a drop).

Now the host that wrote a record, or is about to, drops it when it hears of an answer; and a host that reads a record of a loss from before its own last answer notes that answer. One call each, and none where nothing is kept.

--- a/crash/guard.go
+++ b/crash/guard.go
@@ -74,7 +74,8 @@
 	trials map[quarantine.Fingerprint]*trial
 	// unkept holds what is to be written to the store.
 	unkept map[quarantine.Fingerprint]quarantine.Record
-	// stored are the requests of which the store has a record.
+	// stored are the requests of which the store has a record, and whether this
+	// host wrote it.
 	stored map[quarantine.Fingerprint]bool
 }
 
@@ -265,6 +266,7 @@
 				"Losses", j.Losses, "OtherLosses", j.OtherLosses, "Shared", j.Shared, "Records", after.Len())
 		}
 	}
+	g.dropAnswered(fresh)
 	select {
 	case g.fresh <- fresh:
 	default:
--- a/crash/kept.go
+++ b/crash/kept.go
@@ -64,6 +64,7 @@
 		position = next
 		g.learn(records)
 		g.merge(records, "Store")
+		g.clear(records)
 	}
 }
 
@@ -72,7 +73,33 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, r := range records {
-		g.stored[r.Fingerprint] = true
+		if _, known := g.stored[r.Fingerprint]; !known {
+			g.stored[r.Fingerprint] = false
+		}
+	}
+}
+
+// clear notes answers of this host to requests of which the store has a loss
+// from before.
+func (g *Guard) clear(records []quarantine.Record) {
+	for _, r := range records {
+		if g.sound.since(r.Fingerprint, r.At) {
+			g.add(quarantine.Record{ID: g.recordID(r.ID), Fingerprint: r.Fingerprint, Answered: true, At: time.Now()})
+		}
+	}
+}
+
+// dropAnswered removes from the store what this host has written, or is about
+// to write, of requests that others have answered since.
+func (g *Guard) dropAnswered(records []quarantine.Record) {
+	for _, r := range records {
+		g.mu.Lock()
+		_, writing := g.unkept[r.Fingerprint]
+		drops := r.Answered && (writing || g.stored[r.Fingerprint])
+		g.mu.Unlock()
+		if drops {
+			g.keep(r)
+		}
 	}
 }
 
@@ -81,8 +108,10 @@
 func (g *Guard) keeps(r quarantine.Record) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if _, writing := g.unkept[r.Fingerprint]; r.Answered {
-		return writing || g.stored[r.Fingerprint]
+	_, writing := g.unkept[r.Fingerprint]
+	_, stored := g.stored[r.Fingerprint]
+	if r.Answered {
+		return writing || stored
 	}
 	return r.Losses >= keptLosses || r.Condemned
 }
--- a/crash/kept_test.go
+++ b/crash/kept_test.go
@@ -20,9 +20,17 @@
 	fails   int
 	kept    map[quarantine.Fingerprint]quarantine.Record
 	dropped int
+	// begin lets the first read begin; nil lets it at once.
+	begin chan struct{}
 }
 
 func (s *shelf) Crashers(ctx context.Context, from int64, _ time.Duration) ([]quarantine.Record, int64, error) {
+	if s.begin != nil {
+		select {
+		case <-s.begin:
+		case <-ctx.Done():
+		}
+	}
 	if from >= 0 {
 		<-ctx.Done()
 		return nil, from, ctx.Err()
@@ -62,6 +70,12 @@
 	return ok
 }
 
+func (s *shelf) drops() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.dropped
+}
+
 // TestKeptRecords keeps what condemns although the store fails at first, drops
 // it once the request is answered after all, and drops what has expired.
 func TestKeptRecords(t *testing.T) {
@@ -91,3 +105,53 @@
 	g.Answered("c", "suspect")
 	is.Equal(s.dropped, 2)
 }
+
+// TestAnswersElsewhereDropKeptRecords answers requests on other hosts than the
+// one that had the store keep a record of their losses.
+func TestAnswersElsewhereDropKeptRecords(t *testing.T) {
+	condemn := func(g *crash.Guard) {
+		for _, engine := range []string{"a", "b"} {
+			g.Lost(quarantine.Loss{Attempt: engine, Fingerprint: "read", Engine: engine, Sent: time.Now()})
+		}
+	}
+	answer := []quarantine.Record{{ID: "answer", Fingerprint: "read", Answered: true, At: time.Now().Add(time.Minute)}}
+	for _, test := range []struct {
+		name  string
+		fails int
+		kept  quarantine.Record
+		play  func(s *shelf, g *crash.Guard)
+	}{
+		{"heard after the write", 0, quarantine.Record{}, func(s *shelf, g *crash.Guard) {
+			condemn(g)
+			for !s.has("read") {
+				time.Sleep(time.Millisecond)
+			}
+			g.Merge(answer)
+		}},
+		{"heard before the write", 1, quarantine.Record{}, func(_ *shelf, g *crash.Guard) {
+			condemn(g)
+			g.Merge(answer)
+		}},
+		{"read from the store by a host that has answered", 0, quarantine.Record{ID: "other/1", Fingerprint: "read", Engine: "b", Losses: 2, Condemned: true, At: time.Now()}, func(_ *shelf, g *crash.Guard) {
+			g.Answered("attempt", "read")
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			s := &shelf{fails: test.fails, kept: map[quarantine.Fingerprint]quarantine.Record{}, begin: make(chan struct{})}
+			if test.kept.ID != "" {
+				s.kept[test.kept.Fingerprint] = test.kept
+			}
+			ctx, cancel := context.WithCancel(context.Background())
+			var wait conc.WaitGroup
+			defer wait.Wait()
+			defer cancel()
+			g := crash.NewGuard(ctx, &wait, crash.Options{Peers: func() []string { return nil }, Store: s})
+			test.play(s, g)
+			close(s.begin)
+			for deadline := time.Now().Add(30 * time.Second); s.drops() == 0 || s.has("read"); time.Sleep(time.Millisecond) {
+				is.True(time.Now().Before(deadline))
+			}
+		})
+	}
+}
--- a/crash/sound.go
+++ b/crash/sound.go
@@ -49,3 +49,11 @@
 	at, known := s.answered[f]
 	return known && now.Sub(at) < quarantine.Lifetime
 }
+
+// since tells whether a request was answered after a time.
+func (s *soundRequests) since(f quarantine.Fingerprint, at time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	answered, known := s.answered[f]
+	return known && answered.After(at)
+}
