feat: hosts that read the store grow with the deployment

Cause: three hosts read the store for all and each answers the others, every 0.3 s for each host: 370 exchanges a second a reader at 340 hosts.

relay.Readers, pure code, takes one host in 25 and three at least: 68, 75 and 99 hosts have three as before (nothing changes on deployments of today), 340 have 13, each asked 84 times a second. Calls to the store grow by the readers, worked out and not measured: four times as many at 340 hosts. Weighed: a tree of readers (an age more for the leaves), asking less often (news arrive later for all).

--- /dev/null
+++ b/relay/readers_test.go
@@ -0,0 +1,35 @@
+package relay_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/kumquathoist/kumquathoist/relay"
+)
+
+// TestReaders holds the readers of the store to three in small systems and the
+// asks at each to 120 a second in large ones.
+func TestReaders(t *testing.T) {
+	const asksOfHost = 1 / 0.3 // a second
+	for _, c := range []struct{ hosts, readers int }{{1, 1}, {2, 2}, {3, 3}, {68, 3}, {99, 3}, {100, 4}, {340, 13}, {1000, 40}} {
+		t.Run(fmt.Sprint(c.hosts), func(t *testing.T) {
+			is := is.New(t)
+			var hosts []string
+			for i := range c.hosts {
+				hosts = append(hosts, fmt.Sprint("host-", i))
+			}
+			readers := relay.Readers(hosts)
+			is.Equal(len(readers), c.readers)
+			is.True(asksOfHost*float64(c.hosts-c.readers)/float64(c.readers) <= 120)
+			slices.Reverse(hosts)
+			is.Equal(relay.Readers(hosts), readers) // in any order of the hosts
+			for _, name := range readers[1:] {
+				rest := slices.DeleteFunc(slices.Clone(hosts), func(h string) bool { return h == readers[0] })
+				is.True(slices.Contains(relay.Readers(rest), name)) // the others stay
+			}
+		})
+	}
+}
--- a/site/site.go
+++ b/site/site.go
@@ -57,15 +57,10 @@
 	// callersShare is the part of the descriptors that callers may use: one in
 	// so many. Upstreams, peers and the store need the rest.
 	callersShare = 2
-	// readers is how many hosts read the store; the others ask them.
-	readers = 3
 	// forgetInterval is the time between two cleanings of old beliefs.
 	forgetInterval = time.Minute
 )
 
-// readersKey is what the readers of the store are ranked by.
-const readersKey = "store readers"
-
 // orderersKey is what the hosts that order engines are ranked by.
 const orderersKey = "engine orders"
 
@@ -275,20 +270,14 @@
 	return placement.Rank(orderersKey, append(heard, self))
 }
 
-// readerNames returns the hosts that read the store for all.
-func (n *Site) readerNames() []string {
-	ranked := placement.Rank(readersKey, n.names())
-	return ranked[:min(readers, len(ranked))]
-}
-
 // reads tells whether this host reads the store for others.
 func (n *Site) reads() bool {
-	return n.directory == nil || slices.Contains(n.readerNames(), n.settings.Host.Name)
+	return n.directory == nil || slices.Contains(relay.Readers(n.names()), n.settings.Host.Name)
 }
 
 // readers returns the peers' addresses of the other hosts that read the store.
 func (n *Site) readers() []string {
-	names := n.readerNames()
+	names := relay.Readers(n.names())
 	var found []string
 	for _, h := range n.directory.Peers() {
 		if slices.Contains(names, h.Name) {
