feat: the soak harms datagrams between hosts

A forwarder stands before each host's port for pulses; LosePulses loses all that other hosts send to one, GarblePulses half, and brings the others late, out of order and now and then twice. The setting Listen.AnnouncedPulsesPort tells hosts behind forwarders where to send, as AnnouncedPeers does for connections. The new kinds are drawn from a stream of their own, so that the other faults of a seed stay what they were.

--- a/pulse/exchange.go
+++ b/pulse/exchange.go
@@ -1,6 +1,7 @@
 package pulse
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/netip"
@@ -32,8 +33,10 @@
 
 // Options is what an exchange needs.
 type Options struct {
-	// Listen is this host's IP:port; all hosts use the same port.
+	// Listen is this host's IP:port, Port where other hosts take pulses; 0 is
+	// the port of Listen.
 	Listen string
+	Port   uint16
 	// Host and FailureDomain are the names of this host and of its place.
 	Host, FailureDomain string
 	// Others returns the other hosts.
@@ -113,7 +116,7 @@
 	if err != nil {
 		return nil, trace.Wrap(err, "listening for pulses")
 	}
-	x := &Exchange{Options: o, conn: conn, port: address.Port(), kick: make(chan struct{}, 1), view: NewView(Name(o.Host), Name(o.FailureDomain), clock.Now())}
+	x := &Exchange{Options: o, conn: conn, kick: make(chan struct{}, 1), port: cmp.Or(o.Port, address.Port()), view: NewView(Name(o.Host), Name(o.FailureDomain), clock.Now())}
 	wait.Go(func() {
 		<-ctx.Done()
 		_ = conn.Close()
--- a/settings/check.go
+++ b/settings/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net/netip"
 	"net/url"
 
@@ -110,6 +111,9 @@
 			c.report("Listen.AnnouncedPeers", "%q is not IP:port with a port above 0", a)
 		}
 	}
+	if port := s.Listen.AnnouncedPulsesPort; port < 0 || port > math.MaxUint16 {
+		c.report("Listen.AnnouncedPulsesPort", "%d is not a port from 1 to 65535", port)
+	}
 	for i, address := range append([]string{s.Platform.Store}, s.Platform.Seeds...) {
 		path := "Platform.Store"
 		if i > 0 {
--- a/settings/check_test.go
+++ b/settings/check_test.go
@@ -10,6 +10,21 @@
 	"github.com/kumquathoist/kumquathoist/settings"
 )
 
+// TestAnnouncedPulsesPort covers which ports other hosts' pulses may go to.
+func TestAnnouncedPulsesPort(t *testing.T) {
+	for port, usable := range map[int]bool{0: true, 1: true, 65535: true, -1: false, 65536: false} {
+		is := is.New(t)
+		s := settings.Default()
+		s.Listen.AnnouncedPulsesPort = port
+		s.Platform.Store = "127.0.0.1:1"
+		raw, err := yaml.Marshal(s)
+		is.NoErr(err)
+		_, err = settings.Decode(raw)
+		is.True(err != nil) // other settings are missing
+		is.Equal(strings.Contains(err.Error(), "Listen.AnnouncedPulsesPort"), !usable)
+	}
+}
+
 // TestAnnouncedPeers covers what other hosts may be told of this one's address.
 func TestAnnouncedPeers(t *testing.T) {
 	for _, tt := range []struct {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -69,6 +69,10 @@
 	// behind a forwarder. Pulses come to its IP. It is used with
 	// Platform.Store.
 	AnnouncedPeers string `yaml:"AnnouncedPeers,omitempty"`
+	// AnnouncedPulsesPort is the port to which pulses are sent instead of that
+	// of Pulses, for hosts behind forwarders; all hosts use the same. It is
+	// used with Platform.Store.
+	AnnouncedPulsesPort int `yaml:"AnnouncedPulsesPort,omitempty"`
 }
 
 // PeersAddress returns the address at which other hosts reach this one.
--- a/site/site.go
+++ b/site/site.go
@@ -130,7 +130,7 @@
 		OldWeights:    bounds.Weights() - weightsMargin, HeldBytes: int64(heldShare * float64(n.settings.Machine.MemoryMB) * (1 << 20)), Metrics: scope,
 	})
 	if n.pulses, err = pulse.NewExchange(ctx, &n.wait, pulse.Options{
-		Listen: n.settings.Listen.Pulses, Host: n.settings.Host.Name, FailureDomain: n.settings.Host.FailureDomain, Others: n.pulsePeers,
+		Listen: n.settings.Listen.Pulses, Port: uint16(n.settings.Listen.AnnouncedPulsesPort), Host: n.settings.Host.Name, FailureDomain: n.settings.Host.FailureDomain, Others: n.pulsePeers,
 		Loads: n.board.Loads, Saw: n.router.Heard, Dropped: func(s pulse.Sighting) { n.router.Dropped(s) }, Down: n.engineDown, Loaded: n.engineLoaded, Leaving: n.engineLeaving,
 	}); err != nil {
 		return err
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -35,6 +35,11 @@
 	DelayPeers   Kind = "DelayPeers"
 	ResetPeers   Kind = "ResetPeers"
 	SilencePeers Kind = "SilencePeers"
+	// LosePulses and GarblePulses harm the datagrams that other hosts send to
+	// one: all are lost; half are, and the others come late, out of order and
+	// now and then twice.
+	LosePulses   Kind = "LosePulses"
+	GarblePulses Kind = "GarblePulses"
 	// RefuseStore and MuteStore make the store useless for all, LoseStore
 	// loses answers to appends, TrimStore drops its history.
 	RefuseStore Kind = "RefuseStore"
@@ -68,6 +73,12 @@
 // apart too.
 var between = []Kind{DelayPeers, ResetPeers, SilencePeers}
 
+// datagrams are the kinds that harm pulses, drawn apart as well.
+var datagrams = []Kind{LosePulses, GarblePulses, GarblePulses}
+
+// datagramsEvery is the mean time between two of them.
+const datagramsEvery = 2 * time.Second
+
 // wordsEvery is the mean time between two of them.
 const wordsEvery = 3 * time.Second
 
@@ -126,6 +137,7 @@
 	}
 	faults = append(faults, apart(seed, 5, words, wordsEvery, begin, end)...)
 	faults = append(faults, apart(seed, 6, between, betweenEvery, begin, end)...)
+	faults = append(faults, apart(seed, 7, datagrams, datagramsEvery, begin, end)...)
 	slices.SortStableFunc(faults, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return faults
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -4,8 +4,7 @@
 // The faults come from a seed (Plan): signals to the hosts, upstreams that
 // crash and leave, connections that are delayed, reset and silenced by a
 // proxy, a store that is away, slow to answer or forgets, and changes of the
-// configuration and of weights. They come in series and overlap. Connections
-// between hosts are harmed only through the hosts' processes.
+// configuration and of weights. They come in series and overlap.
 package soak
 
 import (
@@ -198,8 +197,8 @@
 		s.say(f)
 	case DelayLink, ResetLink, SilenceLink:
 		s.harmLink(f, h, until)
-	case DelayPeers, ResetPeers, SilencePeers:
-		s.disturb(f, h.peers)
+	case DelayPeers, ResetPeers, SilencePeers, LosePulses, GarblePulses:
+		s.harmPeers(f, h)
 	case RefuseStore:
 		s.store.Refuse("", []int{http.StatusServiceUnavailable, http.StatusTooManyRequests}[f.Variant%2])
 		s.pause(f.For)
@@ -312,6 +311,21 @@
 	link.reset()
 }
 
+// harmPeers harms what other hosts send to one for as long as the fault lasts.
+func (s *strikes) harmPeers(f Fault, h *host) {
+	switch f.Kind {
+	case LosePulses:
+		h.pulses.set(1, false)
+	case GarblePulses:
+		h.pulses.set(0.5, true)
+	default:
+		s.disturb(f, h.peers)
+		return
+	}
+	s.pause(f.For)
+	h.pulses.set(0, false)
+}
+
 // await waits until a condition holds.
 func (w *world) await(limit time.Duration, holds func() bool) bool {
 	for deadline := time.Now().Add(limit); !holds(); w.pause(look) {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -46,7 +46,7 @@
 			kinds[f.Kind] = true
 		}
 	}
-	is.Equal(len(kinds), 22) // each kind is drawn
+	is.Equal(len(kinds), 24) // each kind is drawn
 }
 
 // TestSeeds runs short soaks of a few hosts, and seeds that found something.
--- a/soak/world.go
+++ b/soak/world.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -40,8 +41,9 @@
 
 	store *standin.PlatformStore
 	hosts []*host
-	// pulsePort is the port of all hosts for pulses; each has an IP of its own.
-	pulsePort string
+	// pulsePort is the port of all hosts for pulses, announcedPort that of the
+	// forwarders before them; each host has an IP of its own.
+	pulsePort, announcedPort string
 	// mu guards the fields below.
 	mu        sync.Mutex
 	upstreams []*upstream
@@ -71,6 +73,7 @@
 	// store that to the store, peers that which other hosts use.
 	callers, readiness, addresses string
 	door, store, peers            *proxy
+	pulses                        *forwarder
 }
 
 // upstream is a place where one upstream after the other runs.
@@ -88,14 +91,8 @@
 	if w.store, err = standin.NewPlatformStore(); err != nil {
 		return nil, trace.Wrap(err)
 	}
-	pulses, err := net.ListenPacket("udp4", "127.0.0.1:0")
-	if err != nil {
-		return nil, trace.Wrap(err, "choosing a port for pulses")
-	}
-	_, w.pulsePort, err = net.SplitHostPort(pulses.LocalAddr().String())
-	_ = pulses.Close()
-	if err != nil {
-		return nil, trace.Wrap(err)
+	if err := w.choosePorts(); err != nil {
+		return nil, err
 	}
 	for range o.Engines {
 		if err := w.addUpstream(modelService, model); err != nil {
@@ -116,6 +113,21 @@
 	return w, nil
 }
 
+// choosePorts chooses the ports of pulses: those that the kernel gives now.
+func (w *world) choosePorts() error {
+	for _, port := range []*string{&w.pulsePort, &w.announcedPort} {
+		conn, err := net.ListenPacket("udp4", "127.0.0.1:0")
+		if err != nil {
+			return trace.Wrap(err, "choosing a port for pulses")
+		}
+		defer func() { _ = conn.Close() }()
+		if _, *port, err = net.SplitHostPort(conn.LocalAddr().String()); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	return nil
+}
+
 func (w *world) addUpstream(service, model string) error {
 	link, err := newProxy(w.ctx, w.wait, "127.0.0.1", "")
 	if err != nil {
@@ -300,6 +312,13 @@
 		return trace.Wrap(err)
 	}
 	s.Listen.AnnouncedPeers = peers.address()
+	pulses, err := newForwarder(w.ctx, w.wait, net.JoinHostPort(ip, w.announcedPort), s.Listen.Pulses)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	if s.Listen.AnnouncedPulsesPort, err = strconv.Atoi(w.announcedPort); err != nil {
+		return trace.Wrap(err)
+	}
 	s.Platform = settings.Platform{Store: store.address()}
 	if len(w.hosts) > 0 {
 		s.Platform.Seeds = []string{w.hosts[0].seed}
@@ -317,7 +336,7 @@
 	}
 	h := &host{
 		process: &process{program: program, settings: path, ip: ip, seed: peers.address()}, name: s.Host.Name,
-		callers: s.Listen.Callers, readiness: s.Listen.Readiness, addresses: s.Listen.Addresses, door: door, store: store, peers: peers,
+		callers: s.Listen.Callers, readiness: s.Listen.Readiness, addresses: s.Listen.Addresses, door: door, store: store, peers: peers, pulses: pulses,
 	}
 	w.hosts = append(w.hosts, h)
 	release()
