--- a/soak/world.go
+++ b/soak/world.go
@@ -33,6 +33,9 @@
 	eventPause = 30 * time.Millisecond
 )
 
+// domains are the failure domains of hosts.
+var domains = []string{"north", "south"}
+
 // world is a running deployment.
 type world struct {
 	ctx  context.Context
@@ -292,7 +295,7 @@
 func (w *world) addHost(program string, i int) error {
 	ip := fmt.Sprintf("127.0.%d.%d", 1+i/200, 2+i%200)
 	s := settings.Default()
-	s.Host = settings.Host{Name: fmt.Sprintf("host-%d", i), FailureDomain: "north", Region: "r"}
+	s.Host = settings.Host{Name: fmt.Sprintf("host-%d", i), FailureDomain: domains[i%len(domains)], Region: "r"}
 	s.Listen.Pulses = net.JoinHostPort(ip, w.pulsePort)
 	release, err := reserve(ip, &s.Listen.Callers, &s.Listen.Peers, &s.Listen.Addresses, &s.Listen.Readiness)
 	if err != nil {
