fix: an answer that waited for a frozen host tells nothing of later

Cause: a read of the store that brings no news confirms that the host's knowledge is complete as of now. In a host that stood still the answer has waited in the connection since before; it was taken before the pause was noticed (the watch looks each 100 ms). Weights heard of then were dated by a second ago instead of by the pause, so the older ones were used up to 3 s too long.

Evidence: with more logs in a scratch copy, front-abbotsford-2 woke at 18.2748 s and dated weights 8, named at 15.69, by 1,000 ms at 18.2766 since its knowledge counted as complete 4 ms before.

Now a read that took longer than its wait and a pause counts as complete by when it was asked for. Of the same class: freshness (what refuses callers) rests on the same instant and is mended with it; an exchange with a peer counted from its question already; pulses that waited in the socket still count as new, for 0.75 s (loads) and 2 s (whether a host lives), and bind nothing.

TestAnswersThatWaitedTellNothingOfLater failed 3 of 3 before, passes.

--- a/knowledge/keeper.go
+++ b/knowledge/keeper.go
@@ -231,6 +231,7 @@
 			clock.Pause(ctx, tick)
 			continue
 		}
+		asked := clock.Now()
 		d, hidden, err := k.read(t, listed)
 		switch {
 		case errors.Is(err, ErrTrimmed):
@@ -241,7 +242,7 @@
 			lost = true
 			clock.Pause(ctx, time.Duration((0.5+rand.Float64())*float64(retryPause)))
 		case err == nil:
-			k.take(t, d, hidden, lost)
+			k.take(t, d, asked, hidden, lost)
 			listed, lost = true, false
 			if len(d.Records) > 0 {
 				clock.Pause(ctx, pauses[t])
@@ -262,7 +263,7 @@
 }
 
 // take takes over what a read brought, after failures if the topic was lost.
-func (k *Keeper) take(t Topic, d Delta, hidden time.Duration, lost bool) {
+func (k *Keeper) take(t Topic, d Delta, asked clock.Instant, hidden time.Duration, lost bool) {
 	if lost {
 		away := !k.Fresh()
 		if away {
@@ -272,10 +273,19 @@
 	}
 	k.merge(d, "Store", hidden)
 	if t == Operator {
-		k.confirm(clock.Now())
+		k.confirm(answered(t, asked, clock.Now()))
 	}
 }
 
+// answered returns when a read was surely complete. Where the process stood
+// still, its answer may have waited.
+func answered(t Topic, asked, now clock.Instant) clock.Instant {
+	if now.Sub(asked) > waits[t]+gap {
+		return asked
+	}
+	return now
+}
+
 // read asks the store once, and tells how long the answer may have been there
 // unread.
 func (k *Keeper) read(t Topic, listed bool) (Delta, time.Duration, error) {
--- a/knowledge/keeper_test.go
+++ b/knowledge/keeper_test.go
@@ -22,6 +22,9 @@
 	logs [2][]knowledge.Record
 	// reads counts reads of the upstreams' records that failed.
 	failed int
+	// holds is told of an answer about the operators' records that has no news,
+	// which waits for its close then; nil holds none.
+	holds chan chan struct{}
 }
 
 var errDown = errors.New("the store is down")
@@ -52,6 +55,14 @@
 		case down:
 			return knowledge.Delta{}, errDown
 		case int64(len(log)) > from, time.Now().After(end):
+			if s.holds != nil && t == knowledge.Operator && int64(len(log)) == from {
+				held := make(chan struct{})
+				select {
+				case s.holds <- held:
+					<-held
+				default:
+				}
+			}
 			return knowledge.Delta{Topic: t, Position: int64(len(log)), Records: log[min(from, int64(len(log))):]}, nil
 		}
 	}
@@ -184,3 +195,31 @@
 		})
 	}
 }
+
+// TestAnswersThatWaitedTellNothingOfLater takes an answer of the store without
+// news late, as a process does that stood still, after weights were named.
+func TestAnswersThatWaitedTellNothingOfLater(t *testing.T) {
+	is := is.New(t)
+	s := &fakeStore{holds: make(chan chan struct{})}
+	s.logs[knowledge.Operator] = []knowledge.Record{record("config", 0, "c1"), record("version/m", 1, "w1")}
+	s.logs[knowledge.Upstreams] = []knowledge.Record{record("a", 0, "e1.1")}
+	ctx, cancel := context.WithCancel(t.Context())
+	var wait conc.WaitGroup
+	defer wait.Wait()
+	defer cancel()
+	k := knowledge.NewKeeper(ctx, &wait, knowledge.Options{Store: s, Peers: fakePeers{false}, Decode: decode, Reads: func() bool { return true }})
+	held := <-s.holds
+	named := clock.Now()
+	s.set(func() {
+		s.logs[knowledge.Operator] = append(s.logs[knowledge.Operator], record("version/m", 2, "w2"))
+	})
+	time.Sleep(time.Second)
+	close(held)
+	for deadline := time.Now().Add(30 * time.Second); ; time.Sleep(time.Millisecond) {
+		is.True(time.Now().Before(deadline)) // the weights are heard of
+		if w, _ := k.Book().Weights("m"); w.Number == 2 {
+			is.True(!named.Before(w.Since))
+			return
+		}
+	}
+}
