test: doors of the gateway's tests take connections while others end

Cause: the doors of these tests take four connections; each request comes on a new one and the door notices the end of the one before a little later, so under load the next may be the fifth (TooManyOpen). The answer is right, the test raced with it.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -95,12 +95,19 @@
 	return &fakeRunner{texts: []string{"a", "b"}, got: make(chan request.Request, 100), ended: make(chan error, 1)}
 }
 
-// start serves a gateway with small limits and returns its address.
+// start serves a gateway with small limits and returns its address. The host
+// may notice the end of a connection after the next is open.
 func start(t *testing.T, f *fakeRunner) string {
+	t.Helper()
+	return startLimited(t, f, 64)
+}
+
+// startLimited does that with a bound on open connections.
+func startLimited(t *testing.T, f *fakeRunner, connections int) string {
 	t.Helper()
 	s := settings.Default()
 	s.Listen.Callers = "127.0.0.1:0"
-	s.Limits = settings.Limits{BodyBytes: 4096, HeaderBytes: 2048, Connections: 4, IdleSeconds: 1, DeadlineSeconds: 60}
+	s.Limits = settings.Limits{BodyBytes: 4096, HeaderBytes: 2048, Connections: connections, IdleSeconds: 1, DeadlineSeconds: 60}
 	ctx, cancel := context.WithCancel(context.Background())
 	var wait conc.WaitGroup
 	g, err := gateway.New(ctx, &wait, gateway.Options{
@@ -375,9 +382,10 @@
 // an idle one is kept.
 func TestConnectionLimits(t *testing.T) {
 	is := is.New(t)
-	address := start(t, newRunner())
+	const connections = 4
+	address := startLimited(t, newRunner(), connections)
 	var idle []net.Conn
-	for range 4 {
+	for range connections {
 		conn, err := net.Dial("tcp", address)
 		is.NoErr(err)
 		defer func() { _ = conn.Close() }()
