fix: a verdict from losses of several hosts is kept in the store

Cause: a record goes to the store when a host adds its own loss and that makes three, or condemns. Here two hosts saw two losses each at the same time; each heard of the other's 170 ms later and condemned the request, but nobody wrote. Within five seconds all three hosts were killed or stopped and started again, two of them at once, and the request was new to them.

Now a host that saw one of the losses has the store keep the verdict when it comes about by what other hosts tell; hosts that only heard of it don't write. TestVerdictsFromLossesOfSeveralHostsAreKept failed before.

--- a/crash/guard.go
+++ b/crash/guard.go
@@ -72,6 +72,8 @@
 	mu     sync.Mutex
 	table  quarantine.Table
 	trials map[quarantine.Fingerprint]*trial
+	// own are the last losses of requests that this host saw itself.
+	own map[quarantine.Fingerprint]quarantine.Record
 	// unkept holds what is to be written to the store.
 	unkept map[quarantine.Fingerprint]quarantine.Record
 	// stored are the requests of which the store has a record, and whether this
@@ -92,7 +94,7 @@
 		o.Metrics = tally.NoopScope
 	}
 	g := &Guard{Options: o, fresh: make(chan []quarantine.Record, waiting), trials: map[quarantine.Fingerprint]*trial{},
-		wake: make(chan struct{}, 1), unkept: map[quarantine.Fingerprint]quarantine.Record{}, stored: map[quarantine.Fingerprint]bool{}}
+		wake: make(chan struct{}, 1), own: map[quarantine.Fingerprint]quarantine.Record{}, unkept: map[quarantine.Fingerprint]quarantine.Record{}, stored: map[quarantine.Fingerprint]bool{}}
 	if g.Store != nil {
 		wait.Go(func() { g.follow(ctx) })
 		wait.Go(func() { g.write(ctx) })
@@ -217,6 +219,7 @@
 	g.mu.Lock()
 	r = g.table.Counted(r, r.At)
 	g.mu.Unlock()
+	g.noteOwn(r)
 	g.merge([]quarantine.Record{r}, "Own")
 	r.Condemned = g.judge(r.Fingerprint, r.At).Verdict == quarantine.Condemned
 	if g.keeps(r) {
@@ -267,6 +270,9 @@
 		}
 	}
 	g.dropAnswered(fresh)
+	if source == "Peer" {
+		g.keepVerdicts(fresh, now)
+	}
 	select {
 	case g.fresh <- fresh:
 	default:
--- a/crash/kept.go
+++ b/crash/kept.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"time"
 
@@ -89,6 +90,45 @@
 	}
 }
 
+// noteOwn notes a loss that this host saw.
+func (g *Guard) noteOwn(r quarantine.Record) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if r.Answered {
+		delete(g.own, r.Fingerprint)
+		return
+	}
+	if len(g.own) >= quarantine.Capacity {
+		maps.DeleteFunc(g.own, func(_ quarantine.Fingerprint, old quarantine.Record) bool {
+			return r.At.Sub(old.At) >= quarantine.Lifetime
+		})
+	}
+	if len(g.own) < quarantine.Capacity {
+		g.own[r.Fingerprint] = r
+	}
+}
+
+// keepVerdicts has the store keep what is to be kept by losses of several
+// hosts, none of which had reason to by its own. Only hosts that saw one of
+// the losses do, so that not all write.
+func (g *Guard) keepVerdicts(heard []quarantine.Record, now time.Time) {
+	for _, r := range heard {
+		g.mu.Lock()
+		own, saw := g.own[r.Fingerprint]
+		_, stored := g.stored[r.Fingerprint]
+		_, writing := g.unkept[r.Fingerprint]
+		g.mu.Unlock()
+		if r.Answered || !saw || stored || writing {
+			continue
+		}
+		j := g.judge(r.Fingerprint, now)
+		own.Losses, own.Condemned = j.Losses, j.Verdict == quarantine.Condemned
+		if g.keeps(own) {
+			g.keep(own)
+		}
+	}
+}
+
 // dropAnswered removes from the store what this host has written, or is about
 // to write, of requests that others have answered since.
 func (g *Guard) dropAnswered(records []quarantine.Record) {
--- a/crash/kept_test.go
+++ b/crash/kept_test.go
@@ -155,3 +155,36 @@
 		})
 	}
 }
+
+// TestVerdictsFromLossesOfSeveralHostsAreKept condemns requests by losses of
+// which none alone is kept. A host that saw one of them has the store keep the
+// verdict; one that only heard of them leaves that to those.
+func TestVerdictsFromLossesOfSeveralHostsAreKept(t *testing.T) {
+	is := is.New(t)
+	s := &shelf{kept: map[quarantine.Fingerprint]quarantine.Record{}}
+	ctx, cancel := context.WithCancel(context.Background())
+	var wait conc.WaitGroup
+	defer wait.Wait()
+	defer cancel()
+	g := crash.NewGuard(ctx, &wait, crash.Options{Peers: func() []string { return nil }, Store: s})
+	heard := func(f quarantine.Fingerprint) {
+		var records []quarantine.Record
+		for _, engine := range []string{"b", "c", "d", "e"} {
+			records = append(records, quarantine.Record{ID: string(f) + engine, Fingerprint: f, Engine: engine, At: time.Now(), Losses: 2})
+		}
+		g.Merge(records)
+	}
+	heard("others alone")
+	g.Lost(quarantine.Loss{Attempt: "attempt", Fingerprint: "crasher", Engine: "a", Sent: time.Now()})
+	is.True(!s.has("crasher"))
+	heard("crasher")
+	for deadline := time.Now().Add(10 * time.Second); !s.has("crasher"); time.Sleep(time.Millisecond) {
+		is.True(time.Now().Before(deadline))
+	}
+	is.True(!s.has("others alone"))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	kept := s.kept["crasher"]
+	is.True(kept.Condemned)
+	is.True(kept.Losses >= 4)
+}
