fix: a kept record is replaced when the verdict says more

Cause: the store already held a record of three losses that didn't condemn, so the verdict from four, 150 ms later by what another host told, wasn't written; all hosts started again and tried the request anew as a suspect.

Now what the store has, or is about to have, is compared with the verdict. A write that ends while a newer one waits leaves that in place, also if both are of one loss. The second half of TestVerdictsFromLossesOfSeveralHostsAreKept failed before.

--- a/crash/guard.go
+++ b/crash/guard.go
@@ -76,9 +76,8 @@
 	own map[quarantine.Fingerprint]quarantine.Record
 	// unkept holds what is to be written to the store.
 	unkept map[quarantine.Fingerprint]quarantine.Record
-	// stored are the requests of which the store has a record, and whether this
-	// host wrote it.
-	stored map[quarantine.Fingerprint]bool
+	// stored are the requests of which the store has a record.
+	stored map[quarantine.Fingerprint]storedRecord
 }
 
 // trial counts the requests with one fingerprint that run on this host.
@@ -94,7 +93,7 @@
 		o.Metrics = tally.NoopScope
 	}
 	g := &Guard{Options: o, fresh: make(chan []quarantine.Record, waiting), trials: map[quarantine.Fingerprint]*trial{},
-		wake: make(chan struct{}, 1), own: map[quarantine.Fingerprint]quarantine.Record{}, unkept: map[quarantine.Fingerprint]quarantine.Record{}, stored: map[quarantine.Fingerprint]bool{}}
+		wake: make(chan struct{}, 1), own: map[quarantine.Fingerprint]quarantine.Record{}, unkept: map[quarantine.Fingerprint]quarantine.Record{}, stored: map[quarantine.Fingerprint]storedRecord{}}
 	if g.Store != nil {
 		wait.Go(func() { g.follow(ctx) })
 		wait.Go(func() { g.write(ctx) })
--- a/crash/kept.go
+++ b/crash/kept.go
@@ -38,6 +38,18 @@
 	DropCrasher(ctx context.Context, f quarantine.Fingerprint) error
 }
 
+// storedRecord is what the store has of a request, and whether this host wrote
+// it.
+type storedRecord struct {
+	losses         int
+	condemned, own bool
+}
+
+// says tells whether it says what a record does.
+func (s storedRecord) says(r quarantine.Record) bool {
+	return s.losses >= r.Losses && (s.condemned || !r.Condemned)
+}
+
 // follow merges what the store keeps until the context ends.
 func (g *Guard) follow(ctx context.Context) {
 	position, lost := int64(-1), false
@@ -74,9 +86,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, r := range records {
-		if _, known := g.stored[r.Fingerprint]; !known {
-			g.stored[r.Fingerprint] = false
-		}
+		g.stored[r.Fingerprint] = storedRecord{losses: r.Losses, condemned: r.Condemned, own: g.stored[r.Fingerprint].own}
 	}
 }
 
@@ -115,15 +125,17 @@
 	for _, r := range heard {
 		g.mu.Lock()
 		own, saw := g.own[r.Fingerprint]
-		_, stored := g.stored[r.Fingerprint]
-		_, writing := g.unkept[r.Fingerprint]
+		has := g.stored[r.Fingerprint]
+		if pending, writing := g.unkept[r.Fingerprint]; writing {
+			has = storedRecord{losses: pending.Losses, condemned: pending.Condemned}
+		}
 		g.mu.Unlock()
-		if r.Answered || !saw || stored || writing {
+		if r.Answered || !saw {
 			continue
 		}
 		j := g.judge(r.Fingerprint, now)
 		own.Losses, own.Condemned = j.Losses, j.Verdict == quarantine.Condemned
-		if g.keeps(own) {
+		if g.keeps(own) && !has.says(own) {
 			g.keep(own)
 		}
 	}
@@ -135,7 +147,7 @@
 	for _, r := range records {
 		g.mu.Lock()
 		_, writing := g.unkept[r.Fingerprint]
-		drops := r.Answered && (writing || g.stored[r.Fingerprint])
+		drops := r.Answered && (writing || g.stored[r.Fingerprint].own)
 		g.mu.Unlock()
 		if drops {
 			g.keep(r)
@@ -231,10 +243,12 @@
 func (g *Guard) kept(r quarantine.Record) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.unkept[r.Fingerprint].ID == r.ID {
+	if g.unkept[r.Fingerprint] == r {
 		delete(g.unkept, r.Fingerprint)
 	}
-	if g.stored[r.Fingerprint] = !r.Answered; r.Answered {
+	if r.Answered {
 		delete(g.stored, r.Fingerprint)
+		return
 	}
+	g.stored[r.Fingerprint] = storedRecord{losses: r.Losses, condemned: r.Condemned, own: true}
 }
--- a/crash/kept_test.go
+++ b/crash/kept_test.go
@@ -70,6 +70,14 @@
 	return ok
 }
 
+// says tells whether it has a record of so many losses, and its verdict.
+func (s *shelf) says(f quarantine.Fingerprint, losses int, condemned bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := s.kept[f]
+	return r.Losses >= losses && r.Condemned == condemned
+}
+
 func (s *shelf) drops() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -175,16 +183,26 @@
 		g.Merge(records)
 	}
 	heard("others alone")
-	g.Lost(quarantine.Loss{Attempt: "attempt", Fingerprint: "crasher", Engine: "a", Sent: time.Now()})
-	is.True(!s.has("crasher"))
-	heard("crasher")
-	for deadline := time.Now().Add(10 * time.Second); !s.has("crasher"); time.Sleep(time.Millisecond) {
-		is.True(time.Now().Before(deadline))
+	lose := func(f quarantine.Fingerprint, engine string) {
+		g.Lost(quarantine.Loss{Attempt: "attempt", Fingerprint: f, Engine: engine, Sent: time.Now()})
 	}
+	keeps := func(f quarantine.Fingerprint, losses int, condemned bool) {
+		t.Helper()
+		for deadline := time.Now().Add(10 * time.Second); !s.says(f, losses, condemned); time.Sleep(time.Millisecond) {
+			is.True(time.Now().Before(deadline))
+		}
+	}
+	lose("once", "a")
+	is.True(!s.has("once"))
+	heard("once")
+	keeps("once", 4, true)
+	// Three losses, while another engine is lost, are kept but don't condemn.
+	lose("other", "z")
+	for _, engine := range []string{"x", "y", "w"} {
+		lose("thrice", engine)
+	}
+	keeps("thrice", 3, false)
+	heard("thrice")
+	keeps("thrice", 4, true)
 	is.True(!s.has("others alone"))
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	kept := s.kept["crasher"]
-	is.True(kept.Condemned)
-	is.True(kept.Losses >= 4)
 }
