--- a/soak/soak.go
+++ b/soak/soak.go
@@ -14,7 +14,6 @@
 	"net"
 	"net/http"
 	"os"
-	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -80,7 +79,7 @@
 	if err != nil {
 		return Report{}, err
 	}
-	ready := w.await(startLimit, w.ready)
+	ready := w.await(startLimit, func() bool { return w.unready() == "" })
 	if err := ctx.Err(); err != nil {
 		return Report{}, trace.Wrap(err, "the soak was interrupted")
 	}
@@ -336,9 +335,14 @@
 	return true
 }
 
-// ready tells whether all hosts say that they are.
-func (w *world) ready() bool {
-	return !slices.ContainsFunc(w.hosts, func(h *host) bool { return !standin.PlatformReady(h.readiness) })
+// unready names a host that doesn't say that it is ready, or returns "".
+func (w *world) unready() string {
+	for _, h := range w.hosts {
+		if !standin.PlatformReady(h.readiness) {
+			return h.name + " is not"
+		}
+	}
+	return ""
 }
 
 // calm waits until the deployment is well again after the last fault, and
@@ -349,14 +353,7 @@
 		// missing returns what the condition still misses, or "".
 		missing func() string
 	}{
-		{"all hosts are ready", func() string {
-			for _, h := range w.hosts {
-				if !standin.PlatformReady(h.readiness) {
-					return h.name + " is not"
-				}
-			}
-			return ""
-		}},
+		{"all hosts are ready", w.unready},
 		{"all engines have the newest weights", w.outdated},
 		{"every host serves every kind of request", func() string {
 			for _, h := range w.hosts {
