--- a/pulse/pulse.go
+++ b/pulse/pulse.go
@@ -132,8 +132,8 @@
 	Loads   map[Engine]Load
 }
 
-// Member is the short name of a host in summaries. Of two hosts with one, a
-// silent one counts as alive: one system of 340 hosts in 75,000 has such a pair.
+// Member is the short name of a host in summaries. If two hosts share one, a
+// silent one counts as alive; one system of 340 hosts in 75,000 has such a pair.
 type Member uint32
 
 // digest returns a number for a sorted list of members.
