--- a/attempt/message.go
+++ b/attempt/message.go
@@ -112,7 +112,11 @@
 
 // ReportLoss reports that an engine may have crashed during the prefill or
 // the first tokens of an attempt, so that the request may be the cause.
-type ReportLoss struct{ Upstream, Attempt string }
+type ReportLoss struct {
+	Upstream, Attempt string
+	// Tokens counts the tokens of the attempt that had arrived.
+	Tokens int
+}
 
 // Finish ends the request. A nil failure means that the answer is complete.
 type Finish struct{ Failure *request.Failure }
--- a/attempt/outcome.go
+++ b/attempt/outcome.go
@@ -15,7 +15,7 @@
 		actions = append(actions, Cancel{Upstream: s.target.Upstream, Attempt: s.attemptID})
 	}
 	if c.suggestsCrash() && s.attemptTokens < s.limits.EarlyTokens {
-		actions = append(actions, ReportLoss{Upstream: s.target.Upstream, Attempt: s.attemptID})
+		actions = append(actions, ReportLoss{Upstream: s.target.Upstream, Attempt: s.attemptID, Tokens: s.attemptTokens})
 		s.losses++
 	}
 	s.attemptID = ""
--- a/crash/calls_test.go
+++ b/crash/calls_test.go
@@ -15,8 +15,8 @@
 func TestEachLossCounts(t *testing.T) {
 	is := is.New(t)
 	guard := startGuards(t, 1)[0]
-	is.True(!guard.Lost(quarantine.Loss{Attempt: "call", Fingerprint: "crasher", Engine: "engine-1", Sent: time.Now()}))
-	is.True(guard.Lost(quarantine.Loss{Attempt: "call", Fingerprint: "crasher", Engine: "engine-2", Sent: time.Now()}))
+	is.True(!guard.Lost(quarantine.Loss{Content: quarantine.Content{Request: "crasher"}, Attempt: "call", Engine: "engine-1", Sent: time.Now()}))
+	is.True(guard.Lost(quarantine.Loss{Content: quarantine.Content{Request: "crasher"}, Attempt: "call", Engine: "engine-2", Sent: time.Now()}))
 }
 
 // TestAnswerAfterLossEndsSuspicion answers a call that has lost an engine. A
@@ -25,9 +25,9 @@
 func TestAnswerAfterLossEndsSuspicion(t *testing.T) {
 	is := is.New(t)
 	guard := startGuards(t, 1)[0]
-	is.True(!guard.Lost(quarantine.Loss{Attempt: "call", Fingerprint: "innocent", Engine: "engine-1", Sent: time.Now()}))
-	guard.Answered("call", "innocent")
-	is.True(!guard.Lost(quarantine.Loss{Attempt: "later", Fingerprint: "innocent", Engine: "engine-2", Sent: time.Now()}))
+	is.True(!guard.Lost(quarantine.Loss{Content: quarantine.Content{Request: "innocent"}, Attempt: "call", Engine: "engine-1", Sent: time.Now()}))
+	guard.Answered("call", quarantine.Content{Request: "innocent"})
+	is.True(!guard.Lost(quarantine.Loss{Content: quarantine.Content{Request: "innocent"}, Attempt: "later", Engine: "engine-2", Sent: time.Now()}))
 }
 
 // TestPopularRequestsSurviveOutage loses all engines at once with the same
@@ -35,15 +35,15 @@
 func TestPopularRequestsSurviveOutage(t *testing.T) {
 	is := is.New(t)
 	guard := startGuards(t, 1)[0]
-	release, refused := guard.Admit(context.Background(), "first", "popular")
+	release, refused := guard.Admit(context.Background(), "first", quarantine.Content{Request: "popular"})
 	is.Equal(refused, nil)
-	guard.Answered("first", "popular")
+	guard.Answered("first", quarantine.Content{Request: "popular"})
 	release()
 	sent := time.Now()
 	for i := range 6 {
-		is.True(!guard.Lost(quarantine.Loss{Attempt: fmt.Sprint("call-", i), Fingerprint: "popular", Engine: fmt.Sprint("engine-", i), Sent: sent}))
+		is.True(!guard.Lost(quarantine.Loss{Content: quarantine.Content{Request: "popular"}, Attempt: fmt.Sprint("call-", i), Engine: fmt.Sprint("engine-", i), Sent: sent}))
 	}
-	release, refused = guard.Admit(context.Background(), "next", "popular")
+	release, refused = guard.Admit(context.Background(), "next", quarantine.Content{Request: "popular"})
 	is.Equal(refused, nil)
 	release()
 }
--- a/crash/flood_test.go
+++ b/crash/flood_test.go
@@ -45,7 +45,7 @@
 	g := crash.NewGuard(ctx, &wait, crash.Options{Sender: s, Peers: func() []string { return make([]string, peers) }})
 	for i := range requests {
 		f := quarantine.Fingerprint(fmt.Sprint("f", i))
-		g.Lost(quarantine.Loss{Attempt: fmt.Sprint("r", i), Fingerprint: f, Engine: "engine", Sent: time.Now()})
+		g.Lost(quarantine.Loss{Content: quarantine.Content{Request: f}, Attempt: fmt.Sprint("r", i), Engine: "engine", Sent: time.Now()})
 	}
 	counts := func() (int, int) {
 		s.mu.Lock()
--- a/crash/guard.go
+++ b/crash/guard.go
@@ -124,15 +124,15 @@
 // Admit returns a function to call when the request ends, or the reason for
 // which it is refused. Suspect requests with the same fingerprint run one at a
 // time; the others wait for the verdict.
-func (g *Guard) Admit(ctx context.Context, attempt string, f quarantine.Fingerprint) (release func(), refused *request.Failure) {
+func (g *Guard) Admit(ctx context.Context, attempt string, c quarantine.Content) (release func(), refused *request.Failure) {
 	for {
-		verdict, ended := g.tryStart(f)
+		verdict, ended := g.tryStart(c.Request)
 		switch {
 		case verdict == quarantine.Quarantined:
-			g.recordRefusal(attempt, f)
+			g.recordRefusal(attempt, c.Request)
 			return nil, request.Refuse(request.Quarantined, "the request crashed the engines that ran it")
 		case ended == nil:
-			return func() { g.release(f) }, nil
+			return func() { g.release(c.Request) }, nil
 		}
 		select {
 		case <-ended:
@@ -143,11 +143,11 @@
 }
 
 // IsQuarantined reports whether an admitted request has been quarantined since.
-func (g *Guard) IsQuarantined(attempt string, f quarantine.Fingerprint) bool {
-	if g.classify(f, time.Now()).Verdict != quarantine.Quarantined {
+func (g *Guard) IsQuarantined(attempt string, c quarantine.Content) bool {
+	if g.classify(c.Request, time.Now()).Verdict != quarantine.Quarantined {
 		return false
 	}
-	g.recordRefusal(attempt, f)
+	g.recordRefusal(attempt, c.Request)
 	return true
 }
 
@@ -197,18 +197,18 @@
 func (g *Guard) Lost(l quarantine.Loss) (quarantined bool) {
 	now := time.Now()
 	g.add(quarantine.Record{
-		ID: g.recordID(l.Attempt), Fingerprint: l.Fingerprint, Engine: l.Engine, Incarnation: l.Incarnation, Sent: l.Sent, At: now, KnownGood: g.knownGood.answeredRecently(l.Fingerprint, now),
+		ID: g.recordID(l.Attempt), Fingerprint: l.Request, Engine: l.Engine, Incarnation: l.Incarnation, Sent: l.Sent, At: now, KnownGood: g.knownGood.answeredRecently(l.Request, now),
 	})
-	c := g.classify(l.Fingerprint, now)
-	event.LossRecorded.Info("Attempt", l.Attempt, "Fingerprint", l.Fingerprint, "Upstream", l.Engine, "Start", l.Incarnation, "Verdict", c.Verdict,
-		"Losses", c.Losses, "OtherLosses", c.OtherLosses, "Shared", c.Shared)
+	c := g.classify(l.Request, now)
+	event.LossRecorded.Info("Attempt", l.Attempt, "Fingerprint", l.Request, "Parts", l.Parts, "Account", l.Account, "Upstream", l.Engine, "Start", l.Incarnation, "Events", l.Events,
+		"Verdict", c.Verdict, "Losses", c.Losses, "OtherLosses", c.OtherLosses, "Shared", c.Shared)
 	return c.Verdict == quarantine.Quarantined
 }
 
 // Answered records that a request was answered. The record is shared only if
 // the request was a suspect or quarantined.
-func (g *Guard) Answered(attempt string, f quarantine.Fingerprint) {
-	now := time.Now()
+func (g *Guard) Answered(attempt string, content quarantine.Content) {
+	now, f := time.Now(), content.Request
 	g.knownGood.add(f, now)
 	if c := g.classify(f, now); c.Verdict != quarantine.Clean {
 		g.add(quarantine.Record{ID: g.recordID(attempt), Fingerprint: f, Answered: true, At: now})
--- a/crash/guard_test.go
+++ b/crash/guard_test.go
@@ -56,13 +56,13 @@
 func TestShared(t *testing.T) {
 	is := is.New(t)
 	guards := startGuards(t, 3)
-	is.True(!guards[0].Lost(quarantine.Loss{Attempt: "attempt-1", Fingerprint: "crasher", Engine: "engine-1", Sent: time.Now()}))
-	for !guards[1].Lost(quarantine.Loss{Attempt: "attempt-2", Fingerprint: "crasher", Engine: "engine-2", Sent: time.Now()}) {
+	is.True(!guards[0].Lost(quarantine.Loss{Content: quarantine.Content{Request: "crasher"}, Attempt: "attempt-1", Engine: "engine-1", Sent: time.Now()}))
+	for !guards[1].Lost(quarantine.Loss{Content: quarantine.Content{Request: "crasher"}, Attempt: "attempt-2", Engine: "engine-2", Sent: time.Now()}) {
 		time.Sleep(10 * time.Millisecond)
 	}
 	ctx := context.Background()
 	for {
-		release, refused := guards[2].Admit(ctx, "attempt", "crasher")
+		release, refused := guards[2].Admit(ctx, "attempt", quarantine.Content{Request: "crasher"})
 		if refused != nil {
 			is.Equal(refused.Code, request.Quarantined)
 			is.Equal(refused.Outcome, request.NotRun)
@@ -71,7 +71,7 @@
 		release()
 		time.Sleep(10 * time.Millisecond)
 	}
-	release, refused := guards[2].Admit(ctx, "attempt", "innocent")
+	release, refused := guards[2].Admit(ctx, "attempt", quarantine.Content{Request: "innocent"})
 	is.Equal(refused, nil)
 	release()
 }
@@ -81,20 +81,20 @@
 func TestTrial(t *testing.T) {
 	is := is.New(t)
 	guard := startGuards(t, 1)[0]
-	guard.Lost(quarantine.Loss{Attempt: "attempt-1", Fingerprint: "suspect", Engine: "engine-1", Sent: time.Now()})
+	guard.Lost(quarantine.Loss{Content: quarantine.Content{Request: "suspect"}, Attempt: "attempt-1", Engine: "engine-1", Sent: time.Now()})
 	ctx, cancel := context.WithCancel(context.Background())
-	release, refused := guard.Admit(ctx, "attempt", "suspect")
+	release, refused := guard.Admit(ctx, "attempt", quarantine.Content{Request: "suspect"})
 	is.Equal(refused, nil)
 	cancelled, cancelAdmit := context.WithCancel(ctx)
 	cancelAdmit()
-	_, refused = guard.Admit(cancelled, "attempt", "suspect")
+	_, refused = guard.Admit(cancelled, "attempt", quarantine.Content{Request: "suspect"})
 	is.Equal(refused.Outcome, request.NotRun)
 	admitted := make(chan *request.Failure)
 	go func() {
-		_, refused := guard.Admit(ctx, "attempt", "suspect")
+		_, refused := guard.Admit(ctx, "attempt", quarantine.Content{Request: "suspect"})
 		admitted <- refused
 	}()
-	guard.Answered("attempt-2", "suspect")
+	guard.Answered("attempt-2", quarantine.Content{Request: "suspect"})
 	release()
 	is.Equal(<-admitted, nil)
 	cancel()
@@ -107,12 +107,12 @@
 	for range b.N {
 		b.StopTimer()
 		guards := startGuards(b, 9)
-		guards[0].Lost(quarantine.Loss{Attempt: "attempt-1", Fingerprint: "crasher", Engine: "engine-1", Sent: time.Now()})
+		guards[0].Lost(quarantine.Loss{Content: quarantine.Content{Request: "crasher"}, Attempt: "attempt-1", Engine: "engine-1", Sent: time.Now()})
 		b.StartTimer()
-		guards[0].Lost(quarantine.Loss{Attempt: "attempt-2", Fingerprint: "crasher", Engine: "engine-2", Sent: time.Now()})
+		guards[0].Lost(quarantine.Loss{Content: quarantine.Content{Request: "crasher"}, Attempt: "attempt-2", Engine: "engine-2", Sent: time.Now()})
 		for _, guard := range guards {
 			for refused := false; !refused; {
-				release, failure := guard.Admit(ctx, "attempt", "crasher")
+				release, failure := guard.Admit(ctx, "attempt", quarantine.Content{Request: "crasher"})
 				if refused = failure != nil; !refused {
 					release()
 					time.Sleep(time.Millisecond)
--- a/crash/persist_test.go
+++ b/crash/persist_test.go
@@ -105,14 +105,14 @@
 	}
 	await(func() bool { return !s.has("expired") })
 	for i := range 2 {
-		g.Lost(quarantine.Loss{Attempt: fmt.Sprint("a", i), Fingerprint: "crasher", Engine: fmt.Sprint("engine-", i), Sent: time.Now()})
+		g.Lost(quarantine.Loss{Content: quarantine.Content{Request: "crasher"}, Attempt: fmt.Sprint("a", i), Engine: fmt.Sprint("engine-", i), Sent: time.Now()})
 	}
 	await(func() bool { return s.has("crasher") })
-	g.Answered("b", "crasher")
+	g.Answered("b", quarantine.Content{Request: "crasher"})
 	await(func() bool { return !s.has("crasher") })
 	// An answer to a request without a stored record makes no call.
-	g.Lost(quarantine.Loss{Attempt: "c", Fingerprint: "suspect", Engine: "engine-3", Sent: time.Now()})
-	g.Answered("c", "suspect")
+	g.Lost(quarantine.Loss{Content: quarantine.Content{Request: "suspect"}, Attempt: "c", Engine: "engine-3", Sent: time.Now()})
+	g.Answered("c", quarantine.Content{Request: "suspect"})
 	is.Equal(s.dropped, 2)
 }
 
@@ -121,7 +121,7 @@
 func TestAnswersOnOtherHostsRemoveRecords(t *testing.T) {
 	quarantineRead := func(g *crash.Guard) {
 		for _, engine := range []string{"a", "b"} {
-			g.Lost(quarantine.Loss{Attempt: engine, Fingerprint: "read", Engine: engine, Sent: time.Now()})
+			g.Lost(quarantine.Loss{Content: quarantine.Content{Request: "read"}, Attempt: engine, Engine: engine, Sent: time.Now()})
 		}
 	}
 	answer := []quarantine.Record{{ID: "answer", Fingerprint: "read", Answered: true, At: time.Now().Add(time.Minute)}}
@@ -143,7 +143,7 @@
 			g.Merge(answer)
 		}},
 		{"read from the store by a host that answered it", 0, quarantine.Record{ID: "other/1", Fingerprint: "read", Engine: "b", Losses: 2, Quarantined: true, At: time.Now()}, func(_ *fakeStore, g *crash.Guard) {
-			g.Answered("attempt", "read")
+			g.Answered("attempt", quarantine.Content{Request: "read"})
 		}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
@@ -187,7 +187,7 @@
 	}
 	receive("others alone")
 	lose := func(f quarantine.Fingerprint, engine string) {
-		g.Lost(quarantine.Loss{Attempt: "attempt", Fingerprint: f, Engine: engine, Sent: time.Now()})
+		g.Lost(quarantine.Loss{Content: quarantine.Content{Request: f}, Attempt: "attempt", Engine: engine, Sent: time.Now()})
 	}
 	awaitRecord := func(f quarantine.Fingerprint, losses int, quarantined bool) {
 		t.Helper()
--- a/crash/popular_test.go
+++ b/crash/popular_test.go
@@ -13,7 +13,7 @@
 
 // admits reports whether a guard admits a request.
 func admits(g *crash.Guard, f quarantine.Fingerprint) bool {
-	release, refused := g.Admit(context.Background(), "attempt", f)
+	release, refused := g.Admit(context.Background(), "attempt", quarantine.Content{Request: f})
 	if refused != nil {
 		return false
 	}
@@ -39,7 +39,7 @@
 			is := is.New(t)
 			guard := startGuards(t, 1)[0]
 			if test.answered {
-				guard.Answered("attempt-1", "read")
+				guard.Answered("attempt-1", quarantine.Content{Request: "read"})
 			}
 			var records []quarantine.Record
 			for i := range test.losses {
@@ -58,15 +58,15 @@
 func TestAnswersOnOtherHostsEndQuarantine(t *testing.T) {
 	is := is.New(t)
 	guards := startGuards(t, 3)
-	guards[0].Answered("attempt-1", "read")
-	guards[1].Answered("attempt-2", "read")
-	guards[2].Lost(quarantine.Loss{Attempt: "attempt-3", Fingerprint: "read", Engine: "engine-1", Sent: time.Now()})
-	is.True(guards[2].Lost(quarantine.Loss{Attempt: "attempt-4", Fingerprint: "read", Engine: "engine-2", Sent: time.Now()}))
+	guards[0].Answered("attempt-1", quarantine.Content{Request: "read"})
+	guards[1].Answered("attempt-2", quarantine.Content{Request: "read"})
+	guards[2].Lost(quarantine.Loss{Content: quarantine.Content{Request: "read"}, Attempt: "attempt-3", Engine: "engine-1", Sent: time.Now()})
+	is.True(guards[2].Lost(quarantine.Loss{Content: quarantine.Content{Request: "read"}, Attempt: "attempt-4", Engine: "engine-2", Sent: time.Now()}))
 	for deadline := time.Now().Add(20 * time.Second); !admits(guards[2], "read"); time.Sleep(10 * time.Millisecond) {
 		is.True(time.Now().Before(deadline)) // guards[2] receives an answer
 		for i, g := range guards[:2] {
 			is.True(admits(g, "read")) // the other hosts still admit it
-			g.Answered([]string{"attempt-5", "attempt-6"}[i], "read")
+			g.Answered([]string{"attempt-5", "attempt-6"}[i], quarantine.Content{Request: "read"})
 		}
 	}
 }
--- a/dispatch/completion.go
+++ b/dispatch/completion.go
@@ -23,11 +23,11 @@
 	pool    document.Pool
 	model   document.Model
 	request request.Request
-	// fingerprint identifies what the request asks for.
-	fingerprint quarantine.Fingerprint
-	sink        Sink
-	random      *rand.Rand
-	state       attempt.State
+	// content identifies the request and its parts to the crash guard.
+	content quarantine.Content
+	sink    Sink
+	random  *rand.Rand
+	state   attempt.State
 	// pending holds inputs that resulted from actions.
 	pending []attempt.Input
 	// received carries the inputs that the reader of the current attempt read.
@@ -58,7 +58,7 @@
 		model.Version = r.Version
 	}
 	return &completion{
-		Dispatcher: d, pool: pool, model: model, request: r, fingerprint: quarantine.FingerprintOf(r), sink: sink,
+		Dispatcher: d, pool: pool, model: model, request: r, content: quarantine.ContentOf(r, r.Model, r.Levels[:max(0, len(r.Levels)-1)]...), sink: sink,
 		random:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		state:    attempt.Begin(d.limits, r, model.Version, time.Now()),
 		received: make(chan engineInput), stopReader: func() {},
@@ -131,7 +131,7 @@
 		c.pending = append(c.pending, attempt.RetryDecision{Granted: c.takeRetry()})
 	case attempt.ReportLoss:
 		if c.crashes.Lost(quarantine.Loss{
-			Attempt: a.Attempt, Fingerprint: c.fingerprint, Engine: a.Upstream, Incarnation: c.choice.Incarnation, Sent: c.sentAt,
+			Content: c.content, Attempt: a.Attempt, Engine: a.Upstream, Incarnation: c.choice.Incarnation, Sent: c.sentAt, Events: a.Tokens,
 		}) {
 			c.pending = append(c.pending, attempt.Quarantined{})
 		}
@@ -170,7 +170,7 @@
 	if f == nil {
 		// The reader of a complete answer ends by itself.
 		c.stopReader = func() {}
-		c.crashes.Answered(c.attempt, c.fingerprint)
+		c.crashes.Answered(c.attempt, c.content)
 		_ = c.sink(upstream.Chunk{End: true, Weights: c.state.Weights()})
 	}
 }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -68,12 +68,12 @@
 type crashGuard interface {
 	// Admit returns a function to call at the request's end, or why the
 	// request is refused.
-	Admit(ctx context.Context, attempt string, f quarantine.Fingerprint) (release func(), refused *request.Failure)
+	Admit(ctx context.Context, attempt string, c quarantine.Content) (release func(), refused *request.Failure)
 	// Lost records an engine that was lost during the first tokens of an
 	// attempt, and reports whether the request is quarantined.
 	Lost(l quarantine.Loss) (quarantined bool)
 	// Answered records that a request received a complete answer.
-	Answered(attempt string, f quarantine.Fingerprint)
+	Answered(attempt string, c quarantine.Content)
 }
 
 // Options configures a dispatcher.
@@ -105,7 +105,7 @@
 // is complete.
 func (d *Dispatcher) Complete(ctx context.Context, doc document.Document, r request.Request, sink Sink) *request.Failure {
 	c := newCompletion(d, doc, r, sink)
-	done, refused := d.awaitCrashGuard(ctx, r.ID, c.fingerprint)
+	done, refused := d.awaitCrashGuard(ctx, r.ID, c.content)
 	if refused != nil {
 		return c.refuse(ctx, refused)
 	}
@@ -121,11 +121,11 @@
 
 // awaitCrashGuard waits until the crash guard admits or refuses a request. Stop
 // ends the wait.
-func (d *Dispatcher) awaitCrashGuard(ctx context.Context, requestID string, f quarantine.Fingerprint) (release func(), refused *request.Failure) {
+func (d *Dispatcher) awaitCrashGuard(ctx context.Context, requestID string, c quarantine.Content) (release func(), refused *request.Failure) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer context.AfterFunc(d.stopping, cancel)()
-	return d.crashes.Admit(ctx, requestID, f)
+	return d.crashes.Admit(ctx, requestID, c)
 }
 
 // Stop ends the running completions, each with an explicit failure that tells
@@ -163,7 +163,7 @@
 type noCrashGuard struct{}
 
 // Admit admits every request.
-func (noCrashGuard) Admit(context.Context, string, quarantine.Fingerprint) (func(), *request.Failure) {
+func (noCrashGuard) Admit(context.Context, string, quarantine.Content) (func(), *request.Failure) {
 	return func() {}, nil
 }
 
@@ -171,7 +171,7 @@
 func (noCrashGuard) Lost(quarantine.Loss) bool { return false }
 
 // Answered records nothing.
-func (noCrashGuard) Answered(string, quarantine.Fingerprint) {}
+func (noCrashGuard) Answered(string, quarantine.Content) {}
 
 // unfinishedFailure returns the failure of a call that no upstream finished.
 func unfinishedFailure(sent bool) *request.Failure {
--- a/event/request.go
+++ b/event/request.go
@@ -11,7 +11,7 @@
 	// ClaimAppendFailed reports a batch of claims that the log did not confirm.
 	ClaimAppendFailed = Event{2006, "claim append failed", "The log did not confirm a batch of claims; its claims are refused, and its records of ended attempts are retried."}
 	// LossRecorded reports a lost engine that counts against a request.
-	LossRecorded = Event{2007, "loss recorded", "An engine was lost while it ran a request. Losses counts the lost engines that count against the request, OtherLosses those lost without it shortly before or after; Shared is set if another unanswered request was on all of them."}
+	LossRecorded = Event{2007, "loss recorded", "An engine was lost while it ran a request. Parts are the fingerprints of the prompt parts that the request shares with others, Events counts the events of its answer that had arrived. Losses counts the lost engines that count against the request, OtherLosses those lost without it shortly before or after; Shared is set if another unanswered request was on all of them."}
 	// SuspicionEnded reports a suspect request that was answered.
 	SuspicionEnded = Event{2008, "suspicion ended", "A request that was on lost engines was answered; earlier losses no longer count against it."}
 	// QuarantineEnforced reports a refusal of a quarantined request.
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -66,11 +66,11 @@
 
 // guard refuses requests that crash the upstreams that run them.
 type guard interface {
-	Admit(ctx context.Context, attempt string, f quarantine.Fingerprint) (release func(), refused *request.Failure)
+	Admit(ctx context.Context, attempt string, c quarantine.Content) (release func(), refused *request.Failure)
 	// IsQuarantined reports whether the request is quarantined now.
-	IsQuarantined(attempt string, f quarantine.Fingerprint) bool
+	IsQuarantined(attempt string, c quarantine.Content) bool
 	Lost(l quarantine.Loss) (quarantined bool)
-	Answered(attempt string, f quarantine.Fingerprint)
+	Answered(attempt string, c quarantine.Content)
 }
 
 // loadExchange exchanges load reports with the other hosts.
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -65,8 +65,9 @@
 	// succeeds.
 	upstreamError *call.Answer
 	// refusal is the answer if the request is not sent.
-	refusal     call.Answer
-	fingerprint quarantine.Fingerprint
+	refusal call.Answer
+	// content identifies the request and its parts to the guard.
+	content quarantine.Content
 	// stage shows whether a part of the answer has been relayed.
 	stage retrybudget.Stage
 	// delivered counts the attempts that reached an upstream.
@@ -84,8 +85,8 @@
 // request crashes upstreams, or if it waited too long for a trial run of the same
 // request.
 func (h *handler) admitByGuard(ctx context.Context) (release func(), refusal *call.Answer) {
-	h.fingerprint = quarantine.FingerprintOf(request.Request{Model: h.account.Name, Path: h.call.Target, Body: h.call.Body})
-	release, refused := h.Guard.Admit(ctx, h.call.ID, h.fingerprint)
+	h.content = contentOf(h.call, h.account.Name)
+	release, refused := h.Guard.Admit(ctx, h.call.ID, h.content)
 	if refused == nil {
 		return release, nil
 	}
@@ -99,6 +100,16 @@
 	return nil, &answer
 }
 
+// contentOf returns the content of a call of an account.
+func contentOf(c call.Call, account string) quarantine.Content {
+	r := request.Request{Account: account, Model: account, Path: c.Target, Body: c.Body}
+	var shared [][]byte
+	for _, p := range c.Prompt.Shared() {
+		shared = append(shared, []byte(p.ID))
+	}
+	return quarantine.ContentOf(r, c.Prompt.Model, shared...)
+}
+
 // handle makes attempts until there is an answer.
 func (h *handler) handle(ctx context.Context) call.Answer {
 	h.recordFirst(h.service.Name)
@@ -123,7 +134,7 @@
 	if ctx.Err() != nil || h.timeLeft() < minTimeLeft || !h.retryState.ShouldRetry() {
 		return false
 	}
-	if h.Guard.IsQuarantined(h.call.ID, h.fingerprint) {
+	if h.Guard.IsQuarantined(h.call.ID, h.content) {
 		h.refusal = call.Refuse(call.Quarantined).WithRetryAfter(retryAfterQuarantine)
 		return false
 	}
@@ -281,7 +292,7 @@
 		return nil, h.failAttempt(a, retry.Failed, nil)
 	}
 	h.endAttempt(a)
-	h.Guard.Answered(h.call.ID, h.fingerprint)
+	h.Guard.Answered(h.call.ID, h.content)
 	return &answer, retry.Answered
 }
 
@@ -419,7 +430,7 @@
 	}
 	if a.lostEarly(o, err) {
 		h.Guard.Lost(quarantine.Loss{
-			Attempt: h.call.ID, Fingerprint: h.fingerprint, Engine: a.id, Incarnation: a.incarnation, Sent: time.Now().Add(-now.Sub(a.started)),
+			Content: h.content, Attempt: h.call.ID, Engine: a.id, Incarnation: a.incarnation, Sent: time.Now().Add(-now.Sub(a.started)), Events: a.events,
 		})
 	}
 	h.Metrics.Tagged(map[string]string{"outcome": o.String()}).Counter("tries_failed").Inc(1)
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -214,7 +214,7 @@
 		s.endAttempt(s.attempt)
 		if s.attempt.events > 0 {
 			// An engine that sent no event had nothing left to run.
-			s.Guard.Answered(s.call.ID, s.fingerprint)
+			s.Guard.Answered(s.call.ID, s.content)
 		}
 	default:
 		answer.Reason = call.CallerLeft
