--- a/storenode/crasher_test.go
+++ b/storenode/crasher_test.go
@@ -29,16 +29,29 @@
 type crashCounter struct {
 	*deployment
 
-	point   standin.PlatformCrashPoint
-	rename  bool
+	point  standin.PlatformCrashPoint
+	rename bool
+	// part, if set, is the prompt part that crashes an upstream, instead of the
+	// marker.
+	part    string
 	mu      sync.Mutex
 	crashed int
-	wait    sync.WaitGroup
+	// restarted holds the upstreams that were started after crashes.
+	restarted []*standin.PlatformEngine
+	wait      sync.WaitGroup
 }
 
 // crashOn makes requests with the marker crash the deployment's upstreams.
 func (d *deployment) crashOn(point standin.PlatformCrashPoint, rename bool) *crashCounter {
-	c := &crashCounter{deployment: d, point: point, rename: rename}
+	return d.startCrashes(&crashCounter{deployment: d, point: point, rename: rename})
+}
+
+// crashOnPart makes requests with a prompt part crash the deployment's engines.
+func (d *deployment) crashOnPart(part string, point standin.PlatformCrashPoint) *crashCounter {
+	return d.startCrashes(&crashCounter{deployment: d, point: point, rename: true, part: part})
+}
+
+func (d *deployment) startCrashes(c *crashCounter) *crashCounter {
 	d.t.Cleanup(c.wait.Wait)
 	for _, e := range d.upstreams() {
 		c.arm(e)
@@ -50,10 +63,15 @@
 	c.wait.Add(1)
 	once := sync.OnceFunc(c.wait.Done)
 	c.t.Cleanup(once)
-	e.CrashOn(crashMarker, c.point, func() {
+	crashed := func() {
 		defer once()
 		c.restart(e)
-	})
+	}
+	if c.part != "" {
+		e.CrashOnPart(c.part, c.point, crashed)
+		return
+	}
+	e.CrashOn(crashMarker, c.point, crashed)
 }
 
 // restart restarts an upstream after its crash.
@@ -72,6 +90,9 @@
 		return
 	}
 	c.t.Cleanup(restarted.Close)
+	c.mu.Lock()
+	c.restarted = append(c.restarted, restarted)
+	c.mu.Unlock()
 	c.arm(restarted)
 	if c.rename {
 		c.store.Remove(e)
--- /dev/null
+++ b/storenode/deadly_part_test.go
@@ -0,0 +1,75 @@
+package storenode_test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/kumquathoist/kumquathoist/standin"
+)
+
+const (
+	deadlyPart = "dd"
+	// freePartCrashes is the number of crashes after which the hosts must have
+	// recognized a part that crashes engines, apart from lateRetries.
+	freePartCrashes = 5
+)
+
+// withPart returns the prompt headers of a new request with a part.
+func withPart(part string) map[string]string {
+	return map[string]string{"X-Model": "m1", "X-Token-Usage": "1000,20", "X-Prompt-Prefix": fmt.Sprintf("aa:300,%s:500,%x:200", part, time.Now().UnixNano())}
+}
+
+// sendPart sends a new request with a part and returns the status.
+func (c *crashCounter) sendPart(h *testHost, kind, part string) int {
+	id := fmt.Sprint(part, time.Now().UnixNano())
+	return c.do(h, http.MethodPost, modelHost, "/"+kind+"/"+id, id, withPart(part), id).status
+}
+
+// reached counts the requests with the deadly part that reached an engine.
+func (c *crashCounter) reached() int {
+	c.mu.Lock()
+	engines := append(c.upstreams(), c.restarted...)
+	c.mu.Unlock()
+	n := 0
+	for _, e := range engines {
+		for _, h := range e.Seen() {
+			if standin.HasPart(h, deadlyPart) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// TestDeadlyPartCrashesFewEngines sends requests that differ but share a part
+// that crashes engines, among others with the same account and first part.
+func TestDeadlyPartCrashesFewEngines(t *testing.T) {
+	for _, tt := range []struct {
+		kind  string
+		point standin.PlatformCrashPoint
+	}{{"flag", standin.BeforeHead}, {"full", standin.AfterHead}, {"full", standin.AfterEvent}} {
+		t.Run(fmt.Sprint(tt.kind, tt.point), func(t *testing.T) {
+			is := is.New(t)
+			d := newDeployment(t, 2, 4, 0)
+			c := d.crashOnPart(deadlyPart, tt.point)
+			for i := range 14 {
+				c.sendPart(c.hosts[i%2], tt.kind, deadlyPart)
+				c.sendPart(c.hosts[i%2], tt.kind, "bb")
+				time.Sleep(300 * time.Millisecond)
+			}
+			t.Logf("%d engines crashed", c.count())
+			is.True(c.count() > 0)
+			is.True(c.reached() <= freePartCrashes+lateRetries)
+			before := c.reached()
+			for i := range 8 {
+				is.Equal(c.sendPart(c.hosts[i%2], tt.kind, deadlyPart), http.StatusServiceUnavailable)
+				is.Equal(c.sendPart(c.hosts[i%2], tt.kind, "bb"), http.StatusOK)
+			}
+			is.Equal(c.reached(), before)
+		})
+	}
+}
