--- a/attempt/message.go
+++ b/attempt/message.go
@@ -110,6 +110,9 @@
 // RequestRetry requests a retry from the host's retry budget.
 type RequestRetry struct{}
 
+// ReportStarted reports that the attempt got past the first tokens.
+type ReportStarted struct{ Attempt string }
+
 // ReportLoss reports that an engine may have crashed during the prefill or
 // the first tokens of an attempt, so that the request may be the cause.
 type ReportLoss struct {
@@ -121,10 +124,11 @@
 // Finish ends the request. A nil failure means that the answer is complete.
 type Finish struct{ Failure *request.Failure }
 
-func (Choose) action()       {}
-func (Send) action()         {}
-func (Deliver) action()      {}
-func (Cancel) action()       {}
-func (RequestRetry) action() {}
-func (ReportLoss) action()   {}
-func (Finish) action()       {}
+func (Choose) action()        {}
+func (Send) action()          {}
+func (Deliver) action()       {}
+func (Cancel) action()        {}
+func (RequestRetry) action()  {}
+func (ReportStarted) action() {}
+func (ReportLoss) action()    {}
+func (Finish) action()        {}
--- a/attempt/step.go
+++ b/attempt/step.go
@@ -159,7 +159,11 @@
 	s.position = in.Position
 	s.attemptTokens++
 	s.waitUntil = now.Add(s.limits.TokenTimeout)
-	return s, []Action{Deliver{Position: in.Position}}
+	actions := []Action{Deliver{Position: in.Position}}
+	if s.attemptTokens == s.limits.EarlyTokens {
+		actions = append(actions, ReportStarted{Attempt: s.attemptID})
+	}
+	return s, actions
 }
 
 func (s State) handleEnd(in End, random *rand.Rand) (State, []Action) {
--- a/crash/guard.go
+++ b/crash/guard.go
@@ -1,6 +1,6 @@
-// Package crash records which requests crash engines, shares the records with
-// the other hosts within seconds and rejects quarantined requests. Package
-// quarantine makes the decisions.
+// Package crash records which requests and prompt parts crash engines, shares the
+// records with the other hosts within seconds and rejects quarantined requests.
+// Package quarantine makes the decisions.
 package crash
 
 import (
@@ -17,7 +17,6 @@
 
 	"github.com/kumquathoist/kumquathoist/event"
 	"github.com/kumquathoist/kumquathoist/quarantine"
-	"github.com/kumquathoist/kumquathoist/request"
 )
 
 const (
@@ -35,9 +34,17 @@
 	maxCallRecords = 64
 	// queueCapacity bounds the batches of new records waiting to be shared.
 	queueCapacity = 64
-	// trialRetryAfter is the Retry-After time for a caller whose request timed
-	// out waiting for a trial run of the same request.
-	trialRetryAfter = time.Second
+	// verdictSuffix ends the ID of a record that carries a verdict.
+	verdictSuffix = "/verdict"
+)
+
+// Sources of records, in logs and metrics.
+const (
+	ownSource  = "Own"
+	peerSource = "Peer"
+	// localSource is an answer of this host that the others don't need.
+	localSource = "Local"
+	storeSource = "Store"
 )
 
 // sender sends records to another host.
@@ -47,7 +54,9 @@
 
 // Options configures a Guard.
 type Options struct {
-	// Peers returns the addresses of the other hosts.
+	// Self is the address of this host, Peers returns those of the others. One
+	// of them all owns a suspect; with an empty Self each host owns all.
+	Self  string
 	Peers func() []string
 	// Sender sends records to other hosts.
 	Sender sender
@@ -65,8 +74,9 @@
 
 	newRecords chan []quarantine.Record
 	// serial makes record ids unique.
-	serial    atomic.Int64
-	knownGood knownGood
+	serial atomic.Int64
+	// knownGoodRequests and knownGoodParts hold what was answered recently.
+	knownGoodRequests, knownGoodParts knownGood
 	// writeTrigger signals that a record waits to be written to the store.
 	writeTrigger chan struct{}
 	// mu guards the fields below.
@@ -81,13 +91,6 @@
 	stored map[quarantine.Fingerprint]storedRecord
 }
 
-// trial tracks the requests with one fingerprint that run on this host.
-type trial struct {
-	running int
-	// ended is closed when one of the requests ends.
-	ended chan struct{}
-}
-
 // NewGuard returns a guard that shares its records until the context ends.
 func NewGuard(ctx context.Context, wait *conc.WaitGroup, o Options) *Guard {
 	if o.Metrics == nil {
@@ -121,113 +124,117 @@
 	return g
 }
 
-// Admit returns a function to call when the request ends, or the reason for
-// which it is refused. Suspect requests with the same fingerprint run one at a
-// time; the others wait for the verdict.
-func (g *Guard) Admit(ctx context.Context, attempt string, c quarantine.Content) (release func(), refused *request.Failure) {
-	for {
-		verdict, ended := g.tryStart(c.Request)
-		switch {
-		case verdict == quarantine.Quarantined:
-			g.recordRefusal(attempt, c.Request)
-			return nil, request.Refuse(request.Quarantined, "the request crashed the engines that ran it")
-		case ended == nil:
-			return func() { g.release(c.Request) }, nil
+// knownGood returns what was answered recently of a fingerprint's kind.
+func (g *Guard) knownGood(f quarantine.Fingerprint) *knownGood {
+	if f.IsPart() {
+		return &g.knownGoodParts
+	}
+	return &g.knownGoodRequests
+}
+
+// Lost records that an engine was lost during the first tokens of a request,
+// and reports whether the request or one of its parts is now quarantined.
+func (g *Guard) Lost(l quarantine.Loss) (quarantined bool) {
+	now := time.Now()
+	g.add(g.lossRecords(l, now)...)
+	c := g.classify(l.Request, now)
+	event.LossRecorded.Info("Attempt", l.Attempt, "Fingerprint", l.Request, "Parts", l.Parts, "Account", l.Account, "Upstream", l.Engine, "Start", l.Incarnation, "Events", l.Events,
+		"Verdict", c.Verdict, "Losses", c.Losses, "OtherLosses", c.OtherLosses, "Shared", c.Shared)
+	_, quarantined = g.quarantined(l.Content)
+	return quarantined
+}
+
+// lossRecords returns the records of a loss: one for the request, and one for
+// each part that has none of the same engine and account yet.
+func (g *Guard) lossRecords(l quarantine.Loss, now time.Time) []quarantine.Record {
+	var records []quarantine.Record
+	for depth, f := range l.Fingerprints() {
+		r := quarantine.Record{
+			ID: g.recordID(l.Attempt), Fingerprint: f, Depth: depth, Account: l.Account, Engine: l.Engine, Incarnation: l.Incarnation, Sent: l.Sent, At: now,
+			KnownGood: g.knownGood(f).answeredRecently(f, now),
 		}
-		select {
-		case <-ended:
-		case <-ctx.Done():
-			return nil, request.Refuse(request.DeadlineTooNear, "the same request may crash engines and is tried now").WithRetryAfter(trialRetryAfter)
+		g.mu.Lock()
+		known := f.IsPart() && g.table.Covers(r, now)
+		g.mu.Unlock()
+		if !known {
+			records = append(records, r)
 		}
 	}
+	return records
 }
 
-// IsQuarantined reports whether an admitted request has been quarantined since.
-func (g *Guard) IsQuarantined(attempt string, c quarantine.Content) bool {
-	if g.classify(c.Request, time.Now()).Verdict != quarantine.Quarantined {
-		return false
+// Started records that an engine got past the first tokens of a request, which
+// clears its parts.
+func (g *Guard) Started(attempt string, c quarantine.Content) {
+	now := time.Now()
+	for _, f := range c.Parts {
+		g.knownGoodParts.add(f, now)
+		g.endSuspicion(attempt, f, now)
 	}
-	g.recordRefusal(attempt, c.Request)
-	return true
 }
 
-// recordRefusal counts and logs a refused request.
-func (g *Guard) recordRefusal(attempt string, f quarantine.Fingerprint) {
+// Answered records that a request was answered.
+func (g *Guard) Answered(attempt string, c quarantine.Content) {
+	g.Started(attempt, c)
 	now := time.Now()
-	c := g.classify(f, now)
-	g.Metrics.Counter("quarantine_refusals").Inc(1)
-	event.QuarantineEnforced.Info("Attempt", attempt, "Fingerprint", f, "Losses", c.Losses, "OtherLosses", c.OtherLosses, "LastLossMillis", now.Sub(c.LastLoss).Milliseconds())
+	g.knownGoodRequests.add(c.Request, now)
+	g.endSuspicion(attempt, c.Request, now)
 }
 
-// tryStart counts a request that may run. If the request is a suspect and
-// another with its fingerprint is running, it returns a channel that is closed
-// when that one ends.
-func (g *Guard) tryStart(f quarantine.Fingerprint) (quarantine.Verdict, <-chan struct{}) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	verdict := g.table.Verdict(f, time.Now())
-	t, runs := g.trials[f]
-	switch {
-	case verdict == quarantine.Quarantined:
-		return verdict, nil
-	case verdict == quarantine.Suspect && runs:
-		return verdict, t.ended
-	case !runs:
-		t = &trial{ended: make(chan struct{})}
-		g.trials[f] = t
+// endSuspicion adds an answer for a suspect or quarantined request or part.
+func (g *Guard) endSuspicion(attempt string, f quarantine.Fingerprint, now time.Time) {
+	c := g.classify(f, now)
+	if c.Verdict == quarantine.Clean {
+		return
+	}
+	r := quarantine.Record{ID: g.recordID(attempt), Fingerprint: f, Answered: true, At: now}
+	if g.sharesAnswer(f, c) {
+		g.add(r)
+	} else {
+		g.merge([]quarantine.Record{r}, localSource)
 	}
-	t.running++
-	return verdict, nil
+	event.SuspicionEnded.Info("Attempt", attempt, "Fingerprint", f, "Verdict", c.Verdict, "Losses", c.Losses, "FirstLossMillis", now.Sub(c.FirstLoss).Milliseconds(), "LastLossMillis", now.Sub(c.LastLoss).Milliseconds())
 }
 
-// release ends a request that tryStart counted.
-func (g *Guard) release(f quarantine.Fingerprint) {
+// sharesAnswer reports whether the other hosts need to learn of an answer. Every
+// host answers requests with a popular part; while only one loss counts against
+// it, the answers of the host that lost the engine suffice.
+func (g *Guard) sharesAnswer(f quarantine.Fingerprint, c quarantine.Classification) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	t := g.trials[f]
-	close(t.ended)
-	t.ended = make(chan struct{})
-	if t.running--; t.running == 0 {
-		delete(g.trials, f)
-	}
+	_, own := g.ownLosses[f]
+	return !f.IsPart() || own || c.Losses > 1
 }
 
-// Lost records that an engine was lost during the first tokens of a request,
-// and reports whether the request is now quarantined.
-func (g *Guard) Lost(l quarantine.Loss) (quarantined bool) {
+// add adds records of this host, with the number of losses known here, and
+// persists them if needed.
+func (g *Guard) add(records ...quarantine.Record) {
 	now := time.Now()
-	g.add(quarantine.Record{
-		ID: g.recordID(l.Attempt), Fingerprint: l.Request, Engine: l.Engine, Incarnation: l.Incarnation, Sent: l.Sent, At: now, KnownGood: g.knownGood.answeredRecently(l.Request, now),
-	})
-	c := g.classify(l.Request, now)
-	event.LossRecorded.Info("Attempt", l.Attempt, "Fingerprint", l.Request, "Parts", l.Parts, "Account", l.Account, "Upstream", l.Engine, "Start", l.Incarnation, "Events", l.Events,
-		"Verdict", c.Verdict, "Losses", c.Losses, "OtherLosses", c.OtherLosses, "Shared", c.Shared)
-	return c.Verdict == quarantine.Quarantined
-}
-
-// Answered records that a request was answered. The record is shared only if
-// the request was a suspect or quarantined.
-func (g *Guard) Answered(attempt string, content quarantine.Content) {
-	now, f := time.Now(), content.Request
-	g.knownGood.add(f, now)
-	if c := g.classify(f, now); c.Verdict != quarantine.Clean {
-		g.add(quarantine.Record{ID: g.recordID(attempt), Fingerprint: f, Answered: true, At: now})
-		event.SuspicionEnded.Info("Attempt", attempt, "Fingerprint", f, "Verdict", c.Verdict, "Losses", c.Losses)
+	g.mu.Lock()
+	records = g.table.WithLossCounts(now, records...)
+	g.mu.Unlock()
+	for _, r := range records {
+		g.updateOwnLosses(r)
+	}
+	g.merge(records, ownSource)
+	for _, r := range records {
+		if r = g.withVerdict(r, now); g.shouldPersist(r) {
+			g.persist(r)
+		}
 	}
 }
 
-// add adds a record of this host, with the number of losses known here, and
-// persists it if needed.
-func (g *Guard) add(r quarantine.Record) {
-	g.mu.Lock()
-	r = g.table.CountLosses(r, r.At)
-	g.mu.Unlock()
-	g.updateOwnLosses(r)
-	g.merge([]quarantine.Record{r}, "Own")
-	r.Quarantined = g.classify(r.Fingerprint, r.At).Verdict == quarantine.Quarantined
-	if g.shouldPersist(r) {
-		g.persist(r)
+// withVerdict returns a record with the verdict to which it led, for hosts that
+// lack other records. Its ID differs, since they may have it without the verdict.
+func (g *Guard) withVerdict(r quarantine.Record, now time.Time) quarantine.Record {
+	c := g.classify(r.Fingerprint, now)
+	if c.Verdict == quarantine.Quarantined {
+		r.ID, r.Quarantined, r.Losses = r.ID+verdictSuffix, true, c.Losses
+	}
+	if r.Fingerprint.IsPart() {
+		r.Account = c.Account
 	}
+	return r
 }
 
 // recordID returns a unique record id.
@@ -241,7 +248,10 @@
 }
 
 // Merge adds records of other hosts and forwards the new ones.
-func (g *Guard) Merge(records []quarantine.Record) { g.merge(records, "Peer") }
+func (g *Guard) Merge(records []quarantine.Record) {
+	g.merge(records, peerSource)
+	g.clear(records)
+}
 
 // merge adds records, logs the requests that they quarantine and queues the new
 // records for the other hosts.
@@ -249,7 +259,7 @@
 	now := time.Now()
 	records = slices.Clone(records)
 	for i, r := range records {
-		records[i].KnownGood = r.KnownGood || !r.Answered && g.knownGood.answeredRecently(r.Fingerprint, now)
+		records[i].KnownGood = r.KnownGood || !r.Answered && g.knownGood(r.Fingerprint).answeredRecently(r.Fingerprint, now)
 	}
 	g.mu.Lock()
 	before := g.table
@@ -268,13 +278,14 @@
 		}
 		seen[r.Fingerprint] = true
 		if c := after.Classify(r.Fingerprint, now); c.Verdict == quarantine.Quarantined {
-			g.Metrics.Counter("requests_quarantined").Inc(1)
-			event.RequestQuarantined.Info("Attempt", r.ID, "Fingerprint", r.Fingerprint, "Engine", r.Engine, "Source", source,
-				"Losses", c.Losses, "OtherLosses", c.OtherLosses, "Shared", c.Shared, "Records", after.Len())
+			g.recordQuarantine(r, c, source, after.Len(), now)
 		}
 	}
 	g.removeAnswered(fresh)
-	if source == "Peer" {
+	switch source {
+	case localSource:
+		return
+	case peerSource:
 		g.persistVerdicts(fresh, now)
 	}
 	select {
@@ -284,6 +295,21 @@
 	}
 }
 
+// recordQuarantine counts and logs a verdict.
+func (g *Guard) recordQuarantine(r quarantine.Record, c quarantine.Classification, source string, records int, now time.Time) {
+	logged := event.RequestQuarantined
+	if r.Fingerprint.IsPart() {
+		logged = event.PartQuarantined
+	}
+	g.Metrics.Tagged(map[string]string{"subject": subject(r.Fingerprint)}).Counter("requests_quarantined").Inc(1)
+	lastAnswerMillis := int64(-1)
+	if !c.LastAnswer.IsZero() {
+		lastAnswerMillis = now.Sub(c.LastAnswer).Milliseconds()
+	}
+	logged.Info("Attempt", r.ID, "Fingerprint", r.Fingerprint, "Engine", r.Engine, "Source", source, "Losses", c.Losses, "OtherLosses", c.OtherLosses, "Shared", c.Shared,
+		"KnownGood", c.KnownGood, "Account", c.Account, "FirstLossMillis", now.Sub(c.FirstLoss).Milliseconds(), "LastLossMillis", now.Sub(c.LastLoss).Milliseconds(), "LastAnswerMillis", lastAnswerMillis, "Records", records)
+}
+
 // collectBatch returns the records that arrive within batchDelay.
 func (g *Guard) collectBatch(ctx context.Context) []quarantine.Record {
 	var records []quarantine.Record
--- a/crash/guard_test.go
+++ b/crash/guard_test.go
@@ -43,7 +43,7 @@
 			}
 			return addresses
 		}
-		guard := crash.NewGuard(ctx, &wait, crash.Options{Peers: others, Sender: crash.NewPeerSender(pool)})
+		guard := crash.NewGuard(ctx, &wait, crash.Options{Self: server.Address(), Peers: others, Sender: crash.NewPeerSender(pool)})
 		is.NoErr(crash.Register(server, guard))
 		wait.Go(func() { _ = server.Serve(ctx) })
 		guards = append(guards, guard)
--- a/crash/knowngood.go
+++ b/crash/knowngood.go
@@ -7,12 +7,12 @@
 	"github.com/kumquathoist/kumquathoist/quarantine"
 )
 
-// knownGoodCapacity bounds the remembered requests, which take some 100 bytes
-// each.
+// knownGoodCapacity bounds the remembered requests or parts, which take some 100
+// bytes each.
 const knownGoodCapacity = 2048
 
-// knownGood remembers recently answered requests. They distinguish an outage
-// that hits a popular request from a request that crashes engines.
+// knownGood remembers recently answered requests or parts. They distinguish an
+// outage that hits something popular from something that crashes engines.
 type knownGood struct {
 	// mu guards the fields below.
 	mu sync.Mutex
--- a/crash/persist.go
+++ b/crash/persist.go
@@ -42,12 +42,13 @@
 // storedRecord summarizes the stored record of a request.
 type storedRecord struct {
 	losses                   int
+	account                  string
 	quarantined, writtenHere bool
 }
 
 // covers reports whether writing a record would add nothing to the stored one.
 func (s storedRecord) covers(r quarantine.Record) bool {
-	return s.losses >= r.Losses && (s.quarantined || !r.Quarantined)
+	return s.losses >= r.Losses && (s.quarantined || !r.Quarantined) && (s.account == "" || s.account == r.Account)
 }
 
 // followStore merges records from the store until the context ends.
@@ -76,7 +77,7 @@
 		}
 		position = next
 		g.updateStored(records)
-		g.merge(records, "Store")
+		g.merge(records, storeSource)
 		g.clear(records)
 	}
 }
@@ -86,16 +87,16 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, r := range records {
-		g.stored[r.Fingerprint] = storedRecord{losses: r.Losses, quarantined: r.Quarantined, writtenHere: g.stored[r.Fingerprint].writtenHere}
+		g.stored[r.Fingerprint] = storedRecord{losses: r.Losses, account: r.Account, quarantined: r.Quarantined, writtenHere: g.stored[r.Fingerprint].writtenHere}
 	}
 }
 
-// clear adds an answer for each request that this host has answered since its
-// stored loss.
+// clear adds an answer for each request or part that this host has answered
+// since a loss that another host recorded.
 func (g *Guard) clear(records []quarantine.Record) {
 	for _, r := range records {
-		if g.knownGood.answeredAfter(r.Fingerprint, r.At) {
-			g.add(quarantine.Record{ID: g.recordID(r.ID), Fingerprint: r.Fingerprint, Answered: true, At: time.Now()})
+		if !r.Answered && g.knownGood(r.Fingerprint).answeredAfter(r.Fingerprint, r.At) {
+			g.endSuspicion(r.ID, r.Fingerprint, time.Now())
 		}
 	}
 }
@@ -110,7 +111,7 @@
 	}
 	if len(g.ownLosses) >= quarantine.Capacity {
 		maps.DeleteFunc(g.ownLosses, func(_ quarantine.Fingerprint, old quarantine.Record) bool {
-			return r.At.Sub(old.At) >= quarantine.Lifetime
+			return old.Expired(r.At)
 		})
 	}
 	if len(g.ownLosses) < quarantine.Capacity {
@@ -127,15 +128,14 @@
 		own, recorded := g.ownLosses[r.Fingerprint]
 		stored := g.stored[r.Fingerprint]
 		if write, pending := g.pendingWrites[r.Fingerprint]; pending {
-			stored = storedRecord{losses: write.Losses, quarantined: write.Quarantined}
+			stored = storedRecord{losses: write.Losses, account: write.Account, quarantined: write.Quarantined}
 		}
 		g.mu.Unlock()
 		if r.Answered || !recorded {
 			continue
 		}
-		c := g.classify(r.Fingerprint, now)
-		own.Losses, own.Quarantined = c.Losses, c.Verdict == quarantine.Quarantined
-		if g.shouldPersist(own) && !stored.covers(own) {
+		own.Losses = g.classify(r.Fingerprint, now).Losses
+		if own = g.withVerdict(own, now); g.shouldPersist(own) && !stored.covers(own) {
 			g.persist(own)
 		}
 	}
@@ -165,7 +165,7 @@
 	if r.Answered {
 		return pending || stored
 	}
-	return r.Losses >= minPersistedLosses || r.Quarantined
+	return r.Quarantined || r.Losses >= minPersistedLosses && !r.Fingerprint.IsPart()
 }
 
 // removeExpired removes expired records from the store. Each host does so for
@@ -173,7 +173,7 @@
 func (g *Guard) removeExpired(records []quarantine.Record) {
 	now := time.Now()
 	for _, r := range records {
-		if now.Sub(r.At) >= quarantine.Lifetime && rand.IntN(1+len(g.Peers())) == 0 {
+		if r.Expired(now) && rand.IntN(1+len(g.Peers())) == 0 {
 			r.Answered = true
 			g.persist(r)
 		}
@@ -230,7 +230,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for f, r := range g.pendingWrites {
-		if time.Since(r.At) >= quarantine.Lifetime && !r.Answered {
+		if r.Expired(time.Now()) && !r.Answered {
 			delete(g.pendingWrites, f)
 			continue
 		}
@@ -251,5 +251,5 @@
 		delete(g.stored, r.Fingerprint)
 		return
 	}
-	g.stored[r.Fingerprint] = storedRecord{losses: r.Losses, quarantined: r.Quarantined, writtenHere: true}
+	g.stored[r.Fingerprint] = storedRecord{losses: r.Losses, account: r.Account, quarantined: r.Quarantined, writtenHere: true}
 }
--- a/crash/share.go
+++ b/crash/share.go
@@ -54,7 +54,7 @@
 	for _, r := range records {
 		encoded = append(encoded, &peerpb.CrashRecord{
 			Id: r.ID, Fingerprint: string(r.Fingerprint), Engine: r.Engine, Start: r.Incarnation, Answered: r.Answered,
-			AgeMillis: max(now.Sub(r.At).Milliseconds(), 0), RanMillis: runTime(r).Milliseconds(), Losses: int32(r.Losses), Sound: r.KnownGood,
+			AgeMillis: max(now.Sub(r.At).Milliseconds(), 0), RanMillis: runTime(r).Milliseconds(), Losses: int32(r.Losses), Sound: r.KnownGood, Account: r.Account, Depth: int32(r.Depth),
 		})
 	}
 	return encoded
@@ -67,7 +67,7 @@
 		at := now.Add(-age)
 		decoded = append(decoded, quarantine.Record{
 			ID: r.GetId(), Fingerprint: quarantine.Fingerprint(r.GetFingerprint()), Engine: r.GetEngine(), Incarnation: r.GetStart(), Answered: r.GetAnswered(),
-			Sent: at.Add(-time.Duration(max(r.GetRanMillis(), 0)) * time.Millisecond), At: at, Losses: int(r.GetLosses()), KnownGood: r.GetSound(),
+			Sent: at.Add(-time.Duration(max(r.GetRanMillis(), 0)) * time.Millisecond), At: at, Losses: int(r.GetLosses()), KnownGood: r.GetSound(), Account: r.GetAccount(), Depth: int(r.GetDepth()),
 		})
 	}
 	return decoded
--- a/dispatch/completion.go
+++ b/dispatch/completion.go
@@ -135,6 +135,8 @@
 		}) {
 			c.pending = append(c.pending, attempt.Quarantined{})
 		}
+	case attempt.ReportStarted:
+		c.crashes.Started(a.Attempt, c.content)
 	case attempt.Cancel:
 		c.stopReader()
 		c.cancel(c.choice.Upstream.Address, a.Attempt)
@@ -144,6 +146,9 @@
 }
 
 func (c *completion) choose(ctx context.Context, a attempt.Choose) attempt.Input {
+	if c.crashes.IsQuarantined(c.request.ID, c.content) {
+		return attempt.Quarantined{}
+	}
 	c.model.Version = a.Weights
 	choice, ok := c.engines.Choose(ctx, c.pool, c.model, c.request, a.Tried)
 	if !ok {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -69,9 +69,13 @@
 	// Admit returns a function to call at the request's end, or why the
 	// request is refused.
 	Admit(ctx context.Context, attempt string, c quarantine.Content) (release func(), refused *request.Failure)
+	// IsQuarantined reports whether the request is quarantined now.
+	IsQuarantined(attempt string, c quarantine.Content) bool
 	// Lost records an engine that was lost during the first tokens of an
 	// attempt, and reports whether the request is quarantined.
 	Lost(l quarantine.Loss) (quarantined bool)
+	// Started records that an engine got past the first tokens of an attempt.
+	Started(attempt string, c quarantine.Content)
 	// Answered records that a request received a complete answer.
 	Answered(attempt string, c quarantine.Content)
 }
@@ -170,6 +174,12 @@
 // Lost quarantines no request.
 func (noCrashGuard) Lost(quarantine.Loss) bool { return false }
 
+// IsQuarantined quarantines no request.
+func (noCrashGuard) IsQuarantined(string, quarantine.Content) bool { return false }
+
+// Started records nothing.
+func (noCrashGuard) Started(string, quarantine.Content) {}
+
 // Answered records nothing.
 func (noCrashGuard) Answered(string, quarantine.Content) {}
 
--- a/event/request.go
+++ b/event/request.go
@@ -13,11 +13,13 @@
 	// LossRecorded reports a lost engine that counts against a request.
 	LossRecorded = Event{2007, "loss recorded", "An engine was lost while it ran a request. Parts are the fingerprints of the prompt parts that the request shares with others, Events counts the events of its answer that had arrived. Losses counts the lost engines that count against the request, OtherLosses those lost without it shortly before or after; Shared is set if another unanswered request was on all of them."}
 	// SuspicionEnded reports a suspect request that was answered.
-	SuspicionEnded = Event{2008, "suspicion ended", "A request that was on lost engines was answered; earlier losses no longer count against it."}
+	SuspicionEnded = Event{2008, "suspicion ended", "A request that was on lost engines was answered, or a request with a prompt part (Fingerprint) that was on lost engines got past its first tokens; earlier losses no longer count against it."}
 	// QuarantineEnforced reports a refusal of a quarantined request.
-	QuarantineEnforced = Event{2009, "quarantine kept", "A request was refused because it crashed the engines that ran it. LastLossMillis is how long ago the last of them was lost."}
+	QuarantineEnforced = Event{2009, "quarantine kept", "A request was refused because it, or the prompt part that Fingerprint names, crashed the engines that ran it. LastLossMillis is how long ago the last of them was lost; TermOver is set if the quarantine has ended and another host, or another request, is trying it."}
 	// RequestQuarantined reports a request that is refused from now on.
 	RequestQuarantined = Event{2004, "request quarantined", "A request crashed the engines that ran it; every host refuses it for a time after the last crash: one minute after two crashes, doubled with each further one."}
+	// PartQuarantined reports a prompt part that is refused from now on.
+	PartQuarantined = Event{2010, "prompt part quarantined", "Requests that differ but share a part of their prompt crashed the engines that ran them; every host refuses requests with the part for a time after the last crash, those of Account alone if one is named. Losses counts the engines lost with the part, OtherLosses those lost without it; KnownGood is set if a request with it was answered within ten minutes before. FirstLossMillis, LastLossMillis and LastAnswerMillis are how long ago that was; LastAnswerMillis is -1 without an answer since the first loss that is known here."}
 	// CrashShareFailed reports a host that did not accept crash records.
 	CrashShareFailed = Event{2005, "share failed", "Another host did not accept records of crashed engines; they are sent again within seconds."}
 	// CallScheduled reports the upstream that was chosen for a call.
@@ -44,4 +46,4 @@
 	StreamStalled = Event{2110, "stream awaited", "An upstream is idle in the middle of a stream and no other could take over; the host waits for it until the deadline."}
 )
 
-var requestEvents = []Event{RequestEnded, AttemptFailed, ClaimFailed, RequestQuarantined, CrashShareFailed, ClaimAppendFailed, LossRecorded, SuspicionEnded, QuarantineEnforced, CallScheduled, SendFailed, CallRefused, CallEnded, StreamResumed, StreamFailed, StreamEnded, RequestMigrated, CallOverloaded, StreamStalled, StaleRequestCancelled}
+var requestEvents = []Event{RequestEnded, AttemptFailed, ClaimFailed, RequestQuarantined, PartQuarantined, CrashShareFailed, ClaimAppendFailed, LossRecorded, SuspicionEnded, QuarantineEnforced, CallScheduled, SendFailed, CallRefused, CallEnded, StreamResumed, StreamFailed, StreamEnded, RequestMigrated, CallOverloaded, StreamStalled, StaleRequestCancelled}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -70,6 +70,8 @@
 	// IsQuarantined reports whether the request is quarantined now.
 	IsQuarantined(attempt string, c quarantine.Content) bool
 	Lost(l quarantine.Loss) (quarantined bool)
+	// Started records that an upstream got past the first events of an answer.
+	Started(attempt string, c quarantine.Content)
 	Answered(attempt string, c quarantine.Content)
 }
 
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -134,8 +134,7 @@
 	if ctx.Err() != nil || h.timeLeft() < minTimeLeft || !h.retryState.ShouldRetry() {
 		return false
 	}
-	if h.Guard.IsQuarantined(h.call.ID, h.content) {
-		h.refusal = call.Refuse(call.Quarantined).WithRetryAfter(retryAfterQuarantine)
+	if h.isQuarantined() {
 		return false
 	}
 	if outcome == retry.NotSent && h.delivered == 0 || h.tryRetry(h.service.Name, h.stage) {
@@ -145,6 +144,16 @@
 	return false
 }
 
+// isQuarantined reports whether the request has been quarantined since it was
+// admitted, and sets the refusal if so.
+func (h *handler) isQuarantined() bool {
+	if !h.Guard.IsQuarantined(h.call.ID, h.content) {
+		return false
+	}
+	h.refusal = call.Refuse(call.Quarantined).WithRetryAfter(retryAfterQuarantine)
+	return true
+}
+
 // finalAnswer returns the answer to a request after its last attempt failed.
 func (h *handler) finalAnswer(ctx context.Context) call.Answer {
 	if h.upstreamError != nil {
--- a/forward/schedule.go
+++ b/forward/schedule.go
@@ -70,6 +70,9 @@
 	giveUp := clock.Now().Add(h.route.Objective / waitDivisor)
 	for {
 		h.snapshot = h.Replica.State()
+		if h.isQuarantined() {
+			return target{}, false
+		}
 		if upstreams := h.usable(h.snapshot, h.service, h.call.Prompt.Model, func(id string) bool { return h.tried[id] }); len(upstreams) > 0 {
 			return h.choose(upstreams)
 		}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -108,6 +108,9 @@
 			s.lastID = string(bytes.TrimSpace(id))
 			s.events++
 			s.attempt.events++
+			if s.attempt.events == maxEarlyEvents+1 {
+				s.Guard.Started(s.call.ID, s.content)
+			}
 		}
 	}
 }
--- a/node/quarantine.go
+++ b/node/quarantine.go
@@ -24,6 +24,6 @@
 // newGuard creates a crash guard that shares crash records with the other
 // hosts.
 func (n *Node) newGuard(ctx context.Context, pool *peer.Pool, directory *host.Directory) (*crash.Guard, error) {
-	guard := crash.NewGuard(ctx, &n.wait, crash.Options{Peers: n.peerLister(directory), Sender: crash.NewPeerSender(pool)})
+	guard := crash.NewGuard(ctx, &n.wait, crash.Options{Self: n.Peers(), Peers: n.peerLister(directory), Sender: crash.NewPeerSender(pool)})
 	return guard, crash.Register(n.peers.Mux, guard)
 }
--- a/quarantine/classify.go
+++ b/quarantine/classify.go
@@ -8,65 +8,154 @@
 // Classification is a verdict with the reasons for it.
 type Classification struct {
 	Verdict Verdict
-	// Losses counts the engines lost with the request, OtherLosses those lost
-	// without it shortly before or after.
+	// Losses counts the engines lost with the request or part, OtherLosses those
+	// lost without it shortly before or after.
 	Losses, OtherLosses int
-	// Shared reports that another unanswered request was on all engines lost
-	// with the request.
+	// Shared reports that something else unanswered was on all engines lost with
+	// it: for a request another request, for a part a request or a part that
+	// fewer requests share.
 	Shared bool
-	// LastLoss is when the last engine was lost with the request.
-	LastLoss time.Time
+	// KnownGood reports that it was answered recently before it lost engines.
+	KnownGood bool
+	// Account is the only account whose requests lost engines with a part; ""
+	// if there are several, or for a request. The verdict on the part applies to
+	// that account alone, since a caller may name parts of others.
+	Account string
+	// TermOver reports that its quarantine has ended, but that it hasn't been
+	// answered since.
+	TermOver bool
+	// FirstLoss and LastLoss are when the first and the last engine was lost
+	// with it, LastAnswer when it was last answered; zero if not known.
+	FirstLoss, LastLoss, LastAnswer time.Time
 }
 
-// Verdict returns the verdict on a request.
+// AppliesTo reports whether the verdict applies to requests of an account.
+func (c Classification) AppliesTo(account string) bool {
+	return c.Account == "" || c.Account == account
+}
+
+// Verdict returns the verdict on a request or part.
 func (t Table) Verdict(f Fingerprint, now time.Time) Verdict { return t.Classify(f, now).Verdict }
 
-// Classify returns the verdict on a request and the reasons for it. A request
-// is quarantined when several engines were lost with it, and earlier if nothing
-// else explains the losses: no other engine was lost at the time, and no other
-// unanswered request was on all of the engines. After its term it is a suspect
-// again.
+// Classify returns the verdict on a request or part and the reasons for it.
+//
+// A request is quarantined when several engines were lost with it, and earlier
+// if nothing else explains the losses: no other engine was lost at the time, and
+// no other unanswered request was on all of the engines. A part is quarantined
+// only if the losses came from several requests, and if no part that fewer
+// requests share explains them. After its term it is a suspect again.
 func (t Table) Classify(f Fingerprint, now time.Time) Classification {
 	losses := t.losses(f, now)
 	if len(losses) == 0 {
 		return Classification{Verdict: Clean}
 	}
 	last := lastLossPerEngine(losses)
-	c := Classification{Verdict: Suspect, Losses: countLosses(losses), OtherLosses: t.otherLosses(f, last), LastLoss: losses[len(losses)-1].At}
-	if len(last) >= minIsolatedLosses {
+	c := Classification{
+		Verdict: Suspect, Losses: countLosses(losses), KnownGood: anyKnownGood(losses), FirstLoss: losses[0].At, LastLoss: losses[len(losses)-1].At, LastAnswer: t.lastAnswer(f),
+	}
+	if f.IsPart() {
+		c.Account = onlyAccount(losses)
+		if c.Losses < minIsolatedPartLosses && !anyQuarantined(losses) {
+			return c
+		}
+	}
+	c.OtherLosses = t.otherLosses(f, last)
+	if f.IsPart() {
+		c.Shared = t.isPartExplained(f, losses, now)
+	} else if len(last) >= minIsolatedLosses {
 		c.Shared = t.isShared(f, last, now)
 	}
-	isolated := len(last) >= minIsolatedLosses && c.OtherLosses == 0 && !c.Shared && !anyKnownGood(losses)
-	if c.Losses >= maxLosses || isolated || anyQuarantined(losses) && (!anyKnownGood(losses) || c.Losses >= minKnownGoodLosses) {
-		c.Verdict = Quarantined
+	quarantined := c.isRequestQuarantined
+	if f.IsPart() {
+		quarantined = c.isPartQuarantined
+	}
+	if !quarantined(losses, len(last)) {
+		return c
 	}
-	if now.Sub(c.LastLoss) >= baseTerm<<min(c.Losses, maxDoublings) {
-		c.Verdict = Suspect
+	c.Verdict = Quarantined
+	if now.Sub(c.LastLoss) >= c.term(f) {
+		c.Verdict, c.TermOver = Suspect, true
 	}
 	return c
 }
 
-// CountLosses returns a record with its Losses set from the table.
-func (t Table) CountLosses(r Record, now time.Time) Record {
-	if !r.Answered {
-		t, _ = t.With(now, r)
+// isIsolated reports whether nothing else explains the losses.
+func (c Classification) isIsolated() bool {
+	return c.OtherLosses == 0 && !c.Shared && !c.KnownGood
+}
+
+// isRequestQuarantined reports whether the losses of a request, on a number of
+// engines, quarantine it.
+func (c Classification) isRequestQuarantined(losses []Record, engines int) bool {
+	return c.Losses >= maxLosses || c.isIsolated() && engines >= minIsolatedLosses ||
+		anyQuarantined(losses) && (!c.KnownGood || c.Losses >= minKnownGoodLosses)
+}
+
+// isPartQuarantined is the same for a part. Something that fewer requests share
+// is quarantined in its place.
+func (c Classification) isPartQuarantined(losses []Record, engines int) bool {
+	if anyQuarantined(losses) && (!c.KnownGood || c.Losses >= maxLosses) {
+		return true
 	}
-	r.Losses = t.Classify(r.Fingerprint, now).Losses
-	return r
+	return !c.Shared && (c.Losses >= maxLosses || c.isIsolated() && engines >= minIsolatedLosses && c.Losses >= minIsolatedPartLosses)
 }
 
-// losses returns the losses of a request since its last answer, oldest first.
+// term returns how long the quarantine lasts after the last loss.
+func (c Classification) term(f Fingerprint) time.Duration {
+	doublings := c.Losses
+	if f.IsPart() && c.KnownGood {
+		// An outage may be the reason, and many requests share the part.
+		doublings = max(0, c.Losses-maxLosses)
+	}
+	return baseTerm << min(doublings, maxDoublings)
+}
+
+// Covers reports whether the table has a loss of the same engine and account for
+// the request or part of a record.
+func (t Table) Covers(r Record, now time.Time) bool {
+	return slices.ContainsFunc(t.losses(r.Fingerprint, now), func(other Record) bool { return other.Account == r.Account && hasCounterpart([]Record{other}, r) })
+}
+
+// WithLossCounts returns records with their Losses set from the table.
+func (t Table) WithLossCounts(now time.Time, records ...Record) []Record {
+	counted := slices.Clone(records)
+	with, _ := t.With(now, slices.DeleteFunc(slices.Clone(records), func(r Record) bool { return r.Answered })...)
+	for i, r := range counted {
+		table := with
+		if r.Answered {
+			table = t
+		}
+		counted[i].Losses = table.Classify(r.Fingerprint, now).Losses
+	}
+	return counted
+}
+
+// losses returns the losses of a request or part since its last answer, oldest
+// first.
 func (t Table) losses(f Fingerprint, now time.Time) []Record {
 	var found []Record
 	for _, r := range t.records[f] {
-		switch {
-		case r.Answered:
+		if r.Answered {
 			found = nil
-		case !isExpired(r, now):
-			found = append(found, r)
+			continue
 		}
+		found = append(found, r)
+	}
+	lifetime := Lifetime
+	for _, r := range found {
+		lifetime = max(lifetime, r.lifetime())
 	}
-	return found
+	return slices.DeleteFunc(found, func(r Record) bool { return now.Sub(r.At) >= lifetime })
+}
+
+// lastAnswer returns the time of the last known answer.
+func (t Table) lastAnswer(f Fingerprint) time.Time {
+	for _, r := range slices.Backward(t.records[f]) {
+		if r.Answered {
+			return r.At
+		}
+	}
+	return time.Time{}
 }
 
 func anyKnownGood(losses []Record) bool {
@@ -77,12 +166,37 @@
 	return slices.ContainsFunc(losses, func(r Record) bool { return r.Quarantined })
 }
 
+// onlyAccount returns the account that all losses have in common, or "".
+func onlyAccount(losses []Record) string {
+	account := losses[0].Account
+	if slices.ContainsFunc(losses, func(r Record) bool { return r.Account != account }) {
+		return ""
+	}
+	return account
+}
+
+// outageWindow returns the time within which losses count as one outage: while
+// many requests share something, an outage hits it on several engines at once.
+func outageWindow(losses []Record) time.Duration {
+	switch knownGood := anyKnownGood(losses); {
+	case losses[0].Fingerprint.IsPart() && knownGood:
+		return knownGoodPartOutageWindow
+	case losses[0].Fingerprint.IsPart():
+		return partOutageWindow
+	}
+	return 0
+}
+
 // countLosses counts how often engines were lost, at least as often as a record
-// says. For a known-good request, losses in quick succession count as one
-// outage.
+// says. Losses in quick succession count as one outage for a known-good request
+// and for parts.
 func countLosses(losses []Record) int {
-	byOutage := anyKnownGood(losses)
+	byOutage := anyKnownGood(losses) && !losses[0].Fingerprint.IsPart()
+	window := outageWindow(losses)
+	// A request that was sent after a loss was not part of the same outage.
+	retriesCount := window == partOutageWindow
 	count, recorded := 0, 0
+	var lastCounted time.Time
 	type incarnation struct{ engine, id string }
 	lastLoss := map[incarnation]time.Time{}
 	for _, r := range losses {
@@ -91,8 +205,10 @@
 			i = incarnation{}
 		}
 		before, known := lastLoss[i]
-		if !known || i.id == "" && r.sentTime().Sub(before) >= sameLossWindow {
+		isNew := !known || i.id == "" && r.sentTime().Sub(before) >= sameLossWindow
+		if isNew && (count == 0 || r.At.Sub(lastCounted) >= window || retriesCount && r.Sent.After(lastCounted)) {
 			count++
+			lastCounted = r.At
 		}
 		lastLoss[i] = r.At
 		recorded = max(recorded, r.Losses)
@@ -117,8 +233,8 @@
 	return last
 }
 
-// otherLosses counts the engines that were lost without the request shortly
-// before or after one of its losses.
+// otherLosses counts the engines that were lost without the request or part
+// shortly before or after one of its losses.
 func (t Table) otherLosses(f Fingerprint, last map[string]Record) int {
 	engines := map[string]bool{}
 	for other, records := range t.records {
@@ -148,7 +264,7 @@
 // engines.
 func (t Table) isShared(f Fingerprint, last map[string]Record, now time.Time) bool {
 	for other := range t.records {
-		if other != f && coversAll(lastLossPerEngine(t.losses(other, now)), last) {
+		if other != f && !other.IsPart() && coversAll(lastLossPerEngine(t.losses(other, now)), last) {
 			return true
 		}
 	}
@@ -167,5 +283,31 @@
 	return true
 }
 
+// isPartExplained reports whether a request or a part that fewer requests share
+// was unanswered on all engines lost with a part. Such a part comes later in the
+// prompt; refusing it refuses fewer requests.
+func (t Table) isPartExplained(f Fingerprint, losses []Record, now time.Time) bool {
+	for other := range t.records {
+		if other == f {
+			continue
+		}
+		others := t.losses(other, now)
+		if len(others) == 0 || other.IsPart() && others[0].Depth <= losses[0].Depth {
+			continue
+		}
+		if !slices.ContainsFunc(losses, func(l Record) bool { return !hasCounterpart(others, l) }) {
+			return true
+		}
+	}
+	return false
+}
+
+// hasCounterpart reports whether the same loss of an engine is among others.
+func hasCounterpart(others []Record, l Record) bool {
+	return slices.ContainsFunc(others, func(o Record) bool {
+		return o.Engine == l.Engine && o.Incarnation == l.Incarnation && isWithin(o, l, sameLossWindow)
+	})
+}
+
 // isWithin reports whether two records are at most a duration apart.
 func isWithin(a, b Record, d time.Duration) bool { return a.At.Sub(b.At).Abs() <= d }
--- a/quarantine/content.go
+++ b/quarantine/content.go
@@ -35,6 +35,12 @@
 	Account string
 }
 
+// Fingerprints returns the fingerprint of the request and, from index 1, those of
+// its parts in order.
+func (c Content) Fingerprints() []Fingerprint {
+	return append([]Fingerprint{c.Request}, c.Parts...)
+}
+
 // FingerprintOf returns the fingerprint of a request. It doesn't cover the
 // account and the key, since a caller may resend the request with others.
 func FingerprintOf(r request.Request) Fingerprint {
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -1,8 +1,10 @@
-// Package quarantine decides which requests crash the engines that run them.
+// Package quarantine decides which requests, and which prompt parts that requests
+// share, crash the engines that run them.
 //
 // Hosts share records of engines that were lost while a request was in its
-// prefill or first tokens, and of suspect requests that were answered later. A
-// table is a set of such records. Merging is commutative and idempotent, so
+// prefill or first tokens, and of suspects that were answered later. A lost
+// request has one record for itself and one for each shared part of its prompt.
+// A table is a set of such records. Merging is commutative and idempotent, so
 // hosts agree whatever the order of the records. The package does no I/O.
 package quarantine
 
@@ -13,7 +15,7 @@
 )
 
 const (
-	// Lifetime is how long a record counts.
+	// Lifetime is how long a record counts, unless it causes a longer quarantine.
 	Lifetime = 10 * time.Minute
 	// Capacity bounds the records of a table. It suffices for 30 engines with
 	// 64 running requests each that are lost at once, and some more.
@@ -28,6 +30,9 @@
 	// request if no other request was on all of them and no other engine was
 	// lost at the time.
 	minIsolatedLosses = 2
+	// minIsolatedPartLosses is the same for a part. The first two are often one
+	// request and its retry.
+	minIsolatedPartLosses = 3
 	// maxLosses is the number of losses that quarantines a request regardless
 	// of other losses and requests. One less refuses nine times as many innocent
 	// requests in an outage of half the engines (TestMeasure).
@@ -36,13 +41,18 @@
 	// another host applies to a request that is known to be good. Rules for
 	// callers limit the attempts after the third loss.
 	minKnownGoodLosses = 3
+	// partOutageWindow is the time within which losses with the same part count
+	// as one outage, knownGoodPartOutageWindow the time for a part that was
+	// answered recently. In the latter, the answer to one of many requests with
+	// the part ends the suspicion unless nothing is answered at all.
+	partOutageWindow          = 200 * time.Millisecond
+	knownGoodPartOutageWindow = time.Second
 	// baseTerm doubles with each loss to give the time for which a quarantined
 	// request is refused after its last loss: a minute after two losses, eight
 	// after five. Then it is a suspect again, since some requests are
 	// quarantined by mistake.
 	baseTerm = 15 * time.Second
-	// maxDoublings bounds the doublings of baseTerm; the longest term exceeds the
-	// lifetime of a record.
+	// maxDoublings bounds the doublings of baseTerm, to a term of 16 minutes.
 	maxDoublings = 6
 )
 
@@ -62,11 +72,17 @@
 	Events int
 }
 
-// Record is the outcome of a request on one engine.
+// Record is the outcome of a request on one engine, for the request itself or for
+// one of its parts.
 type Record struct {
 	// ID identifies the record; one attempt may lead to several.
 	ID          string
 	Fingerprint Fingerprint
+	// Depth is the position of a part in the prompt, from 1; 0 for a request.
+	Depth int
+	// Account is the client account of a request that lost an engine, or "" if
+	// a part lost engines with those of several accounts.
+	Account string
 	// Engine is the engine that was lost, Incarnation its incarnation if known.
 	Engine, Incarnation string
 	// Answered reports that the request was answered; its earlier losses no
@@ -87,10 +103,20 @@
 	KnownGood bool
 	// Quarantined reports that a host quarantined the request with this loss,
 	// perhaps because of records that this table lacks. For a known-good request
-	// it applies from minKnownGoodLosses on.
+	// it applies from minKnownGoodLosses on, for a known-good part from maxLosses
+	// on.
 	Quarantined bool
 }
 
+// Expired reports whether the record no longer counts.
+func (r Record) Expired(now time.Time) bool { return now.Sub(r.At) >= r.lifetime() }
+
+// lifetime returns how long the record counts, and earlier losses with it. It
+// outlives the quarantine that it causes, so that a next loss prolongs that.
+func (r Record) lifetime() time.Duration {
+	return max(Lifetime, 2*baseTerm<<min(r.Losses, maxDoublings))
+}
+
 // Verdict says how to treat a request.
 type Verdict int
 
@@ -120,7 +146,7 @@
 func (t Table) With(now time.Time, more ...Record) (Table, []Record) {
 	next := Table{records: make(map[Fingerprint][]Record, len(t.records)+len(more)), count: t.count}
 	for f, records := range t.records {
-		if isExpired(records[len(records)-1], now) {
+		if records[len(records)-1].Expired(now) {
 			next.count -= len(records)
 			continue
 		}
@@ -128,7 +154,7 @@
 	}
 	var fresh []Record
 	for _, r := range more {
-		if !isExpired(r, now) && next.add(r) {
+		if !r.Expired(now) && next.add(r) {
 			fresh = append(fresh, r)
 		}
 	}
@@ -138,8 +164,6 @@
 	})
 }
 
-func isExpired(r Record, now time.Time) bool { return now.Sub(r.At) >= Lifetime }
-
 // add adds a record to a table under construction, and reports whether it is
 // new. Of two records with one id the earlier stays.
 func (t *Table) add(r Record) bool {
--- a/quarantine/repeated_test.go
+++ b/quarantine/repeated_test.go
@@ -57,7 +57,7 @@
 			lost := 0
 			for ; lost < 30 && table.Verdict("x", start.Add(at)) != quarantine.Quarantined; lost++ {
 				at += 5 * time.Second
-				table, _ = table.With(start.Add(at), table.CountLosses(loss("x", fmt.Sprint("engine-", lost), at), start.Add(at)))
+				table, _ = table.With(start.Add(at), table.WithLossCounts(start.Add(at), loss("x", fmt.Sprint("engine-", lost), at))...)
 				for e := range engines {
 					var records []quarantine.Record
 					for r := range requests {
@@ -83,10 +83,10 @@
 				at += 100 * time.Millisecond
 				r := loss("x", fmt.Sprint("engine-", attempt%2), at)
 				r.Incarnation, r.Sent, r.KnownGood = "1", r.At.Add(-time.Millisecond), knownGood
-				table, _ = table.With(start.Add(at), table.CountLosses(r, start.Add(at)))
+				table, _ = table.With(start.Add(at), table.WithLossCounts(start.Add(at), r)...)
 				other := r
 				other.ID, other.Fingerprint = fmt.Sprint("other-", attempt), quarantine.Fingerprint(fmt.Sprint("other-", attempt/4))
-				table, _ = table.With(start.Add(at), table.CountLosses(other, start.Add(at)))
+				table, _ = table.With(start.Add(at), table.WithLossCounts(start.Add(at), other)...)
 			}
 			is.Equal(table.Verdict("x", start.Add(at)), quarantine.Suspect)
 		})
--- a/storenode/deadly_part_test.go
+++ b/storenode/deadly_part_test.go
@@ -73,3 +73,30 @@
 		})
 	}
 }
+
+// TestDeadlyPartSurvivesRestartOfAllHosts kills all hosts after a part was
+// quarantined and starts others.
+func TestDeadlyPartSurvivesRestartOfAllHosts(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t, 2, 4, 0)
+	c := d.crashOnPart(deadlyPart, standin.AfterHead)
+	for i := 0; c.sendPart(c.hosts[i%2], "full", deadlyPart) != http.StatusServiceUnavailable; i++ {
+		is.True(i < 2*freePartCrashes)
+		time.Sleep(300 * time.Millisecond)
+	}
+	d.await("the store has the verdict", func() bool { return len(d.store.Records("keyed.crashers")) > 0 })
+	before := c.reached()
+	for _, h := range d.hosts {
+		h.kill()
+	}
+	d.hosts = nil
+	for i := range 2 {
+		d.awaitReady(d.host(i))
+	}
+	for i := range 4 {
+		h := c.hosts[i%2]
+		d.await("the verdict is read", func() bool { return c.sendPart(h, "full", deadlyPart) == http.StatusServiceUnavailable })
+		is.Equal(c.sendPart(h, "full", "bb"), http.StatusOK)
+	}
+	is.True(c.reached() <= before+lateRetries)
+}
--- a/storenode/storenode.go
+++ b/storenode/storenode.go
@@ -116,7 +116,7 @@
 	}
 	pool := peer.NewPool(credentials)
 	n.startPeers(ctx, pool)
-	guard := crash.NewGuard(ctx, &n.wait, crash.Options{Peers: n.peerAddresses, Sender: crash.NewPeerSender(pool), Store: n.store, Metrics: scope})
+	guard := crash.NewGuard(ctx, &n.wait, crash.Options{Self: n.settings.Listen.PeersAddress(), Peers: n.peerAddresses, Sender: crash.NewPeerSender(pool), Store: n.store, Metrics: scope})
 	connections := http1.NewPool(platform.Wire{})
 	n.wait.Go(func() { connections.Sweep(ctx) })
 	bounds := n.settings.Bounds
