--- a/quarantine/classify.go
+++ b/quarantine/classify.go
@@ -234,7 +234,7 @@
 }
 
 // otherLosses counts the engines that were lost without the request or part
-// shortly before or after one of its losses.
+// before one of its losses, or at the same time.
 func (t Table) otherLosses(f Fingerprint, last map[string]Record) int {
 	engines := map[string]bool{}
 	for other, records := range t.records {
@@ -242,7 +242,7 @@
 			continue
 		}
 		for _, r := range records {
-			if _, lostTogether := last[r.Engine]; !lostTogether && !r.Answered && isNearAny(r, last, otherLossWindow) {
+			if _, lostTogether := last[r.Engine]; !lostTogether && !r.Answered && precedesAny(r, last) {
 				engines[r.Engine] = true
 			}
 		}
@@ -250,10 +250,11 @@
 	return len(engines)
 }
 
-// isNearAny reports whether a record is within a duration of one of the losses.
-func isNearAny(r Record, last map[string]Record, d time.Duration) bool {
+// precedesAny reports whether a record is from shortly before one of the losses,
+// or from the same outage. A later one doesn't lift a verdict.
+func precedesAny(r Record, last map[string]Record) bool {
 	for _, l := range last {
-		if isWithin(r, l, d) {
+		if before := l.At.Sub(r.At); before <= otherLossWindow && before >= -sameLossWindow {
 			return true
 		}
 	}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -23,7 +23,7 @@
 	// sameLossWindow bounds the time between records of the same lost engine,
 	// and between the losses of one outage.
 	sameLossWindow = 3 * time.Second
-	// otherLossWindow is the time around a loss in which the loss of another
+	// otherLossWindow is the time before a loss in which the loss of another
 	// engine makes it count less, since engines then fail for other reasons too.
 	otherLossWindow = 30 * time.Second
 	// minIsolatedLosses is the number of lost engines that quarantines a
--- a/quarantine/repeated_test.go
+++ b/quarantine/repeated_test.go
@@ -72,6 +72,21 @@
 	}
 }
 
+// TestLaterLossesDontLiftQuarantine loses another engine some seconds after a
+// request or a part was quarantined.
+func TestLaterLossesDontLiftQuarantine(t *testing.T) {
+	is := is.New(t)
+	table, _ := quarantine.Table{}.With(start, loss("x", "a", 0), loss("x", "b", time.Second))
+	for i, engine := range []string{"c", "d", "e"} {
+		table, _ = table.With(start, lossOf("mill", fmt.Sprint("q", i), engine, time.Minute+time.Duration(i)*time.Second, "deadly")...)
+	}
+	is.Equal(table.Verdict("x", start.Add(time.Second)), quarantine.Quarantined)
+	is.Equal(table.Verdict(part("deadly"), start.Add(62*time.Second)), quarantine.Quarantined)
+	table, _ = table.With(start, loss("y", "z", 6*time.Second), loss("y", "z", 67*time.Second))
+	is.Equal(table.Verdict("x", start.Add(6*time.Second)), quarantine.Quarantined)
+	is.Equal(table.Verdict(part("deadly"), start.Add(67*time.Second)), quarantine.Quarantined)
+}
+
 // TestOutageDoesNotQuarantine retries the same request on two engines that have
 // failed but are still listed. The losses count as one outage.
 func TestOutageDoesNotQuarantine(t *testing.T) {
