--- a/crash/guard.go
+++ b/crash/guard.go
@@ -4,6 +4,7 @@
 package crash
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -24,9 +25,9 @@
 	fanOut = 5
 	// shareTimeout bounds sending records to a set of hosts.
 	shareTimeout = time.Second
-	// batchDelay is how long further records are batched after some were
+	// defaultBatchDelay is how long further records are batched after some were
 	// shared, since many requests fail with a lost engine.
-	batchDelay = 250 * time.Millisecond
+	defaultBatchDelay = 250 * time.Millisecond
 	// repeatInterval is how often the most significant records are sent to a
 	// random host, for hosts that missed them when they were new.
 	repeatInterval = 2 * time.Second
@@ -63,6 +64,8 @@
 	// Store persists records of requests that lost several engines; nil
 	// disables persistence.
 	Store store
+	// BatchDelay is how long first losses are batched; 0 means 250 ms.
+	BatchDelay time.Duration
 	// Metrics counts records and verdicts; nil disables metrics.
 	Metrics tally.Scope
 }
@@ -96,6 +99,7 @@
 	if o.Metrics == nil {
 		o.Metrics = tally.NoopScope
 	}
+	o.BatchDelay = cmp.Or(o.BatchDelay, defaultBatchDelay)
 	g := &Guard{Options: o, newRecords: make(chan []quarantine.Record, queueCapacity), trials: map[quarantine.Fingerprint]*trial{},
 		writeTrigger: make(chan struct{}, 1), ownLosses: map[quarantine.Fingerprint]quarantine.Record{}, pendingWrites: map[quarantine.Fingerprint]quarantine.Record{}, stored: map[quarantine.Fingerprint]storedRecord{}}
 	if g.Store != nil {
@@ -310,10 +314,11 @@
 		"KnownGood", c.KnownGood, "Account", c.Account, "FirstLossMillis", now.Sub(c.FirstLoss).Milliseconds(), "LastLossMillis", now.Sub(c.LastLoss).Milliseconds(), "LastAnswerMillis", lastAnswerMillis, "Records", records)
 }
 
-// collectBatch returns the records that arrive within batchDelay.
+// collectBatch returns the records that arrive within BatchDelay, or until one of
+// them counts a second loss: it may quarantine its request on the other hosts.
 func (g *Guard) collectBatch(ctx context.Context) []quarantine.Record {
 	var records []quarantine.Record
-	timer := time.NewTimer(batchDelay)
+	timer := time.NewTimer(g.BatchDelay)
 	defer timer.Stop()
 	for {
 		select {
@@ -323,6 +328,9 @@
 			return records
 		case more := <-g.newRecords:
 			records = append(records, more...)
+			if slices.ContainsFunc(more, func(r quarantine.Record) bool { return r.Losses > 1 }) {
+				return records
+			}
 		}
 	}
 }
