--- a/forward/handler.go
+++ b/forward/handler.go
@@ -223,7 +223,7 @@
 	ctx, a.cancel = context.WithCancel(ctx)
 	timer := time.AfterFunc(h.attemptTimeout(), func() { a.abandoned.Store(true); a.cancel() })
 	defer timer.Stop()
-	defer h.cancelOnOldWeights(a)()
+	defer h.withdrawQueued(a)()
 	h.Tracker.Update(t.id, func(s health.State) health.State { return s.WithSend(t.rank, t.prefill, clock.Now()) })
 	if t.prefill > flushPromptTokens {
 		h.LoadReports.FlushSoon()
--- /dev/null
+++ b/forward/queued.go
@@ -0,0 +1,63 @@
+package forward
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/kumquathoist/kumquathoist/clock"
+	"github.com/kumquathoist/kumquathoist/event"
+)
+
+const (
+	// queuedCheckInterval is the time between two checks of a request that is
+	// queued at an engine.
+	queuedCheckInterval = 150 * time.Millisecond
+	// queuedGrace is how long a request may stay queued at an engine with older
+	// weights after no new requests are sent there. New requests stop some time
+	// before the operators' limit; the rest of that time covers the check
+	// interval and the network delay to the engine.
+	queuedGrace = 300 * time.Millisecond
+)
+
+// withdrawQueued cancels an attempt that has no answer yet once its weights may no
+// longer answer or its request is quarantined. It returns a function that stops
+// the checks.
+func (h *handler) withdrawQueued(a *attempt) (stop func()) {
+	if a.send.Weights == 0 {
+		return func() {}
+	}
+	var stopped atomic.Bool
+	var timer *time.Timer
+	ready := make(chan struct{})
+	timer = time.AfterFunc(queuedCheckInterval, func() {
+		<-ready
+		if stopped.Load() {
+			return // the timer was reset while the checks were being stopped
+		}
+		if !h.hasOldWeights(a) && !h.Guard.IsQuarantined(h.call.ID, h.content) {
+			timer.Reset(queuedCheckInterval)
+			return
+		}
+		h.Metrics.Counter("requests_withdrawn").Inc(1)
+		a.abandoned.Store(true)
+		a.cancel()
+	})
+	close(ready)
+	return func() {
+		stopped.Store(true)
+		timer.Stop()
+	}
+}
+
+// hasOldWeights reports whether the weights of an attempt were replaced too long
+// ago to answer.
+func (h *handler) hasOldWeights(a *attempt) bool {
+	history, _ := h.Replica.State().WeightsHistory(a.send.Prompt.Model)
+	since, replaced := history.ReplacedSince(a.send.Weights)
+	age := clock.Now().Sub(since)
+	if !replaced || age < h.OldWeightsGrace+queuedGrace {
+		return false
+	}
+	event.StaleRequestCancelled.Info("Request", h.call.ID, "Upstream", a.id, "Weights", a.send.Weights, "Named", history.Version, "AgeMillis", age.Milliseconds())
+	return true
+}
--- a/storenode/deadly_part_test.go
+++ b/storenode/deadly_part_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -100,3 +101,38 @@
 	}
 	is.True(c.reached() <= before+lateRetries)
 }
+
+// TestQueuedRequestsWithDeadlyPartAreWithdrawn has a request wait at an engine
+// while others with its part crash engines.
+func TestQueuedRequestsWithDeadlyPartAreWithdrawn(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t, 1, 4, 0)
+	d.configure(func(config map[string]any) {
+		config["routes"] = []any{route("slow", modelHost, "/slow/", "streaming", "models", map[string]any{"sticky": true, "max_attempts": 1, "timeout_ms": 120_000})}
+	})
+	d.await("the route is known", func() bool {
+		return d.do(d.hosts[0], http.MethodPost, modelHost, "/slow/a", fmt.Sprint(time.Now().UnixNano()), prompt, "other").status == http.StatusOK
+	})
+	for _, e := range d.engines {
+		e.Fail(standin.SilentFault, 1)
+	}
+	waiting, headers := d.client(d.hosts[0]), withPart(deadlyPart)
+	headers["X-Deadline-Ms"] = "120000"
+	waiting.write(http.MethodPost, modelHost, "/slow/waits", "waits", headers, "waits")
+	d.await("it waits at an engine", func() bool { return d.arrivals("waits") == 1 })
+	var holder *standin.PlatformEngine
+	for _, e := range d.engines {
+		e.Fail(standin.NoFault, 0)
+		if slices.ContainsFunc(e.Seen(), func(h http.Header) bool { return h.Get("X-Attempt-Id") == "waits" }) {
+			holder = e
+			e.Fail(standin.FullFault, 1000) // it takes no other request, so that it doesn't crash
+		}
+	}
+	c := d.crashOnPart(deadlyPart, standin.AfterHead)
+	for i := 0; c.sendPart(c.hosts[0], "slow", deadlyPart) != http.StatusServiceUnavailable; i++ {
+		is.True(i < 2*freePartCrashes)
+		time.Sleep(300 * time.Millisecond)
+	}
+	d.await("it is withdrawn", func() bool { return holder.AbandonedRequests() == 1 })
+	is.True(waiting.read().status >= http.StatusInternalServerError)
+}
