--- a/crash/part_test.go
+++ b/crash/part_test.go
@@ -18,12 +18,12 @@
 	return quarantine.Content{Request: quarantine.Fingerprint(req), Parts: []quarantine.Fingerprint{quarantine.PartOf("m", []byte(part))}, Account: account}
 }
 
-// loseWithPart loses engines with different requests of an account that share a
-// part.
-func loseWithPart(g *crash.Guard, account, part string, engines int) {
+// loseWithPart loses engines with different requests of an account that share the
+// deadly part.
+func loseWithPart(g *crash.Guard, account string, engines int) {
 	for i := range engines {
-		req := fmt.Sprint(account, part, i)
-		g.Lost(quarantine.Loss{Content: withPart(account, req, part), Attempt: req, Engine: "engine-" + req, Sent: time.Now()})
+		req := fmt.Sprint(account, engines, i)
+		g.Lost(quarantine.Loss{Content: withPart(account, req, "deadly"), Attempt: req, Engine: "engine-" + req, Sent: time.Now()})
 	}
 }
 
@@ -40,7 +40,7 @@
 func TestPartIsRefusedOnAllHosts(t *testing.T) {
 	is := is.New(t)
 	guards := startGuards(t, 3)
-	loseWithPart(guards[0], "mill", "deadly", 3)
+	loseWithPart(guards[0], "mill", 3)
 	for _, g := range guards {
 		await(t, func() bool { return !admitsContent(g, withPart("mill", "new", "deadly")) })
 		is.True(admitsContent(g, withPart("mill", "new", "other")))
@@ -122,15 +122,14 @@
 		return crash.NewGuard(ctx, &wait, crash.Options{Peers: func() []string { return nil }, Store: s})
 	}
 	g, part := start(), withPart("mill", "", "deadly").Parts[0]
-	loseWithPart(g, "mill", "deadly", 2)
-	loseWithPart(g, "mill", "elsewhere", 1)
+	loseWithPart(g, "mill", 2)
 	is.True(!s.has(part))
-	loseWithPart(g, "mill", "deadly", 5)
+	loseWithPart(g, "mill", 5)
 	await(t, func() bool { return s.has(part) })
 	restarted := start()
 	await(t, func() bool { return !admitsContent(restarted, withPart("mill", "q", "deadly")) })
 	is.True(admitsContent(restarted, withPart("grocer", "q", "deadly")))
-	loseWithPart(g, "grocer", "deadly", 1)
+	loseWithPart(g, "grocer", 1)
 	restarted = start()
 	await(t, func() bool {
 		restarted = start()
--- a/quarantine/classify.go
+++ b/quarantine/classify.go
@@ -43,12 +43,19 @@
 // if nothing else explains the losses: no other engine was lost at the time, and
 // no other unanswered request was on all of the engines. A part is quarantined
 // only if the losses came from several requests, and if no part that fewer
-// requests share explains them. After its term it is a suspect again.
+// requests share explains them; losses that coincide with those of other engines
+// are an outage and don't count. After its term it is a suspect again.
 func (t Table) Classify(f Fingerprint, now time.Time) Classification {
 	losses := t.losses(f, now)
 	if len(losses) == 0 {
 		return Classification{Verdict: Clean}
 	}
+	if f.IsPart() {
+		losses = t.withoutOutages(losses)
+		if len(losses) == 0 {
+			return Classification{Verdict: Suspect}
+		}
+	}
 	last := lastLossPerEngine(losses)
 	c := Classification{
 		Verdict: Suspect, Losses: countLosses(losses), KnownGood: anyKnownGood(losses), FirstLoss: losses[0].At, LastLoss: losses[len(losses)-1].At, LastAnswer: t.lastAnswer(f),
@@ -310,5 +317,28 @@
 	})
 }
 
+// withoutOutages returns the losses of a part that don't coincide with losses of
+// other engines. An outage takes several engines at once, a part one at a time.
+func (t Table) withoutOutages(losses []Record) []Record {
+	if len(losses) < minIsolatedPartLosses {
+		return losses
+	}
+	last := lastLossPerEngine(losses)
+	coincides := map[string]bool{}
+	for _, records := range t.records {
+		for _, r := range records {
+			if _, lostTogether := last[r.Engine]; lostTogether || r.Answered {
+				continue
+			}
+			for _, l := range losses {
+				if isWithin(r, l, partOutageWindow) {
+					coincides[l.ID] = true
+				}
+			}
+		}
+	}
+	return slices.DeleteFunc(losses, func(l Record) bool { return coincides[l.ID] && !l.Quarantined })
+}
+
 // isWithin reports whether two records are at most a duration apart.
 func isWithin(a, b Record, d time.Duration) bool { return a.At.Sub(b.At).Abs() <= d }
--- a/quarantine/part_test.go
+++ b/quarantine/part_test.go
@@ -83,11 +83,18 @@
 			lossOf("mill", "q1", "a", 0, "deadly", "doc"), lossOf("mill", "q2", "b", s, "deadly", "doc"), lossOf("mill", "q3", "c", 2*s, "deadly", "doc"), lossOf("mill", "q4", "d", 3*s, "deadly", "other"),
 		), 3 * s, []string{"deadly"}},
 		{"other engines are lost too, three losses", join(
-			lossOf("mill", "q1", "a", 0, "deadly"), lossOf("mill", "q2", "b", s, "deadly"), lossOf("mill", "q3", "c", 2*s, "deadly"), lossOf("mill", "x", "z", 2*s, "doc"),
+			lossOf("mill", "q1", "a", 0, "deadly"), lossOf("mill", "q2", "b", s, "deadly"), lossOf("mill", "q3", "c", 2*s, "deadly"), lossOf("mill", "x", "z", 3*s/2, "doc"),
 		), 2 * s, nil},
 		{"other engines are lost too, four losses", join(
-			lossOf("mill", "q1", "a", 0, "deadly"), lossOf("mill", "q2", "b", s, "deadly"), lossOf("mill", "q3", "c", 2*s, "deadly"), lossOf("mill", "x", "z", 2*s, "doc"), lossOf("mill", "q4", "d", 3*s, "deadly"),
+			lossOf("mill", "q1", "a", 0, "deadly"), lossOf("mill", "q2", "b", s, "deadly"), lossOf("mill", "q3", "c", 2*s, "deadly"), lossOf("mill", "x", "z", 3*s/2, "doc"), lossOf("mill", "q4", "d", 3*s, "deadly"),
 		), 3 * s, []string{"deadly"}},
+		{"four outages of three engines each", join(
+			lossOf("mill", "q1", "a", 0, "doc"), lossOf("mill", "x1", "b", 0, "other"), lossOf("mill", "x2", "c", s/10, "other"),
+			lossOf("mill", "q2", "d", 3*s, "doc"), lossOf("mill", "x3", "e", 3*s, "other"), lossOf("mill", "x4", "f", 3*s+s/10, "other"),
+			lossOf("mill", "q3", "g", 6*s, "doc"), lossOf("mill", "x5", "h", 6*s, "other"), lossOf("mill", "x6", "i", 6*s+s/10, "other"),
+			lossOf("mill", "q4", "j", 9*s, "doc"), lossOf("mill", "x7", "k", 9*s, "other"), lossOf("mill", "x8", "l", 9*s+s/10, "other"),
+			[]quarantine.Record{answered(part("other"), 10*s)},
+		), 10 * s, nil},
 		{"one engine that restarts under its name", join(
 			lossOf("mill", "q1", "a", 0, "deadly"), lossOf("mill", "q2", "a", 4*s, "deadly"), lossOf("mill", "q3", "a", 8*s, "deadly"), lossOf("mill", "q4", "a", 12*s, "deadly"),
 		), 12 * s, []string{"deadly"}},
