--- a/availability/availability.go
+++ b/availability/availability.go
@@ -60,6 +60,8 @@
 	PauseFrom, PauseUntil clock.Instant
 	// probes counts the requests sent during the pause.
 	probes int
+	// limit is the limit that it named.
+	limit limit
 }
 
 // Of returns the status of an incarnation of the upstream. The status of another
--- a/call/call.go
+++ b/call/call.go
@@ -100,6 +100,12 @@
 	// InvalidRetryAfter is the value of the header if it is not a valid time.
 	RetryAfter        time.Duration
 	InvalidRetryAfter string
+	// Limited reports whether the upstream limits its requests, and
+	// RequestsPerSecond how many it then takes from all hosts together.
+	// InvalidLimit is the value of the header if it is not a valid rate.
+	Limited           bool
+	RequestsPerSecond float64
+	InvalidLimit      string
 }
 
 // Head is the response header of an upstream's answer.
--- a/event/replica.go
+++ b/event/replica.go
@@ -41,6 +41,12 @@
 	UpstreamLeaving = Event{6107, "upstream leaves", "An upstream reported in an answer that it is leaving, or another host forwarded that report; no more requests are sent to it. Another host's report is valid for 15 s."}
 	// RetryAfterReceived reports an upstream that asked for a pause without requests.
 	RetryAfterReceived = Event{6108, "upstream rests", "An upstream rejected a request and asked this host for a pause without requests; at most two requests are sent to it until the pause ends."}
+	// LimitNamed reports an upstream that limits its requests.
+	LimitNamed = Event{6110, "upstream limited", "An upstream named in an answer how many requests a second it takes from all hosts together, changed that limit, or another host forwarded it. PerSecond is the limit, Part what this host may send; AnswerStatus is the status of the answer, 0 for another host's report."}
+	// LimitEnded reports an upstream that no longer limits its requests.
+	LimitEnded = Event{6111, "upstream limit ended", "An upstream answered without a limit, or another host forwarded that; Millis is how long the limit was known."}
+	// LimitInvalid reports a limit that can't be used.
+	LimitInvalid = Event{6112, "limit unusable", "An upstream named a limit that is not a decimal number of requests a second; it is ignored."}
 	// RetryAfterInvalid reports a pause that can't be used.
 	RetryAfterInvalid = Event{6109, "rest unusable", "An upstream asked for a pause without requests that is not a number of seconds; it is ignored."}
 	// CrashRecordsUnreadable reports that the crash records in the store can't be read.
@@ -56,5 +62,5 @@
 var replicaEvents = []Event{
 	StoreUnreachable, StoreReachable, HistoryTrimmed, CatalogChanged, TargetWeightsChanged, UpstreamChanged, UpstreamRemoved, RecordRejected,
 	LeaseAcquired, LeaseNotAcquired, LeaseHeldElsewhere, LoadOrdered, LoadEnded, UpstreamReportedUnreachable, FeedDisconnected, FeedReconnected, CacheReset,
-	UpstreamLeaving, RetryAfterReceived, RetryAfterInvalid, CrashRecordsUnreadable, CrashRecordsReadable, CrashRecordPersisted, CrashRecordNotPersisted,
+	UpstreamLeaving, RetryAfterReceived, LimitNamed, LimitEnded, LimitInvalid, RetryAfterInvalid, CrashRecordsUnreadable, CrashRecordsReadable, CrashRecordPersisted, CrashRecordNotPersisted,
 }
--- a/forward/status.go
+++ b/forward/status.go
@@ -23,6 +23,7 @@
 		r.Metrics.Counter("rests_unusable").Inc(1)
 		event.RetryAfterInvalid.Info("Request", request, "Upstream", upstream, "Text", report.InvalidRetryAfter)
 	}
+	r.recordLimit(upstream, report, request)
 	pauses := report.Status == http.StatusServiceUnavailable && report.RetryAfter > 0
 	if !report.Leaving && !pauses {
 		return
@@ -48,3 +49,34 @@
 		event.RetryAfterReceived.Info("Request", request, "Upstream", upstream, "Millis", report.RetryAfter.Milliseconds())
 	}
 }
+
+// recordLimit records the limit that an upstream names with an answer, or its
+// end.
+func (r *Router) recordLimit(upstream string, report call.SelfReport, request string) {
+	now := clock.Now()
+	if report.InvalidLimit != "" {
+		r.Metrics.Counter("limits_unusable").Inc(1)
+		event.LimitInvalid.Info("Request", request, "Upstream", upstream, "Text", report.InvalidLimit)
+		return
+	}
+	_, since, limited := r.Tracker.State(upstream).Limit(now)
+	isNew := false
+	switch {
+	case report.Limited:
+		r.Tracker.Update(upstream, func(s health.State) health.State {
+			s.Status, isNew = s.WithLimit(report.RequestsPerSecond, availability.Answer, now)
+			return s
+		})
+	case limited && request != "" && report.Status < http.StatusInternalServerError && report.Status != http.StatusMisdirectedRequest:
+		// A rejection may come from before the limit, or from a proxy of it.
+		r.Tracker.Update(upstream, func(s health.State) health.State {
+			s.Status = s.WithoutLimit()
+			return s
+		})
+		event.LimitEnded.Info("Upstream", upstream, "Request", request, "Millis", now.Sub(since).Milliseconds())
+	}
+	if isNew {
+		r.Metrics.Counter("upstream_limits").Inc(1)
+		event.LimitNamed.Info("Upstream", upstream, "Request", request, "AnswerStatus", report.Status, "PerSecond", report.RequestsPerSecond, "Part", r.Tracker.State(upstream).Part())
+	}
+}
