--- a/standin/platform_engine.go
+++ b/standin/platform_engine.go
@@ -59,6 +59,8 @@
 	// leavingToRequests and leavingToControlCalls report whether the answers to
 	// requests and to control calls say that the engine is leaving.
 	leavingToRequests, leavingToControlCalls bool
+	// limit is the text with which all answers name the engine's limit, or "".
+	limit string
 }
 
 // PlatformFault is a fault that an engine applies to its next requests.
@@ -164,14 +166,30 @@
 	e.leavingToControlCalls = true
 }
 
-// controlCall wraps the handler of a control call and adds the leaving header
-// if the engine signals that it is leaving.
+// NameLimit makes all further answers name a limit of requests a second; "" ends
+// that.
+func (e *PlatformEngine) NameLimit(text string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.limit = text
+}
+
+// setLimit adds the header of the limit to an answer. The caller holds mu.
+func (e *PlatformEngine) setLimit(w http.ResponseWriter) {
+	if e.limit != "" {
+		w.Header().Set("Server-Limit", e.limit)
+	}
+}
+
+// controlCall wraps the handler of a control call and adds the headers by which
+// the engine signals that it is leaving or limited.
 func (e *PlatformEngine) controlCall(h http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		e.mu.Lock()
 		if e.leavingToControlCalls {
 			w.Header().Set("Server-Leaving", "1")
 		}
+		e.setLimit(w)
 		e.mu.Unlock()
 		h(w, r)
 	}
@@ -309,6 +327,7 @@
 	if e.leavingToRequests {
 		w.Header().Set("Server-Leaving", "1")
 	}
+	e.setLimit(w)
 	switch {
 	case time.Now().Before(e.rejectUntil):
 		w.Header().Set("Retry-After", e.retryAfter)
