--- a/allocation/allocation.go
+++ b/allocation/allocation.go
@@ -32,6 +32,9 @@
 	// comfortableLoss is the share of the value that a wait of comfortableShare
 	// costs, since estimates may be wrong.
 	comfortableLoss = 0.1
+	// limitedCost is the price of each request at an upstream with a limit on the
+	// number of requests. As it is the same for all, long prompts go there first.
+	limitedCost = 0.5
 	// slotCost is the price of each request that already runs at an upstream,
 	// since one more slows the others.
 	slotCost = 0.02
@@ -98,6 +101,8 @@
 	Cached, Fetchable int
 	// Owner is set if it is the one to read shared parts that no engine holds.
 	Owner bool
+	// Limited is set if it takes a limited number of requests, whatever their size.
+	Limited bool
 	// FailureRate is the recent share of its requests that failed.
 	FailureRate float64
 	// Lag is how much later than expected it answered recently.
@@ -138,6 +143,9 @@
 	if !c.SameDomain {
 		cost += crossDomainCostPerByte * float64(r.Bytes)
 	}
+	if c.Limited {
+		cost += limitedCost
+	}
 	if c.Slots > 0 && c.Running >= c.Slots {
 		cost += r.Value
 	}
--- a/allocation/draw.go
+++ b/allocation/draw.go
@@ -82,6 +82,20 @@
 	return (below + arriving) / float64(max(1, len(waiting)))
 }
 
+// meanInputSmoothing is the weight of a new prompt in the moving average.
+const meanInputSmoothing = 0.03
+
+// MeanInput is the moving average of prompt sizes, in tokens.
+type MeanInput float64
+
+// With returns the average with one more prompt.
+func (m MeanInput) With(input int) MeanInput {
+	if m == 0 {
+		return MeanInput(input)
+	}
+	return m + meanInputSmoothing*(MeanInput(input)-m)
+}
+
 // rateDecayTime is the time constant with which old counts decay.
 const rateDecayTime = 2 * time.Second
 
--- a/availability/availability.go
+++ b/availability/availability.go
@@ -103,6 +103,10 @@
 	if s.paused(now) {
 		s.probes++
 	}
+	if s.limit.valid(now) {
+		s.limit = s.limit.refilled(now)
+		s.limit.tokens--
+	}
 	return s
 }
 
@@ -117,7 +121,7 @@
 // upstream may send another.
 func (s Status) Accepts(running int, now clock.Instant) bool {
 	switch elapsed := now.Sub(s.PauseFrom); {
-	case s.Leaving(now):
+	case s.Leaving(now), !s.limitAccepts(now):
 		return false
 	case s.PauseUntil == 0:
 		return true
@@ -131,7 +135,16 @@
 // RetryAfter returns the time until the upstream may be sent a request again; 0
 // if it may be now, or if the time isn't known.
 func (s Status) RetryAfter(now clock.Instant) time.Duration {
-	if s.Leaving(now) || !s.paused(now) {
+	if s.Leaving(now) {
+		return 0
+	}
+	return max(s.pauseLeft(now), s.limitWait(now))
+}
+
+// pauseLeft returns the time until the upstream may be sent a request in spite of
+// its pause.
+func (s Status) pauseLeft(now clock.Instant) time.Duration {
+	if !s.paused(now) {
 		return 0
 	}
 	next := s.PauseUntil
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -15,6 +15,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/kumquathoist/kumquathoist/allocation"
+	"github.com/kumquathoist/kumquathoist/availability"
 	"github.com/kumquathoist/kumquathoist/cachemap"
 	"github.com/kumquathoist/kumquathoist/call"
 	"github.com/kumquathoist/kumquathoist/clock"
@@ -89,6 +90,8 @@
 	NotifyLoaded(l loadreport.LoadedWeights)
 	// NotifyLeaving reports that an engine accepts no more requests.
 	NotifyLeaving(l loadreport.Leaving)
+	// NotifyLimit reports the limit that an engine named, or its end.
+	NotifyLimit(l loadreport.Limit)
 	// MaxStaleness returns the maximum age of the other hosts' load reports.
 	MaxStaleness() time.Duration
 }
@@ -106,6 +109,10 @@
 	Background *conc.WaitGroup
 	// Hosts returns the number of known hosts, which share the retry limits.
 	Hosts func() int
+	// Host is the name of this host, and LiveHosts returns those of all hosts that
+	// share the limits of upstreams.
+	Host      string
+	LiveHosts func() []string
 	// FailureDomain is that of this host.
 	FailureDomain string
 	// RetryLimits bounds the retries of all hosts to one service.
@@ -135,13 +142,18 @@
 	streams map[string]map[*stream]struct{}
 	// sentTokens counts the prompt tokens that this host sent recently.
 	sentTokens allocation.RateWindow
+	// returns holds the callers of each service that were refused because of
+	// limits.
+	returns map[string]availability.ReturnQueue
+	// meanInput is the mean prompt size of each service's recent requests.
+	meanInput map[string]allocation.MeanInput
 }
 
 // New returns a router.
 func New(o Options) *Router {
 	return &Router{
 		Options: o, seed: maphash.MakeSeed(), budgets: map[string]*retrybudget.Budget{}, cachedParts: cachemap.New(),
-		streams: map[string]map[*stream]struct{}{},
+		streams: map[string]map[*stream]struct{}{}, meanInput: map[string]allocation.MeanInput{}, returns: map[string]availability.ReturnQueue{},
 	}
 }
 
@@ -274,10 +286,12 @@
 	return r.peakHosts.Hosts()
 }
 
-// recordFirst counts the first attempt of a request to a service.
-func (r *Router) recordFirst(service string) {
+// recordFirst counts the first attempt of a request to a service, with the tokens
+// of its prompt.
+func (r *Router) recordFirst(service string, input int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.meanInput[service] = r.meanInput[service].With(input)
 	r.sharingHosts() // updates the peak at each request, since a partition may start before the first retry
 	r.budget(service).RecordFirst(r.RetryLimits, clock.Now())
 }
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -112,7 +112,7 @@
 
 // handle makes attempts until there is an answer.
 func (h *handler) handle(ctx context.Context) call.Answer {
-	h.recordFirst(h.service.Name)
+	h.recordFirst(h.service.Name, h.call.Prompt.Input)
 	for {
 		t, ok := h.schedule(ctx)
 		if !ok {
--- a/forward/schedule.go
+++ b/forward/schedule.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/kumquathoist/kumquathoist/allocation"
+	"github.com/kumquathoist/kumquathoist/availability"
 	"github.com/kumquathoist/kumquathoist/call"
 	"github.com/kumquathoist/kumquathoist/catalog"
 	"github.com/kumquathoist/kumquathoist/clock"
@@ -64,6 +65,12 @@
 	replaced bool
 }
 
+// isLimited reports whether the upstream named a limit.
+func (u upstream) isLimited(now clock.Instant) bool {
+	_, _, limited := u.state.Limit(now)
+	return limited
+}
+
 // schedule chooses an upstream, and waits a little if none is usable. It
 // returns false if none becomes usable or the request is refused.
 func (h *handler) schedule(ctx context.Context) (target, bool) {
@@ -74,10 +81,15 @@
 			return target{}, false
 		}
 		if upstreams := h.usable(h.snapshot, h.service, h.call.Prompt.Model, func(id string) bool { return h.tried[id] }); len(upstreams) > 0 {
-			return h.choose(upstreams)
+			if t, ok := h.choose(upstreams); !ok || h.take(t.id) {
+				return t, ok
+			}
 		}
-		if wait, all := h.allPaused(); all && h.retryState.MaybeExecuted == 0 {
-			h.refusal = call.Refuse(call.Resting).WithRetryAfter(wait)
+		if wait, reason := h.allPaused(); reason != "" && h.retryState.MaybeExecuted == 0 && giveUp.Before(clock.Now().Add(wait)) {
+			if reason == call.Limited {
+				wait = h.returnAfter(wait)
+			}
+			h.refusal = call.Refuse(reason).WithRetryAfter(wait)
 			return target{}, false
 		}
 		if !clock.Now().Before(giveUp) {
@@ -91,10 +103,32 @@
 	}
 }
 
-// allPaused reports whether all upstreams of the service that aren't leaving
-// are in a Retry-After pause, and how long it takes until the first of them
-// accepts a request again.
-func (h *handler) allPaused() (wait time.Duration, all bool) {
+// take counts a request to an upstream, if the upstream still accepts it: other
+// requests of this host may have used up what it accepts.
+func (h *handler) take(id string) (ok bool) {
+	now := clock.Now()
+	h.Tracker.Update(id, func(s health.State) health.State {
+		if ok = s.Usable(now); ok {
+			s.Status = s.Status.WithSend(now)
+		}
+		return s
+	})
+	return ok
+}
+
+// takeRegardless counts a request that goes to an upstream in any case.
+func (h *handler) takeRegardless(id string) {
+	now := clock.Now()
+	h.Tracker.Update(id, func(s health.State) health.State {
+		s.Status = s.Status.WithSend(now)
+		return s
+	})
+}
+
+// allPaused returns a reason if all upstreams of the service that aren't leaving
+// are in a Retry-After pause or at their limits, and how long it takes until the
+// first of them accepts a request again.
+func (h *handler) allPaused() (wait time.Duration, reason call.Reason) {
 	now := clock.Now()
 	for _, e := range h.snapshot.Upstreams.Service(h.service.Name) {
 		s := h.Tracker.Observe(e.ID, e.StartTime, now)
@@ -103,13 +137,42 @@
 		}
 		left := s.RetryAfter(now)
 		if left == 0 {
-			return 0, false
+			return 0, ""
+		}
+		if reason != "" && left >= wait {
+			continue
 		}
-		if !all || left < wait {
-			wait, all = left, true
+		wait, reason = left, call.Resting
+		if _, _, limited := s.Limit(now); limited {
+			reason = call.Limited
 		}
 	}
-	return wait, all
+	return wait, reason
+}
+
+// returnAfter returns when a caller should come back for which no upstream has a
+// request left, given the time until the first has one.
+func (h *handler) returnAfter(wait time.Duration) time.Duration {
+	perSecond := 0.0
+	for _, e := range h.snapshot.Upstreams.Service(h.service.Name) {
+		perSecond += h.Tracker.State(e.ID).Part()
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.returns[h.service.Name], wait = h.returns[h.service.Name].With(wait, perSecond, clock.Now())
+	return wait
+}
+
+// withPart returns an upstream's state with this host's part of its limit.
+func (r *Router) withPart(id string, state health.State, now clock.Instant) health.State {
+	perSecond, _, _ := state.Limit(now)
+	part := availability.PartOf(id, perSecond, r.Host, r.LiveHosts())
+	r.Tracker.Update(id, func(s health.State) health.State {
+		s.Status = s.WithPart(part, now)
+		state = s
+		return s
+	})
+	return state
 }
 
 // usable returns the upstreams of a service that may be sent a request now. If
@@ -119,6 +182,9 @@
 	var found []upstream
 	for _, e := range snapshot.Upstreams.Service(service.Name) {
 		state := r.Tracker.Observe(e.ID, e.StartTime, now)
+		if state.NeedsPart(now) {
+			state = r.withPart(e.ID, state, now)
+		}
 		if e.Leaving || exclude(e.ID) || !state.Usable(now) {
 			continue
 		}
@@ -158,11 +224,15 @@
 func (h *handler) choose(upstreams []upstream) (target, bool) {
 	now := clock.Now()
 	requirements, shared := h.requirements(now)
+	upstreams = h.spareLimited(upstreams, now)
 	locations := h.locate(upstreams, shared, now)
 	upstreams = h.sample(upstreams, locations, now)
 	rank := h.rank()
 	candidates := h.candidates(upstreams, locations, rank, now)
 	i := allocation.Choose(candidates, requirements, h.call.ID)
+	if probe := slices.IndexFunc(upstreams, func(u upstream) bool { return u.state.LimitProbeDue(now) }); probe >= 0 {
+		return h.newTarget(upstreams[probe], candidates[probe], requirements, rank, locations), true
+	}
 	if h.call.Prompt.Model == "" {
 		return h.newTarget(upstreams[i], candidates[i], requirements, -1, locations), true
 	}
@@ -178,6 +248,21 @@
 	return h.newTarget(upstreams[i], candidates[i], requirements, rank, locations), true
 }
 
+// spareLimited returns the upstreams without those whose limit is left to longer
+// prompts, if there are any others. A limit counts requests, whatever their size:
+// the longest relieve the other upstreams most.
+func (h *handler) spareLimited(upstreams []upstream, now clock.Instant) []upstream {
+	h.mu.Lock()
+	isLong := float64(h.call.Prompt.Input) >= float64(h.meanInput[h.service.Name])
+	h.mu.Unlock()
+	if isLong || !slices.ContainsFunc(upstreams, func(u upstream) bool { return !u.isLimited(now) }) {
+		return upstreams
+	}
+	return slices.DeleteFunc(upstreams, func(u upstream) bool {
+		return !u.state.HasSpareRequests(now) && !u.state.LimitProbeDue(now)
+	})
+}
+
 // candidates returns the upstreams as the cost model sees them.
 func (h *handler) candidates(upstreams []upstream, locations []cacheLocations, rank int, now clock.Instant) []allocation.Candidate {
 	candidates := make([]allocation.Candidate, len(upstreams))
@@ -185,7 +270,7 @@
 		loc, _ := locationsFor(locations, u.weights)
 		candidates[i] = allocation.Candidate{
 			ID: u.ID, Running: u.load.Running, QueuedAhead: u.load.QueuedAhead(rank), Waiting: u.load.QueuedAhead(loadreport.Ranks), Slots: u.Slots, Connected: h.Sender.HasIdle(u.Address),
-			SameDomain: u.FailureDomain == h.FailureDomain, Cached: loc.tokensAt(u.ID), Fetchable: loc.fetchableTokens(), Owner: u.ID == loc.owner,
+			SameDomain: u.FailureDomain == h.FailureDomain, Cached: loc.tokensAt(u.ID), Fetchable: loc.fetchableTokens(), Owner: u.ID == loc.owner, Limited: u.isLimited(now),
 			FailureRate: u.state.FailureRate(now), Lag: u.state.Lag(now), Loss: u.valueLoss, WeightsOutdated: u.replaced,
 		}
 	}
--- a/forward/status.go
+++ b/forward/status.go
@@ -59,24 +59,64 @@
 		event.LimitInvalid.Info("Request", request, "Upstream", upstream, "Text", report.InvalidLimit)
 		return
 	}
-	_, since, limited := r.Tracker.State(upstream).Limit(now)
-	isNew := false
+	before := r.Tracker.State(upstream)
 	switch {
 	case report.Limited:
-		r.Tracker.Update(upstream, func(s health.State) health.State {
-			s.Status, isNew = s.WithLimit(report.RequestsPerSecond, availability.Answer, now)
-			return s
-		})
-	case limited && request != "" && report.Status < http.StatusInternalServerError && report.Status != http.StatusMisdirectedRequest:
-		// A rejection may come from before the limit, or from a proxy of it.
-		r.Tracker.Update(upstream, func(s health.State) health.State {
-			s.Status = s.WithoutLimit()
-			return s
-		})
-		event.LimitEnded.Info("Upstream", upstream, "Request", request, "Millis", now.Sub(since).Milliseconds())
+		isNew := r.setLimit(upstream, report.RequestsPerSecond, availability.Answer, now)
+		if request == "" {
+			r.Tracker.Update(upstream, func(s health.State) health.State {
+				s.Status = s.WithLimitInOwnCalls()
+				return s
+			})
+		}
+		if isNew {
+			r.Metrics.Counter("upstream_limits").Inc(1)
+			event.LimitNamed.Info("Upstream", upstream, "Request", request, "AnswerStatus", report.Status, "PerSecond", report.RequestsPerSecond, "Part", r.Tracker.State(upstream).Part())
+			r.LoadReports.NotifyLimit(loadreport.Limit{Engine: loadreport.HashEngine(upstream), Incarnation: uint64(before.Incarnation), Limited: true, PerSecond: report.RequestsPerSecond})
+		}
+	case (request != "" || before.OwnCallsNameLimit()) && report.Status < http.StatusInternalServerError && report.Status != http.StatusMisdirectedRequest:
+		// Rejections, and answers to this host's own calls, may name no limit
+		// though there is one.
+		if r.endLimit(upstream, request, now) {
+			r.LoadReports.NotifyLimit(loadreport.Limit{Engine: loadreport.HashEngine(upstream), Incarnation: uint64(before.Incarnation)})
+		}
 	}
-	if isNew {
-		r.Metrics.Counter("upstream_limits").Inc(1)
-		event.LimitNamed.Info("Upstream", upstream, "Request", request, "AnswerStatus", report.Status, "PerSecond", report.RequestsPerSecond, "Part", r.Tracker.State(upstream).Part())
+}
+
+// SetRemoteLimit records a limit that another host reported, or its end.
+func (r *Router) SetRemoteLimit(upstream string, l loadreport.Limit) {
+	now := clock.Now()
+	if !l.Limited {
+		r.endLimit(upstream, "", now)
+		return
 	}
+	if r.setLimit(upstream, l.PerSecond, availability.Peer, now) {
+		event.LimitNamed.Info("Upstream", upstream, "Request", "", "AnswerStatus", 0, "PerSecond", l.PerSecond, "Part", r.Tracker.State(upstream).Part())
+	}
+}
+
+// setLimit sets the limit of an upstream, and reports whether it is new.
+func (r *Router) setLimit(upstream string, perSecond float64, by availability.Source, now clock.Instant) (isNew bool) {
+	r.Tracker.Update(upstream, func(s health.State) health.State {
+		s.Status, isNew = s.WithLimit(perSecond, by, now)
+		return s
+	})
+	if state := r.Tracker.State(upstream); state.NeedsPart(now) {
+		r.withPart(upstream, state, now)
+	}
+	return isNew
+}
+
+// endLimit ends the limit of an upstream, and reports whether it had one.
+func (r *Router) endLimit(upstream, request string, now clock.Instant) bool {
+	_, since, limited := r.Tracker.State(upstream).Limit(now)
+	if !limited {
+		return false
+	}
+	r.Tracker.Update(upstream, func(s health.State) health.State {
+		s.Status = s.WithoutLimit()
+		return s
+	})
+	event.LimitEnded.Info("Upstream", upstream, "Request", request, "Millis", now.Sub(since).Milliseconds())
+	return true
 }
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -144,6 +144,7 @@
 	var outcome retry.Outcome
 	switch {
 	case found:
+		s.takeRegardless(t.id)
 		broken.exchange.Discard()
 		s.endAttempt(broken)
 	case idle:
--- a/health/health.go
+++ b/health/health.go
@@ -144,7 +144,6 @@
 // WithSend returns the state after a request was sent with a number of prompt
 // tokens to read.
 func (s State) WithSend(rank, tokens int, now clock.Instant) State {
-	s.Status = s.Status.WithSend(now)
 	s.Load.Running++
 	s.Load.Waiting[min(rank, loadreport.Ranks-1)] += tokens
 	return s
--- a/loadreport/exchange.go
+++ b/loadreport/exchange.go
@@ -53,6 +53,9 @@
 	// NotifyLeaving receives an engine that announced to another host that it is
 	// leaving.
 	NotifyLeaving func(Leaving)
+	// NotifyLimit receives a limit that an engine named to another host, or its
+	// end.
+	NotifyLimit func(Limit)
 }
 
 // Exchanger sends and receives load reports.
@@ -90,19 +93,22 @@
 	if len(u.Leaving) < maxEnginesPerMessage {
 		u.Leaving = append(u.Leaving, more.Leaving...)
 	}
+	if len(u.Limits) < maxEnginesPerMessage {
+		u.Limits = append(u.Limits, more.Limits...)
+	}
 }
 
 // isEmpty reports whether there are no updates.
 func (u *Updates) isEmpty() bool {
-	return len(u.Observed) == 0 && len(u.Evicted) == 0 && len(u.NotListening) == 0 && len(u.Loaded) == 0 && len(u.Leaving) == 0
+	return len(u.Observed) == 0 && len(u.Evicted) == 0 && len(u.NotListening) == 0 && len(u.Loaded) == 0 && len(u.Leaving) == 0 && len(u.Limits) == 0
 }
 
 // takeBatch removes and returns the updates for one message. Evicted parts go
 // first: wrongly assuming that a part is cached costs more than missing a cached
 // one.
 func (u *Updates) takeBatch() Updates {
-	batch := Updates{NotListening: u.NotListening, Loaded: u.Loaded, Leaving: u.Leaving}
-	u.NotListening, u.Loaded, u.Leaving = nil, nil, nil
+	batch := Updates{NotListening: u.NotListening, Loaded: u.Loaded, Leaving: u.Leaving, Limits: u.Limits}
+	u.NotListening, u.Loaded, u.Leaving, u.Limits = nil, nil, nil, nil
 	batch.Evicted = u.Evicted[:min(len(u.Evicted), maxPartsPerMessage)]
 	u.Evicted = u.Evicted[len(batch.Evicted):]
 	batch.Observed = u.Observed[:min(len(u.Observed), maxPartsPerMessage-len(batch.Evicted))]
@@ -177,6 +183,14 @@
 	x.FlushSoon()
 }
 
+// NotifyLimit sends early the limit that an engine named, or its end.
+func (x *Exchanger) NotifyLimit(l Limit) {
+	x.mu.Lock()
+	x.ownUpdates.add(Updates{Limits: []Limit{l}})
+	x.mu.Unlock()
+	x.FlushSoon()
+}
+
 // RemoteLoad returns the load that the other hosts put on an engine.
 func (x *Exchanger) RemoteLoad(e EngineHash) Load {
 	x.mu.Lock()
@@ -255,6 +269,9 @@
 	for _, l := range updates.Leaving {
 		x.Options.NotifyLeaving(l)
 	}
+	for _, l := range updates.Limits {
+		x.Options.NotifyLimit(l)
+	}
 }
 
 func (x *Exchanger) handleReport(r Report) *Updates {
--- a/loadreport/loadreport.go
+++ b/loadreport/loadreport.go
@@ -6,6 +6,7 @@
 import (
 	"encoding/binary"
 	"errors"
+	"math"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -97,8 +98,25 @@
 	Loaded []LoadedWeights
 	// Leaving are engines that announced that they accept no more requests.
 	Leaving []Leaving
+	// Limits are limits that engines named, or that have ended.
+	Limits []Limit
 }
 
+// Limit is the request rate that an incarnation of an engine takes from all hosts
+// together.
+type Limit struct {
+	Engine EngineHash
+	// Incarnation is the engine's start time in Unix milliseconds, 0 if unknown.
+	Incarnation uint64
+	// Limited is unset once the engine takes any number of requests again.
+	Limited bool
+	// PerSecond is the limit in requests a second, with three decimal places.
+	PerSecond float64
+}
+
+// limitUnit is the unit of encoded limits, in requests a second.
+const limitUnit = 0.001
+
 // Leaving is an incarnation of an engine that accepts no more requests.
 type Leaving struct {
 	Engine EngineHash
@@ -154,12 +172,24 @@
 	updatesKind
 )
 
+// limitsFlag is set in the kind of a message with limits. Hosts of earlier versions
+// reject such messages, and read all others.
+const limitsFlag = 0x80
+
+// kindOf returns the first byte of a message with updates.
+func kindOf(kind byte, u Updates) byte {
+	if len(u.Limits) > 0 {
+		return kind | limitsFlag
+	}
+	return kind
+}
+
 // errMalformed is returned for a message that can't be decoded.
 var errMalformed = errors.New("malformed load report")
 
 // Encode appends the message to a buffer.
 func (r Report) Encode(b []byte) []byte {
-	b = binary.BigEndian.AppendUint64(append(b, reportKind), r.Host)
+	b = binary.BigEndian.AppendUint64(append(b, kindOf(reportKind, r.Updates)), r.Host)
 	b = binary.AppendUvarint(b, r.Sequence)
 	return appendUpdates(appendLoads(b, r.Loads), r.Updates)
 }
@@ -179,7 +209,7 @@
 
 // Encode appends the message to a buffer.
 func (u Updates) Encode(b []byte) []byte {
-	b = binary.BigEndian.AppendUint64(append(b, updatesKind), u.Domain)
+	b = binary.BigEndian.AppendUint64(append(b, kindOf(updatesKind, u)), u.Domain)
 	b = binary.BigEndian.AppendUint64(b, u.Aggregator)
 	return appendUpdates(binary.AppendUvarint(b, u.Sequence), u)
 }
@@ -230,6 +260,19 @@
 		b = binary.BigEndian.AppendUint32(b, uint32(l.Engine))
 		b = binary.AppendUvarint(b, l.Incarnation)
 	}
+	if len(u.Limits) == 0 {
+		return b
+	}
+	b = binary.AppendUvarint(b, uint64(len(u.Limits)))
+	for _, l := range u.Limits {
+		b = binary.BigEndian.AppendUint32(b, uint32(l.Engine))
+		b = binary.AppendUvarint(b, l.Incarnation)
+		encoded := uint64(0) // not limited
+		if l.Limited {
+			encoded = 1 + uint64(math.Round(max(0, l.PerSecond)/limitUnit))
+		}
+		b = binary.AppendUvarint(b, encoded)
+	}
 	return b
 }
 
@@ -301,7 +344,7 @@
 	return list
 }
 
-func (d *decoder) updates() Updates {
+func (d *decoder) updates(withLimits bool) Updates {
 	u := Updates{Observed: d.parts(), Evicted: d.parts()}
 	for n := d.uvarint(); n > 0 && !d.malformed; n-- {
 		u.NotListening = append(u.NotListening, d.engine())
@@ -312,6 +355,16 @@
 	for n := d.uvarint(); n > 0 && !d.malformed; n-- {
 		u.Leaving = append(u.Leaving, Leaving{d.engine(), d.uvarint()})
 	}
+	if !withLimits {
+		return u
+	}
+	for n := d.uvarint(); n > 0 && !d.malformed; n-- {
+		l := Limit{Engine: d.engine(), Incarnation: d.uvarint()}
+		if encoded := d.uvarint(); encoded > 0 {
+			l.Limited, l.PerSecond = true, float64(encoded-1)*limitUnit
+		}
+		u.Limits = append(u.Limits, l)
+	}
 	return u
 }
 
@@ -319,9 +372,11 @@
 func Decode(b []byte) (any, error) {
 	d := &decoder{b: b}
 	var message any
-	switch d.take(1)[0] {
+	kind := d.take(1)[0]
+	withLimits := kind&limitsFlag != 0
+	switch kind &^ limitsFlag {
 	case reportKind:
-		message = Report{Host: d.uint64(), Sequence: d.uvarint(), Loads: d.loads(), Updates: d.updates()}
+		message = Report{Host: d.uint64(), Sequence: d.uvarint(), Loads: d.loads(), Updates: d.updates(withLimits)}
 	case summaryKind:
 		s := Summary{Domain: d.uint64(), Aggregator: d.uint64(), Sequence: d.uvarint()}
 		for n := d.uvarint(); n > 0 && !d.malformed; n-- {
@@ -332,7 +387,7 @@
 		message = s
 	case updatesKind:
 		domain, aggregator, sequence := d.uint64(), d.uint64(), d.uvarint()
-		u := d.updates()
+		u := d.updates(withLimits)
 		u.Domain, u.Aggregator, u.Sequence = domain, aggregator, sequence
 		message = u
 	default:
--- a/loadreport/loadreport_test.go
+++ b/loadreport/loadreport_test.go
@@ -23,10 +23,13 @@
 		NotListening: []loadreport.EngineHash{7, loadreport.HashEngine("e4")},
 		Loaded:       []loadreport.LoadedWeights{{Engine: 8, Version: 300}},
 	}
-	aggregated := updates
+	limited := updates
+	limited.Limits = []loadreport.Limit{{Engine: 8, Incarnation: 1 << 40, Limited: true, PerSecond: 4.25}, {Engine: 9}, {Engine: 10, Limited: true}}
+	aggregated := limited
 	aggregated.Domain, aggregated.Aggregator, aggregated.Sequence = 3, 4, 5
 	return []encoder{
 		loadreport.Report{Host: 7, Sequence: 300, Loads: loads, Updates: updates},
+		loadreport.Report{Host: 7, Sequence: 301, Loads: loads, Updates: limited},
 		loadreport.Summary{Domain: 1, Aggregator: 7, Sequence: 9, Members: []loadreport.HostHash{7, 8}, Digest: 1 << 30, Loads: loads},
 		loadreport.Summary{Domain: 1, Aggregator: 7, Sequence: 10, Digest: 5, Loads: loads},
 		aggregated,
--- a/storenode/caches.go
+++ b/storenode/caches.go
@@ -107,6 +107,19 @@
 	}
 }
 
+// engineLimited records the limit of an upstream, or its end, as another host
+// reported it.
+func (n *Node) engineLimited(l loadreport.Limit) {
+	for _, s := range n.syncer.State().Catalog.Services() {
+		for _, e := range n.syncer.State().Upstreams.Service(s.Name) {
+			known := n.tracker.State(e.ID).Incarnation
+			if loadreport.HashEngine(e.ID) == l.Engine && (known == 0 || l.Incarnation == 0 || uint64(known) == l.Incarnation) {
+				n.router.SetRemoteLimit(e.ID, l)
+			}
+		}
+	}
+}
+
 // updateEngine changes the health state of the engine with a hash.
 func (n *Node) updateEngine(hash loadreport.EngineHash, change func(id string, s health.State) health.State) {
 	for _, s := range n.syncer.State().Catalog.Services() {
--- a/storenode/limit_test.go
+++ b/storenode/limit_test.go
@@ -108,3 +108,43 @@
 		is.True(most <= allowed(perSecond))
 	}
 }
+
+// TestRequestsBeyondAllLimitsAreRefusedAtOnce has all upstreams of a service name
+// limits far below the load.
+func TestRequestsBeyondAllLimitsAreRefusedAtOnce(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t, 2, 0, 2)
+	for _, e := range d.services {
+		e.NameLimit("2")
+	}
+	refused, answered := 0, 0
+	for i := range 80 {
+		a := d.do(d.hosts[i%2], http.MethodPost, serviceHost, "/post/a", fmt.Sprint("r", i), nil, fmt.Sprint(i))
+		switch a.status {
+		case http.StatusOK:
+			answered++
+		case http.StatusServiceUnavailable:
+			refused++
+			seconds, err := strconv.ParseFloat(a.header.Get("Retry-After"), 64)
+			is.NoErr(err)
+			is.True(seconds > 0)
+			is.Equal(d.arrivals(fmt.Sprint("r", i)), 0) // it did not run
+		}
+		time.Sleep(25 * time.Millisecond)
+	}
+	t.Logf("%d answered, %d refused", answered, refused)
+	is.Equal(answered+refused, 80)
+	is.True(refused > 0)
+	is.True(answered > 5)
+	for _, e := range d.services {
+		e.NameLimit("")
+	}
+	d.await("the limits end", func() bool {
+		for i := range 10 {
+			if d.do(d.hosts[i%2], http.MethodPost, serviceHost, "/post/a", fmt.Sprint("e", time.Now().UnixNano()), nil, "body").status != http.StatusOK {
+				return false
+			}
+		}
+		return true
+	})
+}
--- a/storenode/storenode.go
+++ b/storenode/storenode.go
@@ -125,13 +125,15 @@
 		Replica: n.syncer, Sender: connections, Encoder: platform.Wire{}, Guard: guard, Tracker: n.tracker, LoadReports: lateExchanger{n},
 		Migrator: engines, Background: &n.wait,
 		Hosts:           func() int { return max(len(n.directory.Hosts()), len(n.settings.Platform.Seeds)) },
+		Host:            n.settings.Host.Name,
+		LiveHosts:       n.liveHosts,
 		FailureDomain:   n.settings.Host.FailureDomain,
 		RetryLimits:     retrybudget.Limits{Ratio: bounds.RepeatRatio, Window: bounds.RetryWindow(), Slack: bounds.RepeatSlack},
 		OldWeightsGrace: bounds.OldWeightsGrace() - weightsMargin, MaxBufferedBytes: int64(bufferShare * float64(n.settings.Machine.MemoryMB) * (1 << 20)), Metrics: scope,
 	})
 	if n.loadReports, err = loadreport.NewExchanger(ctx, &n.wait, loadreport.Options{
 		Listen: n.settings.Listen.Pulses, Port: uint16(n.settings.Listen.AnnouncedPulsesPort), Host: n.settings.Host.Name, FailureDomain: n.settings.Host.FailureDomain, Peers: n.loadReportPeers,
-		Loads: n.tracker.Loads, NotifyObserved: n.router.AddCachedPart, NotifyEvicted: func(s loadreport.CachedPart) { n.router.RemoveCachedPart(s) }, NotifyNotListening: n.engineNotListening, NotifyLoaded: n.engineLoaded, NotifyLeaving: n.engineLeaving,
+		Loads: n.tracker.Loads, NotifyObserved: n.router.AddCachedPart, NotifyEvicted: func(s loadreport.CachedPart) { n.router.RemoveCachedPart(s) }, NotifyNotListening: n.engineNotListening, NotifyLoaded: n.engineLoaded, NotifyLeaving: n.engineLeaving, NotifyLimit: n.engineLimited,
 	}); err != nil {
 		return err
 	}
@@ -256,6 +258,9 @@
 // requests.
 func (l lateExchanger) NotifyLeaving(u loadreport.Leaving) { l.node.loadReports.NotifyLeaving(u) }
 
+// NotifyLimit reports the limit of an upstream, or its end, to the other hosts.
+func (l lateExchanger) NotifyLimit(u loadreport.Limit) { l.node.loadReports.NotifyLimit(u) }
+
 // MaxStaleness returns the maximum age of the other hosts' reports.
 func (l lateExchanger) MaxStaleness() time.Duration { return l.node.loadReports.MaxStaleness() }
 
@@ -307,6 +312,11 @@
 	return n.syncer.Ready() && n.syncer.Fresh() && clock.Now().Sub(n.started) > startupOrderDelay
 }
 
+// liveHosts returns the names of this host and of those with recent load reports.
+func (n *Node) liveHosts() []string {
+	return slices.DeleteFunc(n.hostNames(), func(name string) bool { return name != n.settings.Host.Name && !n.loadReports.Alive(name) })
+}
+
 // nearbyHosts returns the hosts that a caller should use: this one and those with
 // recent load reports. A host that only the store lists may have failed long ago.
 func (n *Node) nearbyHosts(region, failureDomain string) []registry.Host {
