--- a/forward/stream.go
+++ b/forward/stream.go
@@ -79,6 +79,9 @@
 			s.recordAnswerStart(s.attempt)
 		}
 		switch {
+		case errors.Is(err, io.EOF) && x.EndsWithConnection() && s.attempt.events == 0:
+			// The engine may have crashed before the first event.
+			return io.ErrUnexpectedEOF
 		case errors.Is(err, io.EOF) && len(s.partial) == 0:
 			s.done = true
 		case errors.Is(err, io.EOF):
--- a/http1/exchange.go
+++ b/http1/exchange.go
@@ -205,6 +205,13 @@
 // Complete reports whether the answer has been read to its end.
 func (e *Exchange) Complete() bool { return e.complete }
 
+// EndsWithConnection reports whether the body has neither a length nor chunks, so
+// that only the end of the connection ends it.
+func (e *Exchange) EndsWithConnection() bool {
+	_, ok := e.body.(*closeDelimitedBody)
+	return ok
+}
+
 // Finish returns the connection to the pool if the answer was read to its end
 // and the whole request was written, and closes it otherwise.
 func (e *Exchange) Finish() {
--- a/standin/platform_cache.go
+++ b/standin/platform_cache.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -204,6 +205,6 @@
 }
 
 // writeEvent writes one event of a stream.
-func writeEvent(w http.ResponseWriter, i int) {
+func writeEvent(w io.Writer, i int) {
 	fmt.Fprintf(w, "id: %d\ndata: piece %d\n\n", i, i)
 }
--- a/standin/platform_engine.go
+++ b/standin/platform_engine.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"bytes"
 	"cmp"
 	"encoding/json"
 	"fmt"
@@ -94,6 +95,13 @@
 	PauseFault
 	// NoRoomFault stops a run that must migrate, but leaves its memory here.
 	NoRoomFault
+	// UnframedFault answers with neither a length nor chunks; the answer ends with
+	// its connection.
+	UnframedFault
+	// UnframedCutFault does the same and ends in the middle of the second event.
+	UnframedCutFault
+	// UnframedEmptyFault does the same and ends before the first event.
+	UnframedEmptyFault
 )
 
 // NewPlatformEngine starts an engine with weights version 1.
@@ -394,6 +402,9 @@
 	case ErrorFault:
 		w.WriteHeader(http.StatusInternalServerError)
 		return
+	case UnframedFault, UnframedCutFault, UnframedEmptyFault:
+		e.sendUnframed(w, r, fault, plainAnswer(r, body))
+		return
 	case ExtraFault:
 		e.sendTwoAnswers(w, id, plainAnswer(r, body))
 		return
@@ -426,6 +437,30 @@
 	time.Sleep(100 * time.Millisecond)
 }
 
+// sendUnframed sends an answer that ends with its connection.
+func (e *PlatformEngine) sendUnframed(w http.ResponseWriter, r *http.Request, fault PlatformFault, body string) {
+	id, weights := r.Header.Get("X-Attempt-Id"), e.Weights()
+	if e.Model != "" {
+		var events bytes.Buffer
+		after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+		for i := after + 1; i <= eventsPerStream && fault != UnframedEmptyFault; i++ {
+			if fault == UnframedCutFault && i == after+2 {
+				events.WriteString("id: " + strconv.Itoa(i) + "\nda")
+				break
+			}
+			writeEvent(&events, i)
+		}
+		body = events.String()
+	}
+	conn, buffered, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	fmt.Fprintf(buffered, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Stamp: %s.%s\r\nX-Weight-Versions: %d\r\nContent-Type: text/event-stream\r\n\r\n%s", id, e.ID, id, weights, body)
+	_ = buffered.Flush()
+}
+
 // eventsPerStream is the number of events of a stream.
 const eventsPerStream = 6
 
--- a/storenode/storenode_test.go
+++ b/storenode/storenode_test.go
@@ -97,6 +97,11 @@
 		{"a read is retried after an error", serviceHost, "GET", "/read/a", standin.ErrorFault, 200, 2, "GET /read/a ", false},
 		{"a truncated resumable stream is resumed", modelHost, "POST", "/full/a", standin.CutFault, 200, 2, completeStream(), false},
 		{"a truncated stream that is not resumable stays truncated", modelHost, "POST", "/flag/a", standin.CutFault, 200, 1, completeStream()[:len("id: 1\ndata: piece 1\n\n")], true},
+		{"a stream without framing is complete", modelHost, "POST", "/flag/a", standin.UnframedFault, 200, 1, completeStream(), false},
+		{"a stream without framing that ends inside an event is resumed", modelHost, "POST", "/full/a", standin.UnframedCutFault, 200, 2, completeStream(), false},
+		{"a stream without framing that ends inside an event stays truncated if it is not resumable", modelHost, "POST", "/flag/a", standin.UnframedCutFault, 200, 1, completeStream()[:len("id: 1\ndata: piece 1\n\n")], true},
+		{"a stream without framing and events is resumed", modelHost, "POST", "/full/a", standin.UnframedEmptyFault, 200, 2, completeStream(), false},
+		{"an answer without framing is complete", serviceHost, "POST", "/post/a", standin.UnframedFault, 200, 1, "POST /post/a body", false},
 		{"a stream that is not resumable is not retried", modelHost, "POST", "/flag/a", standin.ResetFault, 502, 1, "", false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/upstream/client_test.go
+++ b/upstream/client_test.go
@@ -78,6 +78,49 @@
 	is.True(errors.As(err, &notStarted))
 }
 
+// TestStreamWithoutFraming reads streams that have neither a length nor chunks and
+// end with their connection.
+func TestStreamWithoutFraming(t *testing.T) {
+	for _, tt := range []struct {
+		name, body string
+		chunks     int
+		end        error
+	}{
+		{"whole", "id: 1\ndata: {}\n\ndata: [DONE]\n\n", 2, nil},
+		{"inside an event", "id: 1\ndata: {}\n\nid: 2\nda", 1, upstream.ErrMissingEnd},
+		{"before the first event", "", 0, upstream.ErrMissingEnd},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			t.Cleanup(func() { _ = listener.Close() })
+			go func() {
+				conn, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				defer func() { _ = conn.Close() }()
+				if req, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+					_, _ = io.Copy(io.Discard, req.Body)
+				}
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"+tt.body)
+			}()
+			stream, err := upstream.NewClient().Open(context.Background(), upstream.Call{Address: listener.Addr().String(), Method: http.MethodPost, Path: "/v1/completions", Body: []byte("{}")})
+			is.NoErr(err)
+			defer stream.Close()
+			for range tt.chunks {
+				_, err := stream.Next()
+				is.NoErr(err)
+			}
+			if tt.end != nil {
+				_, err := stream.Next()
+				is.True(errors.Is(err, tt.end))
+			}
+		})
+	}
+}
+
 // TestDecoder checks each way in which an engine's stream can end.
 func TestDecoder(t *testing.T) {
 	tests := []struct {
