--- a/forward/stream.go
+++ b/forward/stream.go
@@ -79,13 +79,10 @@
 			s.recordAnswerStart(s.attempt)
 		}
 		switch {
-		case errors.Is(err, io.EOF) && x.EndsWithConnection() && s.attempt.events == 0:
-			// The engine may have crashed before the first event.
+		case errors.Is(err, io.EOF) && s.wasBrokenOff():
 			return io.ErrUnexpectedEOF
-		case errors.Is(err, io.EOF) && len(s.partial) == 0:
-			s.done = true
 		case errors.Is(err, io.EOF):
-			return io.ErrUnexpectedEOF
+			s.done = true
 		case err != nil:
 			return err
 		}
@@ -93,6 +90,12 @@
 	return nil
 }
 
+// wasBrokenOff reports whether an answer that has ended is incomplete: it ended
+// inside an event, or without framing before its first event, as after a crash.
+func (s *stream) wasBrokenOff() bool {
+	return len(s.partial) > 0 || s.attempt.exchange.EndsWithConnection() && s.attempt.events == 0
+}
+
 // completeLength returns the length of the complete events at the start of b.
 func completeLength(b []byte) int {
 	if i := bytes.LastIndex(b, []byte("\n\n")); i >= 0 {
