--- a/soak/caller.go
+++ b/soak/caller.go
@@ -105,7 +105,8 @@
 
 func (d *deployment) sendWithKey(conn *connection, c *call, key string) bool {
 	r := standin.PlatformRequest{ID: c.id, Method: http.MethodPost, Host: plainHost, Path: "/" + c.kind + "/a", Key: key, Deadline: callDeadline, Body: "of " + c.id}
-	if c.isCrasher {
+	byPart := c.isCrasher && d.crasher.byPart
+	if c.isCrasher && !byPart {
 		r.Path, r.Body = "/"+c.kind+"/"+crasherMark, crasherMark
 	}
 	switch c.kind {
@@ -113,6 +114,9 @@
 		r.Host = modelHost
 		// Callers share ten documents.
 		document := "doc" + string(c.id[len(c.id)-1])
+		if byPart {
+			document = deadlyPart
+		}
 		r.Prompt = &standin.PlatformPrompt{Model: model, Input: 900, MaxOutput: 300, Parts: []standin.PlatformPart{{ID: "sys", Tokens: 200}, {ID: document, Tokens: 500}, {ID: "own", Tokens: 200}}}
 	case "read":
 		r.Method, r.Body = http.MethodGet, ""
--- a/soak/crasher.go
+++ b/soak/crasher.go
@@ -16,18 +16,25 @@
 	crasherMark = "crasher"
 	// crasherPause is the mean time between two sends of that request.
 	crasherPause = 400 * time.Millisecond
+	// deadlyPart is the prompt part of different requests that crash engines.
+	deadlyPart = "deadly"
 	// At most crasherMaxLate upstreams may crash later than crasherGrace after the
-	// first crasherFreeLosses crashes.
+	// first crasherFreeLosses crashes, or partFreeLosses by requests that share
+	// only a part.
 	crasherFreeLosses = 3
+	partFreeLosses    = 5
 	crasherGrace      = 3 * time.Second
 	crasherMaxLate    = 3
 )
 
-// crasher describes a request that crashes every upstream that executes it. The
-// seed determines its properties.
+// crasher describes a request that crashes every upstream that executes it, or
+// requests that do so and share a prompt part. The seed determines its
+// properties.
 type crasher struct {
 	kind       string
 	crashPoint standin.PlatformCrashPoint
+	// byPart means that the requests differ and share deadlyPart.
+	byPart bool
 	// reusesNames means that crashed upstreams restart with the same names.
 	reusesNames bool
 }
@@ -37,10 +44,28 @@
 	c := crasher{kind: callKinds[random.IntN(len(callKinds))], crashPoint: standin.BeforeHead, reusesNames: random.IntN(2) == 0}
 	if c.kind == "flag" || c.kind == "full" {
 		c.crashPoint = []standin.PlatformCrashPoint{standin.BeforeHead, standin.AfterHead, standin.AfterEvent}[random.IntN(3)]
+		c.byPart = random.IntN(2) == 1
 	}
 	return c
 }
 
+// freeLosses returns the number of crashes that the hosts need to learn from.
+func (c crasher) freeLosses() int {
+	if c.byPart {
+		return partFreeLosses
+	}
+	return crasherFreeLosses
+}
+
+// arm makes the requests crash an upstream.
+func (c crasher) arm(e *standin.PlatformEngine, crashed func()) {
+	if c.byPart {
+		e.CrashOnPart(deadlyPart, c.crashPoint, crashed)
+		return
+	}
+	e.CrashOn(crasherMark, c.crashPoint, crashed)
+}
+
 // sendCrasher sends the request to random hosts until the context ends.
 func (d *deployment) sendCrasher(ctx context.Context, seed uint64) {
 	random := rand.New(rand.NewPCG(seed, 4))
@@ -92,16 +117,17 @@
 func (d *deployment) checkCrasher(report func(string, ...any)) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if len(d.crashTimes) <= crasherFreeLosses {
+	free := d.crasher.freeLosses()
+	if len(d.crashTimes) <= free {
 		return
 	}
 	late := 0
 	for _, at := range d.crashTimes {
-		if at.Sub(d.crashTimes[crasherFreeLosses-1]) > crasherGrace {
+		if at.Sub(d.crashTimes[free-1]) > crasherGrace {
 			late++
 		}
 	}
 	if late > crasherMaxLate {
-		report("a %s request that crashes upstreams crashed %d, %d of them after the hosts should have stopped it", d.crasher.kind, len(d.crashTimes), late)
+		report("%s requests that crash upstreams (by a part: %v) crashed %d, %d of them after the hosts should have stopped them", d.crasher.kind, d.crasher.byPart, len(d.crashTimes), late)
 	}
 }
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -165,7 +165,7 @@
 	e.Advertised = u.link.address()
 	e.Pace(eventPause)
 	e.Load(d.weights)
-	e.CrashOn(crasherMark, d.crasher.crashPoint, func() { d.handleCrash(u) })
+	d.crasher.arm(e, func() { d.handleCrash(u) })
 	u.link.setTarget(e.Address())
 	u.current = e
 	d.store.Register(e)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -62,6 +62,8 @@
 		{Seed: 8029, Span: 12 * time.Second, Hosts: 4, Engines: 5, Services: 2, Callers: 16},
 		// The stand-in carried out orders that were meant for another instance.
 		{Seed: 9002, Span: 10 * time.Second, Hosts: 4, Engines: 5, Services: 2, Callers: 16},
+		// Requests that share a part crash engines.
+		{Seed: 21012, Span: 10 * time.Second, Hosts: 4, Engines: 5, Services: 2, Callers: 16},
 		// An engine loaded weights for a host that was killed. Whenever it refused
 		// the other hosts, they assumed newer weights than it had, and never ordered
 		// it again.
