--- a/crash/persist.go
+++ b/crash/persist.go
@@ -29,16 +29,25 @@
 // store persists records across restarts of the hosts, and delivers them to
 // hosts that the others can't reach.
 type store interface {
-	// Crashers waits for records from a position on and returns them with the
-	// next position. From a position below 0 it returns the newest record of
-	// each request without waiting.
-	Crashers(ctx context.Context, from int64, wait time.Duration) (records []quarantine.Record, next int64, err error)
+	// Crashers waits for records from a position on. From a position below 0, or
+	// one that the store no longer has, it returns the newest record of each
+	// request without waiting.
+	Crashers(ctx context.Context, from int64, wait time.Duration) (StoredRecords, error)
 	// PersistCrasher writes a record, replacing the previous one of its request.
 	PersistCrasher(ctx context.Context, r quarantine.Record) error
 	// RemoveCrasher removes the record of a request.
 	RemoveCrasher(ctx context.Context, f quarantine.Fingerprint) error
 }
 
+// StoredRecords is what a read of the store returns.
+type StoredRecords struct {
+	Records []quarantine.Record
+	// Next is the position of the next read.
+	Next int64
+	// Complete means that a request without a record has none in the store.
+	Complete bool
+}
+
 // storedRecord summarizes the stored record of a request.
 type storedRecord struct {
 	losses                   int
@@ -56,7 +65,7 @@
 	position, failing := int64(-1), false
 	for ctx.Err() == nil {
 		call, cancel := context.WithTimeout(ctx, storePollTimeout+storeCallMargin)
-		records, next, err := g.Store.Crashers(call, position, storePollTimeout)
+		read, err := g.Store.Crashers(call, position, storePollTimeout)
 		cancel()
 		switch {
 		case ctx.Err() != nil:
@@ -70,18 +79,59 @@
 			continue
 		case failing:
 			failing = false
-			event.CrashRecordsReadable.Info("Position", next)
+			event.CrashRecordsReadable.Info("Position", read.Next)
 		}
 		if position < 0 {
-			g.removeExpired(records)
+			g.removeExpired(read.Records)
+		} else if read.Complete {
+			g.restoreStored(read.Records)
 		}
-		position = next
-		g.updateStored(records)
-		g.merge(records, storeSource)
-		g.clear(records)
+		position = read.Next
+		g.updateStored(read.Records)
+		g.merge(read.Records, storeSource)
+		g.clear(read.Records)
 	}
 }
 
+// restoreStored writes again what the store has lost: verdicts that still hold, and
+// the removal of records that were answered since. The host that wrote a record
+// does so, and the host that owns it, since the writer may be gone.
+func (g *Guard) restoreStored(records []quarantine.Record) {
+	now := time.Now()
+	listed := map[quarantine.Fingerprint]bool{}
+	for _, r := range records {
+		listed[r.Fingerprint] = true
+		if answer, ok := g.answerSince(r); ok && g.owns(r.Fingerprint) {
+			g.persist(answer)
+		}
+	}
+	g.mu.Lock()
+	var lost []quarantine.Record
+	for f, s := range g.stored {
+		if listed[f] {
+			continue
+		}
+		delete(g.stored, f)
+		if r, ok := g.table.LastLoss(f, now); ok && (s.writtenHere || g.owns(f)) {
+			lost = append(lost, r)
+		}
+	}
+	g.mu.Unlock()
+	for _, r := range lost {
+		if r = g.withVerdict(r, now); g.shouldPersist(r) {
+			g.persist(r)
+		}
+	}
+}
+
+// answerSince returns the known answer to a request or part after a stored loss.
+func (g *Guard) answerSince(r quarantine.Record) (quarantine.Record, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	at, ok := g.table.AnsweredAt(r.Fingerprint)
+	return quarantine.Record{Fingerprint: r.Fingerprint, Answered: true, At: at}, ok && at.After(r.At)
+}
+
 // updateStored updates the summaries of stored records.
 func (g *Guard) updateStored(records []quarantine.Record) {
 	g.mu.Lock()
--- a/crash/persist_test.go
+++ b/crash/persist_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"sync"
 	"testing"
 	"time"
@@ -22,9 +23,12 @@
 	dropped int
 	// allowRead blocks reads until it is closed; nil doesn't block.
 	allowRead chan struct{}
+	// restored makes a waiting read return all records, as after the store came
+	// back from an older copy.
+	restored chan struct{}
 }
 
-func (s *fakeStore) Crashers(ctx context.Context, from int64, _ time.Duration) ([]quarantine.Record, int64, error) {
+func (s *fakeStore) Crashers(ctx context.Context, from int64, _ time.Duration) (crash.StoredRecords, error) {
 	if s.allowRead != nil {
 		select {
 		case <-s.allowRead:
@@ -32,8 +36,11 @@
 		}
 	}
 	if from >= 0 {
-		<-ctx.Done()
-		return nil, from, ctx.Err()
+		select {
+		case <-s.restored:
+		case <-ctx.Done():
+			return crash.StoredRecords{}, ctx.Err()
+		}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -41,7 +48,7 @@
 	for _, r := range s.records {
 		records = append(records, r)
 	}
-	return records, 1, nil
+	return crash.StoredRecords{Records: records, Next: 1, Complete: true}, nil
 }
 
 func (s *fakeStore) PersistCrasher(_ context.Context, r quarantine.Record) error {
@@ -210,3 +217,36 @@
 	awaitRecord("thrice", 4, true)
 	is.True(!s.has("others alone"))
 }
+
+// TestVerdictsAreWrittenAgainAfterRestore has the store come back from a copy that
+// lacks a verdict and still has one that was cleared.
+func TestVerdictsAreWrittenAgainAfterRestore(t *testing.T) {
+	is := is.New(t)
+	s := &fakeStore{records: map[quarantine.Fingerprint]quarantine.Record{}, restored: make(chan struct{})}
+	ctx, cancel := context.WithCancel(context.Background())
+	var wait conc.WaitGroup
+	defer wait.Wait()
+	defer cancel()
+	g := crash.NewGuard(ctx, &wait, crash.Options{Peers: func() []string { return nil }, Store: s})
+	lose := func(f quarantine.Fingerprint) {
+		for _, engine := range []string{"a", "b", "c", "d"} {
+			g.Lost(quarantine.Loss{Content: quarantine.Content{Request: f}, Attempt: "x", Engine: string(f) + engine, Sent: time.Now()})
+		}
+	}
+	lose("cleared")
+	await(t, func() bool { return s.has("cleared") })
+	s.mu.Lock()
+	copied := maps.Clone(s.records)
+	s.mu.Unlock()
+	g.Answered("y", quarantine.Content{Request: "cleared"})
+	await(t, func() bool { return !s.has("cleared") })
+	lose("crasher")
+	await(t, func() bool { return s.has("crasher") })
+	s.mu.Lock()
+	s.records = copied
+	s.mu.Unlock()
+	s.restored <- struct{}{}
+	await(t, func() bool { return s.has("crasher") && !s.has("cleared") })
+	is.True(!admits(g, "crasher"))
+	is.True(admits(g, "cleared"))
+}
--- a/event/replica.go
+++ b/event/replica.go
@@ -41,6 +41,8 @@
 	UpstreamLeaving = Event{6107, "upstream leaves", "An upstream reported in an answer that it is leaving, or another host forwarded that report; no more requests are sent to it. Another host's report is valid for 15 s."}
 	// RetryAfterReceived reports an upstream that asked for a pause without requests.
 	RetryAfterReceived = Event{6108, "upstream rests", "An upstream rejected a request and asked this host for a pause without requests; at most two requests are sent to it until the pause ends."}
+	// StoreRestored reports a store that lost records that it had acknowledged.
+	StoreRestored = Event{6009, "store restored", "The platform's store came back from an older copy: what was written since is gone, and its offsets are given out again. This host reads all records again, writes again what it keeps there, and sends engines no orders for some seconds unless it holds the lease. Era counts how often that happened."}
 	// LimitNamed reports an upstream that limits its requests.
 	LimitNamed = Event{6110, "upstream limited", "An upstream named in an answer how many requests a second it takes from all hosts together, changed that limit, or another host forwarded it. PerSecond is the limit, Part what this host may send; AnswerStatus is the status of the answer, 0 for another host's report."}
 	// LimitEnded reports an upstream that no longer limits its requests.
@@ -62,5 +64,5 @@
 var replicaEvents = []Event{
 	StoreUnreachable, StoreReachable, HistoryTrimmed, CatalogChanged, TargetWeightsChanged, UpstreamChanged, UpstreamRemoved, RecordRejected,
 	LeaseAcquired, LeaseNotAcquired, LeaseHeldElsewhere, LoadOrdered, LoadEnded, UpstreamReportedUnreachable, FeedDisconnected, FeedReconnected, CacheReset,
-	UpstreamLeaving, RetryAfterReceived, LimitNamed, LimitEnded, LimitInvalid, RetryAfterInvalid, CrashRecordsUnreadable, CrashRecordsReadable, CrashRecordPersisted, CrashRecordNotPersisted,
+	StoreRestored, UpstreamLeaving, RetryAfterReceived, LimitNamed, LimitEnded, LimitInvalid, RetryAfterInvalid, CrashRecordsUnreadable, CrashRecordsReadable, CrashRecordPersisted, CrashRecordNotPersisted,
 }
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -31,11 +31,22 @@
 	Offset    int64 `json:"-"`
 }
 
+// Log is what a host reads of the log of claims.
+type Log struct {
+	Claims []Claim
+	// End is the offset of the end of the log.
+	End int64
+	// Era rises each time the log lost claims that it had confirmed.
+	Era int64
+}
+
 // receivedClaim is the latest claim received for an upstream.
 type receivedClaim struct {
 	holder     string
 	offset     int64
 	receivedAt clock.Instant
+	// era is that of the log when the claim was received.
+	era int64
 }
 
 // State holds the claims that a host has received. It is immutable.
@@ -45,17 +56,22 @@
 	// LastReceived is when the last claim of any host was received.
 	LastReceived clock.Instant
 	claims       map[string]receivedClaim
+	// era is the latest era of the log, and eraSince when this host learned of
+	// it; zero if the log never lost claims.
+	era      int64
+	eraSince clock.Instant
 }
 
 // With returns the state with a claim added.
 func (s State) With(c Claim, now clock.Instant) State {
-	next := State{Position: s.Position, LastReceived: s.LastReceived, claims: make(map[string]receivedClaim, len(s.claims)+len(c.Upstreams))}
+	next := s
+	next.claims = make(map[string]receivedClaim, len(s.claims)+len(c.Upstreams))
 	maps.Copy(next.claims, s.claims)
 	for _, u := range c.Upstreams {
 		if known, ok := next.claims[u]; ok && known.offset >= c.Offset {
 			continue
 		}
-		next.claims[u] = receivedClaim{c.Holder, c.Offset, now}
+		next.claims[u] = receivedClaim{c.Holder, c.Offset, now, s.era}
 		next.LastReceived = now
 	}
 	return next
@@ -67,10 +83,34 @@
 	return s
 }
 
+// WithLog returns the state after a read of the log.
+func (s State) WithLog(l Log, now clock.Instant) State {
+	if l.Era > s.era {
+		s.era, s.eraSince = l.Era, now
+	}
+	for _, c := range l.Claims {
+		s = s.With(c, now)
+	}
+	return s.WithPosition(l.End)
+}
+
+// mayHaveLostClaim reports whether another host may hold a claim on an upstream
+// that the log lost: until its lease has expired, only a host whose claim from
+// before is still in force knows that there is none.
+func (s State) mayHaveLostClaim(c receivedClaim, holder string, lease time.Duration, now clock.Instant) bool {
+	if s.eraSince == 0 || now.Sub(s.eraSince) >= Window+deliveryMargin+lease {
+		return false
+	}
+	return c.holder != holder || c.era == s.era || now.Sub(c.receivedAt) >= Window+deliveryMargin+lease
+}
+
 // MayClaim reports whether a host may claim an upstream: no other host can
 // still order it, and the lease after the last order has expired.
 func (s State) MayClaim(upstream, holder string, lease time.Duration, now clock.Instant) bool {
 	c, ok := s.claims[upstream]
+	if s.mayHaveLostClaim(c, holder, lease, now) {
+		return false
+	}
 	return !ok || c.holder == holder || now.Sub(c.receivedAt) >= Window+deliveryMargin+lease
 }
 
--- a/quarantine/classify.go
+++ b/quarantine/classify.go
@@ -155,6 +155,21 @@
 	return slices.DeleteFunc(found, func(r Record) bool { return now.Sub(r.At) >= lifetime })
 }
 
+// LastLoss returns the last loss of a request or part since its last answer.
+func (t Table) LastLoss(f Fingerprint, now time.Time) (Record, bool) {
+	losses := t.losses(f, now)
+	if len(losses) == 0 {
+		return Record{}, false
+	}
+	return losses[len(losses)-1], true
+}
+
+// AnsweredAt returns the time of the last known answer, and false without one.
+func (t Table) AnsweredAt(f Fingerprint) (time.Time, bool) {
+	at := t.lastAnswer(f)
+	return at, !at.IsZero()
+}
+
 // lastAnswer returns the time of the last known answer.
 func (t Table) lastAnswer(f Fingerprint) time.Time {
 	for _, r := range slices.Backward(t.records[f]) {
--- a/reloader/reloader.go
+++ b/reloader/reloader.go
@@ -86,8 +86,9 @@
 
 // claimLog is the log of claims.
 type claimLog interface {
-	// Claims returns the claims from an offset on, and the end of the log.
-	Claims(ctx context.Context, from int64) ([]lease.Claim, int64, error)
+	// Claims returns the claims from an offset on, or all if the log has lost
+	// claims since that offset was read.
+	Claims(ctx context.Context, from int64) (lease.Log, error)
 	// Claim appends a claim if the log ends at the offset.
 	Claim(ctx context.Context, c lease.Claim, end int64) (ok bool, err error)
 }
@@ -258,18 +259,14 @@
 	c.mu.Lock()
 	from := c.leases.Position
 	c.mu.Unlock()
-	claims, end, err := c.Claims.Claims(ctx, from)
+	log, err := c.Claims.Claims(ctx, from)
 	if err != nil {
 		event.LeaseNotAcquired.Error(err, "Position", from)
 		return
 	}
-	now := clock.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, claim := range claims {
-		c.leases = c.leases.With(claim, now)
-	}
-	c.leases = c.leases.WithPosition(end)
+	c.leases = c.leases.WithLog(log, clock.Now())
 }
 
 // claimAndOrder claims engines and orders them to load.
--- a/replica/syncer.go
+++ b/replica/syncer.go
@@ -61,6 +61,10 @@
 // ErrTrimmed means that the store no longer has the records after a position.
 var ErrTrimmed = errors.New("records were trimmed")
 
+// ErrRestored means that the store came back from an older copy since the position
+// was read.
+var ErrRestored = errors.New("the store came back from an older copy")
+
 // errInterrupted means that this host cancelled a read to start it again.
 var errInterrupted = errors.New("the read was interrupted")
 
@@ -239,6 +243,11 @@
 		requested := clock.Now()
 		d, delay, err := s.read(t, listed)
 		switch {
+		case errors.Is(err, ErrRestored):
+			// Upstreams whose entries were lost write them again.
+			s.deferUntil.Store(int64(clock.Now().Add(returnGrace)))
+			event.HistoryTrimmed.Info("Topic", t, "Position", s.State().Position(t))
+			listed = false
 		case errors.Is(err, ErrTrimmed):
 			event.HistoryTrimmed.Info("Topic", t, "Position", s.State().Position(t))
 			listed = false
--- a/standin/platform_store.go
+++ b/standin/platform_store.go
@@ -5,8 +5,10 @@
 	"encoding/binary"
 	"encoding/json"
 	"io"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -30,6 +32,8 @@
 	// answersToLose is how many of the next appends take effect without being answered.
 	answersToLose int
 	calls         map[string]int
+	// era counts how often the store came back from an older copy.
+	era int64
 }
 
 type platformTopic struct {
@@ -110,6 +114,25 @@
 	t.records = nil
 }
 
+// Copy returns a function that brings the store back to its present content: what
+// is written until then is lost.
+func (s *PlatformStore) Copy() (restore func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	copied := map[string]*platformTopic{}
+	for name, t := range s.topics {
+		copied[name] = &platformTopic{first: t.first, records: slices.Clone(t.records), newest: maps.Clone(t.newest)}
+	}
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.topics = copied
+		s.era++
+		close(s.changed)
+		s.changed = make(chan struct{})
+	}
+}
+
 // Put writes the record of a key; a nil value removes the key.
 func (s *PlatformStore) Put(topic, key string, value any) {
 	record := append([]byte{byte(len(key))}, key...)
@@ -172,6 +195,7 @@
 		s.calls[r.URL.Path]++
 		status, mute := max(s.refuse[ip], s.refuse[""]), s.mute
 		s.mu.Unlock()
+		w = &eraWriter{w, s}
 		if mute != nil {
 			select {
 			case <-mute:
@@ -187,6 +211,21 @@
 	})
 }
 
+// eraWriter names the store's era in the head of an answer.
+type eraWriter struct {
+	http.ResponseWriter
+
+	store *PlatformStore
+}
+
+// WriteHeader writes the head with the era at this moment.
+func (w *eraWriter) WriteHeader(status int) {
+	w.store.mu.Lock()
+	w.Header().Set("Store-Era", strconv.FormatInt(w.store.era, 10))
+	w.store.mu.Unlock()
+	w.ResponseWriter.WriteHeader(status)
+}
+
 func platformJSON(w http.ResponseWriter, status int, body any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
@@ -235,7 +274,7 @@
 		s.mu.Lock()
 		t, changed := s.topic(query.Get("topic")), s.changed
 		end := t.first + int64(len(t.records))
-		if from < t.first {
+		if from < t.first || from > end && s.era > 0 {
 			first := t.first
 			s.mu.Unlock()
 			platformJSON(w, http.StatusGone, map[string]int64{"first_offset": first})
@@ -248,6 +287,7 @@
 				out = append(binary.BigEndian.AppendUint32(out, uint32(len(record))), record...)
 			}
 			s.mu.Unlock()
+			w.WriteHeader(http.StatusOK)
 			_, _ = w.Write(out)
 			return
 		}
--- a/storenode/storenode.go
+++ b/storenode/storenode.go
@@ -330,20 +330,24 @@
 	return found
 }
 
-// announce writes this host's addresses to the store, retrying until it succeeds.
+// announce writes this host's addresses to the store, retrying until it succeeds,
+// and again whenever the store has come back from an older copy.
 func (n *Node) announce(ctx context.Context) {
 	self := registry.Host{
 		Name: n.settings.Host.Name, Role: registry.EntryHost, FailureDomain: n.settings.Host.FailureDomain, Region: n.settings.Host.Region,
 		State: registry.Live, Callers: n.settings.Listen.Callers, Peers: n.settings.Listen.PeersAddress(),
 	}
-	for ctx.Err() == nil {
+	for announced := int64(-1); ctx.Err() == nil; clock.Pause(ctx, announceRetryInterval) {
+		era := n.store.Era()
+		if announced == era {
+			continue
+		}
 		storeCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 		err := n.store.Announce(storeCtx, self)
 		cancel()
-		if err == nil {
-			return
+		if err == nil && n.store.Era() == era {
+			announced = era
 		}
-		clock.Pause(ctx, announceRetryInterval)
 	}
 }
 
