--- a/crash/admission.go
+++ b/crash/admission.go
@@ -25,6 +25,10 @@
 // which it is refused. Suspect requests with the same fingerprint run one at a
 // time; the others wait for the verdict.
 func (g *Guard) Admit(ctx context.Context, attempt string, c quarantine.Content) (release func(), refused *request.Failure) {
+	select {
+	case <-g.loaded:
+	case <-ctx.Done():
+	}
 	for {
 		s := g.tryStart(c)
 		switch {
--- a/crash/guard.go
+++ b/crash/guard.go
@@ -80,6 +80,8 @@
 	serial atomic.Int64
 	// knownGoodRequests and knownGoodParts hold what was answered recently.
 	knownGoodRequests, knownGoodParts knownGood
+	// loaded is closed once the store was read, failed or took too long.
+	loaded chan struct{}
 	// writeTrigger signals that a record waits to be written to the store.
 	writeTrigger chan struct{}
 	// mu guards the fields below.
@@ -101,9 +103,16 @@
 	}
 	o.BatchDelay = cmp.Or(o.BatchDelay, defaultBatchDelay)
 	g := &Guard{Options: o, newRecords: make(chan []quarantine.Record, queueCapacity), trials: map[quarantine.Fingerprint]*trial{},
-		writeTrigger: make(chan struct{}, 1), ownLosses: map[quarantine.Fingerprint]quarantine.Record{}, pendingWrites: map[quarantine.Fingerprint]quarantine.Record{}, stored: map[quarantine.Fingerprint]storedRecord{}}
-	if g.Store != nil {
-		wait.Go(func() { g.followStore(ctx) })
+		loaded: make(chan struct{}), writeTrigger: make(chan struct{}, 1), ownLosses: map[quarantine.Fingerprint]quarantine.Record{}, pendingWrites: map[quarantine.Fingerprint]quarantine.Record{}, stored: map[quarantine.Fingerprint]storedRecord{}}
+	if g.Store == nil {
+		close(g.loaded)
+	} else {
+		endLoad := sync.OnceFunc(func() { close(g.loaded) })
+		timer := time.AfterFunc(maxLoadTime, endLoad)
+		wait.Go(func() {
+			defer timer.Stop()
+			g.followStore(ctx, endLoad)
+		})
 		wait.Go(func() { g.writeStore(ctx) })
 	}
 	wait.Go(func() {
--- a/crash/persist.go
+++ b/crash/persist.go
@@ -16,6 +16,9 @@
 	// persisted. With one less, hosts would write a record for each request
 	// that ran on two of the lost engines in a large outage.
 	minPersistedLosses = 3
+	// maxLoadTime bounds the time for which a host that has just started waits for
+	// the stored verdicts before it admits requests.
+	maxLoadTime = time.Second
 	// storePollTimeout is how long a read of the store waits for new records:
 	// two calls a minute from each host while there are none.
 	storePollTimeout = 25 * time.Second
@@ -60,8 +63,9 @@
 	return s.losses >= r.Losses && (s.quarantined || !r.Quarantined) && (s.account == "" || s.account == r.Account)
 }
 
-// followStore merges records from the store until the context ends.
-func (g *Guard) followStore(ctx context.Context) {
+// followStore merges records from the store until the context ends. It calls
+// endLoad after the first read.
+func (g *Guard) followStore(ctx context.Context, endLoad func()) {
 	position, failing := int64(-1), false
 	for ctx.Err() == nil {
 		call, cancel := context.WithTimeout(ctx, storePollTimeout+storeCallMargin)
@@ -75,6 +79,7 @@
 				event.CrashRecordsUnreadable.Error(err)
 			}
 			failing = true
+			endLoad()
 			clock.Pause(ctx, storeRetryDelay)
 			continue
 		case failing:
@@ -90,6 +95,7 @@
 		g.updateStored(read.Records)
 		g.merge(read.Records, storeSource)
 		g.clear(read.Records)
+		endLoad()
 	}
 }
 
--- a/crash/persist_test.go
+++ b/crash/persist_test.go
@@ -218,6 +218,24 @@
 	is.True(!s.has("others alone"))
 }
 
+// TestStartedHostWaitsForStoredVerdicts admits a quarantined request before the
+// store has answered.
+func TestStartedHostWaitsForStoredVerdicts(t *testing.T) {
+	is := is.New(t)
+	s := &fakeStore{allowRead: make(chan struct{}), records: map[quarantine.Fingerprint]quarantine.Record{
+		"crasher": {ID: "1", Fingerprint: "crasher", Engine: "e", Losses: 4, Quarantined: true, At: time.Now()},
+	}}
+	ctx, cancel := context.WithCancel(context.Background())
+	var wait conc.WaitGroup
+	defer wait.Wait()
+	defer cancel()
+	g := crash.NewGuard(ctx, &wait, crash.Options{Peers: func() []string { return nil }, Store: s})
+	admitted := make(chan bool)
+	go func() { admitted <- admits(g, "crasher") }()
+	close(s.allowRead)
+	is.True(!<-admitted)
+}
+
 // TestVerdictsAreWrittenAgainAfterRestore has the store come back from a copy that
 // lacks a verdict and still has one that was cleared.
 func TestVerdictsAreWrittenAgainAfterRestore(t *testing.T) {
