--- a/forward/handler.go
+++ b/forward/handler.go
@@ -100,7 +100,8 @@
 	return nil, &answer
 }
 
-// contentOf returns the content of a call of an account.
+// contentOf returns the content of a call of an account. The fingerprint of the
+// call covers the account instead of a model.
 func contentOf(c call.Call, account string) quarantine.Content {
 	r := request.Request{Account: account, Model: account, Path: c.Target, Body: c.Body}
 	var shared [][]byte
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -91,6 +91,20 @@
 	fence int64
 }
 
+// checkOrders checks that fencing numbers never decrease at the engine and that no
+// two hosts order it within one lease.
+func checkOrders(t *rapid.T, orders []order) {
+	for i := range orders[:max(0, len(orders)-1)] {
+		before, after := orders[i], orders[i+1]
+		if after.fence < before.fence {
+			t.Fatalf("fence %d after %d", after.fence, before.fence)
+		}
+		if after.holder != before.holder && after.at.Sub(before.at) < engineLease {
+			t.Fatalf("%s ordered %v after %s", after.holder, after.at.Sub(before.at), before.holder)
+		}
+	}
+}
+
 // TestOneHostPerLease simulates hosts that read, claim, pause, lose answers
 // and send orders at any time. It checks that fencing numbers never decrease at
 // the engine and that no two hosts order it within one lease.
@@ -124,15 +138,7 @@
 				}
 			}
 		}
-		for i := range orders[:max(0, len(orders)-1)] {
-			before, after := orders[i], orders[i+1]
-			if after.fence < before.fence {
-				t.Fatalf("fence %d after %d", after.fence, before.fence)
-			}
-			if after.holder != before.holder && after.at.Sub(before.at) < engineLease {
-				t.Fatalf("%s ordered %v after %s", after.holder, after.at.Sub(before.at), before.holder)
-			}
-		}
+		checkOrders(t, orders)
 	})
 }
 
@@ -176,15 +182,7 @@
 				}
 			}
 		}
-		for i := range orders[:max(0, len(orders)-1)] {
-			before, after := orders[i], orders[i+1]
-			if after.fence < before.fence {
-				t.Fatalf("fence %d after %d", after.fence, before.fence)
-			}
-			if after.holder != before.holder && after.at.Sub(before.at) < engineLease {
-				t.Fatalf("%s ordered %v after %s", after.holder, after.at.Sub(before.at), before.holder)
-			}
-		}
+		checkOrders(t, orders)
 	})
 }
 
