--- /dev/null
+++ b/standin/platform_faults.go
@@ -0,0 +1,87 @@
+package standin
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// PlatformFault is a fault that an engine applies to its next requests.
+type PlatformFault int
+
+// The faults.
+const (
+	// NoFault answers normally.
+	NoFault PlatformFault = iota
+	// ResetFault executes the request, then closes the connection without an
+	// answer.
+	ResetFault
+	// CutFault closes a stream in the middle of its second event.
+	CutFault
+	// FullFault rejects the request with status 503.
+	FullFault
+	// ErrorFault answers with status 500.
+	ErrorFault
+	// ExtraFault sends a second answer after the first.
+	ExtraFault
+	// SilentFault executes the request and never answers.
+	SilentFault
+	// UncertifiedFault answers without a signature.
+	UncertifiedFault
+	// LostOrderFault carries out an order without answering it.
+	LostOrderFault
+	// OtherInstanceFault rejects the request as another engine at the same
+	// address would.
+	OtherInstanceFault
+	// PauseFault pauses for streamPause after the first event of a stream.
+	PauseFault
+	// NoRoomFault stops a run that must migrate, but leaves its memory here.
+	NoRoomFault
+	// UnframedFault answers with neither a length nor chunks; the answer ends with
+	// its connection.
+	UnframedFault
+	// UnframedCutFault does the same and ends in the middle of the second event.
+	UnframedCutFault
+	// UnframedEmptyFault does the same and ends before the first event.
+	UnframedEmptyFault
+)
+
+// sendTwoAnswers sends two answers on one connection.
+func (e *PlatformEngine) sendTwoAnswers(w http.ResponseWriter, id, body string) {
+	conn, buffered, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	for _, text := range []string{body, "more"} {
+		fmt.Fprintf(buffered, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Stamp: %s.%s\r\nContent-Length: %d\r\n\r\n%s", id, e.ID, id, len(text), text)
+	}
+	_ = buffered.Flush()
+	time.Sleep(100 * time.Millisecond)
+}
+
+// sendUnframed sends an answer that ends with its connection.
+func (e *PlatformEngine) sendUnframed(w http.ResponseWriter, r *http.Request, fault PlatformFault, body string) {
+	id, weights := r.Header.Get("X-Attempt-Id"), e.Weights()
+	if e.Model != "" {
+		var events bytes.Buffer
+		after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+		for i := after + 1; i <= eventsPerStream && fault != UnframedEmptyFault; i++ {
+			if fault == UnframedCutFault && i == after+2 {
+				events.WriteString("id: " + strconv.Itoa(i) + "\nda")
+				break
+			}
+			writeEvent(&events, i)
+		}
+		body = events.String()
+	}
+	conn, buffered, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	fmt.Fprintf(buffered, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Stamp: %s.%s\r\nX-Weight-Versions: %d\r\nContent-Type: text/event-stream\r\n\r\n%s", id, e.ID, id, weights, body)
+	_ = buffered.Flush()
+}
