--- a/crash/guard.go
+++ b/crash/guard.go
@@ -35,6 +35,9 @@
 	maxCallRecords = 64
 	// queueCapacity bounds the batches of new records waiting to be shared.
 	queueCapacity = 64
+	// defaultConfirmDelay lets the records of a loss arrive from all hosts that had
+	// requests on the engine: another part may explain it.
+	defaultConfirmDelay = 250 * time.Millisecond
 	// verdictSuffix ends the ID of a record that carries a verdict.
 	verdictSuffix = "/verdict"
 )
@@ -66,6 +69,9 @@
 	Store store
 	// BatchDelay is how long first losses are batched; 0 means 250 ms.
 	BatchDelay time.Duration
+	// ConfirmDelay is how long a verdict on a part must hold before it is
+	// persisted; 0 means 250 ms.
+	ConfirmDelay time.Duration
 	// Metrics counts records and verdicts; nil disables metrics.
 	Metrics tally.Scope
 }
@@ -91,7 +97,7 @@
 	// ownLosses holds the last loss of each request that this host recorded itself.
 	ownLosses map[quarantine.Fingerprint]quarantine.Record
 	// pendingWrites holds the records to write to the store.
-	pendingWrites map[quarantine.Fingerprint]quarantine.Record
+	pendingWrites map[quarantine.Fingerprint]pendingWrite
 	// stored summarizes the records in the store.
 	stored map[quarantine.Fingerprint]storedRecord
 }
@@ -101,9 +107,9 @@
 	if o.Metrics == nil {
 		o.Metrics = tally.NoopScope
 	}
-	o.BatchDelay = cmp.Or(o.BatchDelay, defaultBatchDelay)
+	o.BatchDelay, o.ConfirmDelay = cmp.Or(o.BatchDelay, defaultBatchDelay), cmp.Or(o.ConfirmDelay, defaultConfirmDelay)
 	g := &Guard{Options: o, newRecords: make(chan []quarantine.Record, queueCapacity), trials: map[quarantine.Fingerprint]*trial{},
-		loaded: make(chan struct{}), writeTrigger: make(chan struct{}, 1), ownLosses: map[quarantine.Fingerprint]quarantine.Record{}, pendingWrites: map[quarantine.Fingerprint]quarantine.Record{}, stored: map[quarantine.Fingerprint]storedRecord{}}
+		loaded: make(chan struct{}), writeTrigger: make(chan struct{}, 1), ownLosses: map[quarantine.Fingerprint]quarantine.Record{}, pendingWrites: map[quarantine.Fingerprint]pendingWrite{}, stored: map[quarantine.Fingerprint]storedRecord{}}
 	if g.Store == nil {
 		close(g.loaded)
 	} else {
--- a/crash/part_test.go
+++ b/crash/part_test.go
@@ -139,3 +139,34 @@
 	g.Started("answered", withPart("mill", "q", "deadly"))
 	await(t, func() bool { return !s.has(part) })
 }
+
+// TestVerdictOfIncompleteEvidenceIsNotPersisted quarantines a part whose losses are
+// explained by another one, of which the records arrive a little later.
+func TestVerdictOfIncompleteEvidenceIsNotPersisted(t *testing.T) {
+	is := is.New(t)
+	s := &fakeStore{records: map[quarantine.Fingerprint]quarantine.Record{
+		"old": {ID: "1", Fingerprint: "old", Engine: "e", Losses: 4, Quarantined: true, At: time.Now().Add(-time.Minute)},
+	}}
+	ctx, cancel := context.WithCancel(context.Background())
+	var wait conc.WaitGroup
+	defer wait.Wait()
+	defer cancel()
+	g := crash.NewGuard(ctx, &wait, crash.Options{Peers: func() []string { return nil }, Store: s, ConfirmDelay: 2 * time.Second})
+	is.True(!admits(g, "old"))
+	document, deadly := quarantine.PartOf("m", []byte("document")), quarantine.PartOf("m", []byte("deadly"))
+	sound := quarantine.Content{Request: "new", Parts: []quarantine.Fingerprint{document}, Account: "mill"}
+	var late []quarantine.Record
+	for _, engine := range []string{"a", "b", "c"} {
+		beside := quarantine.Content{Request: quarantine.Fingerprint("beside " + engine), Parts: sound.Parts, Account: "mill"}
+		g.Lost(quarantine.Loss{Content: beside, Attempt: engine, Engine: engine, Sent: time.Now()})
+		late = append(late, quarantine.Record{ID: "late " + engine, Fingerprint: deadly, Depth: 2, Account: "mill", Engine: engine, Sent: time.Now(), At: time.Now()})
+	}
+	is.True(!admitsContent(g, sound))
+	g.Answered("x", quarantine.Content{Request: "old"})
+	await(t, func() bool { return !s.has("old") }) // the host has written since
+	is.True(!s.has(document))
+	g.Merge(late)
+	is.True(admitsContent(g, sound))
+	await(t, func() bool { return g.Pending() == 0 })
+	is.True(!s.has(document))
+}
--- a/crash/persist.go
+++ b/crash/persist.go
@@ -51,6 +51,12 @@
 	Complete bool
 }
 
+// pendingWrite is a record to write to the store, and since when.
+type pendingWrite struct {
+	record quarantine.Record
+	since  time.Time
+}
+
 // storedRecord summarizes the stored record of a request.
 type storedRecord struct {
 	losses                   int
@@ -184,7 +190,7 @@
 		own, recorded := g.ownLosses[r.Fingerprint]
 		stored := g.stored[r.Fingerprint]
 		if write, pending := g.pendingWrites[r.Fingerprint]; pending {
-			stored = storedRecord{losses: write.Losses, account: write.Account, quarantined: write.Quarantined}
+			stored = storedRecord{losses: write.record.Losses, account: write.record.Account, quarantined: write.record.Quarantined}
 		}
 		g.mu.Unlock()
 		if r.Answered || !recorded {
@@ -243,7 +249,11 @@
 		return
 	}
 	g.mu.Lock()
-	g.pendingWrites[r.Fingerprint] = r
+	since := time.Now()
+	if before, pending := g.pendingWrites[r.Fingerprint]; pending {
+		since = before.since
+	}
+	g.pendingWrites[r.Fingerprint] = pendingWrite{r, since}
 	g.mu.Unlock()
 	select {
 	case g.writeTrigger <- struct{}{}:
@@ -253,24 +263,38 @@
 
 // writeStore writes pending records to the store until the context ends.
 func (g *Guard) writeStore(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-g.writeTrigger:
+	for ctx.Err() == nil {
+		r, wait, ok := g.nextPending()
+		if !ok || wait > 0 {
+			g.awaitPending(ctx, ok, wait)
+			continue
 		}
-		for r, ok := g.nextPending(); ok && ctx.Err() == nil; r, ok = g.nextPending() {
-			call, cancel := context.WithTimeout(ctx, storeCallMargin)
-			err := g.writeRecord(call, r)
-			cancel()
-			if err == nil {
-				event.CrashRecordPersisted.Info("Fingerprint", r.Fingerprint, "Losses", r.Losses, "Removed", r.Answered)
-				g.markPersisted(r)
-				continue
-			}
-			event.CrashRecordNotPersisted.Error(err, "Fingerprint", r.Fingerprint)
-			clock.Pause(ctx, storeRetryDelay)
+		call, cancel := context.WithTimeout(ctx, storeCallMargin)
+		err := g.writeRecord(call, r)
+		cancel()
+		if err == nil {
+			event.CrashRecordPersisted.Info("Fingerprint", r.Fingerprint, "Losses", r.Losses, "Removed", r.Answered)
+			g.markPersisted(r)
+			continue
 		}
+		event.CrashRecordNotPersisted.Error(err, "Fingerprint", r.Fingerprint)
+		clock.Pause(ctx, storeRetryDelay)
+	}
+}
+
+// awaitPending waits for a new record to write, or until one is due if some are
+// pending.
+func (g *Guard) awaitPending(ctx context.Context, pending bool, wait time.Duration) {
+	var due <-chan time.Time
+	if pending {
+		timer := time.NewTimer(wait)
+		defer timer.Stop()
+		due = timer.C
+	}
+	select {
+	case <-ctx.Done():
+	case <-g.writeTrigger:
+	case <-due:
 	}
 }
 
@@ -281,18 +305,28 @@
 	return g.Store.PersistCrasher(ctx, r)
 }
 
-// nextPending returns a record to write to the store.
-func (g *Guard) nextPending() (quarantine.Record, bool) {
+// nextPending returns a record to write to the store, or the time until one is
+// due. It drops verdicts on parts that no longer hold.
+func (g *Guard) nextPending() (r quarantine.Record, wait time.Duration, ok bool) {
+	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for f, r := range g.pendingWrites {
-		if r.Expired(time.Now()) && !r.Answered {
+	for f, w := range g.pendingWrites {
+		left := g.ConfirmDelay - now.Sub(w.since)
+		switch {
+		case w.record.Answered:
+			return w.record, 0, true
+		case f.IsPart() && left > 0:
+			if !ok || left < wait {
+				wait, ok = left, true
+			}
+		case w.record.Expired(now), f.IsPart() && g.table.Verdict(f, now) != quarantine.Quarantined:
 			delete(g.pendingWrites, f)
-			continue
+		default:
+			return w.record, 0, true
 		}
-		return r, true
 	}
-	return quarantine.Record{}, false
+	return quarantine.Record{}, wait, ok
 }
 
 // markPersisted notes that a record was written. A newer record of the same
@@ -300,7 +334,7 @@
 func (g *Guard) markPersisted(r quarantine.Record) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.pendingWrites[r.Fingerprint] == r {
+	if g.pendingWrites[r.Fingerprint].record == r {
 		delete(g.pendingWrites, r.Fingerprint)
 	}
 	if r.Answered {
