--- a/quarantine/classify.go
+++ b/quarantine/classify.go
@@ -50,12 +50,35 @@
 	if len(losses) == 0 {
 		return Classification{Verdict: Clean}
 	}
-	if f.IsPart() {
-		losses = t.withoutOutages(losses)
-		if len(losses) == 0 {
-			return Classification{Verdict: Suspect}
+	if !f.IsPart() {
+		return t.classify(f, losses, now)
+	}
+	losses = t.withoutOutages(losses)
+	if len(losses) == 0 {
+		return Classification{Verdict: Suspect}
+	}
+	c := t.classify(f, losses, now)
+	if first := firstIsolated(losses); c.Verdict == Suspect && !c.TermOver && len(first) < len(losses) {
+		// What was lost after a verdict doesn't lift it.
+		if earlier := t.classify(f, first, now); (earlier.Verdict == Quarantined || earlier.TermOver) && !c.Shared {
+			return earlier
 		}
 	}
+	return c
+}
+
+// firstIsolated returns the first losses of a part that may quarantine it.
+func firstIsolated(losses []Record) []Record {
+	for n := 1; n < len(losses); n++ {
+		if countLosses(losses[:n]) >= minIsolatedPartLosses {
+			return losses[:n]
+		}
+	}
+	return losses
+}
+
+// classify returns the verdict on a request or part that lost engines.
+func (t Table) classify(f Fingerprint, losses []Record, now time.Time) Classification {
 	last := lastLossPerEngine(losses)
 	c := Classification{
 		Verdict: Suspect, Losses: countLosses(losses), KnownGood: anyKnownGood(losses), FirstLoss: losses[0].At, LastLoss: losses[len(losses)-1].At, LastAnswer: t.lastAnswer(f),
@@ -255,6 +278,15 @@
 	return last
 }
 
+// laterWindow returns the time after a loss within which another engine's loss may
+// be the same outage.
+func laterWindow(f Fingerprint) time.Duration {
+	if f.IsPart() {
+		return laterOutageWindow
+	}
+	return sameLossWindow
+}
+
 // otherLosses counts the engines that were lost without the request or part
 // before one of its losses, or at the same time.
 func (t Table) otherLosses(f Fingerprint, last map[string]Record) int {
@@ -264,7 +296,7 @@
 			continue
 		}
 		for _, r := range records {
-			if _, lostTogether := last[r.Engine]; !lostTogether && !r.Answered && precedesAny(r, last) {
+			if _, lostTogether := last[r.Engine]; !lostTogether && !r.Answered && precedesAny(r, last, laterWindow(f)) {
 				engines[r.Engine] = true
 			}
 		}
@@ -273,10 +305,10 @@
 }
 
 // precedesAny reports whether a record is from shortly before one of the losses,
-// or from the same outage. A later one doesn't lift a verdict.
-func precedesAny(r Record, last map[string]Record) bool {
+// or from no later than a time after it. A later one doesn't lift a verdict.
+func precedesAny(r Record, last map[string]Record, later time.Duration) bool {
 	for _, l := range last {
-		if before := l.At.Sub(r.At); before <= otherLossWindow && before >= -sameLossWindow {
+		if before := l.At.Sub(r.At); before <= otherLossWindow && before >= -later {
 			return true
 		}
 	}
@@ -346,7 +378,7 @@
 				continue
 			}
 			for _, l := range losses {
-				if isWithin(r, l, partOutageWindow) {
+				if after := r.At.Sub(l.At); after >= -partOutageWindow && after <= laterOutageWindow {
 					coincides[l.ID] = true
 				}
 			}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -47,6 +47,10 @@
 	// the part ends the suspicion unless nothing is answered at all.
 	partOutageWindow          = 200 * time.Millisecond
 	knownGoodPartOutageWindow = time.Second
+	// laterOutageWindow is the time after a loss with a part within which the loss
+	// of another engine may be the same outage, since hosts notice it at slightly
+	// different times. Later ones don't lift a verdict.
+	laterOutageWindow = 50 * time.Millisecond
 	// baseTerm doubles with each loss to give the time for which a quarantined
 	// request is refused after its last loss: a minute after two losses, eight
 	// after five. Then it is a suspect again, since some requests are
