--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"sync"
 	"syscall"
@@ -212,7 +213,10 @@
 	defer d.mu.Unlock()
 	upstreams := append([]*standin.PlatformEngine{}, d.ended...)
 	for _, u := range d.upstreams {
-		upstreams = append(upstreams, u.current)
+		// While an upstream is being replaced, it is among the ended ones, too.
+		if !slices.Contains(d.ended, u.current) {
+			upstreams = append(upstreams, u.current)
+		}
 	}
 	return upstreams
 }
