--- a/crash/guard.go
+++ b/crash/guard.go
@@ -98,6 +98,8 @@
 	ownLosses map[quarantine.Fingerprint]quarantine.Record
 	// pendingWrites holds the records to write to the store.
 	pendingWrites map[quarantine.Fingerprint]pendingWrite
+	// restores counts how often the store came back from an older copy.
+	restores int
 	// stored summarizes the records in the store.
 	stored map[quarantine.Fingerprint]storedRecord
 }
--- a/crash/persist.go
+++ b/crash/persist.go
@@ -118,6 +118,7 @@
 		}
 	}
 	g.mu.Lock()
+	g.restores++
 	var lost []quarantine.Record
 	for f, s := range g.stored {
 		if listed[f] {
@@ -264,6 +265,7 @@
 // writeStore writes pending records to the store until the context ends.
 func (g *Guard) writeStore(ctx context.Context) {
 	for ctx.Err() == nil {
+		restores := g.restoreCount()
 		r, wait, ok := g.nextPending()
 		if !ok || wait > 0 {
 			g.awaitPending(ctx, ok, wait)
@@ -274,7 +276,7 @@
 		cancel()
 		if err == nil {
 			event.CrashRecordPersisted.Info("Fingerprint", r.Fingerprint, "Losses", r.Losses, "Removed", r.Answered)
-			g.markPersisted(r)
+			g.markPersisted(r, restores)
 			continue
 		}
 		event.CrashRecordNotPersisted.Error(err, "Fingerprint", r.Fingerprint)
@@ -329,11 +331,22 @@
 	return quarantine.Record{}, wait, ok
 }
 
+// restoreCount returns how often the store came back from an older copy.
+func (g *Guard) restoreCount() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.restores
+}
+
 // markPersisted notes that a record was written. A newer record of the same
-// request remains pending.
-func (g *Guard) markPersisted(r quarantine.Record) {
+// request remains pending, and so does one that the store may have lost because it
+// came back from an older copy during the write.
+func (g *Guard) markPersisted(r quarantine.Record, restoresBefore int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.restores != restoresBefore {
+		return
+	}
 	if g.pendingWrites[r.Fingerprint].record == r {
 		delete(g.pendingWrites, r.Fingerprint)
 	}
--- a/crash/persist_test.go
+++ b/crash/persist_test.go
@@ -26,6 +26,9 @@
 	// restored makes a waiting read return all records, as after the store came
 	// back from an older copy.
 	restored chan struct{}
+	// allowWritten blocks a write after it took effect until it receives; nil
+	// doesn't block.
+	allowWritten chan struct{}
 }
 
 func (s *fakeStore) Crashers(ctx context.Context, from int64, _ time.Duration) (crash.StoredRecords, error) {
@@ -59,6 +62,11 @@
 		return context.DeadlineExceeded
 	}
 	s.records[r.Fingerprint] = r
+	if s.allowWritten != nil {
+		s.mu.Unlock()
+		<-s.allowWritten
+		s.mu.Lock()
+	}
 	return nil
 }
 
@@ -268,3 +276,26 @@
 	is.True(!admits(g, "crasher"))
 	is.True(admits(g, "cleared"))
 }
+
+// TestVerdictLostDuringItsWriteIsWrittenAgain has the store come back from an older
+// copy after it took a verdict and before it confirmed that.
+func TestVerdictLostDuringItsWriteIsWrittenAgain(t *testing.T) {
+	s := &fakeStore{records: map[quarantine.Fingerprint]quarantine.Record{}, restored: make(chan struct{}), allowWritten: make(chan struct{})}
+	ctx, cancel := context.WithCancel(context.Background())
+	var wait conc.WaitGroup
+	defer wait.Wait()
+	defer cancel()
+	g := crash.NewGuard(ctx, &wait, crash.Options{Peers: func() []string { return nil }, Store: s})
+	for _, engine := range []string{"a", "b"} {
+		g.Lost(quarantine.Loss{Content: quarantine.Content{Request: "crasher"}, Attempt: "x", Engine: engine, Sent: time.Now()})
+	}
+	await(t, func() bool { return s.has("crasher") })
+	s.mu.Lock()
+	s.records = map[quarantine.Fingerprint]quarantine.Record{}
+	s.mu.Unlock()
+	for range 2 {
+		s.restored <- struct{}{} // the second is received after the first was handled
+	}
+	close(s.allowWritten)
+	await(t, func() bool { return s.has("crasher") })
+}
