--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -105,92 +105,67 @@
 	}
 }
 
-// TestOneHostPerLease simulates hosts that read, claim, pause, lose answers
-// and send orders at any time. It checks that fencing numbers never decrease at
-// the engine and that no two hosts order it within one lease.
-func TestOneHostPerLease(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		now := clock.Instant(time.Hour)
-		var log []lease.Claim
-		actors := []*actor{{name: "a"}, {name: "b"}, {name: "c"}}
-		var orders []order
-		for range rapid.IntRange(1, 60).Draw(t, "steps") {
-			now = now.Add(time.Duration(rapid.IntRange(0, 2500).Draw(t, "millis")) * time.Millisecond)
-			a := rapid.SampledFrom(actors).Draw(t, "host")
-			switch rapid.SampledFrom([]string{"read", "claim", "lost", "order"}).Draw(t, "step") {
-			case "read":
-				for ; a.read < len(log); a.read++ {
-					a.state = a.state.With(log[a.read], now)
-				}
-			case "claim", "lost":
-				if !a.state.MayClaim("e", a.name, engineLease, now) || a.read != len(log) {
-					continue // the log rejects a claim that is not based on its end
-				}
-				c := lease.Claim{Holder: a.name, Upstreams: []string{"e"}, Offset: int64(len(log))}
-				log = append(log, c)
-				if rapid.Bool().Draw(t, "answered") {
-					a.state, a.read = a.state.With(c, now), len(log)
-					a.sent, a.fence = now, c.Offset+1
-				}
-			case "order":
-				if a.fence > 0 && now.Sub(a.sent) <= lease.Window {
-					orders = append(orders, order{now, a.name, a.fence})
-				}
+// simulateHosts has hosts that read the log, claim the engine, pause, lose answers
+// and send orders at any time. With the step "restore" the log loses its last
+// claims, confirmed ones too, and gives out their offsets again.
+func simulateHosts(t *rapid.T, steps ...string) {
+	now := clock.Instant(time.Hour)
+	var log []lease.Claim
+	var era int64
+	actors := []*actor{{name: "a"}, {name: "b"}, {name: "c"}}
+	eras := map[*actor]int64{}
+	var orders []order
+	for range rapid.IntRange(1, 80).Draw(t, "steps") {
+		now = now.Add(time.Duration(rapid.IntRange(0, 2500).Draw(t, "millis")) * time.Millisecond)
+		a := rapid.SampledFrom(actors).Draw(t, "host")
+		switch rapid.SampledFrom(steps).Draw(t, "step") {
+		case "restore":
+			log = log[:rapid.IntRange(0, len(log)).Draw(t, "kept")]
+			era++
+		case "read":
+			if eras[a] != era {
+				eras[a], a.read = era, 0
+			}
+			a.state = a.state.WithLog(lease.Log{Claims: atEra(log[a.read:], era, a.read), End: era*eraOffset + int64(len(log)), Era: era}, now)
+			a.read = len(log)
+		case "claim", "lost":
+			if !a.state.MayClaim("e", a.name, engineLease, now) || eras[a] != era || a.read != len(log) {
+				continue // the log rejects a claim that is not based on its end
+			}
+			c := lease.Claim{Holder: a.name, Upstreams: []string{"e"}, Offset: era*eraOffset + int64(len(log))}
+			log = append(log, c)
+			if rapid.Bool().Draw(t, "answered") {
+				a.state, a.read = a.state.With(c, now), len(log)
+				a.sent, a.fence = now, c.Offset+1
+			}
+		case "order":
+			if a.fence > 0 && now.Sub(a.sent) <= lease.Window {
+				orders = append(orders, order{now, a.name, a.fence})
 			}
 		}
-		checkOrders(t, orders)
-	})
+	}
+	checkOrders(t, orders)
 }
 
-// TestOneHostPerLeaseWhenTheLogIsRestored is TestOneHostPerLease with a log that
-// loses its last claims, confirmed ones too, and gives out their offsets again.
+// TestOneHostPerLease checks that fencing numbers never decrease at the engine and
+// that no two hosts order it within one lease.
+func TestOneHostPerLease(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) { simulateHosts(t, "read", "claim", "lost", "order") })
+}
+
+// TestOneHostPerLeaseWhenTheLogIsRestored checks the same while the log loses claims.
 func TestOneHostPerLeaseWhenTheLogIsRestored(t *testing.T) {
-	const eraOffset = 1000
-	rapid.Check(t, func(t *rapid.T) {
-		now := clock.Instant(time.Hour)
-		var log []lease.Claim
-		var era int64
-		actors := []*actor{{name: "a"}, {name: "b"}, {name: "c"}}
-		eras := map[*actor]int64{}
-		var orders []order
-		for range rapid.IntRange(1, 80).Draw(t, "steps") {
-			now = now.Add(time.Duration(rapid.IntRange(0, 2500).Draw(t, "millis")) * time.Millisecond)
-			a := rapid.SampledFrom(actors).Draw(t, "host")
-			switch rapid.SampledFrom([]string{"read", "read", "claim", "lost", "order", "order", "restore"}).Draw(t, "step") {
-			case "restore":
-				log = log[:rapid.IntRange(0, len(log)).Draw(t, "kept")]
-				era++
-			case "read":
-				if eras[a] != era {
-					eras[a], a.read = era, 0
-				}
-				a.state = a.state.WithLog(lease.Log{Claims: atEra(log[a.read:], era, a.read), End: era*eraOffset + int64(len(log)), Era: era}, now)
-				a.read = len(log)
-			case "claim", "lost":
-				if !a.state.MayClaim("e", a.name, engineLease, now) || eras[a] != era || a.read != len(log) {
-					continue // the log rejects a claim that is not based on its end
-				}
-				c := lease.Claim{Holder: a.name, Upstreams: []string{"e"}, Offset: era*eraOffset + int64(len(log))}
-				log = append(log, c)
-				if rapid.Bool().Draw(t, "answered") {
-					a.state, a.read = a.state.With(c, now), len(log)
-					a.sent, a.fence = now, c.Offset+1
-				}
-			case "order":
-				if a.fence > 0 && now.Sub(a.sent) <= lease.Window {
-					orders = append(orders, order{now, a.name, a.fence})
-				}
-			}
-		}
-		checkOrders(t, orders)
-	})
+	rapid.Check(t, func(t *rapid.T) { simulateHosts(t, "read", "read", "claim", "lost", "order", "order", "restore") })
 }
 
+// eraOffset is the distance of the offsets of two eras.
+const eraOffset = 1000
+
 // atEra returns the claims with their offsets in an era of the log.
 func atEra(claims []lease.Claim, era int64, first int) []lease.Claim {
 	var all []lease.Claim
 	for i, c := range claims {
-		c.Offset = era*1000 + int64(first+i)
+		c.Offset = era*eraOffset + int64(first+i)
 		all = append(all, c)
 	}
 	return all
