--- a/loadreport/exchange.go
+++ b/loadreport/exchange.go
@@ -161,32 +161,28 @@
 
 // NotifyNotListening sends early that nothing listens at an engine's address.
 func (x *Exchanger) NotifyNotListening(e EngineHash) {
-	x.mu.Lock()
-	x.ownUpdates.add(Updates{NotListening: []EngineHash{e}})
-	x.mu.Unlock()
-	x.FlushSoon()
+	x.sendSoon(Updates{NotListening: []EngineHash{e}})
 }
 
 // NotifyLoaded sends early which weights version an engine has loaded.
 func (x *Exchanger) NotifyLoaded(l LoadedWeights) {
-	x.mu.Lock()
-	x.ownUpdates.add(Updates{Loaded: []LoadedWeights{l}})
-	x.mu.Unlock()
-	x.FlushSoon()
+	x.sendSoon(Updates{Loaded: []LoadedWeights{l}})
 }
 
 // NotifyLeaving sends early that an engine accepts no more requests.
 func (x *Exchanger) NotifyLeaving(l Leaving) {
-	x.mu.Lock()
-	x.ownUpdates.add(Updates{Leaving: []Leaving{l}})
-	x.mu.Unlock()
-	x.FlushSoon()
+	x.sendSoon(Updates{Leaving: []Leaving{l}})
 }
 
 // NotifyLimit sends early the limit that an engine named, or its end.
 func (x *Exchanger) NotifyLimit(l Limit) {
+	x.sendSoon(Updates{Limits: []Limit{l}})
+}
+
+// sendSoon sends updates with an early load report.
+func (x *Exchanger) sendSoon(u Updates) {
 	x.mu.Lock()
-	x.ownUpdates.add(Updates{Limits: []Limit{l}})
+	x.ownUpdates.add(u)
 	x.mu.Unlock()
 	x.FlushSoon()
 }
