--- a/forward/status.go
+++ b/forward/status.go
@@ -53,7 +53,6 @@
 // recordLimit records the limit that an upstream names with an answer, or its
 // end.
 func (r *Router) recordLimit(upstream string, report call.SelfReport, request string) {
-	now := clock.Now()
 	if report.InvalidLimit != "" {
 		r.Metrics.Counter("limits_unusable").Inc(1)
 		event.LimitInvalid.Info("Request", request, "Upstream", upstream, "Text", report.InvalidLimit)
@@ -62,7 +61,7 @@
 	before := r.Tracker.State(upstream)
 	switch {
 	case report.Limited:
-		isNew := r.setLimit(upstream, report.RequestsPerSecond, availability.Answer, now)
+		isNew := r.setLimit(upstream, report.RequestsPerSecond, availability.Answer, request, report.Status)
 		if request == "" {
 			r.Tracker.Update(upstream, func(s health.State) health.State {
 				s.Status = s.WithLimitInOwnCalls()
@@ -71,13 +70,12 @@
 		}
 		if isNew {
 			r.Metrics.Counter("upstream_limits").Inc(1)
-			event.LimitNamed.Info("Upstream", upstream, "Request", request, "AnswerStatus", report.Status, "PerSecond", report.RequestsPerSecond, "Part", r.Tracker.State(upstream).Part())
 			r.LoadReports.NotifyLimit(loadreport.Limit{Engine: loadreport.HashEngine(upstream), Incarnation: uint64(before.Incarnation), Limited: true, PerSecond: report.RequestsPerSecond})
 		}
 	case (request != "" || before.OwnCallsNameLimit()) && report.Status < http.StatusInternalServerError && report.Status != http.StatusMisdirectedRequest:
 		// Rejections, and answers to this host's own calls, may name no limit
 		// though there is one.
-		if r.endLimit(upstream, request, now) {
+		if r.endLimit(upstream, request) {
 			r.LoadReports.NotifyLimit(loadreport.Limit{Engine: loadreport.HashEngine(upstream), Incarnation: uint64(before.Incarnation)})
 		}
 	}
@@ -85,18 +83,17 @@
 
 // SetRemoteLimit records a limit that another host reported, or its end.
 func (r *Router) SetRemoteLimit(upstream string, l loadreport.Limit) {
-	now := clock.Now()
-	if !l.Limited {
-		r.endLimit(upstream, "", now)
-		return
-	}
-	if r.setLimit(upstream, l.PerSecond, availability.Peer, now) {
-		event.LimitNamed.Info("Upstream", upstream, "Request", "", "AnswerStatus", 0, "PerSecond", l.PerSecond, "Part", r.Tracker.State(upstream).Part())
+	if l.Limited {
+		r.setLimit(upstream, l.PerSecond, availability.Peer, "", 0)
+	} else {
+		r.endLimit(upstream, "")
 	}
 }
 
-// setLimit sets the limit of an upstream, and reports whether it is new.
-func (r *Router) setLimit(upstream string, perSecond float64, by availability.Source, now clock.Instant) (isNew bool) {
+// setLimit sets the limit of an upstream, and reports whether it is new. The
+// request and the status are those of the answer that named it, if any.
+func (r *Router) setLimit(upstream string, perSecond float64, by availability.Source, request string, status int) (isNew bool) {
+	now := clock.Now()
 	r.Tracker.Update(upstream, func(s health.State) health.State {
 		s.Status, isNew = s.WithLimit(perSecond, by, now)
 		return s
@@ -104,11 +101,15 @@
 	if state := r.Tracker.State(upstream); state.NeedsPart(now) {
 		r.withPart(upstream, state, now)
 	}
+	if isNew {
+		event.LimitNamed.Info("Upstream", upstream, "Request", request, "AnswerStatus", status, "PerSecond", perSecond, "Part", r.Tracker.State(upstream).Part())
+	}
 	return isNew
 }
 
 // endLimit ends the limit of an upstream, and reports whether it had one.
-func (r *Router) endLimit(upstream, request string, now clock.Instant) bool {
+func (r *Router) endLimit(upstream, request string) bool {
+	now := clock.Now()
 	_, since, limited := r.Tracker.State(upstream).Limit(now)
 	if !limited {
 		return false
