--- a/quarantine/classify.go
+++ b/quarantine/classify.go
@@ -9,7 +9,7 @@
 type Classification struct {
 	Verdict Verdict
 	// Losses counts the engines lost with the request or part, OtherLosses those
-	// lost without it shortly before or after.
+	// lost without it shortly before or in the same outage.
 	Losses, OtherLosses int
 	// Shared reports that something else unanswered was on all engines lost with
 	// it: for a request another request, for a part a request or a part that
@@ -51,16 +51,16 @@
 		return Classification{Verdict: Clean}
 	}
 	if !f.IsPart() {
-		return t.classify(f, losses, now)
+		return t.classifyRequest(f, losses, now)
 	}
-	losses = t.withoutOutages(losses)
-	if len(losses) == 0 {
-		return Classification{Verdict: Suspect}
+	counted := t.withoutOutages(losses)
+	if len(counted) == 0 {
+		return t.suspicion(f, losses)
 	}
-	c := t.classify(f, losses, now)
-	if first := firstIsolated(losses); c.Verdict == Suspect && !c.TermOver && len(first) < len(losses) {
+	c := t.classifyPart(f, counted, now)
+	if first := firstIsolated(counted); c.Verdict == Suspect && !c.TermOver && len(first) < len(counted) {
 		// What was lost after a verdict doesn't lift it.
-		if earlier := t.classify(f, first, now); (earlier.Verdict == Quarantined || earlier.TermOver) && !c.Shared {
+		if earlier := t.classifyPart(f, first, now); (earlier.Verdict == Quarantined || earlier.TermOver) && !c.Shared {
 			return earlier
 		}
 	}
@@ -77,34 +77,50 @@
 	return losses
 }
 
-// classify returns the verdict on a request or part that lost engines.
-func (t Table) classify(f Fingerprint, losses []Record, now time.Time) Classification {
-	last := lastLossPerEngine(losses)
-	c := Classification{
+// suspicion returns the classification of something that lost engines, with what
+// doesn't depend on other losses.
+func (t Table) suspicion(f Fingerprint, losses []Record) Classification {
+	return Classification{
 		Verdict: Suspect, Losses: countLosses(losses), KnownGood: anyKnownGood(losses), FirstLoss: losses[0].At, LastLoss: losses[len(losses)-1].At, LastAnswer: t.lastAnswer(f),
 	}
-	if f.IsPart() {
-		c.Account = onlyAccount(losses)
-		if c.Losses < minIsolatedPartLosses && !anyQuarantined(losses) {
-			return c
-		}
-	}
-	c.OtherLosses = t.otherLosses(f, last)
-	if f.IsPart() {
-		c.Shared = t.isPartExplained(f, losses, now)
-	} else if len(last) >= minIsolatedLosses {
+}
+
+// classifyRequest returns the classification of a request that lost engines.
+func (t Table) classifyRequest(f Fingerprint, losses []Record, now time.Time) Classification {
+	c, last := t.suspicion(f, losses), lastLossPerEngine(losses)
+	c.OtherLosses = t.otherLosses(f, last, sameLossWindow)
+	if len(last) >= minIsolatedLosses {
 		c.Shared = t.isShared(f, last, now)
 	}
-	quarantined := c.isRequestQuarantined
-	if f.IsPart() {
-		quarantined = c.isPartQuarantined
+	return c.quarantinedIf(c.isRequestQuarantined(losses, len(last)), c.Losses, now)
+}
+
+// classifyPart returns the classification of a part that lost engines.
+func (t Table) classifyPart(f Fingerprint, losses []Record, now time.Time) Classification {
+	c, last := t.suspicion(f, losses), lastLossPerEngine(losses)
+	c.Account = onlyAccount(losses)
+	if c.Losses < minIsolatedPartLosses && !anyQuarantined(losses) {
+		return c
+	}
+	c.OtherLosses = t.otherLosses(f, last, laterOutageWindow)
+	c.Shared = t.isPartExplained(f, losses, now)
+	doublings := c.Losses
+	if c.KnownGood {
+		// An outage may be the reason, and many requests share the part.
+		doublings = max(0, c.Losses-maxLosses)
 	}
-	if !quarantined(losses, len(last)) {
+	return c.quarantinedIf(c.isPartQuarantined(losses, len(last)), doublings, now)
+}
+
+// quarantinedIf returns the classification with a quarantine if the condition
+// holds. Its term after the last loss is baseTerm doubled a number of times.
+func (c Classification) quarantinedIf(condition bool, doublings int, now time.Time) Classification {
+	if !condition {
 		return c
 	}
-	c.Verdict = Quarantined
-	if now.Sub(c.LastLoss) >= c.term(f) {
-		c.Verdict, c.TermOver = Suspect, true
+	c.TermOver = now.Sub(c.LastLoss) >= baseTerm<<min(doublings, maxDoublings)
+	if !c.TermOver {
+		c.Verdict = Quarantined
 	}
 	return c
 }
@@ -130,16 +146,6 @@
 	return !c.Shared && (c.Losses >= maxLosses || c.isIsolated() && engines >= minIsolatedLosses && c.Losses >= minIsolatedPartLosses)
 }
 
-// term returns how long the quarantine lasts after the last loss.
-func (c Classification) term(f Fingerprint) time.Duration {
-	doublings := c.Losses
-	if f.IsPart() && c.KnownGood {
-		// An outage may be the reason, and many requests share the part.
-		doublings = max(0, c.Losses-maxLosses)
-	}
-	return baseTerm << min(doublings, maxDoublings)
-}
-
 // Covers reports whether the table has a loss of the same engine and account for
 // the request or part of a record.
 func (t Table) Covers(r Record, now time.Time) bool {
@@ -278,25 +284,16 @@
 	return last
 }
 
-// laterWindow returns the time after a loss within which another engine's loss may
-// be the same outage.
-func laterWindow(f Fingerprint) time.Duration {
-	if f.IsPart() {
-		return laterOutageWindow
-	}
-	return sameLossWindow
-}
-
 // otherLosses counts the engines that were lost without the request or part
-// before one of its losses, or at the same time.
-func (t Table) otherLosses(f Fingerprint, last map[string]Record) int {
+// shortly before one of its losses, or up to a time later.
+func (t Table) otherLosses(f Fingerprint, last map[string]Record, later time.Duration) int {
 	engines := map[string]bool{}
 	for other, records := range t.records {
 		if other == f {
 			continue
 		}
 		for _, r := range records {
-			if _, lostTogether := last[r.Engine]; !lostTogether && !r.Answered && precedesAny(r, last, laterWindow(f)) {
+			if _, lostTogether := last[r.Engine]; !lostTogether && !r.Answered && precedesAny(r, last, later) {
 				engines[r.Engine] = true
 			}
 		}
@@ -384,7 +381,7 @@
 			}
 		}
 	}
-	return slices.DeleteFunc(losses, func(l Record) bool { return coincides[l.ID] && !l.Quarantined })
+	return slices.DeleteFunc(slices.Clone(losses), func(l Record) bool { return coincides[l.ID] && !l.Quarantined })
 }
 
 // isWithin reports whether two records are at most a duration apart.
