--- a/availability/limit_test.go
+++ b/availability/limit_test.go
@@ -204,3 +204,12 @@
 	s, _ = s.WithLimit(0, availability.Peer, begin.Add(10*time.Second))
 	is.True(!s.LimitProbeDue(begin.Add(11 * time.Second)))
 }
+
+// BenchmarkPartOf divides a limit among the hosts of the largest deployment.
+func BenchmarkPartOf(b *testing.B) {
+	names := hostNames(340)
+	b.ReportAllocs()
+	for range b.N {
+		availability.PartOf("engine", 20, "host-7", names)
+	}
+}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -142,6 +142,9 @@
 	streams map[string]map[*stream]struct{}
 	// sentTokens counts the prompt tokens that this host sent recently.
 	sentTokens allocation.RateWindow
+	// liveHosts are the hosts that share limits as of liveHostsAt.
+	liveHosts   []string
+	liveHostsAt clock.Instant
 	// returns holds the callers of each service that were refused because of
 	// limits.
 	returns map[string]availability.ReturnQueue
--- a/forward/schedule.go
+++ b/forward/schedule.go
@@ -42,6 +42,8 @@
 	// token in a stream (the users' sheets).
 	answerBytes = 800
 	tokenBytes  = 60
+	// liveHostsLifetime is how long the list of hosts that share limits is reused.
+	liveHostsLifetime = 200 * time.Millisecond
 	// maxUnsampled is the largest number of upstreams that are all compared.
 	// Of more, only those that hold cached parts, the parts' owner and a random
 	// sample are compared. Otherwise hosts with equally old load reports would
@@ -163,10 +165,21 @@
 	return wait
 }
 
+// limitSharers returns the hosts that share limits. It lists them once for all the
+// upstreams whose parts are due at about the same time.
+func (r *Router) limitSharers(now clock.Instant) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.liveHosts == nil || now.Sub(r.liveHostsAt) >= liveHostsLifetime {
+		r.liveHosts, r.liveHostsAt = r.LiveHosts(), now
+	}
+	return r.liveHosts
+}
+
 // withPart returns an upstream's state with this host's part of its limit.
 func (r *Router) withPart(id string, state health.State, now clock.Instant) health.State {
 	perSecond, _, _ := state.Limit(now)
-	part := availability.PartOf(id, perSecond, r.Host, r.LiveHosts())
+	part := availability.PartOf(id, perSecond, r.Host, r.limitSharers(now))
 	r.Tracker.Update(id, func(s health.State) health.State {
 		s.Status = s.WithPart(part, now)
 		state = s
