--- a/call/call.go
+++ b/call/call.go
@@ -51,7 +51,10 @@
 	// ResumeAfter is the ID of the last event that the caller has received, or
 	// "".
 	ResumeAfter string
-	Prompt      Prompt
+	// BeganBy is the ID of the caller's request that brought the first event of the
+	// stream that this one resumes, or "".
+	BeganBy string
+	Prompt  Prompt
 	Fields      []Field
 }
 
--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -16,7 +16,9 @@
 	// Address is its IP:port. Another upstream may get the same address later.
 	Address       string
 	FailureDomain string
-	Slots         int
+	// Software is the version of the upstream's software. Versions have no order.
+	Software string
+	Slots    int
 	// Leaving upstreams accept no new requests.
 	Leaving bool
 	// WarmUp is the remaining time for which the upstream is slow after its start.
--- a/event/request.go
+++ b/event/request.go
@@ -32,6 +32,8 @@
 	CallEnded = Event{2104, "call ended", "A request ended. Ran counts attempts that may have run, TurnedAway those that did not."}
 	// StreamResumed reports a stream that continues at another upstream.
 	StreamResumed = Event{2105, "stream resumed", "A stream failed and continues at another upstream after the given event."}
+	// StreamTakenUp reports a caller that resumes a stream.
+	StreamTakenUp = Event{2112, "stream taken up", "A caller resumes a stream after the given event. Stream is the request that brought its first event."}
 	// StreamFailed reports a stream that failed before its end.
 	StreamFailed = Event{2106, "stream broken", "A stream failed and could not be resumed; its caller receives a truncated answer."}
 	// StreamEnded reports the end of a stream.
@@ -46,4 +48,4 @@
 	StreamStalled = Event{2110, "stream awaited", "An upstream is idle in the middle of a stream and no other could take over; the host waits for it until the deadline."}
 )
 
-var requestEvents = []Event{RequestEnded, AttemptFailed, ClaimFailed, RequestQuarantined, PartQuarantined, CrashShareFailed, ClaimAppendFailed, LossRecorded, SuspicionEnded, QuarantineEnforced, CallScheduled, SendFailed, CallRefused, CallEnded, StreamResumed, StreamFailed, StreamEnded, RequestMigrated, CallOverloaded, StreamStalled, StaleRequestCancelled}
+var requestEvents = []Event{RequestEnded, AttemptFailed, ClaimFailed, RequestQuarantined, PartQuarantined, CrashShareFailed, ClaimAppendFailed, LossRecorded, SuspicionEnded, QuarantineEnforced, CallScheduled, SendFailed, CallRefused, CallEnded, StreamResumed, StreamTakenUp, StreamFailed, StreamEnded, RequestMigrated, CallOverloaded, StreamStalled, StaleRequestCancelled}
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -113,6 +113,9 @@
 
 // handle makes attempts until there is an answer.
 func (h *handler) handle(ctx context.Context) call.Answer {
+	if h.call.ResumeAfter != "" {
+		event.StreamTakenUp.Info("Request", h.call.ID, "Stream", h.call.BeganBy, "After", h.call.ResumeAfter)
+	}
 	h.recordFirst(h.service.Name, h.call.Prompt.Input)
 	for {
 		t, ok := h.schedule(ctx)
@@ -177,7 +180,9 @@
 // target is the upstream of one attempt.
 type target struct {
 	id, address string
-	send        call.UpstreamRequest
+	// software is the version of the upstream's software.
+	software string
+	send     call.UpstreamRequest
 	// prefill is the number of prompt tokens that it must read, rank the rank
 	// of the request there.
 	prefill, rank int
--- a/forward/schedule.go
+++ b/forward/schedule.go
@@ -293,7 +293,7 @@
 // newTarget returns the chosen upstream with the send parameters.
 func (h *handler) newTarget(u upstream, c allocation.Candidate, requirements allocation.Requirements, rank int, locations []cacheLocations) target {
 	loc, _ := locationsFor(locations, u.weights)
-	t := target{id: u.ID, address: u.Address, prefill: max(0, requirements.Input-c.Cached), rank: max(rank, 0)}
+	t := target{id: u.ID, address: u.Address, software: u.Software, prefill: max(0, requirements.Input-c.Cached), rank: max(rank, 0)}
 	t.send = call.UpstreamRequest{Call: h.call, Instance: u.ID, Account: h.account.Name, Priority: rank}
 	if h.call.Prompt.Model != "" {
 		t.send.Weights = u.weights
@@ -307,7 +307,7 @@
 	h.sentTokens.Add(t.prefill, clock.Now())
 	h.mu.Unlock()
 	event.CallScheduled.Info("Request", h.call.ID, "Service", h.service.Name, "Upstream", u.ID, "Cost", allocation.Cost(c, requirements), "Rank", rank,
-		"Held", c.Cached, "Elsewhere", c.Fetchable, "Shared", requirements.Shared, "Part", loc.lastPart, "FetchFrom", t.send.FetchFrom, "Weights", u.weights, "Running", u.load.Running, "Ahead", c.QueuedAhead, "Waiting", c.Waiting,
+		"Held", c.Cached, "Elsewhere", c.Fetchable, "Shared", requirements.Shared, "Part", loc.lastPart, "FetchFrom", t.send.FetchFrom, "Weights", u.weights, "Software", u.Software, "Running", u.load.Running, "Ahead", c.QueuedAhead, "Waiting", c.Waiting,
 		"Catalog", h.snapshot.Catalog.Version, "AgeMillis", h.Replica.Staleness().Milliseconds())
 	return t
 }
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -199,7 +199,7 @@
 	if !ok {
 		return errors.New("the answer of the next upstream is not a stream")
 	}
-	event.StreamResumed.Info("Request", s.call.ID, "Upstream", t.id, "After", s.lastID, "Events", s.events, "Moved", t.send.MemoryHandle != "")
+	event.StreamResumed.Info("Request", s.call.ID, "Upstream", t.id, "Software", t.software, "After", s.lastID, "Events", s.events, "Moved", t.send.MemoryHandle != "")
 	s.setAttempt(next.attempt)
 	s.partial, s.ready, s.done, s.lastID, s.waitsForever = next.partial, next.ready, next.done, next.lastID, false
 	s.events += next.events
