--- a/call/call.go
+++ b/call/call.go
@@ -55,7 +55,7 @@
 	// stream that this one resumes, or "".
 	BeganBy string
 	Prompt  Prompt
-	Fields      []Field
+	Fields  []Field
 }
 
 // UpstreamRequest is the request sent to one upstream for a call.
--- a/standin/platform_engine.go
+++ b/standin/platform_engine.go
@@ -19,6 +19,8 @@
 	ID, Service, Zone, Model string
 	// Advertised, if set, replaces the engine's own IP:port in its entry.
 	Advertised string
+	// Software is the version of the engine's software.
+	Software string
 
 	server      *http.Server
 	listener    net.Listener
@@ -75,7 +77,7 @@
 	if err != nil {
 		return nil, err
 	}
-	e := &PlatformEngine{ID: id, Service: service, Zone: zone, Model: model, listener: listener, weights: 1, startMillis: time.Now().UnixMilli(), executions: map[string]int{},
+	e := &PlatformEngine{ID: id, Service: service, Zone: zone, Model: model, Software: "v1", listener: listener, weights: 1, startMillis: time.Now().UnixMilli(), executions: map[string]int{},
 		cached: map[cachePart]bool{}, eventAdded: make(chan struct{}), running: map[string]chan struct{}{}, memoryHandles: map[string]bool{}}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /report", e.controlCall(e.report))
@@ -219,7 +221,7 @@
 		state = "draining"
 	}
 	entry := map[string]any{
-		"service": e.Service, "address": cmp.Or(e.Advertised, e.Address()), "zone": e.Zone, "version": "v1", "slots": 64, "state": state,
+		"service": e.Service, "address": cmp.Or(e.Advertised, e.Address()), "zone": e.Zone, "version": e.Software, "slots": 64, "state": state,
 		"cold_remaining_ms": 0, "seq": e.heartbeat, "born": e.startMillis,
 	}
 	if e.Model != "" {
--- /dev/null
+++ b/storenode/software_test.go
@@ -0,0 +1,139 @@
+package storenode_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/kumquathoist/kumquathoist/standin"
+)
+
+// slowStream is an interval between events at which a stream lasts until a test
+// breaks it off.
+const slowStream = 700 * time.Millisecond
+
+// newMixedDeployment starts a deployment with engines of two software versions.
+func newMixedDeployment(t *testing.T, hosts, enginesOfEach int) *deployment {
+	d := newDeployment(t, hosts, 0, 1)
+	for i := range 2 * enginesOfEach {
+		d.addEngine(fmt.Sprintf("engine-%d", i), fmt.Sprintf("v%d", i%2+1))
+	}
+	d.awaitEngines(d.engines...)
+	return d
+}
+
+// addEngine starts an engine of a software version.
+func (d *deployment) addEngine(id, software string) *standin.PlatformEngine {
+	e, err := standin.NewPlatformEngine(id, "models", "north", "m1")
+	d.is.NoErr(err)
+	d.t.Cleanup(e.Close)
+	e.Software = software
+	d.store.Register(e)
+	d.engines = append(d.engines, e)
+	return e
+}
+
+// awaitEngines waits until each host sends requests to engines.
+func (d *deployment) awaitEngines(engines ...*standin.PlatformEngine) {
+	sent := 0
+	for i, h := range d.hosts {
+		for _, e := range engines {
+			d.await("host sends requests to "+e.ID, func() bool {
+				sent++
+				id := fmt.Sprintf("probe-%d-%d-%d", i, sent, time.Now().UnixNano())
+				d.do(h, http.MethodPost, modelHost, "/full/a", id, longAnswerPrompt(sent), "body")
+				return e.Ran()[id] > 0
+			})
+		}
+	}
+}
+
+// versionsOf returns the software versions of the engines that ran a request.
+func (d *deployment) versionsOf(id string) map[string]bool {
+	versions := map[string]bool{}
+	for _, e := range d.engines {
+		if e.Ran()[id] > 0 {
+			versions[e.Software] = true
+		}
+	}
+	return versions
+}
+
+// begin begins streams and waits until their first events have arrived.
+func (d *deployment) begin(count int, name string) {
+	for _, e := range d.engines {
+		e.Pace(slowStream)
+	}
+	for i := range count {
+		c := d.client(d.hosts[i%len(d.hosts)])
+		c.write(http.MethodPost, modelHost, "/full/a", fmt.Sprint(name, i), longAnswerPrompt(i), "body")
+		for line := ""; !strings.HasPrefix(line, "id: 1"); {
+			var err error
+			line, err = c.in.ReadString('\n')
+			d.is.NoErr(err)
+		}
+	}
+	for _, e := range d.engines {
+		e.Pace(0)
+	}
+}
+
+// takeUp resumes a stream after its first event.
+func (d *deployment) takeUp(h *testHost, began, id string, prompt int) answer {
+	headers := map[string]string{"Resumes": began, "Last-Event-Id": "1"}
+	for k, v := range longAnswerPrompt(prompt) {
+		headers[k] = v
+	}
+	return d.do(h, http.MethodPost, modelHost, "/full/a", id, headers, "body")
+}
+
+// TestBrokenStreamContinuesAtItsSoftware breaks streams off inside their answers.
+func TestBrokenStreamContinuesAtItsSoftware(t *testing.T) {
+	is := is.New(t)
+	d := newMixedDeployment(t, 1, 3)
+	for i := range 24 {
+		for _, e := range d.engines {
+			e.Fail(standin.CutFault, 1)
+		}
+		id := fmt.Sprint("s", i)
+		headers := longAnswerPrompt(i)
+		d.do(d.hosts[0], http.MethodPost, modelHost, "/full/a", id, headers, "body")
+		is.Equal(len(d.versionsOf(id)), 1) // software versions that wrote the answer
+	}
+}
+
+// TestTakenUpStreamContinuesAtItsSoftware has callers take streams up at other
+// hosts than those that began them.
+func TestTakenUpStreamContinuesAtItsSoftware(t *testing.T) {
+	const streams = 12
+	for _, c := range []struct {
+		name string
+		// after happens between the break and the take-up.
+		after func(d *deployment)
+	}{
+		{"while their host goes on", func(*deployment) {}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			d := newMixedDeployment(t, 2, 3)
+			d.begin(streams, "s")
+			c.after(d)
+			continued := 0
+			for i := range streams {
+				began, id := fmt.Sprint("s", i), fmt.Sprint("t", i)
+				answer := d.takeUp(d.hosts[(i+1)%2], began, id, i)
+				for version := range d.versionsOf(id) {
+					is.True(d.versionsOf(began)[version]) // the version that began the stream
+				}
+				if answer.status == http.StatusOK && !answer.truncated {
+					continued++
+				}
+			}
+			is.True(2*continued >= streams) // most streams go on
+		})
+	}
+}
