fix: a stream continues only at the software version that began it

What callers saw (ORDER): text of two software versions joined in one stream, inside an answer after an engine was lost, and over a caller's tries, most of all after all hosts were killed at once. Cause: no decision knew an upstream's software version or which stream a caller takes up; any engine continued any stream. Class: a property that a run begins with isn't kept with what continues it (weights are, software was not). The same elsewhere: migrated streams, mended here too. Change: hosts keep which versions serve or left lately and record changes in the store; while there are several, they record which version began which stream. A take-up goes on at that version, or is refused at once when the version isn't known or has left. With one version nothing is recorded.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -154,6 +154,8 @@
 	services map[string]Service
 	accounts map[string]Account
 	keys     map[string]string
+	// longestStream is the longest timeout of a resumable stream.
+	longestStream time.Duration
 }
 
 // New returns a catalog. Keys maps the keys of accounts to account names.
@@ -163,6 +165,9 @@
 		routes: map[string]map[string]Route{}, services: map[string]Service{}, accounts: map[string]Account{},
 	}
 	for _, r := range routes {
+		if r.Kind == Stream && r.Resumable {
+			c.longestStream = max(c.longestStream, r.Timeout)
+		}
 		if c.routes[r.Host] == nil {
 			c.routes[r.Host] = map[string]Route{}
 		}
@@ -199,6 +204,10 @@
 	return s, ok
 }
 
+// LongestStream returns the longest timeout of the routes whose streams are
+// resumable; 0 if there are none.
+func (c Catalog) LongestStream() time.Duration { return c.longestStream }
+
 // Services returns all services in no particular order.
 func (c Catalog) Services() []Service {
 	return slices.Collect(maps.Values(c.services))
--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -99,5 +99,17 @@
 // must not be changed.
 func (s Set) Service(name string) []Entry { return s.byService[name] }
 
+// SoftwareVersions returns the software versions of a service's upstreams, each
+// once.
+func (s Set) SoftwareVersions(service string) []string {
+	var versions []string
+	for _, e := range s.byService[service] {
+		if !slices.Contains(versions, e.Software) {
+			versions = append(versions, e.Software)
+		}
+	}
+	return versions
+}
+
 // Len returns the number of entries.
 func (s Set) Len() int { return len(s.entries) }
--- a/event/replica.go
+++ b/event/replica.go
@@ -59,10 +59,17 @@
 	CrashRecordPersisted = Event{6303, "record kept", "A record of a request that lost several engines was written to the store, or removed there, so that hosts that start later use it."}
 	// CrashRecordNotPersisted reports a failed write of a crash record, which is retried.
 	CrashRecordNotPersisted = Event{6304, "record not kept", "The store did not accept a record of a request that lost several engines; the write is retried within seconds."}
+	// SoftwareVersionsChanged reports that a software version began or ceased to serve a service.
+	SoftwareVersionsChanged = Event{6401, "software versions changed", "A software version began or ceased to serve a service. While streams may have begun at several versions, hosts record in the store which version began which stream."}
+	// StreamOriginsUnreadable reports that the records of which version began a stream can't be read.
+	StreamOriginsUnreadable = Event{6402, "stream origins unreadable", "The store's records of the software versions that began streams can't be read; a stream that a caller takes up is refused if its version isn't known otherwise."}
+	// StreamOriginsNotWritten reports a failed write of such records, which is retried.
+	StreamOriginsNotWritten = Event{6403, "stream origins not written", "The store did not accept records of the software versions that serve a service (Service is its name) or that began streams; the write is retried within seconds."}
 )
 
 var replicaEvents = []Event{
 	StoreUnreachable, StoreReachable, HistoryTrimmed, CatalogChanged, TargetWeightsChanged, UpstreamChanged, UpstreamRemoved, RecordRejected,
 	LeaseAcquired, LeaseNotAcquired, LeaseHeldElsewhere, LoadOrdered, LoadEnded, UpstreamReportedUnreachable, FeedDisconnected, FeedReconnected, CacheReset,
 	StoreRestored, UpstreamLeaving, RetryAfterReceived, LimitNamed, LimitEnded, LimitInvalid, RetryAfterInvalid, CrashRecordsUnreadable, CrashRecordsReadable, CrashRecordPersisted, CrashRecordNotPersisted,
+	SoftwareVersionsChanged, StreamOriginsUnreadable, StreamOriginsNotWritten,
 }
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -28,6 +28,7 @@
 	"github.com/kumquathoist/kumquathoist/request"
 	"github.com/kumquathoist/kumquathoist/retry"
 	"github.com/kumquathoist/kumquathoist/retrybudget"
+	"github.com/kumquathoist/kumquathoist/software"
 )
 
 const (
@@ -38,6 +39,9 @@
 	// then it is likely to have the configuration. Callers retry only a few
 	// times, so it isn't shorter.
 	retryAfterStartup = 900 * time.Millisecond
+	// retryAfterUnresumable is the Retry-After for a stream that no upstream may
+	// continue: the version that began it has left, or isn't known.
+	retryAfterUnresumable = 30 * time.Second
 	// retryAfterQuarantine is the Retry-After for a request that crashes
 	// engines.
 	retryAfterQuarantine = 30 * time.Second
@@ -76,6 +80,14 @@
 	Answered(attempt string, c quarantine.Content)
 }
 
+// origins knows the software versions that began streams.
+type origins interface {
+	// Began records that an upstream of a software version began a stream.
+	Began(service, id, version string)
+	// Find returns the version at which a stream that has begun may continue.
+	Find(ctx context.Context, service, id string) software.Origin
+}
+
 // loadExchange exchanges load reports with the other hosts.
 type loadExchange interface {
 	// RemoteLoad returns the load of the other hosts at an engine.
@@ -102,6 +114,7 @@
 	Sender      sender
 	Encoder     encoder
 	Guard       guard
+	Origins     origins
 	Tracker     *health.Tracker
 	LoadReports loadExchange
 	Migrator    migrator
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -12,6 +12,7 @@
 	"github.com/kumquathoist/kumquathoist/call"
 	"github.com/kumquathoist/kumquathoist/catalog"
 	"github.com/kumquathoist/kumquathoist/clock"
+	"github.com/kumquathoist/kumquathoist/discovery"
 	"github.com/kumquathoist/kumquathoist/event"
 	"github.com/kumquathoist/kumquathoist/health"
 	"github.com/kumquathoist/kumquathoist/http1"
@@ -21,6 +22,7 @@
 	"github.com/kumquathoist/kumquathoist/request"
 	"github.com/kumquathoist/kumquathoist/retry"
 	"github.com/kumquathoist/kumquathoist/retrybudget"
+	"github.com/kumquathoist/kumquathoist/software"
 )
 
 const (
@@ -68,6 +70,11 @@
 	refusal call.Answer
 	// content identifies the request and its parts to the guard.
 	content quarantine.Content
+	// software is the version of the upstreams at which the stream must continue;
+	// "" as long as it has not begun.
+	software string
+	// originRecorded is set once the version that began the stream was recorded.
+	originRecorded bool
 	// stage shows whether a part of the answer has been relayed.
 	stage retrybudget.Stage
 	// delivered counts the attempts that reached an upstream.
@@ -113,8 +120,8 @@
 
 // handle makes attempts until there is an answer.
 func (h *handler) handle(ctx context.Context) call.Answer {
-	if h.call.ResumeAfter != "" {
-		event.StreamTakenUp.Info("Request", h.call.ID, "Stream", h.call.BeganBy, "After", h.call.ResumeAfter)
+	if h.call.ResumeAfter != "" && h.route.Kind == catalog.Stream && !h.findOrigin(ctx) {
+		return h.refusal
 	}
 	h.recordFirst(h.service.Name, h.call.Prompt.Input)
 	for {
@@ -132,6 +139,29 @@
 	}
 }
 
+// findOrigin finds the software version that began the stream that the caller
+// resumes. It returns false if the stream is refused.
+func (h *handler) findOrigin(ctx context.Context) bool {
+	origin := h.Origins.Find(ctx, h.service.Name, h.call.BeganBy)
+	event.StreamTakenUp.Info("Request", h.call.ID, "Stream", h.call.BeganBy, "After", h.call.ResumeAfter, "Software", origin.Version, "Source", origin.Source)
+	h.Metrics.Tagged(map[string]string{"source": origin.Source.String()}).Counter("streams_taken_up").Inc(1)
+	switch {
+	case origin.Known:
+		h.software = origin.Version
+		return true
+	case origin.Source == software.Unreadable:
+		h.refusal = call.Refuse(call.Unresumable).WithRetryAfter(retryAfterStartup)
+	default:
+		h.refusal = call.Refuse(call.Unresumable).WithRetryAfter(retryAfterUnresumable)
+	}
+	return false
+}
+
+// mayRun reports whether the software of an upstream may run the request.
+func (h *handler) mayRun(e discovery.Entry) bool {
+	return h.software == "" || e.Software == h.software
+}
+
 // shouldRetry records a failed attempt and reports whether another may be made.
 func (h *handler) shouldRetry(ctx context.Context, outcome retry.Outcome) bool {
 	h.retryState = h.retryState.With(outcome)
--- a/forward/migrate.go
+++ b/forward/migrate.go
@@ -8,6 +8,7 @@
 	"github.com/kumquathoist/kumquathoist/allocation"
 	"github.com/kumquathoist/kumquathoist/call"
 	"github.com/kumquathoist/kumquathoist/clock"
+	"github.com/kumquathoist/kumquathoist/discovery"
 	"github.com/kumquathoist/kumquathoist/event"
 	"github.com/kumquathoist/kumquathoist/loadreport"
 )
@@ -123,10 +124,10 @@
 }
 
 // migrationTarget chooses the engine to migrate to: the least loaded one with
-// the same weights.
+// the same weights and software.
 func (s *stream) migrationTarget(from target) (target, bool) {
 	snapshot := s.Replica.State()
-	upstreams := slices.DeleteFunc(s.usable(snapshot, s.service, s.call.Prompt.Model, func(id string) bool { return id == from.id }), func(u upstream) bool {
+	upstreams := slices.DeleteFunc(s.usable(snapshot, s.service, s.call.Prompt.Model, func(e discovery.Entry) bool { return e.ID == from.id || e.Software != from.software }), func(u upstream) bool {
 		return u.weights != from.send.Weights
 	})
 	source, _ := snapshot.Upstreams.Entry(from.id)
@@ -143,7 +144,7 @@
 	if i < 0 {
 		return target{}, false
 	}
-	to := target{id: upstreams[i].ID, address: upstreams[i].Address, rank: from.rank, send: from.send}
+	to := target{id: upstreams[i].ID, address: upstreams[i].Address, software: from.software, rank: from.rank, send: from.send}
 	to.send.Instance, to.send.FetchFrom, to.send.SaveTo = to.id, "", ""
 	return to, true
 }
--- a/forward/schedule.go
+++ b/forward/schedule.go
@@ -79,10 +79,10 @@
 	giveUp := clock.Now().Add(h.route.Objective / waitDivisor)
 	for {
 		h.snapshot = h.Replica.State()
-		if h.isQuarantined() {
+		if h.isQuarantined() || h.isUnresumable() {
 			return target{}, false
 		}
-		if upstreams := h.usable(h.snapshot, h.service, h.call.Prompt.Model, func(id string) bool { return h.tried[id] }); len(upstreams) > 0 {
+		if upstreams := h.usable(h.snapshot, h.service, h.call.Prompt.Model, func(e discovery.Entry) bool { return h.tried[e.ID] || !h.mayRun(e) }); len(upstreams) > 0 {
 			if t, ok := h.choose(upstreams); !ok || h.take(t.id) {
 				return t, ok
 			}
@@ -105,6 +105,17 @@
 	}
 }
 
+// isUnresumable reports whether no upstream that stays has the software version that
+// began the stream, and sets the refusal if so.
+func (h *handler) isUnresumable() bool {
+	upstreams := h.snapshot.Upstreams.Service(h.service.Name)
+	if len(upstreams) == 0 || slices.ContainsFunc(upstreams, func(e discovery.Entry) bool { return h.mayRun(e) && !e.Leaving }) {
+		return false // a host that has just started may not know them yet
+	}
+	h.refusal = call.Refuse(call.Unresumable).WithRetryAfter(retryAfterUnresumable)
+	return true
+}
+
 // take counts a request to an upstream, if the upstream still accepts it: other
 // requests of this host may have used up what it accepts.
 func (h *handler) take(id string) (ok bool) {
@@ -134,7 +145,7 @@
 	now := clock.Now()
 	for _, e := range h.snapshot.Upstreams.Service(h.service.Name) {
 		s := h.Tracker.Observe(e.ID, e.StartTime, now)
-		if e.Leaving || s.Leaving(now) {
+		if e.Leaving || s.Leaving(now) || !h.mayRun(e) {
 			continue
 		}
 		left := s.RetryAfter(now)
@@ -190,7 +201,7 @@
 
 // usable returns the upstreams of a service that may be sent a request now. If
 // model is not "", they have weights of it that may answer.
-func (r *Router) usable(snapshot replica.State, service catalog.Service, model string, exclude func(id string) bool) []upstream {
+func (r *Router) usable(snapshot replica.State, service catalog.Service, model string, exclude func(discovery.Entry) bool) []upstream {
 	now := clock.Now()
 	var found []upstream
 	for _, e := range snapshot.Upstreams.Service(service.Name) {
@@ -198,7 +209,7 @@
 		if state.NeedsPart(now) {
 			state = r.withPart(e.ID, state, now)
 		}
-		if e.Leaving || exclude(e.ID) || !state.Usable(now) {
+		if e.Leaving || exclude(e) || !state.Usable(now) {
 			continue
 		}
 		u := upstream{Entry: e, state: state, hash: loadreport.HashEngine(e.ID)}
--- a/replica/state.go
+++ b/replica/state.go
@@ -14,6 +14,7 @@
 	"github.com/kumquathoist/kumquathoist/catalog"
 	"github.com/kumquathoist/kumquathoist/clock"
 	"github.com/kumquathoist/kumquathoist/discovery"
+	"github.com/kumquathoist/kumquathoist/software"
 )
 
 // Topic is one of the record logs of the store.
@@ -25,11 +26,14 @@
 	Operator Topic = iota
 	// Upstreams holds the entries that upstreams write about themselves.
 	Upstreams
+	// Software holds the software versions that serve each service, and those that
+	// left lately, as hosts recorded them.
+	Software
 	topicCount
 )
 
 // String returns the topic's name for logs.
-func (t Topic) String() string { return [...]string{"Operator", "Upstreams"}[t] }
+func (t Topic) String() string { return [...]string{"Operator", "Upstreams", "Software"}[t] }
 
 // Record is the latest value of a key.
 type Record struct {
@@ -54,6 +58,8 @@
 	Catalog *catalog.Catalog
 	Weights *TargetWeights
 	Entry   *discovery.Entry
+	// Software holds the software versions of the service that the key names.
+	Software *software.Versions
 }
 
 // TargetWeights is the weights version that operators want for a model.
@@ -133,6 +139,7 @@
 	Catalog     catalog.Catalog
 	Upstreams   discovery.Set
 	weights     map[string]WeightsHistory
+	software    map[string]software.Versions
 	topicStates [topicCount]topicState
 	// deferred holds removed upstreams and when their removal takes effect.
 	deferred map[string]clock.Instant
@@ -153,6 +160,12 @@
 	return h, ok
 }
 
+// Software returns the recorded software versions of a service, if any were.
+func (s State) Software(service string) (software.Versions, bool) {
+	v, ok := s.software[service]
+	return v, ok
+}
+
 // Since returns the records that a reader at a position of a topic lacks.
 func (s State) Since(t Topic, position int64) Delta {
 	topic := s.topicStates[t]
@@ -232,8 +245,12 @@
 	maps.Copy(topic.records, s.topicStates[t].records)
 	weights, deferred := map[string]WeightsHistory{}, map[string]clock.Instant{}
 	maps.Copy(weights, s.weights)
+	recorded := maps.Clone(s.software)
+	if recorded == nil {
+		recorded = map[string]software.Versions{}
+	}
 	maps.Copy(deferred, s.deferred)
-	s.weights, s.deferred = weights, deferred
+	s.weights, s.software, s.deferred = weights, recorded, deferred
 	return s, topic
 }
 
@@ -241,8 +258,11 @@
 func (s *State) apply(t Topic, r Record, decode Decoder, at Times) Change {
 	c := Change{Topic: t, Key: r.Key, Offset: r.Offset, Removed: r.Value == nil}
 	if c.Removed {
-		if t == Upstreams {
+		switch t {
+		case Upstreams:
 			c.Deferred = s.removeUpstream(r.Key, at)
+		case Software:
+			delete(s.software, r.Key)
 		}
 		return c
 	}
@@ -259,6 +279,9 @@
 	if c.Decoded.Entry != nil {
 		delete(s.deferred, r.Key)
 	}
+	if c.Decoded.Software != nil {
+		s.software[r.Key] = *c.Decoded.Software
+	}
 	return c
 }
 
--- a/replica/syncer.go
+++ b/replica/syncer.go
@@ -20,6 +20,9 @@
 	// entryPause does the same for entries of upstreams, which may become known
 	// a little later.
 	entryPause = 400 * time.Millisecond
+	// softwarePause is the same for records of software versions, which change
+	// only when upstreams are replaced.
+	softwarePause = 100 * time.Millisecond
 	// retryPause is the mean pause after a failed read of the store.
 	retryPause = 700 * time.Millisecond
 	// readGrace is how much longer than its wait a read may take.
@@ -53,10 +56,10 @@
 )
 
 // readPauses are the pauses after a read of a topic returned records.
-var readPauses = [topicCount]time.Duration{Operator: burstPause, Upstreams: entryPause}
+var readPauses = [topicCount]time.Duration{Operator: burstPause, Upstreams: entryPause, Software: softwarePause}
 
 // readWaits are how long a read of each topic waits for records.
-var readWaits = [topicCount]time.Duration{Operator: 800 * time.Millisecond, Upstreams: 6 * time.Second}
+var readWaits = [topicCount]time.Duration{Operator: 800 * time.Millisecond, Upstreams: 6 * time.Second, Software: 10 * time.Second}
 
 // ErrTrimmed means that the store no longer has the records after a position.
 var ErrTrimmed = errors.New("records were trimmed")
@@ -129,6 +132,7 @@
 	s.readCtx, s.cancelReads = context.WithCancel(ctx)
 	wait.Go(func() { s.follow(ctx, Operator) })
 	wait.Go(func() { s.follow(ctx, Upstreams) })
+	wait.Go(func() { s.follow(ctx, Software) })
 	wait.Go(func() { s.pull(ctx) })
 	wait.Go(func() { s.monitor(ctx) })
 	return s
@@ -344,7 +348,11 @@
 	defer cancel()
 	requested := clock.Now()
 	state := s.State()
-	r, err := s.Peers.Pull(ctx, []int64{state.Position(Operator), state.Position(Upstreams)})
+	positions := make([]int64, topicCount)
+	for t := range topicCount {
+		positions[t] = state.Position(t)
+	}
+	r, err := s.Peers.Pull(ctx, positions)
 	if err != nil {
 		// Ignored: hosts detect failed peers on their own, by load reports.
 		return
--- a/replica/syncer_test.go
+++ b/replica/syncer_test.go
@@ -19,7 +19,7 @@
 type fakeStore struct {
 	mu   sync.Mutex
 	down bool
-	logs [2][]replica.Record
+	logs [3][]replica.Record
 	// failed counts failed reads of the Upstreams topic.
 	failed int
 	// held receives a channel for an empty result of the Operator topic, which is
--- /dev/null
+++ b/resumption/resumption.go
@@ -0,0 +1,301 @@
+// Package resumption knows the software version that began each stream, so that a
+// stream continues at that version whichever host its caller comes back to.
+//
+// While a service has upstreams of one version only, nothing is recorded. While it
+// has several, hosts record in the platform's store which version began which
+// stream. Package software makes the decisions.
+package resumption
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/kumquathoist/kumquathoist/clock"
+	"github.com/kumquathoist/kumquathoist/event"
+	"github.com/kumquathoist/kumquathoist/replica"
+	"github.com/kumquathoist/kumquathoist/software"
+)
+
+const (
+	// minLifetime is the longest life of a stream, over all the attempts of its
+	// caller, if no route has a longer timeout; lifetimeTimeouts is the same in
+	// timeouts of a route, since a caller may come back after one.
+	minLifetime      = 30 * time.Second
+	lifetimeTimeouts = 2
+	// minWriteInterval is the least time between two writes of a host.
+	// writeIntervalPerHost is that time divided by the number of hosts, and
+	// maxWriteInterval bounds it.
+	minWriteInterval     = 200 * time.Millisecond
+	writeIntervalPerHost = 10 * time.Millisecond
+	maxWriteInterval     = time.Second
+	// callTimeout limits one call to the store.
+	callTimeout = time.Second
+	// retryDelay is the delay after a failed write.
+	retryDelay = 700 * time.Millisecond
+	// checkInterval is the longest time between two checks of the versions.
+	checkInterval = time.Second
+)
+
+// store keeps what must outlive the hosts.
+type store interface {
+	// Era changes when the store comes back from an older copy.
+	Era() int64
+	// PutVersions replaces the recorded versions of a service.
+	PutVersions(ctx context.Context, service string, v software.Versions) error
+	// PutStreams replaces batches of streams.
+	PutStreams(ctx context.Context, batches []software.Batch) error
+	// Streams returns the batches from a position on. From a position below 0, or
+	// one that the store no longer has, it returns all.
+	Streams(ctx context.Context, from int64) (StoredStreams, error)
+}
+
+// StoredStreams is what a read of the store returns.
+type StoredStreams struct {
+	Batches []software.Batch
+	// Next is the position of the next read.
+	Next int64
+}
+
+// states reads this host's replica of the store.
+type states interface {
+	State() replica.State
+	Changed() <-chan struct{}
+}
+
+// Options configures a Ledger.
+type Options struct {
+	Host    string
+	Store   store
+	Replica states
+	// WritesVersions reports whether this host records the versions of services.
+	WritesVersions func() bool
+	// Hosts returns the number of hosts that write to the store.
+	Hosts   func() int
+	Metrics tally.Scope
+}
+
+// Ledger knows which software version began a stream.
+type Ledger struct {
+	Options
+
+	// writeTrigger signals that there are streams to write.
+	writeTrigger chan struct{}
+	// reading serializes reads of the store; it guards position and readAt, the
+	// start of the last successful read.
+	reading  sync.Mutex
+	position int64
+	readAt   clock.Instant
+	// mu guards the fields below.
+	mu       sync.Mutex
+	services map[string]software.Versions
+	streams  *software.Streams
+	era      int64
+}
+
+// New returns a ledger that follows the replica until the context ends.
+func New(ctx context.Context, wait *conc.WaitGroup, o Options) *Ledger {
+	l := &Ledger{Options: o, writeTrigger: make(chan struct{}, 1), position: -1, services: map[string]software.Versions{}, streams: software.NewStreams(o.Host), era: o.Store.Era()}
+	wait.Go(func() {
+		for ctx.Err() == nil {
+			changed := l.Replica.Changed()
+			l.observe()
+			l.recordVersions(ctx)
+			select {
+			case <-ctx.Done():
+			case <-changed:
+			case <-time.After(checkInterval):
+			}
+		}
+	})
+	wait.Go(func() { l.write(ctx) })
+	return l
+}
+
+// Began records that an upstream of a software version began a stream.
+func (l *Ledger) Began(service, id, version string) {
+	l.mu.Lock()
+	if !l.services[service].Serves(version) {
+		l.services[service] = l.services[service].WithLeft(version, clock.Now())
+	}
+	_, single := l.services[service].Only()
+	l.streams.Began(id, service, version, !single, time.Now())
+	l.mu.Unlock()
+	if !single {
+		l.triggerWrite()
+	}
+}
+
+// Find returns the software version at which a stream of a service that has begun
+// may continue.
+func (l *Ledger) Find(ctx context.Context, service, id string) software.Origin {
+	l.observe()
+	asked := clock.Now()
+	origin := l.known(service, id)
+	for attempt := 0; !origin.Known && attempt < 2; attempt++ {
+		if attempt > 0 {
+			// The host that began the stream may not have written it yet.
+			clock.Pause(ctx, l.writeInterval())
+			asked = clock.Now()
+		}
+		if err := l.read(ctx, asked); err != nil {
+			event.StreamOriginsUnreadable.Error(err, "Stream", id)
+			origin.Source = software.Unreadable
+			return origin
+		}
+		origin = l.known(service, id)
+	}
+	return origin
+}
+
+// known returns what is known of a stream's origin without asking the store.
+func (l *Ledger) known(service, id string) software.Origin {
+	_, recorded := l.Replica.State().Software(service)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if version, ok := l.streams.Version(id); ok {
+		return software.Origin{Version: version, Known: true, Source: software.Recorded}
+	}
+	if version, ok := l.services[service].Only(); ok && recorded {
+		return software.Origin{Version: version, Known: true, Source: software.OnlyVersion}
+	}
+	return software.Origin{Source: software.Unrecorded}
+}
+
+// observe updates the versions of all services from the replica.
+func (l *Ledger) observe() {
+	state := l.Replica.State()
+	now := clock.Now()
+	lifetime := max(minLifetime, lifetimeTimeouts*state.Catalog.LongestStream())
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.streams.SetLifetime(lifetime)
+	if era := l.Store.Era(); era != l.era {
+		l.era = era
+		l.streams.RewriteAll()
+	}
+	defer func() {
+		if l.streams.NeedsWrite(time.Now()) {
+			l.triggerWrite()
+		}
+	}()
+	for _, s := range state.Catalog.Services() {
+		recorded, _ := state.Software(s.Name)
+		before := l.services[s.Name]
+		after := before.With(state.Upstreams.SoftwareVersions(s.Name), recorded, lifetime, now)
+		l.services[s.Name] = after
+		if after.Covers(before) && before.Covers(after) {
+			continue
+		}
+		event.SoftwareVersionsChanged.Info("Service", s.Name, "Versions", after.String())
+		if _, single := after.Only(); !single {
+			l.streams.Record(s.Name, time.Now())
+		}
+	}
+}
+
+// recordVersions writes the versions of services whose record lacks something.
+func (l *Ledger) recordVersions(ctx context.Context) {
+	if !l.WritesVersions() {
+		return
+	}
+	state := l.Replica.State()
+	for _, s := range state.Catalog.Services() {
+		l.mu.Lock()
+		v := l.services[s.Name]
+		l.mu.Unlock()
+		recorded, known := state.Software(s.Name)
+		if len(v.All()) == 0 || known && recorded.Covers(v) {
+			continue
+		}
+		call, cancel := context.WithTimeout(ctx, callTimeout)
+		err := l.Store.PutVersions(call, s.Name, v)
+		cancel()
+		if err != nil {
+			event.StreamOriginsNotWritten.Error(err, "Service", s.Name)
+			clock.Pause(ctx, retryDelay)
+		}
+	}
+}
+
+func (l *Ledger) triggerWrite() {
+	select {
+	case l.writeTrigger <- struct{}{}:
+	default:
+	}
+}
+
+// writeInterval returns the time between two writes of this host.
+func (l *Ledger) writeInterval() time.Duration {
+	return min(max(minWriteInterval, time.Duration(l.Hosts())*writeIntervalPerHost), maxWriteInterval)
+}
+
+// write writes streams to the store until the context ends.
+func (l *Ledger) write(ctx context.Context) {
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+			return
+		case <-l.writeTrigger:
+		}
+		clock.Pause(ctx, l.writeInterval())
+		if err := l.writeOnce(ctx); err != nil && ctx.Err() == nil {
+			event.StreamOriginsNotWritten.Error(err, "Service", "")
+			clock.Pause(ctx, retryDelay)
+			l.triggerWrite()
+		}
+	}
+}
+
+// writeOnce writes the streams that are to be written.
+func (l *Ledger) writeOnce(ctx context.Context) error {
+	// The records of this host from before its start are kept, so they are read
+	// first.
+	if err := l.read(ctx, 1); err != nil {
+		return err
+	}
+	l.mu.Lock()
+	batches := l.streams.Unwritten(time.Now())
+	l.mu.Unlock()
+	if len(batches) == 0 {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	err := l.Store.PutStreams(ctx, batches)
+	if err != nil {
+		l.mu.Lock()
+		l.streams.Rewrite(batches)
+		l.mu.Unlock()
+		return err
+	}
+	l.Metrics.Counter("stream_origins_writes").Inc(1)
+	return nil
+}
+
+// read reads new batches from the store, unless a read has started since an
+// instant.
+func (l *Ledger) read(ctx context.Context, since clock.Instant) error {
+	l.reading.Lock()
+	defer l.reading.Unlock()
+	if l.readAt >= since {
+		return nil
+	}
+	started := clock.Now()
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	stored, err := l.Store.Streams(ctx, l.position)
+	if err != nil {
+		return err
+	}
+	l.position, l.readAt = stored.Next, started
+	l.Metrics.Counter("stream_origins_reads").Inc(1)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.streams.Merge(slices.DeleteFunc(stored.Batches, func(b software.Batch) bool { return len(b.Streams) == 0 }), time.Now())
+	return nil
+}
--- a/storenode/harness_test.go
+++ b/storenode/harness_test.go
@@ -45,6 +45,8 @@
 	weightsMillis int
 	// loadReportPort is the port of all hosts for load reports.
 	loadReportPort string
+	// restore brings the store back from an older copy.
+	restore func()
 }
 
 // testHost is a running daemon.
--- a/storenode/software_test.go
+++ b/storenode/software_test.go
@@ -1,6 +1,7 @@
 package storenode_test
 
 import (
+	"bytes"
 	"fmt"
 	"net/http"
 	"strings"
@@ -37,6 +38,16 @@
 	return e
 }
 
+// removeEngines ends engines and removes their entries.
+func (d *deployment) removeEngines(software string) {
+	for _, e := range d.engines {
+		if e.Software == software {
+			e.Close()
+			d.store.Put("keyed.servers", e.ID, nil)
+		}
+	}
+}
+
 // awaitEngines waits until each host sends requests to engines.
 func (d *deployment) awaitEngines(engines ...*standin.PlatformEngine) {
 	sent := 0
@@ -82,6 +93,19 @@
 	}
 }
 
+// awaitOrigins waits until the store has the origins of streams.
+func (d *deployment) awaitOrigins(count int, name string) {
+	d.await("the store has the origins of streams", func() bool {
+		records := string(bytes.Join(d.store.Records("keyed.streams"), nil))
+		for i := range count {
+			if !strings.Contains(records, fmt.Sprintf("%q", fmt.Sprint(name, i))) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
 // takeUp resumes a stream after its first event.
 func (d *deployment) takeUp(h *testHost, began, id string, prompt int) answer {
 	headers := map[string]string{"Resumes": began, "Last-Event-Id": "1"}
@@ -91,6 +115,19 @@
 	return d.do(h, http.MethodPost, modelHost, "/full/a", id, headers, "body")
 }
 
+// restartHosts kills all hosts and starts as many.
+func (d *deployment) restartHosts(meanwhile func()) {
+	count := len(d.hosts)
+	for _, h := range d.hosts {
+		h.kill()
+	}
+	d.hosts = nil
+	meanwhile()
+	for i := range count {
+		d.awaitReady(d.host(i))
+	}
+}
+
 // TestBrokenStreamContinuesAtItsSoftware breaks streams off inside their answers.
 func TestBrokenStreamContinuesAtItsSoftware(t *testing.T) {
 	is := is.New(t)
@@ -116,10 +153,27 @@
 		after func(d *deployment)
 	}{
 		{"while their host goes on", func(*deployment) {}},
+		{"after all hosts were killed", func(d *deployment) {
+			d.awaitOrigins(streams, "s")
+			d.restartHosts(func() {})
+			d.awaitEngines(d.engines...)
+		}},
+		{"after the store came back from an older copy", func(d *deployment) {
+			d.awaitOrigins(streams, "s")
+			d.restore()
+			for _, e := range d.engines {
+				d.store.Register(e)
+			}
+			d.configure(nil)
+			d.awaitOrigins(streams, "s")
+			d.restartHosts(func() {})
+			d.awaitEngines(d.engines...)
+		}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			d := newMixedDeployment(t, 2, 3)
+			d.restore = d.store.Copy()
 			d.begin(streams, "s")
 			c.after(d)
 			continued := 0
@@ -137,3 +191,39 @@
 		})
 	}
 }
+
+// TestStreamOfReplacedSoftwareIsRefused replaces the only software version while
+// all hosts are dark.
+func TestStreamOfReplacedSoftwareIsRefused(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t, 2, 3, 0)
+	d.await("the versions are recorded", func() bool { return len(d.store.Records("keyed.software")) > 0 })
+	d.begin(6, "s")
+	d.restartHosts(func() {
+		d.removeEngines("v1")
+		for i := range 3 {
+			d.addEngine(fmt.Sprintf("new-%d", i), "v2")
+		}
+	})
+	d.awaitEngines(d.engines[3:]...)
+	for i := range 6 {
+		answer := d.takeUp(d.hosts[i%2], fmt.Sprint("s", i), fmt.Sprint("t", i), i)
+		is.Equal(answer.status, http.StatusServiceUnavailable)
+		is.Equal(d.executions(fmt.Sprint("t", i)), 0)
+	}
+}
+
+// TestTakeUpWithOneSoftware kills all hosts while one software version serves.
+func TestTakeUpWithOneSoftware(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t, 2, 3, 0)
+	d.await("the versions are recorded", func() bool { return len(d.store.Records("keyed.software")) > 0 })
+	d.begin(6, "s")
+	d.restartHosts(func() {})
+	for i := range 6 {
+		answer := d.takeUp(d.hosts[i%2], fmt.Sprint("s", i), fmt.Sprint("t", i), i)
+		is.Equal(answer.status, http.StatusOK)
+		is.True(!answer.truncated)
+	}
+	is.Equal(len(d.store.Records("keyed.streams")), 0) // nothing is recorded
+}
--- a/storenode/storenode.go
+++ b/storenode/storenode.go
@@ -34,6 +34,7 @@
 	"github.com/kumquathoist/kumquathoist/registry"
 	"github.com/kumquathoist/kumquathoist/reloader"
 	"github.com/kumquathoist/kumquathoist/replica"
+	"github.com/kumquathoist/kumquathoist/resumption"
 	"github.com/kumquathoist/kumquathoist/retrybudget"
 	"github.com/kumquathoist/kumquathoist/settings"
 )
@@ -116,13 +117,16 @@
 	}
 	pool := peer.NewPool(credentials)
 	n.startPeers(ctx, pool)
+	ledger := resumption.New(ctx, &n.wait, resumption.Options{
+		Host: n.settings.Host.Name, Store: n.store, Replica: n.syncer, WritesVersions: n.readsStore, Hosts: func() int { return len(n.directory.Hosts()) }, Metrics: scope,
+	})
 	guard := crash.NewGuard(ctx, &n.wait, crash.Options{Self: n.settings.Listen.PeersAddress(), Peers: n.peerAddresses, Sender: crash.NewPeerSender(pool), Store: n.store, Metrics: scope})
 	connections := http1.NewPool(platform.Wire{})
 	n.wait.Go(func() { connections.Sweep(ctx) })
 	bounds := n.settings.Bounds
 	engines := platform.NewEngines(func(instance string, r call.SelfReport) { n.router.RecordStatus(instance, r, "") })
 	n.router = forward.New(forward.Options{
-		Replica: n.syncer, Sender: connections, Encoder: platform.Wire{}, Guard: guard, Tracker: n.tracker, LoadReports: lateExchanger{n},
+		Replica: n.syncer, Sender: connections, Encoder: platform.Wire{}, Guard: guard, Origins: ledger, Tracker: n.tracker, LoadReports: lateExchanger{n},
 		Migrator: engines, Background: &n.wait,
 		Hosts:           func() int { return max(len(n.directory.Hosts()), len(n.settings.Platform.Seeds)) },
 		Host:            n.settings.Host.Name,
