fix: a repeated refusal on a kept connection is not believed on the product's own path

Cause: package upstream believed X-Not-Started, and any other answer, without comparing the attempt; net/http takes whatever arrives first on a kept connection for the answer. Change: an answer that names another attempt, or a refusal that names none, leaves the outcome unknown. Evidence: TestRepeatedRefusalIsNotBelieved in upstream failed in all 3 rows before. On a platform with a store it can't happen: the same test in http1, 6 rows, passed on the code before (answers are matched by id, connections with bytes that nobody asked for aren't used).

--- a/dispatch/session_test.go
+++ b/dispatch/session_test.go
@@ -178,8 +178,9 @@
 	panic(http.ErrAbortHandler)
 }
 
-func sendNotStarted(w http.ResponseWriter, _ *http.Request) {
+func sendNotStarted(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("X-Not-Started", "true")
+	w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
 	w.WriteHeader(http.StatusServiceUnavailable)
 	fmt.Fprint(w, "another incarnation")
 }
--- /dev/null
+++ b/http1/repeated_test.go
@@ -0,0 +1,98 @@
+package http1_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/kumquathoist/kumquathoist/http1"
+	"github.com/kumquathoist/kumquathoist/platform"
+)
+
+// TestRepeatedRefusalIsNotBelieved has an upstream write its refusal of a request once
+// more on the same connection, before or after the next request, which it runs.
+func TestRepeatedRefusalIsNotBelieved(t *testing.T) {
+	const answer = "HTTP/1.1 200 OK\r\nX-Attempt-Id: second\r\nX-Response-Stamp: s\r\nContent-Length: 3\r\n\r\nran"
+	refusal := func(id, more string) string {
+		return "HTTP/1.1 503 Service Unavailable\r\n" + id + "X-Not-Executed: 1\r\n" + more + "Content-Length: 4\r\n\r\nfull"
+	}
+	first := "X-Attempt-Id: first\r\n"
+	for _, c := range []struct {
+		name, repeated string
+		// early means that the repeated refusal comes with the first.
+		early bool
+	}{
+		{"after the next request", refusal(first, ""), false},
+		{"before the next request", refusal(first, ""), true},
+		{"twice", refusal(first, "") + refusal(first, ""), false},
+		{"without an id", refusal("", ""), false},
+		{"with the end of the connection", refusal(first, "Connection: close\r\n"), false},
+		{"too often", refusal(first, "") + refusal(first, "") + refusal(first, ""), false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			defer func() { _ = listener.Close() }()
+			go func() {
+				for {
+					conn, err := listener.Accept()
+					if err != nil {
+						return
+					}
+					go func() {
+						defer func() { _ = conn.Close() }()
+						in := bufio.NewReader(conn)
+						for {
+							r, err := http.ReadRequest(in)
+							if err != nil {
+								return
+							}
+							text := answer
+							switch r.Header.Get("X-Attempt-Id") {
+							case "first":
+								text = refusal(first, "")
+								if c.early {
+									text += c.repeated
+								}
+							default:
+								if !c.early {
+									text = c.repeated + answer
+								}
+							}
+							if _, err := io.WriteString(conn, text); err != nil {
+								return
+							}
+						}
+					}()
+				}
+			}()
+			pool := http1.NewPool(platform.Wire{})
+			ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+			defer cancel()
+			send := func(id string) (*http1.Exchange, error) {
+				return pool.Send(ctx, listener.Addr().String(), id, "POST", []byte("POST / HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: "+id+"\r\nContent-Length: 0\r\n\r\n"))
+			}
+			x, err := send("first")
+			is.NoErr(err)
+			is.True(x.NotRun)
+			x.SkipRest()
+			if x, err = send("second"); err != nil {
+				is.NoErr(ctx.Err()) // it failed at once, and may have run
+				return
+			}
+			defer x.Discard()
+			is.True(!x.NotRun)
+			body := make([]byte, 3)
+			_, err = io.ReadFull(x, body)
+			is.NoErr(err)
+			is.Equal(string(body), "ran")
+		})
+	}
+}
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -209,6 +209,7 @@
 	f, incarnation, version := e.snapshot()
 	if reason := e.refuse(c, f, incarnation, version); reason != "" {
 		c.Set("X-Not-Started", "true")
+		c.Set("X-Attempt-Id", c.Get("X-Attempt-Id"))
 		return fiber.NewError(http.StatusServiceUnavailable, reason)
 	}
 	prompt := promptOf(body)
--- a/standin/service.go
+++ b/standin/service.go
@@ -74,6 +74,7 @@
 
 func (s *Service) run(c fiber.Ctx) error {
 	f := s.takeFaults()
+	c.Set("X-Attempt-Id", c.Get("X-Attempt-Id"))
 	if f.Leaving {
 		c.Set("X-Not-Started", "true")
 		return c.SendStatus(http.StatusServiceUnavailable)
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -187,7 +187,16 @@
 	if err != nil {
 		return nil, trace.ConnectionProblem(err, "no answer from %s", call.Address)
 	}
-	if resp.Header.Get("X-Not-Started") == "true" {
+	// An upstream may repeat an earlier answer on a reused connection, so an answer
+	// that names another attempt is not one to this call, and one that names none
+	// promises nothing.
+	answered := resp.Header.Get("X-Attempt-Id")
+	notStarted := resp.Header.Get("X-Not-Started") == "true"
+	if answered != call.Attempt && (answered != "" || notStarted) {
+		_ = resp.Body.Close()
+		return nil, trace.ConnectionProblem(nil, "%s answered attempt %q instead of %q", call.Address, answered, call.Attempt)
+	}
+	if notStarted {
 		reason, _ := io.ReadAll(io.LimitReader(resp.Body, 1024))
 		_ = resp.Body.Close()
 		return nil, &NotStarted{Reason: string(reason)}
--- a/upstream/client_test.go
+++ b/upstream/client_test.go
@@ -151,3 +151,56 @@
 		})
 	}
 }
+
+// TestRepeatedRefusalIsNotBelieved has an upstream write its refusal of a call once
+// more when it runs the next call on the same connection.
+func TestRepeatedRefusalIsNotBelieved(t *testing.T) {
+	for _, c := range []struct{ name, head string }{
+		{"with its attempt", "X-Attempt-Id: first\r\nX-Not-Started: true\r\n"},
+		{"without an attempt", "X-Not-Started: true\r\n"},
+		{"an invalid request", "X-Attempt-Id: first\r\n"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			t.Cleanup(func() { _ = listener.Close() })
+			go func() {
+				for {
+					conn, err := listener.Accept()
+					if err != nil {
+						return
+					}
+					go refuseAgain(conn, "HTTP/1.1 422 Unprocessable Entity\r\n"+c.head+"Content-Length: 0\r\n\r\n")
+				}
+			}()
+			client := upstream.NewClient()
+			call := upstream.Call{Address: listener.Addr().String(), Method: http.MethodPost, Path: "/approve", Key: "key-1", Attempt: "first"}
+			_, _ = client.Run(context.Background(), call)
+			call.Attempt = "second"
+			answer, err := client.Run(context.Background(), call)
+			var notStarted *upstream.NotStarted
+			is.True(!errors.As(err, &notStarted))
+			is.True(trace.IsConnectionProblem(err) || string(answer.Body) == "ran")
+		})
+	}
+}
+
+// refuseAgain refuses the first call of a connection, and later ones before it
+// answers them.
+func refuseAgain(conn net.Conn, refusal string) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for first := true; ; first = false {
+		req, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		text := refusal
+		if !first {
+			text += "HTTP/1.1 200 OK\r\nX-Attempt-Id: second\r\nContent-Length: 3\r\n\r\nran"
+		}
+		_, _ = conn.Write([]byte(text))
+	}
+}
