fix: a begun stream takes only a stream of events from the next engine

Cause: in the middle of a stream any answer below 300 was read for events, whatever its type: a text with an empty line was relayed, an answer without content ended the stream as complete. Change: once a stream has begun, only 200 with a stream of events continues it; other answers are failed attempts, after which the next engine is tried or the stream ends broken off.

--- a/call/call.go
+++ b/call/call.go
@@ -125,6 +125,8 @@
 	// Encoded reports whether the body has a content encoding, so that it isn't
 	// as the upstream produced it.
 	Encoded bool
+	// EventStream reports whether the body is a stream of events.
+	EventStream bool
 	// Weights is the weights version that answered; 0 if not reported.
 	Weights int64
 	// Close reports whether the connection closes after the answer.
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -322,6 +322,8 @@
 		return nil, h.failAttempt(a, retry.Rejected, nil)
 	case !x.Certified || x.Encoded:
 		return nil, h.failAttempt(a, retry.Broken, errUncertified)
+	case h.stage == retrybudget.Streaming && x.Status < 500 && (x.Status != 200 || !x.EventStream):
+		return nil, h.failAttempt(a, retry.Broken, errNoStream)
 	case h.route.Kind == catalog.Stream && x.Status < 300:
 		return h.beginStream(a)
 	}
@@ -373,6 +375,9 @@
 // which is not relayed.
 var errUncertified = errors.New("the answer is not signed by the upstream")
 
+// errNoStream is returned for an answer that doesn't continue a stream.
+var errNoStream = errors.New("the answer is not a stream of events")
+
 // handleRejection updates the state of an upstream that rejected the request:
 // it gets a backoff, has other weights, or another upstream has taken over its
 // address.
--- a/standin/platform_engine.go
+++ b/standin/platform_engine.go
@@ -61,6 +61,8 @@
 	// leavingToRequests and leavingToControlCalls report whether the answers to
 	// requests and to control calls say that the engine is leaving.
 	leavingToRequests, leavingToControlCalls bool
+	// resumedAnswer, if set, replaces the answers to resumed streams.
+	resumedAnswer string
 	// limit is the text with which all answers name the engine's limit, or "".
 	limit string
 }
@@ -337,7 +339,7 @@
 	}
 	id := r.Header.Get("X-Attempt-Id")
 	w.Header().Set("X-Attempt-Id", id)
-	if e.reject(w, r) {
+	if e.reject(w, r) || r.Header.Get("Last-Event-Id") != "" && e.sendResumedAnswer(w, id) {
 		return
 	}
 	e.mu.Lock()
--- a/standin/platform_faults.go
+++ b/standin/platform_faults.go
@@ -3,8 +3,10 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -85,3 +87,28 @@
 	fmt.Fprintf(buffered, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Stamp: %s.%s\r\nX-Weight-Versions: %d\r\nContent-Type: text/event-stream\r\n\r\n%s", id, e.ID, id, weights, body)
 	_ = buffered.Flush()
 }
+
+// AnswerResumed makes all further answers to resumed streams be a raw text, in which
+// ID stands for the attempt ID; "" ends that.
+func (e *PlatformEngine) AnswerResumed(raw string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.resumedAnswer = raw
+}
+
+// sendResumedAnswer sends the answer to a resumed stream, if one is set.
+func (e *PlatformEngine) sendResumedAnswer(w http.ResponseWriter, id string) bool {
+	e.mu.Lock()
+	raw := e.resumedAnswer
+	e.mu.Unlock()
+	if raw == "" {
+		return false
+	}
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return true
+	}
+	_, _ = io.WriteString(conn, strings.ReplaceAll(raw, "ID", id))
+	_ = conn.Close()
+	return true
+}
