test: the soak mixes software versions, its callers take streams up

Checked: all events of a stream over all tries come from one version, and continue without gap. Engines that keep their names when they start again keep their version (not proved otherwise).

--- a/soak/caller.go
+++ b/soak/caller.go
@@ -34,6 +34,10 @@
 	sent, ended       time.Time
 	// answer has the status 0 if no response head arrived.
 	answer standin.PlatformAnswer
+	// began is the ID of the call that brought the first event of the stream that
+	// this one takes up after the event lastEvent; "" for a new stream.
+	began     string
+	lastEvent int
 	// isCrasher marks a request that crashes the upstreams that execute it.
 	isCrasher bool
 }
@@ -90,6 +94,7 @@
 		if c.answer.Status != 0 || !c.sent.IsZero() {
 			r.add(c)
 		}
+		d.takeUp(ctx, c, random, r)
 		d.pause(time.Duration(random.Int64N(int64(2 * thinkTime))))
 	}
 	if conn != nil {
@@ -104,7 +109,7 @@
 }
 
 func (d *deployment) sendWithKey(conn *connection, c *call, key string) bool {
-	r := standin.PlatformRequest{ID: c.id, Method: http.MethodPost, Host: plainHost, Path: "/" + c.kind + "/a", Key: key, Deadline: callDeadline, Body: "of " + c.id}
+	r := standin.PlatformRequest{ID: c.id, Method: http.MethodPost, Host: plainHost, Path: "/" + c.kind + "/a", Key: key, Deadline: callDeadline, Body: "of " + c.id, Resumes: c.began, LastEvent: c.lastEvent}
 	byPart := c.isCrasher && d.crasher.byPart
 	if c.isCrasher && !byPart {
 		r.Path, r.Body = "/"+c.kind+"/"+crasherMark, crasherMark
@@ -141,7 +146,7 @@
 		return "GET /read/a "
 	}
 	var b strings.Builder
-	for i := range streamEvents {
+	for i := c.lastEvent; i < streamEvents; i++ {
 		fmt.Fprintf(&b, "id: %d\ndata: piece %d\n\n", i+1, i+1)
 	}
 	return b.String()
--- a/soak/check.go
+++ b/soak/check.go
@@ -30,6 +30,7 @@
 			report("%s was executed but sent by no caller", id)
 		}
 	}
+	checkSoftware(calls, report)
 	d.checkArrivals(byID, report)
 	d.checkOrders(report)
 	d.checkCrasher(report)
@@ -65,9 +66,9 @@
 	case c.answer.Status == 0:
 	case c.answer.Status == http.StatusOK && !c.answer.Certified(c.id):
 		report("%s got a success with the wrong stamp %q", c.id, c.answer.Stamp)
-	case c.answer.Status == http.StatusOK && c.answer.Whole && c.answer.Body != c.expectedBody():
+	case c.answer.Status == http.StatusOK && c.answer.Whole && c.body() != c.expectedBody():
 		report("%s got a complete answer that differs from the upstream's: %q", c.id, c.answer.Body)
-	case c.answer.Status == http.StatusOK && !strings.HasPrefix(c.expectedBody(), c.answer.Body):
+	case c.answer.Status == http.StatusOK && !strings.HasPrefix(c.expectedBody(), c.body()):
 		report("%s got an answer that is not a prefix of the upstream's: %q", c.id, c.answer.Body)
 	case c.answer.Status == http.StatusNotFound || c.answer.Status == http.StatusBadRequest:
 		report("%s is valid and got %d", c.id, c.answer.Status)
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -32,6 +32,8 @@
 	// entryRemovalDelay is the time from an upstream's crash to the removal of its
 	// entry in the store.
 	entryRemovalDelay = 1500 * time.Millisecond
+	// softwareVersions is the number of software versions of engines, if they differ.
+	softwareVersions = 3
 	// eventPause is the time between two events of a stream.
 	eventPause = 30 * time.Millisecond
 )
@@ -58,6 +60,8 @@
 	ended      []*standin.PlatformEngine
 	startCount int
 	crasher    crasher
+	// mixesSoftware means that engines have several software versions.
+	mixesSoftware bool
 	// onCrash is called for each upstream that the crasher request has crashed,
 	// and crashTimes holds the times of the crashes.
 	onCrash    func(*upstream)
@@ -95,7 +99,7 @@
 
 // newDeployment starts a deployment.
 func newDeployment(ctx context.Context, wait *conc.WaitGroup, o Options, dir string) (*deployment, error) {
-	d := &deployment{ctx: ctx, wait: wait, dir: dir, keys: map[string]string{"mill": "key-mill-0", "grocer": "key-grocer-0"}, weights: 1, crasher: newCrasher(o.Seed)}
+	d := &deployment{ctx: ctx, wait: wait, dir: dir, keys: map[string]string{"mill": "key-mill-0", "grocer": "key-grocer-0"}, weights: 1, crasher: newCrasher(o.Seed), mixesSoftware: o.Seed%3 != 0}
 	var err error
 	if d.store, err = standin.NewPlatformStore(); err != nil {
 		return nil, trace.Wrap(err)
@@ -163,6 +167,10 @@
 	if err != nil {
 		return trace.Wrap(err, "starting an upstream")
 	}
+	if u.model != "" {
+		e.MarksEvents = true
+		e.Software = d.software(u)
+	}
 	e.Advertised = u.link.address()
 	e.Pace(eventPause)
 	e.Load(d.weights)
@@ -173,6 +181,18 @@
 	return nil
 }
 
+// software returns the software version of the next engine at an address. Engines
+// that keep their names keep their version. The caller holds mu.
+func (d *deployment) software(u *upstream) string {
+	switch {
+	case !d.mixesSoftware:
+		return "v0"
+	case u.current != nil && d.crasher.reusesNames:
+		return u.current.Software
+	}
+	return fmt.Sprintf("v%d", d.startCount%softwareVersions)
+}
+
 // current returns the upstream that runs at an address.
 func (d *deployment) current(u *upstream) *standin.PlatformEngine {
 	d.mu.Lock()
--- a/standin/platform_cache.go
+++ b/standin/platform_cache.go
@@ -205,6 +205,9 @@
 }
 
 // writeEvent writes one event of a stream.
-func writeEvent(w io.Writer, i int) {
+func (e *PlatformEngine) writeEvent(w io.Writer, i int) {
+	if e.MarksEvents {
+		fmt.Fprintf(w, ": %s\n", e.Software)
+	}
 	fmt.Fprintf(w, "id: %d\ndata: piece %d\n\n", i, i)
 }
--- a/standin/platform_caller.go
+++ b/standin/platform_caller.go
@@ -15,6 +15,10 @@
 	ID, Method, Host, Path, Key string
 	// Deadline is how long the caller waits.
 	Deadline time.Duration
+	// Resumes, if set, is the ID of the attempt that brought the first event of the
+	// stream that this one takes up after the event LastEvent.
+	Resumes   string
+	LastEvent int
 	// Prompt describes the prompt in the header; nil for plain services.
 	Prompt *PlatformPrompt
 	Body   string
@@ -40,6 +44,9 @@
 func (r PlatformRequest) Write(w io.Writer) error {
 	var b strings.Builder
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: %d\r\nX-Api-Key: %s\r\n", r.Method, r.Path, r.Host, r.ID, r.Deadline.Milliseconds(), r.Key)
+	if r.Resumes != "" {
+		fmt.Fprintf(&b, "Resumes: %s\r\nLast-Event-Id: %d\r\n", r.Resumes, r.LastEvent)
+	}
 	if p := r.Prompt; p != nil {
 		parts := make([]string, len(p.Parts))
 		for i, part := range p.Parts {
--- a/standin/platform_engine.go
+++ b/standin/platform_engine.go
@@ -19,8 +19,10 @@
 	ID, Service, Zone, Model string
 	// Advertised, if set, replaces the engine's own IP:port in its entry.
 	Advertised string
-	// Software is the version of the engine's software.
-	Software string
+	// Software is the version of the engine's software. MarksEvents puts it into a
+	// comment in front of each event.
+	Software    string
+	MarksEvents bool
 
 	server      *http.Server
 	listener    net.Listener
@@ -423,7 +425,7 @@
 			_ = flush.Flush()
 			panic(http.ErrAbortHandler)
 		}
-		writeEvent(w, i)
+		e.writeEvent(w, i)
 		_ = flush.Flush()
 		e.crashIfAt(w, r, AfterEvent)
 		if fault == PauseFault && i == after+1 {
--- a/standin/platform_faults.go
+++ b/standin/platform_faults.go
@@ -75,7 +75,7 @@
 				events.WriteString("id: " + strconv.Itoa(i) + "\nda")
 				break
 			}
-			writeEvent(&events, i)
+			e.writeEvent(&events, i)
 		}
 		body = events.String()
 	}
