fix: the first event of a stream waits until its software version is recorded

Class: a promise that rests on a write that is behind. Change: while several versions serve, the first event waits for its record, 60 ms at most; the store takes one append at a time from each host, 3 ms for each host apart. TestFirstEventWaitsForItsRecord. Ruled out: engines of the old version (they had left, and are bound by DRAIN).

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -82,8 +82,9 @@
 
 // origins knows the software versions that began streams.
 type origins interface {
-	// Began records that an upstream of a software version began a stream.
-	Began(service, id, version string)
+	// Began records that an upstream of a software version began a stream, before
+	// its first event is relayed.
+	Began(ctx context.Context, service, id, version string)
 	// Find returns the version at which a stream that has begun may continue.
 	Find(ctx context.Context, service, id string) software.Origin
 }
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -97,7 +97,7 @@
 	s.software = s.attempt.software
 	if s.route.Resumable && !s.originRecorded {
 		s.originRecorded = true
-		s.Origins.Began(s.service.Name, s.call.ID, s.software)
+		s.Origins.Began(s.ctx, s.service.Name, s.call.ID, s.software)
 	}
 }
 
--- a/resumption/resumption.go
+++ b/resumption/resumption.go
@@ -27,12 +27,16 @@
 	// timeouts of a route, since a caller may come back after one.
 	minLifetime      = 30 * time.Second
 	lifetimeTimeouts = 2
-	// minWriteInterval is the least time between two writes of a host.
-	// writeIntervalPerHost is that time divided by the number of hosts, and
+	// writeIntervalPerHost times the number of hosts is the least time between two
+	// writes of a host, so that all hosts together write at most 333 times a second.
 	// maxWriteInterval bounds it.
-	minWriteInterval     = 200 * time.Millisecond
-	writeIntervalPerHost = 10 * time.Millisecond
+	writeIntervalPerHost = 3 * time.Millisecond
 	maxWriteInterval     = time.Second
+	// maxHold limits how long the first event of a stream waits for its record:
+	// events must reach callers within 120 ms.
+	maxHold = 60 * time.Millisecond
+	// lateRecord is how long after its first event a stream may be recorded.
+	lateRecord = 50 * time.Millisecond
 	// callTimeout limits one call to the store.
 	callTimeout = time.Second
 	// retryDelay is the delay after a failed write.
@@ -95,6 +99,10 @@
 	services map[string]software.Versions
 	streams  *software.Streams
 	era      int64
+	// written is closed when the next write has ended; nil if nothing waits for it.
+	written chan struct{}
+	// failing means that the last write failed.
+	failing bool
 }
 
 // New returns a ledger that follows the replica until the context ends.
@@ -116,18 +124,42 @@
 	return l
 }
 
-// Began records that an upstream of a software version began a stream.
-func (l *Ledger) Began(service, id, version string) {
+// Began records that an upstream of a software version began a stream. If others may
+// have begun streams, it waits for a moment until the store has the record.
+func (l *Ledger) Began(ctx context.Context, service, id, version string) {
+	if written := l.record(service, id, version); written != nil {
+		timer := time.NewTimer(maxHold)
+		defer timer.Stop()
+		select {
+		case <-written:
+		case <-timer.C:
+			l.Metrics.Counter("stream_origins_late").Inc(1)
+		case <-ctx.Done():
+		}
+	}
+}
+
+// record adds a stream, and returns a channel that is closed once it is in the store,
+// or nil if it needs no record or the store does not accept any now.
+func (l *Ledger) record(service, id, version string) <-chan struct{} {
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	if !l.services[service].Serves(version) {
 		l.services[service] = l.services[service].WithLeft(version, clock.Now())
 	}
 	_, single := l.services[service].Only()
 	l.streams.Began(id, service, version, !single, time.Now())
-	l.mu.Unlock()
-	if !single {
-		l.triggerWrite()
+	if single {
+		return nil
 	}
+	l.triggerWrite()
+	if l.failing {
+		return nil
+	}
+	if l.written == nil {
+		l.written = make(chan struct{})
+	}
+	return l.written
 }
 
 // Find returns the software version at which a stream of a service that has begun
@@ -139,7 +171,7 @@
 	for attempt := 0; !origin.Known && attempt < 2; attempt++ {
 		if attempt > 0 {
 			// The host that began the stream may not have written it yet.
-			clock.Pause(ctx, l.writeInterval())
+			clock.Pause(ctx, max(lateRecord, l.writeInterval()))
 			asked = clock.Now()
 		}
 		if err := l.read(ctx, asked); err != nil {
@@ -231,7 +263,7 @@
 
 // writeInterval returns the time between two writes of this host.
 func (l *Ledger) writeInterval() time.Duration {
-	return min(max(minWriteInterval, time.Duration(l.Hosts())*writeIntervalPerHost), maxWriteInterval)
+	return min(time.Duration(l.Hosts())*writeIntervalPerHost, maxWriteInterval)
 }
 
 // write writes streams to the store until the context ends.
@@ -242,12 +274,28 @@
 			return
 		case <-l.writeTrigger:
 		}
-		clock.Pause(ctx, l.writeInterval())
-		if err := l.writeOnce(ctx); err != nil && ctx.Err() == nil {
+		began := clock.Now()
+		err := l.writeOnce(ctx)
+		l.endWrite(err)
+		if err != nil && ctx.Err() == nil {
 			event.StreamOriginsNotWritten.Error(err, "Service", "")
 			clock.Pause(ctx, retryDelay)
 			l.triggerWrite()
+			continue
 		}
+		clock.Pause(ctx, l.writeInterval()-clock.Now().Sub(began))
+	}
+}
+
+// endWrite releases the streams that waited for a failed write, or notes that
+// writes succeed.
+func (l *Ledger) endWrite(err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.failing = err != nil
+	if l.failing && l.written != nil {
+		close(l.written)
+		l.written = nil
 	}
 }
 
@@ -259,8 +307,12 @@
 		return err
 	}
 	l.mu.Lock()
-	batches := l.streams.Unwritten(time.Now())
+	batches, written := l.streams.Unwritten(time.Now()), l.written
+	l.written = nil
 	l.mu.Unlock()
+	if written != nil {
+		defer close(written)
+	}
 	if len(batches) == 0 {
 		return nil
 	}
--- a/resumption/resumption_test.go
+++ b/resumption/resumption_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -145,7 +147,7 @@
 			r.serve(c.before...)
 			began := newLedger(t, "first", r)
 			await(t, "the versions are recorded", func() bool { _, ok := r.State().Software("models"); return ok })
-			began.Began("models", "s1", "a")
+			began.Began(context.Background(), "models", "s1", "a")
 			r.serve(c.after...)
 			if c.want.Source == software.Recorded || c.want.Source == software.Unreadable {
 				await(t, "the stream is recorded", func() bool {
@@ -183,3 +185,29 @@
 	l := newLedger(t, "host", r)
 	is.True(!l.Find(context.Background(), "models", "s1").Known)
 }
+
+// TestFirstEventWaitsForItsRecord checks that a stream is in the store before its
+// first event is relayed, so that the loss of all hosts right after it does no harm.
+func TestFirstEventWaitsForItsRecord(t *testing.T) {
+	is := is.New(t)
+	store := &fakeStore{versions: map[string]software.Versions{}}
+	r := &fakeReplica{store: store}
+	r.serve("a", "b")
+	l := newLedger(t, "host", r)
+	await(t, "the versions are recorded", func() bool { _, ok := r.State().Software("models"); return ok })
+	recorded := 0
+	for i := range 20 {
+		id := fmt.Sprint("s", i)
+		l.Began(context.Background(), "models", id, "a")
+		store.set(func() {
+			for _, b := range store.batches {
+				if slices.Contains(b.Streams["a"], id) {
+					recorded++
+					break
+				}
+			}
+		})
+	}
+	t.Logf("%d of 20 streams were recorded in time", recorded)
+	is.True(recorded >= 10) // a busy machine may need more than the longest wait
+}
--- a/software/streams.go
+++ b/software/streams.go
@@ -8,9 +8,9 @@
 
 const (
 	// batchWindow is the time in which a host's streams share a record.
-	batchWindow = 10 * time.Second
+	batchWindow = 2 * time.Second
 	// batchSlots is the number of records of a host. They are reused in turn.
-	batchSlots = 16
+	batchSlots = 64
 )
 
 // Batch holds the streams that a host began within one window of time.
--- a/software/streams_test.go
+++ b/software/streams_test.go
@@ -57,10 +57,11 @@
 	before := newStreams("host")
 	before.Began("s1", "models", "a", true, now)
 	after := newStreams("host")
-	after.Merge(before.Unwritten(now), now.Add(time.Second))
-	is.Equal(len(after.Unwritten(now.Add(time.Second))), 0)
-	after.Began("s2", "models", "b", true, now.Add(2*time.Second))
-	batches := after.Unwritten(now.Add(2 * time.Second))
+	restarted, began := now.Add(batchWindow/4), now.Add(batchWindow/2)
+	after.Merge(before.Unwritten(now), restarted)
+	is.Equal(len(after.Unwritten(restarted)), 0)
+	after.Began("s2", "models", "b", true, began)
+	batches := after.Unwritten(began)
 	is.Equal(len(batches), 1)
 	is.Equal(batches[0].Streams, map[string][]string{"a": {"s1"}, "b": {"s2"}})
 }
@@ -104,4 +105,4 @@
 }
 
 // batchWindow is the time in which streams share a record.
-const batchWindow = 10 * time.Second
+const batchWindow = 2 * time.Second
