feat: a host that reaches no upstream of a service sends its callers to other hosts

What callers saw: such a host stayed in the addresses; each request there waited for connections that time out and failed. Cause: failed connections counted against each upstream alone, never against the host. Change: package reachability (a failed connection while nothing answers makes the host check up to five upstreams), refusal at once, addresses without the host as long as others serve there.

--- a/event/replica.go
+++ b/event/replica.go
@@ -51,6 +51,10 @@
 	LimitInvalid = Event{6112, "limit unusable", "An upstream named a limit that is not a decimal number of requests a second; it is ignored."}
 	// RetryAfterInvalid reports a pause that can't be used.
 	RetryAfterInvalid = Event{6109, "rest unusable", "An upstream asked for a pause without requests that is not a number of seconds; it is ignored."}
+	// HostIsolated reports that this host is cut off from all upstreams.
+	HostIsolated = Event{6113, "host isolated", "This host reaches no upstream of a service: several refused or timed out and none has answered for QuietMillis. It refuses requests for the service at once, and if others have requests there, callers are sent to other hosts, until an upstream accepts a connection."}
+	// HostReconnected reports the end of that.
+	HostReconnected = Event{6114, "host reconnected", "An upstream of a service accepted a connection of this host again, or answered, after it was cut off from all of them."}
 	// CrashRecordsUnreadable reports that the crash records in the store can't be read.
 	CrashRecordsUnreadable = Event{6301, "kept records lost", "The store's records of requests that crash engines can't be read; those that other hosts send are still used."}
 	// CrashRecordsReadable reports that the crash records can be read again.
@@ -70,6 +74,6 @@
 var replicaEvents = []Event{
 	StoreUnreachable, StoreReachable, HistoryTrimmed, CatalogChanged, TargetWeightsChanged, UpstreamChanged, UpstreamRemoved, RecordRejected,
 	LeaseAcquired, LeaseNotAcquired, LeaseHeldElsewhere, LoadOrdered, LoadEnded, UpstreamReportedUnreachable, FeedDisconnected, FeedReconnected, CacheReset,
-	StoreRestored, UpstreamLeaving, RetryAfterReceived, LimitNamed, LimitEnded, LimitInvalid, RetryAfterInvalid, CrashRecordsUnreadable, CrashRecordsReadable, CrashRecordPersisted, CrashRecordNotPersisted,
+	StoreRestored, UpstreamLeaving, RetryAfterReceived, LimitNamed, LimitEnded, LimitInvalid, RetryAfterInvalid, HostIsolated, HostReconnected, CrashRecordsUnreadable, CrashRecordsReadable, CrashRecordPersisted, CrashRecordNotPersisted,
 	SoftwareVersionsChanged, StreamOriginsUnreadable, StreamOriginsNotWritten,
 }
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -42,6 +42,9 @@
 	// retryAfterUnresumable is the Retry-After for a stream that no upstream may
 	// continue: the version that began it has left, or isn't known.
 	retryAfterUnresumable = 30 * time.Second
+	// retryAfterIsolated is the Retry-After of a host that reaches no upstream of a service: other
+	// hosts can serve the caller now.
+	retryAfterIsolated = 100 * time.Millisecond
 	// retryAfterQuarantine is the Retry-After for a request that crashes
 	// engines.
 	retryAfterQuarantine = 30 * time.Second
@@ -80,6 +83,14 @@
 	Answered(attempt string, c quarantine.Content)
 }
 
+// reachability knows whether this host reaches any upstream of a service.
+type reachability interface {
+	Isolated(service string) bool
+	// Reached records that an upstream answered, Failed that a connection failed.
+	Reached(service string)
+	Failed(service string)
+}
+
 // origins knows the software versions that began streams.
 type origins interface {
 	// Began records that an upstream of a software version began a stream, before
@@ -111,14 +122,16 @@
 
 // Options holds the dependencies and settings of a router.
 type Options struct {
-	Replica     stateReader
-	Sender      sender
-	Encoder     encoder
-	Guard       guard
-	Origins     origins
-	Tracker     *health.Tracker
-	LoadReports loadExchange
-	Migrator    migrator
+	Replica stateReader
+	Sender  sender
+	Encoder encoder
+	Guard   guard
+	Origins origins
+	// Reachability is told of connections to upstreams.
+	Reachability reachability
+	Tracker      *health.Tracker
+	LoadReports  loadExchange
+	Migrator     migrator
 	// Background runs migrations; the host waits for it when it stops.
 	Background *conc.WaitGroup
 	// Hosts returns the number of known hosts, which share the retry limits.
@@ -231,13 +244,7 @@
 func (r *Router) admit(c call.Call) (*handler, *call.Answer) {
 	h := &handler{Router: r, call: c, snapshot: r.Replica.State(), tried: map[string]bool{}, spread: maphash.String(r.seed, c.ID)}
 	refuse := func(reason call.Reason) (*handler, *call.Answer) {
-		a := call.Refuse(reason)
-		switch {
-		case reason == call.NotReady:
-			a = a.WithRetryAfter(retryAfterStartup)
-		case a.Status == 503:
-			a = a.WithRetryAfter(retryAfterShort)
-		}
+		a := refusal(reason)
 		return h, &a
 	}
 	if h.snapshot.Catalog.Version == 0 {
@@ -265,6 +272,9 @@
 		timeout = c.Remaining
 	}
 	h.deadline = c.Arrived.Add(timeout)
+	if r.Reachability.Isolated(name) {
+		return refuse(call.Isolated)
+	}
 	h.retryState = retry.State{Idempotent: h.route.MayRepeat(), MaxUpstreams: h.route.MaxUpstreams}
 	if h.timeLeft() < minTimeLeft {
 		return refuse(call.DeadlinePast)
@@ -272,6 +282,20 @@
 	return h, nil
 }
 
+// refusal returns the answer to a request that is refused before it is sent.
+func refusal(reason call.Reason) call.Answer {
+	a := call.Refuse(reason)
+	switch {
+	case reason == call.NotReady:
+		return a.WithRetryAfter(retryAfterStartup)
+	case reason == call.Isolated:
+		return a.WithRetryAfter(retryAfterIsolated)
+	case a.Status == 503:
+		return a.WithRetryAfter(retryAfterShort)
+	}
+	return a
+}
+
 // unlessStale returns the reason, or call.Stale if the configuration may be too
 // old to refuse a valid request.
 func (r *Router) unlessStale(reason call.Reason) call.Reason {
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -271,6 +271,7 @@
 		outcome := a.outcome(err)
 		if errors.Is(err, http1.ErrNotSent) {
 			outcome = retry.NotSent
+			h.Reachability.Failed(h.service.Name)
 		}
 		if outcome != retry.NotSent {
 			h.delivered++
@@ -278,6 +279,7 @@
 		return nil, h.failAttempt(a, outcome, err)
 	}
 	h.delivered++
+	h.Reachability.Reached(h.service.Name)
 	return h.readAnswer(a)
 }
 
--- a/http1/http1.go
+++ b/http1/http1.go
@@ -163,8 +163,7 @@
 		}
 		_ = c.Close()
 	}
-	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: setUserTimeout}
-	raw, err := dialer.DialContext(ctx, "tcp", address)
+	raw, err := dial(ctx, address)
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return nil, errors.Join(ErrRefused, trace.ConnectionProblem(err, "connecting to %s", address))
@@ -179,6 +178,20 @@
 	return c, nil
 }
 
+// Probe checks whether an address accepts connections.
+func (p *Pool) Probe(ctx context.Context, address string) error {
+	raw, err := dial(ctx, address)
+	if err != nil {
+		return trace.ConnectionProblem(err, "connecting to %s", address)
+	}
+	return raw.Close()
+}
+
+func dial(ctx context.Context, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: setUserTimeout}
+	return dialer.DialContext(ctx, "tcp", address)
+}
+
 // setUserTimeout makes the kernel close connections to hosts that don't
 // acknowledge.
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -32,6 +32,8 @@
 	// loadChangeInterval is the minimum time between two announcements of a new
 	// load.
 	loadChangeInterval = 15 * time.Second
+	// urgentChangeInterval is the same if callers must learn of it soon.
+	urgentChangeInterval = time.Second
 	// maxTimeoutFactor bounds the factor by which refutations extend
 	// SuspectAfter.
 	maxTimeoutFactor = 16
--- a/membership/step.go
+++ b/membership/step.go
@@ -14,6 +14,9 @@
 type Tick struct {
 	// Load is this host's load level, from 0 to MaxLoad.
 	Load int32
+	// Urgent means that callers must learn soon of a change of Load, such as that
+	// this host can't serve.
+	Urgent bool
 	// Position is the log offset that the configuration is folded up to.
 	Position int64
 }
@@ -105,7 +108,11 @@
 	}
 	v.pushBudget = min(pushesPerSecond, v.pushBudget+now.Sub(v.lastTick).Seconds()*pushesPerSecond)
 	v.lastTick, v.position = now, t.Position
-	if t.Load != v.self.Load && now.Sub(v.lastLoadChange) >= loadChangeInterval {
+	interval := loadChangeInterval
+	if t.Urgent {
+		interval = urgentChangeInterval
+	}
+	if t.Load != v.self.Load && now.Sub(v.lastLoadChange) >= interval {
 		v.self.Load, v.lastLoadChange = t.Load, now
 		v = v.reassert()
 	}
--- /dev/null
+++ b/reachability/reachability.go
@@ -0,0 +1,181 @@
+// Package reachability decides whether a host is cut off from all upstreams of a
+// service while callers and other hosts still reach it. Such a host is not offered to
+// callers, and refuses requests for the service at once, so that they go to other
+// hosts.
+package reachability
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/kumquathoist/kumquathoist/clock"
+	"github.com/kumquathoist/kumquathoist/event"
+)
+
+const (
+	// quietTime is how long no upstream must have answered before a failed
+	// connection makes the host check whether it reaches any.
+	quietTime = 300 * time.Millisecond
+	// probedUpstreams is how many upstreams are checked at once: one that is down
+	// doesn't mean that the host is cut off.
+	probedUpstreams = 5
+	// minUnreachable is how many upstreams must be unreachable, and none reachable,
+	// for the host to count as cut off.
+	minUnreachable = 2
+	// probeTimeout limits a check of an upstream.
+	probeTimeout = 400 * time.Millisecond
+	// probeInterval is the time between checks while the host is cut off.
+	probeInterval = 300 * time.Millisecond
+)
+
+// State is what a host knows of its connections to a service's upstreams. It is
+// immutable.
+type State struct {
+	// reachedAt is when an upstream last answered or accepted a connection.
+	reachedAt clock.Instant
+	// isolated means that the host is cut off from all of them.
+	isolated bool
+}
+
+// Isolated reports whether the host is cut off from all upstreams of the service.
+func (s State) Isolated() bool { return s.isolated }
+
+// WithReached returns the state after an upstream answered.
+func (s State) WithReached(now clock.Instant) State { return State{reachedAt: now} }
+
+// Suspects reports whether the host has to check, after a failed connection, whether
+// it reaches any upstream.
+func (s State) Suspects(now clock.Instant) bool { return now.Sub(s.reachedAt) >= quietTime }
+
+// WithProbes returns the state after checks of several upstreams that began at an
+// instant. They say nothing if an upstream has answered since.
+func (s State) WithProbes(began clock.Instant, reached, unreachable int, now clock.Instant) State {
+	switch {
+	case reached > 0:
+		return s.WithReached(now)
+	case unreachable >= minUnreachable && s.reachedAt < began:
+		s.isolated = true
+	}
+	return s
+}
+
+// prober opens connections to upstreams.
+type prober interface {
+	// Probe checks whether an address accepts connections.
+	Probe(ctx context.Context, address string) error
+}
+
+// Options configures a Monitor.
+type Options struct {
+	Prober prober
+	// Addresses returns the addresses of a service's known upstreams.
+	Addresses func(service string) []string
+	Metrics   tally.Scope
+}
+
+// Monitor watches whether the host reaches the upstreams of each service.
+type Monitor struct {
+	Options
+
+	ctx  context.Context
+	wait *conc.WaitGroup
+	// mu guards the fields below.
+	mu     sync.Mutex
+	states map[string]State
+	// probing holds the services whose upstreams are being checked.
+	probing map[string]bool
+}
+
+// NewMonitor returns a monitor that works until the context ends.
+func NewMonitor(ctx context.Context, wait *conc.WaitGroup, o Options) *Monitor {
+	return &Monitor{Options: o, ctx: ctx, wait: wait, states: map[string]State{}, probing: map[string]bool{}}
+}
+
+// Isolated reports whether the host is cut off from all upstreams of a service.
+func (m *Monitor) Isolated(service string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.states[service].Isolated()
+}
+
+// IsolatedServices returns the services from whose upstreams the host is cut off.
+func (m *Monitor) IsolatedServices() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var services []string
+	for service, s := range m.states {
+		if s.Isolated() {
+			services = append(services, service)
+		}
+	}
+	return services
+}
+
+// Reached records that an upstream of a service answered.
+func (m *Monitor) Reached(service string) {
+	m.update(service, func(s State) State { return s.WithReached(clock.Now()) })
+}
+
+// Failed records that a connection to an upstream of a service failed.
+func (m *Monitor) Failed(service string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.probing[service] || !m.states[service].Suspects(clock.Now()) {
+		return
+	}
+	m.probing[service] = true
+	m.wait.Go(func() {
+		for m.probe(service); m.Isolated(service) && m.ctx.Err() == nil; m.probe(service) {
+			clock.Pause(m.ctx, probeInterval)
+		}
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		delete(m.probing, service)
+	})
+}
+
+func (m *Monitor) update(service string, change func(State) State) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	before := m.states[service]
+	after := change(before)
+	m.states[service] = after
+	if after.isolated == before.isolated {
+		return
+	}
+	quiet := clock.Now().Sub(before.reachedAt).Milliseconds()
+	if after.isolated {
+		m.Metrics.Counter("isolations").Inc(1)
+		event.HostIsolated.Info("Service", service, "QuietMillis", quiet)
+		return
+	}
+	event.HostReconnected.Info("Service", service, "Millis", quiet)
+}
+
+// probe checks some upstreams of a service, drawn at random.
+func (m *Monitor) probe(service string) {
+	addresses := m.Addresses(service)
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	addresses = addresses[:min(len(addresses), probedUpstreams)]
+	began := clock.Now()
+	ctx, cancel := context.WithTimeout(m.ctx, probeTimeout)
+	defer cancel()
+	errs := make([]error, len(addresses))
+	var probes conc.WaitGroup
+	for i, address := range addresses {
+		probes.Go(func() { errs[i] = m.Prober.Probe(ctx, address) })
+	}
+	probes.Wait()
+	reached := 0
+	for _, err := range errs {
+		if err == nil {
+			reached++
+		}
+	}
+	m.update(service, func(s State) State { return s.WithProbes(began, reached, len(errs)-reached, clock.Now()) })
+}
--- /dev/null
+++ b/reachability/reachability_test.go
@@ -0,0 +1,99 @@
+package reachability_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/kumquathoist/kumquathoist/clock"
+	"github.com/kumquathoist/kumquathoist/reachability"
+)
+
+// TestState checks when a host counts as cut off.
+func TestState(t *testing.T) {
+	start := clock.Instant(time.Hour)
+	quiet := reachability.State{}.WithReached(start)
+	later := start.Add(time.Second)
+	for _, c := range []struct {
+		name                 string
+		state                reachability.State
+		reached, unreachable int
+		want                 bool
+	}{
+		{"no upstream is reachable", quiet, 0, 5, true},
+		{"one upstream is reachable", quiet, 1, 4, false},
+		{"few are known", quiet, 0, 1, false},
+		{"one has answered meanwhile", quiet.WithReached(later), 0, 5, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is.New(t).Equal(c.state.WithProbes(later, c.reached, c.unreachable, later.Add(time.Second)).Isolated(), c.want)
+		})
+	}
+	is := is.New(t)
+	is.True(!quiet.Suspects(start.Add(10 * time.Millisecond))) // a single engine may be down
+	is.True(quiet.Suspects(later))
+	is.True(!quiet.WithProbes(later, 0, 5, later).WithReached(later).Isolated())
+}
+
+// fakeLinks accepts connections unless they are cut.
+type fakeLinks struct {
+	mu  sync.Mutex
+	cut bool
+}
+
+var errCut = errors.New("the link is cut")
+
+func (f *fakeLinks) Probe(context.Context, string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.cut {
+		return errCut
+	}
+	return nil
+}
+
+func (f *fakeLinks) set(cut bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cut = cut
+}
+
+// TestMonitor cuts the host off and heals the cut.
+func TestMonitor(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var wait conc.WaitGroup
+	defer wait.Wait()
+	defer cancel()
+	links := &fakeLinks{}
+	m := reachability.NewMonitor(ctx, &wait, reachability.Options{Prober: links, Metrics: tally.NoopScope, Addresses: func(string) []string {
+		var all []string
+		for i := range 8 {
+			all = append(all, fmt.Sprint(i))
+		}
+		return all
+	}})
+	await := func(want bool) {
+		for deadline := time.Now().Add(30 * time.Second); m.Isolated("models") != want; time.Sleep(time.Millisecond) {
+			if time.Now().After(deadline) {
+				t.Fatalf("timed out waiting until isolated is %v", want)
+			}
+			if want {
+				m.Failed("models")
+			}
+		}
+	}
+	links.set(true)
+	await(true)
+	is := is.New(t)
+	is.Equal(m.IsolatedServices(), []string{"models"})
+	is.True(!m.Isolated("desk"))
+	links.set(false)
+	await(false)
+}
--- a/storenode/storenode.go
+++ b/storenode/storenode.go
@@ -13,6 +13,7 @@
 
 	"github.com/gravitational/trace"
 	"github.com/sourcegraph/conc"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/kumquathoist/kumquathoist/address"
 	"github.com/kumquathoist/kumquathoist/cachefeed"
@@ -31,6 +32,7 @@
 	"github.com/kumquathoist/kumquathoist/peersync"
 	"github.com/kumquathoist/kumquathoist/placement"
 	"github.com/kumquathoist/kumquathoist/platform"
+	"github.com/kumquathoist/kumquathoist/reachability"
 	"github.com/kumquathoist/kumquathoist/registry"
 	"github.com/kumquathoist/kumquathoist/reloader"
 	"github.com/kumquathoist/kumquathoist/replica"
@@ -73,14 +75,16 @@
 	syncer    *replica.Syncer
 	// syncerPointer is the syncer for callbacks that may run before it is set.
 	syncerPointer atomic.Pointer[replica.Syncer]
-	peerSync      *peersync.Syncer
-	tracker       *health.Tracker
-	router        *forward.Router
-	reloader      *reloader.Controller
-	loadReports   *loadreport.Exchanger
-	server        *platform.Server
-	hosts         *hostList
-	started       clock.Instant
+	// monitorPointer is the monitor of connections to upstreams, likewise.
+	monitorPointer atomic.Pointer[reachability.Monitor]
+	peerSync       *peersync.Syncer
+	tracker        *health.Tracker
+	router         *forward.Router
+	reloader       *reloader.Controller
+	loadReports    *loadreport.Exchanger
+	server         *platform.Server
+	hosts          *hostList
+	started        clock.Instant
 
 	wait     conc.WaitGroup
 	cancel   context.CancelFunc
@@ -117,16 +121,15 @@
 	}
 	pool := peer.NewPool(credentials)
 	n.startPeers(ctx, pool)
-	ledger := resumption.New(ctx, &n.wait, resumption.Options{
-		Host: n.settings.Host.Name, Store: n.store, Replica: n.syncer, WritesVersions: n.readsStore, Hosts: func() int { return len(n.directory.Hosts()) }, Metrics: scope,
-	})
 	guard := crash.NewGuard(ctx, &n.wait, crash.Options{Self: n.settings.Listen.PeersAddress(), Peers: n.peerAddresses, Sender: crash.NewPeerSender(pool), Store: n.store, Metrics: scope})
 	connections := http1.NewPool(platform.Wire{})
 	n.wait.Go(func() { connections.Sweep(ctx) })
+	monitor := reachability.NewMonitor(ctx, &n.wait, reachability.Options{Prober: connections, Addresses: n.upstreamAddresses, Metrics: scope})
+	n.monitorPointer.Store(monitor)
 	bounds := n.settings.Bounds
 	engines := platform.NewEngines(func(instance string, r call.SelfReport) { n.router.RecordStatus(instance, r, "") })
 	n.router = forward.New(forward.Options{
-		Replica: n.syncer, Sender: connections, Encoder: platform.Wire{}, Guard: guard, Origins: ledger, Tracker: n.tracker, LoadReports: lateExchanger{n},
+		Replica: n.syncer, Sender: connections, Encoder: platform.Wire{}, Guard: guard, Origins: n.newLedger(ctx, scope), Reachability: monitor, Tracker: n.tracker, LoadReports: lateExchanger{n},
 		Migrator: engines, Background: &n.wait,
 		Hosts:           func() int { return max(len(n.directory.Hosts()), len(n.settings.Platform.Seeds)) },
 		Host:            n.settings.Host.Name,
@@ -181,6 +184,13 @@
 	return nil
 }
 
+// newLedger starts the ledger of the software versions that began streams.
+func (n *Node) newLedger(ctx context.Context, scope tally.Scope) *resumption.Ledger {
+	return resumption.New(ctx, &n.wait, resumption.Options{
+		Host: n.settings.Host.Name, Store: n.store, Replica: n.syncer, WritesVersions: n.readsStore, Hosts: func() int { return len(n.directory.Hosts()) }, Metrics: scope,
+	})
+}
+
 // startPeers starts the host directory and the replica of the store, which are
 // both synchronized with the other hosts.
 func (n *Node) startPeers(ctx context.Context, pool *peer.Pool) {
@@ -200,13 +210,42 @@
 			if s := n.syncerPointer.Load(); s == nil || !s.Ready() {
 				return membership.Tick{Load: membership.MaxLoad}
 			}
-			return membership.Tick{}
+			if n.isCutOff() {
+				return membership.Tick{Load: membership.MaxLoad, Urgent: true}
+			}
+			return membership.Tick{Urgent: true}
 		},
 	})
 	n.syncer = replica.NewSyncer(ctx, &n.wait, replica.Options{Store: n.store, Peers: n.peerSync, Decode: platform.Decode, ReadsStore: n.readsStore})
 	n.syncerPointer.Store(n.syncer)
 }
 
+// upstreamAddresses returns the addresses of a service's known upstreams.
+func (n *Node) upstreamAddresses(service string) []string {
+	var found []string
+	for _, e := range n.syncer.State().Upstreams.Service(service) {
+		found = append(found, e.Address)
+	}
+	return found
+}
+
+// isCutOff reports whether this host reaches no upstream of a service at which other
+// hosts have requests. If they have none, the upstreams are down for all.
+func (n *Node) isCutOff() bool {
+	m := n.monitorPointer.Load()
+	if m == nil {
+		return false
+	}
+	for _, service := range m.IsolatedServices() {
+		for _, e := range n.syncer.State().Upstreams.Service(service) {
+			if n.loadReports.RemoteLoad(loadreport.HashEngine(e.ID)).Running > 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // peerAddresses returns the peer addresses of the other hosts.
 func (n *Node) peerAddresses() []string {
 	if n.directory == nil {
