fix: a stream that a caller takes up goes to the service that began it

What callers would see: on a route that is split between two services, text of two services in one stream. Cause: each request was split by a hash of its own id with a seed of its host, so a take-up was a new draw. Change: requests are split by a hash that is the same on all hosts, of the id that began the answer. Evidence: TestTakenUpStreamStaysAtItsService failed before ('trial' instead of 'models'), passes 3 of 3.

--- a/call/call.go
+++ b/call/call.go
@@ -58,6 +58,15 @@
 	Fields  []Field
 }
 
+// Began returns the ID of the caller's request that began the answer: an earlier one
+// if this one resumes its stream.
+func (c Call) Began() string {
+	if c.ResumeAfter != "" && c.BeganBy != "" {
+		return c.BeganBy
+	}
+	return c.ID
+}
+
 // UpstreamRequest is the request sent to one upstream for a call.
 type UpstreamRequest struct {
 	Call
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -23,6 +23,7 @@
 	"github.com/kumquathoist/kumquathoist/health"
 	"github.com/kumquathoist/kumquathoist/http1"
 	"github.com/kumquathoist/kumquathoist/loadreport"
+	"github.com/kumquathoist/kumquathoist/placement"
 	"github.com/kumquathoist/kumquathoist/quarantine"
 	"github.com/kumquathoist/kumquathoist/replica"
 	"github.com/kumquathoist/kumquathoist/request"
@@ -48,6 +49,9 @@
 	// retryAfterQuarantine is the Retry-After for a request that crashes
 	// engines.
 	retryAfterQuarantine = 30 * time.Second
+	// serviceKey is the key by which requests are split between the services of a
+	// route, on all hosts alike.
+	serviceKey = "service"
 	// minTimeLeft is the time left below which nothing is sent any more.
 	minTimeLeft = 20 * time.Millisecond
 )
@@ -259,7 +263,7 @@
 			return refuse(r.unlessStale(call.NoAccount))
 		}
 	}
-	name := h.route.Service(h.spread)
+	name := h.route.Service(placement.Score(serviceKey, c.Began()))
 	if h.service, ok = h.snapshot.Catalog.Service(name); !ok {
 		return refuse(call.NoUpstream)
 	}
--- a/storenode/software_test.go
+++ b/storenode/software_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"maps"
 	"net/http"
 	"strings"
 	"testing"
@@ -227,3 +228,38 @@
 	}
 	is.Equal(len(d.store.Records("keyed.streams")), 0) // nothing is recorded
 }
+
+// TestTakenUpStreamStaysAtItsService takes streams of a route that is split between
+// two services up at another host.
+func TestTakenUpStreamStaysAtItsService(t *testing.T) {
+	is := is.New(t)
+	const streams = 16
+	d := newDeployment(t, 2, 2, 0)
+	d.configure(func(config map[string]any) {
+		full := config["routes"].([]any)[0].(map[string]any)
+		full["weighted_services"] = []any{map[string]any{"service": "models", "weight": 1}, map[string]any{"service": "trial", "weight": 1}}
+		services := config["services"].([]any)
+		trial := maps.Clone(services[0].(map[string]any))
+		trial["name"] = "trial"
+		config["services"] = append(services, trial)
+	})
+	for i := range 2 {
+		d.engines = append(d.engines, d.engine(fmt.Sprint("trial-", i), "trial", "m1"))
+	}
+	d.awaitEngines(d.engines...)
+	d.begin(streams, "s")
+	servicesOf := func(id string) map[string]bool {
+		services := map[string]bool{}
+		for _, e := range d.engines {
+			if e.Ran()[id] > 0 {
+				services[e.Service] = true
+			}
+		}
+		return services
+	}
+	for i := range streams {
+		began, id := fmt.Sprint("s", i), fmt.Sprint("t", i)
+		is.Equal(d.takeUp(d.hosts[(i+1)%2], began, id, i).status, http.StatusOK)
+		is.Equal(servicesOf(id), servicesOf(began))
+	}
+}
