--- a/storenode/software_test.go
+++ b/storenode/software_test.go
@@ -75,14 +75,14 @@
 	return versions
 }
 
-// begin begins streams and waits until their first events have arrived.
-func (d *deployment) begin(count int, name string) {
+// begin begins the streams s0, s1 and so on, and waits until their first events have arrived.
+func (d *deployment) begin(count int) {
 	for _, e := range d.engines {
 		e.Pace(slowStream)
 	}
 	for i := range count {
 		c := d.client(d.hosts[i%len(d.hosts)])
-		c.write(http.MethodPost, modelHost, "/full/a", fmt.Sprint(name, i), longAnswerPrompt(i), "body")
+		c.write(http.MethodPost, modelHost, "/full/a", fmt.Sprint("s", i), longAnswerPrompt(i), "body")
 		for line := ""; !strings.HasPrefix(line, "id: 1"); {
 			var err error
 			line, err = c.in.ReadString('\n')
@@ -94,12 +94,12 @@
 	}
 }
 
-// awaitOrigins waits until the store has the origins of streams.
-func (d *deployment) awaitOrigins(count int, name string) {
+// awaitOrigins waits until the store has the origins of the streams that begin began.
+func (d *deployment) awaitOrigins(count int) {
 	d.await("the store has the origins of streams", func() bool {
 		records := string(bytes.Join(d.store.Records("keyed.streams"), nil))
 		for i := range count {
-			if !strings.Contains(records, fmt.Sprintf("%q", fmt.Sprint(name, i))) {
+			if !strings.Contains(records, fmt.Sprintf("%q", fmt.Sprint("s", i))) {
 				return false
 			}
 		}
@@ -155,18 +155,18 @@
 	}{
 		{"while their host goes on", func(*deployment) {}},
 		{"after all hosts were killed", func(d *deployment) {
-			d.awaitOrigins(streams, "s")
+			d.awaitOrigins(streams)
 			d.restartHosts(func() {})
 			d.awaitEngines(d.engines...)
 		}},
 		{"after the store came back from an older copy", func(d *deployment) {
-			d.awaitOrigins(streams, "s")
+			d.awaitOrigins(streams)
 			d.restore()
 			for _, e := range d.engines {
 				d.store.Register(e)
 			}
 			d.configure(nil)
-			d.awaitOrigins(streams, "s")
+			d.awaitOrigins(streams)
 			d.restartHosts(func() {})
 			d.awaitEngines(d.engines...)
 		}},
@@ -175,7 +175,7 @@
 			is := is.New(t)
 			d := newMixedDeployment(t, 2, 3)
 			d.restore = d.store.Copy()
-			d.begin(streams, "s")
+			d.begin(streams)
 			c.after(d)
 			continued := 0
 			for i := range streams {
@@ -199,7 +199,7 @@
 	is := is.New(t)
 	d := newDeployment(t, 2, 3, 0)
 	d.await("the versions are recorded", func() bool { return len(d.store.Records("keyed.software")) > 0 })
-	d.begin(6, "s")
+	d.begin(6)
 	d.restartHosts(func() {
 		d.removeEngines("v1")
 		for i := range 3 {
@@ -219,7 +219,7 @@
 	is := is.New(t)
 	d := newDeployment(t, 2, 3, 0)
 	d.await("the versions are recorded", func() bool { return len(d.store.Records("keyed.software")) > 0 })
-	d.begin(6, "s")
+	d.begin(6)
 	d.restartHosts(func() {})
 	for i := range 6 {
 		answer := d.takeUp(d.hosts[i%2], fmt.Sprint("s", i), fmt.Sprint("t", i), i)
@@ -247,7 +247,7 @@
 		d.engines = append(d.engines, d.engine(fmt.Sprint("trial-", i), "trial", "m1"))
 	}
 	d.awaitEngines(d.engines...)
-	d.begin(streams, "s")
+	d.begin(streams)
 	servicesOf := func(id string) map[string]bool {
 		services := map[string]bool{}
 		for _, e := range d.engines {
