fix: calls to the store for software versions are bounded

Found while reading: two hosts whose replicas differ for a moment could write the versions of a service in turn with each change, and callers that take up unknown streams could make a host read the store as fast as it answers. Change: one record of a service's versions a second from each host that writes them; 3 ms for each host lie between two reads of streams, as between two writes.

--- a/resumption/resumption.go
+++ b/resumption/resumption.go
@@ -27,11 +27,15 @@
 	// timeouts of a route, since a caller may come back after one.
 	minLifetime      = 30 * time.Second
 	lifetimeTimeouts = 2
-	// writeIntervalPerHost times the number of hosts is the least time between two
-	// writes of a host, so that all hosts together write at most 333 times a second.
-	// maxWriteInterval bounds it.
-	writeIntervalPerHost = 3 * time.Millisecond
-	maxWriteInterval     = time.Second
+	// callIntervalPerHost times the number of hosts is the least time between two
+	// writes of a host, and between two reads, so that all hosts together make at most
+	// 333 of each a second. maxCallInterval bounds it.
+	callIntervalPerHost = 3 * time.Millisecond
+	maxCallInterval     = time.Second
+	// versionsInterval is the least time between two records of a service's versions:
+	// a record takes a moment to arrive, and hosts may see different versions until
+	// their replicas agree.
+	versionsInterval = time.Second
 	// maxHold limits how long the first event of a stream waits for its record:
 	// events must reach callers within 120 ms.
 	maxHold = 60 * time.Millisecond
@@ -94,6 +98,9 @@
 	reading  sync.Mutex
 	position int64
 	readAt   clock.Instant
+	// versionsAt is when this host last recorded the versions of a service. Only
+	// recordVersions uses it.
+	versionsAt map[string]clock.Instant
 	// mu guards the fields below.
 	mu       sync.Mutex
 	services map[string]software.Versions
@@ -107,7 +114,7 @@
 
 // New returns a ledger that follows the replica until the context ends.
 func New(ctx context.Context, wait *conc.WaitGroup, o Options) *Ledger {
-	l := &Ledger{Options: o, writeTrigger: make(chan struct{}, 1), position: -1, services: map[string]software.Versions{}, streams: software.NewStreams(o.Host), era: o.Store.Era()}
+	l := &Ledger{Options: o, writeTrigger: make(chan struct{}, 1), position: -1, versionsAt: map[string]clock.Instant{}, services: map[string]software.Versions{}, streams: software.NewStreams(o.Host), era: o.Store.Era()}
 	wait.Go(func() {
 		for ctx.Err() == nil {
 			changed := l.Replica.Changed()
@@ -171,7 +178,7 @@
 	for attempt := 0; !origin.Known && attempt < 2; attempt++ {
 		if attempt > 0 {
 			// The host that began the stream may not have written it yet.
-			clock.Pause(ctx, max(lateRecord, l.writeInterval()))
+			clock.Pause(ctx, max(lateRecord, l.callInterval()))
 			asked = clock.Now()
 		}
 		if err := l.read(ctx, asked); err != nil {
@@ -241,9 +248,10 @@
 		v := l.services[s.Name]
 		l.mu.Unlock()
 		recorded, known := state.Software(s.Name)
-		if len(v.All()) == 0 || known && recorded.Covers(v) {
+		if len(v.All()) == 0 || known && recorded.Covers(v) || clock.Now().Sub(l.versionsAt[s.Name]) < versionsInterval {
 			continue
 		}
+		l.versionsAt[s.Name] = clock.Now()
 		call, cancel := context.WithTimeout(ctx, callTimeout)
 		err := l.Store.PutVersions(call, s.Name, v)
 		cancel()
@@ -261,9 +269,10 @@
 	}
 }
 
-// writeInterval returns the time between two writes of this host.
-func (l *Ledger) writeInterval() time.Duration {
-	return min(time.Duration(l.Hosts())*writeIntervalPerHost, maxWriteInterval)
+// callInterval returns the least time between two writes of this host, and between
+// two reads.
+func (l *Ledger) callInterval() time.Duration {
+	return min(time.Duration(l.Hosts())*callIntervalPerHost, maxCallInterval)
 }
 
 // write writes streams to the store until the context ends.
@@ -283,7 +292,7 @@
 			l.triggerWrite()
 			continue
 		}
-		clock.Pause(ctx, l.writeInterval()-clock.Now().Sub(began))
+		clock.Pause(ctx, l.callInterval()-clock.Now().Sub(began))
 	}
 }
 
@@ -337,6 +346,9 @@
 	if l.readAt >= since {
 		return nil
 	}
+	if l.readAt > 0 {
+		clock.Pause(ctx, l.callInterval()-clock.Now().Sub(l.readAt))
+	}
 	started := clock.Now()
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
