fix: a new stream is not refused as one that can't continue

What callers would see: while all engines of a service are leaving, new requests were told to come back after 30 s instead of 0.3 s. Found while reading. Evidence: TestNewStreamIsNotUnresumable failed before (Unresumable instead of NoUpstream).

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -43,8 +43,8 @@
 	// retryAfterUnresumable is the Retry-After for a stream that no upstream may
 	// continue: the version that began it has left, or isn't known.
 	retryAfterUnresumable = 30 * time.Second
-	// retryAfterIsolated is the Retry-After of a host that reaches no upstream of a service: other
-	// hosts can serve the caller now.
+	// retryAfterIsolated is the Retry-After of a host that reaches no upstream of a
+	// service: other hosts can serve the caller now.
 	retryAfterIsolated = 100 * time.Millisecond
 	// retryAfterQuarantine is the Retry-After for a request that crashes
 	// engines.
--- a/forward/schedule.go
+++ b/forward/schedule.go
@@ -102,7 +102,7 @@
 // began the stream, and sets the refusal if so.
 func (h *handler) isUnresumable() bool {
 	upstreams := h.snapshot.Upstreams.Service(h.service.Name)
-	if len(upstreams) == 0 || slices.ContainsFunc(upstreams, func(e discovery.Entry) bool { return h.mayRun(e) && !e.Leaving }) {
+	if h.software == "" || len(upstreams) == 0 || slices.ContainsFunc(upstreams, func(e discovery.Entry) bool { return h.mayRun(e) && !e.Leaving }) {
 		return false // a host that has just started may not know them yet
 	}
 	h.refusal = call.Refuse(call.Unresumable).WithRetryAfter(retryAfterUnresumable)
--- a/storenode/software_test.go
+++ b/storenode/software_test.go
@@ -263,3 +263,21 @@
 		is.Equal(servicesOf(id), servicesOf(began))
 	}
 }
+
+// TestNewStreamIsNotUnresumable checks that a new stream is not refused like one that
+// can't continue while all engines are leaving.
+func TestNewStreamIsNotUnresumable(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t, 1, 2, 0)
+	for _, e := range d.engines {
+		e.Leave()
+		d.store.Register(e)
+	}
+	var refused answer
+	d.await("no engine takes requests", func() bool {
+		refused = d.do(d.hosts[0], http.MethodPost, modelHost, "/full/a", fmt.Sprint("s", time.Now().UnixNano()), prompt, "body")
+		return refused.status != http.StatusOK
+	})
+	is.True(strings.Contains(refused.body, "NoUpstream"))
+	is.Equal(refused.header.Get("Retry-After"), "0.300")
+}
