fix: a host that has just started judges versions by one state of the replica

What callers would see (ORDER): in the moment in which the record of earlier versions arrives at a host that has just started, a take-up went on at a version that came while all hosts were dark. Cause: the versions were taken from a state without the record, and whether there is a record from the next one. Evidence: TestVersionsArriveDuringFind failed before.

--- a/http1/http1.go
+++ b/http1/http1.go
@@ -187,6 +187,7 @@
 	return raw.Close()
 }
 
+// dial connects to an address.
 func dial(ctx context.Context, address string) (net.Conn, error) {
 	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: setUserTimeout}
 	return dialer.DialContext(ctx, "tcp", address)
--- a/http1/repeated_test.go
+++ b/http1/repeated_test.go
@@ -37,47 +37,22 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
-			is.NoErr(err)
-			defer func() { _ = listener.Close() }()
-			go func() {
-				for {
-					conn, err := listener.Accept()
-					if err != nil {
-						return
-					}
-					go func() {
-						defer func() { _ = conn.Close() }()
-						in := bufio.NewReader(conn)
-						for {
-							r, err := http.ReadRequest(in)
-							if err != nil {
-								return
-							}
-							text := answer
-							switch r.Header.Get("X-Attempt-Id") {
-							case "first":
-								text = refusal(first, "")
-								if c.early {
-									text += c.repeated
-								}
-							default:
-								if !c.early {
-									text = c.repeated + answer
-								}
-							}
-							if _, err := io.WriteString(conn, text); err != nil {
-								return
-							}
-						}
-					}()
+			address := serve(t, func(id string) string {
+				switch {
+				case id == "first" && c.early:
+					return refusal(first, "") + c.repeated
+				case id == "first":
+					return refusal(first, "")
+				case c.early:
+					return answer
 				}
-			}()
+				return c.repeated + answer
+			})
 			pool := http1.NewPool(platform.Wire{})
 			ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 			defer cancel()
 			send := func(id string) (*http1.Exchange, error) {
-				return pool.Send(ctx, listener.Addr().String(), id, "POST", []byte("POST / HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: "+id+"\r\nContent-Length: 0\r\n\r\n"))
+				return pool.Send(ctx, address, id, "POST", []byte("POST / HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: "+id+"\r\nContent-Length: 0\r\n\r\n"))
 			}
 			x, err := send("first")
 			is.NoErr(err)
@@ -96,3 +71,34 @@
 		})
 	}
 }
+
+// serve starts an upstream that answers each request with a text, given its ID.
+func serve(t *testing.T, answer func(id string) string) (address string) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				in := bufio.NewReader(conn)
+				for {
+					r, err := http.ReadRequest(in)
+					if err != nil {
+						return
+					}
+					if _, err := io.WriteString(conn, answer(r.Header.Get("X-Attempt-Id"))); err != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
--- a/resumption/resumption.go
+++ b/resumption/resumption.go
@@ -104,6 +104,8 @@
 	// mu guards the fields below.
 	mu       sync.Mutex
 	services map[string]software.Versions
+	// recorded holds the services whose recorded versions are part of services.
+	recorded map[string]bool
 	streams  *software.Streams
 	era      int64
 	// written is closed when the next write has ended; nil if nothing waits for it.
@@ -114,7 +116,7 @@
 
 // New returns a ledger that follows the replica until the context ends.
 func New(ctx context.Context, wait *conc.WaitGroup, o Options) *Ledger {
-	l := &Ledger{Options: o, writeTrigger: make(chan struct{}, 1), position: -1, versionsAt: map[string]clock.Instant{}, services: map[string]software.Versions{}, streams: software.NewStreams(o.Host), era: o.Store.Era()}
+	l := &Ledger{Options: o, writeTrigger: make(chan struct{}, 1), position: -1, versionsAt: map[string]clock.Instant{}, services: map[string]software.Versions{}, recorded: map[string]bool{}, streams: software.NewStreams(o.Host), era: o.Store.Era()}
 	wait.Go(func() {
 		for ctx.Err() == nil {
 			changed := l.Replica.Changed()
@@ -193,13 +195,12 @@
 
 // known returns what is known of a stream's origin without asking the store.
 func (l *Ledger) known(service, id string) software.Origin {
-	_, recorded := l.Replica.State().Software(service)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if version, ok := l.streams.Version(id); ok {
 		return software.Origin{Version: version, Known: true, Source: software.Recorded}
 	}
-	if version, ok := l.services[service].Only(); ok && recorded {
+	if version, ok := l.services[service].Only(); ok && l.recorded[service] {
 		return software.Origin{Version: version, Known: true, Source: software.OnlyVersion}
 	}
 	return software.Origin{Source: software.Unrecorded}
@@ -223,7 +224,8 @@
 		}
 	}()
 	for _, s := range state.Catalog.Services() {
-		recorded, _ := state.Software(s.Name)
+		recorded, known := state.Software(s.Name)
+		l.recorded[s.Name] = known
 		before := l.services[s.Name]
 		after := before.With(state.Upstreams.SoftwareVersions(s.Name), recorded, lifetime, now)
 		l.services[s.Name] = after
--- a/resumption/resumption_test.go
+++ b/resumption/resumption_test.go
@@ -76,6 +76,9 @@
 	mu    sync.Mutex
 	state replica.State
 	store *fakeStore
+	// hidden is how many more reads don't show the recorded versions yet.
+	hidden int
+	reads  int
 }
 
 func (r *fakeReplica) State() replica.State {
@@ -84,6 +87,11 @@
 	r.store.mu.Lock()
 	defer r.store.mu.Unlock()
 	state := r.state
+	r.reads++
+	if r.hidden > 0 {
+		r.hidden--
+		return state
+	}
 	if v, ok := r.store.versions["models"]; ok {
 		state, _ = state.Merge(replica.Delta{Topic: replica.Software, Position: 1, Records: []replica.Record{{Key: "models", Value: []byte("v")}}}, func(replica.Topic, string, []byte) (replica.Decoded, error) {
 			return replica.Decoded{Software: &v}, nil
@@ -105,13 +113,22 @@
 	}
 }
 
-// newLedger starts a ledger of a host.
+// newLedger starts a ledger of a host that records versions.
 func newLedger(t *testing.T, host string, r *fakeReplica) *resumption.Ledger {
+	return start(t, host, r, true)
+}
+
+// newReader starts a ledger of a host that doesn't.
+func newReader(t *testing.T, host string, r *fakeReplica) *resumption.Ledger {
+	return start(t, host, r, false)
+}
+
+func start(t *testing.T, host string, r *fakeReplica, writesVersions bool) *resumption.Ledger {
 	ctx, cancel := context.WithCancel(context.Background())
 	var wait conc.WaitGroup
 	t.Cleanup(func() { cancel(); wait.Wait() })
 	return resumption.New(ctx, &wait, resumption.Options{
-		Host: host, Store: r.store, Replica: r, WritesVersions: func() bool { return true }, Hosts: func() int { return 2 }, Metrics: tally.NoopScope,
+		Host: host, Store: r.store, Replica: r, WritesVersions: func() bool { return writesVersions }, Hosts: func() int { return 2 }, Metrics: tally.NoopScope,
 	})
 }
 
@@ -175,6 +192,23 @@
 	is.Equal(l.Find(context.Background(), "models", ""), software.Origin{Source: software.Unrecorded})
 }
 
+// TestVersionsArriveDuringFind checks that a host that has just started does not take
+// the present version for the only one when the record of earlier versions arrives
+// while it looks a stream up.
+func TestVersionsArriveDuringFind(t *testing.T) {
+	is := is.New(t)
+	store := &fakeStore{versions: map[string]software.Versions{"models": software.NewVersions(software.Left{Version: "a"})}}
+	r := &fakeReplica{store: store, hidden: 2}
+	r.serve("b")
+	l := newReader(t, "host", r)
+	await(t, "the ledger has read the replica once", func() bool {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return r.reads > 0
+	})
+	is.True(!l.Find(context.Background(), "models", "s1").Known)
+}
+
 // TestVersionsAreNotRecordedYet checks that a host without any record of earlier
 // versions does not take the present one for the only one.
 func TestVersionsAreNotRecordedYet(t *testing.T) {
