--- a/peersync/peersync.go
+++ b/peersync/peersync.go
@@ -32,6 +32,12 @@
 	// readers.
 	nonReaderInterval = 6
 
+	// maxPullHosts limits the hosts that one pull asks, hedgeDelay is how long it waits
+	// for one of them before it asks the next, too: a host answers within some
+	// milliseconds.
+	maxPullHosts = 3
+	hedgeDelay   = 150 * time.Millisecond
+
 	pullRPC = "/kumquathoist.Relay/Pull"
 	tellRPC = "/kumquathoist.Relay/Tell"
 )
@@ -111,19 +117,15 @@
 // Pull requests the records after the positions from another host, chosen at
 // random.
 func (s *Syncer) Pull(ctx context.Context, positions []int64) (replica.Reply, error) {
-	addresses := s.Readers()
-	if len(addresses) == 0 || rand.IntN(nonReaderInterval) == 0 {
-		addresses = s.Others()
-	}
+	addresses := s.pullOrder()
 	useSeeds := len(addresses) == 0
 	if useSeeds {
-		addresses = s.Seeds
+		addresses = shuffled(s.Seeds)
 	}
 	if len(addresses) == 0 {
 		return replica.Reply{}, trace.NotFound("no other host is known")
 	}
-	var reply PullReply
-	err := s.call(ctx, addresses[rand.IntN(len(addresses))], pullRPC, &PullRequest{positions, useSeeds}, &reply)
+	reply, err := s.pullFirst(ctx, addresses[:min(len(addresses), maxPullHosts)], PullRequest{positions, useSeeds})
 	if err != nil {
 		return replica.Reply{}, err
 	}
@@ -135,6 +137,64 @@
 	return reply.Reply, nil
 }
 
+// pullOrder returns the addresses of the other hosts in the order in which to ask
+// them: mostly readers of the store first.
+func (s *Syncer) pullOrder() []string {
+	readers, others := shuffled(s.Readers()), shuffled(s.Others())
+	if rand.IntN(nonReaderInterval) == 0 {
+		return others
+	}
+	return append(readers, slices.DeleteFunc(others, func(a string) bool { return slices.Contains(readers, a) })...)
+}
+
+func shuffled(addresses []string) []string {
+	addresses = slices.Clone(addresses)
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	return addresses
+}
+
+// pullFirst asks hosts in order until one has answered. It asks the next one when one
+// fails or doesn't answer soon, since the first may be down or frozen.
+func (s *Syncer) pullFirst(ctx context.Context, addresses []string, request PullRequest) (PullReply, error) {
+	type result struct {
+		reply PullReply
+		err   error
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	results := make(chan result, len(addresses))
+	hedge := time.NewTicker(hedgeDelay)
+	defer hedge.Stop()
+	asked, failed := 0, 0
+	askNext := func() {
+		if asked == len(addresses) {
+			return
+		}
+		address := addresses[asked]
+		asked++
+		s.wait.Go(func() {
+			var r result
+			r.err = s.call(ctx, address, pullRPC, &request, &r.reply)
+			results <- r
+		})
+	}
+	askNext()
+	for {
+		select {
+		case r := <-results:
+			if r.err == nil {
+				return r.reply, nil
+			}
+			if failed++; failed == len(addresses) {
+				return PullReply{}, r.err
+			}
+			askNext()
+		case <-hedge.C:
+			askNext()
+		}
+	}
+}
+
 // LearnedHosts returns the last list of hosts received from another host.
 func (s *Syncer) LearnedHosts() []registry.Host {
 	s.mu.Lock()
