fix: a host that has just started does not replace recorded versions unread

What callers would see (ORDER): when the only version is replaced while all hosts are dark, a host that reads the store wrote the version that serves now over the record of the earlier one before it had read it; then take-ups went on at the new version. Cause: 'no record' and 'not read yet' were the same, and the record was judged by a later state of the replica than the versions. Change: a state tells whether a topic was listed; versions and record are judged by one state.

--- a/replica/state.go
+++ b/replica/state.go
@@ -149,11 +149,17 @@
 type topicState struct {
 	position int64
 	records  map[string]Record
+	// listed means that the records of all keys were received once.
+	listed bool
 }
 
 // Position returns the offset up to which all records of a topic are known.
 func (s State) Position(t Topic) int64 { return s.topicStates[t].position }
 
+// Listed reports whether all keys of a topic are known, so that a key without a record
+// has none in the store.
+func (s State) Listed(t Topic) bool { return s.topicStates[t].listed }
+
 // WeightsHistory returns the target weights versions of a model.
 func (s State) WeightsHistory(model string) (WeightsHistory, bool) {
 	h, ok := s.weights[model]
@@ -234,14 +240,14 @@
 			}
 		}
 	}
-	topic.position = max(topic.position, d.Position)
+	topic.position, topic.listed = max(topic.position, d.Position), topic.listed || d.Full
 	next.topicStates[d.Topic] = topic
 	return next, changes
 }
 
 // clone returns a copy of the state and of a topic whose maps may be changed.
 func (s State) clone(t Topic) (State, topicState) {
-	topic := topicState{position: s.topicStates[t].position, records: map[string]Record{}}
+	topic := topicState{position: s.topicStates[t].position, records: map[string]Record{}, listed: s.topicStates[t].listed}
 	maps.Copy(topic.records, s.topicStates[t].records)
 	weights, deferred := map[string]WeightsHistory{}, map[string]clock.Instant{}
 	maps.Copy(weights, s.weights)
--- a/resumption/resumption.go
+++ b/resumption/resumption.go
@@ -120,8 +120,7 @@
 	wait.Go(func() {
 		for ctx.Err() == nil {
 			changed := l.Replica.Changed()
-			l.observe()
-			l.recordVersions(ctx)
+			l.recordVersions(ctx, l.observe())
 			select {
 			case <-ctx.Done():
 			case <-changed:
@@ -206,8 +205,9 @@
 	return software.Origin{Source: software.Unrecorded}
 }
 
-// observe updates the versions of all services from the replica.
-func (l *Ledger) observe() {
+// observe updates the versions of all services from the replica, and returns the
+// state that it used.
+func (l *Ledger) observe() replica.State {
 	state := l.Replica.State()
 	now := clock.Now()
 	lifetime := max(minLifetime, lifetimeTimeouts*state.Catalog.LongestStream())
@@ -237,14 +237,16 @@
 			l.streams.Record(s.Name, time.Now())
 		}
 	}
+	return state
 }
 
-// recordVersions writes the versions of services whose record lacks something.
-func (l *Ledger) recordVersions(ctx context.Context) {
-	if !l.WritesVersions() {
+// recordVersions writes the versions of services whose record lacks something, given
+// the state that they were observed in.
+func (l *Ledger) recordVersions(ctx context.Context, state replica.State) {
+	// What other hosts recorded must not be replaced unread.
+	if !state.Listed(replica.Software) || !l.WritesVersions() {
 		return
 	}
-	state := l.Replica.State()
 	for _, s := range state.Catalog.Services() {
 		l.mu.Lock()
 		v := l.services[s.Name]
--- a/resumption/resumption_test.go
+++ b/resumption/resumption_test.go
@@ -92,11 +92,14 @@
 		r.hidden--
 		return state
 	}
-	if v, ok := r.store.versions["models"]; ok {
-		state, _ = state.Merge(replica.Delta{Topic: replica.Software, Position: 1, Records: []replica.Record{{Key: "models", Value: []byte("v")}}}, func(replica.Topic, string, []byte) (replica.Decoded, error) {
-			return replica.Decoded{Software: &v}, nil
-		}, replica.Times{})
+	d := replica.Delta{Topic: replica.Software, Position: 1, Full: true}
+	v, ok := r.store.versions["models"]
+	if ok {
+		d.Records = []replica.Record{{Key: "models", Value: []byte("v")}}
 	}
+	state, _ = state.Merge(d, func(replica.Topic, string, []byte) (replica.Decoded, error) {
+		return replica.Decoded{Software: &v}, nil
+	}, replica.Times{})
 	return state
 }
 
@@ -192,6 +195,22 @@
 	is.Equal(l.Find(context.Background(), "models", ""), software.Origin{Source: software.Unrecorded})
 }
 
+// TestVersionsAreNotReplacedUnread checks that a host that has just started does not
+// replace the record of earlier versions before it has read it.
+func TestVersionsAreNotReplacedUnread(t *testing.T) {
+	is := is.New(t)
+	store := &fakeStore{versions: map[string]software.Versions{"models": software.NewVersions(software.Left{Version: "a"})}}
+	r := &fakeReplica{store: store, hidden: 1}
+	r.serve("b")
+	newLedger(t, "host", r)
+	await(t, "the host has recorded the new version", func() bool {
+		store.mu.Lock()
+		defer store.mu.Unlock()
+		return len(store.versions["models"].All()) != 1 || store.versions["models"].Serves("b")
+	})
+	is.Equal(store.versions["models"].String(), "a (left), b")
+}
+
 // TestVersionsArriveDuringFind checks that a host that has just started does not take
 // the present version for the only one when the record of earlier versions arrives
 // while it looks a stream up.
