--- a/forward/handler.go
+++ b/forward/handler.go
@@ -12,7 +12,6 @@
 	"github.com/kumquathoist/kumquathoist/call"
 	"github.com/kumquathoist/kumquathoist/catalog"
 	"github.com/kumquathoist/kumquathoist/clock"
-	"github.com/kumquathoist/kumquathoist/discovery"
 	"github.com/kumquathoist/kumquathoist/event"
 	"github.com/kumquathoist/kumquathoist/health"
 	"github.com/kumquathoist/kumquathoist/http1"
@@ -22,7 +21,6 @@
 	"github.com/kumquathoist/kumquathoist/request"
 	"github.com/kumquathoist/kumquathoist/retry"
 	"github.com/kumquathoist/kumquathoist/retrybudget"
-	"github.com/kumquathoist/kumquathoist/software"
 )
 
 const (
@@ -139,29 +137,6 @@
 	}
 }
 
-// findOrigin finds the software version that began the stream that the caller
-// resumes. It returns false if the stream is refused.
-func (h *handler) findOrigin(ctx context.Context) bool {
-	origin := h.Origins.Find(ctx, h.service.Name, h.call.BeganBy)
-	event.StreamTakenUp.Info("Request", h.call.ID, "Stream", h.call.BeganBy, "After", h.call.ResumeAfter, "Software", origin.Version, "Source", origin.Source)
-	h.Metrics.Tagged(map[string]string{"source": origin.Source.String()}).Counter("streams_taken_up").Inc(1)
-	switch {
-	case origin.Known:
-		h.software = origin.Version
-		return true
-	case origin.Source == software.Unreadable:
-		h.refusal = call.Refuse(call.Unresumable).WithRetryAfter(retryAfterStartup)
-	default:
-		h.refusal = call.Refuse(call.Unresumable).WithRetryAfter(retryAfterUnresumable)
-	}
-	return false
-}
-
-// mayRun reports whether the software of an upstream may run the request.
-func (h *handler) mayRun(e discovery.Entry) bool {
-	return h.software == "" || e.Software == h.software
-}
-
 // shouldRetry records a failed attempt and reports whether another may be made.
 func (h *handler) shouldRetry(ctx context.Context, outcome retry.Outcome) bool {
 	h.retryState = h.retryState.With(outcome)
--- a/forward/schedule.go
+++ b/forward/schedule.go
@@ -98,17 +98,6 @@
 	}
 }
 
-// isUnresumable reports whether no upstream that stays has the software version that
-// began the stream, and sets the refusal if so.
-func (h *handler) isUnresumable() bool {
-	upstreams := h.snapshot.Upstreams.Service(h.service.Name)
-	if h.software == "" || len(upstreams) == 0 || slices.ContainsFunc(upstreams, func(e discovery.Entry) bool { return h.mayRun(e) && !e.Leaving }) {
-		return false // a host that has just started may not know them yet
-	}
-	h.refusal = call.Refuse(call.Unresumable).WithRetryAfter(retryAfterUnresumable)
-	return true
-}
-
 // take counts a request to an upstream, if the upstream still accepts it: other
 // requests of this host may have used up what it accepts.
 func (h *handler) take(id string) (ok bool) {
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -91,16 +91,6 @@
 	return nil
 }
 
-// recordOrigin records the software version that began the stream, before its first
-// event is relayed.
-func (s *stream) recordOrigin() {
-	s.software = s.attempt.software
-	if s.route.Resumable && !s.originRecorded {
-		s.originRecorded = true
-		s.Origins.Began(s.ctx, s.service.Name, s.call.ID, s.software)
-	}
-}
-
 // wasBrokenOff reports whether an answer that has ended is incomplete: it ended
 // inside an event, or without framing before its first event, as after a crash.
 func (s *stream) wasBrokenOff() bool {
