--- a/diagnosis/diagnosis.go
+++ b/diagnosis/diagnosis.go
@@ -69,6 +69,8 @@
 	"Overloaded":   "the queues of the engines were too long to answer it before its deadline; it was not executed",
 	"Stopping":     "the host was stopping and no longer accepted requests; it was not executed",
 	"Resting":      "every upstream of its service asked this host for a pause without requests; it was not executed",
+	"Unresumable":  "no upstream may continue its stream: the software version that began it has left or isn't known; it was not executed",
+	"Isolated":     "this host reached no upstream of its service; it was not executed",
 	"Limited":      "every upstream of its service was at the limit that it had named, or asked for a pause; it was not executed",
 	"Quarantined":  "it, or a part of its prompt that other requests share, crashed the upstreams that executed it",
 	"Unknown":      "an upstream's connection failed or its answer was damaged after the request was sent, and it must not be retried; it may have been executed",
