fix: a silent read of the entries hides no leaving upstream

Callers saw requests run at upstreams that had said they leave. Cause: a read of the entries was given up after 7.5 s, although a departure is due within 2 s; and freshness was that of the operators' records alone, so hosts that rely on one whose read hangs never turned to the store. Now reads of both topics wait 0.8 s and 1 s more, a read that was given up is repeated at once, and each host tells the age of both topics. The entries change each 1.2 s, so the shorter wait costs no calls; records of software versions are read each 3 s instead of 10 s.

Event 6001 tells how long the failed read had waited.

--- a/replica/syncer.go
+++ b/replica/syncer.go
@@ -25,8 +25,11 @@
 	softwarePause = 100 * time.Millisecond
 	// retryPause is the mean pause after a failed read of the store.
 	retryPause = 700 * time.Millisecond
-	// readGrace is how much longer than its wait a read may take.
-	readGrace = 1500 * time.Millisecond
+	// readGrace is how much longer than its wait a read may take. A connection may be
+	// silent, and what a read brings is due within two seconds.
+	readGrace = time.Second
+	// listTimeout limits listing all records of a topic.
+	listTimeout = 1500 * time.Millisecond
 	// pullInterval is the mean time between two pulls from other hosts; updates
 	// must pass through several hosts within two seconds.
 	pullInterval = 300 * time.Millisecond
@@ -59,7 +62,7 @@
 var readPauses = [topicCount]time.Duration{Operator: burstPause, Upstreams: entryPause, Software: softwarePause}
 
 // readWaits are how long a read of each topic waits for records.
-var readWaits = [topicCount]time.Duration{Operator: 800 * time.Millisecond, Upstreams: 6 * time.Second, Software: 10 * time.Second}
+var readWaits = [topicCount]time.Duration{Operator: 800 * time.Millisecond, Upstreams: 800 * time.Millisecond, Software: 3 * time.Second}
 
 // ErrTrimmed means that the store no longer has the records after a position.
 var ErrTrimmed = errors.New("records were trimmed")
@@ -82,9 +85,9 @@
 // Reply is the answer of another host to a pull.
 type Reply struct {
 	Deltas []Delta
-	// Age is the staleness of the host's state; negative if the state was never
-	// confirmed to be complete.
-	Age time.Duration
+	// Age is the staleness of the host's operators' records, EntriesAge that of its
+	// upstreams' entries; negative if they were never confirmed to be complete.
+	Age, EntriesAge time.Duration
 }
 
 // peers are the other hosts.
@@ -108,10 +111,10 @@
 	Options
 
 	state atomic.Pointer[State]
-	// confirmedAt is when the state was last known to be complete.
-	confirmedAt atomic.Int64
-	// completeAt is the same, but is not reset by a pause of the process;
-	// storeFailed means that a read of the operators' topic has failed since.
+	// confirmedAt is when the records of each topic were last known to be complete.
+	confirmedAt [topicCount]atomic.Int64
+	// completeAt is the same for the operators' topic, but is not reset by a pause
+	// of the process; storeFailed means that a read of that topic has failed since.
 	completeAt  atomic.Int64
 	storeFailed atomic.Bool
 	// deferUntil is until when removals are deferred.
@@ -152,10 +155,13 @@
 // since the process started or was suspended.
 const neverComplete = -time.Millisecond
 
-// Staleness returns the time since the state was last known to be complete, and
-// a negative value if it never was.
-func (s *Syncer) Staleness() time.Duration {
-	at := clock.Instant(s.confirmedAt.Load())
+// Staleness returns the time since the operators' records were last known to be
+// complete, and a negative value if they never were.
+func (s *Syncer) Staleness() time.Duration { return s.staleness(Operator) }
+
+// staleness returns the same for the records of any topic.
+func (s *Syncer) staleness(t Topic) time.Duration {
+	at := clock.Instant(s.confirmedAt[t].Load())
 	if at == 0 {
 		return neverComplete
 	}
@@ -177,7 +183,7 @@
 
 // Answer returns the records that another host at the positions lacks.
 func (s *Syncer) Answer(positions []int64) Reply {
-	r := Reply{Age: s.Staleness()}
+	r := Reply{Age: s.staleness(Operator), EntriesAge: s.staleness(Upstreams)}
 	state := s.State()
 	for t, from := range positions {
 		if t < int(topicCount) && state.Position(Topic(t)) > from {
@@ -219,28 +225,38 @@
 	return now.Sub(completeAt)
 }
 
-// confirm records that the state was complete at an instant. If the state was
-// stale until now, the store was unavailable to all hosts from which this one
-// receives updates, so removals are deferred for returnGrace.
-func (s *Syncer) confirm(at clock.Instant) {
-	if staleness := s.Staleness(); staleness > maxFreshStaleness {
+// confirm records that the records of a topic were complete at an instant. If the
+// operators' records were stale until now, the store was unavailable to all hosts
+// from which this one receives updates, so removals are deferred for returnGrace.
+func (s *Syncer) confirm(t Topic, at clock.Instant) {
+	if t != Operator {
+		advance(&s.confirmedAt[t], at)
+		return
+	}
+	if s.Staleness() > maxFreshStaleness {
 		s.deferUntil.Store(int64(clock.Now().Add(returnGrace)))
 	}
-	for _, latest := range []*atomic.Int64{&s.confirmedAt, &s.completeAt} {
-		for known := latest.Load(); int64(at) > known; known = latest.Load() {
-			if latest.CompareAndSwap(known, int64(at)) {
-				s.storeFailed.Store(false)
-				break
-			}
+	confirmed, completed := advance(&s.confirmedAt[t], at), advance(&s.completeAt, at)
+	if confirmed || completed {
+		s.storeFailed.Store(false)
+	}
+}
+
+// advance raises an instant to a later one, and reports whether it did.
+func advance(latest *atomic.Int64, at clock.Instant) bool {
+	for known := latest.Load(); int64(at) > known; known = latest.Load() {
+		if latest.CompareAndSwap(known, int64(at)) {
+			return true
 		}
 	}
+	return false
 }
 
 // follow reads a topic until the context ends.
 func (s *Syncer) follow(ctx context.Context, t Topic) {
 	listed, failed := false, false
 	for ctx.Err() == nil {
-		if staleness := s.Staleness(); listed && staleness >= 0 && staleness < maxPeerStaleness && !s.ReadsStore() {
+		if listed && s.hasRecentPeers(t) && !s.ReadsStore() {
 			clock.Pause(ctx, tickInterval)
 			continue
 		}
@@ -256,9 +272,13 @@
 			event.HistoryTrimmed.Info("Topic", t, "Position", s.State().Position(t))
 			listed = false
 		case err != nil && ctx.Err() == nil:
-			s.handleFailure(t, err, failed)
+			waited := clock.Now().Sub(requested)
+			s.handleFailure(t, err, failed, waited)
+			// After a silent connection, a new one may work at once.
+			if failed || waited < readGrace {
+				clock.Pause(ctx, time.Duration((0.5+rand.Float64())*float64(retryPause)))
+			}
 			failed = true
-			clock.Pause(ctx, time.Duration((0.5+rand.Float64())*float64(retryPause)))
 		case err == nil:
 			s.applyRead(t, d, requested, delay, failed)
 			listed, failed = true, false
@@ -269,11 +289,21 @@
 	}
 }
 
+// hasRecentPeers reports whether other hosts send recent records of a topic. They
+// tell no age for those of software versions, which are read too rarely.
+func (s *Syncer) hasRecentPeers(t Topic) bool {
+	if t == Software {
+		t = Operator
+	}
+	staleness := s.staleness(t)
+	return staleness >= 0 && staleness < maxPeerStaleness
+}
+
 // handleFailure handles a failed read and logs it unless the previous read failed,
 // too.
-func (s *Syncer) handleFailure(t Topic, err error, failedBefore bool) {
+func (s *Syncer) handleFailure(t Topic, err error, failedBefore bool, waited time.Duration) {
 	if !failedBefore {
-		event.StoreUnreachable.Error(err, "Topic", t)
+		event.StoreUnreachable.Error(err, "Topic", t, "WaitedMillis", waited.Milliseconds())
 	}
 	if t == Operator && !errors.Is(err, errInterrupted) {
 		s.storeFailed.Store(true)
@@ -291,9 +321,7 @@
 		event.StoreReachable.Info("Topic", t, "Position", d.Position, "AwayForAll", outage)
 	}
 	s.merge(d, "Store", delay)
-	if t == Operator {
-		s.confirm(completedAt(t, requested, clock.Now()))
-	}
+	s.confirm(t, completedAt(t, requested, clock.Now()))
 }
 
 // completedAt returns the latest instant at which the result of a read was
@@ -315,7 +343,7 @@
 	s.mu.Unlock()
 	position := s.State().Position(t)
 	if !listed {
-		ctx, cancel := context.WithTimeout(readCtx, readGrace)
+		ctx, cancel := context.WithTimeout(readCtx, listTimeout)
 		defer cancel()
 		d, err := s.Store.Newest(ctx, t)
 		return d, readPauses[t], markInterrupted(readCtx, err)
@@ -361,7 +389,10 @@
 		s.merge(d, "Peer", peerDelay)
 	}
 	if r.Age >= 0 {
-		s.confirm(requested.Add(-r.Age))
+		s.confirm(Operator, requested.Add(-r.Age))
+	}
+	if r.EntriesAge >= 0 {
+		s.confirm(Upstreams, requested.Add(-r.EntriesAge))
 	}
 }
 
@@ -374,7 +405,9 @@
 		now := clock.Now()
 		if paused := now.Sub(last); paused > pauseThreshold {
 			event.ProcessPaused.Info("Millis", paused.Milliseconds())
-			s.confirmedAt.Store(0)
+			for t := range s.confirmedAt {
+				s.confirmedAt[t].Store(0)
+			}
 			s.restartReads(ctx)
 		}
 		last = now
