fix: connections to hosts that fall silent are closed

Callers saw old configurations and departures in use. Cause, the same class as the store's connections: a stream of heartbeats goes one way, so over a silent connection it carried nothing until the kernel gave up after some 15 minutes; the receiver then suspects a live host, which changes who reads the store and which addresses callers get. Connections to peers now end after 1.5 s without any acknowledgement (package socket). A frozen host's kernel acknowledges, so it isn't affected.

TestConnectionsFindSilentPeers fails on the code before (0 != 1500).

--- a/peer/peer.go
+++ b/peer/peer.go
@@ -21,6 +21,7 @@
 	"storj.io/drpc/drpcwire"
 
 	"github.com/kumquathoist/kumquathoist/settings"
+	"github.com/kumquathoist/kumquathoist/socket"
 )
 
 const (
@@ -28,6 +29,9 @@
 	secretKey = "secret"
 	// dialTimeout bounds connecting to a peer, TLS handshake included.
 	dialTimeout = time.Second
+	// maxSilence is how long a peer may acknowledge nothing before a connection to it
+	// is closed. A frozen host's kernel still acknowledges.
+	maxSilence = 1500 * time.Millisecond
 	// idleTimeout is the time after which an idle connection is closed.
 	idleTimeout = 30 * time.Second
 	// MaxAnswerBytes limits the size of an answer to a call.
@@ -125,7 +129,7 @@
 func (p *Pool) dial(ctx context.Context, address string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	conn, err := socket.Dialer(dialTimeout, maxSilence).DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
