fix: an update on an order is sent again over a new connection

The first attempt to send an update to a host may be on a silent connection. It was dropped after 1 s without a log line. Now it is tried twice, and event 6502 tells of an update that was given up. TestUpdatePassesSilentConnection fails on the code before (20 s).

--- a/event/replica.go
+++ b/event/replica.go
@@ -67,6 +67,8 @@
 	SoftwareVersionsChanged = Event{6401, "software versions changed", "A software version began or ceased to serve a service. While streams may have begun at several versions, hosts record in the store which version began which stream."}
 	// StreamOriginsUnreadable reports that the records of which version began a stream can't be read.
 	StreamOriginsUnreadable = Event{6402, "stream origins unreadable", "The store's records of the software versions that began streams can't be read; a stream that a caller takes up is refused if its version isn't known otherwise."}
+	// UpdateNotSent reports an update for another host that was given up.
+	UpdateNotSent = Event{6502, "update not sent", "Another host did not accept an update on an order to an engine; it learns of the change from the engine's answers."}
 	// StreamOriginsNotWritten reports a failed write of such records, which is retried.
 	StreamOriginsNotWritten = Event{6403, "stream origins not written", "The store did not accept records of the software versions that serve a service (Service is its name) or that began streams; the write is retried within seconds."}
 )
@@ -75,5 +77,5 @@
 	StoreUnreachable, StoreReachable, HistoryTrimmed, CatalogChanged, TargetWeightsChanged, UpstreamChanged, UpstreamRemoved, RecordRejected,
 	LeaseAcquired, LeaseNotAcquired, LeaseHeldElsewhere, LoadOrdered, LoadEnded, UpstreamReportedUnreachable, FeedDisconnected, FeedReconnected, CacheReset,
 	StoreRestored, UpstreamLeaving, RetryAfterReceived, LimitNamed, LimitEnded, LimitInvalid, RetryAfterInvalid, HostIsolated, HostReconnected, CrashRecordsUnreadable, CrashRecordsReadable, CrashRecordPersisted, CrashRecordNotPersisted,
-	SoftwareVersionsChanged, StreamOriginsUnreadable, StreamOriginsNotWritten,
+	SoftwareVersionsChanged, StreamOriginsUnreadable, StreamOriginsNotWritten, UpdateNotSent,
 }
--- a/peersync/peersync.go
+++ b/peersync/peersync.go
@@ -15,14 +15,17 @@
 	"github.com/sourcegraph/conc"
 	"storj.io/drpc"
 
+	"github.com/kumquathoist/kumquathoist/event"
 	"github.com/kumquathoist/kumquathoist/registry"
 	"github.com/kumquathoist/kumquathoist/reloader"
 	"github.com/kumquathoist/kumquathoist/replica"
 )
 
 const (
-	// tellTimeout limits sending an update to one host.
-	tellTimeout = time.Second
+	// tellTimeout limits one attempt to send an update to a host, tellAttempts how
+	// many are made: the first may be on a silent connection.
+	tellTimeout  = time.Second
+	tellAttempts = 2
 	// maxTellHosts limits the hosts to which an update is sent; the others learn
 	// of the change from the store.
 	maxTellHosts = 100
@@ -206,13 +209,23 @@
 func (s *Syncer) Tell(update reloader.Update) {
 	others := s.Others()
 	for _, address := range others[:min(len(others), maxTellHosts)] {
-		s.wait.Go(func() {
-			ctx, cancel := context.WithTimeout(s.ctx, tellTimeout)
-			defer cancel()
-			// An unreachable host learns of the change from the engines' answers.
-			_ = s.call(ctx, address, tellRPC, &update, &TellReply{})
-		})
+		s.wait.Go(func() { s.tellHost(address, update) })
+	}
+}
+
+// tellHost sends an update to one host. An unreachable host learns of the change from
+// the engines' answers.
+func (s *Syncer) tellHost(address string, update reloader.Update) {
+	var err error
+	for range tellAttempts {
+		ctx, cancel := context.WithTimeout(s.ctx, tellTimeout)
+		err = s.call(ctx, address, tellRPC, &update, &TellReply{})
+		cancel()
+		if err == nil || s.ctx.Err() != nil {
+			return
+		}
 	}
+	event.UpdateNotSent.Info("Host", address, "Offset", update.Offset, "Reason", event.Line(err))
 }
 
 // call makes one call to the host at an address.
--- a/peersync/pull_test.go
+++ b/peersync/pull_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -11,6 +12,7 @@
 	"storj.io/drpc"
 
 	"github.com/kumquathoist/kumquathoist/peersync"
+	"github.com/kumquathoist/kumquathoist/reloader"
 )
 
 var errRefused = errors.New("connection refused")
@@ -63,3 +65,48 @@
 		is.Equal(reply.Age, time.Second)
 	}
 }
+
+// silentOnce holds connections to a host the first of which is silent.
+type silentOnce struct {
+	fakeHosts
+
+	used *atomic.Bool
+	told chan struct{}
+}
+
+func (s silentOnce) Conn(context.Context, string) drpc.Conn {
+	return silentOnceConn{fakeConn{}, s}
+}
+
+type silentOnceConn struct {
+	fakeConn
+
+	hosts silentOnce
+}
+
+func (c silentOnceConn) Invoke(ctx context.Context, _ string, _ drpc.Encoding, _, _ drpc.Message) error {
+	if c.hosts.used.CompareAndSwap(false, true) {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	close(c.hosts.told)
+	return nil
+}
+
+// TestUpdatePassesSilentConnection checks that an update reaches a host although the
+// open connection to it has fallen silent.
+func TestUpdatePassesSilentConnection(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	var wait conc.WaitGroup
+	defer wait.Wait()
+	defer cancel()
+	hosts := silentOnce{used: &atomic.Bool{}, told: make(chan struct{})}
+	s := peersync.New(ctx, &wait, peersync.Options{Pool: hosts, Others: func() []string { return []string{"other"} }})
+	s.Tell(reloader.Update{})
+	select {
+	case <-hosts.told:
+	case <-time.After(20 * time.Second):
+		is.Fail() // the update arrives
+	}
+}
