fix: a failed connection starts no goroutine after the daemon's end

Traced: a stream that resumed while the daemon stopped reported a failed connection, and the monitor of connections added a goroutine to a group that was already being waited for. Checks are now started by a goroutine of the constructor.

No other place adds goroutines from requests: migrations are started by the reloader's goroutines.

--- a/reachability/reachability.go
+++ b/reachability/reachability.go
@@ -82,18 +82,60 @@
 type Monitor struct {
 	Options
 
-	ctx  context.Context
-	wait *conc.WaitGroup
+	// suspected wakes the goroutine that starts checks.
+	suspected chan struct{}
 	// mu guards the fields below.
 	mu     sync.Mutex
 	states map[string]State
-	// probing holds the services whose upstreams are being checked.
-	probing map[string]bool
+	// probing holds the services whose upstreams are being checked, suspects those
+	// whose check has yet to start.
+	probing, suspects map[string]bool
 }
 
 // NewMonitor returns a monitor that works until the context ends.
 func NewMonitor(ctx context.Context, wait *conc.WaitGroup, o Options) *Monitor {
-	return &Monitor{Options: o, ctx: ctx, wait: wait, states: map[string]State{}, probing: map[string]bool{}}
+	m := &Monitor{Options: o, suspected: make(chan struct{}, 1), states: map[string]State{}, probing: map[string]bool{}, suspects: map[string]bool{}}
+	wait.Go(func() { m.run(ctx) })
+	return m
+}
+
+// run checks the services that are suspected until the context ends.
+func (m *Monitor) run(ctx context.Context) {
+	var checks conc.WaitGroup
+	defer checks.Wait()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-m.suspected:
+		}
+		for _, service := range m.takeSuspects() {
+			checks.Go(func() { m.check(ctx, service) })
+		}
+	}
+}
+
+// takeSuspects returns the services whose check starts now.
+func (m *Monitor) takeSuspects() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var services []string
+	for service := range m.suspects {
+		services = append(services, service)
+		m.probing[service] = true
+	}
+	clear(m.suspects)
+	return services
+}
+
+// check probes the upstreams of a service, until one is reached.
+func (m *Monitor) check(ctx context.Context, service string) {
+	for m.probe(ctx, service); m.Isolated(service) && ctx.Err() == nil; m.probe(ctx, service) {
+		clock.Pause(ctx, probeInterval)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.probing, service)
 }
 
 // Isolated reports whether the host is cut off from all upstreams of a service.
@@ -128,15 +170,11 @@
 	if m.probing[service] || !m.states[service].Suspects(clock.Now()) {
 		return
 	}
-	m.probing[service] = true
-	m.wait.Go(func() {
-		for m.probe(service); m.Isolated(service) && m.ctx.Err() == nil; m.probe(service) {
-			clock.Pause(m.ctx, probeInterval)
-		}
-		m.mu.Lock()
-		defer m.mu.Unlock()
-		delete(m.probing, service)
-	})
+	m.suspects[service] = true
+	select {
+	case m.suspected <- struct{}{}:
+	default: // the goroutine has yet to take the suspects
+	}
 }
 
 func (m *Monitor) update(service string, change func(State) State) {
@@ -158,12 +196,12 @@
 }
 
 // probe checks some upstreams of a service, drawn at random.
-func (m *Monitor) probe(service string) {
+func (m *Monitor) probe(ctx context.Context, service string) {
 	addresses := m.Addresses(service)
 	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
 	addresses = addresses[:min(len(addresses), probedUpstreams)]
 	began := clock.Now()
-	ctx, cancel := context.WithTimeout(m.ctx, probeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	errs := make([]error, len(addresses))
 	var probes conc.WaitGroup
--- a/reachability/reachability_test.go
+++ b/reachability/reachability_test.go
@@ -97,3 +97,23 @@
 	links.set(false)
 	await(false)
 }
+
+// TestFailuresAfterTheEndStartNothing reports failed connections while the host
+// stops: requests end later than what the monitor's owner waits for.
+func TestFailuresAfterTheEndStartNothing(t *testing.T) {
+	for range 200 {
+		ctx, cancel := context.WithCancel(context.Background())
+		var wait conc.WaitGroup
+		m := reachability.NewMonitor(ctx, &wait, reachability.Options{Prober: &fakeLinks{}, Metrics: tally.NoopScope, Addresses: func(string) []string { return nil }})
+		wait.Go(func() { <-ctx.Done() })
+		var requests sync.WaitGroup
+		requests.Go(func() {
+			<-ctx.Done()
+			time.Sleep(time.Millisecond)
+			m.Failed("models")
+		})
+		time.AfterFunc(time.Millisecond, cancel)
+		wait.Wait()
+		requests.Wait()
+	}
+}
