--- a/http1/bench_test.go
+++ b/http1/bench_test.go
@@ -37,7 +37,7 @@
 			runtime.LockOSThread()
 			defer runtime.UnlockOSThread()
 			address := startEndless(b, tt.first, tt.repeated).Address()
-			pool := http1.NewPool(platform.Wire{})
+			pool := http1.NewPool(platform.Wire{}, http1.NewDialer())
 			buffer := make([]byte, 4096)
 			total := 0
 			b.ReportAllocs()
--- a/http1/endless_test.go
+++ b/http1/endless_test.go
@@ -54,7 +54,7 @@
 	for _, tt := range endlessAnswers {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
-			pool := http1.NewPool(platform.Wire{})
+			pool := http1.NewPool(platform.Wire{}, http1.NewDialer())
 			ctx, cancel := context.WithTimeout(context.Background(), deadline)
 			defer cancel()
 			read := 0
@@ -86,7 +86,7 @@
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
-			pool := http1.NewPool(platform.Wire{})
+			pool := http1.NewPool(platform.Wire{}, http1.NewDialer())
 			ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 			defer cancel()
 			address := startEndless(t, tt.first, tt.repeated).Address()
@@ -115,7 +115,7 @@
 			s := newScriptedUpstream(t)
 			answer := []byte(tt.answer)
 			s.answer.Store(&answer)
-			_, err := http1.NewPool(platform.Wire{}).Send(t.Context(), s.listener.Addr().String(), "r", "GET", []byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"))
+			_, err := http1.NewPool(platform.Wire{}, http1.NewDialer()).Send(t.Context(), s.listener.Addr().String(), "r", "GET", []byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"))
 			is.True(len(err.Error()) < 400)
 			is.Equal(http1.ClosedByUpstream(err), tt.closed)
 		})
--- a/http1/fuzz_test.go
+++ b/http1/fuzz_test.go
@@ -82,7 +82,7 @@
 		const maxMemory = 112 << 20 / 4 / 100
 		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 		defer cancel()
-		pool := http1.NewPool(platform.Wire{})
+		pool := http1.NewPool(platform.Wire{}, http1.NewDialer())
 		before := totalAllocated()
 		s.answer.Store(&answer)
 		x, err := pool.Send(ctx, s.listener.Addr().String(), "r", "GET", []byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"))
--- a/http1/http1.go
+++ b/http1/http1.go
@@ -46,18 +46,30 @@
 	DecodeHead(*fasthttp.ResponseHeader) call.Head
 }
 
+// dialer opens connections.
+type dialer interface {
+	DialContext(ctx context.Context, network, address string) (net.Conn, error)
+}
+
 // Pool keeps idle connections to upstreams.
 type Pool struct {
 	decoder decoder
+	dialer  dialer
 	// mu guards idle and dialled.
 	mu      sync.Mutex
 	idle    map[string][]*conn
 	dialled int64
 }
 
-// NewPool returns a pool; Sweep closes its connections when they expire.
-func NewPool(d decoder) *Pool {
-	return &Pool{decoder: d, idle: map[string][]*conn{}}
+// NewDialer returns the dialer of connections to upstreams and other hosts.
+func NewDialer() *net.Dialer {
+	return &net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: setUserTimeout}
+}
+
+// NewPool returns a pool of connections that a dialer opens; Sweep closes them when
+// they expire.
+func NewPool(decode decoder, dial dialer) *Pool {
+	return &Pool{decoder: decode, dialer: dial, idle: map[string][]*conn{}}
 }
 
 // Dialled returns the number of connections dialed so far.
@@ -163,7 +175,7 @@
 		}
 		_ = c.Close()
 	}
-	raw, err := dial(ctx, address)
+	raw, err := p.dialer.DialContext(ctx, "tcp", address)
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return nil, errors.Join(ErrRefused, trace.ConnectionProblem(err, "connecting to %s", address))
@@ -180,19 +192,13 @@
 
 // Probe checks whether an address accepts connections.
 func (p *Pool) Probe(ctx context.Context, address string) error {
-	raw, err := dial(ctx, address)
+	raw, err := p.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return trace.ConnectionProblem(err, "connecting to %s", address)
 	}
 	return raw.Close()
 }
 
-// dial connects to an address.
-func dial(ctx context.Context, address string) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: setUserTimeout}
-	return dialer.DialContext(ctx, "tcp", address)
-}
-
 // setUserTimeout makes the kernel close connections to hosts that don't
 // acknowledge.
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
--- a/http1/repeated_test.go
+++ b/http1/repeated_test.go
@@ -48,7 +48,7 @@
 				}
 				return c.repeated + answer
 			})
-			pool := http1.NewPool(platform.Wire{})
+			pool := http1.NewPool(platform.Wire{}, http1.NewDialer())
 			ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 			defer cancel()
 			send := func(id string) (*http1.Exchange, error) {
--- /dev/null
+++ b/storenode/cut_test.go
@@ -0,0 +1,170 @@
+package storenode_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// cut is how a host loses its upstreams.
+type cut int
+
+const (
+	// noCut means that the host reaches them.
+	noCut cut = iota
+	// hangCut lets open connections fall silent and new ones hang.
+	hangCut
+	// resetCut resets open connections and refuses new ones.
+	resetCut
+	// refuseCut refuses new connections only.
+	refuseCut
+)
+
+// cutDialTimeout is how long a new connection hangs.
+const cutDialTimeout = 400 * time.Millisecond
+
+// cutDialer opens a host's connections to upstreams until they are cut.
+type cutDialer struct {
+	// mu guards the fields below.
+	mu    sync.Mutex
+	cut   cut
+	conns []*cutConn
+}
+
+// cutConn is one of these connections.
+type cutConn struct {
+	*net.TCPConn
+
+	dialer *cutDialer
+}
+
+func (d *cutDialer) state() cut {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.cut
+}
+
+// set cuts the connections, or heals them. A connection that has fallen silent stays
+// silent.
+func (d *cutDialer) set(c cut) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.cut = c
+	if c != resetCut {
+		return
+	}
+	for _, c := range d.conns {
+		_ = c.SetLinger(0)
+		_ = c.TCPConn.Close()
+	}
+	d.conns = nil
+}
+
+func (d *cutDialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	switch d.state() {
+	case hangCut:
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-time.After(cutDialTimeout):
+			return nil, os.ErrDeadlineExceeded
+		}
+	case resetCut, refuseCut:
+		return nil, syscall.ECONNREFUSED
+	}
+	raw, err := (&net.Dialer{}).DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	c := &cutConn{raw.(*net.TCPConn), d}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.conns = append(d.conns, c)
+	return c, nil
+}
+
+func (c *cutConn) Read(b []byte) (int, error) {
+	for {
+		n, err := c.TCPConn.Read(b)
+		if err != nil || c.dialer.state() != hangCut {
+			return n, err
+		}
+	}
+}
+
+func (c *cutConn) Write(b []byte) (int, error) {
+	if c.dialer.state() == hangCut {
+		return len(b), nil
+	}
+	return c.TCPConn.Write(b)
+}
+
+// TestHostCutFromUpstreamsServesItsCallers cuts one host from all upstreams. Once it
+// has noticed, its callers' first tries must be served, each by one run.
+func TestHostCutFromUpstreamsServesItsCallers(t *testing.T) {
+	for name, c := range map[string]cut{"hung": hangCut, "reset": resetCut, "old connections live on": refuseCut} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := newDeployment(t, 0, 3, 2)
+			dialer := &cutDialer{}
+			d.dialers = map[int]*cutDialer{0: dialer}
+			for i := range 3 {
+				d.host(i)
+			}
+			for _, h := range d.hosts {
+				d.awaitReady(h)
+			}
+			serial := 0
+			sendAll := func(prefix string) (ids []string, statuses []int) {
+				for _, r := range []struct {
+					method, host, path string
+					headers            map[string]string
+				}{
+					{http.MethodPost, modelHost, "/full/a", prompt},
+					{http.MethodPost, modelHost, "/flag/a", prompt},
+					{http.MethodPost, serviceHost, "/post/a", nil},
+					{http.MethodGet, serviceHost, "/read/a", nil},
+				} {
+					serial++
+					id := fmt.Sprint(prefix, serial)
+					body := "body"
+					if r.method == http.MethodGet {
+						body = ""
+					}
+					ids, statuses = append(ids, id), append(statuses, d.do(d.hosts[0], r.method, r.host, r.path, id, r.headers, body).status)
+				}
+				return ids, statuses
+			}
+			served := []int{http.StatusOK, http.StatusOK, http.StatusOK, http.StatusOK}
+			d.await("all kinds of requests are served before the cut", func() bool {
+				_, statuses := sendAll("before")
+				return fmt.Sprint(statuses) == fmt.Sprint(served)
+			})
+			dialer.set(c)
+			d.await("the host has noticed", func() bool {
+				_, statuses := sendAll("early")
+				return fmt.Sprint(statuses) == fmt.Sprint(served)
+			})
+			for range 10 {
+				ids, statuses := sendAll("cut")
+				is.Equal(statuses, served) // at the first try
+				for _, id := range ids {
+					is.Equal(d.executions(id), 1)
+				}
+			}
+			dialer.set(noCut)
+			d.await("the host serves them itself again", func() bool {
+				_, statuses := sendAll("after")
+				return fmt.Sprint(statuses) == fmt.Sprint(served)
+			})
+		})
+	}
+}
--- /dev/null
+++ b/storenode/export_test.go
@@ -0,0 +1,4 @@
+package storenode
+
+// NewNode starts a daemon that opens connections to upstreams with a dialer.
+var NewNode = newNode
--- a/storenode/harness_test.go
+++ b/storenode/harness_test.go
@@ -45,6 +45,8 @@
 	weightsMillis int
 	// loadReportPort is the port of all hosts for load reports.
 	loadReportPort string
+	// dialers open the connections of some hosts to upstreams.
+	dialers map[int]*cutDialer
 	// restore brings the store back from an older copy.
 	restore func()
 }
@@ -190,7 +192,13 @@
 	s.Machine = settings.Machine{MemoryMB: 512, Descriptors: 4096}
 	s.Bounds = settings.Bounds{LeaseMillis: 1000, WeightsMillis: cmp.Or(d.weightsMillis, 6000), GraceSeconds: 8, RepeatRatio: 0.2, RepeatWindowSeconds: 10, RepeatSlack: 50}
 	ctx, cancel := context.WithCancel(context.Background())
-	n, err := storenode.New(ctx, s)
+	var n *storenode.Node
+	var err error
+	if dialer := d.dialers[i]; dialer != nil {
+		n, err = storenode.NewNode(ctx, s, dialer)
+	} else {
+		n, err = storenode.New(ctx, s)
+	}
 	if err != nil {
 		cancel()
 		return nil, err
--- a/storenode/storenode.go
+++ b/storenode/storenode.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net"
 	"net/netip"
 	"runtime/debug"
 	"slices"
@@ -84,6 +85,8 @@
 	loadReports    *loadreport.Exchanger
 	server         *platform.Server
 	hosts          *hostList
+	// upstreamDialer opens connections to upstreams.
+	upstreamDialer dialer
 	started        clock.Instant
 
 	wait     conc.WaitGroup
@@ -92,8 +95,18 @@
 	stop     chan struct{}
 }
 
+// dialer opens connections.
+type dialer interface {
+	DialContext(ctx context.Context, network, address string) (net.Conn, error)
+}
+
 // New starts a daemon. It ends when the context ends or after a planned stop.
 func New(ctx context.Context, s settings.Settings) (*Node, error) {
+	return newNode(ctx, s, http1.NewDialer())
+}
+
+// newNode starts a daemon that opens connections to upstreams with a dialer.
+func newNode(ctx context.Context, s settings.Settings, upstreams dialer) (*Node, error) {
 	secret, err := s.Secrets.Peers.Read()
 	if err != nil {
 		return nil, trace.Wrap(err, "reading the peers' secret")
@@ -102,7 +115,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	n := &Node{
 		settings: s, cancel: cancel, stop: make(chan struct{}), started: clock.Now(),
-		store: platform.NewStore(s.Platform.Store), tracker: health.NewTracker(),
+		store: platform.NewStore(s.Platform.Store), tracker: health.NewTracker(), upstreamDialer: upstreams,
 	}
 	if err := n.start(ctx, peer.Credentials{Secret: secret}); err != nil {
 		cancel()
@@ -122,7 +135,7 @@
 	pool := peer.NewPool(credentials)
 	n.startPeers(ctx, pool)
 	guard := crash.NewGuard(ctx, &n.wait, crash.Options{Self: n.settings.Listen.PeersAddress(), Peers: n.peerAddresses, Sender: crash.NewPeerSender(pool), Store: n.store, Metrics: scope})
-	connections := http1.NewPool(platform.Wire{})
+	connections := http1.NewPool(platform.Wire{}, n.upstreamDialer)
 	n.wait.Go(func() { connections.Sweep(ctx) })
 	monitor := reachability.NewMonitor(ctx, &n.wait, reachability.Options{Prober: connections, Addresses: n.upstreamAddresses, Metrics: scope})
 	n.monitorPointer.Store(monitor)
