feat: a host that reaches no upstream passes requests on to other hosts

Cause: such a host could only refuse, and callers keep addresses and connections. It also noticed late: the check started with a failed connection, but requests go over idle connections first and hang there.

Now it sends the request, as its caller sent it, to a host of its failure domain, else to another one, over an address of its own (Listen.Relays) with the hosts' shared secret; that host makes all decisions, and a request is passed on once. Up to three hosts are asked if they say that they can't serve it either; they get no more for a second. What may have run is passed on only if it may be repeated, with the number of attempts. The check also starts when requests wait 0.6 s without any answer, and when two upstreams in a row accept no connection while old connections live on: then only upstreams with an idle connection are used.

TestHostThatReachesNoUpstreamRefusesAtOnce asked for a Retry-After of 0.1 s, with the reason that other hosts can serve the caller. They now do so themselves, so a refusal means that none can: 0.3 s, as for other lacks of upstreams. The test asks for exactly that.

--- a/event/replica.go
+++ b/event/replica.go
@@ -52,7 +52,7 @@
 	// RetryAfterInvalid reports a pause that can't be used.
 	RetryAfterInvalid = Event{6109, "rest unusable", "An upstream asked for a pause without requests that is not a number of seconds; it is ignored."}
 	// HostIsolated reports that this host is cut off from all upstreams.
-	HostIsolated = Event{6113, "host isolated", "This host reaches no upstream of a service: several refused or timed out and none has answered for QuietMillis. It refuses requests for the service at once, and if others have requests there, callers are sent to other hosts, until an upstream accepts a connection."}
+	HostIsolated = Event{6113, "host isolated", "This host reaches no upstream of a service: several refused or timed out and none has answered for QuietMillis. It passes requests for the service on to other hosts, and if others have requests there, callers are sent to them, until an upstream accepts a connection."}
 	// HostReconnected reports the end of that.
 	HostReconnected = Event{6114, "host reconnected", "An upstream of a service accepted a connection of this host again, or answered, after it was cut off from all of them."}
 	// CrashRecordsUnreadable reports that the crash records in the store can't be read.
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -25,6 +25,7 @@
 	"github.com/kumquathoist/kumquathoist/loadreport"
 	"github.com/kumquathoist/kumquathoist/placement"
 	"github.com/kumquathoist/kumquathoist/quarantine"
+	"github.com/kumquathoist/kumquathoist/relay"
 	"github.com/kumquathoist/kumquathoist/replica"
 	"github.com/kumquathoist/kumquathoist/request"
 	"github.com/kumquathoist/kumquathoist/retry"
@@ -43,9 +44,6 @@
 	// retryAfterUnresumable is the Retry-After for a stream that no upstream may
 	// continue: the version that began it has left, or isn't known.
 	retryAfterUnresumable = 30 * time.Second
-	// retryAfterIsolated is the Retry-After of a host that reaches no upstream of a
-	// service: other hosts can serve the caller now.
-	retryAfterIsolated = 100 * time.Millisecond
 	// retryAfterQuarantine is the Retry-After for a request that crashes
 	// engines.
 	retryAfterQuarantine = 30 * time.Second
@@ -89,10 +87,17 @@
 
 // reachability knows whether this host reaches any upstream of a service.
 type reachability interface {
+	// Isolated reports that it reaches none, ConnectionsFail that none accepts new
+	// connections.
 	Isolated(service string) bool
-	// Reached records that an upstream answered, Failed that a connection failed.
+	ConnectionsFail(service string) bool
+	// Sent records that a request was sent, Reached that an upstream answered on an
+	// open connection, Connected that one accepted a connection, and Failed that one
+	// did not.
+	Sent(service string)
 	Reached(service string)
-	Failed(service string)
+	Connected(service string)
+	Failed(service, address string)
 }
 
 // origins knows the software versions that began streams.
@@ -133,6 +138,8 @@
 	Origins origins
 	// Reachability is told of connections to upstreams.
 	Reachability reachability
+	// Relays passes requests on to other hosts.
+	Relays Relays
 	Tracker      *health.Tracker
 	LoadReports  loadExchange
 	Migrator     migrator
@@ -181,6 +188,8 @@
 	returns map[string]availability.ReturnQueue
 	// meanInput is the mean prompt size of each service's recent requests.
 	meanInput map[string]allocation.MeanInput
+	// relayFailures are the hosts that did not serve relayed requests lately.
+	relayFailures relay.Table
 }
 
 // New returns a router.
@@ -276,10 +285,10 @@
 		timeout = c.Remaining
 	}
 	h.deadline = c.Arrived.Add(timeout)
-	if r.Reachability.Isolated(name) {
+	if c.Relayed && r.Reachability.Isolated(name) {
 		return refuse(call.Isolated)
 	}
-	h.retryState = retry.State{Idempotent: h.route.MayRepeat(), MaxUpstreams: h.route.MaxUpstreams}
+	h.retryState = retry.State{Idempotent: h.route.MayRepeat(), MaxUpstreams: h.route.MaxUpstreams, MaybeExecuted: c.Attempts}
 	if h.timeLeft() < minTimeLeft {
 		return refuse(call.DeadlinePast)
 	}
@@ -292,8 +301,6 @@
 	switch {
 	case reason == call.NotReady:
 		return a.WithRetryAfter(retryAfterStartup)
-	case reason == call.Isolated:
-		return a.WithRetryAfter(retryAfterIsolated)
 	case a.Status == 503:
 		return a.WithRetryAfter(retryAfterShort)
 	}
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -75,8 +75,9 @@
 	originRecorded bool
 	// stage shows whether a part of the answer has been relayed.
 	stage retrybudget.Stage
-	// delivered counts the attempts that reached an upstream.
-	delivered int
+	// delivered counts the attempts that reached an upstream, relayed those that were
+	// passed on to another host.
+	delivered, relayed int
 	// ctx ends when the caller disconnects or at the deadline; release frees
 	// the request's resources.
 	ctx     context.Context
@@ -191,6 +192,8 @@
 	// prefill is the number of prompt tokens that it must read, rank the rank
 	// of the request there.
 	prefill, rank int
+	// relay is set if the target is another host, which chooses the upstream.
+	relay bool
 }
 
 // attempt is one attempt in progress.
@@ -228,6 +231,9 @@
 // sendTo sends the request to an upstream and waits for its answer, or for the
 // first event of a stream.
 func (h *handler) sendTo(ctx context.Context, t target, resumeAfter string) (*call.Answer, retry.Outcome) {
+	if t.relay {
+		return h.relayTo(ctx, t, resumeAfter)
+	}
 	h.tried[t.id] = true
 	t.send.ResumeAfter, t.send.Timeout = resumeAfter, h.timeLeft()
 	a := &attempt{target: t, started: clock.Now(), incarnation: h.incarnationOf(t.id)}
@@ -240,13 +246,14 @@
 		h.LoadReports.FlushSoon()
 	}
 	raw := h.Encoder.EncodeSend(make([]byte, 0, len(h.call.Body)+1024), t.send)
+	h.Reachability.Sent(h.service.Name)
 	var err error
 	a.exchange, err = h.Sender.Send(ctx, t.address, h.call.ID, h.call.Method, raw)
 	if err != nil {
 		outcome := a.outcome(err)
 		if errors.Is(err, http1.ErrNotSent) {
 			outcome = retry.NotSent
-			h.Reachability.Failed(h.service.Name)
+			h.recordUnconnected(a.target, err)
 		}
 		if outcome != retry.NotSent {
 			h.delivered++
@@ -254,10 +261,21 @@
 		return nil, h.failAttempt(a, outcome, err)
 	}
 	h.delivered++
-	h.Reachability.Reached(h.service.Name)
+	if a.exchange.IsFirst() {
+		h.Reachability.Connected(h.service.Name)
+	} else {
+		h.Reachability.Reached(h.service.Name)
+	}
 	return h.readAnswer(a)
 }
 
+// recordUnconnected records that an upstream did not accept a connection.
+func (h *handler) recordUnconnected(t target, err error) {
+	if !errors.Is(err, context.Canceled) {
+		h.Reachability.Failed(h.service.Name, t.address)
+	}
+}
+
 // incarnationOf returns the incarnation of the upstream with an id, or "" if
 // its entry has none.
 func (h *handler) incarnationOf(id string) string {
@@ -291,9 +309,13 @@
 // needed before the caller can be answered.
 func (h *handler) readAnswer(a *attempt) (*call.Answer, retry.Outcome) {
 	x := a.exchange
-	h.recordWeights(a.id, x.Weights)
-	h.RecordStatus(a.id, a.exchange.SelfReport, h.call.ID)
+	if !a.relay {
+		h.recordWeights(a.id, x.Weights)
+		h.RecordStatus(a.id, a.exchange.SelfReport, h.call.ID)
+	}
 	switch {
+	case a.relay && !x.Certified && h.stage != retrybudget.Streaming:
+		return h.readRefusal(a)
 	case x.NotRun || x.Status == 421:
 		h.handleRejection(a)
 		return nil, h.failAttempt(a, retry.Rejected, nil)
@@ -311,7 +333,7 @@
 	answer := call.Answer{Status: x.Status, Fields: x.Fields, Body: body}
 	h.recordAnswerStart(a)
 	x.Finish()
-	if x.Status >= 500 {
+	if x.Status >= 500 && !a.relay {
 		h.upstreamError = &answer
 		return nil, h.failAttempt(a, retry.Failed, nil)
 	}
@@ -407,6 +429,9 @@
 		return
 	}
 	a.answering = true
+	if a.relay {
+		return
+	}
 	now := clock.Now()
 	expected := h.route.Objective / 2
 	late := now.Sub(a.started) - expected
@@ -420,6 +445,9 @@
 // endAttempt releases the resources of an attempt.
 func (h *handler) endAttempt(a *attempt) {
 	a.cancel()
+	if a.relay {
+		return
+	}
 	h.Tracker.Update(a.id, func(s health.State) health.State {
 		if !a.answering {
 			s = s.WithAnswerStarted(a.rank, a.prefill)
@@ -441,6 +469,9 @@
 func (h *handler) recordFailure(a *attempt, o retry.Outcome, err error) retry.Outcome {
 	now := clock.Now()
 	disconnected := errors.Is(err, context.Canceled) && !a.abandoned.Load()
+	if a.relay {
+		return h.recordRelayFailure(a, o, err)
+	}
 	h.Tracker.Update(a.id, func(s health.State) health.State {
 		switch o {
 		case retry.NotSent:
--- a/forward/origin.go
+++ b/forward/origin.go
@@ -47,6 +47,9 @@
 // recordOrigin records the software version that began the stream, before its first
 // event is relayed.
 func (s *stream) recordOrigin() {
+	if s.attempt.relay {
+		return // the other host records it
+	}
 	s.software = s.attempt.software
 	if s.route.Resumable && !s.originRecorded {
 		s.originRecorded = true
--- a/forward/schedule.go
+++ b/forward/schedule.go
@@ -75,7 +75,14 @@
 		if h.isQuarantined() || h.isUnresumable() {
 			return target{}, false
 		}
-		if upstreams := h.usable(h.snapshot, h.service, h.call.Prompt.Model, func(e discovery.Entry) bool { return h.tried[e.ID] || !h.mayRun(e) }); len(upstreams) > 0 {
+		connectedOnly := h.Reachability.ConnectionsFail(h.service.Name)
+		upstreams := h.usable(h.snapshot, h.service, h.call.Prompt.Model, func(e discovery.Entry) bool {
+			return h.tried[e.ID] || !h.mayRun(e) || connectedOnly && !h.Sender.HasIdle(e.Address)
+		})
+		if h.Reachability.Isolated(h.service.Name) || connectedOnly && len(upstreams) == 0 {
+			return h.relayTarget()
+		}
+		if len(upstreams) > 0 {
 			if t, ok := h.choose(upstreams); !ok || h.take(t.id) {
 				return t, ok
 			}
--- a/http1/exchange.go
+++ b/http1/exchange.go
@@ -202,6 +202,9 @@
 	return nil // Read returns any other error.
 }
 
+// IsFirst reports whether the request was the first on its connection.
+func (e *Exchange) IsFirst() bool { return e.conn.isNew }
+
 // Complete reports whether the answer has been read to its end.
 func (e *Exchange) Complete() bool { return e.complete }
 
--- a/http1/http1.go
+++ b/http1/http1.go
@@ -122,6 +122,8 @@
 
 	address string
 	buffer  *bufio.Reader
+	// isNew is set until the connection has been idle.
+	isNew bool
 	// received counts the bytes read from the network.
 	received int64
 	// maxIdle is how long the connection may be idle, idleSince when it became
@@ -185,7 +187,7 @@
 	p.mu.Lock()
 	p.dialled++
 	p.mu.Unlock()
-	c := &conn{Conn: raw, address: address}
+	c := &conn{Conn: raw, address: address, isNew: true}
 	c.buffer = bufio.NewReaderSize(c, readBufferBytes)
 	return c, nil
 }
@@ -233,7 +235,7 @@
 		c.maxIdle = keepAlive
 	}
 	c.maxIdle -= keepAliveMargin
-	c.idleSince = clock.Now()
+	c.idleSince, c.isNew = clock.Now(), false
 	if c.maxIdle <= 0 || c.SetDeadline(time.Time{}) != nil {
 		_ = c.Close()
 		return
--- a/reachability/reachability.go
+++ b/reachability/reachability.go
@@ -1,12 +1,12 @@
-// Package reachability decides whether a host is cut off from all upstreams of a
-// service while callers and other hosts still reach it. Such a host is not offered to
-// callers, and refuses requests for the service at once, so that they go to other
-// hosts.
+// Package reachability decides whether a host reaches the upstreams of a service
+// while callers and other hosts still reach it. Such a host is not offered to
+// callers, and passes on to other hosts what its callers still send (package relay).
 package reachability
 
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,9 +21,17 @@
 	// quietTime is how long no upstream must have answered before a failed
 	// connection makes the host check whether it reaches any.
 	quietTime = 300 * time.Millisecond
+	// silentTime is how long requests may wait without an answer from any upstream
+	// before the host checks the same.
+	silentTime = 600 * time.Millisecond
+	// silenceCheckInterval is the time between two looks for such requests.
+	silenceCheckInterval = 100 * time.Millisecond
+	// minUnconnected is how many upstreams must have failed to accept a connection,
+	// and none has since, for new connections to count as failing.
+	minUnconnected = 2
 	// probedUpstreams is how many upstreams are checked at once: one that is down
 	// doesn't mean that the host is cut off.
-	probedUpstreams = 5
+	probedUpstreams = 8
 	// minUnreachable is how many upstreams must be unreachable, and none reachable,
 	// for the host to count as cut off.
 	minUnreachable = 2
@@ -38,6 +46,12 @@
 type State struct {
 	// reachedAt is when an upstream last answered or accepted a connection.
 	reachedAt clock.Instant
+	// waitingSince is when the oldest request was sent since an upstream last
+	// answered; 0 for none.
+	waitingSince clock.Instant
+	// unconnected are addresses of upstreams that did not accept a connection since
+	// one last did.
+	unconnected []string
 	// isolated means that the host is cut off from all of them.
 	isolated bool
 }
@@ -45,19 +59,52 @@
 // Isolated reports whether the host is cut off from all upstreams of the service.
 func (s State) Isolated() bool { return s.isolated }
 
-// WithReached returns the state after an upstream answered.
-func (s State) WithReached(now clock.Instant) State { return State{reachedAt: now} }
+// ConnectionsFail reports whether upstreams accept no new connections of this host,
+// though open ones may still work.
+func (s State) ConnectionsFail() bool { return s.isolated || len(s.unconnected) >= minUnconnected }
+
+// WithSent returns the state after a request was sent.
+func (s State) WithSent(now clock.Instant) State {
+	if s.waitingSince == 0 {
+		s.waitingSince = now
+	}
+	return s
+}
+
+// WithReached returns the state after an upstream answered on an open connection.
+func (s State) WithReached(now clock.Instant) State {
+	return State{reachedAt: now, unconnected: s.unconnected}
+}
+
+// WithConnected returns the state after an upstream accepted a connection.
+func (s State) WithConnected(now clock.Instant) State { return State{reachedAt: now} }
+
+// WithFailed returns the state after a connection to an address failed.
+func (s State) WithFailed(address string) State {
+	if !slices.Contains(s.unconnected, address) && len(s.unconnected) < minUnconnected {
+		s.unconnected = append(slices.Clip(s.unconnected), address)
+	}
+	return s
+}
 
 // Suspects reports whether the host has to check, after a failed connection, whether
 // it reaches any upstream.
-func (s State) Suspects(now clock.Instant) bool { return now.Sub(s.reachedAt) >= quietTime }
+func (s State) Suspects(now clock.Instant) bool {
+	return s.ConnectionsFail() || now.Sub(s.reachedAt) >= quietTime
+}
+
+// Silent reports whether requests have waited so long that the host has to check the
+// same.
+func (s State) Silent(now clock.Instant) bool {
+	return s.waitingSince != 0 && now.Sub(s.waitingSince) >= silentTime
+}
 
 // WithProbes returns the state after checks of several upstreams that began at an
-// instant. They say nothing if an upstream has answered since.
+// instant. Failed ones say nothing of the service if an upstream has answered since.
 func (s State) WithProbes(began clock.Instant, reached, unreachable int, now clock.Instant) State {
 	switch {
 	case reached > 0:
-		return s.WithReached(now)
+		return s.WithConnected(now)
 	case unreachable >= minUnreachable && s.reachedAt < began:
 		s.isolated = true
 	}
@@ -94,7 +141,10 @@
 
 // NewMonitor returns a monitor that works until the context ends.
 func NewMonitor(ctx context.Context, wait *conc.WaitGroup, o Options) *Monitor {
-	m := &Monitor{Options: o, suspected: make(chan struct{}, 1), states: map[string]State{}, probing: map[string]bool{}, suspects: map[string]bool{}}
+	m := &Monitor{
+		Options: o, suspected: make(chan struct{}, 1),
+		states: map[string]State{}, probing: map[string]bool{}, suspects: map[string]bool{},
+	}
 	wait.Go(func() { m.run(ctx) })
 	return m
 }
@@ -103,11 +153,15 @@
 func (m *Monitor) run(ctx context.Context) {
 	var checks conc.WaitGroup
 	defer checks.Wait()
+	silence := time.NewTicker(silenceCheckInterval)
+	defer silence.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-m.suspected:
+		case <-silence.C:
+			m.suspectSilent(clock.Now())
 		}
 		for _, service := range m.takeSuspects() {
 			checks.Go(func() { m.check(ctx, service) })
@@ -115,6 +169,18 @@
 	}
 }
 
+// suspectSilent adds the services whose upstreams have been silent for too long to
+// the suspects.
+func (m *Monitor) suspectSilent(now clock.Instant) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for service, s := range m.states {
+		if s.Silent(now) && !m.probing[service] {
+			m.suspects[service] = true
+		}
+	}
+}
+
 // takeSuspects returns the services whose check starts now.
 func (m *Monitor) takeSuspects() []string {
 	m.mu.Lock()
@@ -128,9 +194,10 @@
 	return services
 }
 
-// check probes the upstreams of a service, until one is reached.
+// check probes the upstreams of a service until one accepts a connection, or until
+// nothing speaks against that any more.
 func (m *Monitor) check(ctx context.Context, service string) {
-	for m.probe(ctx, service); m.Isolated(service) && ctx.Err() == nil; m.probe(ctx, service) {
+	for m.probe(ctx, service); m.ConnectionsFail(service) && ctx.Err() == nil; m.probe(ctx, service) {
 		clock.Pause(ctx, probeInterval)
 	}
 	m.mu.Lock()
@@ -145,6 +212,14 @@
 	return m.states[service].Isolated()
 }
 
+// ConnectionsFail reports whether upstreams of a service accept no new connections
+// of this host.
+func (m *Monitor) ConnectionsFail(service string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.states[service].ConnectionsFail()
+}
+
 // IsolatedServices returns the services from whose upstreams the host is cut off.
 func (m *Monitor) IsolatedServices() []string {
 	m.mu.Lock()
@@ -158,16 +233,35 @@
 	return services
 }
 
-// Reached records that an upstream of a service answered.
+// Sent records that a request was sent to an upstream of a service.
+func (m *Monitor) Sent(service string) {
+	m.update(service, func(s State) State { return s.WithSent(clock.Now()) })
+}
+
+// Reached records that an upstream of a service answered on an open connection.
 func (m *Monitor) Reached(service string) {
 	m.update(service, func(s State) State { return s.WithReached(clock.Now()) })
 }
 
-// Failed records that a connection to an upstream of a service failed.
-func (m *Monitor) Failed(service string) {
+// Connected records that an upstream of a service accepted a connection.
+func (m *Monitor) Connected(service string) {
+	m.update(service, func(s State) State { return s.WithConnected(clock.Now()) })
+}
+
+// Failed records that a connection to an address of a service failed.
+func (m *Monitor) Failed(service, address string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.probing[service] || !m.states[service].Suspects(clock.Now()) {
+	s := m.states[service].WithFailed(address)
+	m.states[service] = s
+	if s.Suspects(clock.Now()) {
+		m.suspect(service)
+	}
+}
+
+// suspect has the upstreams of a service checked. The caller holds mu.
+func (m *Monitor) suspect(service string) {
+	if m.probing[service] {
 		return
 	}
 	m.suspects[service] = true
@@ -215,5 +309,12 @@
 			reached++
 		}
 	}
-	m.update(service, func(s State) State { return s.WithProbes(began, reached, len(errs)-reached, clock.Now()) })
+	m.update(service, func(s State) State {
+		for i, err := range errs {
+			if err != nil {
+				s = s.WithFailed(addresses[i])
+			}
+		}
+		return s.WithProbes(began, reached, len(errs)-reached, clock.Now())
+	})
 }
--- a/settings/check.go
+++ b/settings/check.go
@@ -78,6 +78,9 @@
 		listen = append(listen, struct{ path, value string }{"Listen.Operators", s.Listen.Operators})
 	} else {
 		listen = append(listen, struct{ path, value string }{"Listen.Addresses", s.Listen.Addresses}, struct{ path, value string }{"Listen.Readiness", s.Listen.Readiness}, struct{ path, value string }{"Listen.Pulses", s.Listen.Pulses})
+		if s.Listen.Relays != "" {
+			listen = append(listen, struct{ path, value string }{"Listen.Relays", s.Listen.Relays})
+		}
 	}
 	for _, r := range listen {
 		address, err := netip.ParseAddrPort(r.value)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -64,6 +64,10 @@
 	// Pulses receives the load reports of other hosts as datagrams; all hosts
 	// use the same port. It is used with Platform.Store.
 	Pulses string `yaml:"Pulses,omitempty"`
+	// Relays receives requests that other hosts pass on because they don't reach the
+	// upstreams; all hosts use the same port. Without it, no requests are passed on.
+	// It is used with Platform.Store.
+	Relays string `yaml:"Relays,omitempty"`
 	// AnnouncedPeers is the address that is announced to other hosts instead of
 	// Peers, for hosts behind a forwarder. Load reports are sent to its IP. It
 	// is used with Platform.Store.
--- a/storenode/storenode.go
+++ b/storenode/storenode.go
@@ -137,12 +137,14 @@
 	guard := crash.NewGuard(ctx, &n.wait, crash.Options{Self: n.settings.Listen.PeersAddress(), Peers: n.peerAddresses, Sender: crash.NewPeerSender(pool), Store: n.store, Metrics: scope})
 	connections := http1.NewPool(platform.Wire{}, n.upstreamDialer)
 	n.wait.Go(func() { connections.Sweep(ctx) })
-	monitor := reachability.NewMonitor(ctx, &n.wait, reachability.Options{Prober: connections, Addresses: n.upstreamAddresses, Metrics: scope})
+	monitor := reachability.NewMonitor(ctx, &n.wait, reachability.Options{
+		Prober: connections, Addresses: n.upstreamAddresses, Metrics: scope,
+	})
 	n.monitorPointer.Store(monitor)
 	bounds := n.settings.Bounds
 	engines := platform.NewEngines(func(instance string, r call.SelfReport) { n.router.RecordStatus(instance, r, "") })
 	n.router = forward.New(forward.Options{
-		Replica: n.syncer, Sender: connections, Encoder: platform.Wire{}, Guard: guard, Origins: n.newLedger(ctx, scope), Reachability: monitor, Tracker: n.tracker, LoadReports: lateExchanger{n},
+		Replica: n.syncer, Sender: connections, Encoder: platform.Wire{}, Guard: guard, Origins: n.newLedger(ctx, scope), Reachability: monitor, Relays: n.newRelays(ctx, credentials.Secret), Tracker: n.tracker, LoadReports: lateExchanger{n},
 		Migrator: engines, Background: &n.wait,
 		Hosts:           func() int { return max(len(n.directory.Hosts()), len(n.settings.Platform.Seeds)) },
 		Host:            n.settings.Host.Name,
@@ -182,6 +184,7 @@
 	})
 	n.server, err = platform.NewServer(ctx, &n.wait, platform.Options{
 		Callers: n.settings.Listen.Callers, Addresses: n.settings.Listen.Addresses, Readiness: n.settings.Listen.Readiness, MetricsAddress: n.settings.Listen.Metrics,
+		Relays: n.settings.Listen.Relays, RelaySecret: credentials.Secret,
 		Router: n.router, Ready: n.syncer.Ready, Hosts: n.nearbyHosts, Connections: n.settings.Machine.Descriptors / callersDivisor, AddressTTL: addressTTL,
 		BodyLimit: func() int { return n.syncer.State().Catalog.Limits.BodyBytes }, Metrics: handler,
 	})
