fix: a host that is cut off tells no others that engines are down

Cause: a host whose connections are refused tells all others at once that nothing listens at the engine's address, and they exclude the engine for a second. A host that is cut off by refusals did so for sound engines. Now the refusals are reported once another upstream of the service has accepted a connection of this host, and a refusal starts a check at once.

TestHostThatIsCutOffReportsNoUpstreamsAsDown can't be built on the code before.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -92,12 +92,13 @@
 	Isolated(service string) bool
 	ConnectionsFail(service string) bool
 	// Sent records that a request was sent, Reached that an upstream answered on an
-	// open connection, Connected that one accepted a connection, and Failed that one
-	// did not.
+	// open connection, Connected that one accepted a connection, Failed that one did
+	// not, and Refused that the address of an upstream refused it.
 	Sent(service string)
 	Reached(service string)
 	Connected(service string)
 	Failed(service, address string)
+	Refused(service, address, upstream string)
 }
 
 // origins knows the software versions that began streams.
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -271,7 +271,10 @@
 
 // recordUnconnected records that an upstream did not accept a connection.
 func (h *handler) recordUnconnected(t target, err error) {
-	if !errors.Is(err, context.Canceled) {
+	switch {
+	case errors.Is(err, http1.ErrRefused):
+		h.Reachability.Refused(h.service.Name, t.address, t.id)
+	case !errors.Is(err, context.Canceled):
 		h.Reachability.Failed(h.service.Name, t.address)
 	}
 }
@@ -483,9 +486,6 @@
 		}
 		return s
 	})
-	if errors.Is(err, http1.ErrRefused) {
-		h.LoadReports.NotifyNotListening(loadreport.HashEngine(a.id))
-	}
 	if a.lostEarly(o, err) {
 		h.Guard.Lost(quarantine.Loss{
 			Content: h.content, Attempt: h.call.ID, Engine: a.id, Incarnation: a.incarnation, Sent: time.Now().Add(-now.Sub(a.started)), Events: a.events,
--- a/reachability/reachability.go
+++ b/reachability/reachability.go
@@ -122,6 +122,9 @@
 	Prober prober
 	// Addresses returns the addresses of a service's known upstreams.
 	Addresses func(service string) []string
+	// OnRefused is called with an upstream that refused a connection once another one
+	// of its service has accepted one: before that, the host itself may be cut off.
+	OnRefused func(upstream string)
 	Metrics   tally.Scope
 }
 
@@ -137,13 +140,15 @@
 	// probing holds the services whose upstreams are being checked, suspects those
 	// whose check has yet to start.
 	probing, suspects map[string]bool
+	// refused holds the upstreams of each service that OnRefused has yet to report.
+	refused map[string][]string
 }
 
 // NewMonitor returns a monitor that works until the context ends.
 func NewMonitor(ctx context.Context, wait *conc.WaitGroup, o Options) *Monitor {
 	m := &Monitor{
 		Options: o, suspected: make(chan struct{}, 1),
-		states: map[string]State{}, probing: map[string]bool{}, suspects: map[string]bool{},
+		states: map[string]State{}, probing: map[string]bool{}, suspects: map[string]bool{}, refused: map[string][]string{},
 	}
 	wait.Go(func() { m.run(ctx) })
 	return m
@@ -246,6 +251,7 @@
 // Connected records that an upstream of a service accepted a connection.
 func (m *Monitor) Connected(service string) {
 	m.update(service, func(s State) State { return s.WithConnected(clock.Now()) })
+	m.reportRefused(service)
 }
 
 // Failed records that a connection to an address of a service failed.
@@ -259,6 +265,18 @@
 	}
 }
 
+// Refused records that the address of an upstream refused a connection.
+func (m *Monitor) Refused(service, address, upstream string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := m.states[service].WithFailed(address)
+	m.states[service] = s
+	if !s.ConnectionsFail() {
+		m.refused[service] = append(m.refused[service], upstream)
+	}
+	m.suspect(service)
+}
+
 // suspect has the upstreams of a service checked. The caller holds mu.
 func (m *Monitor) suspect(service string) {
 	if m.probing[service] {
@@ -271,12 +289,27 @@
 	}
 }
 
+// reportRefused reports the upstreams that refused a connection to a service before
+// another one accepted one.
+func (m *Monitor) reportRefused(service string) {
+	m.mu.Lock()
+	refused := m.refused[service]
+	delete(m.refused, service)
+	m.mu.Unlock()
+	for _, upstream := range refused {
+		m.OnRefused(upstream)
+	}
+}
+
 func (m *Monitor) update(service string, change func(State) State) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	before := m.states[service]
 	after := change(before)
 	m.states[service] = after
+	if after.ConnectionsFail() {
+		delete(m.refused, service)
+	}
 	if after.isolated == before.isolated {
 		return
 	}
@@ -317,4 +350,7 @@
 		}
 		return s.WithProbes(began, reached, len(errs)-reached, clock.Now())
 	})
+	if reached > 0 {
+		m.reportRefused(service)
+	}
 }
--- a/reachability/reachability_test.go
+++ b/reachability/reachability_test.go
@@ -126,3 +126,32 @@
 		requests.Wait()
 	}
 }
+
+// TestHostThatIsCutOffReportsNoUpstreamsAsDown lets all connections be refused: only
+// once another upstream has accepted one may the host tell others of the refusals.
+func TestHostThatIsCutOffReportsNoUpstreamsAsDown(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	var wait conc.WaitGroup
+	defer wait.Wait()
+	defer cancel()
+	links := &fakeLinks{}
+	links.set(true)
+	reported := make(chan string, 100)
+	m := reachability.NewMonitor(ctx, &wait, reachability.Options{
+		Prober: links, Metrics: tally.NoopScope, OnRefused: func(upstream string) { reported <- upstream },
+		Addresses: func(string) []string { return []string{"a", "b", "c"} },
+	})
+	m.Refused("models", "a", "engine-a")
+	for deadline := time.Now().Add(30 * time.Second); !m.Isolated("models"); time.Sleep(time.Millisecond) {
+		is.True(time.Now().Before(deadline)) // the host notices that it is cut off
+	}
+	m.Refused("models", "b", "engine-b")
+	links.set(false)
+	for deadline := time.Now().Add(30 * time.Second); m.Isolated("models"); time.Sleep(time.Millisecond) {
+		is.True(time.Now().Before(deadline)) // the host reaches them again
+	}
+	m.Refused("models", "c", "engine-c")
+	is.Equal(<-reported, "engine-c")
+	is.Equal(len(reported), 0)
+}
--- a/storenode/storenode.go
+++ b/storenode/storenode.go
@@ -139,6 +139,7 @@
 	n.wait.Go(func() { connections.Sweep(ctx) })
 	monitor := reachability.NewMonitor(ctx, &n.wait, reachability.Options{
 		Prober: connections, Addresses: n.upstreamAddresses, Metrics: scope,
+		OnRefused: func(upstream string) { n.loadReports.NotifyNotListening(loadreport.HashEngine(upstream)) },
 	})
 	n.monitorPointer.Store(monitor)
 	bounds := n.settings.Bounds
