--- a/event/event.go
+++ b/event/event.go
@@ -35,8 +35,14 @@
 	klog.ErrorSDepth(1, errors.New(Line(err)), e.Name, append([]any{"Event", e.Number}, keysAndValues...)...)
 }
 
-// Line returns an error's message on one line.
-func Line(err error) string { return strings.ReplaceAll(trace.UserMessage(err), "\n\t", ": ") }
+// maxLineBytes limits an error's message: it may quote what others have sent.
+const maxLineBytes = 1000
+
+// Line returns an error's message on one line of limited length.
+func Line(err error) string {
+	line := strings.ReplaceAll(trace.UserMessage(err), "\n\t", ": ")
+	return line[:min(len(line), maxLineBytes)]
+}
 
 // Catalogue returns every event, ordered by number.
 func Catalogue() []Event {
--- a/event/output_test.go
+++ b/event/output_test.go
@@ -69,3 +69,8 @@
 	wait.Wait()
 	is.Equal(g.lines("store lost"), 1)
 }
+
+// TestLineIsBounded checks that an error that quotes a long input gives a short line.
+func TestLineIsBounded(t *testing.T) {
+	is.New(t).True(len(event.Line(errors.New(strings.Repeat("9", 1<<20)))) <= 1000)
+}
