fix: a stopping host takes only requests that it can finish

Report of other operators: in a planned stop, requests that came late in the grace were passed on and cut at its end without an answer. Here a host takes requests for 3 s of its grace and cuts what is open half a second before its end, so a request that may last longer than the rest, and can't go on elsewhere, was cut as well if the grace was short or its timeout long. (With the users' grace of 8 s and deadlines of 3 s none was.) Such a request is now refused before it runs, with a Retry-After of 50 ms; streams that may be resumed are still taken.

TestStoppingHostTakesOnlyWhatItCanFinish fails on the code before (cut without an answer).

--- a/call/call.go
+++ b/call/call.go
@@ -56,6 +56,9 @@
 	BeganBy string
 	Prompt  Prompt
 	Fields  []Field
+	// StopsAt is when this host, which is stopping, cuts the requests that are still
+	// open; 0 if it isn't.
+	StopsAt clock.Instant
 	// Relayed reports whether another host passed the request on to this one, and
 	// Attempts how many earlier attempts of it may have run.
 	Relayed  bool
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -41,6 +41,9 @@
 	// then it is likely to have the configuration. Callers retry only a few
 	// times, so it isn't shorter.
 	retryAfterStartup = 900 * time.Millisecond
+	// retryAfterStopping is the Retry-After of a host that stops before the request
+	// would end: other hosts can serve the caller now.
+	retryAfterStopping = 50 * time.Millisecond
 	// retryAfterUnresumable is the Retry-After for a stream that no upstream may
 	// continue: the version that began it has left, or isn't known.
 	retryAfterUnresumable = 30 * time.Second
@@ -289,6 +292,9 @@
 	if c.Relayed && r.Reachability.Isolated(name) {
 		return refuse(call.Isolated)
 	}
+	if c.StopsAt != 0 && c.StopsAt.Before(h.deadline) && !h.route.Resumable {
+		return refuse(call.Stopping)
+	}
 	h.retryState = retry.State{Idempotent: h.route.MayRepeat(), MaxUpstreams: h.route.MaxUpstreams, MaybeExecuted: c.Attempts}
 	if h.timeLeft() < minTimeLeft {
 		return refuse(call.DeadlinePast)
@@ -302,6 +308,8 @@
 	switch {
 	case reason == call.NotReady:
 		return a.WithRetryAfter(retryAfterStartup)
+	case reason == call.Stopping:
+		return a.WithRetryAfter(retryAfterStopping)
 	case a.Status == 503:
 		return a.WithRetryAfter(retryAfterShort)
 	}
--- a/storenode/stop.go
+++ b/storenode/stop.go
@@ -34,9 +34,9 @@
 	}
 	stopTime := clock.Now()
 	event.Stopping.Info("Host", n.settings.Host.Name, "Open", n.server.OpenRequests())
-	n.server.Stop()
-	n.directory.Leave()
 	grace := n.settings.Bounds.Grace() - graceMargin
+	n.server.Stop(stopTime.Add(grace))
+	n.directory.Leave()
 	clock.Pause(ctx, min(grace, addressTTLFactor*addressTTL))
 	n.server.Refuse()
 	clock.Pause(ctx, min(grace-addressTTLFactor*addressTTL, leaveSpread))
--- a/storenode/storenode_test.go
+++ b/storenode/storenode_test.go
@@ -321,6 +321,26 @@
 	is.True(!a.truncated)
 }
 
+// TestStoppingHostTakesOnlyWhatItCanFinish sends requests that may last longer than
+// the host. Those that can't go on elsewhere are refused before they run, instead of
+// being cut.
+func TestStoppingHostTakesOnlyWhatItCanFinish(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t, 0, 1, 1)
+	d.graceSeconds = 4
+	h := d.host(0)
+	d.awaitReady(h)
+	d.services[0].Fail(standin.SilentFault, 1)
+	h.Stop()
+	refused := d.do(h, http.MethodPost, serviceHost, "/post/a", "long", nil, "body")
+	is.Equal(refused.status, http.StatusServiceUnavailable)
+	is.True(refused.header.Get("Retry-After") != "")
+	is.Equal(d.arrivals("long"), 0)
+	d.services[0].Fail(standin.NoFault, 0)
+	is.Equal(d.do(h, http.MethodPost, serviceHost, "/post/a", "short", map[string]string{"X-Deadline-Ms": "1000"}, "body").status, http.StatusOK)
+	h.Wait()
+}
+
 // TestUnreachableHostsAreNotResolved checks that a host is not resolved if only
 // its record in the store is left.
 func TestUnreachableHostsAreNotResolved(t *testing.T) {
