fix: connections to engines that fall silent are found by keep-alive probes

Idle and waiting connections to engines were kept until a request on them had been unacknowledged for 3 s, since probes were off. Now probes go out each second; TCP_USER_TIMEOUT (3 s) decides when they give up, as on Linux, and their count doesn't do so earlier. A sound engine that falls silent for a second or so keeps its connections. A connection that timed out no longer counts as an engine that its request ended: only the link may be cut, and probes make that frequent.

--- a/http1/exchange.go
+++ b/http1/exchange.go
@@ -181,10 +181,11 @@
 }
 
 // ClosedByUpstream reports whether an error means that the upstream's side
-// closed the connection before its answer was complete.
+// closed the connection before its answer was complete. A connection that timed out
+// says nothing of the upstream: the link to it may be cut.
 func ClosedByUpstream(err error) bool {
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) ||
-		errors.Is(err, syscall.EPIPE) || errors.Is(err, syscall.ETIMEDOUT)
+		errors.Is(err, syscall.EPIPE)
 }
 
 // AwaitData waits until there is more to read, or returns
--- a/http1/http1.go
+++ b/http1/http1.go
@@ -21,14 +21,16 @@
 
 	"github.com/kumquathoist/kumquathoist/call"
 	"github.com/kumquathoist/kumquathoist/clock"
+	"github.com/kumquathoist/kumquathoist/socket"
 )
 
 const (
 	// dialTimeout bounds dialing within a region.
 	dialTimeout = 400 * time.Millisecond
-	// unacknowledgedTimeout is how long sent bytes may stay unacknowledged
-	// before the connection is closed.
-	unacknowledgedTimeout = 3 * time.Second
+	// maxSilence is how long the other side may acknowledge neither bytes nor
+	// keep-alive probes before the connection is closed. A sound upstream may fall
+	// silent for a second or so.
+	maxSilence = 3 * time.Second
 	// defaultKeepAlive is the idle time limit of a connection if the upstream
 	// sends none.
 	defaultKeepAlive = 4 * time.Second
@@ -63,7 +65,7 @@
 
 // NewDialer returns the dialer of connections to upstreams and other hosts.
 func NewDialer() *net.Dialer {
-	return &net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: setUserTimeout}
+	return socket.Dialer(dialTimeout, maxSilence)
 }
 
 // NewPool returns a pool of connections that a dialer opens; Sweep closes them when
@@ -201,19 +203,6 @@
 	return raw.Close()
 }
 
-// setUserTimeout makes the kernel close connections to hosts that don't
-// acknowledge.
-func setUserTimeout(_, _ string, raw syscall.RawConn) error {
-	var optionErr error
-	err := raw.Control(func(fd uintptr) {
-		optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unacknowledgedTimeout.Milliseconds()))
-	})
-	if err != nil {
-		return err
-	}
-	return optionErr
-}
-
 // takeIdle removes and returns the most recently used idle connection, or nil.
 func (p *Pool) takeIdle(address string) *conn {
 	p.mu.Lock()
