fix: streams that were passed on outlive the connection to the other host

Callers would have lost a stream whenever the connection between two hosts broke in the middle: each broken stream barred its host for a second, and the request itself from it for good, so that no host was left to go on. Now only a host that was not reached, or serves none of the service, is barred.

In the soak, hosts have an address for requests that are passed on.

--- a/event/request.go
+++ b/event/request.go
@@ -41,7 +41,7 @@
 	// CallRelayed reports a request that was passed on to another host.
 	CallRelayed = Event{2113, "call relayed", "This host does not reach the upstreams of the service; it passed the request on to another host, which chooses the upstream. Attempts counts the attempts that may have run before."}
 	// RelayFailed reports a request that another host did not serve.
-	RelayFailed = Event{2114, "relay failed", "Another host did not serve a request that was passed on to it; it gets no more of the service for half a second. The request is passed to a second host if it can't have run, or may be repeated."}
+	RelayFailed = Event{2114, "relay failed", "Another host did not serve a request that was passed on to it; if it was not reached or serves none of the service (Outcome NotSent), it gets no more of the service for a second. The request is passed to a second host if it can't have run, or may be repeated."}
 	// RequestMigrated reports the migration of a running request to another engine.
 	RequestMigrated = Event{2108, "run moved", "A running request was to migrate to another engine, since its own engine is to load weights. Stopped is set if it no longer runs there, Arrived if the other engine has its KV cache."}
 	// CallOverloaded reports a request that is refused because of the queues at the engines.
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -47,7 +47,6 @@
 // relayTo passes the request on to another host and waits for its answer, or for the
 // first event of a stream. It sets no time limit of its own: the other host retries.
 func (h *handler) relayTo(ctx context.Context, t target, resumeAfter string) (*call.Answer, retry.Outcome) {
-	h.tried[t.id] = true
 	h.relayed++
 	t.send.ResumeAfter, t.send.Timeout = resumeAfter, h.timeLeft()
 	a := &attempt{target: t, started: clock.Now()}
@@ -83,9 +82,12 @@
 	return &call.Answer{Status: x.Status, Body: body, RetryAfter: x.RetryAfter, Reason: call.Relayed}, retry.Answered
 }
 
-// recordRelayFailure records that another host did not serve the request.
+// recordRelayFailure records that another host did not serve the request. Only if the
+// request did not get there, or isn't served there, does the host get no more for a
+// while.
 func (h *handler) recordRelayFailure(a *attempt, o retry.Outcome, err error) retry.Outcome {
-	if !errors.Is(err, context.Canceled) {
+	if o == retry.NotSent && !errors.Is(err, context.Canceled) {
+		h.tried[a.id] = true
 		h.mu.Lock()
 		h.relayFailures = h.relayFailures.WithFailed(h.service.Name, a.id, clock.Now())
 		h.mu.Unlock()
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -50,8 +50,9 @@
 	store *standin.PlatformStore
 	hosts []*host
 	// loadReportPort is the port of all hosts for load reports, announcedPort
-	// that of the forwarders in front of them; each host has its own IP.
-	loadReportPort, announcedPort string
+	// that of the forwarders in front of them, relayPort that for relayed requests;
+	// each host has its own IP.
+	loadReportPort, announcedPort, relayPort string
 	// mu guards the fields below.
 	mu        sync.Mutex
 	upstreams []*upstream
@@ -126,7 +127,7 @@
 	return d, nil
 }
 
-// choosePorts sets the ports for load reports to free ones.
+// choosePorts sets the ports that all hosts share to free ones.
 func (d *deployment) choosePorts() error {
 	for _, port := range []*string{&d.loadReportPort, &d.announcedPort} {
 		conn, err := net.ListenPacket("udp4", "127.0.0.1:0")
@@ -138,7 +139,14 @@
 			return trace.Wrap(err)
 		}
 	}
-	return nil
+	var relays string
+	release, err := reservePorts("127.0.0.1", &relays)
+	if err != nil {
+		return err
+	}
+	defer release()
+	_, d.relayPort, err = net.SplitHostPort(relays)
+	return trace.Wrap(err)
 }
 
 func (d *deployment) addUpstream(service, model string) error {
@@ -327,6 +335,7 @@
 	s := settings.Default()
 	s.Host = settings.Host{Name: fmt.Sprintf("host-%d", i), FailureDomain: domains[i%len(domains)], Region: "r"}
 	s.Listen.Pulses = net.JoinHostPort(ip, d.loadReportPort)
+	s.Listen.Relays = net.JoinHostPort(ip, d.relayPort)
 	release, err := reservePorts(ip, &s.Listen.Callers, &s.Listen.Peers, &s.Listen.Addresses, &s.Listen.Readiness)
 	if err != nil {
 		return err
--- a/storenode/cut_test.go
+++ b/storenode/cut_test.go
@@ -33,10 +33,27 @@
 
 // cutDialer opens a host's connections to upstreams until they are cut.
 type cutDialer struct {
+	// relayPort is the port of other hosts, which are not cut.
+	relayPort string
 	// mu guards the fields below.
-	mu    sync.Mutex
-	cut   cut
-	conns []*cutConn
+	mu           sync.Mutex
+	cut          cut
+	conns        []*cutConn
+	relays       []net.Conn
+	relaysOpened int
+}
+
+// resetRelays resets the connections to other hosts and returns how many were opened
+// until then.
+func (d *cutDialer) resetRelays() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, c := range d.relays {
+		_ = c.(*net.TCPConn).SetLinger(0)
+		_ = c.Close()
+	}
+	d.relays = nil
+	return d.relaysOpened
 }
 
 // cutConn is one of these connections.
@@ -69,6 +86,16 @@
 }
 
 func (d *cutDialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	if _, port, _ := net.SplitHostPort(address); port == d.relayPort {
+		c, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		if err == nil {
+			d.relays = append(d.relays, c)
+			d.relaysOpened++
+		}
+		return c, err
+	}
 	switch d.state() {
 	case hangCut:
 		select {
@@ -107,21 +134,71 @@
 	return c.TCPConn.Write(b)
 }
 
+// newCutDeployment starts three hosts; the first opens its connections to upstreams
+// with the returned dialer.
+func newCutDeployment(t *testing.T) (*deployment, *cutDialer) {
+	t.Helper()
+	d := newDeployment(t, 0, 3, 2)
+	dialer := &cutDialer{}
+	d.dialers = map[int]*cutDialer{0: dialer}
+	for i := range 3 {
+		d.host(i)
+	}
+	dialer.relayPort = d.relayPort
+	for _, h := range d.hosts {
+		d.awaitReady(h)
+	}
+	d.await("the host knows that the others are ready", func() bool { return len(d.addresses(d.hosts[0])) == 3 })
+	return d, dialer
+}
+
+// TestRelayedStreamsOutliveTheirConnections breaks the connections to the hosts that
+// serve the callers of a host that is cut from all upstreams. Streams that may be
+// resumed must end whole, others must not run again.
+func TestRelayedStreamsOutliveTheirConnections(t *testing.T) {
+	is := is.New(t)
+	d, dialer := newCutDeployment(t)
+	dialer.set(resetCut)
+	d.await("the host passes requests on", func() bool {
+		return d.do(d.hosts[0], http.MethodPost, modelHost, "/full/a", fmt.Sprint("early", time.Now().UnixNano()), prompt, "body").status == http.StatusOK
+	})
+	for _, e := range d.engines {
+		e.Pace(200 * time.Millisecond)
+	}
+	var clients []*client
+	ids := []string{"s0", "s1", "s2", "s3"}
+	for _, id := range ids {
+		for path, prefix := range map[string]string{"/full/a": "full", "/flag/a": "flag"} {
+			c := d.client(d.hosts[0])
+			c.write(http.MethodPost, modelHost, path, prefix+id, prompt, "body")
+			if prefix == "full" {
+				clients = append(clients, c)
+			}
+		}
+	}
+	for _, id := range ids {
+		d.await("the streams run", func() bool { return d.executions("full"+id) == 1 && d.executions("flag"+id) == 1 })
+	}
+	opened := dialer.resetRelays()
+	for _, c := range clients {
+		a := c.read()
+		is.Equal(a.status, http.StatusOK)
+		is.Equal(a.body, completeStream())
+		is.True(!a.truncated)
+	}
+	is.True(dialer.resetRelays() > opened) // the streams went on over new connections
+	for _, id := range ids {
+		is.Equal(d.executions("flag"+id), 1)
+	}
+}
+
 // TestHostCutFromUpstreamsServesItsCallers cuts one host from all upstreams. Once it
 // has noticed, its callers' first tries must be served, each by one run.
 func TestHostCutFromUpstreamsServesItsCallers(t *testing.T) {
 	for name, c := range map[string]cut{"hung": hangCut, "reset": resetCut, "old connections live on": refuseCut} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			d := newDeployment(t, 0, 3, 2)
-			dialer := &cutDialer{}
-			d.dialers = map[int]*cutDialer{0: dialer}
-			for i := range 3 {
-				d.host(i)
-			}
-			for _, h := range d.hosts {
-				d.awaitReady(h)
-			}
+			d, dialer := newCutDeployment(t)
 			serial := 0
 			sendAll := func(prefix string) (ids []string, statuses []int) {
 				for _, r := range []struct {
--- a/storenode/relays.go
+++ b/storenode/relays.go
@@ -20,7 +20,7 @@
 		return forward.Relays{}
 	}
 	wire := platform.RelayWire{Secret: secret}
-	connections := http1.NewPool(wire, http1.NewDialer())
+	connections := http1.NewPool(wire, n.upstreamDialer)
 	n.wait.Go(func() { connections.Sweep(ctx) })
 	return forward.Relays{Hosts: n.relayHosts, Sender: connections, Encoder: wire}
 }
--- a/storenode/storenode.go
+++ b/storenode/storenode.go
@@ -85,7 +85,8 @@
 	loadReports    *loadreport.Exchanger
 	server         *platform.Server
 	hosts          *hostList
-	// upstreamDialer opens connections to upstreams.
+	// upstreamDialer opens connections to upstreams, also those for requests that
+	// are passed on to other hosts.
 	upstreamDialer dialer
 	started        clock.Instant
 
