feat: brittle engines get only requests for which they have a slot

Now such an upstream counts as brittle for 10 s after the last answer that says so; it gets a request only if fewer are known there than it has slots, and above half of them each host keeps to its share, since reports of others are old. After a rejection all hosts leave it alone for a second.

--- a/availability/availability.go
+++ b/availability/availability.go
@@ -62,6 +62,9 @@
 	probes int
 	// limit is the limit that it named.
 	limit limit
+	// brittleAt is when an answer last said that the upstream is brittle; 0 if the
+	// last answer didn't.
+	brittleAt clock.Instant
 }
 
 // Of returns the status of an incarnation of the upstream. The status of another
--- a/call/call.go
+++ b/call/call.go
@@ -125,6 +125,9 @@
 	Limited           bool
 	RequestsPerSecond float64
 	InvalidLimit      string
+	// Brittle reports whether the upstream falls over when it has to reject more than
+	// a few requests a second for want of room.
+	Brittle bool
 }
 
 // Head is the response header of an upstream's answer.
--- a/event/replica.go
+++ b/event/replica.go
@@ -30,7 +30,7 @@
 	// LoadEnded reports the end of such an order.
 	LoadEnded = Event{6105, "load ended", "An engine has loaded the weights, or the order is given up for now."}
 	// UpstreamReportedUnreachable reports an upstream that another host could not reach.
-	UpstreamReportedUnreachable = Event{6106, "upstream rested", "Another host found nothing, or another upstream, at the upstream's address; the upstream is excluded from selection for a second."}
+	UpstreamReportedUnreachable = Event{6106, "upstream rested", "Another host found nothing, or another upstream, at the upstream's address, or was rejected by a brittle one; the upstream is excluded from selection for a second."}
 	// FeedDisconnected reports an engine or a part store whose cache events do not arrive.
 	FeedDisconnected = Event{6201, "feed lost", "An engine or a part store does not report what it caches; hosts continue with their cache index for a limited time."}
 	// FeedReconnected reports that cache events arrive again.
@@ -47,6 +47,8 @@
 	LimitNamed = Event{6110, "upstream limited", "An upstream named in an answer how many requests a second it takes from all hosts together, changed that limit, or another host forwarded it. PerSecond is the limit, Part what this host may send; AnswerStatus is the status of the answer, 0 for another host's report."}
 	// LimitEnded reports an upstream that no longer limits its requests.
 	LimitEnded = Event{6111, "upstream limit ended", "An upstream answered without a limit, or another host forwarded that; Millis is how long the limit was known."}
+	// BrittlenessChanged reports an upstream that became brittle, or no longer is.
+	BrittlenessChanged = Event{6115, "brittleness changed", "An upstream says with its answers that it falls over when it has to reject more than a few requests a second, or no longer does. While it does, it gets only requests for which it certainly has a slot, and none from any host for a second after it rejected one."}
 	// LimitInvalid reports a limit that can't be used.
 	LimitInvalid = Event{6112, "limit unusable", "An upstream named a limit that is not a decimal number of requests a second; it is ignored."}
 	// RetryAfterInvalid reports a pause that can't be used.
@@ -76,6 +78,6 @@
 var replicaEvents = []Event{
 	StoreUnreachable, StoreReachable, HistoryTrimmed, CatalogChanged, TargetWeightsChanged, UpstreamChanged, UpstreamRemoved, RecordRejected,
 	LeaseAcquired, LeaseNotAcquired, LeaseHeldElsewhere, LoadOrdered, LoadEnded, UpstreamReportedUnreachable, FeedDisconnected, FeedReconnected, CacheReset,
-	StoreRestored, UpstreamLeaving, RetryAfterReceived, LimitNamed, LimitEnded, LimitInvalid, RetryAfterInvalid, HostIsolated, HostReconnected, CrashRecordsUnreadable, CrashRecordsReadable, CrashRecordPersisted, CrashRecordNotPersisted,
+	StoreRestored, UpstreamLeaving, RetryAfterReceived, LimitNamed, LimitEnded, LimitInvalid, BrittlenessChanged, RetryAfterInvalid, HostIsolated, HostReconnected, CrashRecordsUnreadable, CrashRecordsReadable, CrashRecordPersisted, CrashRecordNotPersisted,
 	SoftwareVersionsChanged, StreamOriginsUnreadable, StreamOriginsNotWritten, UpdateNotSent,
 }
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -402,6 +402,11 @@
 		}
 		return s.WithRejection(now)
 	})
+	if x.Status != 421 && h.Tracker.State(a.id).Brittle(now) {
+		// All hosts leave it alone for a while.
+		h.LoadReports.NotifyNotListening(loadreport.HashEngine(a.id))
+		h.Tracker.Update(a.id, func(s health.State) health.State { return s.WithUnreachable(now) })
+	}
 	if x.Status == 421 && x.Instance != "" && x.Instance != a.id {
 		h.LoadReports.NotifyNotListening(loadreport.HashEngine(a.id))
 	}
--- a/forward/schedule.go
+++ b/forward/schedule.go
@@ -206,6 +206,9 @@
 			continue
 		}
 		u.load = state.Load.Plus(r.LoadReports.RemoteLoad(u.hash))
+		if state.Brittle(now) && !availability.HasRoom(e.Slots, state.Load.Running, u.load.Running, r.Hosts()) {
+			continue
+		}
 		found = append(found, u)
 	}
 	assumeAverageLoad(found, r.LoadReports.MaxStaleness(), now)
--- a/forward/status.go
+++ b/forward/status.go
@@ -24,6 +24,7 @@
 		event.RetryAfterInvalid.Info("Request", request, "Upstream", upstream, "Text", report.InvalidRetryAfter)
 	}
 	r.recordLimit(upstream, report, request)
+	r.recordBrittle(upstream, report, request)
 	pauses := report.Status == http.StatusServiceUnavailable && report.RetryAfter > 0
 	if !report.Leaving && !pauses {
 		return
@@ -50,6 +51,26 @@
 	}
 }
 
+// recordBrittle records whether an upstream says with an answer that it is brittle.
+func (r *Router) recordBrittle(upstream string, report call.SelfReport, request string) {
+	now := clock.Now()
+	before := r.Tracker.State(upstream).Brittle(now)
+	if !before && !report.Brittle {
+		return
+	}
+	r.Tracker.Update(upstream, func(s health.State) health.State {
+		if report.Brittle {
+			s.Status = s.WithBrittle(now)
+		} else {
+			s.Status = s.WithoutBrittle()
+		}
+		return s
+	})
+	if before != report.Brittle {
+		event.BrittlenessChanged.Info("Upstream", upstream, "Request", request, "Brittle", report.Brittle)
+	}
+}
+
 // recordLimit records the limit that an upstream names with an answer, or its
 // end.
 func (r *Router) recordLimit(upstream string, report call.SelfReport, request string) {
--- a/standin/platform_engine.go
+++ b/standin/platform_engine.go
@@ -22,6 +22,8 @@
 	// Software is the version of the engine's software. MarksEvents puts it into a
 	// comment in front of each event.
 	Software    string
+	// Slots is the number of requests that it runs at a time, according to its entry.
+	Slots int
 	MarksEvents bool
 
 	server      *http.Server
@@ -67,6 +69,8 @@
 	resumedAnswer string
 	// limit is the text with which all answers name the engine's limit, or "".
 	limit string
+	// brittle is set if the engine falls over after a few rejections.
+	brittle *platformBrittle
 }
 
 // NewPlatformEngine starts an engine with weights version 1.
@@ -81,7 +85,7 @@
 	if err != nil {
 		return nil, err
 	}
-	e := &PlatformEngine{ID: id, Service: service, Zone: zone, Model: model, Software: "v1", listener: listener, weights: 1, startMillis: time.Now().UnixMilli(), executions: map[string]int{},
+	e := &PlatformEngine{ID: id, Service: service, Zone: zone, Model: model, Software: "v1", Slots: 64, listener: listener, weights: 1, startMillis: time.Now().UnixMilli(), executions: map[string]int{},
 		cached: map[cachePart]bool{}, eventAdded: make(chan struct{}), running: map[string]chan struct{}{}, memoryHandles: map[string]bool{}}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /report", e.controlCall(e.report))
@@ -163,6 +167,7 @@
 			w.Header().Set("Server-Leaving", "1")
 		}
 		e.setLimit(w)
+		e.setBrittle(w)
 		e.mu.Unlock()
 		h(w, r)
 	}
@@ -225,7 +230,7 @@
 		state = "draining"
 	}
 	entry := map[string]any{
-		"service": e.Service, "address": cmp.Or(e.Advertised, e.Address()), "zone": e.Zone, "version": e.Software, "slots": 64, "state": state,
+		"service": e.Service, "address": cmp.Or(e.Advertised, e.Address()), "zone": e.Zone, "version": e.Software, "slots": e.Slots, "state": state,
 		"cold_remaining_ms": 0, "seq": e.heartbeat, "born": e.startMillis,
 	}
 	if e.Model != "" {
@@ -301,6 +306,7 @@
 		w.Header().Set("Server-Leaving", "1")
 	}
 	e.setLimit(w)
+	e.setBrittle(w)
 	switch {
 	case time.Now().Before(e.rejectUntil):
 		w.Header().Set("Retry-After", e.retryAfter)
@@ -310,7 +316,7 @@
 		status = http.StatusServiceUnavailable
 	case instance != "" && instance != e.ID, version != "" && version != strconv.FormatInt(e.weights, 10):
 		status = http.StatusMisdirectedRequest
-	case e.takeFault(FullFault):
+	case !e.takeRoom(r), e.takeFault(FullFault):
 		status = http.StatusServiceUnavailable
 	case e.takeFault(OtherInstanceFault):
 		w.Header().Set("X-Not-Executed", "1")
