--- a/reachability/reachability_test.go
+++ b/reachability/reachability_test.go
@@ -107,6 +107,31 @@
 	await(false)
 }
 
+// TestSilentUpstreamsDontIsolateTheHost leaves requests without an answer while
+// upstreams accept connections: they may be silent for a second.
+func TestSilentUpstreamsDontIsolateTheHost(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var wait conc.WaitGroup
+	defer wait.Wait()
+	defer cancel()
+	probed := make(chan struct{}, 100)
+	m := reachability.NewMonitor(ctx, &wait, reachability.Options{Prober: &fakeLinks{}, Metrics: tally.NoopScope, OnRefused: func(string) {}, Addresses: func(string) []string {
+		probed <- struct{}{}
+		return []string{"a", "b"}
+	}})
+	for checks := 0; checks < 3; {
+		m.Sent("models")
+		select {
+		case <-probed: // the host checks because of the silence
+			checks++
+		case <-time.After(time.Millisecond):
+		}
+		if m.Isolated("models") || m.ConnectionsFail("models") {
+			t.Fatal("the host counts as cut off")
+		}
+	}
+}
+
 // TestFailuresAfterTheEndStartNothing reports failed connections while the host
 // stops: requests end later than what the monitor's owner waits for.
 func TestFailuresAfterTheEndStartNothing(t *testing.T) {
