--- a/storenode/cut_test.go
+++ b/storenode/cut_test.go
@@ -152,6 +152,30 @@
 	return d, dialer
 }
 
+// TestNewConnectionsFailWhileOldOnesLiveOn refuses the new connections of one host.
+// More requests at a time than it has open connections must be served, by one run each.
+func TestNewConnectionsFailWhileOldOnesLiveOn(t *testing.T) {
+	is := is.New(t)
+	d, dialer := newCutDeployment(t)
+	is.Equal(d.do(d.hosts[0], http.MethodPost, modelHost, "/full/a", "first", prompt, "body").status, http.StatusOK)
+	for _, e := range d.engines {
+		e.Pace(100 * time.Millisecond)
+	}
+	dialer.set(refuseCut)
+	var clients []*client
+	for i := range 12 {
+		c := d.client(d.hosts[0])
+		c.write(http.MethodPost, modelHost, "/full/a", fmt.Sprint("s", i), prompt, "body")
+		clients = append(clients, c)
+	}
+	for i, c := range clients {
+		a := c.read()
+		is.Equal(a.status, http.StatusOK)
+		is.Equal(a.body, completeStream())
+		is.Equal(d.executions(fmt.Sprint("s", i)), 1)
+	}
+}
+
 // TestRelayedStreamsOutliveTheirConnections breaks the connections to the hosts that
 // serve the callers of a host that is cut from all upstreams. Streams that may be
 // resumed must end whole, others must not run again.
