fix: a pull leaves calls to slow hosts open

A pull that another host has answered cancelled the call to the slower one, and a cancelled call costs its connection: on a host with a fifth of a core, which answers later than 150 ms, each pull would cost one. Such a call now ends by its own limit of a second, which also ends silent connections. TestPullDoesNotCancelSlowHosts fails on the code before.

--- a/peersync/peersync.go
+++ b/peersync/peersync.go
@@ -37,9 +37,11 @@
 
 	// maxPullHosts limits the hosts that one pull asks, hedgeDelay is how long it waits
 	// for one of them before it asks the next, too: a host answers within some
-	// milliseconds.
+	// milliseconds. A slower one has askTimeout: a call that is cancelled costs its
+	// connection.
 	maxPullHosts = 3
 	hedgeDelay   = 150 * time.Millisecond
+	askTimeout   = time.Second
 
 	pullRPC = "/kumquathoist.Relay/Pull"
 	tellRPC = "/kumquathoist.Relay/Tell"
@@ -163,8 +165,6 @@
 		reply PullReply
 		err   error
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
 	results := make(chan result, len(addresses))
 	hedge := time.NewTicker(hedgeDelay)
 	defer hedge.Stop()
@@ -176,6 +176,8 @@
 		address := addresses[asked]
 		asked++
 		s.wait.Go(func() {
+			ctx, cancel := context.WithTimeout(s.ctx, askTimeout)
+			defer cancel()
 			var r result
 			r.err = s.call(ctx, address, pullRPC, &request, &r.reply)
 			results <- r
@@ -184,6 +186,8 @@
 	askNext()
 	for {
 		select {
+		case <-ctx.Done():
+			return PullReply{}, trace.Wrap(ctx.Err(), "pulling from other hosts")
 		case r := <-results:
 			if r.err == nil {
 				return r.reply, nil
--- a/peersync/pull_test.go
+++ b/peersync/pull_test.go
@@ -66,6 +66,48 @@
 	}
 }
 
+// slowHosts answer a first call late; ended receives how its context ended.
+type slowHosts struct {
+	fakeHosts
+
+	asked *atomic.Int32
+	ended chan error
+}
+
+func (s slowHosts) Conn(context.Context, string) drpc.Conn { return slowConn{fakeConn{}, s} }
+
+type slowConn struct {
+	fakeConn
+
+	hosts slowHosts
+}
+
+func (c slowConn) Invoke(ctx context.Context, _ string, _ drpc.Encoding, _, out drpc.Message) error {
+	if c.hosts.asked.Add(1) == 1 {
+		time.Sleep(250 * time.Millisecond)
+		c.hosts.ended <- ctx.Err()
+	}
+	out.(*peersync.PullReply).Age = time.Second
+	return nil
+}
+
+// TestPullDoesNotCancelSlowHosts checks that a pull that another host has answered
+// leaves the call to a slow one open: a cancelled call costs its connection.
+func TestPullDoesNotCancelSlowHosts(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	var wait conc.WaitGroup
+	defer wait.Wait()
+	defer cancel()
+	hosts := slowHosts{asked: &atomic.Int32{}, ended: make(chan error, 1)}
+	s := peersync.New(ctx, &wait, peersync.Options{Pool: hosts, Readers: func() []string { return []string{"a", "b"} }, Others: func() []string { return []string{"a", "b"} }})
+	call, cancelCall := context.WithTimeout(ctx, 10*time.Second)
+	_, err := s.Pull(call, nil)
+	cancelCall()
+	is.NoErr(err)
+	is.NoErr(<-hosts.ended)
+}
+
 // silentOnce holds connections to a host the first of which is silent.
 type silentOnce struct {
 	fakeHosts
