--- a/forward/forward.go
+++ b/forward/forward.go
@@ -143,10 +143,10 @@
 	// Reachability is told of connections to upstreams.
 	Reachability reachability
 	// Relays passes requests on to other hosts.
-	Relays Relays
-	Tracker      *health.Tracker
-	LoadReports  loadExchange
-	Migrator     migrator
+	Relays      Relays
+	Tracker     *health.Tracker
+	LoadReports loadExchange
+	Migrator    migrator
 	// Background runs migrations; the host waits for it when it stops.
 	Background *conc.WaitGroup
 	// Hosts returns the number of known hosts, which share the retry limits.
@@ -289,19 +289,24 @@
 		timeout = c.Remaining
 	}
 	h.deadline = c.Arrived.Add(timeout)
-	if c.Relayed && r.Reachability.Isolated(name) {
+	h.retryState = retry.State{Idempotent: h.route.MayRepeat(), MaxUpstreams: h.route.MaxUpstreams, MaybeExecuted: c.Attempts}
+	switch {
+	case c.Relayed && r.Reachability.Isolated(name):
 		return refuse(call.Isolated)
-	}
-	if c.StopsAt != 0 && c.StopsAt.Before(h.deadline) && !h.route.Resumable {
+	case h.outlastsHost():
 		return refuse(call.Stopping)
-	}
-	h.retryState = retry.State{Idempotent: h.route.MayRepeat(), MaxUpstreams: h.route.MaxUpstreams, MaybeExecuted: c.Attempts}
-	if h.timeLeft() < minTimeLeft {
+	case h.timeLeft() < minTimeLeft:
 		return refuse(call.DeadlinePast)
 	}
 	return h, nil
 }
 
+// outlastsHost reports whether this host stops before the request's deadline, and
+// nobody could go on with the request then.
+func (h *handler) outlastsHost() bool {
+	return h.call.StopsAt != 0 && h.call.StopsAt.Before(h.deadline) && !h.route.Resumable
+}
+
 // refusal returns the answer to a request that is refused before it is sent.
 func refusal(reason call.Reason) call.Answer {
 	a := call.Refuse(reason)
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"os"
 	"strconv"
 	"sync/atomic"
@@ -39,10 +38,6 @@
 	// like attempt.Limits.EarlyTokens. A request that crashes its engine does so
 	// when it starts to run; one that has run for long is not the cause.
 	maxEarlyEvents = 8
-	// maxAnswerBytes bounds an answer that is buffered whole, readBlockBytes is
-	// the size of its reads.
-	maxAnswerBytes = 4 << 20
-	readBlockBytes = 4 << 10
 )
 
 // handler handles one request.
@@ -122,7 +117,10 @@
 	if h.call.ResumeAfter != "" && h.route.Kind == catalog.Stream && !h.findOrigin(ctx) {
 		return h.refusal
 	}
-	h.recordFirst(h.service.Name, h.call.Prompt.Input)
+	if h.call.Attempts == 0 && !h.Reachability.Isolated(h.service.Name) {
+		// Of a request that is passed on, one host counts the first attempt.
+		h.recordFirst(h.service.Name, h.call.Prompt.Input)
+	}
 	for {
 		t, ok := h.schedule(ctx)
 		if !ok {
@@ -308,111 +306,6 @@
 	return time.Duration(resumeTimeoutShare * float64(h.route.EventTimeout()))
 }
 
-// readAnswer checks the head of an answer and reads as much of the body as is
-// needed before the caller can be answered.
-func (h *handler) readAnswer(a *attempt) (*call.Answer, retry.Outcome) {
-	x := a.exchange
-	if !a.relay {
-		h.recordWeights(a.id, x.Weights)
-		h.RecordStatus(a.id, a.exchange.SelfReport, h.call.ID)
-	}
-	switch {
-	case a.relay && !x.Certified && h.stage != retrybudget.Streaming:
-		return h.readRefusal(a)
-	case x.NotRun || x.Status == 421:
-		h.handleRejection(a)
-		return nil, h.failAttempt(a, retry.Rejected, nil)
-	case !x.Certified || x.Encoded:
-		return nil, h.failAttempt(a, retry.Broken, errUncertified)
-	case h.stage == retrybudget.Streaming && x.Status < 500 && (x.Status != 200 || !x.EventStream):
-		return nil, h.failAttempt(a, retry.Broken, errNoStream)
-	case h.route.Kind == catalog.Stream && x.Status < 300:
-		return h.beginStream(a)
-	}
-	body, err := h.readBody(x)
-	if err != nil || !x.Complete() {
-		return nil, h.failAttempt(a, a.outcome(err), err)
-	}
-	answer := call.Answer{Status: x.Status, Fields: x.Fields, Body: body}
-	h.recordAnswerStart(a)
-	x.Finish()
-	if x.Status >= 500 && !a.relay {
-		h.upstreamError = &answer
-		return nil, h.failAttempt(a, retry.Failed, nil)
-	}
-	h.endAttempt(a)
-	h.Guard.Answered(h.call.ID, h.content)
-	return &answer, retry.Answered
-}
-
-// errBufferFull is returned for an answer that would take too much memory.
-var errBufferFull = errors.New("too many bytes of incomplete answers are buffered")
-
-// readBody buffers a whole answer, within this host's limit for all answers
-// that are being read.
-func (h *handler) readBody(x *http1.Exchange) ([]byte, error) {
-	var body []byte
-	buffered := 0
-	defer func() { h.bufferedBytes.Add(-int64(buffered)) }()
-	for len(body) < maxAnswerBytes {
-		start := len(body)
-		body = append(body, make([]byte, readBlockBytes)...)
-		n, err := x.Read(body[start:])
-		body = body[:start+n]
-		buffered += n
-		if h.bufferedBytes.Add(int64(n)) > h.MaxBufferedBytes {
-			return nil, errBufferFull
-		}
-		switch {
-		case errors.Is(err, io.EOF):
-			return body, nil
-		case err != nil:
-			return nil, err
-		}
-	}
-	return nil, errBufferFull
-}
-
-// errUncertified is returned for an answer without the upstream's signature,
-// which is not relayed.
-var errUncertified = errors.New("the answer is not signed by the upstream")
-
-// errNoStream is returned for an answer that doesn't continue a stream.
-var errNoStream = errors.New("the answer is not a stream of events")
-
-// handleRejection updates the state of an upstream that rejected the request:
-// it gets a backoff, has other weights, or another upstream has taken over its
-// address.
-func (h *handler) handleRejection(a *attempt) {
-	x := a.exchange
-	now := clock.Now()
-	var next int64
-	if history, ok := h.Replica.State().WeightsHistory(a.send.Prompt.Model); ok {
-		next, _ = history.FirstAfter(a.send.Weights)
-	}
-	h.Tracker.Update(a.id, func(s health.State) health.State {
-		switch {
-		case x.Status != 421:
-			return s.WithRejection(now)
-		case x.Instance != "" && x.Instance != a.id:
-			s.AddressReused = true
-			return s
-		case a.send.Weights > 0:
-			return s.WithWeightsRefused(next, now)
-		}
-		return s.WithRejection(now)
-	})
-	if x.Status != 421 && h.Tracker.State(a.id).Brittle(now) {
-		// All hosts leave it alone for a while.
-		h.LoadReports.NotifyNotListening(loadreport.HashEngine(a.id))
-		h.Tracker.Update(a.id, func(s health.State) health.State { return s.WithUnreachable(now) })
-	}
-	if x.Status == 421 && x.Instance != "" && x.Instance != a.id {
-		h.LoadReports.NotifyNotListening(loadreport.HashEngine(a.id))
-	}
-	x.SkipRest()
-}
-
 // recordWeights records the weights version of an engine, and reports it to the
 // other hosts if it is newer than the known one.
 func (h *handler) recordWeights(engine string, version int64) {
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -10,6 +10,7 @@
 	"github.com/kumquathoist/kumquathoist/http1"
 	"github.com/kumquathoist/kumquathoist/relay"
 	"github.com/kumquathoist/kumquathoist/retry"
+	"github.com/kumquathoist/kumquathoist/retrybudget"
 )
 
 // relayEncoder encodes requests for other hosts.
@@ -61,7 +62,10 @@
 	case err != nil:
 		return nil, h.failAttempt(a, a.outcome(err), err)
 	}
-	return h.readAnswer(a)
+	if !a.exchange.Certified && h.stage != retrybudget.Streaming {
+		return h.readRefusal(a)
+	}
+	return h.readCertified(a)
 }
 
 // readRefusal reads an answer that the other host generated itself. The caller gets it
--- a/forward/schedule.go
+++ b/forward/schedule.go
@@ -75,11 +75,8 @@
 		if h.isQuarantined() || h.isUnresumable() {
 			return target{}, false
 		}
-		connectedOnly := h.Reachability.ConnectionsFail(h.service.Name)
-		upstreams := h.usable(h.snapshot, h.service, h.call.Prompt.Model, func(e discovery.Entry) bool {
-			return h.tried[e.ID] || !h.mayRun(e) || connectedOnly && !h.Sender.HasIdle(e.Address)
-		})
-		if h.Reachability.Isolated(h.service.Name) || connectedOnly && len(upstreams) == 0 {
+		upstreams, mustRelay := h.reachable()
+		if mustRelay {
 			return h.relayTarget()
 		}
 		if len(upstreams) > 0 {
@@ -87,14 +84,7 @@
 				return t, ok
 			}
 		}
-		if wait, reason := h.allPaused(); reason != "" && h.retryState.MaybeExecuted == 0 && giveUp.Before(clock.Now().Add(wait)) {
-			if reason == call.Limited {
-				wait = h.returnAfter(wait)
-			}
-			h.refusal = call.Refuse(reason).WithRetryAfter(wait)
-			return target{}, false
-		}
-		if !clock.Now().Before(giveUp) {
+		if h.isPausedUntil(giveUp) || !clock.Now().Before(giveUp) {
 			return target{}, false
 		}
 		select {
@@ -105,6 +95,31 @@
 	}
 }
 
+// reachable returns the upstreams to which this host can send the request now, or
+// reports that it must pass the request on to another host. While upstreams accept no
+// new connections, only those with an idle one can be reached.
+func (h *handler) reachable() (upstreams []upstream, mustRelay bool) {
+	connectedOnly := h.Reachability.ConnectionsFail(h.service.Name)
+	upstreams = h.usable(h.snapshot, h.service, h.call.Prompt.Model, func(e discovery.Entry) bool {
+		return h.tried[e.ID] || !h.mayRun(e) || connectedOnly && !h.Sender.HasIdle(e.Address)
+	})
+	return upstreams, h.Reachability.Isolated(h.service.Name) || connectedOnly && len(upstreams) == 0
+}
+
+// isPausedUntil reports whether all upstreams want no request of this host until after
+// an instant, and sets the refusal if so.
+func (h *handler) isPausedUntil(giveUp clock.Instant) bool {
+	wait, reason := h.allPaused()
+	if reason == "" || h.retryState.MaybeExecuted > 0 || !giveUp.Before(clock.Now().Add(wait)) {
+		return false
+	}
+	if reason == call.Limited {
+		wait = h.returnAfter(wait)
+	}
+	h.refusal = call.Refuse(reason).WithRetryAfter(wait)
+	return true
+}
+
 // take counts a request to an upstream, if the upstream still accepts it: other
 // requests of this host may have used up what it accepts.
 func (h *handler) take(id string) (ok bool) {
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -159,8 +159,8 @@
 	default:
 		outcome = s.failAttempt(broken, retry.Broken, cause)
 	}
-	if !found && s.shouldRetry(s.ctx, outcome) && s.knowsOrigin(broken) {
-		t, found = s.schedule(s.ctx)
+	if !found {
+		t, found = s.scheduleAfter(broken, outcome)
 	}
 	for found {
 		var answer *call.Answer
@@ -187,6 +187,14 @@
 	return s.logFailure(cause)
 }
 
+// scheduleAfter chooses the target that goes on after an attempt that failed.
+func (s *stream) scheduleAfter(broken *attempt, o retry.Outcome) (target, bool) {
+	if !s.shouldRetry(s.ctx, o) || !s.knowsOrigin(broken) {
+		return target{}, false
+	}
+	return s.schedule(s.ctx)
+}
+
 // returnTo returns to an idle upstream, since no other could take over.
 func (s *stream) returnTo(idle *attempt) {
 	event.StreamStalled.Info("Request", s.call.ID, "Upstream", idle.id, "After", s.lastID, "Events", s.events)
--- a/peer/dial_test.go
+++ b/peer/dial_test.go
@@ -16,10 +16,10 @@
 	is := is.New(t)
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	is.NoErr(err)
-	defer listener.Close()
+	t.Cleanup(func() { _ = listener.Close() })
 	conn, err := NewPool(Credentials{}).dial(context.Background(), listener.Addr().String())
 	is.NoErr(err)
-	defer conn.Close()
+	t.Cleanup(func() { _ = conn.Close() })
 	raw, err := conn.(countingConn).Conn.(syscall.Conn).SyscallConn()
 	is.NoErr(err)
 	option := func(level, name int) (value int) {
--- a/socket/socket_test.go
+++ b/socket/socket_test.go
@@ -19,11 +19,11 @@
 	is := is.New(t)
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	is.NoErr(err)
-	defer listener.Close()
+	t.Cleanup(func() { _ = listener.Close() })
 	const maxSilence = 3 * time.Second
 	conn, err := socket.Dialer(time.Second, maxSilence).DialContext(t.Context(), "tcp", listener.Addr().String())
 	is.NoErr(err)
-	defer conn.Close()
+	t.Cleanup(func() { _ = conn.Close() })
 	raw, err := conn.(syscall.Conn).SyscallConn()
 	is.NoErr(err)
 	option := func(level, name int) (value int) {
--- a/standin/platform_engine.go
+++ b/standin/platform_engine.go
@@ -21,9 +21,9 @@
 	Advertised string
 	// Software is the version of the engine's software. MarksEvents puts it into a
 	// comment in front of each event.
-	Software    string
+	Software string
 	// Slots is the number of requests that it runs at a time, according to its entry.
-	Slots int
+	Slots       int
 	MarksEvents bool
 
 	server      *http.Server
--- a/storenode/cut_test.go
+++ b/storenode/cut_test.go
@@ -80,7 +80,7 @@
 	}
 	for _, c := range d.conns {
 		_ = c.SetLinger(0)
-		_ = c.TCPConn.Close()
+		_ = c.Close()
 	}
 	d.conns = nil
 }
--- a/storenode/storenode.go
+++ b/storenode/storenode.go
@@ -138,11 +138,7 @@
 	guard := crash.NewGuard(ctx, &n.wait, crash.Options{Self: n.settings.Listen.PeersAddress(), Peers: n.peerAddresses, Sender: crash.NewPeerSender(pool), Store: n.store, Metrics: scope})
 	connections := http1.NewPool(platform.Wire{}, n.upstreamDialer)
 	n.wait.Go(func() { connections.Sweep(ctx) })
-	monitor := reachability.NewMonitor(ctx, &n.wait, reachability.Options{
-		Prober: connections, Addresses: n.upstreamAddresses, Metrics: scope,
-		OnRefused: func(upstream string) { n.loadReports.NotifyNotListening(loadreport.HashEngine(upstream)) },
-	})
-	n.monitorPointer.Store(monitor)
+	monitor := n.newMonitor(ctx, connections, scope)
 	bounds := n.settings.Bounds
 	engines := platform.NewEngines(func(instance string, r call.SelfReport) { n.router.RecordStatus(instance, r, "") })
 	n.router = forward.New(forward.Options{
@@ -202,6 +198,16 @@
 	return nil
 }
 
+// newMonitor starts the monitor of this host's connections to upstreams.
+func (n *Node) newMonitor(ctx context.Context, connections *http1.Pool, scope tally.Scope) *reachability.Monitor {
+	monitor := reachability.NewMonitor(ctx, &n.wait, reachability.Options{
+		Prober: connections, Addresses: n.upstreamAddresses, Metrics: scope,
+		OnRefused: func(upstream string) { n.loadReports.NotifyNotListening(loadreport.HashEngine(upstream)) },
+	})
+	n.monitorPointer.Store(monitor)
+	return monitor
+}
+
 // newLedger starts the ledger of the software versions that began streams.
 func (n *Node) newLedger(ctx context.Context, scope tally.Scope) *resumption.Ledger {
 	return resumption.New(ctx, &n.wait, resumption.Options{
--- a/upstream/broken_test.go
+++ b/upstream/broken_test.go
@@ -29,13 +29,13 @@
 				is := is.New(t)
 				listener, err := net.Listen("tcp4", "127.0.0.1:0")
 				is.NoErr(err)
-				defer listener.Close()
+				defer func() { _ = listener.Close() }()
 				go func() {
 					conn, err := listener.Accept()
 					if err != nil {
 						return
 					}
-					defer conn.Close()
+					defer func() { _ = conn.Close() }()
 					if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
 						_, _ = conn.Write([]byte(answer[:end]))
 					}
