fix: a refusal of a request that was passed on does not hide an earlier run

A request that may be repeated, and may have run at the host that passed it on, was answered 503 if the other host refused it at once: a promise that it has not run. Now it is 502.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -235,6 +235,7 @@
 func (r *Router) Serve(ctx context.Context, c call.Call) call.Answer {
 	h, refusal := r.admit(c)
 	if refusal != nil {
+		*refusal = unlessRan(*refusal, c)
 		event.CallRefused.Info("Request", c.ID, "Reason", refusal.Reason, "Catalog", h.snapshot.Catalog.Version, "AgeMillis", r.Replica.Staleness().Milliseconds(), "RetryAfter", refusal.RetryAfter)
 		r.recordMetrics(h, *refusal)
 		return *refusal
@@ -243,6 +244,7 @@
 	release, refusal := h.admitByGuard(ctx)
 	if refusal != nil {
 		cancel()
+		*refusal = unlessRan(*refusal, c)
 		h.recordEnd(*refusal)
 		return *refusal
 	}
@@ -321,6 +323,16 @@
 	return a
 }
 
+// unlessRan returns the answer to a request that is refused, or call.Unknown if an
+// earlier attempt of it may have run at the host that passed it on. Refusals that ask
+// for yet another host stay: the first host answers the caller then.
+func unlessRan(a call.Answer, c call.Call) call.Answer {
+	if c.Attempts == 0 || a.Status != 503 || a.Reason.Elsewhere() {
+		return a
+	}
+	return call.Refuse(call.Unknown)
+}
+
 // unlessStale returns the reason, or call.Stale if the configuration may be too
 // old to refuse a valid request.
 func (r *Router) unlessStale(reason call.Reason) call.Reason {
