--- a/storenode/cut_test.go
+++ b/storenode/cut_test.go
@@ -152,6 +152,47 @@
 	return d, dialer
 }
 
+// TestFailureDomainCutFromUpstreams cuts all hosts of a failure domain from all
+// upstreams. Their callers must be served by way of the other failure domain, also
+// with many requests at a time.
+func TestFailureDomainCutFromUpstreams(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t, 0, 3, 2)
+	d.southFrom = 2
+	d.dialers = map[int]*cutDialer{0: {}, 1: {}}
+	for i := range 3 {
+		d.host(i)
+	}
+	for _, h := range d.hosts {
+		d.awaitReady(h)
+	}
+	send := func(h *testHost, id string) int {
+		return d.do(h, http.MethodPost, serviceHost, "/post/a", id, nil, "body").status
+	}
+	for _, dialer := range d.dialers {
+		dialer.relayPort = d.relayPort
+		dialer.set(hangCut)
+	}
+	for i, h := range d.hosts {
+		serial := 0
+		d.await("the host serves its callers", func() bool {
+			serial++
+			return send(h, fmt.Sprint("early", i, serial)) == http.StatusOK
+		})
+	}
+	var wait sync.WaitGroup
+	for i, h := range d.hosts {
+		for j := range 10 {
+			wait.Go(func() {
+				id := fmt.Sprint("cut", i, j)
+				is.Equal(send(h, id), http.StatusOK)
+				is.Equal(d.executions(id), 1)
+			})
+		}
+	}
+	wait.Wait()
+}
+
 // TestNewConnectionsFailWhileOldOnesLiveOn refuses the new connections of one host.
 // More requests at a time than it has open connections must be served, by one run each.
 func TestNewConnectionsFailWhileOldOnesLiveOn(t *testing.T) {
--- a/storenode/harness_test.go
+++ b/storenode/harness_test.go
@@ -48,6 +48,9 @@
 	// loadReportPort and relayPort are the ports of all hosts for load reports and
 	// for relayed requests.
 	loadReportPort, relayPort string
+	// southFrom is the first host in the failure domain "south"; the others, and all
+	// if it is 0, are in "north".
+	southFrom int
 	// dialers open the connections of some hosts to upstreams.
 	dialers map[int]*cutDialer
 	// restore brings the store back from an older copy.
@@ -195,6 +198,9 @@
 	ip := fmt.Sprintf("127.0.0.%d", i+1)
 	s := settings.Default()
 	s.Host = settings.Host{Name: fmt.Sprintf("host-%d", i), FailureDomain: "north", Region: "r"}
+	if d.southFrom > 0 && i >= d.southFrom {
+		s.Host.FailureDomain = "south"
+	}
 	s.Listen = settings.Listen{
 		Callers: d.address(ip), Peers: d.address(ip), Addresses: d.address(ip), Readiness: d.address(ip), Pulses: d.loadReportAddress(ip), Relays: d.relayAddress(ip),
 	}
