--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -331,11 +331,18 @@
 
 // addHost starts a host with its own IP in the loopback range.
 func (d *deployment) addHost(program string, i int) error {
-	ip := fmt.Sprintf("127.0.%d.%d", 1+i/200, 2+i%200)
+	// Soaks that run beside each other use different addresses.
+	ip := fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()%200, 1+i/200, 2+i%200)
 	s := settings.Default()
 	s.Host = settings.Host{Name: fmt.Sprintf("host-%d", i), FailureDomain: domains[i%len(domains)], Region: "r"}
 	s.Listen.Pulses = net.JoinHostPort(ip, d.loadReportPort)
 	s.Listen.Relays = net.JoinHostPort(ip, d.relayPort)
+	// The relay port is the same on all hosts: nothing else may take it here.
+	relays, err := net.Listen("tcp4", s.Listen.Relays)
+	if err != nil {
+		return trace.Wrap(err, "listening at the port for relayed requests")
+	}
+	defer func() { _ = relays.Close() }()
 	release, err := reservePorts(ip, &s.Listen.Callers, &s.Listen.Peers, &s.Listen.Addresses, &s.Listen.Readiness)
 	if err != nil {
 		return err
@@ -382,6 +389,7 @@
 	}
 	d.hosts = append(d.hosts, h)
 	release()
+	_ = relays.Close()
 	return h.start()
 }
 
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -14,6 +14,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -84,7 +85,7 @@
 		return Report{}, trace.Wrap(err, "the soak was interrupted")
 	}
 	if !ready {
-		return Report{}, trace.ConnectionProblem(nil, "the hosts did not become ready:\n%s", d.hosts[0].output.String())
+		return Report{}, trace.ConnectionProblem(nil, "%s", d.describeUnready())
 	}
 	plan, calls := Plan(o.Seed, o.Span), &recorder{}
 	report := Report{Faults: len(plan)}
@@ -338,6 +339,17 @@
 	return true
 }
 
+// describeUnready describes the hosts that are not ready, with their output.
+func (d *deployment) describeUnready() string {
+	var b strings.Builder
+	for _, h := range d.hosts {
+		if !standin.PlatformReady(h.readinessAddress) {
+			fmt.Fprintf(&b, "%s is not ready; %s\n%s\n", h.name, strings.Join(h.problems(), "; "), h.output.String())
+		}
+	}
+	return b.String()
+}
+
 // unreadyHost describes a host that does not report itself ready, or returns "".
 func (d *deployment) unreadyHost() string {
 	for _, h := range d.hosts {
--- a/storenode/storenode_test.go
+++ b/storenode/storenode_test.go
@@ -332,6 +332,9 @@
 	d.awaitReady(h)
 	d.services[0].Fail(standin.SilentFault, 1)
 	h.Stop()
+	d.await("the host is stopping", func() bool {
+		return !standin.PlatformReady(h.settings.Listen.Readiness)
+	})
 	refused := d.do(h, http.MethodPost, serviceHost, "/post/a", "long", nil, "body")
 	is.Equal(refused.status, http.StatusServiceUnavailable)
 	is.True(refused.header.Get("Retry-After") != "")
