fix: a host answers with all records where it may not know each removal

What callers saw: DRAIN, requests at an upstream 2.0 to 3.1 s after it had left, from most of the hosts, until it ended.

Cause: a list of a topic's keys tells what is there, not what was removed before it. A host that had listed (each host does so at its start, after trimmed records and after a restored store) answered pulls as if it knew every change since any position, so the asker moved past removals that nobody told it. Class: a partial answer that is taken for a complete one.

Now a state knows from which position on it knows each change; asked from below that, it answers with all records, and the asker finds what is gone by itself. Older programs understand that answer, too. An answer with all records raises that position at the asker, so removals that it finds need no offset of their own.

Ruled out: the removal arrived late or was deferred (logs: six of nine hosts never logged it, Deferred=false at the others).

--- a/replica/state.go
+++ b/replica/state.go
@@ -151,6 +151,9 @@
 	records  map[string]Record
 	// listed means that the records of all keys were received once.
 	listed bool
+	// changesFrom is the position from which on each change is known. A list of all
+	// keys doesn't tell which were removed before it.
+	changesFrom int64
 }
 
 // Position returns the offset up to which all records of a topic are known.
@@ -172,12 +175,13 @@
 	return v, ok
 }
 
-// Since returns the records that a reader at a position of a topic lacks.
+// Since returns the records that a reader at a position of a topic lacks: all of them
+// if some removal after that position may be unknown here.
 func (s State) Since(t Topic, position int64) Delta {
 	topic := s.topicStates[t]
-	d := Delta{Topic: t, Position: topic.position, Full: position == 0}
+	d := Delta{Topic: t, Position: topic.position, Full: position == 0 || position < topic.changesFrom}
 	for _, r := range topic.records {
-		if r.Offset >= position && (r.Value != nil || !d.Full) {
+		if d.Full && r.Value != nil || !d.Full && r.Offset >= position {
 			d.Records = append(d.Records, r)
 		}
 	}
@@ -241,14 +245,20 @@
 		}
 	}
 	topic.position, topic.listed = max(topic.position, d.Position), topic.listed || d.Full
+	if d.Full {
+		topic.changesFrom = topic.position
+	}
 	next.topicStates[d.Topic] = topic
 	return next, changes
 }
 
 // clone returns a copy of the state and of a topic whose maps may be changed.
 func (s State) clone(t Topic) (State, topicState) {
-	topic := topicState{position: s.topicStates[t].position, records: map[string]Record{}, listed: s.topicStates[t].listed}
-	maps.Copy(topic.records, s.topicStates[t].records)
+	topic := s.topicStates[t]
+	topic.records = maps.Clone(topic.records)
+	if topic.records == nil {
+		topic.records = map[string]Record{}
+	}
 	weights, deferred := map[string]WeightsHistory{}, map[string]clock.Instant{}
 	maps.Copy(weights, s.weights)
 	recorded := maps.Clone(s.software)
