feat: hosts compare checksums of their replicas

Two hosts at one position could know different upstreams, and nothing showed it: in the incident only the lines that were missing from a log told. Each answer to a pull now has the position and the checksum of each topic. A host that differs from another one at the same position logs event 6010 and lists the topic anew; what a current list names counts whatever the host has assumed before. Position and checksum are gauges.

The fakes of other tests name empty digests, since only a host that sends some confirms.

--- a/event/replica.go
+++ b/event/replica.go
@@ -43,6 +43,8 @@
 	RetryAfterReceived = Event{6108, "upstream rests", "An upstream rejected a request and asked this host for a pause without requests; at most two requests are sent to it until the pause ends."}
 	// StoreRestored reports a store that lost records that it had acknowledged.
 	StoreRestored = Event{6009, "store restored", "The platform's store came back from an older copy: what was written since is gone, and its offsets are given out again. This host reads all records again, writes again what it keeps there, and sends engines no orders for some seconds unless it holds the lease. Era counts how often that happened."}
+	// ReplicaDiffers reports a replica that differs from another host's.
+	ReplicaDiffers = Event{6010, "replica differs", "At the same position of a topic, this host and another one have different records of the store: one of them has missed a change. This host lists the topic anew. Sum and OtherSum are the checksums; the gauges replica_position and replica_checksum of all hosts tell which of them differ."}
 	// LimitNamed reports an upstream that limits its requests.
 	LimitNamed = Event{6110, "upstream limited", "An upstream named in an answer how many requests a second it takes from all hosts together, changed that limit, or another host forwarded it. PerSecond is the limit, Part what this host may send; AnswerStatus is the status of the answer, 0 for another host's report."}
 	// LimitEnded reports an upstream that no longer limits its requests.
@@ -78,6 +80,6 @@
 var replicaEvents = []Event{
 	StoreUnreachable, StoreReachable, HistoryTrimmed, CatalogChanged, TargetWeightsChanged, UpstreamChanged, UpstreamRemoved, RecordRejected,
 	LeaseAcquired, LeaseNotAcquired, LeaseHeldElsewhere, LoadOrdered, LoadEnded, UpstreamReportedUnreachable, FeedDisconnected, FeedReconnected, CacheReset,
-	StoreRestored, UpstreamLeaving, RetryAfterReceived, LimitNamed, LimitEnded, LimitInvalid, BrittlenessChanged, RetryAfterInvalid, HostIsolated, HostReconnected, CrashRecordsUnreadable, CrashRecordsReadable, CrashRecordPersisted, CrashRecordNotPersisted,
+	StoreRestored, ReplicaDiffers, UpstreamLeaving, RetryAfterReceived, LimitNamed, LimitEnded, LimitInvalid, BrittlenessChanged, RetryAfterInvalid, HostIsolated, HostReconnected, CrashRecordsUnreadable, CrashRecordsReadable, CrashRecordPersisted, CrashRecordNotPersisted,
 	SoftwareVersionsChanged, StreamOriginsUnreadable, StreamOriginsNotWritten, UpdateNotSent,
 }
--- a/replica/state.go
+++ b/replica/state.go
@@ -8,6 +8,8 @@
 package replica
 
 import (
+	"encoding/binary"
+	"hash/fnv"
 	"maps"
 	"slices"
 
@@ -32,7 +34,10 @@
 	topicCount
 )
 
-// String returns the topic's name for logs.
+// Topics returns all topics.
+func Topics() []Topic { return []Topic{Operator, Upstreams, Software} }
+
+// String returns the topic's name for logs and metrics.
 func (t Topic) String() string { return [...]string{"Operator", "Upstreams", "Software"}[t] }
 
 // Record is the latest value of a key.
@@ -154,11 +159,41 @@
 	// changesFrom is the position from which on each change is known. A list of all
 	// keys doesn't tell which were removed before it.
 	changesFrom int64
+	// sum is the checksum of the records below the position.
+	sum uint64
+}
+
+// Digest identifies what a host knows of a topic. Hosts at the same position have the
+// same checksum.
+type Digest struct {
+	Position int64
+	Sum      uint64
+}
+
+// checksum returns the checksum of the records below the position.
+func (t topicState) checksum() uint64 {
+	var sum uint64
+	h := fnv.New64a()
+	for key, r := range t.records {
+		if r.Value == nil || r.Offset >= t.position {
+			continue
+		}
+		h.Reset()
+		_ = binary.Write(h, binary.BigEndian, r.Offset)
+		_, _ = h.Write([]byte(key))
+		sum += h.Sum64() // in any order
+	}
+	return sum
 }
 
 // Position returns the offset up to which all records of a topic are known.
 func (s State) Position(t Topic) int64 { return s.topicStates[t].position }
 
+// Digest returns the digest of a topic.
+func (s State) Digest(t Topic) Digest {
+	return Digest{s.topicStates[t].position, s.topicStates[t].sum}
+}
+
 // Listed reports whether all keys of a topic are known, so that a key without a record
 // has none in the store.
 func (s State) Listed(t Topic) bool { return s.topicStates[t].listed }
@@ -219,9 +254,7 @@
 	listed := make(map[string]bool, len(d.Records))
 	for _, r := range d.Records {
 		listed[r.Key] = true
-		// All records below the position are known; an older record of a key
-		// that is missing was superseded by its removal.
-		if known, ok := topic.records[r.Key]; r.Offset < topic.position || ok && known.Offset >= r.Offset {
+		if !topic.lacks(d, r) {
 			continue
 		}
 		topic.records[r.Key] = r
@@ -248,10 +281,26 @@
 	if d.Full {
 		topic.changesFrom = topic.position
 	}
+	topic.sum = topic.checksum()
 	next.topicStates[d.Topic] = topic
 	return next, changes
 }
 
+// lacks reports whether a record of a delta is news.
+func (t topicState) lacks(d Delta, r Record) bool {
+	known, ok := t.records[r.Key]
+	switch {
+	case d.Full && d.Position >= t.position:
+		// What a current list names is there, whatever was missed or mistaken before.
+		return !ok || known.Offset < r.Offset || known.Offset == r.Offset && known.Value == nil
+	case r.Offset < t.position:
+		// All records below the position are known; an older record of a key that is
+		// missing was superseded by its removal.
+		return false
+	}
+	return !ok || known.Offset < r.Offset
+}
+
 // clone returns a copy of the state and of a topic whose maps may be changed.
 func (s State) clone(t Topic) (State, topicState) {
 	topic := s.topicStates[t]
--- a/replica/syncer.go
+++ b/replica/syncer.go
@@ -56,6 +56,9 @@
 	// maxPeerStaleness is the staleness from which on a host that relies on
 	// others reads the store itself.
 	maxPeerStaleness = 2 * time.Second
+	// relistInterval is the least time between two lists of a topic that are made
+	// because the replica differs from another host's.
+	relistInterval = 5 * time.Second
 )
 
 // readPauses are the pauses after a read of a topic returned records.
@@ -88,6 +91,9 @@
 	// Age is the staleness of the host's operators' records, EntriesAge that of its
 	// upstreams' entries; negative if they were never confirmed to be complete.
 	Age, EntriesAge time.Duration
+	// Digests are those of the host by topic. Programs that send none may leave
+	// removals out of their deltas.
+	Digests []Digest `json:",omitempty"`
 }
 
 // peers are the other hosts.
@@ -117,6 +123,8 @@
 	// of the process; storeFailed means that a read of that topic has failed since.
 	completeAt  atomic.Int64
 	storeFailed atomic.Bool
+	// relist holds the topics that are to be listed anew.
+	relist [topicCount]atomic.Bool
 	// deferUntil is until when removals are deferred.
 	deferUntil atomic.Int64
 	// mu guards changes of state and the fields below.
@@ -125,6 +133,9 @@
 	changed     chan struct{}
 	cancelReads context.CancelFunc
 	readCtx     context.Context
+	// relistedAt is when a list of each topic was last due because the replica
+	// differed from another host's. Only pull uses it.
+	relistedAt [topicCount]clock.Instant
 }
 
 // NewSyncer returns a Syncer that follows the store and the other hosts until the
@@ -185,6 +196,9 @@
 func (s *Syncer) Answer(positions []int64) Reply {
 	r := Reply{Age: s.staleness(Operator), EntriesAge: s.staleness(Upstreams)}
 	state := s.State()
+	for t := range topicCount {
+		r.Digests = append(r.Digests, state.Digest(t))
+	}
 	for t, from := range positions {
 		if t < int(topicCount) && state.Position(Topic(t)) > from {
 			r.Deltas = append(r.Deltas, state.Since(Topic(t), from))
@@ -256,6 +270,9 @@
 func (s *Syncer) follow(ctx context.Context, t Topic) {
 	listed, failed := false, false
 	for ctx.Err() == nil {
+		if s.relist[t].Swap(false) {
+			listed = false
+		}
 		if listed && s.hasRecentPeers(t) && !s.ReadsStore() {
 			clock.Pause(ctx, tickInterval)
 			continue
@@ -386,16 +403,42 @@
 		return
 	}
 	for _, d := range r.Deltas {
+		if len(r.Digests) == 0 && !d.Full {
+			d.Position = 0 // the records are news, but others may be missing
+		}
 		s.merge(d, "Peer", peerDelay)
 	}
-	if r.Age >= 0 {
+	var agrees [topicCount]bool
+	for t := range topicCount {
+		agrees[t] = s.agrees(t, r)
+	}
+	if r.Age >= 0 && agrees[Operator] {
 		s.confirm(Operator, requested.Add(-r.Age))
 	}
-	if r.EntriesAge >= 0 {
+	if r.EntriesAge >= 0 && agrees[Upstreams] {
 		s.confirm(Upstreams, requested.Add(-r.EntriesAge))
 	}
 }
 
+// agrees reports whether the replica certainly has what another host knows of a topic.
+// If both are at the same position and differ, one of them has missed something, and
+// this host lists the topic anew.
+func (s *Syncer) agrees(t Topic, r Reply) bool {
+	if int(t) >= len(r.Digests) {
+		return false
+	}
+	own, other := s.State().Digest(t), r.Digests[t]
+	if own.Position != other.Position || own.Sum == other.Sum {
+		return own.Position >= other.Position
+	}
+	if now := clock.Now(); s.relistedAt[t] == 0 || now.Sub(s.relistedAt[t]) >= relistInterval {
+		s.relistedAt[t] = now
+		event.ReplicaDiffers.Info("Topic", t, "Position", own.Position, "Sum", own.Sum, "OtherSum", other.Sum)
+		s.relist[t].Store(true)
+	}
+	return false
+}
+
 // monitor detects pauses of the process and applies deferred removals that are
 // due.
 func (s *Syncer) monitor(ctx context.Context) {
--- a/replica/syncer_test.go
+++ b/replica/syncer_test.go
@@ -68,6 +68,9 @@
 	}
 }
 
+// emptyDigests are those of a host without records.
+var emptyDigests = make([]replica.Digest, len(replica.Topics()))
+
 // fakePeers send no records; they confirm the state or fail.
 type fakePeers struct{ confirm bool }
 
@@ -75,7 +78,7 @@
 	if !p.confirm {
 		return replica.Reply{}, errDown
 	}
-	return replica.Reply{Age: time.Millisecond}, nil
+	return replica.Reply{Age: time.Millisecond, Digests: emptyDigests}, nil
 }
 
 // TestRemovalAfterStoreFailure removes an upstream just as a host reaches the
@@ -124,7 +127,7 @@
 type replyingPeers struct{ deltas []replica.Delta }
 
 func (p replyingPeers) Pull(context.Context, []int64) (replica.Reply, error) {
-	return replica.Reply{Deltas: p.deltas, Age: time.Millisecond}, nil
+	return replica.Reply{Deltas: p.deltas, Age: time.Millisecond, Digests: emptyDigests}, nil
 }
 
 // TestWeightsSetBeforeStart checks that target weights set before a host started
--- a/storenode/metrics.go
+++ b/storenode/metrics.go
@@ -13,10 +13,15 @@
 
 	"github.com/kumquathoist/kumquathoist/clock"
 	"github.com/kumquathoist/kumquathoist/http1"
+	"github.com/kumquathoist/kumquathoist/replica"
 )
 
-// metricsInterval is the interval between updates of metrics.
-const metricsInterval = time.Second
+const (
+	// metricsInterval is the interval between updates of metrics.
+	metricsInterval = time.Second
+	// checksumShift leaves the bits of a checksum that a gauge can hold exactly.
+	checksumShift = 32
+)
 
 // updateGauges updates the gauges until the context ends.
 func (n *Node) updateGauges(ctx context.Context, scope tally.Scope, connections *http1.Pool) {
@@ -33,6 +38,11 @@
 		} {
 			scope.Gauge(name).Update(value)
 		}
+		for _, t := range replica.Topics() {
+			digest, tagged := state.Digest(t), scope.Tagged(map[string]string{"topic": t.String()})
+			tagged.Gauge("replica_position").Update(float64(digest.Position))
+			tagged.Gauge("replica_checksum").Update(float64(digest.Sum >> checksumShift))
+		}
 	}
 }
 
