fix: a host whose others confirm nothing keeps reading the store

A host that relies on others counted its own reads of the store as news from them, and then waited two seconds until the next one.

Now only what other hosts confirm keeps a host from reading. While they do, nothing changes: the calm case makes the same calls.

--- a/replica/digest_test.go
+++ b/replica/digest_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
 	"github.com/sourcegraph/conc"
 
 	"github.com/kumquathoist/kumquathoist/replica"
@@ -87,3 +88,47 @@
 	await(t, "the host knows of the removal", func() bool { return upstreamIDs(host.State()) == "b@1.1 c@1.1" })
 	await(t, "they were asked again", func() bool { return peers.asked.Load() > 1 })
 }
+
+// readingStore counts the reads of the upstreams' entries in progress.
+type readingStore struct {
+	*fakeStore
+
+	reads atomic.Int64
+}
+
+func (s *readingStore) Read(ctx context.Context, t replica.Topic, from int64, wait time.Duration) (replica.Delta, error) {
+	if t == replica.Upstreams {
+		s.reads.Add(1)
+		defer s.reads.Add(-1)
+	}
+	return s.fakeStore.Read(ctx, t, from, wait)
+}
+
+// watchingPeers confirm nothing. They count the pulls during which the host reads the
+// upstreams' entries, and all.
+type watchingPeers struct {
+	store       *readingStore
+	during, all atomic.Int64
+}
+
+func (p *watchingPeers) Pull(context.Context, []int64) (replica.Reply, error) {
+	if p.store.reads.Load() > 0 {
+		p.during.Add(1)
+	}
+	p.all.Add(1)
+	return replica.Reply{}, errDown
+}
+
+// TestHostWithoutConfirmationFollowsTheStore checks that a host that others tell
+// nothing keeps reading the store, so that it learns of departures in time.
+func TestHostWithoutConfirmationFollowsTheStore(t *testing.T) {
+	is := is.New(t)
+	store := &readingStore{fakeStore: &fakeStore{}}
+	store.logs[replica.Operator] = []replica.Record{record("config", 0, "c1")}
+	store.logs[replica.Upstreams] = []replica.Record{record("a", 0, "e1.1")}
+	peers := &watchingPeers{store: store}
+	startSyncer(t, replica.Options{Store: store, Peers: peers, ReadsStore: func() bool { return false }})
+	await(t, "others were asked", func() bool { return peers.all.Load() >= 20 })
+	t.Logf("during %d of %d pulls the host read the entries", peers.during.Load(), peers.all.Load())
+	is.True(2*peers.during.Load() > peers.all.Load())
+}
--- a/replica/syncer.go
+++ b/replica/syncer.go
@@ -117,8 +117,9 @@
 	Options
 
 	state atomic.Pointer[State]
-	// confirmedAt is when the records of each topic were last known to be complete.
-	confirmedAt [topicCount]atomic.Int64
+	// confirmedAt is when the records of each topic were last known to be complete,
+	// peersConfirmedAt when other hosts last confirmed that.
+	confirmedAt, peersConfirmedAt [topicCount]atomic.Int64
 	// completeAt is the same for the operators' topic, but is not reset by a pause
 	// of the process; storeFailed means that a read of that topic has failed since.
 	completeAt  atomic.Int64
@@ -312,8 +313,8 @@
 	if t == Software {
 		t = Operator
 	}
-	staleness := s.staleness(t)
-	return staleness >= 0 && staleness < maxPeerStaleness
+	at := clock.Instant(s.peersConfirmedAt[t].Load())
+	return at != 0 && clock.Now().Sub(at) < maxPeerStaleness
 }
 
 // handleFailure handles a failed read and logs it unless the previous read failed,
@@ -412,11 +413,12 @@
 	for t := range topicCount {
 		agrees[t] = s.agrees(t, r)
 	}
-	if r.Age >= 0 && agrees[Operator] {
-		s.confirm(Operator, requested.Add(-r.Age))
-	}
-	if r.EntriesAge >= 0 && agrees[Upstreams] {
-		s.confirm(Upstreams, requested.Add(-r.EntriesAge))
+	for t, age := range map[Topic]time.Duration{Operator: r.Age, Upstreams: r.EntriesAge} {
+		if age >= 0 && agrees[t] {
+			at := requested.Add(-age)
+			s.confirm(t, at)
+			advance(&s.peersConfirmedAt[t], at)
+		}
 	}
 }
 
@@ -450,6 +452,7 @@
 			event.ProcessPaused.Info("Millis", paused.Milliseconds())
 			for t := range s.confirmedAt {
 				s.confirmedAt[t].Store(0)
+				s.peersConfirmedAt[t].Store(0)
 			}
 			s.restartReads(ctx)
 		}
