fix: one known version is the only one if the host would have heard of others

What callers saw: ORDER, streams joined from two software versions, when they took a stream up at a host that was cut off, or had just stood still, while another version joined.

Cause: the ledger concluded that there is one version from the host's own replica and didn't ask how old it was. Class: absence of news taken for news of absence.

Now that conclusion needs entries and records of versions that were complete when the take-up came (replica.Syncer.CatchUp): from the store, confirmed by other hosts, or, if the store answers nobody, by a host with the same records while most hosts are heard. Otherwise the take-up is refused with when to come back.

Ruled out: streams without a record lead to refusals (read).

--- a/event/request.go
+++ b/event/request.go
@@ -33,7 +33,7 @@
 	// StreamResumed reports a stream that continues at another upstream.
 	StreamResumed = Event{2105, "stream resumed", "A stream failed and continues at another upstream after the given event."}
 	// StreamTakenUp reports a caller that resumes a stream.
-	StreamTakenUp = Event{2112, "stream taken up", "A caller resumes a stream after the given event. Stream is the request that brought its first event, Software the version of the upstreams at which it may continue; Source tells how that is known. A stream whose version is not known is refused, unless the service had one version only."}
+	StreamTakenUp = Event{2112, "stream taken up", "A caller resumes a stream after the given event. Stream is the request that brought its first event, Software the version of the upstreams at which it may continue; Source tells how that is known. A stream whose version is not known is refused, unless the service had one version only. Source Uncertain means that this host may not have heard of others: neither the store nor most other hosts answer it."}
 	// StreamFailed reports a stream that failed before its end.
 	StreamFailed = Event{2106, "stream broken", "A stream failed and could not be resumed; its caller receives a truncated answer."}
 	// StreamEnded reports the end of a stream.
--- a/forward/origin.go
+++ b/forward/origin.go
@@ -20,6 +20,9 @@
 	case origin.Known:
 		h.software = origin.Version
 		return true
+	case origin.Source == software.Uncertain:
+		// Hosts that are in step can serve the caller now.
+		h.refusal = call.Refuse(call.Unresumable).WithRetryAfter(retryAfterShort)
 	case origin.Source == software.Unreadable:
 		h.refusal = call.Refuse(call.Unresumable).WithRetryAfter(retryAfterStartup)
 	default:
--- a/replica/syncer.go
+++ b/replica/syncer.go
@@ -110,6 +110,10 @@
 	// ReadsStore reports whether this host reads the store for others. Other
 	// hosts read it only while they receive no recent state from such hosts.
 	ReadsStore func() bool
+	// Connected reports whether this host hears most of the others; nil means that it
+	// does. Hosts returns the number of hosts that read the store; nil means few.
+	Connected func() bool
+	Hosts     func() int
 }
 
 // Syncer keeps a State up to date from the store and from other hosts.
@@ -128,6 +132,7 @@
 	relist [topicCount]atomic.Bool
 	// deferUntil is until when removals are deferred.
 	deferUntil atomic.Int64
+	catchUp    catchUp
 	// mu guards changes of state and the fields below.
 	mu sync.Mutex
 	// changed is closed at the next change; cancelReads ends reads in progress.
@@ -142,7 +147,7 @@
 // NewSyncer returns a Syncer that follows the store and the other hosts until the
 // context ends.
 func NewSyncer(ctx context.Context, wait *conc.WaitGroup, o Options) *Syncer {
-	s := &Syncer{Options: o, changed: make(chan struct{})}
+	s := &Syncer{Options: o, changed: make(chan struct{}), catchUp: catchUp{trigger: make(chan struct{}, 1)}}
 	s.state.Store(&State{})
 	s.readCtx, s.cancelReads = context.WithCancel(ctx)
 	wait.Go(func() { s.follow(ctx, Operator) })
@@ -150,6 +155,7 @@
 	wait.Go(func() { s.follow(ctx, Software) })
 	wait.Go(func() { s.pull(ctx) })
 	wait.Go(func() { s.monitor(ctx) })
+	wait.Go(func() { s.check(ctx) })
 	return s
 }
 
@@ -410,8 +416,13 @@
 		s.merge(d, "Peer", peerDelay)
 	}
 	var agrees [topicCount]bool
+	equal := true
 	for t := range topicCount {
 		agrees[t] = s.agrees(t, r)
+		equal = equal && agrees[t] && s.State().Digest(t) == r.Digests[t]
+	}
+	if equal {
+		advance(&s.catchUp.agreedAt, requested)
 	}
 	for t, age := range map[Topic]time.Duration{Operator: r.Age, Upstreams: r.EntriesAge} {
 		if age >= 0 && agrees[t] {
--- a/resumption/outofstep_test.go
+++ b/resumption/outofstep_test.go
@@ -128,7 +128,7 @@
 }
 
 // TestHostOutOfStepTakesNoVersionForTheOnlyOne cuts a host off while upstreams of a
-// second version join, and has it look up a stream that it has not begun.
+// second version join, and has it look up a stream that the other host may have begun.
 func TestHostOutOfStepTakesNoVersionForTheOnlyOne(t *testing.T) {
 	for name, c := range map[string]struct{ store, peers bool }{
 		"from the store and the other host": {true, true},
@@ -141,8 +141,8 @@
 			p.stores[0].silent.Store(c.store)
 			p.peers[0].cut.Store(c.peers)
 			p.store.add(replica.Upstreams, "v2")
-			is.True(!p.find(0).Known)
 			await(t, "the other host knows both versions", func() bool { return !p.find(1).Known })
+			is.True(!p.find(0).Known)
 			p.stores[0].silent.Store(false)
 			p.peers[0].cut.Store(false)
 			is.True(!p.find(0).Known)
--- a/resumption/resumption.go
+++ b/resumption/resumption.go
@@ -73,6 +73,9 @@
 type states interface {
 	State() replica.State
 	Changed() <-chan struct{}
+	// CatchUp waits until the state has all software versions that had joined before
+	// an instant, and reports whether it has.
+	CatchUp(ctx context.Context, at clock.Instant) bool
 }
 
 // Options configures a Ledger.
@@ -173,25 +176,42 @@
 // Find returns the software version at which a stream of a service that has begun
 // may continue.
 func (l *Ledger) Find(ctx context.Context, service, id string) software.Origin {
-	l.observe()
 	asked := clock.Now()
-	origin := l.known(service, id)
-	for attempt := 0; !origin.Known && attempt < 2; attempt++ {
+	l.observe()
+	origin := l.certain(ctx, service, id, asked)
+	for attempt := 0; origin.Source == software.Unrecorded && attempt < 2; attempt++ {
+		since := asked
 		if attempt > 0 {
 			// The host that began the stream may not have written it yet.
 			clock.Pause(ctx, max(lateRecord, l.callInterval()))
-			asked = clock.Now()
+			since = clock.Now()
 		}
-		if err := l.read(ctx, asked); err != nil {
+		if err := l.read(ctx, since); err != nil {
 			event.StreamOriginsUnreadable.Error(err, "Stream", id)
 			origin.Source = software.Unreadable
 			return origin
 		}
-		origin = l.known(service, id)
+		origin = l.certain(ctx, service, id, asked)
 	}
 	return origin
 }
 
+// certain returns what is known of a stream's origin without asking the store for its
+// record. That a version is the only one counts if this host knows all others that had
+// joined before an instant.
+func (l *Ledger) certain(ctx context.Context, service, id string, at clock.Instant) software.Origin {
+	origin := l.known(service, id)
+	if origin.Source != software.OnlyVersion {
+		return origin
+	}
+	if !l.Replica.CatchUp(ctx, at) {
+		l.Metrics.Counter("stream_origins_uncertain").Inc(1)
+		return software.Origin{Source: software.Uncertain}
+	}
+	l.observe()
+	return l.known(service, id)
+}
+
 // known returns what is known of a stream's origin without asking the store.
 func (l *Ledger) known(service, id string) software.Origin {
 	l.mu.Lock()
--- a/resumption/resumption_test.go
+++ b/resumption/resumption_test.go
@@ -14,6 +14,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/kumquathoist/kumquathoist/catalog"
+	"github.com/kumquathoist/kumquathoist/clock"
 	"github.com/kumquathoist/kumquathoist/discovery"
 	"github.com/kumquathoist/kumquathoist/replica"
 	"github.com/kumquathoist/kumquathoist/resumption"
@@ -105,6 +106,8 @@
 
 func (r *fakeReplica) Changed() <-chan struct{} { return nil }
 
+func (r *fakeReplica) CatchUp(context.Context, clock.Instant) bool { return true }
+
 // serve sets the software versions of the service's upstreams.
 func (r *fakeReplica) serve(versions ...string) {
 	r.mu.Lock()
--- a/software/origin.go
+++ b/software/origin.go
@@ -22,9 +22,12 @@
 	Unrecorded
 	// Unreadable means that the records could not be read.
 	Unreadable
+	// Uncertain means that only one version is known, but this host may not have heard
+	// of others.
+	Uncertain
 )
 
 // String returns the name of the source in logs.
 func (s Source) String() string {
-	return [...]string{"None", "Recorded", "OnlyVersion", "Unrecorded", "Unreadable"}[s]
+	return [...]string{"None", "Recorded", "OnlyVersion", "Unrecorded", "Unreadable", "Uncertain"}[s]
 }
--- a/storenode/storenode.go
+++ b/storenode/storenode.go
@@ -211,7 +211,7 @@
 // newLedger starts the ledger of the software versions that began streams.
 func (n *Node) newLedger(ctx context.Context, scope tally.Scope) *resumption.Ledger {
 	return resumption.New(ctx, &n.wait, resumption.Options{
-		Host: n.settings.Host.Name, Store: n.store, Replica: n.syncer, WritesVersions: n.readsStore, Hosts: func() int { return len(n.directory.Hosts()) }, Metrics: scope,
+		Host: n.settings.Host.Name, Store: n.store, Replica: n.syncer, WritesVersions: n.readsStore, Hosts: n.countHosts, Metrics: scope,
 	})
 }
 
@@ -240,7 +240,7 @@
 			return membership.Tick{Urgent: true}
 		},
 	})
-	n.syncer = replica.NewSyncer(ctx, &n.wait, replica.Options{Store: n.store, Peers: n.peerSync, Decode: platform.Decode, ReadsStore: n.readsStore})
+	n.syncer = replica.NewSyncer(ctx, &n.wait, replica.Options{Store: n.store, Peers: n.peerSync, Decode: platform.Decode, ReadsStore: n.readsStore, Connected: n.isConnected, Hosts: n.countHosts})
 	n.syncerPointer.Store(n.syncer)
 }
 
@@ -340,12 +340,24 @@
 	return names
 }
 
+// countHosts returns the number of known hosts.
+func (n *Node) countHosts() int { return len(n.directory.Hosts()) }
+
+// recentHosts returns the names of the other hosts with a recent load report.
+func (n *Node) recentHosts() []string {
+	self := n.settings.Host.Name
+	return slices.DeleteFunc(n.hostNames(), func(name string) bool { return name == self || !n.loadReports.SeenRecently(name) })
+}
+
+// isConnected reports whether this host has recent load reports of at least half of
+// the others.
+func (n *Node) isConnected() bool { return 2*len(n.recentHosts()) >= len(n.directory.Peers()) }
+
 // orderers returns the hosts that may send orders to engines, by rank: those with
 // a recent load report. If this host has received reports from less than half of
 // the others, it can't announce its orders to them, so it ranks itself last.
 func (n *Node) orderers() []string {
-	self, all := n.settings.Host.Name, n.hostNames()
-	recent := slices.DeleteFunc(all, func(name string) bool { return name == self || !n.loadReports.SeenRecently(name) })
+	self, recent := n.settings.Host.Name, n.recentHosts()
 	if 2*len(recent) < len(n.directory.Peers()) {
 		return append(recent, self)
 	}
