fix: a request that was given up, or whose upstream leaves, does not arrive later

What callers could see: DRAIN, GONE and unsafe requests that run after their caller was told that they failed.

Cause: what a host has written lies in the kernel's send buffer until it is acknowledged. While the path is cut, it arrives once the path works again: an ordinary close sends it first, and an open connection keeps it for up to 3 s, where a request must not arrive 2 s after its upstream has left. Class: a request is taken for sent, or for given up, when only the kernel has it.

Now a connection whose answer is incomplete is reset, which drops what was not acknowledged, and when an upstream leaves, hosts take back the requests to it that have not been acknowledged for 0.5 s (http1.Pool.Withdraw, SIOCOUTQ; event 6116). They end like others whose connection broke. A shorter limit of the kernel was weighed: it would break connections to sound upstreams that are silent for a second.

--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -4,6 +4,8 @@
 
 import (
 	"cmp"
+	"iter"
+	"maps"
 	"slices"
 	"time"
 )
@@ -99,6 +101,9 @@
 // must not be changed.
 func (s Set) Service(name string) []Entry { return s.byService[name] }
 
+// All iterates over all entries.
+func (s Set) All() iter.Seq[Entry] { return maps.Values(s.entries) }
+
 // SoftwareVersions returns the software versions of a service's upstreams, each
 // once.
 func (s Set) SoftwareVersions(service string) []string {
--- a/event/replica.go
+++ b/event/replica.go
@@ -39,6 +39,8 @@
 	CacheReset = Event{6203, "cache lost", "An engine or a part store has restarted with an empty cache."}
 	// UpstreamLeaving reports an upstream that accepts no more requests.
 	UpstreamLeaving = Event{6107, "upstream leaves", "An upstream reported in an answer that it is leaving, or another host forwarded that report; no more requests are sent to it. Another host's report is valid for 15 s."}
+	// RequestsWithdrawn reports requests that were taken back from a leaving upstream.
+	RequestsWithdrawn = Event{6116, "requests withdrawn", "An upstream leaves, and requests that were sent to it half a second ago or earlier have not arrived there, as while the path is cut. Their connections are reset so that they don't arrive later; they end, or are retried, like others whose connection broke (event 2102 says \"withdrawn before it arrived\")."}
 	// RetryAfterReceived reports an upstream that asked for a pause without requests.
 	RetryAfterReceived = Event{6108, "upstream rests", "An upstream rejected a request and asked this host for a pause without requests; at most two requests are sent to it until the pause ends."}
 	// StoreRestored reports a store that lost records that it had acknowledged.
@@ -80,6 +82,6 @@
 var replicaEvents = []Event{
 	StoreUnreachable, StoreReachable, HistoryTrimmed, CatalogChanged, TargetWeightsChanged, UpstreamChanged, UpstreamRemoved, RecordRejected,
 	LeaseAcquired, LeaseNotAcquired, LeaseHeldElsewhere, LoadOrdered, LoadEnded, UpstreamReportedUnreachable, FeedDisconnected, FeedReconnected, CacheReset,
-	StoreRestored, ReplicaDiffers, UpstreamLeaving, RetryAfterReceived, LimitNamed, LimitEnded, LimitInvalid, BrittlenessChanged, RetryAfterInvalid, HostIsolated, HostReconnected, CrashRecordsUnreadable, CrashRecordsReadable, CrashRecordPersisted, CrashRecordNotPersisted,
+	StoreRestored, ReplicaDiffers, UpstreamLeaving, RequestsWithdrawn, RetryAfterReceived, LimitNamed, LimitEnded, LimitInvalid, BrittlenessChanged, RetryAfterInvalid, HostIsolated, HostReconnected, CrashRecordsUnreadable, CrashRecordsReadable, CrashRecordPersisted, CrashRecordNotPersisted,
 	SoftwareVersionsChanged, StreamOriginsUnreadable, StreamOriginsNotWritten, UpdateNotSent,
 }
--- a/http1/exchange.go
+++ b/http1/exchange.go
@@ -50,6 +50,10 @@
 // connections.
 var ErrRefused = errors.New("connection refused")
 
+// ErrWithdrawn means that a request was taken back because it had yet to arrive. Whether
+// it had is only known as far as the upstream's acknowledgements arrive here.
+var ErrWithdrawn = errors.New("withdrawn before it arrived")
+
 // Exchange is a sent request and its answer. Read returns io.EOF only after a
 // complete answer.
 type Exchange struct {
@@ -68,7 +72,7 @@
 }
 
 // Send writes a request and reads the head of its answer. Cancelling the context
-// closes the connection. The id is that of the call; the upstream returns it in
+// resets the connection. The id is that of the call; the upstream returns it in
 // its answer.
 func (p *Pool) Send(ctx context.Context, address, id, method string, raw []byte) (*Exchange, error) {
 	c, err := p.acquire(ctx, address)
@@ -80,7 +84,9 @@
 		e.deadline = deadline
 		_ = c.SetDeadline(deadline)
 	}
-	e.release = context.AfterFunc(ctx, func() { _ = c.Close() })
+	e.release = context.AfterFunc(ctx, c.reset)
+	p.awaitAnswer(c, true)
+	defer p.awaitAnswer(c, false)
 	if len(raw) <= maxInlineWriteBytes {
 		_, err = c.Write(raw)
 		e.written <- err
@@ -174,6 +180,9 @@
 	if cancelled := e.contextErr(); cancelled != nil {
 		return cancelled
 	}
+	if e.conn.withdrawn.Load() {
+		return ErrWithdrawn
+	}
 	if errors.Is(err, fasthttp.ErrTimeout) {
 		return os.ErrDeadlineExceeded
 	}
@@ -249,10 +258,15 @@
 	e.Finish()
 }
 
-// Discard closes the connection.
+// Discard closes the connection. If the answer is not complete, the upstream gets no
+// more of the request.
 func (e *Exchange) Discard() {
 	e.release()
-	_ = e.conn.Close()
+	if e.complete {
+		_ = e.conn.Close()
+		return
+	}
+	e.conn.reset()
 }
 
 // fixedBody is a body of known length.
--- a/http1/http1.go
+++ b/http1/http1.go
@@ -12,6 +12,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -37,6 +38,9 @@
 	// keepAliveMargin is how long before the upstream's limit a connection is no
 	// longer used, since a request must not cross the upstream's close.
 	keepAliveMargin = time.Second
+	// undeliveredTime is how long the other side must not have acknowledged a request for
+	// it to count as not delivered. Lost packets are sent again sooner.
+	undeliveredTime = 500 * time.Millisecond
 	// sweepInterval is the time between two checks for expired connections.
 	sweepInterval = time.Second
 	// readBufferBytes is the size of a connection's read buffer.
@@ -57,10 +61,12 @@
 type Pool struct {
 	decoder decoder
 	dialer  dialer
-	// mu guards idle and dialled.
+	// mu guards the fields below.
 	mu      sync.Mutex
 	idle    map[string][]*conn
 	dialled int64
+	// unanswered holds the connections whose request has no answer yet.
+	unanswered map[*conn]struct{}
 }
 
 // NewDialer returns the dialer of connections to upstreams and other hosts.
@@ -71,7 +77,7 @@
 // NewPool returns a pool of connections that a dialer opens; Sweep closes them when
 // they expire.
 func NewPool(decode decoder, dial dialer) *Pool {
-	return &Pool{decoder: decode, dialer: dial, idle: map[string][]*conn{}}
+	return &Pool{decoder: decode, dialer: dial, idle: map[string][]*conn{}, unanswered: map[*conn]struct{}{}}
 }
 
 // Dialled returns the number of connections dialed so far.
@@ -132,6 +138,9 @@
 	// idle.
 	maxIdle   time.Duration
 	idleSince clock.Instant
+	// sentAt is when the last request was sent, withdrawn is set once it was taken back.
+	sentAt    clock.Instant
+	withdrawn atomic.Bool
 }
 
 func (c *conn) expired(now clock.Instant) bool { return now.Sub(c.idleSince) > c.maxIdle }
@@ -143,6 +152,16 @@
 	return n, err
 }
 
+// reset closes the connection and drops what the other side has not acknowledged. After
+// an ordinary close the kernel goes on sending that, and a request that was given up
+// would arrive whenever the path to the upstream works again.
+func (c *conn) reset() {
+	if tcp, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
+		_ = tcp.SetLinger(0) // fails only on a closed connection
+	}
+	_ = c.Close()
+}
+
 // position returns the number of bytes consumed from the read buffer.
 func (c *conn) position() int64 { return c.received - int64(c.buffer.Buffered()) }
 
@@ -216,6 +235,48 @@
 	return c
 }
 
+// Withdraw resets the connections to an address whose request has yet to arrive, so
+// that it doesn't arrive later, and returns their number.
+func (p *Pool) Withdraw(address string) int {
+	now := clock.Now()
+	var undelivered []*conn
+	p.mu.Lock()
+	for c := range p.unanswered {
+		if c.address == address && now.Sub(c.sentAt) >= undeliveredTime && c.hasUnacknowledged() {
+			undelivered = append(undelivered, c)
+		}
+	}
+	p.mu.Unlock()
+	for _, c := range undelivered {
+		c.withdrawn.Store(true)
+		c.reset()
+	}
+	return len(undelivered)
+}
+
+// awaitAnswer records whether the connection's request awaits its answer.
+func (p *Pool) awaitAnswer(c *conn, awaits bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !awaits {
+		delete(p.unanswered, c)
+		return
+	}
+	c.sentAt = clock.Now()
+	p.unanswered[c] = struct{}{}
+}
+
+// hasUnacknowledged reports whether the other side has yet to acknowledge some bytes.
+func (c *conn) hasUnacknowledged() bool {
+	raw, err := c.Conn.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return false
+	}
+	unacknowledged := 0
+	err = raw.Control(func(fd uintptr) { unacknowledged, _ = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
+	return err == nil && unacknowledged > 0
+}
+
 // putIdle puts a connection into the pool, or closes it if it would expire
 // immediately.
 func (p *Pool) putIdle(c *conn, keepAlive time.Duration) {
