fix: hosts that take no relayed requests don't use up the hosts that may be asked

A host that was cut from all upstreams asked at most two others, refused connections included, and then refused its callers although a third could serve them. A refused connection reached nobody, so it does not count any more.

TestRelaysPassHostsOfEarlierPrograms (three such hosts, one that relays) failed before (503), passes after.

--- a/forward/relay.go
+++ b/forward/relay.go
@@ -48,7 +48,6 @@
 // relayTo passes the request on to another host and waits for its answer, or for the
 // first event of a stream. It sets no time limit of its own: the other host retries.
 func (h *handler) relayTo(ctx context.Context, t target, resumeAfter string) (*call.Answer, retry.Outcome) {
-	h.relayed++
 	t.send.ResumeAfter, t.send.Timeout = resumeAfter, h.timeLeft()
 	a := &attempt{target: t, started: clock.Now()}
 	ctx, a.cancel = context.WithCancel(ctx)
@@ -56,6 +55,9 @@
 	event.CallRelayed.Info("Request", h.call.ID, "Service", h.service.Name, "Host", t.id, "Attempts", t.send.Attempts, "LeftMillis", t.send.Timeout.Milliseconds())
 	var err error
 	a.exchange, err = h.Relays.Sender.Send(ctx, t.address, h.call.ID, h.call.Method, h.Relays.Encoder.EncodeRelay(make([]byte, 0, len(h.call.Body)+1024), t.send))
+	if !errors.Is(err, http1.ErrRefused) {
+		h.relayed++ // one that refuses connections is of an earlier program, or is gone
+	}
 	switch {
 	case errors.Is(err, http1.ErrNotSent):
 		return nil, h.failAttempt(a, retry.NotSent, err)
--- a/storenode/cut_test.go
+++ b/storenode/cut_test.go
@@ -193,6 +193,35 @@
 	wait.Wait()
 }
 
+// TestRelaysPassHostsOfEarlierPrograms cuts a host from all upstreams while only one of
+// the others takes relayed requests.
+func TestRelaysPassHostsOfEarlierPrograms(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t, 0, 1, 2)
+	dialer := &cutDialer{}
+	d.dialers, d.withoutRelays = map[int]*cutDialer{0: dialer}, map[int]bool{1: true, 2: true, 3: true}
+	for i := range 5 {
+		d.host(i)
+	}
+	dialer.relayPort = d.relayPort
+	for _, h := range d.hosts {
+		d.awaitReady(h)
+	}
+	d.await("the host knows that the others are ready", func() bool { return len(d.addresses(d.hosts[0])) == 5 })
+	serial := 0
+	send := func() int {
+		serial++
+		return d.do(d.hosts[0], http.MethodPost, serviceHost, "/post/a", fmt.Sprint("r", serial), nil, "body").status
+	}
+	d.await("requests are served before the cut", func() bool { return send() == http.StatusOK })
+	dialer.set(resetCut)
+	d.await("the host has noticed", func() bool { return send() == http.StatusOK })
+	for range 40 {
+		is.Equal(send(), http.StatusOK)
+		time.Sleep(100 * time.Millisecond) // refused hosts are asked again after a second
+	}
+}
+
 // TestNewConnectionsFailWhileOldOnesLiveOn refuses the new connections of one host.
 // More requests at a time than it has open connections must be served, by one run each.
 func TestNewConnectionsFailWhileOldOnesLiveOn(t *testing.T) {
--- a/storenode/harness_test.go
+++ b/storenode/harness_test.go
@@ -53,6 +53,8 @@
 	southFrom int
 	// dialers open the connections of some hosts to upstreams.
 	dialers map[int]*cutDialer
+	// withoutRelays holds the hosts that take no relayed requests, like earlier programs.
+	withoutRelays map[int]bool
 	// restore brings the store back from an older copy.
 	restore func()
 }
@@ -204,6 +206,9 @@
 	s.Listen = settings.Listen{
 		Callers: d.address(ip), Peers: d.address(ip), Addresses: d.address(ip), Readiness: d.address(ip), Pulses: d.loadReportAddress(ip), Relays: d.relayAddress(ip),
 	}
+	if d.withoutRelays[i] {
+		s.Listen.Relays = ""
+	}
 	s.Platform = settings.Platform{Store: d.store.Address()}
 	if len(d.hosts) > 0 {
 		s.Platform.Seeds = []string{d.hosts[0].settings.Listen.Peers}
