--- a/emulator/soak.go
+++ b/emulator/soak.go
@@ -15,6 +15,7 @@
 // soakCommand runs the soak test with consecutive seeds.
 type soakCommand struct {
 	Program  string        `required:"" type:"existingfile" help:"The daemon's program; build it with -race to find races too."`
+	Older    string        `type:"existingfile" help:"An earlier program: hosts begin with it and are replaced one after the other; the other way round with an odd seed."`
 	Seed     uint64        `default:"0" help:"The first seed; 0 takes one from the clock."`
 	Seeds    int           `default:"1" help:"How many seeds to run, each one more than the last."`
 	Span     time.Duration `default:"20s" help:"How long callers send requests."`
@@ -32,7 +33,7 @@
 	}
 	wrong := 0
 	for i := range c.Seeds {
-		o := soak.Options{Program: c.Program, Seed: c.Seed + uint64(i), Span: c.Span, Hosts: c.Hosts, Engines: c.Engines, Services: c.Services, Callers: c.Callers}
+		o := soak.Options{Program: c.Program, Older: c.Older, Seed: c.Seed + uint64(i), Span: c.Span, Hosts: c.Hosts, Engines: c.Engines, Services: c.Services, Callers: c.Callers}
 		if c.Keep != "" {
 			o.OutputDir = filepath.Join(c.Keep, fmt.Sprint("seed-", o.Seed))
 			if err := os.MkdirAll(o.OutputDir, 0o700); err != nil {
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -120,7 +120,7 @@
 	}
 	d.configure()
 	for i := range o.Hosts {
-		if err := d.addHost(o.Program, i); err != nil {
+		if err := d.addHost(o, i); err != nil {
 			return nil, err
 		}
 	}
@@ -330,7 +330,7 @@
 }
 
 // addHost starts a host with its own IP in the loopback range.
-func (d *deployment) addHost(program string, i int) error {
+func (d *deployment) addHost(o Options, i int) error {
 	// Soaks that run beside each other use different addresses.
 	ip := fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()%200, 1+i/200, 2+i%200)
 	s := settings.Default()
@@ -375,16 +375,19 @@
 	s.Secrets.Peers = settings.Source{Environment: SecretVariable}
 	s.Machine = settings.Machine{MemoryMB: 512, Descriptors: 4096}
 	s.Bounds = settings.Bounds{LeaseMillis: int(leaseTime.Milliseconds()), WeightsMillis: 6000, GraceSeconds: graceSeconds, RepeatRatio: 0.2, RepeatWindowSeconds: 10, RepeatSlack: 50}
-	raw, err := yaml.Marshal(s)
-	if err != nil {
-		return trace.Wrap(err, "writing settings")
+	first, other := build{program: o.Program}, build{program: o.Older}
+	if first.settings, err = d.writeSettings(s, "newer"); err != nil {
+		return err
+	}
+	s.Listen.Relays = "" // optional, and newer than some programs
+	if other.settings, err = d.writeSettings(s, "older"); err != nil {
+		return err
 	}
-	path := filepath.Join(d.dir, s.Host.Name+".yaml")
-	if err := os.WriteFile(path, raw, 0o600); err != nil {
-		return trace.Wrap(err, "writing settings")
+	if o.Older != "" && o.Seed%2 == 0 {
+		first, other = other, first
 	}
 	h := &host{
-		process: &process{program: program, settings: path, ip: ip, peerAddress: peerProxy.address()}, name: s.Host.Name,
+		process: &process{build: first, other: other, ip: ip, peerAddress: peerProxy.address()}, name: s.Host.Name,
 		callerAddress: s.Listen.Callers, readinessAddress: s.Listen.Readiness, addressesAddress: s.Listen.Addresses, callerProxy: callerProxy, storeProxy: storeProxy, peerProxy: peerProxy, loadReportForwarder: loadReportForwarder,
 	}
 	d.hosts = append(d.hosts, h)
@@ -393,6 +396,16 @@
 	return h.start()
 }
 
+// writeSettings writes the settings of one of a host's builds and returns their path.
+func (d *deployment) writeSettings(s settings.Settings, build string) (path string, err error) {
+	raw, err := yaml.Marshal(s)
+	if err != nil {
+		return "", trace.Wrap(err, "writing settings")
+	}
+	path = filepath.Join(d.dir, fmt.Sprintf("%s-%s.yaml", s.Host.Name, build))
+	return path, trace.Wrap(os.WriteFile(path, raw, 0o600), "writing settings")
+}
+
 // close stops all processes and stand-ins.
 func (d *deployment) close() {
 	var stopping conc.WaitGroup
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -18,6 +18,8 @@
 	PauseHost Kind = "PauseHost"
 	StopHost  Kind = "StopHost"
 	HangUp    Kind = "HangUp"
+	// ReplaceHost stops a host; one with the other build starts in its place.
+	ReplaceHost Kind = "ReplaceHost"
 	// KillEngine ends an engine, LeaveEngine lets it leave first; a new one
 	// replaces it.
 	KillEngine  Kind = "KillEngine"
--- a/soak/process.go
+++ b/soak/process.go
@@ -21,13 +21,18 @@
 
 // process is a host's process, which can be restarted.
 type process struct {
-	program, settings, ip string
+	ip string
+	// other is the build with which a host is replaced, if the soak has two.
+	other build
 	// peerAddress is where other hosts connect to it.
 	peerAddress string
 
 	// mu guards the fields below.
-	mu  sync.Mutex
-	cmd *exec.Cmd
+	mu sync.Mutex
+	// build is what the next start runs, replaced means that it is no longer the first.
+	build    build
+	replaced bool
+	cmd      *exec.Cmd
 	// ended closes when the process has ended.
 	ended chan struct{}
 	// endRequested means that the soak asked the process to end.
@@ -43,7 +48,7 @@
 func (p *process) start() error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	cmd := exec.Command(p.program, "run", "--settings", p.settings)
+	cmd := exec.Command(p.build.program, "run", "--settings", p.build.settings)
 	cmd.Env = append(os.Environ(), SecretVariable+"=soak", "GORACE=atexit_sleep_ms=0")
 	cmd.Stdout, cmd.Stderr = &p.output, &p.output
 	if err := cmd.Start(); err != nil {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -41,9 +41,11 @@
 
 // Options configures a run.
 type Options struct {
-	// Program is the path of the daemon's program.
-	Program string
-	Seed    uint64
+	// Program is the path of the daemon's program. Older is that of an earlier one, or
+	// "": then hosts begin with it and are replaced by hosts with Program one after the
+	// other, or the other way round with an odd seed.
+	Program, Older string
+	Seed           uint64
 	// Span is how long callers send requests.
 	Span time.Duration
 	// Hosts, Engines, Services and Callers are the numbers of each.
@@ -88,6 +90,9 @@
 		return Report{}, trace.ConnectionProblem(nil, "%s", d.describeUnready())
 	}
 	plan, calls := Plan(o.Seed, o.Span), &recorder{}
+	if o.Older != "" {
+		plan = append(plan, planReplacements(o.Hosts, o.Span)...)
+	}
 	report := Report{Faults: len(plan)}
 	calling, stopCalling := context.WithTimeout(ctx, o.Span)
 	var callers, faults conc.WaitGroup
@@ -101,6 +106,9 @@
 	callers.Wait()
 	stopCalling()
 	faults.Wait()
+	if text := d.unreplacedHost(); text != "" && o.Older != "" {
+		report.Violations = append(report.Violations, text)
+	}
 	report.Violations = append(report.Violations, d.awaitRecovery(calls)...)
 	if err := ctx.Err(); err != nil {
 		return Report{}, trace.Wrap(err, "the soak was interrupted")
@@ -180,6 +188,8 @@
 	switch f.Kind {
 	case KillHost, PauseHost, StopHost, HangUp:
 		fi.signalHost(f, h, until)
+	case ReplaceHost:
+		fi.replaceHost(f, h)
 	case KillEngine, LeaveEngine:
 		u := fi.upstreamAt(f.Target)
 		if _, loaded := fi.restarting.LoadOrStore(u, true); loaded {
@@ -255,17 +265,23 @@
 		return
 	}
 	defer fi.restarting.Delete(h)
-	switch f.Kind {
-	case PauseHost:
+	if f.Kind == PauseHost {
 		fi.recordFault(h, until)
 		h.signal(syscall.SIGSTOP)
 		fi.pause(f.For)
 		h.signal(syscall.SIGCONT)
 		return
-	case KillHost:
-		fi.recordFault(h, until)
+	}
+	fi.restart(f, h)
+}
+
+// restart ends a host's process and starts it again. The caller holds the host in
+// restarting.
+func (fi *faultInjector) restart(f Fault, h *host) {
+	if f.Kind == KillHost {
+		fi.recordFault(h, time.Now().Add(f.For))
 		h.end(syscall.SIGKILL, time.Second)
-	case StopHost:
+	} else {
 		faultFree := fi.recordFault(h, time.Now())
 		at := time.Now()
 		inTime := h.end(syscall.SIGTERM, graceSeconds*time.Second)
@@ -276,6 +292,9 @@
 		fi.mu.Unlock()
 		fi.recordFault(h, time.Now())
 	}
+	if f.Kind == ReplaceHost {
+		h.use(h.other)
+	}
 	fi.pause(f.For / 4)
 	// If the start fails, the checks at the end of the run report it.
 	_ = h.start()
--- a/standin/platform_store.go
+++ b/standin/platform_store.go
@@ -155,6 +155,13 @@
 	s.add(topic, record)
 }
 
+// Append appends a record as a program wrote it.
+func (s *PlatformStore) Append(topic string, record []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.add(topic, record)
+}
+
 // Records returns the records of a topic that were not trimmed.
 func (s *PlatformStore) Records(topic string) [][]byte {
 	s.mu.Lock()
