fix: a restored store that CatchUp finds keeps the upstreams that write again

Both readers of a topic now share listAnew. Withdraw resets connections while it holds the pool's lock, so that none is back in use by then.

--- a/http1/abandoned_test.go
+++ b/http1/abandoned_test.go
@@ -48,7 +48,7 @@
 
 	upstream, err := listener.Accept()
 	is.NoErr(err)
-	defer upstream.Close()
+	defer func() { _ = upstream.Close() }()
 	received, _ := io.Copy(io.Discard, upstream) // fails when the connection was reset
 	t.Logf("%d of %d bytes arrived", received, len(longRequest))
 	is.True(received < int64(len(longRequest)))
--- a/http1/http1.go
+++ b/http1/http1.go
@@ -239,19 +239,17 @@
 // that it doesn't arrive later, and returns their number.
 func (p *Pool) Withdraw(address string) int {
 	now := clock.Now()
-	var undelivered []*conn
+	count := 0
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	for c := range p.unanswered {
 		if c.address == address && now.Sub(c.sentAt) >= undeliveredTime && c.hasUnacknowledged() {
-			undelivered = append(undelivered, c)
+			c.withdrawn.Store(true)
+			c.reset()
+			count++
 		}
 	}
-	p.mu.Unlock()
-	for _, c := range undelivered {
-		c.withdrawn.Store(true)
-		c.reset()
-	}
-	return len(undelivered)
+	return count
 }
 
 // awaitAnswer records whether the connection's request awaits its answer.
--- a/replica/catchup.go
+++ b/replica/catchup.go
@@ -105,7 +105,7 @@
 	d, err := s.Store.Read(ctx, t, state.Position(t), 0)
 	switch {
 	case errors.Is(err, ErrTrimmed), errors.Is(err, ErrRestored):
-		s.relist[t].Store(true)
+		s.listAnew(t, err)
 	case err != nil:
 		// Not logged: the reads that follow the topic tell of the outage.
 		advance(&s.catchUp.failedAt, requested)
--- a/replica/syncer.go
+++ b/replica/syncer.go
@@ -287,14 +287,8 @@
 		requested := clock.Now()
 		d, delay, err := s.read(t, listed)
 		switch {
-		case errors.Is(err, ErrRestored):
-			// Upstreams whose entries were lost write them again.
-			s.deferUntil.Store(int64(clock.Now().Add(returnGrace)))
-			event.HistoryTrimmed.Info("Topic", t, "Position", s.State().Position(t))
-			listed = false
-		case errors.Is(err, ErrTrimmed):
-			event.HistoryTrimmed.Info("Topic", t, "Position", s.State().Position(t))
-			listed = false
+		case errors.Is(err, ErrRestored), errors.Is(err, ErrTrimmed):
+			s.listAnew(t, err)
 		case err != nil && ctx.Err() == nil:
 			waited := clock.Now().Sub(requested)
 			s.handleFailure(t, err, failed, waited)
@@ -313,6 +307,16 @@
 	}
 }
 
+// listAnew has a topic listed whose records after the position the store no longer has.
+func (s *Syncer) listAnew(t Topic, err error) {
+	if errors.Is(err, ErrRestored) {
+		// Upstreams whose entries were lost write them again.
+		s.deferUntil.Store(int64(clock.Now().Add(returnGrace)))
+	}
+	event.HistoryTrimmed.Info("Topic", t, "Position", s.State().Position(t))
+	s.relist[t].Store(true)
+}
+
 // hasRecentPeers reports whether other hosts send recent records of a topic. They
 // tell no age for those of software versions, which are read too rarely.
 func (s *Syncer) hasRecentPeers(t Topic) bool {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -89,10 +89,7 @@
 	if !ready {
 		return Report{}, trace.ConnectionProblem(nil, "%s", d.describeUnready())
 	}
-	plan, calls := Plan(o.Seed, o.Span), &recorder{}
-	if o.Older != "" {
-		plan = append(plan, planReplacements(o.Hosts, o.Span)...)
-	}
+	plan, calls := append(Plan(o.Seed, o.Span), planReplacements(o)...), &recorder{}
 	report := Report{Faults: len(plan)}
 	calling, stopCalling := context.WithTimeout(ctx, o.Span)
 	var callers, faults conc.WaitGroup
@@ -106,10 +103,7 @@
 	callers.Wait()
 	stopCalling()
 	faults.Wait()
-	if text := d.unreplacedHost(); text != "" && o.Older != "" {
-		report.Violations = append(report.Violations, text)
-	}
-	report.Violations = append(report.Violations, d.awaitRecovery(calls)...)
+	report.Violations = append(d.unreplacedHosts(o), d.awaitRecovery(calls)...)
 	if err := ctx.Err(); err != nil {
 		return Report{}, trace.Wrap(err, "the soak was interrupted")
 	}
@@ -186,10 +180,8 @@
 func (fi *faultInjector) inject(f Fault) {
 	h, until := fi.hosts[f.Target%len(fi.hosts)], time.Now().Add(f.For)
 	switch f.Kind {
-	case KillHost, PauseHost, StopHost, HangUp:
+	case KillHost, PauseHost, StopHost, HangUp, ReplaceHost:
 		fi.signalHost(f, h, until)
-	case ReplaceHost:
-		fi.replaceHost(f, h)
 	case KillEngine, LeaveEngine:
 		u := fi.upstreamAt(f.Target)
 		if _, loaded := fi.restarting.LoadOrStore(u, true); loaded {
@@ -257,9 +249,13 @@
 
 // signalHost sends signals to a host's process.
 func (fi *faultInjector) signalHost(f Fault, h *host, until time.Time) {
-	if f.Kind == HangUp {
+	switch f.Kind {
+	case HangUp:
 		fi.await(maxFaultTime, h.hangUp)
 		return
+	case ReplaceHost:
+		fi.replaceHost(f, h)
+		return
 	}
 	if _, loaded := fi.restarting.LoadOrStore(h, true); loaded {
 		return
--- a/soak/upgrade.go
+++ b/soak/upgrade.go
@@ -12,23 +12,24 @@
 	p.build, p.replaced = b, true
 }
 
-// unreplacedHost describes a host that still runs its first build, or returns "".
-func (d *deployment) unreplacedHost() string {
+// unreplacedHosts describes the hosts that should have been replaced and were not.
+func (d *deployment) unreplacedHosts(o Options) []string {
+	var found []string
 	for _, h := range d.hosts {
-		if !h.replaced {
-			return h.name + " was not replaced"
+		if o.Older != "" && !h.replaced {
+			found = append(found, h.name+" was not replaced")
 		}
 	}
-	return ""
+	return found
 }
 
-// planReplacements returns when each host is replaced by one with the other build: one
-// after the other, in the time in which there are faults.
-func planReplacements(hosts int, span time.Duration) []Fault {
-	begin, end := time.Duration(leadShare*float64(span)), time.Duration((1-recoveryShare)*float64(span))
+// planReplacements returns when each host is replaced by one with the other build, if
+// there is one: one after the other, in the time in which there are faults.
+func planReplacements(o Options) []Fault {
+	begin, end := time.Duration(leadShare*float64(o.Span)), time.Duration((1-recoveryShare)*float64(o.Span))
 	var faults []Fault
-	for i := range hosts {
-		faults = append(faults, Fault{At: begin + (end-begin)*time.Duration(i)/time.Duration(hosts), Kind: ReplaceHost, Target: i})
+	for i := 0; i < o.Hosts && o.Older != ""; i++ {
+		faults = append(faults, Fault{At: begin + (end-begin)*time.Duration(i)/time.Duration(o.Hosts), Kind: ReplaceHost, Target: i})
 	}
 	return faults
 }
--- a/storenode/departures_test.go
+++ b/storenode/departures_test.go
@@ -25,7 +25,7 @@
 	}}
 	listener, err := limited.Listen(t.Context(), "tcp4", "127.0.0.1:0")
 	is.NoErr(err)
-	defer listener.Close()
+	defer func() { _ = listener.Close() }()
 	d := newDeployment(t, 1, 1, 0)
 	service, err := standin.NewPlatformEngine("desk", "desk", "north", "")
 	is.NoErr(err)
@@ -62,7 +62,7 @@
 			go send()
 		}
 	}
-	defer upstream.Close()
+	defer func() { _ = upstream.Close() }()
 	d.store.Put("keyed.servers", service.ID, nil)
 	is.Equal(<-statuses, http.StatusBadGateway)  // it may have run
 	received, _ := io.Copy(io.Discard, upstream) // fails when the connection was reset
