fix: a request that is sent to an engine that is gone does not count as its crasher

Cause: a request crashed both plain services, and another one was sent to them 0.2 s later, by a host that knew of one of the losses. The soak's proxies accept connections to a service that is gone and then close them, so that counted as two engines that the second request had crashed.

An incarnation crashes only once. A loss now counts only if the engine had not been lost, by what this host knows, within the 3 s before the request was sent, or has answered since (quarantine.Table.Explains, event 2011).

--- a/crash/guard.go
+++ b/crash/guard.go
@@ -157,6 +157,14 @@
 // and reports whether the request or one of its parts is now quarantined.
 func (g *Guard) Lost(l quarantine.Loss) (quarantined bool) {
 	now := time.Now()
+	g.mu.Lock()
+	explained := g.table.Explains(l)
+	g.mu.Unlock()
+	if explained {
+		event.LossExplained.Info("Attempt", l.Attempt, "Fingerprint", l.Request, "Upstream", l.Engine, "Start", l.Incarnation)
+		_, quarantined = g.quarantined(l.Content)
+		return quarantined
+	}
 	g.add(g.lossRecords(l, now)...)
 	c := g.classify(l.Request, now)
 	event.LossRecorded.Info("Attempt", l.Attempt, "Fingerprint", l.Request, "Parts", l.Parts, "Account", l.Account, "Upstream", l.Engine, "Start", l.Incarnation, "Events", l.Events,
--- a/event/request.go
+++ b/event/request.go
@@ -14,6 +14,8 @@
 	LossRecorded = Event{2007, "loss recorded", "An engine was lost while it ran a request. Parts are the fingerprints of the prompt parts that the request shares with others, Events counts the events of its answer that had arrived. Losses counts the lost engines that count against the request, OtherLosses those lost without it shortly before or after; Shared is set if another unanswered request was on all of them."}
 	// SuspicionEnded reports a suspect request that was answered.
 	SuspicionEnded = Event{2008, "suspicion ended", "A request that was on lost engines was answered, or a request with a prompt part (Fingerprint) that was on lost engines got past its first tokens; earlier losses no longer count against it."}
+	// LossExplained reports a request that was sent to an engine that was lost already.
+	LossExplained = Event{2011, "loss explained", "A request was sent to an engine that had been lost within the second before and had not answered since, as through a proxy that still accepts connections; it does not count against the request."}
 	// QuarantineEnforced reports a refusal of a quarantined request.
 	QuarantineEnforced = Event{2009, "quarantine kept", "A request was refused because it, or the prompt part that Fingerprint names, crashed the engines that ran it. LastLossMillis is how long ago the last of them was lost; TermOver is set if the quarantine has ended and another host, or another request, is trying it."}
 	// RequestQuarantined reports a request that is refused from now on.
@@ -52,4 +54,4 @@
 	StreamStalled = Event{2110, "stream awaited", "An upstream is idle in the middle of a stream and no other could take over; the host waits for it until the deadline."}
 )
 
-var requestEvents = []Event{RequestEnded, AttemptFailed, ClaimFailed, RequestQuarantined, PartQuarantined, CrashShareFailed, ClaimAppendFailed, LossRecorded, SuspicionEnded, QuarantineEnforced, CallScheduled, SendFailed, CallRefused, CallEnded, StreamResumed, StreamTakenUp, StreamFailed, StreamEnded, CallRelayed, RelayFailed, RequestMigrated, CallOverloaded, StreamStalled, StaleRequestCancelled}
+var requestEvents = []Event{RequestEnded, AttemptFailed, ClaimFailed, RequestQuarantined, PartQuarantined, CrashShareFailed, ClaimAppendFailed, LossRecorded, SuspicionEnded, LossExplained, QuarantineEnforced, CallScheduled, SendFailed, CallRefused, CallEnded, StreamResumed, StreamTakenUp, StreamFailed, StreamEnded, CallRelayed, RelayFailed, RequestMigrated, CallOverloaded, StreamStalled, StaleRequestCancelled}
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -385,9 +385,11 @@
 		return s
 	})
 	if a.lostEarly(o, err) {
-		h.Guard.Lost(quarantine.Loss{
-			Content: h.content, Attempt: h.call.ID, Engine: a.id, Incarnation: a.incarnation, Sent: time.Now().Add(-now.Sub(a.started)), Events: a.events,
-		})
+		l := quarantine.Loss{Content: h.content, Attempt: h.call.ID, Engine: a.id, Incarnation: a.incarnation, Sent: time.Now().Add(-now.Sub(a.started)), Events: a.events}
+		if at := h.Tracker.State(a.id).AnsweredAt(); at != 0 {
+			l.AnsweredAt = time.Now().Add(-now.Sub(at))
+		}
+		h.Guard.Lost(l)
 	}
 	h.Metrics.Tagged(map[string]string{"outcome": o.String()}).Counter("tries_failed").Inc(1)
 	reason := ""
--- a/health/health.go
+++ b/health/health.go
@@ -52,8 +52,10 @@
 	Load                loadreport.Load
 	consecutiveFailures int
 	failed, answered    float64
-	lag                 time.Duration
-	updated             clock.Instant
+	// answeredAt is when it last answered.
+	answeredAt clock.Instant
+	lag        time.Duration
+	updated    clock.Instant
 	// firstSeen is when it was first seen, or last finished a load of weights.
 	firstSeen clock.Instant
 }
@@ -136,11 +138,15 @@
 func (s State) WithAnswer(now clock.Instant, late time.Duration) State {
 	s = s.aged(now)
 	s.answered++
+	s.answeredAt = now
 	s.consecutiveFailures = 0
 	s.lag += time.Duration(lagSmoothing * float64(max(0, late)-s.lag))
 	return s
 }
 
+// AnsweredAt returns when the upstream last answered this host.
+func (s State) AnsweredAt() clock.Instant { return s.answeredAt }
+
 // WithSend returns the state after a request was sent with a number of prompt
 // tokens to read.
 func (s State) WithSend(rank, tokens int, now clock.Instant) State {
--- a/quarantine/classify.go
+++ b/quarantine/classify.go
@@ -184,6 +184,24 @@
 	return slices.DeleteFunc(found, func(r Record) bool { return now.Sub(r.At) >= lifetime })
 }
 
+// Explains reports whether an engine had been lost before the request of a loss was
+// sent to it. An incarnation crashes only once, so the request did not crash it, unless
+// it has answered in between.
+func (t Table) Explains(l Loss) bool {
+	if l.Incarnation == "" {
+		return false
+	}
+	for _, records := range t.records {
+		for _, r := range records {
+			lost := !r.Answered && r.Engine == l.Engine && r.Incarnation == l.Incarnation
+			if lost && r.At.Before(l.Sent) && l.Sent.Sub(r.At) < goneWindow && !l.AnsweredAt.After(r.At) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // LastLoss returns the last loss of a request or part since its last answer.
 func (t Table) LastLoss(f Fingerprint, now time.Time) (Record, bool) {
 	losses := t.losses(f, now)
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -51,6 +51,9 @@
 	// of another engine may be the same outage, since hosts notice it at slightly
 	// different times. Later ones don't lift a verdict.
 	laterOutageWindow = 50 * time.Millisecond
+	// goneWindow is how long a lost engine that has not answered since counts as gone:
+	// restarts take seconds.
+	goneWindow = 3 * time.Second
 	// baseTerm doubles with each loss to give the time for which a quarantined
 	// request is refused after its last loss: a minute after two losses, eight
 	// after five. Then it is a suspect again, since some requests are
@@ -72,6 +75,8 @@
 	Incarnation string
 	// Sent is when the request was sent to the engine.
 	Sent time.Time
+	// AnsweredAt is when the engine last answered this host; zero if not known.
+	AnsweredAt time.Time
 	// Events counts the events of the answer that had arrived.
 	Events int
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -64,6 +64,8 @@
 		{Seed: 9002, Span: 10 * time.Second, Hosts: 4, Engines: 5, Services: 2, Callers: 16},
 		// Requests that share a part crash engines.
 		{Seed: 21012, Span: 10 * time.Second, Hosts: 4, Engines: 5, Services: 2, Callers: 16},
+		// Requests to services that another request had crashed were refused like that one.
+		{Seed: 52010, Span: 10 * time.Second, Hosts: 6, Engines: 5, Services: 2, Callers: 16},
 		// An engine loaded weights for a host that was killed. Whenever it refused
 		// the other hosts, they assumed newer weights than it had, and never ordered
 		// it again.
