fix: failed reads for CatchUp are logged

A host that relies on others doesn't read the store itself, so nothing told in its log that a take-up was refused as Uncertain because the store did not answer; the comment that other reads tell of the outage was wrong for it. The first failed check of a topic now logs event 6001, the first one that succeeds again 6002.

--- a/replica/catchup.go
+++ b/replica/catchup.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/kumquathoist/kumquathoist/clock"
+	"github.com/kumquathoist/kumquathoist/event"
 )
 
 const (
@@ -20,8 +21,9 @@
 	spreadTime = 600 * time.Millisecond
 	// checkTimeout limits the reads of the store for CatchUp.
 	checkTimeout = 400 * time.Millisecond
-	// checkInterval is the least time between two of these reads, checkIntervalPerHost
-	// the same for each host, so that all of them make at most 333 a second.
+	// checkInterval is the least time between two of these checks, each of which reads
+	// every topic once. checkIntervalPerHost times the number of hosts is the same for
+	// large systems, so that all hosts together start at most 333 a second.
 	checkInterval        = 50 * time.Millisecond
 	checkIntervalPerHost = 3 * time.Millisecond
 )
@@ -34,6 +36,8 @@
 	// agreedAt is when another host was last asked that had the same records of all
 	// topics, failedAt when the store was last asked in vain.
 	agreedAt, failedAt atomic.Int64
+	// failing means that the last check of a topic failed.
+	failing [topicCount]atomic.Bool
 	// trigger starts a check.
 	trigger chan struct{}
 }
@@ -100,16 +104,22 @@
 	if !state.Listed(t) {
 		return // it is being listed
 	}
-	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
+	call, cancel := context.WithTimeout(ctx, checkTimeout)
 	defer cancel()
-	d, err := s.Store.Read(ctx, t, state.Position(t), 0)
+	d, err := s.Store.Read(call, t, state.Position(t), 0)
 	switch {
+	case ctx.Err() != nil: // this host ends
 	case errors.Is(err, ErrTrimmed), errors.Is(err, ErrRestored):
 		s.listAnew(t, err)
 	case err != nil:
-		// Not logged: the reads that follow the topic tell of the outage.
+		if !s.catchUp.failing[t].Swap(true) {
+			event.StoreUnreachable.Error(err, "Topic", t, "WaitedMillis", clock.Now().Sub(requested).Milliseconds())
+		}
 		advance(&s.catchUp.failedAt, requested)
 	default:
+		if s.catchUp.failing[t].Swap(false) {
+			event.StoreReachable.Info("Topic", t, "Position", d.Position, "AwayForAll", !s.Fresh())
+		}
 		s.merge(d, "Store", readPauses[t])
 		s.confirm(t, requested)
 	}
