fix: an engine is out of use until its own report says that it has loaded

Cause: hosts assumed that a load takes 0.35 s and ends within 4 s. Now the host that ordered an engine follows its reports, tells the others each second which engines still load, and waits for orders of other hosts, too. How long loads and the requests before them take is learnt and shared; before the first one it follows from the time that operators allow. Engines that another host orders count as out of service. An engine that rejects requests in a row gets one at a time, with a backoff that doubles, and the other hosts are told.

TestLongLoads fails before (33 requests rejected while loading), as do the new tests of health.

--- a/forward/answer.go
+++ b/forward/answer.go
@@ -120,7 +120,7 @@
 		}
 		return s.WithRejection(now)
 	})
-	if x.Status != 421 && h.Tracker.State(a.id).Brittle(now) {
+	if state := h.Tracker.State(a.id); x.Status != 421 && (state.Brittle(now) || state.Rejects()) {
 		// All hosts leave it alone for a while.
 		h.LoadReports.NotifyNotListening(loadreport.HashEngine(a.id))
 		h.Tracker.Update(a.id, func(s health.State) health.State { return s.WithUnreachable(now) })
--- a/health/health.go
+++ b/health/health.go
@@ -21,8 +21,12 @@
 	// unreachableBackoff is the backoff after another host reported that an
 	// upstream's address refuses connections.
 	unreachableBackoff = time.Second
-	// rejectionBackoff is the backoff after an upstream rejected a request.
+	// rejectionBackoff is the backoff after an upstream rejected a request; each
+	// further rejection without an answer in between doubles it, up to maxBackoff.
 	rejectionBackoff = 150 * time.Millisecond
+	// maxRejections is the number of rejections without an answer in between from
+	// which on an upstream gets one request at a time until it answers.
+	maxRejections = 2
 	// decayTime is the time constant with which old observations decay.
 	decayTime = 5 * time.Second
 	// priorAnswers is the number of good answers that are assumed in addition to
@@ -51,7 +55,10 @@
 	// Load is this host's load there.
 	Load                loadreport.Load
 	consecutiveFailures int
-	failed, answered    float64
+	// rejections counts the rejections since the last answer, sentSince the
+	// requests sent since the last of these that are still unanswered.
+	rejections, sentSince int
+	failed, answered      float64
 	// answeredAt is when it last answered.
 	answeredAt clock.Instant
 	lag        time.Duration
@@ -62,9 +69,17 @@
 
 // Usable reports whether requests may be sent.
 func (s State) Usable(now clock.Instant) bool {
-	return !s.AddressReused && !now.Before(s.BackoffUntil) && !now.Before(s.LoadingUntil) && s.Accepts(s.Load.Running, now)
+	return !s.AddressReused && !now.Before(s.BackoffUntil) && !now.Before(s.LoadingUntil) && !s.isProbed() && s.Accepts(s.Load.Running, now)
 }
 
+// Rejects reports whether it has rejected several requests in a row. However little
+// it seems to have to do, it is busy with something else, such as an order that this
+// host doesn't know of.
+func (s State) Rejects() bool { return s.rejections >= maxRejections }
+
+// isProbed reports whether a request shows soon whether it still rejects.
+func (s State) isProbed() bool { return s.Rejects() && s.sentSince > 0 }
+
 // Of returns the state for an incarnation of the upstream.
 func (s State) Of(incarnation int64) State {
 	s.Status = s.Status.Of(incarnation)
@@ -120,9 +135,15 @@
 	return s
 }
 
-// WithRejection returns the state after it rejected a request.
+// WithRejection returns the state after it rejected a request. Rejections within a
+// backoff are of requests that were sent before it, and say nothing new.
 func (s State) WithRejection(now clock.Instant) State {
-	s.BackoffUntil = max(s.BackoffUntil, now.Add(rejectionBackoff))
+	if now.Before(s.BackoffUntil) {
+		return s
+	}
+	s.BackoffUntil = max(s.BackoffUntil, now.Add(min(maxBackoff, rejectionBackoff<<min(s.rejections, 8))))
+	s.rejections++
+	s.sentSince = 0
 	return s
 }
 
@@ -139,7 +160,7 @@
 	s = s.aged(now)
 	s.answered++
 	s.answeredAt = now
-	s.consecutiveFailures = 0
+	s.consecutiveFailures, s.rejections, s.sentSince = 0, 0, 0
 	s.lag += time.Duration(lagSmoothing * float64(max(0, late)-s.lag))
 	return s
 }
@@ -151,6 +172,7 @@
 // tokens to read.
 func (s State) WithSend(rank, tokens int, now clock.Instant) State {
 	s.Load.Running++
+	s.sentSince++
 	s.Load.Waiting[min(rank, loadreport.Ranks-1)] += tokens
 	return s
 }
@@ -165,6 +187,7 @@
 // WithEnd returns the state after a request has ended.
 func (s State) WithEnd() State {
 	s.Load.Running--
+	s.sentSince = max(0, s.sentSince-1)
 	return s
 }
 
@@ -190,12 +213,22 @@
 	return s
 }
 
+// WithLoading returns the state while it loads a weights version, expected until
+// an instant. An update that arrives after the end of the load changes nothing.
+func (s State) WithLoading(version int64, until clock.Instant) State {
+	if s.Weights < version {
+		s.LoadingUntil = max(s.LoadingUntil, until)
+	}
+	return s
+}
+
 // WithLoaded returns the state after a load of weights has ended.
 func (s State) WithLoaded(version int64, now clock.Instant) State {
 	s = s.WithWeights(version)
 	if version == s.Weights {
 		s.LoadingUntil = 0
 		s.firstSeen = now
+		s.BackoffUntil, s.rejections = 0, 0
 	}
 	return s
 }
--- a/health/health_test.go
+++ b/health/health_test.go
@@ -94,3 +94,49 @@
 	is.Equal(s.Weights, int64(2))
 	is.Equal(s.AssumedWeights, int64(0))
 }
+
+// TestRejections covers an engine that rejects every request for ten seconds while it
+// seems to have nothing to do, as when it loads weights without this host knowing. It
+// must not get a request each time that a short backoff ends, nor several at once; one
+// answer makes it usable as before.
+func TestRejections(t *testing.T) {
+	is := is.New(t)
+	s, at, rejected := health.State{}, now, 0
+	for ; at < now.Add(10*time.Second); at = at.Add(10 * time.Millisecond) {
+		if !s.Usable(at) {
+			continue
+		}
+		s = s.WithSend(0, 100, at)
+		if s.Rejects() {
+			is.True(!s.Usable(at)) // one request at a time shows whether it still rejects
+		}
+		s = s.WithAnswerStarted(0, 100).WithEnd().WithRejection(at)
+		rejected++
+	}
+	is.True(rejected <= 10)
+	at = at.Add(2 * time.Second)
+	is.True(s.Usable(at))
+	s = s.WithSend(0, 100, at).WithAnswerStarted(0, 100).WithAnswer(at, 0)
+	is.True(s.Usable(at))
+	is.True(s.WithRejection(at).Usable(at.Add(200 * time.Millisecond)))
+}
+
+// TestRejectionsAtOnce checks that requests which are rejected at the same moment count
+// once: they were sent before the first rejection was known.
+func TestRejectionsAtOnce(t *testing.T) {
+	is := is.New(t)
+	s := health.State{}
+	for range 20 {
+		s = s.WithRejection(now)
+	}
+	is.True(s.Usable(now.Add(150 * time.Millisecond)))
+}
+
+// TestLateRenewal checks that an update about a load that goes on excludes an engine, but
+// not one whose load has ended meanwhile.
+func TestLateRenewal(t *testing.T) {
+	is := is.New(t)
+	s := health.State{}.WithWeights(2)
+	is.True(!s.WithLoading(3, now.Add(time.Second)).Usable(now))
+	is.True(s.WithWeights(3).WithLoading(3, now.Add(time.Second)).Usable(now))
+}
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -114,6 +114,13 @@
 	return !ok || c.holder == holder || now.Sub(c.receivedAt) >= Window+deliveryMargin+lease
 }
 
+// MayBeOrdered reports whether another host than the given one may still order an
+// upstream under a claim.
+func (s State) MayBeOrdered(upstream, holder string, now clock.Instant) bool {
+	c, ok := s.claims[upstream]
+	return ok && c.holder != holder && now.Sub(c.receivedAt) < Window+deliveryMargin
+}
+
 // HeldBy reports whether a host is the only one that may claim an upstream now.
 func (s State) HeldBy(upstream, holder string, lease time.Duration, now clock.Instant) bool {
 	c, ok := s.claims[upstream]
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -170,3 +170,15 @@
 	}
 	return all
 }
+
+// TestMayBeOrdered checks for how long after a claim, also one that was only read from
+// the log, other hosts count its upstreams as out of service.
+func TestMayBeOrdered(t *testing.T) {
+	is := is.New(t)
+	now := clock.Instant(time.Hour)
+	s := lease.State{}.WithLog(lease.Log{Claims: []lease.Claim{{Holder: "a", Upstreams: []string{"e"}}}, End: 1}, now)
+	is.True(s.MayBeOrdered("e", "b", now))
+	is.True(!s.MayBeOrdered("e", "a", now))
+	is.True(!s.MayBeOrdered("f", "b", now))
+	is.True(!s.MayBeOrdered("e", "b", now.Add(2*time.Second)))
+}
--- a/reload/reload.go
+++ b/reload/reload.go
@@ -2,11 +2,14 @@
 //
 // A change of weights makes every engine stop serving for a while within a few
 // seconds. The other engines serve the requests meanwhile, and engines that
-// load at the same time slow each other down. The package does no I/O.
+// load at the same time slow each other down. How long an engine loads differs
+// between deployments by a factor of a hundred, so it is learnt from the loads
+// that were seen. The package does no I/O.
 package reload
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -16,13 +19,9 @@
 const (
 	// loadingShare is the share of a pool that may load at the same time, but
 	// at least minLimit engines. More slow each other down (the users' sheets:
-	// over 2 of 9 or 12, over 12 of 60).
+	// over 2 of 9 or 12, over 12 of 60, over 28 of 140, over 40 of 204).
 	loadingShare = 0.2
 	minLimit     = 2
-	// loadTime is about how long one engine loads (the users' sheets: 0.29 s).
-	// The next engines are taken out of service meanwhile, so that they are
-	// idle by then.
-	loadTime = 350 * time.Millisecond
 	// outOfServiceShare is the share of a pool that may be out of service.
 	outOfServiceShare = 0.4
 	// rankDelay is how long a host waits for each host ranked before it.
@@ -41,6 +40,9 @@
 	// weights, OutSince when.
 	OutOfService bool
 	OutSince     clock.Instant
+	// Loading marks an engine out of service that may be loading: its requests
+	// have ended, or another host has ordered it.
+	Loading bool
 	// MayOrder marks an engine that this host may order, Exclusive one that no
 	// other host may.
 	MayOrder, Exclusive bool
@@ -55,25 +57,38 @@
 	return rank == 0 || age >= time.Duration(rank)*rankDelay && sinceClaim >= claimBackoff
 }
 
+// Plan is what a host knows of a change of weights.
+type Plan struct {
+	// Target is the newest weights version that operators have named.
+	Target int64
+	// MayAct is set on a host that may order engines which another host could
+	// order, too.
+	MayAct bool
+	// Learnt is how long earlier loads took, Within how long all engines may take
+	// together.
+	Learnt Estimate
+	Within time.Duration
+}
+
 // Next returns the engines to order now: those with the oldest weights first,
 // since requests may not use these for long, then those with the fewest
-// requests. Without mayAct, it returns only engines that no other host may
-// order.
-func Next(engines []Engine, target int64, mayAct bool, now clock.Instant) []string {
+// requests.
+func (p Plan) Next(engines []Engine, now clock.Instant) []string {
+	expected := p.expected(engines)
 	outOfService, loading := 0, 0
 	var outdated []Engine
 	for _, e := range engines {
 		switch {
-		case e.OutOfService && now.Sub(e.OutSince) < loadTime:
-			outOfService++
-			loading++
 		case e.OutOfService:
 			outOfService++
-		case e.Weights < target && e.MayOrder && (mayAct || e.Exclusive):
+			if e.Loading || now.Sub(e.OutSince) < expected.Load {
+				loading++
+			}
+		case e.Weights < p.Target && e.MayOrder && (p.MayAct || e.Exclusive):
 			outdated = append(outdated, e)
 		}
 	}
-	capacity := min(limit(loadingShare, engines)-loading, limit(outOfServiceShare, engines)-outOfService)
+	capacity := min(limit(loadingShare, engines)-loading, expected.maxOutOfService(engines)-outOfService)
 	if capacity <= 0 {
 		return nil
 	}
@@ -87,6 +102,25 @@
 	return ids
 }
 
+// expected returns how long the next loads take. Before any was seen, it is the
+// longest time with which all engines are done within the time allowed.
+func (p Plan) expected(engines []Engine) Estimate {
+	if p.Learnt.IsKnown() {
+		return p.Learnt
+	}
+	waves := (len(engines) + limit(loadingShare, engines) - 1) / limit(loadingShare, engines)
+	load := max(minLoad, p.Within/time.Duration(waves+1))
+	return Estimate{Load: load, Drain: load}
+}
+
+// maxOutOfService returns how many engines may be out of service. Engines finish
+// their requests before they load; so many more than can load at a time are taken
+// out of service that the next ones are idle when the first have loaded.
+func (e Estimate) maxOutOfService(engines []Engine) int {
+	pipelined := math.Ceil(float64(limit(loadingShare, engines)) * (1 + float64(e.Drain)/float64(max(e.Load, minLoad))))
+	return int(min(pipelined, float64(limit(outOfServiceShare, engines))))
+}
+
 // limit returns the size of a share of a pool, at least minLimit.
 func limit(share float64, engines []Engine) int {
 	return max(minLimit, int(share*float64(len(engines))))
--- a/reload/reload_test.go
+++ b/reload/reload_test.go
@@ -45,8 +45,10 @@
 			for i := range pool {
 				pool[i] = reload.Engine{ID: fmt.Sprintf("e%02d", i), Weights: 1, MayOrder: true, Running: c.engines - i}
 			}
-			is.Equal(len(reload.Next(pool, 1, true, now)), 0)
-			is.Equal(reload.Next(pool, 2, true, now)[0], pool[c.engines-1].ID)
+			learnt := reload.Estimate{}.With(350*time.Millisecond, 350*time.Millisecond)
+			plan := reload.Plan{Target: 2, MayAct: true, Learnt: learnt}
+			is.Equal(len(reload.Plan{Target: 1, MayAct: true, Learnt: learnt}.Next(pool, now)), 0)
+			is.Equal(plan.Next(pool, now)[0], pool[c.engines-1].ID)
 			loads, start := map[string]int{}, now
 			for outdated := c.engines; outdated > 0; now = now.Add(tick) {
 				outdated = 0
@@ -55,7 +57,7 @@
 						pool[i].OutOfService, pool[i].Weights = false, 2
 					}
 				}
-				ids := reload.Next(pool, 2, true, now)
+				ids := plan.Next(pool, now)
 				out, loading := len(ids), len(ids)
 				for i := range pool {
 					if slices.Contains(ids, pool[i].ID) {
@@ -95,9 +97,10 @@
 		{ID: "a", Weights: 2, MayOrder: true}, {ID: "b", Weights: 1, MayOrder: true, Running: 5}, {ID: "c", Weights: 1, MayOrder: true, Running: 2},
 		{ID: "d", Weights: 1}, {ID: "e", Weights: 3, MayOrder: true},
 	}
-	is.Equal(reload.Next(pool, 3, true, 0), []string{"c", "b"}) // oldest weights first, then fewest requests
+	plan := reload.Plan{Target: 3, MayAct: true}
+	is.Equal(plan.Next(pool, 0), []string{"c", "b"}) // oldest weights first, then fewest requests
 	pool[1].Weights, pool[2].Weights = 3, 3
-	is.Equal(reload.Next(pool, 3, true, 0), []string{"a"}) // another host may still order d
+	is.Equal(plan.Next(pool, 0), []string{"a"}) // another host may still order d
 	pool[4].Weights, pool[4].Exclusive = 1, true
-	is.Equal(reload.Next(pool, 3, false, 0), []string{"e"}) // no other host may order e
+	is.Equal(reload.Plan{Target: 3}.Next(pool, 0), []string{"e"}) // no other host may order e
 }
--- a/reloader/reloader.go
+++ b/reloader/reloader.go
@@ -27,15 +27,17 @@
 	// batchInterval is how long updates about ended loads are batched.
 	batchInterval = 50 * time.Millisecond
 	// reportPollInterval is the time between two status queries of an engine
-	// that loads.
+	// that refused an order.
 	reportPollInterval = 100 * time.Millisecond
 	// callTimeout bounds one call to the log, reportTimeout one status query of
 	// an engine.
 	callTimeout   = 800 * time.Millisecond
 	reportTimeout = 400 * time.Millisecond
-	// loadTimeout is how long an engine may take from the order until it serves
-	// the new weights; its requests end first.
-	loadTimeout = 4 * time.Second
+	// silenceTimeout is how long an engine that executes an order may give no
+	// status report before it counts as lost, confirmTimeout how long its reports
+	// may not show an order that it accepted.
+	silenceTimeout = 2 * time.Second
+	confirmTimeout = 4 * time.Second
 	// orderTimeout bounds one order; engines answer within milliseconds.
 	orderTimeout = 250 * time.Millisecond
 	// lostTimeout is how long after an unanswered order the engine counts as not
@@ -45,9 +47,11 @@
 	// inFlightDelay is the time between the update to the other hosts and the
 	// order to the engine, so that requests on their way there have started.
 	inFlightDelay = 150 * time.Millisecond
-	// excludeTime is how long an engine that is about to load is excluded from
-	// selection, unless an update about the end of the load arrives earlier.
-	excludeTime = loadTimeout
+	// renewInterval is the time between two updates about loads that go on.
+	renewInterval = time.Second
+	// excludeTime is how long an engine that loads is excluded from selection
+	// after the last update about its load: some updates may be lost.
+	excludeTime = 4 * renewInterval
 	// failureBackoff is how long an engine that did not accept an order gets
 	// no further one.
 	failureBackoff = 500 * time.Millisecond
@@ -57,8 +61,10 @@
 type Report struct {
 	// Weights maps models to the loaded weights version.
 	Weights map[string]int64
-	// Busy reports whether an order is being executed.
-	Busy bool
+	// Busy reports whether an order is being executed, Running counts the requests
+	// that run.
+	Busy    bool
+	Running int
 	// Orders counts the orders that the engine has accepted.
 	Orders int64
 }
@@ -102,16 +108,27 @@
 	Loaded map[string]int64
 	// Freed lists engines that were claimed but did not load.
 	Freed []string
+	// Loading maps engines whose orders are still being executed, according to
+	// their own reports, to the weights version that they load. Hosts of earlier
+	// programs don't send it.
+	Loading map[string]int64 `json:",omitempty"`
+	// Learnt is how long loads took, as far as the sender knows.
+	Learnt reload.Estimate `json:",omitzero"`
 }
 
 // merge returns an update with the results of both.
 func (u Update) merge(other Update) Update {
-	loaded := maps.Clone(u.Loaded)
-	if loaded == nil {
-		loaded = map[string]int64{}
+	return Update{Loaded: merged(u.Loaded, other.Loaded), Freed: slices.Concat(u.Freed, other.Freed), Loading: merged(u.Loading, other.Loading)}
+}
+
+// merged returns a map with the entries of both.
+func merged(a, b map[string]int64) map[string]int64 {
+	all := maps.Clone(a)
+	if all == nil {
+		all = map[string]int64{}
 	}
-	maps.Copy(loaded, other.Loaded)
-	return Update{Loaded: loaded, Freed: slices.Concat(u.Freed, other.Freed)}
+	maps.Copy(all, b)
+	return all
 }
 
 // Options configures a Controller.
@@ -136,6 +153,8 @@
 	// Lease is how long after one host's order another host must not order the
 	// same engine.
 	Lease time.Duration
+	// Within is how long the operators give all engines of a pool to load.
+	Within time.Duration
 }
 
 // Controller reloads engines on behalf of one host.
@@ -145,9 +164,12 @@
 	// mu guards the fields below.
 	mu     sync.Mutex
 	leases lease.State
-	// claimed maps the engines that this host has claimed to the time of the
-	// claim, backoffUntil those in backoff to its end.
-	claimed, backoffUntil map[string]clock.Instant
+	// loads holds the orders of this host in progress by engine, backoffUntil maps
+	// the engines in backoff to its end.
+	loads        map[string]load
+	backoffUntil map[string]clock.Instant
+	// learnt is how long the loads took that any host has seen.
+	learnt reload.Estimate
 	// pending is the update that is sent with the next batch.
 	pending Update
 	wait    *conc.WaitGroup
@@ -155,9 +177,10 @@
 
 // New starts a controller that runs until the context ends.
 func New(ctx context.Context, wait *conc.WaitGroup, o Options) *Controller {
-	c := &Controller{Options: o, claimed: map[string]clock.Instant{}, backoffUntil: map[string]clock.Instant{}, wait: wait}
+	c := &Controller{Options: o, loads: map[string]load{}, backoffUntil: map[string]clock.Instant{}, wait: wait}
 	wait.Go(func() { clock.Every(ctx, checkInterval, c.check) })
 	wait.Go(func() { clock.Every(ctx, batchInterval, func(context.Context) { c.flush() }) })
+	wait.Go(func() { clock.Every(ctx, renewInterval, func(context.Context) { c.renew() }) })
 	return c
 }
 
@@ -171,6 +194,9 @@
 		c.leases = c.leases.With(u.Claim, now)
 		c.mu.Unlock()
 	}
+	c.mu.Lock()
+	c.learnt = c.learnt.Merge(u.Learnt)
+	c.mu.Unlock()
 	c.apply(u, now)
 }
 
@@ -184,6 +210,9 @@
 	for _, id := range u.Claim.Upstreams {
 		c.Evacuate(id)
 	}
+	for id, version := range u.Loading {
+		c.Health.Update(id, func(s health.State) health.State { return s.WithLoading(version, now.Add(excludeTime)) })
+	}
 	for id, version := range u.Loaded {
 		c.Health.Update(id, func(s health.State) health.State { return s.WithLoaded(version, now) })
 		c.CacheDropped(id)
@@ -243,13 +272,15 @@
 		if s.AddressReused || e.Leaving || s.Leaving(now) {
 			continue
 		}
-		since, out := c.claimed[e.ID]
+		order, own := c.loads[e.ID]
+		elsewhere := !own && (now.Before(s.LoadingUntil) || c.leases.MayBeOrdered(e.ID, c.Self, now))
 		pool = append(pool, reload.Engine{
-			ID: e.ID, Weights: max(e.Weights[model], s.Weights), OutOfService: out, OutSince: since, Running: c.Load(e.ID).Running,
+			ID: e.ID, Weights: max(e.Weights[model], s.Weights), OutOfService: own || elsewhere, OutSince: order.claimed, Loading: elsewhere || order.idleSince != 0, Running: c.Load(e.ID).Running,
 			MayOrder: !now.Before(c.backoffUntil[e.ID]) && c.leases.MayClaim(e.ID, c.Self, c.Lease, now), Exclusive: c.leases.HeldBy(e.ID, c.Self, c.Lease, now),
 		})
 	}
-	return reload.Next(pool, target.Version, mayAct, now), c.leases.Position
+	plan := reload.Plan{Target: target.Version, MayAct: mayAct, Learnt: c.learnt, Within: c.Within}
+	return plan.Next(pool, now), c.leases.Position
 }
 
 // catchUp reads the claims that this host has not read yet.
@@ -292,7 +323,7 @@
 	c.mu.Lock()
 	c.leases = c.leases.With(claim, sent).WithPosition(end + 1)
 	for _, id := range ids {
-		c.claimed[id] = sent
+		c.loads[id] = load{claimed: sent, version: target.Version}
 	}
 	c.mu.Unlock()
 	for _, e := range all {
@@ -301,123 +332,3 @@
 		}
 	}
 }
-
-// loadEngine orders one engine to load weights and waits for the result.
-func (c *Controller) loadEngine(ctx context.Context, e discovery.Entry, model string, version, fence int64, claimed clock.Instant) {
-	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
-	defer cancel()
-	outcome := c.orderLoad(ctx, e, model, version, fence, claimed)
-	succeeded := outcome == loaded
-	event.LoadEnded.Info("Upstream", e.ID, "Weights", version, "Fence", fence, "Outcome", string(outcome), "Millis", clock.Now().Sub(claimed).Milliseconds())
-	u := Update{Freed: []string{e.ID}}
-	if succeeded {
-		u = Update{Loaded: map[string]int64{e.ID: version}}
-	}
-	now := clock.Now()
-	c.apply(u, now)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	delete(c.claimed, e.ID)
-	if !succeeded && outcome != lost && outcome != windowOver {
-		c.backoffUntil[e.ID] = now.Add(failureBackoff)
-	}
-	c.pending = c.pending.merge(u)
-}
-
-// flush sends the results of orders since the last batch.
-func (c *Controller) flush() {
-	c.mu.Lock()
-	u := c.pending
-	c.pending = Update{}
-	c.mu.Unlock()
-	if len(u.Loaded) == 0 && len(u.Freed) == 0 {
-		return
-	}
-	c.Send(u)
-}
-
-// result is how an order ended.
-type result string
-
-const (
-	loaded     result = "Loaded"
-	noReport   result = "NoReport"
-	busy       result = "Busy"
-	windowOver result = "WindowOver"
-	refused    result = "Refused"
-	lost       result = "Lost"
-	unfinished result = "Unfinished"
-)
-
-// orderLoad orders an engine to load weights and follows its reports. An
-// unanswered order is retried immediately: both expect the same order count, so
-// at most one takes effect.
-func (c *Controller) orderLoad(ctx context.Context, e discovery.Entry, model string, version, fence int64, claimed clock.Instant) result {
-	clock.Pause(ctx, inFlightDelay)
-	before, err := c.queryReport(ctx, e)
-	if err != nil {
-		return noReport
-	}
-	for unanswered := false; ctx.Err() == nil; {
-		switch {
-		case before.Weights[model] >= version:
-			return loaded
-		case before.Busy:
-			return busy
-		case clock.Now().Sub(claimed) > lease.Window && unanswered:
-			return c.awaitWeights(ctx, e, model, version, before.Orders, false)
-		case clock.Now().Sub(claimed) > lease.Window:
-			return windowOver
-		}
-		accepted, err := c.sendOrder(ctx, e, Order{Instance: e.ID, Model: model, Weights: version, Holder: c.Self, Fence: fence, Expected: before.Orders})
-		switch {
-		case err == nil && (accepted || unanswered):
-			return c.awaitWeights(ctx, e, model, version, before.Orders, accepted)
-		case err != nil:
-			unanswered = true
-			continue
-		}
-		// Reports lag a little: the previous one may not have shown another order
-		// that the engine had accepted.
-		clock.Pause(ctx, reportPollInterval)
-		after, err := c.queryReport(ctx, e)
-		if err != nil || after.Orders == before.Orders {
-			return refused
-		}
-		before = after
-	}
-	return unfinished
-}
-
-// sendOrder sends an order once.
-func (c *Controller) sendOrder(ctx context.Context, e discovery.Entry, o Order) (accepted bool, err error) {
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
-	defer cancel()
-	accepted, err = c.Engines.Order(ctx, e.Address, o)
-	event.LoadOrdered.Info("Upstream", e.ID, "Model", o.Model, "Weights", o.Weights, "Fence", o.Fence, "Expected", o.Expected, "Accepted", accepted, "Answered", err == nil)
-	return accepted, err
-}
-
-// awaitWeights waits until an engine has loaded the weights. The engine may
-// have executed the order even if accepted is false.
-func (c *Controller) awaitWeights(ctx context.Context, e discovery.Entry, model string, version, orders int64, accepted bool) result {
-	sent := clock.Now()
-	for ctx.Err() == nil {
-		clock.Pause(ctx, reportPollInterval)
-		r, err := c.queryReport(ctx, e)
-		switch {
-		case err == nil && r.Weights[model] >= version:
-			return loaded
-		case err == nil && !accepted && r.Orders == orders && !r.Busy && clock.Now().Sub(sent) > lostTimeout:
-			return lost
-		}
-	}
-	return unfinished
-}
-
-// queryReport queries an engine's status report.
-func (c *Controller) queryReport(ctx context.Context, e discovery.Entry) (Report, error) {
-	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
-	defer cancel()
-	return c.Engines.Report(ctx, e.Address, e.ID)
-}
--- a/standin/platform_engine.go
+++ b/standin/platform_engine.go
@@ -71,6 +71,12 @@
 	limit string
 	// brittle is set if the engine falls over after a few rejections.
 	brittle *platformBrittle
+	// loadTime is how long a load of weights takes, loading is set while an order is
+	// executed.
+	loadTime time.Duration
+	loading  bool
+	// rejectedWhileLoading and ordersWhileLoading count what arrived meanwhile.
+	rejectedWhileLoading, ordersWhileLoading int
 }
 
 // NewPlatformEngine starts an engine with weights version 1.
@@ -246,7 +252,7 @@
 func (e *PlatformEngine) report(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	platformJSON(w, http.StatusOK, map[string]any{"stage": "unified", "models": e.models(), "busy": false, "seq": e.accepted, "born": e.startMillis})
+	platformJSON(w, http.StatusOK, map[string]any{"stage": "unified", "models": e.models(), "busy": e.loading, "running": len(e.running), "seq": e.accepted, "born": e.startMillis})
 }
 
 func (e *PlatformEngine) order(w http.ResponseWriter, r *http.Request) {
@@ -267,15 +273,15 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.orders = append(e.orders, PlatformOrder{o.FencingToken, o.Holder, time.Now()})
-	if o.Expected != nil && *o.Expected != e.accepted {
+	if e.loading {
+		e.ordersWhileLoading++
+	}
+	if e.loading || o.Expected != nil && *o.Expected != e.accepted {
 		w.WriteHeader(http.StatusConflict)
 		return
 	}
 	e.accepted++
-	e.weights = o.Version
-	for p := range e.cached {
-		e.recordEvent("-", p, 0)
-	}
+	e.load(o.Version)
 	if e.takeFault(LostOrderFault) {
 		panic(http.ErrAbortHandler)
 	}
@@ -316,6 +322,9 @@
 		status = http.StatusServiceUnavailable
 	case instance != "" && instance != e.ID, version != "" && version != strconv.FormatInt(e.weights, 10):
 		status = http.StatusMisdirectedRequest
+	case e.loading:
+		e.rejectedWhileLoading++
+		status = http.StatusServiceUnavailable
 	case !e.takeRoom(r), e.takeFault(FullFault):
 		status = http.StatusServiceUnavailable
 	case e.takeFault(OtherInstanceFault):
--- /dev/null
+++ b/standin/platform_load.go
@@ -0,0 +1,74 @@
+package standin
+
+import "time"
+
+// loadPollInterval is the time between two checks whether an engine's requests have
+// ended.
+const loadPollInterval = 5 * time.Millisecond
+
+// LoadTakes sets how long the engine loads weights, after the streams that run there
+// have ended. By default it has them at once.
+func (e *PlatformEngine) LoadTakes(d time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.loadTime = d
+}
+
+// RejectedWhileLoading returns how many requests arrived while the engine executed an
+// order.
+func (e *PlatformEngine) RejectedWhileLoading() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.rejectedWhileLoading
+}
+
+// OrdersWhileLoading returns how many orders arrived while the engine executed one.
+func (e *PlatformEngine) OrdersWhileLoading() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.ordersWhileLoading
+}
+
+// Loading reports whether the engine executes an order.
+func (e *PlatformEngine) Loading() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.loading
+}
+
+// load executes an accepted order. The caller holds mu.
+func (e *PlatformEngine) load(version int64) {
+	if e.loadTime == 0 {
+		e.finishLoad(version)
+		return
+	}
+	e.loading = true
+	go func() {
+		for e.runningStreams() > 0 {
+			time.Sleep(loadPollInterval)
+		}
+		e.mu.Lock()
+		d := e.loadTime
+		e.mu.Unlock()
+		time.Sleep(d)
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.loading = false
+		e.finishLoad(version)
+	}()
+}
+
+// finishLoad sets the new weights; the engine's cache is dropped. The caller holds mu.
+func (e *PlatformEngine) finishLoad(version int64) {
+	e.weights = version
+	for p := range e.cached {
+		e.recordEvent("-", p, 0)
+	}
+}
+
+// runningStreams returns the number of streams that run.
+func (e *PlatformEngine) runningStreams() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.running)
+}
--- a/storenode/weights_test.go
+++ b/storenode/weights_test.go
@@ -38,3 +38,49 @@
 	d.await("it is cancelled", func() bool { return d.engines[0].AbandonedRequests() == 1 })
 	is.Equal((<-answers).status, http.StatusGatewayTimeout)
 }
+
+// TestLongLoads has three engines load weights for 5 s each, longer than updates about a
+// claim are valid, while callers send requests all the time. No engine may get a request
+// or an order while it loads, at most two may load at a time, and all load the weights.
+func TestLongLoads(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t, 0, 3, 0)
+	d.weightsMillis = 40_000
+	for i := range 2 {
+		d.awaitReady(d.host(i))
+	}
+	for _, e := range d.engines {
+		e.LoadTakes(5 * time.Second)
+	}
+	d.await("it answers", func() bool {
+		return d.do(d.hosts[0], "POST", modelHost, "/flag/a", fmt.Sprint(time.Now().UnixNano()), prompt, "body").status == http.StatusOK
+	})
+	d.store.NameWeights("m1", 2)
+	sent, refused, mostLoading := 0, 0, 0
+	d.await("all have loaded", func() bool {
+		status := d.do(d.hosts[sent%2], "POST", modelHost, "/flag/a", fmt.Sprintf("during-%d", sent), prompt, "body").status
+		if sent++; status != http.StatusOK {
+			refused++
+		}
+		outdated, loading := 0, 0
+		for _, e := range d.engines {
+			if e.Weights() < 2 {
+				outdated++
+			}
+			if e.Loading() {
+				loading++
+			}
+		}
+		mostLoading = max(mostLoading, loading)
+		return outdated == 0
+	})
+	rejected, disturbed := 0, 0
+	for _, e := range d.engines {
+		rejected += e.RejectedWhileLoading()
+		disturbed += e.OrdersWhileLoading()
+	}
+	is.Equal(rejected, 0)
+	is.Equal(disturbed, 0)
+	is.Equal(refused, 0)
+	is.True(mostLoading <= 2)
+}
