feat: expected waits are corrected by those observed

Cause: hosts assumed that each engine reads 60 prompt tokens a millisecond, the figure of the first sites. Now each host learns, for each service, a constant delay and a factor from the times to first events (allocation.Pace). Deferred requests teach nothing, since they also wait for what comes after them. Streams that leave a loading engine spread over the others and try up to three engines: they all went to one, which had no room. Engines that can't be reached take no claim and count when the share out of service is chosen.

--- a/allocation/allocation.go
+++ b/allocation/allocation.go
@@ -128,6 +128,8 @@
 	Value float64
 	// Begun means that the caller has the first part of the answer already.
 	Begun bool
+	// Pace corrects expected waits at the upstreams of the service.
+	Pace Pace
 }
 
 // Cost returns the expected cost of a candidate.
@@ -154,7 +156,7 @@
 	if !c.Connected {
 		cost += connectCost
 	}
-	return cost + r.Value*expectedLoss(r.Elapsed+expectedWait(c, r, read)+c.Lag, r.Objective)
+	return cost + r.Value*expectedLoss(r.Elapsed+r.Pace.Correct(expectedWait(c, r, read))+c.Lag, r.Objective)
 }
 
 // expectedWait returns the expected time to the first event: the engine reads
@@ -167,6 +169,18 @@
 	return first + time.Duration(float64(between)/prefillRate*float64(time.Millisecond))
 }
 
+// UncorrectedWait returns the expected time to the first event at a candidate, as a
+// pace is learnt from it.
+func UncorrectedWait(c Candidate, r Requirements) time.Duration {
+	return expectedWait(c, r, readTokens(c, r))
+}
+
+// readTokens returns how many tokens of the shared parts a candidate must read.
+func readTokens(c Candidate, r Requirements) int {
+	missing := max(0, r.Shared-c.Cached)
+	return missing - max(0, min(missing, c.Fetchable-c.Cached))
+}
+
 // expectedLoss returns the expected share of the value that is lost by a wait.
 func expectedLoss(wait, objective time.Duration) float64 {
 	if objective <= 0 {
--- a/allocation/urgency.go
+++ b/allocation/urgency.go
@@ -103,6 +103,5 @@
 // ExpectedFirstEvent returns the expected time from a request's arrival to its
 // first event at a candidate.
 func ExpectedFirstEvent(c Candidate, r Requirements) time.Duration {
-	missing := max(0, r.Shared-c.Cached)
-	return r.Elapsed + expectedWait(c, r, missing-max(0, min(missing, c.Fetchable-c.Cached))) + c.Lag
+	return r.Elapsed + r.Pace.Correct(UncorrectedWait(c, r)) + c.Lag
 }
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -182,6 +182,8 @@
 	cachedParts *cachemap.Map
 	// streams holds the running streams by engine.
 	streams map[string]map[*stream]struct{}
+	// arriving counts the streams on their way to an engine.
+	arriving map[string]int
 	// sentTokens counts the prompt tokens that this host sent recently.
 	sentTokens allocation.RateWindow
 	// liveHosts are the hosts that share limits as of liveHostsAt.
@@ -192,6 +194,8 @@
 	returns map[string]availability.ReturnQueue
 	// meanInput is the mean prompt size of each service's recent requests.
 	meanInput map[string]allocation.MeanInput
+	// paces are the learnt corrections of expected waits by service.
+	paces map[string]allocation.Pace
 	// relayFailures are the hosts that did not serve relayed requests lately.
 	relayFailures relay.Table
 }
@@ -200,7 +204,7 @@
 func New(o Options) *Router {
 	return &Router{
 		Options: o, seed: maphash.MakeSeed(), budgets: map[string]*retrybudget.Budget{}, cachedParts: cachemap.New(),
-		streams: map[string]map[*stream]struct{}{}, meanInput: map[string]allocation.MeanInput{}, returns: map[string]availability.ReturnQueue{},
+		streams: map[string]map[*stream]struct{}{}, arriving: map[string]int{}, paces: map[string]allocation.Pace{}, meanInput: map[string]allocation.MeanInput{}, returns: map[string]availability.ReturnQueue{},
 	}
 }
 
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -190,6 +190,8 @@
 	// prefill is the number of prompt tokens that it must read, rank the rank
 	// of the request there.
 	prefill, rank int
+	// wait is the expected time to the first event without correction, 0 if unknown.
+	wait time.Duration
 	// relay is set if the target is another host, which chooses the upstream.
 	relay bool
 }
@@ -335,6 +337,9 @@
 	}
 	now := clock.Now()
 	expected := h.route.Objective / 2
+	if a.wait > 0 {
+		expected = max(expected, h.learnPace(a, now))
+	}
 	late := now.Sub(a.started) - expected
 	h.Metrics.Histogram("first_event_time", timeBuckets).RecordDuration(now.Sub(a.started))
 	h.Tracker.Update(a.id, func(s health.State) health.State {
@@ -343,6 +348,16 @@
 	h.recordCachedParts(a)
 }
 
+// learnPace records the time to the first event, and returns the time that was
+// expected.
+func (h *handler) learnPace(a *attempt, now clock.Instant) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	pace := h.paces[h.service.Name]
+	h.paces[h.service.Name] = pace.With(a.wait, now.Sub(a.started), now)
+	return pace.Correct(a.wait)
+}
+
 // endAttempt releases the resources of an attempt.
 func (h *handler) endAttempt(a *attempt) {
 	a.cancel()
--- a/forward/migrate.go
+++ b/forward/migrate.go
@@ -21,8 +21,10 @@
 	// minMigratedTokens is the answer limit in tokens from which a request is
 	// worth a migration: about a second of work.
 	minMigratedTokens = 200
-	// maxMigrations bounds the migrations of one request.
-	maxMigrations = 3
+	// maxMigrations bounds the migrations of one request, maxMigrationTargets the
+	// engines that one migration tries: some have no room.
+	maxMigrations       = 3
+	maxMigrationTargets = 3
 )
 
 // migrator moves running requests between engines.
@@ -100,7 +102,7 @@
 	if s.migration != nil || s.attempt == nil || s.migrations >= maxMigrations {
 		return
 	}
-	to, ok := s.migrationTarget(s.attempt.target)
+	to, ok := s.migrationTarget(s.attempt.target, nil)
 	if !ok {
 		return
 	}
@@ -110,11 +112,32 @@
 	s.Background.Go(func() { s.migrate(m) })
 }
 
-// migrate moves the request and records the result in m.
+// migrate moves the request and records the result in m. While the request goes on at
+// its engine, since the target has no room, it tries another target.
 func (s *stream) migrate(m *migration) {
 	defer close(m.done)
 	ctx, cancel := context.WithTimeout(s.ctx, migrationTimeout)
 	defer cancel()
+	full := map[string]bool{}
+	for {
+		s.move(ctx, m)
+		if m.err == nil || m.moved.MemoryHandle != "" || ctx.Err() != nil {
+			return
+		}
+		full[m.to.id] = true
+		to, ok := s.migrationTarget(m.from, full)
+		if !ok || len(full) == maxMigrationTargets {
+			return
+		}
+		m.to = to
+	}
+}
+
+// move asks the engine once to move the request. Requests on their way to an engine
+// count as running there, so that those which leave an engine together spread.
+func (s *stream) move(ctx context.Context, m *migration) {
+	s.countArriving(m.to.id, 1)
+	defer s.countArriving(m.to.id, -1)
 	started, reason := clock.Now(), ""
 	if m.moved, m.err = s.Migrator.Move(ctx, m.from.address, m.from.id, s.call.ID, m.to.address); m.err != nil {
 		reason = m.err.Error()
@@ -123,11 +146,27 @@
 		"Millis", clock.Now().Sub(started).Milliseconds(), "Reason", reason)
 }
 
+// countArriving adds to the requests that are on their way to an engine.
+func (r *Router) countArriving(engine string, n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.arriving[engine] += n; r.arriving[engine] == 0 {
+		delete(r.arriving, engine)
+	}
+}
+
+// arrivingAt returns how many requests of this host are on their way to an engine.
+func (r *Router) arrivingAt(engine string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.arriving[engine]
+}
+
 // migrationTarget chooses the engine to migrate to: the least loaded one with
-// the same weights and software.
-func (s *stream) migrationTarget(from target) (target, bool) {
+// the same weights and software that isn't full.
+func (s *stream) migrationTarget(from target, full map[string]bool) (target, bool) {
 	snapshot := s.Replica.State()
-	upstreams := slices.DeleteFunc(s.usable(snapshot, s.service, s.call.Prompt.Model, func(e discovery.Entry) bool { return e.ID == from.id || e.Software != from.software }), func(u upstream) bool {
+	upstreams := slices.DeleteFunc(s.usable(snapshot, s.service, s.call.Prompt.Model, func(e discovery.Entry) bool { return e.ID == from.id || full[e.ID] || e.Software != from.software }), func(u upstream) bool {
 		return u.weights != from.send.Weights
 	})
 	source, _ := snapshot.Upstreams.Entry(from.id)
@@ -135,7 +174,7 @@
 	candidates := make([]allocation.Candidate, len(upstreams))
 	for i, u := range upstreams {
 		candidates[i] = allocation.Candidate{
-			ID: u.ID, Running: u.load.Running, QueuedAhead: u.load.QueuedAhead(from.rank), Waiting: u.load.QueuedAhead(loadreport.Ranks), Slots: u.Slots, Connected: s.Sender.HasIdle(u.Address),
+			ID: u.ID, Running: u.load.Running + s.arrivingAt(u.ID), QueuedAhead: u.load.QueuedAhead(from.rank), Waiting: u.load.QueuedAhead(loadreport.Ranks), Slots: u.Slots, Connected: s.Sender.HasIdle(u.Address),
 			SameDomain: u.FailureDomain == source.FailureDomain,
 		}
 	}
--- a/forward/schedule.go
+++ b/forward/schedule.go
@@ -321,6 +321,10 @@
 			t.send.SaveTo = loc.storeAddress
 		}
 	}
+	if h.call.Prompt.Model != "" && rank != allocation.DeferredRank {
+		// A deferred request waits for all that come after it, too.
+		t.wait = allocation.UncorrectedWait(c, requirements)
+	}
 	h.mu.Lock()
 	h.sentTokens.Add(t.prefill, clock.Now())
 	h.mu.Unlock()
@@ -344,6 +348,9 @@
 	for _, p := range shared {
 		n.Shared += p.Tokens
 	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	n.Pace = h.paces[h.service.Name]
 	return n, shared
 }
 
--- a/health/health.go
+++ b/health/health.go
@@ -72,6 +72,9 @@
 	return !s.AddressReused && !now.Before(s.BackoffUntil) && !now.Before(s.LoadingUntil) && !s.isProbed() && s.Accepts(s.Load.Running, now)
 }
 
+// IsUnreachable reports whether the last connections to it failed.
+func (s State) IsUnreachable() bool { return s.consecutiveFailures > 0 }
+
 // Rejects reports whether it has rejected several requests in a row. However little
 // it seems to have to do, it is busy with something else, such as an order that this
 // host doesn't know of.
--- a/reload/reload.go
+++ b/reload/reload.go
@@ -43,6 +43,9 @@
 	// Loading marks an engine out of service that may be loading: its requests
 	// have ended, or another host has ordered it.
 	Loading bool
+	// Unreachable marks an engine that accepts no connections. The others serve its
+	// requests, too, so that fewer may be out of service.
+	Unreachable bool
 	// MayOrder marks an engine that this host may order, Exclusive one that no
 	// other host may.
 	MayOrder, Exclusive bool
@@ -75,20 +78,24 @@
 // requests.
 func (p Plan) Next(engines []Engine, now clock.Instant) []string {
 	expected := p.expected(engines)
+	reachable := 0
 	outOfService, loading := 0, 0
 	var outdated []Engine
 	for _, e := range engines {
+		if !e.Unreachable || e.OutOfService {
+			reachable++
+		}
 		switch {
 		case e.OutOfService:
 			outOfService++
 			if e.Loading || now.Sub(e.OutSince) < expected.Load {
 				loading++
 			}
-		case e.Weights < p.Target && e.MayOrder && (p.MayAct || e.Exclusive):
+		case e.Weights < p.Target && !e.Unreachable && e.MayOrder && (p.MayAct || e.Exclusive):
 			outdated = append(outdated, e)
 		}
 	}
-	capacity := min(limit(loadingShare, engines)-loading, expected.maxOutOfService(engines)-outOfService)
+	capacity := min(limit(loadingShare, len(engines))-loading, expected.maxOutOfService(len(engines), reachable)-outOfService)
 	if capacity <= 0 {
 		return nil
 	}
@@ -108,20 +115,22 @@
 	if p.Learnt.IsKnown() {
 		return p.Learnt
 	}
-	waves := (len(engines) + limit(loadingShare, engines) - 1) / limit(loadingShare, engines)
+	atOnce := limit(loadingShare, len(engines))
+	waves := (len(engines) + atOnce - 1) / atOnce
 	load := max(minLoad, p.Within/time.Duration(waves+1))
 	return Estimate{Load: load, Drain: load}
 }
 
 // maxOutOfService returns how many engines may be out of service. Engines finish
 // their requests before they load; so many more than can load at a time are taken
-// out of service that the next ones are idle when the first have loaded.
-func (e Estimate) maxOutOfService(engines []Engine) int {
+// out of service that the next ones are idle when the first have loaded, but no more
+// than a share of those that can be reached.
+func (e Estimate) maxOutOfService(engines, reachable int) int {
 	pipelined := math.Ceil(float64(limit(loadingShare, engines)) * (1 + float64(e.Drain)/float64(max(e.Load, minLoad))))
-	return int(min(pipelined, float64(limit(outOfServiceShare, engines))))
+	return int(min(pipelined, float64(limit(outOfServiceShare, reachable))))
 }
 
 // limit returns the size of a share of a pool, at least minLimit.
-func limit(share float64, engines []Engine) int {
-	return max(minLimit, int(share*float64(len(engines))))
+func limit(share float64, engines int) int {
+	return max(minLimit, int(share*float64(engines)))
 }
--- a/reloader/load.go
+++ b/reloader/load.go
@@ -59,8 +59,12 @@
 	event.LoadEnded.Info("Upstream", e.ID, "Weights", version, "Fence", fence, "Outcome", string(outcome), "Millis", now.Sub(claimed).Milliseconds(),
 		"DrainedMillis", drained.Milliseconds(), "LearntMillis", c.learnt.Load.Milliseconds(), "LearntDrainMillis", c.learnt.Drain.Milliseconds())
 	delete(c.loads, e.ID)
-	if !succeeded && outcome != lost && outcome != windowOver {
+	switch outcome {
+	case noReport, silent:
+		c.backoffUntil[e.ID] = now.Add(silentBackoff)
+	case busy, refused, unfinished:
 		c.backoffUntil[e.ID] = now.Add(failureBackoff)
+	case loaded, lost, windowOver:
 	}
 	c.pending = c.pending.merge(u)
 }
--- a/reloader/reloader.go
+++ b/reloader/reloader.go
@@ -53,8 +53,10 @@
 	// after the last update about its load: some updates may be lost.
 	excludeTime = 4 * renewInterval
 	// failureBackoff is how long an engine that did not accept an order gets
-	// no further one.
+	// no further one, silentBackoff the same for one that gives no report: a claim
+	// on it takes the place of another engine.
 	failureBackoff = 500 * time.Millisecond
+	silentBackoff  = 2 * time.Second
 )
 
 // Report is an engine's status report.
@@ -275,7 +277,7 @@
 		order, own := c.loads[e.ID]
 		elsewhere := !own && (now.Before(s.LoadingUntil) || c.leases.MayBeOrdered(e.ID, c.Self, now))
 		pool = append(pool, reload.Engine{
-			ID: e.ID, Weights: max(e.Weights[model], s.Weights), OutOfService: own || elsewhere, OutSince: order.claimed, Loading: elsewhere || order.idleSince != 0, Running: c.Load(e.ID).Running,
+			ID: e.ID, Weights: max(e.Weights[model], s.Weights), OutOfService: own || elsewhere, OutSince: order.claimed, Loading: elsewhere || order.idleSince != 0, Running: c.Load(e.ID).Running, Unreachable: s.IsUnreachable(),
 			MayOrder: !now.Before(c.backoffUntil[e.ID]) && c.leases.MayClaim(e.ID, c.Self, c.Lease, now), Exclusive: c.leases.HeldBy(e.ID, c.Self, c.Lease, now),
 		})
 	}
