fix: hosts that start learn since when target weights are set

Cause: a started host assumed that target weights had been set 4.5 s before, which suits the 6 s of the first sites. Now hosts tell each other what they have observed, readers of the store record it there by time of day, and a host that learns it from nobody assumes that all but 1.5 s of the time is over. An engine that could not be reached once gets orders again when its backoff ends: it got neither requests nor orders before.

--- a/health/health.go
+++ b/health/health.go
@@ -72,8 +72,11 @@
 	return !s.AddressReused && !now.Before(s.BackoffUntil) && !now.Before(s.LoadingUntil) && !s.isProbed() && s.Accepts(s.Load.Running, now)
 }
 
-// IsUnreachable reports whether the last connections to it failed.
-func (s State) IsUnreachable() bool { return s.consecutiveFailures > 0 }
+// IsUnreachable reports whether connections to it have just failed. Once the backoff
+// ends, only another attempt tells.
+func (s State) IsUnreachable(now clock.Instant) bool {
+	return s.consecutiveFailures > 0 && now.Before(s.BackoffUntil)
+}
 
 // Rejects reports whether it has rejected several requests in a row. However little
 // it seems to have to do, it is busy with something else, such as an order that this
--- a/health/health_test.go
+++ b/health/health_test.go
@@ -18,6 +18,8 @@
 func TestBackoff(t *testing.T) {
 	is := is.New(t)
 	s := health.State{}.WithConnectFailure(now)
+	is.True(s.IsUnreachable(now.Add(200 * time.Millisecond)))
+	is.True(!s.IsUnreachable(now.Add(300 * time.Millisecond))) // otherwise, an engine that gets no request would get no order either
 	is.True(!s.Usable(now.Add(200 * time.Millisecond)))
 	is.True(s.Usable(now.Add(300 * time.Millisecond)))
 	for range 20 {
--- a/reloader/load.go
+++ b/reloader/load.go
@@ -46,14 +46,12 @@
 	c.apply(u, now)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	order := c.loads[e.ID]
-	drained := order.idleSince.Sub(order.ordered)
-	if succeeded && order.ordered != 0 {
+	var drained time.Duration
+	if order := c.loads[e.ID]; succeeded && order.ordered != 0 {
 		if order.idleSince == 0 {
-			// It has loaded between two reports.
-			order.idleSince = now
-			drained = now.Sub(order.ordered)
+			order.idleSince = now // it has loaded between two reports
 		}
+		drained = order.idleSince.Sub(order.ordered)
 		c.learnt = c.learnt.With(now.Sub(order.idleSince), drained)
 	}
 	event.LoadEnded.Info("Upstream", e.ID, "Weights", version, "Fence", fence, "Outcome", string(outcome), "Millis", now.Sub(claimed).Milliseconds(),
--- a/reloader/reloader.go
+++ b/reloader/reloader.go
@@ -277,7 +277,7 @@
 		order, own := c.loads[e.ID]
 		elsewhere := !own && (now.Before(s.LoadingUntil) || c.leases.MayBeOrdered(e.ID, c.Self, now))
 		pool = append(pool, reload.Engine{
-			ID: e.ID, Weights: max(e.Weights[model], s.Weights), OutOfService: own || elsewhere, OutSince: order.claimed, Loading: elsewhere || order.idleSince != 0, Running: c.Load(e.ID).Running, Unreachable: s.IsUnreachable(),
+			ID: e.ID, Weights: max(e.Weights[model], s.Weights), OutOfService: own || elsewhere, OutSince: order.claimed, Loading: elsewhere || order.idleSince != 0, Running: c.Load(e.ID).Running, Unreachable: s.IsUnreachable(now),
 			MayOrder: !now.Before(c.backoffUntil[e.ID]) && c.leases.MayClaim(e.ID, c.Self, c.Lease, now), Exclusive: c.leases.HeldBy(e.ID, c.Self, c.Lease, now),
 		})
 	}
--- a/replica/state.go
+++ b/replica/state.go
@@ -65,6 +65,8 @@
 	Entry   *discovery.Entry
 	// Software holds the software versions of the service that the key names.
 	Software *software.Versions
+	// Namings tell since when target weights are set.
+	Namings *RecordedNamings
 }
 
 // TargetWeights is the weights version that operators want for a model.
@@ -81,6 +83,9 @@
 type WeightsHistory struct {
 	Version int64
 	Since   clock.Instant
+	// observed means that this host, or another one that told it, knew all records at
+	// Since, so that the version was certainly not set before.
+	observed bool
 	// earlier are the previous target versions, the newest first.
 	earlier []WeightsHistory
 }
@@ -119,10 +124,10 @@
 }
 
 // with returns the history after a newer target version was set.
-func (h WeightsHistory) with(version int64, since clock.Instant) WeightsHistory {
-	next := WeightsHistory{Version: version, Since: since}
+func (h WeightsHistory) with(version int64, since clock.Instant, observed bool) WeightsHistory {
+	next := WeightsHistory{Version: version, Since: since, observed: observed}
 	if h.Version > 0 {
-		next.earlier = append([]WeightsHistory{{Version: h.Version, Since: h.Since}}, h.earlier[:min(len(h.earlier), maxEarlierVersions)]...)
+		next.earlier = append([]WeightsHistory{{Version: h.Version, Since: h.Since, observed: h.observed}}, h.earlier[:min(len(h.earlier), maxEarlierVersions)]...)
 	}
 	return next
 }
@@ -144,6 +149,8 @@
 	Catalog     catalog.Catalog
 	Upstreams   discovery.Set
 	weights     map[string]WeightsHistory
+	// recorded holds what the store tells of target weights, by model and version.
+	recorded    map[string]map[int64]clock.Instant
 	software    map[string]software.Versions
 	topicStates [topicCount]topicState
 	// deferred holds removed upstreams and when their removal takes effect.
@@ -237,9 +244,13 @@
 	// when operators set them. It is earlier than FirstKnown if this host was
 	// without updates before.
 	WeightsKnown clock.Instant
+	// WeightsObserved means that this host knew all records at WeightsKnown.
+	WeightsObserved bool
 	// DeferUntil is when removals take effect that an outage of the store may
 	// have caused; the zero value if there was no outage.
 	DeferUntil clock.Instant
+	// Now is the time of the merge.
+	Now clock.Instant
 }
 
 // Merge returns the state after a delta, and the changes.
@@ -339,7 +350,8 @@
 		s.Catalog = *next
 	}
 	if w := c.Decoded.Weights; w != nil && w.Version > s.weights[w.Model].Version {
-		s.weights[w.Model] = s.weights[w.Model].with(w.Version, at.WeightsKnown)
+		s.weights[w.Model] = s.weights[w.Model].with(w.Version, at.WeightsKnown, at.WeightsObserved)
+		s.applyRecorded(w.Model)
 	}
 	if c.Decoded.Entry != nil {
 		delete(s.deferred, r.Key)
@@ -347,6 +359,14 @@
 	if c.Decoded.Software != nil {
 		s.software[r.Key] = *c.Decoded.Software
 	}
+	if n := c.Decoded.Namings; n != nil {
+		s.recorded = maps.Clone(s.recorded)
+		if s.recorded == nil {
+			s.recorded = map[string]map[int64]clock.Instant{}
+		}
+		s.recorded[n.Model] = n.earliest(at.Now)
+		s.applyRecorded(n.Model)
+	}
 	return c
 }
 
--- a/replica/syncer.go
+++ b/replica/syncer.go
@@ -43,10 +43,12 @@
 	// an outage of the store.
 	returnGrace = 2 * time.Second
 	// initialDelay is how long the first records that a host reads after its
-	// start are assumed to have been in the store. It is long enough that weights
-	// replaced before the start are out of use when operators consider the host
-	// settled, 3 to 4 s after its start.
+	// start are assumed to have been in the store.
 	initialDelay = 4500 * time.Millisecond
+	// settleTime is the part of the time that replaced weights may answer which is
+	// left at the start of a host that learns from nobody when they were replaced. It
+	// is over when operators consider the host settled, 3 to 5 s after its start.
+	settleTime = 1500 * time.Millisecond
 	// peerDelay is how long another host may have known the records that it
 	// sends.
 	peerDelay = time.Second
@@ -94,6 +96,8 @@
 	// Digests are those of the host by topic. Programs that send none may leave
 	// removals out of their deltas.
 	Digests []Digest `json:",omitempty"`
+	// Namings tell since when target weights are set, by model.
+	Namings map[string][]Naming `json:",omitempty"`
 }
 
 // peers are the other hosts.
@@ -114,6 +118,8 @@
 	// does. Hosts returns the number of hosts that read the store; nil means few.
 	Connected func() bool
 	Hosts     func() int
+	// OldWeightsGrace is how long replaced weights may answer.
+	OldWeightsGrace time.Duration
 }
 
 // Syncer keeps a State up to date from the store and from other hosts.
@@ -203,6 +209,7 @@
 func (s *Syncer) Answer(positions []int64) Reply {
 	r := Reply{Age: s.staleness(Operator), EntriesAge: s.staleness(Upstreams)}
 	state := s.State()
+	r.Namings = state.Namings(clock.Now())
 	for t := range topicCount {
 		r.Digests = append(r.Digests, state.Digest(t))
 	}
@@ -220,10 +227,13 @@
 	defer s.mu.Unlock()
 	now := clock.Now()
 	before := *s.state.Load()
+	weightsDelay := s.sinceComplete(now)
+	observed := weightsDelay > 0
 	if before.Position(d.Topic) == 0 {
 		delay = max(delay, initialDelay)
+		weightsDelay, observed = max(weightsDelay, s.OldWeightsGrace-settleTime), false
 	}
-	at := Times{FirstKnown: now.Add(-delay), WeightsKnown: now.Add(-max(delay, s.sinceComplete(now))), DeferUntil: clock.Instant(s.deferUntil.Load())}
+	at := Times{FirstKnown: now.Add(-delay), WeightsKnown: now.Add(-max(delay, weightsDelay)), WeightsObserved: observed, DeferUntil: clock.Instant(s.deferUntil.Load()), Now: now}
 	next, changes := before.Merge(d, s.Decode, at)
 	s.state.Store(&next)
 	for _, c := range changes {
@@ -235,6 +245,18 @@
 	}
 }
 
+// learnNamings applies what another host has observed of target weights before an
+// instant.
+func (s *Syncer) learnNamings(told map[string][]Naming, at clock.Instant) {
+	if len(told) == 0 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	next := s.state.Load().WithNamings(told, at)
+	s.state.Store(&next)
+}
+
 // sinceComplete returns how long records may have been in the store without
 // this host knowing. While the store does not answer this host, it assumes that
 // no records are added.
--- a/storenode/storenode.go
+++ b/storenode/storenode.go
@@ -193,6 +193,7 @@
 	n.wait.Go(func() { n.announce(ctx) })
 	n.wait.Go(func() { n.updateGauges(ctx, scope, connections) })
 	n.wait.Go(func() { n.expireHealth(ctx) })
+	n.wait.Go(func() { n.recordNamings(ctx) })
 	n.wait.Go(func() { n.withdrawFromLeaving(ctx, connections) })
 	n.wait.Go(func() { n.shutDown(ctx) })
 	event.Listening.Info("Host", n.settings.Host.Name, "Callers", n.settings.Listen.Callers, "Peers", n.settings.Listen.Peers)
@@ -241,7 +242,7 @@
 			return membership.Tick{Urgent: true}
 		},
 	})
-	n.syncer = replica.NewSyncer(ctx, &n.wait, replica.Options{Store: n.store, Peers: n.peerSync, Decode: platform.Decode, ReadsStore: n.readsStore, Connected: n.isConnected, Hosts: n.countHosts})
+	n.syncer = replica.NewSyncer(ctx, &n.wait, replica.Options{Store: n.store, Peers: n.peerSync, Decode: platform.Decode, ReadsStore: n.readsStore, Connected: n.isConnected, Hosts: n.countHosts, OldWeightsGrace: n.settings.Bounds.OldWeightsGrace()})
 	n.syncerPointer.Store(n.syncer)
 }
 
