--- a/health/health.go
+++ b/health/health.go
@@ -48,6 +48,8 @@
 	// load of weights. AddressReused is set if another upstream has its address.
 	BackoffUntil, LoadingUntil clock.Instant
 	AddressReused              bool
+	// LoadingWeights is the weights version that it loads, 0 if unknown.
+	LoadingWeights int64
 	// Weights is the newest weights version that it was observed with.
 	// AssumedWeights is a version that it may have, since it refused requests
 	// for another, or 0.
@@ -202,7 +204,9 @@
 func (s State) WithWeights(version int64) State {
 	if version > s.Weights {
 		s.Weights, s.AssumedWeights = version, 0
-		s.LoadingUntil = 0
+		if version >= s.LoadingWeights {
+			s.LoadingUntil, s.LoadingWeights = 0, 0
+		}
 	}
 	return s
 }
@@ -223,16 +227,22 @@
 // an instant. An update that arrives after the end of the load changes nothing.
 func (s State) WithLoading(version int64, until clock.Instant) State {
 	if s.Weights < version {
-		s.LoadingUntil = max(s.LoadingUntil, until)
+		s.LoadingUntil, s.LoadingWeights = max(s.LoadingUntil, until), max(s.LoadingWeights, version)
 	}
 	return s
 }
 
+// WithLoadFailed returns the state after a load of weights has ended without success.
+func (s State) WithLoadFailed() State {
+	s.LoadingUntil, s.LoadingWeights = 0, 0
+	return s
+}
+
 // WithLoaded returns the state after a load of weights has ended.
 func (s State) WithLoaded(version int64, now clock.Instant) State {
 	s = s.WithWeights(version)
 	if version == s.Weights {
-		s.LoadingUntil = 0
+		s.LoadingUntil, s.LoadingWeights = 0, 0
 		s.firstSeen = now
 		s.BackoffUntil, s.rejections = 0, 0
 	}
--- a/health/health_test.go
+++ b/health/health_test.go
@@ -141,4 +141,6 @@
 	s := health.State{}.WithWeights(2)
 	is.True(!s.WithLoading(3, now.Add(time.Second)).Usable(now))
 	is.True(s.WithWeights(3).WithLoading(3, now.Add(time.Second)).Usable(now))
+	is.True(!s.WithLoading(4, now.Add(time.Second)).WithWeights(3).Usable(now)) // answers an earlier order
+	is.True(s.WithLoading(4, now.Add(time.Second)).WithLoadFailed().Usable(now))
 }
--- a/reloader/reloader.go
+++ b/reloader/reloader.go
@@ -52,6 +52,9 @@
 	// excludeTime is how long an engine that loads is excluded from selection
 	// after the last update about its load: some updates may be lost.
 	excludeTime = 4 * renewInterval
+	// holderTimeout is how long after the last update about a load its engine counts
+	// as out of service when other hosts order engines: its holder may stand still.
+	holderTimeout = 2 * renewInterval
 	// failureBackoff is how long an engine that did not accept an order gets
 	// no further one, silentBackoff the same for one that gives no report: a claim
 	// on it takes the place of another engine.
@@ -220,7 +223,7 @@
 		c.CacheDropped(id)
 	}
 	for _, id := range u.Freed {
-		c.Health.Update(id, func(s health.State) health.State { s.LoadingUntil = 0; return s })
+		c.Health.Update(id, health.State.WithLoadFailed)
 	}
 }
 
@@ -270,12 +273,12 @@
 	mayAct := rank >= 0 && reload.MayAct(rank, now.Sub(target.Since), now.Sub(c.leases.LastReceived))
 	pool := make([]reload.Engine, 0, len(all))
 	for _, e := range all {
-		s := c.Health.State(e.ID)
+		s := c.observeEntry(e, model, now)
 		if s.AddressReused || e.Leaving || s.Leaving(now) {
 			continue
 		}
 		order, own := c.loads[e.ID]
-		elsewhere := !own && (now.Before(s.LoadingUntil) || c.leases.MayBeOrdered(e.ID, c.Self, now))
+		elsewhere := !own && (now.Before(s.LoadingUntil.Add(holderTimeout-excludeTime)) || c.leases.MayBeOrdered(e.ID, c.Self, now))
 		pool = append(pool, reload.Engine{
 			ID: e.ID, Weights: max(e.Weights[model], s.Weights), OutOfService: own || elsewhere, OutSince: order.claimed, Loading: elsewhere || order.idleSince != 0, Running: c.Load(e.ID).Running, Unreachable: s.IsUnreachable(now),
 			MayOrder: !now.Before(c.backoffUntil[e.ID]) && c.leases.MayClaim(e.ID, c.Self, c.Lease, now), Exclusive: c.leases.HeldBy(e.ID, c.Self, c.Lease, now),
@@ -285,6 +288,18 @@
 	return plan.Next(pool, now), c.leases.Position
 }
 
+// observeEntry returns an engine's state after the weights in its entry: the host that
+// ordered it may be unable to tell others that it has loaded.
+func (c *Controller) observeEntry(e discovery.Entry, model string, now clock.Instant) health.State {
+	s := c.Health.State(e.ID)
+	if weights := e.Weights[model]; now.Before(s.LoadingUntil) && s.LoadingWeights > 0 && weights >= s.LoadingWeights {
+		c.Health.Update(e.ID, func(s health.State) health.State { return s.WithLoaded(weights, now) })
+		c.CacheDropped(e.ID)
+		s = c.Health.State(e.ID)
+	}
+	return s
+}
+
 // catchUp reads the claims that this host has not read yet.
 func (c *Controller) catchUp(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -319,7 +334,10 @@
 		return
 	}
 	event.LeaseAcquired.Info("Upstreams", ids, "Fence", end+1, "Model", model, "Weights", target.Version, "SinceMillis", sent.Sub(target.Since).Milliseconds())
-	u := Update{Claim: claim, Offset: end}
+	u := Update{Claim: claim, Offset: end, Loading: map[string]int64{}}
+	for _, id := range ids {
+		u.Loading[id] = target.Version
+	}
 	c.apply(u, sent)
 	c.Send(u)
 	c.mu.Lock()
