fix: hosts ask a watched host before they suspect it

Cause: each host expects heartbeats from the four hosts before it on its rings, by its own view. While views differ, as when many hosts start together, those before it send theirs to others; after 3.5 s they were suspected, and the refutations were held up behind the records of all new hosts until the suspicions had become failures. Now an overdue host is asked once a second for an answer in any case, with the asking host's address, since it may not know it, and with the suspicion, so that it refutes it. Heartbeats' peers are computed without the peers of all other hosts.

--- a/membership/membership.go
+++ b/membership/membership.go
@@ -19,6 +19,10 @@
 	TickInterval = 200 * time.Millisecond
 	// SuspectAfter is how long a watched host may send no heartbeat.
 	SuspectAfter = 3500 * time.Millisecond
+	// askAfter is how long a watched host may send no heartbeat before this host asks
+	// it for an answer with each heartbeat: it may live and send its own to others, as
+	// long as views differ.
+	askAfter = 1500 * time.Millisecond
 	// FailAfter is how long a suspect has to refute the suspicion.
 	FailAfter = 3 * time.Second
 	// startGrace is the timeout of a host that is known only from the host list.
@@ -103,7 +107,7 @@
 	Sender Record
 	// Position is the log offset that the sender's configuration is folded up to.
 	Position int64
-	// Digest is the digest of the sender's view.
+	// Digest is the digest of the sender's view, 0 to get an answer in any case.
 	Digest uint64
 	// Answer marks a message that must not be answered.
 	Answer bool
--- a/membership/ring.go
+++ b/membership/ring.go
@@ -34,44 +34,53 @@
 
 // order returns the hosts in the order of a ring.
 func (r ring) order(hosts []Identity) []Identity {
-	scores := make(map[string]uint64, len(hosts))
-	for _, h := range hosts {
-		scores[h.Name] = placement.Score(r.key, h.Name)
+	type scored struct {
+		score uint64
+		index int
 	}
-	ordered := slices.Clone(hosts)
-	slices.SortFunc(ordered, func(a, b Identity) int {
-		if c := cmp.Compare(scores[a.Name], scores[b.Name]); c != 0 {
-			return c
-		}
-		return compareNames(a.Name, b.Name)
+	scores := make([]scored, len(hosts))
+	for i, h := range hosts {
+		scores[i] = scored{placement.Score(r.key, h.Name), i}
+	}
+	slices.SortFunc(scores, func(a, b scored) int {
+		return cmp.Or(cmp.Compare(a.score, b.score), compareNames(hosts[a.index].Name, hosts[b.index].Name))
 	})
+	ordered := make([]Identity, len(hosts))
+	for i, s := range scores {
+		ordered[i] = hosts[s.index]
+	}
 	return ordered
 }
 
-// next returns the host that follows the one at an index.
-func (r ring) next(ordered []Identity, at int) (string, bool) {
+// next returns the index of the host that follows the one at an index.
+func (r ring) next(ordered []Identity, at int) (int, bool) {
 	for step := 1; step < len(ordered); step++ {
-		candidate := ordered[(at+step)%len(ordered)]
-		if r.accepts(ordered[at], candidate) {
-			return candidate.Name, true
+		candidate := (at + step) % len(ordered)
+		if r.accepts(ordered[at], ordered[candidate]) {
+			return candidate, true
 		}
 	}
-	return "", false
+	return 0, false
 }
 
-// allTargets returns, for every host, the peers that it sends heartbeats to.
-func allTargets(hosts []Identity) map[string][]string {
-	all := make(map[string][]string, len(hosts))
+// neighbors returns the peers that a host sends heartbeats to, and those that send
+// heartbeats to it.
+func neighbors(hosts []Identity, name string) (targets []string, watched map[string]bool) {
+	watched = map[string]bool{}
 	for _, r := range ringsFor(hosts) {
 		ordered := r.order(hosts)
 		for i, h := range ordered {
 			to, ok := r.next(ordered, i)
-			if ok && !slices.Contains(all[h.Name], to) {
-				all[h.Name] = append(all[h.Name], to)
+			switch {
+			case !ok:
+			case h.Name == name && !slices.Contains(targets, ordered[to].Name):
+				targets = append(targets, ordered[to].Name)
+			case ordered[to].Name == name:
+				watched[h.Name] = true
 			}
 		}
 	}
-	return all
+	return targets, watched
 }
 
 // ringsFor returns the rings for the hosts; with a single region the far ring
--- a/membership/step.go
+++ b/membership/step.go
@@ -128,7 +128,7 @@
 	}
 	v.lastHeartbeat = now
 	v, round := v.round()
-	out = append(append(out, round...), v.probe(random)...)
+	out = append(append(append(out, round...), v.ask(now)...), v.probe(random)...)
 	return v, append(out, v.introduce(random)...)
 }
 
@@ -224,6 +224,28 @@
 	return v, out
 }
 
+// ask sends a message to each watched host that is overdue. It answers if it is alive,
+// even if it has not heard of this host before, and refutes a suspicion at once.
+func (v View) ask(now time.Time) []Outgoing {
+	var out []Outgoing
+	for name, seen := range v.lastSeen {
+		if now.Sub(seen) < askAfter || !v.participates(name) {
+			continue
+		}
+		self, _ := v.record(v.self.Name, true)
+		m := Message{Records: []Record{self}}
+		if v.members[name].State == Suspect {
+			r, _ := v.record(name, false)
+			m.Records = append(m.Records, r)
+		}
+		o := v.messageTo(name, m)
+		o.Message.Digest = 0
+		out = append(out, o)
+	}
+	slices.SortFunc(out, func(a, b Outgoing) int { return compareNames(a.To.Name, b.To.Name) })
+	return out
+}
+
 // probe occasionally sends a failed host the record that marks it as failed. A
 // host that is alive refutes the record, so that both sides of a healed partition
 // find each other.
@@ -270,15 +292,11 @@
 			hosts = append(hosts, v.identityOf(name))
 		}
 	}
-	all := allTargets(hosts)
 	former := v.targets
-	v.targets = all[v.self.Name]
-	watched, lastSeen := map[string]bool{}, map[string]time.Time{}
-	for from, to := range all {
-		if !slices.Contains(to, v.self.Name) {
-			continue
-		}
-		watched[from] = true
+	targets, watched := neighbors(hosts, v.self.Name)
+	v.targets = targets
+	lastSeen := map[string]time.Time{}
+	for from := range watched {
 		if last, ok := v.lastSeen[from]; ok {
 			lastSeen[from] = last
 		} else if !v.watched[from] {
