feat: updates on loads reach all hosts of a large system

A host sends an update on an order to at most 100 others; at 295 hosts two thirds did not hear which engines are about to load. Hosts read the list of announced hosts less often the more there are (15 s before, 59 s at 295 hosts): each call to the store costs as much as a short request earns.

--- a/peersync/peersync.go
+++ b/peersync/peersync.go
@@ -26,8 +26,8 @@
 	// many are made: the first may be on a silent connection.
 	tellTimeout  = time.Second
 	tellAttempts = 2
-	// maxTellHosts limits the hosts to which an update is sent; the others learn
-	// of the change from the store.
+	// maxTellHosts limits the hosts to which a host sends an update itself; those pass
+	// it on to the others.
 	maxTellHosts = 100
 
 	// On average, one in nonReaderInterval pulls goes to any other host instead of
@@ -209,27 +209,49 @@
 	return slices.Clone(s.learnedHosts)
 }
 
+// tellRequest carries an update to a host.
+type tellRequest struct {
+	reloader.Update
+
+	// Relay holds the addresses of the hosts that the receiver tells in turn. Earlier
+	// programs ignore it.
+	Relay []string `json:",omitempty"`
+}
+
 // Tell sends an update to the other hosts without waiting for them.
 func (s *Syncer) Tell(update reloader.Update) {
 	others := s.Others()
-	for _, address := range others[:min(len(others), maxTellHosts)] {
-		s.wait.Go(func() { s.tellHost(address, update) })
+	direct := min(len(others), maxTellHosts)
+	for i, address := range others[:direct] {
+		request := tellRequest{Update: update}
+		for j := direct + i; j < len(others); j += direct {
+			request.Relay = append(request.Relay, others[j])
+		}
+		s.wait.Go(func() { s.tellHost(address, request) })
 	}
 }
 
 // tellHost sends an update to one host. An unreachable host learns of the change from
 // the engines' answers.
-func (s *Syncer) tellHost(address string, update reloader.Update) {
+func (s *Syncer) tellHost(address string, request tellRequest) {
 	var err error
 	for range tellAttempts {
 		ctx, cancel := context.WithTimeout(s.ctx, tellTimeout)
-		err = s.call(ctx, address, tellRPC, &update, &TellReply{})
+		err = s.call(ctx, address, tellRPC, &request, &TellReply{})
 		cancel()
 		if err == nil || s.ctx.Err() != nil {
 			return
 		}
 	}
-	event.UpdateNotSent.Info("Host", address, "Offset", update.Offset, "Reason", event.Line(err))
+	event.UpdateNotSent.Info("Host", address, "Offset", request.Offset, "Reason", event.Line(err))
+	s.relay(request)
+}
+
+// relay passes an update on to the hosts that it names.
+func (s *Syncer) relay(request tellRequest) {
+	for _, address := range request.Relay {
+		s.wait.Go(func() { s.tellHost(address, tellRequest{Update: request.Update}) })
+	}
 }
 
 // call makes one call to the host at an address.
@@ -252,8 +274,9 @@
 }
 
 // Tell receives an update.
-func (s server) Tell(_ context.Context, in *reloader.Update) (*TellReply, error) {
-	s.syncer.ReceiveUpdate(*in)
+func (s server) Tell(_ context.Context, in *tellRequest) (*TellReply, error) {
+	s.syncer.relay(*in)
+	s.syncer.ReceiveUpdate(in.Update)
 	return &TellReply{}, nil
 }
 
@@ -272,7 +295,7 @@
 		}, server.Pull, true
 	case 1:
 		return tellRPC, jsonEncoding{}, func(srv interface{}, ctx context.Context, in, _ interface{}) (drpc.Message, error) {
-			return srv.(server).Tell(ctx, in.(*reloader.Update))
+			return srv.(server).Tell(ctx, in.(*tellRequest))
 		}, server.Tell, true
 	}
 	return "", nil, nil, nil, false
--- a/storenode/hosts.go
+++ b/storenode/hosts.go
@@ -15,9 +15,11 @@
 	storeTimeout = 1500 * time.Millisecond
 	// announceRetryInterval is the interval between attempts to announce this host.
 	announceRetryInterval = time.Second
-	// listInterval is the interval between reads of the announced hosts;
-	// heartbeats report changes in between.
-	listInterval = 15 * time.Second
+	// listInterval is the least interval between reads of the announced hosts, and
+	// listIntervalPerHost the interval for each of them if they are many: heartbeats
+	// report changes in between, and each call has its price.
+	listInterval        = 15 * time.Second
+	listIntervalPerHost = 200 * time.Millisecond
 	// initialReads is the number of reads after a start that don't wait for
 	// listInterval.
 	initialReads = 3
@@ -41,7 +43,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var readErr error
-	if now := clock.Now(); l.reads < initialReads || now.Sub(l.lastRead) > listInterval {
+	if now := clock.Now(); l.reads < initialReads || now.Sub(l.lastRead) > l.interval() {
 		l.lastRead = now
 		l.reads++
 		ctx, cancel := context.WithTimeout(ctx, storeTimeout)
@@ -67,3 +69,8 @@
 	}
 	return hosts, nil
 }
+
+// interval returns the time between two reads. The caller holds mu.
+func (l *hostList) interval() time.Duration {
+	return max(listInterval, time.Duration(len(l.listed))*listIntervalPerHost)
+}
