--- a/event/replica.go
+++ b/event/replica.go
@@ -28,7 +28,7 @@
 	// LoadOrdered reports an order to load weights.
 	LoadOrdered = Event{6104, "load ordered", "An engine was ordered to load weights."}
 	// LoadEnded reports the end of such an order.
-	LoadEnded = Event{6105, "load ended", "An engine has loaded the weights, or the order is given up for now."}
+	LoadEnded = Event{6105, "load ended", "An engine has loaded the weights, or the order is given up for now. DrainedMillis is how long its requests took to end after the order; LearntMillis and LearntDrainMillis are what hosts expect of the next loads. Outcome is Loaded; Busy (it executed another order), NoReport or Silent (it gives no report), Refused, Lost (its reports don't show the order), WindowOver (too late to order) or Unfinished."}
 	// UpstreamReportedUnreachable reports an upstream that another host could not reach.
 	UpstreamReportedUnreachable = Event{6106, "upstream rested", "Another host found nothing, or another upstream, at the upstream's address, or was rejected by a brittle one; the upstream is excluded from selection for a second."}
 	// FeedDisconnected reports an engine or a part store whose cache events do not arrive.
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -69,6 +69,8 @@
 	crashTimes []time.Time
 	version    int
 	weights    int64
+	// loadTime is how long engines load weights.
+	loadTime time.Duration
 	// keys holds the current key of each account, revokedKeys the former ones.
 	keys        map[string]string
 	revokedKeys []credential
@@ -90,6 +92,9 @@
 	loadReportForwarder                               *forwarder
 }
 
+// loadTimes are how long engines load weights, by seed.
+var loadTimes = []time.Duration{0, 300 * time.Millisecond, 1500 * time.Millisecond, 4 * time.Second}
+
 // upstream is an address at which one upstream runs after another.
 type upstream struct {
 	service, model string
@@ -100,7 +105,7 @@
 
 // newDeployment starts a deployment.
 func newDeployment(ctx context.Context, wait *conc.WaitGroup, o Options, dir string) (*deployment, error) {
-	d := &deployment{ctx: ctx, wait: wait, dir: dir, keys: map[string]string{"mill": "key-mill-0", "grocer": "key-grocer-0"}, weights: 1, crasher: newCrasher(o.Seed), mixesSoftware: o.Seed%3 != 0}
+	d := &deployment{ctx: ctx, wait: wait, dir: dir, keys: map[string]string{"mill": "key-mill-0", "grocer": "key-grocer-0"}, weights: 1, crasher: newCrasher(o.Seed), mixesSoftware: o.Seed%3 != 0, loadTime: loadTimes[o.Seed%uint64(len(loadTimes))]}
 	var err error
 	if d.store, err = standin.NewPlatformStore(); err != nil {
 		return nil, trace.Wrap(err)
@@ -182,6 +187,7 @@
 	e.Advertised = u.link.address()
 	e.Pace(eventPause)
 	e.Load(d.weights)
+	e.LoadTakes(d.loadTime)
 	d.crasher.arm(e, func() { d.handleCrash(u) })
 	u.link.setTarget(e.Address())
 	u.current = e
