--- a/standin/platform_engine.go
+++ b/standin/platform_engine.go
@@ -314,13 +314,15 @@
 	e.setLimit(w)
 	e.setBrittle(w)
 	switch {
+	case instance != "" && instance != e.ID:
+		status = http.StatusMisdirectedRequest
 	case time.Now().Before(e.rejectUntil):
 		w.Header().Set("Retry-After", e.retryAfter)
 		if seconds, err := strconv.ParseFloat(e.retryAfter, 64); err == nil {
 			arrival.RetryAfter = time.Duration(seconds * float64(time.Second))
 		}
 		status = http.StatusServiceUnavailable
-	case instance != "" && instance != e.ID, version != "" && version != strconv.FormatInt(e.weights, 10):
+	case version != "" && version != strconv.FormatInt(e.weights, 10):
 		status = http.StatusMisdirectedRequest
 	case e.loading:
 		e.rejectedWhileLoading++
