--- a/allocation/begun_test.go
+++ b/allocation/begun_test.go
@@ -76,22 +76,11 @@
 			if random.Float64() < 1.5*prefillRate/tokens*step.Seconds() {
 				arrive(now, patience, false)
 			}
-			for budget := prefillRate * step.Seconds(); budget > 0 && len(queue) > 0; {
-				first := 0
-				for i, w := range queue {
-					if w.rank < queue[first].rank {
-						first = i
-					}
+			queue = readPrompts(queue, prefillRate*step.Seconds(), func(w *waiting) (*float64, int) { return &w.left, w.rank }, func(w waiting) {
+				if now <= w.until {
+					served[w.begun]++
 				}
-				read := min(budget, queue[first].left)
-				budget -= read
-				if queue[first].left -= read; queue[first].left <= 0 {
-					if now <= queue[first].until {
-						served[queue[first].begun]++
-					}
-					queue = append(queue[:first], queue[first+1:]...)
-				}
-			}
+			})
 		}
 		return float64(served[true]) / float64(arrived[true]), float64(served[false]) / float64(arrived[false]), served[true] + served[false]
 	}
--- a/allocation/pace_test.go
+++ b/allocation/pace_test.go
@@ -83,20 +83,7 @@
 				case allocation.Refused:
 				}
 			}
-			for budget := prefillRate * tick.Seconds(); budget > 0 && len(queue) > 0; {
-				first := 0
-				for i, w := range queue {
-					if w.rank < queue[first].rank {
-						first = i
-					}
-				}
-				read := min(budget, queue[first].left)
-				budget -= read
-				if queue[first].left -= read; queue[first].left > 0 {
-					continue
-				}
-				w := queue[first]
-				queue = append(queue[:first], queue[first+1:]...)
+			queue = readPrompts(queue, prefillRate*tick.Seconds(), func(w *waiting) (*float64, int) { return &w.left, w.rank }, func(w waiting) {
 				observed := now.Sub(w.arrived) + delay
 				if observed <= objective {
 					onTime++
@@ -104,7 +91,7 @@
 				if learns && w.expected > 0 {
 					pace = pace.With(w.expected, observed, now)
 				}
-			}
+			})
 		}
 		return float64(onTime) / float64(arrivals)
 	}
--- a/allocation/urgency_test.go
+++ b/allocation/urgency_test.go
@@ -81,27 +81,15 @@
 				}
 				queue = append(queue, waiting{6_000, rank, now})
 			}
-			budget := prefillRate / 100
-			for budget > 0 && len(queue) > 0 {
-				first := 0
-				for i, w := range queue {
-					if w.rank < queue[first].rank {
-						first = i
-					}
-				}
-				read := min(budget, queue[first].tokens)
-				budget -= read
-				if queue[first].tokens -= read; queue[first].tokens <= 0 {
-					if now-queue[first].arrived <= objective {
-						if queue[first].arrived < 10*time.Second {
-							onTime[0]++
-						} else {
-							onTime[1]++
-						}
-					}
-					queue = append(queue[:first], queue[first+1:]...)
+			queue = readPrompts(queue, prefillRate/100, func(w *waiting) (*float64, int) { return &w.tokens, w.rank }, func(w waiting) {
+				switch {
+				case now-w.arrived > objective:
+				case w.arrived < 10*time.Second:
+					onTime[0]++
+				default:
+					onTime[1]++
 				}
-			}
+			})
 		}
 		return float64(onTime[0]) / float64(arrivals[0]), float64(onTime[1]) / float64(arrivals[1])
 	}
