fix: a late update on an earlier load doesn't end a later one; small pools keep an engine

Cause (read): a host that was frozen tells of the load that it had followed; others then took the engine for usable although another host had ordered newer weights. A pool of two engines loaded both at once, since at least two were allowed. Tests of health and TestSmallPools fail before.

--- a/health/health.go
+++ b/health/health.go
@@ -241,7 +241,7 @@
 // WithLoaded returns the state after a load of weights has ended.
 func (s State) WithLoaded(version int64, now clock.Instant) State {
 	s = s.WithWeights(version)
-	if version == s.Weights {
+	if version == s.Weights && version >= s.LoadingWeights {
 		s.LoadingUntil, s.LoadingWeights = 0, 0
 		s.firstSeen = now
 		s.BackoffUntil, s.rejections = 0, 0
--- a/health/health_test.go
+++ b/health/health_test.go
@@ -143,4 +143,5 @@
 	is.True(s.WithWeights(3).WithLoading(3, now.Add(time.Second)).Usable(now))
 	is.True(!s.WithLoading(4, now.Add(time.Second)).WithWeights(3).Usable(now)) // answers an earlier order
 	is.True(s.WithLoading(4, now.Add(time.Second)).WithLoadFailed().Usable(now))
+	is.True(!s.WithLoading(4, now.Add(time.Second)).WithLoaded(3, now).Usable(now)) // told late, by a host that was frozen
 }
--- a/reload/reload.go
+++ b/reload/reload.go
@@ -130,7 +130,8 @@
 	return int(min(pipelined, float64(limit(outOfServiceShare, reachable))))
 }
 
-// limit returns the size of a share of a pool, at least minLimit.
+// limit returns the size of a share of a pool, at least minLimit, but so that an engine
+// is left, if there are several.
 func limit(share float64, engines int) int {
-	return max(minLimit, int(share*float64(engines)))
+	return max(1, min(max(minLimit, int(share*float64(engines))), engines-1))
 }
--- a/reload/reload_test.go
+++ b/reload/reload_test.go
@@ -104,3 +104,17 @@
 	pool[4].Weights, pool[4].Exclusive = 1, true
 	is.Equal(reload.Plan{Target: 3}.Next(pool, 0), []string{"e"}) // no other host may order e
 }
+
+// TestSmallPools checks that a change of weights leaves an engine in service, and that a
+// single engine loads nevertheless.
+func TestSmallPools(t *testing.T) {
+	is := is.New(t)
+	plan := reload.Plan{Target: 2, MayAct: true}
+	for engines, want := range map[int]int{1: 1, 2: 1, 3: 2, 4: 2} {
+		pool := make([]reload.Engine, engines)
+		for i := range pool {
+			pool[i] = reload.Engine{ID: fmt.Sprint(i), Weights: 1, MayOrder: true}
+		}
+		is.Equal(len(plan.Next(pool, 0)), want)
+	}
+}
