--- a/reloader/load.go
+++ b/reloader/load.go
@@ -168,8 +168,8 @@
 		}
 		reportedAt = now
 		c.update(e.ID, func(l load) load { return l.with(r, now) })
-		if result := ended(r, now); result != "" {
-			return result
+		if outcome := ended(r, now); outcome != "" {
+			return outcome
 		}
 	}
 	return unfinished
--- a/replica/state.go
+++ b/replica/state.go
@@ -146,9 +146,9 @@
 
 // State is the replicated state of all topics. It is immutable.
 type State struct {
-	Catalog     catalog.Catalog
-	Upstreams   discovery.Set
-	weights     map[string]WeightsHistory
+	Catalog   catalog.Catalog
+	Upstreams discovery.Set
+	weights   map[string]WeightsHistory
 	// recorded holds what the store tells of target weights, by model and version.
 	recorded    map[string]map[int64]clock.Instant
 	software    map[string]software.Versions
