fix: what is told of weights holds for hosts that have missed versions

Cause: hosts told each other since when a target weights version is set. A host that was frozen while versions 9 and 10 were set learnt the time of 11 and used it for engines with version 8, replaced since 9. Now a bound names the version that was the newest at an instant, and holds for engines with that version or a newer one; also in the store.

--- a/event/replica.go
+++ b/event/replica.go
@@ -73,8 +73,8 @@
 	SoftwareVersionsChanged = Event{6401, "software versions changed", "A software version began or ceased to serve a service. While streams may have begun at several versions, hosts record in the store which version began which stream."}
 	// StreamOriginsUnreadable reports that the records of which version began a stream can't be read.
 	StreamOriginsUnreadable = Event{6402, "stream origins unreadable", "The store's records of the software versions that began streams can't be read; a stream that a caller takes up is refused if its version isn't known otherwise."}
-	// NamingNotRecorded reports a failed write of since when target weights are set.
-	NamingNotRecorded = Event{6404, "naming not recorded", "The store did not accept since when target weights of a model are set; the write is retried at once. Should all hosts restart meanwhile, they assume that the weights were set long ago."}
+	// NamingNotRecorded reports a failed write of when target weights were set.
+	NamingNotRecorded = Event{6404, "naming not recorded", "The store did not accept when target weights of a model were set; the write is retried at once. Should all hosts restart meanwhile, they assume that the weights were set long ago."}
 	// UpdateNotSent reports an update for another host that was given up.
 	UpdateNotSent = Event{6502, "update not sent", "Another host did not accept an update on an order to an engine; it learns of the change from the engine's answers."}
 	// StreamOriginsNotWritten reports a failed write of such records, which is retried.
--- a/replica/naming.go
+++ b/replica/naming.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/kumquathoist/kumquathoist/clock"
@@ -10,105 +11,107 @@
 // clockMargin is how far the times of day of two hosts may be apart.
 const clockMargin = 3 * time.Second
 
-// Naming tells since when a target weights version is set at the earliest.
-type Naming struct {
-	Version int64
-	// Age is how long before it was told.
+// Bound tells that a host knew all records at an instant, and that no target weights
+// version after a given one was set then.
+type Bound struct {
+	// After is the newest version at that instant.
+	After int64
+	// Age is how long before it was told that was.
 	Age time.Duration
 }
 
-// namings returns what the host has observed of the versions.
-func (h WeightsHistory) namings(now clock.Instant) []Naming {
-	var found []Naming
-	for _, v := range append([]WeightsHistory{h}, h.earlier...) {
-		if v.observed {
-			found = append(found, Naming{v.Version, now.Sub(v.Since)})
-		}
-	}
-	return found
+// RecordedBounds is what the store tells of the target weights of a model, by times of
+// day.
+type RecordedBounds struct {
+	Model  string
+	Bounds []Bound
 }
 
-// withNamings returns the history after another host told what it has observed before
-// an instant. Of two earliest times, the later one is closer to the truth.
-func (h WeightsHistory) withNamings(told []Naming, at clock.Instant) WeightsHistory {
-	learn := func(v WeightsHistory) WeightsHistory {
-		for _, n := range told {
-			if since := at.Add(-n.Age); n.Version == v.Version && (!v.observed || since > v.Since) {
-				v.Since, v.observed = since, true
-			}
-		}
-		return v
+// bounds maps versions to the latest instant at which none after them was set.
+type bounds map[int64]clock.Instant
+
+// with returns the bounds with others that were told at an instant.
+func (b bounds) with(told []Bound, at clock.Instant) bounds {
+	next := maps.Clone(b)
+	if next == nil {
+		next = bounds{}
+	}
+	for _, t := range told {
+		next[t.After] = max(next[t.After], at.Add(-t.Age))
 	}
-	next := learn(h)
-	next.earlier = nil
-	for _, v := range h.earlier {
-		next.earlier = append(next.earlier, learn(v))
+	for len(next) > maxEarlierVersions {
+		delete(next, slices.Min(slices.Collect(maps.Keys(next))))
 	}
 	return next
 }
 
-// Namings returns since when target weights versions are set, by model, as far as this
-// host or one that told it has observed that.
-func (s State) Namings(now clock.Instant) map[string][]Naming {
-	all := map[string][]Naming{}
-	for model, h := range s.weights {
-		if found := h.namings(now); len(found) > 0 {
-			all[model] = found
+// replacedSince returns the latest instant at which a version was certainly not replaced
+// yet, or 0. A host that has missed versions in between can't tell which of them was set
+// first, but what others know of an older version holds for a newer one, too.
+func (b bounds) replacedSince(version int64) clock.Instant {
+	var latest clock.Instant
+	for after, at := range b {
+		if after <= version {
+			latest = max(latest, at)
 		}
 	}
-	return all
+	return latest
 }
 
-// WithNamings returns the state after another host told what it has observed before an
-// instant.
-func (s State) WithNamings(told map[string][]Naming, at clock.Instant) State {
-	weights := maps.Clone(s.weights)
-	for model, h := range weights {
-		weights[model] = h.withNamings(told[model], at)
+// Bounds returns what this host has observed of target weights, by model, the newest
+// first, and what others have told it.
+func (s State) Bounds(now clock.Instant) map[string][]Bound {
+	all := map[string][]Bound{}
+	for model, h := range s.weights {
+		known := maps.Clone(s.told[model])
+		if known == nil {
+			known = bounds{}
+		}
+		for i, v := range h.versions() {
+			after := int64(0) // no version was set at all
+			switch {
+			case i < len(h.earlier):
+				after = h.earlier[i].Version
+			case i >= maxEarlierVersions:
+				continue // those before it are forgotten
+			}
+			if v.observed {
+				known[after] = max(known[after], v.Since)
+			}
+		}
+		for _, after := range slices.Backward(slices.Sorted(maps.Keys(known))) {
+			all[model] = append(all[model], Bound{after, now.Sub(known[after])})
+		}
 	}
-	s.weights = weights
-	return s
+	return all
 }
 
-// RecordedNamings is what the store tells of the target weights of a model, by times of
-// day.
-type RecordedNamings struct {
-	Model   string
-	Namings []Naming
+// WithBounds returns the state after another host told what it knows, at an instant.
+func (s State) WithBounds(told map[string][]Bound, at clock.Instant) State {
+	all := maps.Clone(s.told)
+	if all == nil {
+		all = map[string]bounds{}
+	}
+	for model, b := range told {
+		all[model] = all[model].with(b, at)
+	}
+	s.told = all
+	return s.withHistories()
 }
 
-// earliest returns since when the versions are set at the earliest.
-func (r RecordedNamings) earliest(now clock.Instant) map[int64]clock.Instant {
-	found := map[int64]clock.Instant{}
-	for _, n := range r.Namings {
-		found[n.Version] = now.Add(-n.Age - clockMargin)
+// withHistories returns the state with all that is known of target weights in their
+// histories.
+func (s State) withHistories() State {
+	s.weights = maps.Clone(s.weights)
+	for model, h := range s.weights {
+		h.told, h.recorded = s.told[model], s.recorded[model]
+		s.weights[model] = h
 	}
-	return found
+	return s
 }
 
-// IsRecorded reports whether the store tells since when a version is set.
-func (s State) IsRecorded(model string, version int64) bool {
-	_, ok := s.recorded[model][version]
+// IsRecorded reports whether the store tells when no version after the given one was set.
+func (s State) IsRecorded(model string, after int64) bool {
+	_, ok := s.recorded[model][after]
 	return ok
 }
-
-// applyRecorded uses what the store tells of versions that no host has observed. The
-// state's weights must be a copy.
-func (s *State) applyRecorded(model string) {
-	improve := func(v WeightsHistory) WeightsHistory {
-		if since, ok := s.recorded[model][v.Version]; ok && !v.observed {
-			v.Since = max(v.Since, since)
-		}
-		return v
-	}
-	h, ok := s.weights[model]
-	if !ok {
-		return
-	}
-	next := improve(h)
-	next.earlier = nil
-	for _, v := range h.earlier {
-		next.earlier = append(next.earlier, improve(v))
-	}
-	s.weights[model] = next
-}
--- a/replica/naming_test.go
+++ b/replica/naming_test.go
@@ -16,11 +16,13 @@
 	t.Helper()
 	for deadline := time.Now().Add(30 * time.Second); ; time.Sleep(5 * time.Millisecond) {
 		h, _ := s.State().WeightsHistory("m")
-		if age := clock.Now().Sub(h.Since); h.Version == version && known(age) {
+		since, _ := h.ReplacedSince(version - 1)
+		age := clock.Now().Sub(since)
+		if h.Version == version && known(age) {
 			return age
 		}
 		if time.Now().After(deadline) {
-			t.Fatalf("target weights are %d since %v", h.Version, clock.Now().Sub(h.Since))
+			t.Fatalf("target weights are %d since %v", h.Version, age)
 		}
 	}
 }
@@ -56,15 +58,15 @@
 	weightsAge(t, toldAgain, 2, func(age time.Duration) bool { return age < 10*time.Second })
 }
 
-// TestRecordedNamings merges what the store tells of a version before and after the
-// version itself, into a state that knows nothing else of its age.
-func TestRecordedNamings(t *testing.T) {
+// TestRecordedBounds merges what the store tells of a version before and after the version
+// itself, into a state that knows nothing else of its age.
+func TestRecordedBounds(t *testing.T) {
 	is := is.New(t)
 	now := clock.Instant(time.Hour)
 	at := replica.Times{WeightsKnown: now.Add(-13 * time.Second), Now: now}
-	decodeNaming := func(t replica.Topic, key string, value []byte) (replica.Decoded, error) {
+	decodeBound := func(t replica.Topic, key string, value []byte) (replica.Decoded, error) {
 		if t == replica.Software {
-			return replica.Decoded{Namings: &replica.RecordedNamings{Model: "m", Namings: []replica.Naming{{Version: 2, Age: 4 * time.Second}}}}, nil
+			return replica.Decoded{Bounds: &replica.RecordedBounds{Model: "m", Bounds: []replica.Bound{{After: 1, Age: 4 * time.Second}}}}, nil
 		}
 		return decode(t, key, value)
 	}
@@ -73,16 +75,48 @@
 	for _, deltas := range [][]replica.Delta{{weights, told}, {told, weights}} {
 		var s replica.State
 		for _, d := range deltas {
-			s, _ = s.Merge(d, decodeNaming, at)
+			s, _ = s.Merge(d, decodeBound, at)
 		}
 		h, _ := s.WeightsHistory("m")
-		is.Equal(now.Sub(h.Since), 7*time.Second) // times of day of hosts differ by up to 3 s
-		is.True(s.IsRecorded("m", 2))
-		is.Equal(len(s.Namings(now)), 0) // no host has observed it
+		since, _ := h.ReplacedSince(1)
+		is.Equal(now.Sub(since), 7*time.Second) // times of day of hosts differ by up to 3 s
+		is.True(s.IsRecorded("m", 1))
+		is.Equal(len(s.Bounds(now)), 0) // no host has observed it
 	}
 	at.WeightsKnown, at.WeightsObserved = now.Add(-time.Second), true
-	s, _ := replica.State{}.Merge(told, decodeNaming, at)
-	s, _ = s.Merge(weights, decodeNaming, at)
+	s, _ := replica.State{}.Merge(told, decodeBound, at)
+	s, _ = s.Merge(weights, decodeBound, at)
 	h, _ := s.WeightsHistory("m")
-	is.Equal(now.Sub(h.Since), time.Second) // what a host has observed is better
+	since, _ := h.ReplacedSince(1)
+	is.Equal(now.Sub(since), time.Second) // what a host has observed is better
+}
+
+// TestMissedVersions has a host be frozen while versions 9 and 10 are set, and learn of 11
+// and of when that was set. An engine with version 8 has been replaced since 9, of which
+// the host knows only from others.
+func TestMissedVersions(t *testing.T) {
+	is := is.New(t)
+	now := clock.Instant(time.Hour)
+	merge := func(s replica.State, offset int64, value string, known time.Duration) replica.State {
+		s, _ = s.Merge(replica.Delta{Topic: replica.Operator, Position: offset + 1, Records: []replica.Record{record("weights", offset, value)}}, decode, replica.Times{WeightsKnown: now.Add(-known), WeightsObserved: true, Now: now})
+		return s
+	}
+	witness := merge(replica.State{}, 0, "w8", time.Minute)
+	frozen := merge(witness, 3, "w11", 7*time.Second) // it last knew all 7 s ago
+	for i, named := range []time.Duration{4 * time.Second, 3 * time.Second, time.Second} {
+		witness = merge(witness, int64(1+i), []string{"w9", "w10", "w11"}[i], named)
+	}
+	age := func(s replica.State, version int64) time.Duration {
+		h, _ := s.WeightsHistory("m")
+		since, ok := h.ReplacedSince(version)
+		is.True(ok)
+		return now.Sub(since)
+	}
+	is.Equal(age(frozen, 8), 7*time.Second)
+	told := frozen.WithBounds(witness.Bounds(now), now)
+	is.Equal(age(told, 8), 4*time.Second) // 9 was set no earlier
+	is.Equal(age(told, 9), 3*time.Second)
+	is.Equal(age(told, 10), time.Second)
+	first := merge(replica.State{}, 0, "w2", time.Second) // no version was set before
+	is.Equal(first.Bounds(now), map[string][]replica.Bound{"m": {{After: 0, Age: time.Second}}})
 }
--- a/replica/pull.go
+++ b/replica/pull.go
@@ -37,7 +37,7 @@
 		}
 		s.merge(d, "Peer", peerDelay)
 	}
-	s.learnNamings(r.Namings, requested)
+	s.learnBounds(r.Bounds, requested)
 	var agrees [topicCount]bool
 	equal := true
 	for t := range topicCount {
--- a/replica/state.go
+++ b/replica/state.go
@@ -65,8 +65,8 @@
 	Entry   *discovery.Entry
 	// Software holds the software versions of the service that the key names.
 	Software *software.Versions
-	// Namings tell since when target weights are set.
-	Namings *RecordedNamings
+	// Bounds tell when versions of target weights were not replaced yet.
+	Bounds *RecordedBounds
 }
 
 // TargetWeights is the weights version that operators want for a model.
@@ -88,6 +88,8 @@
 	observed bool
 	// earlier are the previous target versions, the newest first.
 	earlier []WeightsHistory
+	// told is what other hosts have observed, recorded what the store tells.
+	told, recorded bounds
 }
 
 // maxEarlierVersions limits the previous target versions that are stored; no more
@@ -105,7 +107,19 @@
 // target version.
 func (h WeightsHistory) ReplacedSince(version int64) (clock.Instant, bool) {
 	next, ok := h.firstAfter(version)
-	return next.Since, ok
+	if !ok {
+		return 0, false
+	}
+	since := max(next.Since, h.told.replacedSince(version))
+	if !next.observed {
+		since = max(since, h.recorded.replacedSince(version))
+	}
+	return since, true
+}
+
+// versions returns the version and the earlier ones, the newest first.
+func (h WeightsHistory) versions() []WeightsHistory {
+	return append([]WeightsHistory{h}, h.earlier...)
 }
 
 // firstAfter returns the first known target version after a version.
@@ -125,7 +139,7 @@
 
 // with returns the history after a newer target version was set.
 func (h WeightsHistory) with(version int64, since clock.Instant, observed bool) WeightsHistory {
-	next := WeightsHistory{Version: version, Since: since, observed: observed}
+	next := WeightsHistory{Version: version, Since: since, observed: observed, told: h.told, recorded: h.recorded}
 	if h.Version > 0 {
 		next.earlier = append([]WeightsHistory{{Version: h.Version, Since: h.Since, observed: h.observed}}, h.earlier[:min(len(h.earlier), maxEarlierVersions)]...)
 	}
@@ -149,10 +163,11 @@
 	Catalog   catalog.Catalog
 	Upstreams discovery.Set
 	weights   map[string]WeightsHistory
-	// recorded holds what the store tells of target weights, by model and version.
-	recorded    map[string]map[int64]clock.Instant
-	software    map[string]software.Versions
-	topicStates [topicCount]topicState
+	// told is what other hosts have observed of target weights by model, recorded what
+	// the store tells.
+	told, recorded map[string]bounds
+	software       map[string]software.Versions
+	topicStates    [topicCount]topicState
 	// deferred holds removed upstreams and when their removal takes effect.
 	deferred map[string]clock.Instant
 }
@@ -351,7 +366,7 @@
 	}
 	if w := c.Decoded.Weights; w != nil && w.Version > s.weights[w.Model].Version {
 		s.weights[w.Model] = s.weights[w.Model].with(w.Version, at.WeightsKnown, at.WeightsObserved)
-		s.applyRecorded(w.Model)
+		*s = s.withHistories()
 	}
 	if c.Decoded.Entry != nil {
 		delete(s.deferred, r.Key)
@@ -359,13 +374,14 @@
 	if c.Decoded.Software != nil {
 		s.software[r.Key] = *c.Decoded.Software
 	}
-	if n := c.Decoded.Namings; n != nil {
-		s.recorded = maps.Clone(s.recorded)
-		if s.recorded == nil {
-			s.recorded = map[string]map[int64]clock.Instant{}
+	if n := c.Decoded.Bounds; n != nil {
+		recorded := maps.Clone(s.recorded)
+		if recorded == nil {
+			recorded = map[string]bounds{}
 		}
-		s.recorded[n.Model] = n.earliest(at.Now)
-		s.applyRecorded(n.Model)
+		recorded[n.Model] = bounds{}.with(n.Bounds, at.Now.Add(-clockMargin))
+		s.recorded = recorded
+		*s = s.withHistories()
 	}
 	return c
 }
--- a/replica/syncer.go
+++ b/replica/syncer.go
@@ -96,8 +96,8 @@
 	// Digests are those of the host by topic. Programs that send none may leave
 	// removals out of their deltas.
 	Digests []Digest `json:",omitempty"`
-	// Namings tell since when target weights are set, by model.
-	Namings map[string][]Naming `json:",omitempty"`
+	// Bounds tell when versions of target weights were not replaced yet, by model.
+	Bounds map[string][]Bound `json:",omitempty"`
 }
 
 // peers are the other hosts.
@@ -209,7 +209,7 @@
 func (s *Syncer) Answer(positions []int64) Reply {
 	r := Reply{Age: s.staleness(Operator), EntriesAge: s.staleness(Upstreams)}
 	state := s.State()
-	r.Namings = state.Namings(clock.Now())
+	r.Bounds = state.Bounds(clock.Now())
 	for t := range topicCount {
 		r.Digests = append(r.Digests, state.Digest(t))
 	}
@@ -245,15 +245,14 @@
 	}
 }
 
-// learnNamings applies what another host has observed of target weights before an
-// instant.
-func (s *Syncer) learnNamings(told map[string][]Naming, at clock.Instant) {
+// learnBounds applies what another host told of target weights at an instant.
+func (s *Syncer) learnBounds(told map[string][]Bound, at clock.Instant) {
 	if len(told) == 0 {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	next := s.state.Load().WithNamings(told, at)
+	next := s.state.Load().WithBounds(told, at)
 	s.state.Store(&next)
 }
 
