fix: a silent holder holds up others' orders for 1.3 s

Cause: the engines that a frozen host has claimed count as out of service for the hosts that order after it. With two such engines in a pool of nine all orders stand still until its last update is too old: 2 s, each time.

--- a/reloader/reloader.go
+++ b/reloader/reloader.go
@@ -54,7 +54,7 @@
 	excludeTime = 4 * renewInterval
 	// holderTimeout is how long after the last update about a load its engine counts
 	// as out of service when other hosts order engines: its holder may stand still.
-	holderTimeout = 2 * renewInterval
+	holderTimeout = renewInterval + 300*time.Millisecond
 	// failureBackoff is how long an engine that did not accept an order gets
 	// no further one, silentBackoff the same for one that gives no report: a claim
 	// on it takes the place of another engine.
