fix: a refusal at the end of a check of upstreams is checked, too

Cause: an upstream that refuses a connection while its service is being checked was not suspected again; if the check had already reported the refusals that it knew, the new one was reported only with the next connection. Now the service is checked once more.

--- a/reachability/reachability.go
+++ b/reachability/reachability.go
@@ -138,8 +138,8 @@
 	mu     sync.Mutex
 	states map[string]State
 	// probing holds the services whose upstreams are being checked, suspects those
-	// whose check has yet to start.
-	probing, suspects map[string]bool
+	// whose check has yet to start, and missed those suspected again during a check.
+	probing, suspects, missed map[string]bool
 	// refused holds the upstreams of each service that OnRefused has yet to report.
 	refused map[string][]string
 }
@@ -148,7 +148,7 @@
 func NewMonitor(ctx context.Context, wait *conc.WaitGroup, o Options) *Monitor {
 	m := &Monitor{
 		Options: o, suspected: make(chan struct{}, 1),
-		states: map[string]State{}, probing: map[string]bool{}, suspects: map[string]bool{}, refused: map[string][]string{},
+		states: map[string]State{}, probing: map[string]bool{}, suspects: map[string]bool{}, missed: map[string]bool{}, refused: map[string][]string{},
 	}
 	wait.Go(func() { m.run(ctx) })
 	return m
@@ -208,6 +208,11 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	delete(m.probing, service)
+	if m.missed[service] {
+		// The check may have ended before it could see what it was suspected for.
+		delete(m.missed, service)
+		m.suspect(service)
+	}
 }
 
 // Isolated reports whether the host is cut off from all upstreams of a service.
@@ -280,6 +285,7 @@
 // suspect has the upstreams of a service checked. The caller holds mu.
 func (m *Monitor) suspect(service string) {
 	if m.probing[service] {
+		m.missed[service] = true
 		return
 	}
 	m.suspects[service] = true
--- a/reachability/reachability_test.go
+++ b/reachability/reachability_test.go
@@ -180,3 +180,34 @@
 	is.Equal(<-reported, "engine-c")
 	is.Equal(len(reported), 0)
 }
+
+// TestRefusalAtEndOfCheck has an upstream refuse a connection when a check has already
+// reported the refusals that it knows, but has not ended. The refusal must be reported
+// nevertheless, though no request follows.
+func TestRefusalAtEndOfCheck(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	var wait conc.WaitGroup
+	defer wait.Wait()
+	defer cancel()
+	reported := make(chan string, 100)
+	var m *reachability.Monitor
+	m = reachability.NewMonitor(ctx, &wait, reachability.Options{
+		Prober: &fakeLinks{}, Metrics: tally.NoopScope, Addresses: func(string) []string { return []string{"a", "b", "c"} },
+		OnRefused: func(upstream string) {
+			if upstream == "engine-a" {
+				m.Refused("models", "c", "engine-c")
+			}
+			reported <- upstream
+		},
+	})
+	m.Refused("models", "a", "engine-a")
+	for _, want := range []string{"engine-a", "engine-c"} {
+		select {
+		case upstream := <-reported:
+			is.Equal(upstream, want)
+		case <-time.After(20 * time.Second):
+			t.Fatalf("%s is not reported", want)
+		}
+	}
+}
