--- a/review/trial/deployment.go
+++ b/review/trial/deployment.go
@@ -25,6 +25,8 @@
 	settleTime = 3 * time.Second
 	// stopLimit is the platform's grace_s.
 	stopLimit = 8 * time.Second
+	// hostCount is the number of hosts.
+	hostCount = 3
 	// configApplyTime is the platform's config_apply_ms.
 	configApplyTime = 2 * time.Second
 )
@@ -98,14 +100,14 @@
 	return d, nil
 }
 
-// startHosts starts a number of hosts and waits until all are ready.
-func (d *deployment) startHosts(ctx context.Context, count int) error {
+// startHosts starts all hosts and waits until they are ready.
+func (d *deployment) startHosts(ctx context.Context) error {
 	p, err := freePorts()
 	if err != nil {
 		return err
 	}
 	base := 20 + os.Getpid()%200
-	for i := range count {
+	for i := range hostCount {
 		h := &host{index: i, name: fmt.Sprintf("front-%s-%d", domains[i%len(domains)], 1+i/len(domains)), ip: fmt.Sprintf("127.%d.1.%d", base, 2+i), ports: p}
 		d.hosts = append(d.hosts, h)
 		if err := d.start(h); err != nil {
@@ -119,11 +121,11 @@
 				ready++
 			}
 		}
-		if ready == count {
+		if ready == hostCount {
 			return sleep(ctx, settleTime)
 		}
 		if time.Now().After(deadline) {
-			return fmt.Errorf("only %d of %d hosts are ready", ready, count)
+			return fmt.Errorf("only %d of %d hosts are ready", ready, hostCount)
 		}
 		if err := sleep(ctx, 100*time.Millisecond); err != nil {
 			return err
@@ -205,7 +207,7 @@
 		if err != nil {
 			return p, err
 		}
-		defer l.Close()
+		defer func() { _ = l.Close() }()
 		*port = l.Addr().String()[strings.LastIndexByte(l.Addr().String(), ':')+1:]
 	}
 	u, err := net.ListenPacket("udp4", "127.0.0.1:0")
--- a/review/trial/holders.go
+++ b/review/trial/holders.go
@@ -29,7 +29,7 @@
 // playTwoHolders restarts two hosts in turn while weights are named twice. The store
 // forgets its history once the first host is back.
 func playTwoHolders(ctx context.Context, t *trial) (bool, error) {
-	const engineCount, hostCount = 4, 3
+	const engineCount = 4
 	engines := make([]*engine, engineCount)
 	for i := range engines {
 		var err error
@@ -43,7 +43,7 @@
 		return false, err
 	}
 	defer d.close()
-	if err := d.startHosts(ctx, hostCount); err != nil {
+	if err := d.startHosts(ctx); err != nil {
 		return false, err
 	}
 	if err := d.nameWeightsDuringRoll(ctx); err != nil {
--- a/review/trial/isolation.go
+++ b/review/trial/isolation.go
@@ -12,7 +12,7 @@
 // account by a new version of the configuration, and then has another account send
 // prompts with the same parts.
 func playIsolation(ctx context.Context, t *trial) (bool, error) {
-	const engineCount, hostCount, subjects = 3, 3, 12
+	const engineCount, subjects = 3, 12
 	engines := make([]*engine, engineCount)
 	for i := range engines {
 		var err error
@@ -26,7 +26,7 @@
 		return false, err
 	}
 	defer d.close()
-	if err := d.startHosts(ctx, hostCount); err != nil {
+	if err := d.startHosts(ctx); err != nil {
 		return false, err
 	}
 	served := d.sendSubjects("mill", subjects)
--- a/review/trial/longstream.go
+++ b/review/trial/longstream.go
@@ -28,7 +28,7 @@
 // slow for some seconds, and counts the connections that hosts close in the middle of
 // an answer.
 func playLongStreams(ctx context.Context, t *trial) (bool, error) {
-	const engineCount, hostCount, clients = 12, 3, 144
+	const engineCount, clients = 12, 144
 	engines := make([]*engine, engineCount)
 	for i := range engines {
 		var err error
@@ -42,7 +42,7 @@
 		return false, err
 	}
 	defer d.close()
-	if err := d.startHosts(ctx, hostCount); err != nil {
+	if err := d.startHosts(ctx); err != nil {
 		return false, err
 	}
 	var all sync.WaitGroup
@@ -111,7 +111,7 @@
 		d.logf("%s to %s: %v", id, h.name, err)
 		return r
 	}
-	defer c.Close()
+	defer func() { _ = c.Close() }()
 	// No route matches: the answer of the host itself keeps the connection open.
 	warmUp := request(id+"-look", "key-mill", time.Second)
 	warmUp.Path = "/none/"
--- a/review/trial/main.go
+++ b/review/trial/main.go
@@ -41,6 +41,7 @@
 	"isolation":    playIsolation,
 	"long-streams": playLongStreams,
 	"two-holders":  playTwoHolders,
+	"stale-order":  playStaleOrder,
 }
 
 func main() { os.Exit(run()) }
