--- a/review/trial/engine.go
+++ b/review/trial/engine.go
@@ -49,6 +49,8 @@
 	loading           bool
 	orders            []order
 	heartbeat         int
+	// begun holds the requests that the engine began to run.
+	begun map[string]bool
 }
 
 // loadTime is how long an engine loads weights.
@@ -77,7 +79,7 @@
 	}
 	e := &engine{
 		trial: t, id: fmt.Sprintf("i-%02d", number), address: listener.Addr().String(), zone: domains[number%len(domains)], events: events, pace: pace,
-		born: time.Now().UnixMilli(), slowFactor: 1, makers: map[partKey]string{}, weights: 1,
+		born: time.Now().UnixMilli(), slowFactor: 1, makers: map[partKey]string{}, weights: 1, begun: map[string]bool{},
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /report", e.report)
@@ -210,7 +212,7 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	e.useCache(r.Header)
+	e.begin(r.Header)
 	w.Header().Set("X-Response-Stamp", e.id+"."+id)
 	w.Header().Set("X-Weight-Versions", e.version())
 	w.Header().Set("Content-Type", "text/event-stream")
@@ -239,12 +241,13 @@
 	return strconv.FormatInt(e.weights, 10)
 }
 
-// useCache uses the cached parts of a prompt and caches the others, like an engine
-// with room for all of them.
-func (e *engine) useCache(h http.Header) {
+// begin begins to run a request. It uses the cached parts of the prompt and caches the
+// others, like an engine with room for all of them.
+func (e *engine) begin(h http.Header) {
 	account, salt := h.Get("X-Tenant"), h.Get("X-Cache-Salt")
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.begun[h.Get("X-Attempt-Id")] = true
 	for part := range strings.SplitSeq(h.Get("X-Prompt-Prefix"), ",") {
 		name, _, ok := strings.Cut(part, ":")
 		if !ok {
@@ -262,6 +265,13 @@
 	}
 }
 
+// hasBegun reports whether the engine began to run a request.
+func (e *engine) hasBegun(id string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.begun[id]
+}
+
 // reuses returns the uses of cached parts by requests of other accounts.
 func (e *engine) reuses() []reuse {
 	e.mu.Lock()
