--- a/review/trial/engine.go
+++ b/review/trial/engine.go
@@ -51,8 +51,23 @@
 	heartbeat         int
 	// begun holds the requests that the engine began to run.
 	begun map[string]bool
+	// slots is the number of requests that run at a time, 0 for any; running counts
+	// them. Further requests wait.
+	slots, running int
+	// starts holds when requests began, and on which weights.
+	starts []start
 }
 
+// start is the begin of a run.
+type start struct {
+	attempt string
+	weights int64
+	at      time.Time
+}
+
+// pollTime is the time between two looks at an engine's state.
+const pollTime = 2 * time.Millisecond
+
 // loadTime is how long an engine loads weights.
 const loadTime = 300 * time.Millisecond
 
@@ -100,11 +115,26 @@
 	defer e.mu.Unlock()
 	e.heartbeat++
 	return map[string]any{
-		"service": serviceName, "address": e.address, "zone": e.zone, "version": "v1", "slots": 64, "state": "ready", "cold_remaining_ms": 0, "seq": e.heartbeat, "born": e.born,
+		"service": serviceName, "address": e.address, "zone": e.zone, "version": "v1", "slots": e.entrySlots(), "state": "ready", "cold_remaining_ms": 0, "seq": e.heartbeat, "born": e.born,
 		"stage": "unified", "models": e.models(),
 	}
 }
 
+// entrySlots returns the number of slots in the entry. The caller holds mu.
+func (e *engine) entrySlots() int {
+	if e.slots == 0 {
+		return 64
+	}
+	return e.slots
+}
+
+// started returns the runs that have begun.
+func (e *engine) started() []start {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]start{}, e.starts...)
+}
+
 // models returns the models as reports and entries hold them. The caller holds mu.
 func (e *engine) models() []map[string]any {
 	return []map[string]any{{"name": modelName, "version": e.weights, "adapters": []any{}}}
@@ -113,7 +143,7 @@
 func (e *engine) report(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	writeJSON(w, map[string]any{"stage": "unified", "models": e.models(), "busy": e.loading, "seq": e.accepted, "queued": 0, "running": 0, "kv_used": 0, "kv_total": 225338, "handles": 0, "born": e.born})
+	writeJSON(w, map[string]any{"stage": "unified", "models": e.models(), "busy": e.loading, "seq": e.accepted, "queued": 0, "running": e.running, "kv_used": 0, "kv_total": 225338, "handles": 0, "born": e.born})
 }
 
 // order takes an order to load weights.
@@ -139,14 +169,20 @@
 	default:
 		e.accepted++
 		e.loading = true
-		time.AfterFunc(loadTime, func() { e.finishLoad(o.Version) })
+		go e.load(o.Version)
 	}
 	e.logf("engine %s: order of %s, token %d, for version %d: %d", e.id, o.Holder, o.Token, o.Version, status)
 	w.WriteHeader(status)
 }
 
-// finishLoad has the engine run the loaded weights.
-func (e *engine) finishLoad(version int64) {
+// load loads weights once the requests that run have ended.
+func (e *engine) load(version int64) {
+	for busy := true; busy; time.Sleep(pollTime) {
+		e.mu.Lock()
+		busy = e.running > 0
+		e.mu.Unlock()
+	}
+	time.Sleep(loadTime)
 	e.mu.Lock()
 	e.weights, e.loading = version, false
 	clear(e.makers)
@@ -207,12 +243,18 @@
 		return
 	}
 	w.Header().Set("X-Attempt-Id", id)
-	if instance := r.Header.Get("X-Expect-Instance"); instance != "" && instance != e.id {
+	instance, weights := r.Header.Get("X-Expect-Instance"), r.Header.Get("X-Expect-Version")
+	if instance != "" && instance != e.id || weights != "" && weights != e.version() {
 		w.Header().Set("X-Not-Executed", "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	e.begin(r.Header)
+	if !e.await(r) {
+		w.Header().Set("X-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer e.end()
 	w.Header().Set("X-Response-Stamp", e.id+"."+id)
 	w.Header().Set("X-Weight-Versions", e.version())
 	w.Header().Set("Content-Type", "text/event-stream")
@@ -241,13 +283,38 @@
 	return strconv.FormatInt(e.weights, 10)
 }
 
+// await waits until a request can begin, and begins it. It returns false if the engine
+// has accepted an order before, or if the sender has left.
+func (e *engine) await(r *http.Request) bool {
+	for r.Context().Err() == nil {
+		e.mu.Lock()
+		loading, begins := e.loading, !e.loading && (e.slots == 0 || e.running < e.slots)
+		if begins {
+			e.begin(r.Header)
+		}
+		e.mu.Unlock()
+		if begins || loading {
+			return begins
+		}
+		time.Sleep(pollTime)
+	}
+	return false
+}
+
+// end ends the run of a request.
+func (e *engine) end() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.running--
+}
+
 // begin begins to run a request. It uses the cached parts of the prompt and caches the
-// others, like an engine with room for all of them.
+// others, like an engine with room for all of them. The caller holds mu.
 func (e *engine) begin(h http.Header) {
 	account, salt := h.Get("X-Tenant"), h.Get("X-Cache-Salt")
-	e.mu.Lock()
-	defer e.mu.Unlock()
+	e.running++
 	e.begun[h.Get("X-Attempt-Id")] = true
+	e.starts = append(e.starts, start{h.Get("X-Attempt-Id"), e.weights, time.Now()})
 	for part := range strings.SplitSeq(h.Get("X-Prompt-Prefix"), ",") {
 		name, _, ok := strings.Cut(part, ":")
 		if !ok {
--- a/review/trial/main.go
+++ b/review/trial/main.go
@@ -40,6 +40,7 @@
 var cases = map[string]func(context.Context, *trial) (broken bool, err error){
 	"isolation":    playIsolation,
 	"long-streams": playLongStreams,
+	"old-weights":  playOldWeights,
 	"large-bodies": playLargeBodies,
 	"stale-order":  playStaleOrder,
 }
