--- a/review/trial/staleorder.go
+++ b/review/trial/staleorder.go
@@ -11,8 +11,8 @@
 // healed don't count.
 const thawSlack = 300 * time.Millisecond
 
-// playStaleOrder names new weights, and cuts the link of one engine while its order is
-// on its way.
+// playStaleOrder names new weights, and cuts the link between one engine and the host
+// that orders it while the order is on its way.
 func playStaleOrder(ctx context.Context, t *trial) (bool, error) {
 	const engineCount = 5
 	engines := make([]*engine, engineCount)
@@ -37,6 +37,7 @@
 	if err := d.startHosts(ctx); err != nil {
 		return false, err
 	}
+	l.setHosts(d.hosts)
 	d.nameWeights(2)
 	if err := sleep(ctx, 12*time.Second); err != nil {
 		return false, err
