fix: calls that are given up are reset by every client

An order whose host had given it up reached its engine 1.6 s after the next holder's order, with a lower token.

Ruled out: the lease's waits (4.6 s were kept), a repeat by net/http (the late order came on the first connection).

Now connections of socket.NewDialer are reset unless everything was acknowledged and answered, also by the kernel when their process is killed, and all clients use them: engines' control API, the store, hosts among themselves, the product's own path, the command line. The kernel drops an order that is unacknowledged for lease.DeliveryMargin, so that a host that stands still can't deliver it later. That works since bytes that a sender resets are never sent again.

--- a/cmd/addresses.go
+++ b/cmd/addresses.go
@@ -56,7 +56,7 @@
 	if err != nil {
 		return answer, trace.BadParameter("%s is not a URL: %v", f.Host, err)
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := newHTTPClient().Do(req)
 	if err != nil {
 		return answer, trace.Errorf("no answer from %s: %v", f.Host, err)
 	}
--- a/cmd/client.go
+++ b/cmd/client.go
@@ -51,7 +51,7 @@
 	}
 	req.Header.Set("Authorization", "Bearer "+secret.Reveal())
 	req.Header.Set("Content-Type", "application/json")
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := newHTTPClient().Do(req)
 	if err != nil {
 		return trace.ConnectionProblem(err, "no answer from %s", f.Host)
 	}
--- /dev/null
+++ b/cmd/http.go
@@ -0,0 +1,24 @@
+package cmd
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/kumquathoist/kumquathoist/socket"
+)
+
+const (
+	// dialTimeout bounds the time to connect to a host.
+	dialTimeout = 10 * time.Second
+	// maxSilence is how long a host may acknowledge nothing before the connection to it
+	// is closed.
+	maxSilence = 10 * time.Second
+)
+
+// newHTTPClient returns a client of hosts. A call that is given up, such as by an
+// interrupt, does not arrive later.
+func newHTTPClient() *http.Client {
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	transport.DialContext = socket.NewDialer(dialTimeout, maxSilence).DialContext
+	return &http.Client{Transport: transport}
+}
--- a/cmd/send.go
+++ b/cmd/send.go
@@ -85,7 +85,7 @@
 		if err != nil {
 			return nil, err
 		}
-		resp, err := http.DefaultClient.Do(req)
+		resp, err := newHTTPClient().Do(req)
 		if err == nil {
 			return resp, nil
 		}
--- a/http1/http1.go
+++ b/http1/http1.go
@@ -70,8 +70,8 @@
 }
 
 // NewDialer returns the dialer of connections to upstreams and other hosts.
-func NewDialer() *net.Dialer {
-	return socket.Dialer(dialTimeout, maxSilence)
+func NewDialer() *socket.Dialer {
+	return socket.NewDialer(dialTimeout, maxSilence)
 }
 
 // NewPool returns a pool of connections that a dialer opens; Sweep closes them when
@@ -152,15 +152,8 @@
 	return n, err
 }
 
-// reset closes the connection and drops what the other side has not acknowledged. After
-// an ordinary close the kernel goes on sending that, and a request that was given up
-// would arrive whenever the path to the upstream works again.
-func (c *conn) reset() {
-	if tcp, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
-		_ = tcp.SetLinger(0) // fails only on a closed connection
-	}
-	_ = c.Close()
-}
+// reset closes the connection and drops what the other side has not acknowledged.
+func (c *conn) reset() { socket.Reset(c.Conn) }
 
 // position returns the number of bytes consumed from the read buffer.
 func (c *conn) position() int64 { return c.received - int64(c.buffer.Buffered()) }
@@ -265,15 +258,7 @@
 }
 
 // hasUnacknowledged reports whether the other side has yet to acknowledge some bytes.
-func (c *conn) hasUnacknowledged() bool {
-	raw, err := c.Conn.(syscall.Conn).SyscallConn()
-	if err != nil {
-		return false
-	}
-	unacknowledged := 0
-	err = raw.Control(func(fd uintptr) { unacknowledged, _ = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
-	return err == nil && unacknowledged > 0
-}
+func (c *conn) hasUnacknowledged() bool { return socket.HasUnacknowledged(c.Conn.(syscall.Conn)) }
 
 // putIdle puts a connection into the pool, or closes it if it would expire
 // immediately.
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -20,8 +20,9 @@
 const (
 	// Window is how long orders may be sent after the append was sent.
 	Window = 900 * time.Millisecond
-	// deliveryMargin covers the time that an order takes to arrive.
-	deliveryMargin = 700 * time.Millisecond
+	// DeliveryMargin covers the time that an order takes to arrive. The order must not
+	// arrive later than that.
+	DeliveryMargin = 700 * time.Millisecond
 )
 
 // Claim is a record of the log: a host's claim to order engines.
@@ -98,10 +99,10 @@
 // that the log lost: until its lease has expired, only a host whose claim from
 // before is still in force knows that there is none.
 func (s State) mayHaveLostClaim(c receivedClaim, holder string, lease time.Duration, now clock.Instant) bool {
-	if s.eraSince == 0 || now.Sub(s.eraSince) >= Window+deliveryMargin+lease {
+	if s.eraSince == 0 || now.Sub(s.eraSince) >= Window+DeliveryMargin+lease {
 		return false
 	}
-	return c.holder != holder || c.era == s.era || now.Sub(c.receivedAt) >= Window+deliveryMargin+lease
+	return c.holder != holder || c.era == s.era || now.Sub(c.receivedAt) >= Window+DeliveryMargin+lease
 }
 
 // MayClaim reports whether a host may claim an upstream: no other host can
@@ -111,20 +112,20 @@
 	if s.mayHaveLostClaim(c, holder, lease, now) {
 		return false
 	}
-	return !ok || c.holder == holder || now.Sub(c.receivedAt) >= Window+deliveryMargin+lease
+	return !ok || c.holder == holder || now.Sub(c.receivedAt) >= Window+DeliveryMargin+lease
 }
 
 // MayBeOrdered reports whether another host than the given one may still order an
 // upstream under a claim.
 func (s State) MayBeOrdered(upstream, holder string, now clock.Instant) bool {
 	c, ok := s.claims[upstream]
-	return ok && c.holder != holder && now.Sub(c.receivedAt) < Window+deliveryMargin
+	return ok && c.holder != holder && now.Sub(c.receivedAt) < Window+DeliveryMargin
 }
 
 // HeldBy reports whether a host is the only one that may claim an upstream now.
 func (s State) HeldBy(upstream, holder string, lease time.Duration, now clock.Instant) bool {
 	c, ok := s.claims[upstream]
-	return ok && c.holder == holder && now.Sub(c.receivedAt) < Window+deliveryMargin+lease
+	return ok && c.holder == holder && now.Sub(c.receivedAt) < Window+DeliveryMargin+lease
 }
 
 // WithoutExpired returns the state without expired claims.
@@ -132,7 +133,7 @@
 	next := s
 	next.claims = map[string]receivedClaim{}
 	for u, c := range s.claims {
-		if now.Sub(c.receivedAt) < Window+deliveryMargin+lease {
+		if now.Sub(c.receivedAt) < Window+DeliveryMargin+lease {
 			next.claims[u] = c
 		}
 	}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -129,7 +129,7 @@
 func (p *Pool) dial(ctx context.Context, address string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	conn, err := socket.Dialer(dialTimeout, maxSilence).DialContext(ctx, "tcp", address)
+	conn, err := socket.NewDialer(dialTimeout, maxSilence).DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
--- a/registry/hostlist.go
+++ b/registry/hostlist.go
@@ -6,8 +6,14 @@
 	"time"
 
 	"github.com/gravitational/trace"
+
+	"github.com/kumquathoist/kumquathoist/bounded"
+	"github.com/kumquathoist/kumquathoist/socket"
 )
 
+// hostListTimeout bounds one read of the host list.
+const hostListTimeout = 5 * time.Second
+
 // HostState is the state of a host in the host list.
 type HostState string
 
@@ -51,7 +57,9 @@
 
 // NewHostList returns a client of the host list at the base URL.
 func NewHostList(base string) *HostList {
-	return &HostList{baseURL: base, client: &http.Client{Timeout: 5 * time.Second}}
+	return &HostList{baseURL: base, client: &http.Client{Timeout: hostListTimeout, Transport: &http.Transport{
+		DialContext: socket.NewDialer(dialTimeout, maxSilence).DialContext, MaxResponseHeaderBytes: bounded.MaxHeadBytes,
+	}}}
 }
 
 // Hosts returns the current host list.
--- a/registry/log.go
+++ b/registry/log.go
@@ -14,10 +14,18 @@
 	"github.com/gravitational/trace"
 
 	"github.com/kumquathoist/kumquathoist/bounded"
+	"github.com/kumquathoist/kumquathoist/socket"
 )
 
-// maxResponseBytes bounds a response, such as a page of records of the log.
-const maxResponseBytes = 64 << 20
+const (
+	// dialTimeout bounds the time to connect to the platform.
+	dialTimeout = 5 * time.Second
+	// maxSilence is how long the platform's host may acknowledge nothing before a
+	// connection to it is closed.
+	maxSilence = 3 * time.Second
+	// maxResponseBytes bounds a response, such as a page of records of the log.
+	maxResponseBytes = 64 << 20
+)
 
 // ConfigurationStream is the log stream of configuration edits.
 const ConfigurationStream = "configuration"
@@ -60,7 +68,7 @@
 // NewLog returns a client of the log service at the base URL.
 func NewLog(base string) *Log {
 	return &Log{baseURL: base, client: &http.Client{Transport: &http.Transport{
-		MaxIdleConnsPerHost: 4, IdleConnTimeout: 30 * time.Second, MaxResponseHeaderBytes: bounded.MaxHeadBytes,
+		DialContext: socket.NewDialer(dialTimeout, maxSilence).DialContext, MaxIdleConnsPerHost: 4, IdleConnTimeout: 30 * time.Second, MaxResponseHeaderBytes: bounded.MaxHeadBytes,
 	}}}
 }
 
--- a/socket/socket_test.go
+++ b/socket/socket_test.go
@@ -21,7 +21,7 @@
 	is.NoErr(err)
 	t.Cleanup(func() { _ = listener.Close() })
 	const maxSilence = 3 * time.Second
-	conn, err := socket.Dialer(time.Second, maxSilence).DialContext(t.Context(), "tcp", listener.Addr().String())
+	conn, err := socket.NewDialer(time.Second, maxSilence).DialContext(t.Context(), "tcp", listener.Addr().String())
 	is.NoErr(err)
 	t.Cleanup(func() { _ = conn.Close() })
 	raw, err := conn.(syscall.Conn).SyscallConn()
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -16,11 +16,15 @@
 	"github.com/gravitational/trace"
 
 	"github.com/kumquathoist/kumquathoist/bounded"
+	"github.com/kumquathoist/kumquathoist/socket"
 )
 
 const (
 	// dialTimeout bounds the time to connect to an upstream.
 	dialTimeout = time.Second
+	// maxSilence is how long an upstream's host may acknowledge nothing before a
+	// connection to it is closed.
+	maxSilence = 3 * time.Second
 	// skipRestTimeout bounds the wait for the last bytes of an ended stream.
 	skipRestTimeout = 100 * time.Millisecond
 	// maxAnswerBytes bounds an answer of a plain service, which is buffered completely.
@@ -100,7 +104,7 @@
 		IdleConnTimeout:        30 * time.Second,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: bounded.MaxHeadBytes,
-		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:            socket.NewDialer(dialTimeout, maxSilence).DialContext,
 	}
 	return &Client{http: &http.Client{Transport: transport}}
 }
