fix: an account that is isolated leaves no parts behind for others

After a version of the configuration had isolated an account, other accounts went on using cached parts that its requests had made.

Cause: parts outlive the configuration under which they were made, and their only name, the salt, was the same for all accounts that shared (w1), before and after. By the same cause, requests that waited at a host kept the isolation of the account at their admission, and nothing took back what waited at an engine. Ruled out: hosts that learn of the version late (the account's own salt was right at once).

Now the salt of a group stands for the accounts that are excluded from it (package isolation): those that were isolated at any time since the weights were named. So no part under it was ever made for one of them, whichever versions a host has missed and however often hosts restart. An account that is no longer isolated stays excluded, and the others keep their parts, until the weights change; the store keeps the excluded accounts, so that restarts cost no parts. The salt follows the newest configuration at each attempt; a request that waits at an engine is withdrawn 1 s after the change. Without isolated accounts salts are as before and nothing is written.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -156,6 +156,8 @@
 	keys     map[string]string
 	// longestStream is the longest timeout of a resumable stream.
 	longestStream time.Duration
+	// isolated holds the names of the isolated accounts, sorted.
+	isolated []string
 }
 
 // New returns a catalog. Keys maps the keys of accounts to account names.
@@ -178,7 +180,11 @@
 	}
 	for _, a := range accounts {
 		c.accounts[a.Name] = a
+		if a.Isolated {
+			c.isolated = append(c.isolated, a.Name)
+		}
 	}
+	slices.Sort(c.isolated)
 	return c
 }
 
@@ -224,6 +230,9 @@
 	return stores
 }
 
+// Isolated returns the names of the isolated accounts, sorted.
+func (c Catalog) Isolated() []string { return c.isolated }
+
 // ServicesByModel returns the names of the engine services by model.
 func (c Catalog) ServicesByModel() map[string][]string {
 	models := map[string][]string{}
--- a/event/replica.go
+++ b/event/replica.go
@@ -10,7 +10,7 @@
 	// HistoryTrimmed reports records that the store has trimmed.
 	HistoryTrimmed = Event{6003, "history trimmed", "The store has trimmed the records after the position; the newest record of each key is read instead."}
 	// CatalogChanged reports a new version of the configuration.
-	CatalogChanged = Event{6004, "catalog changed", "A version of the configuration arrived; InForce is the version that is in force now."}
+	CatalogChanged = Event{6004, "catalog changed", "A version of the configuration arrived; InForce is the version that is in force now, Isolated the number of isolated accounts in the one that arrived."}
 	// TargetWeightsChanged reports new target weights.
 	TargetWeightsChanged = Event{6005, "weights named", "Operators set new target weights of a model. AgeMillis is how long ago that may have been; it decides when requests on older weights end."}
 	// UpstreamChanged reports a change in the self-reported status of an upstream.
@@ -75,6 +75,10 @@
 	StreamOriginsUnreadable = Event{6402, "stream origins unreadable", "The store's records of the software versions that began streams can't be read; a stream that a caller takes up is refused if its version isn't known otherwise."}
 	// NamingNotRecorded reports a failed write of when target weights were set.
 	NamingNotRecorded = Event{6404, "naming not recorded", "The store did not accept when target weights of a model were set; the write is retried at once. Should all hosts restart meanwhile, they assume that the weights were set long ago."}
+	// GroupsRecorded reports which accounts share cached parts, as the store tells.
+	GroupsRecorded = Event{6405, "groups recorded", "The store tells which accounts are excluded from sharing the cached parts of a model; Excluded is their number for the newest of its weights, from version From on. They have salts of their own until newer weights are named, also if they are no longer isolated."}
+	// GroupsNotRecorded reports a failed write of that.
+	GroupsNotRecorded = Event{6406, "groups not recorded", "The store did not accept which accounts are excluded from sharing the cached parts of a model; the write is retried at once. Should all hosts restart meanwhile, parts are read again; no account gets others' parts."}
 	// UpdateNotSent reports an update for another host that was given up.
 	UpdateNotSent = Event{6502, "update not sent", "Another host did not accept an update on an order to an engine; it learns of the change from the engine's answers."}
 	// StreamOriginsNotWritten reports a failed write of such records, which is retried.
@@ -85,5 +89,5 @@
 	StoreUnreachable, StoreReachable, HistoryTrimmed, CatalogChanged, TargetWeightsChanged, UpstreamChanged, UpstreamRemoved, RecordRejected,
 	LeaseAcquired, LeaseNotAcquired, LeaseHeldElsewhere, LoadOrdered, LoadEnded, UpstreamReportedUnreachable, FeedDisconnected, FeedReconnected, CacheReset,
 	StoreRestored, ReplicaDiffers, UpstreamLeaving, RequestsWithdrawn, RetryAfterReceived, LimitNamed, LimitEnded, LimitInvalid, BrittlenessChanged, RetryAfterInvalid, HostIsolated, HostReconnected, CrashRecordsUnreadable, CrashRecordsReadable, CrashRecordPersisted, CrashRecordNotPersisted,
-	SoftwareVersionsChanged, StreamOriginsUnreadable, StreamOriginsNotWritten, NamingNotRecorded, UpdateNotSent,
+	SoftwareVersionsChanged, StreamOriginsUnreadable, StreamOriginsNotWritten, NamingNotRecorded, GroupsRecorded, GroupsNotRecorded, UpdateNotSent,
 }
--- a/event/request.go
+++ b/event/request.go
@@ -50,8 +50,11 @@
 	CallOverloaded = Event{2109, "call overloaded", "The queues at the engines are so long that a request can't be answered before its deadline; it is refused with a time to retry after."}
 	// StaleRequestCancelled reports a request that was queued too long on replaced weights.
 	StaleRequestCancelled = Event{2111, "run withdrawn", "A request had not started at an engine whose weights were replaced too long ago; it was cancelled there and is retried elsewhere if allowed. Named is the newest target weights version, AgeMillis the time since a version newer than its own became the target."}
+	// SeparatedRequestCancelled reports a request that was queued at an engine while an
+	// account became isolated.
+	SeparatedRequestCancelled = Event{2115, "request separated", "A request had not started at an engine when an account became isolated, and might have used cached parts of that account, or its own account was isolated; it was cancelled there and is retried if allowed, with the salt of the new configuration."}
 	// StreamStalled reports an idle stream that no other upstream could take over.
 	StreamStalled = Event{2110, "stream awaited", "An upstream is idle in the middle of a stream and no other could take over; the host waits for it until the deadline."}
 )
 
-var requestEvents = []Event{RequestEnded, AttemptFailed, ClaimFailed, RequestQuarantined, PartQuarantined, CrashShareFailed, ClaimAppendFailed, LossRecorded, SuspicionEnded, LossExplained, QuarantineEnforced, CallScheduled, SendFailed, CallRefused, CallEnded, StreamResumed, StreamTakenUp, StreamFailed, StreamEnded, CallRelayed, RelayFailed, RequestMigrated, CallOverloaded, StreamStalled, StaleRequestCancelled}
+var requestEvents = []Event{RequestEnded, AttemptFailed, ClaimFailed, RequestQuarantined, PartQuarantined, CrashShareFailed, ClaimAppendFailed, LossRecorded, SuspicionEnded, LossExplained, QuarantineEnforced, CallScheduled, SendFailed, CallRefused, CallEnded, StreamResumed, StreamTakenUp, StreamFailed, StreamEnded, CallRelayed, RelayFailed, RequestMigrated, CallOverloaded, StreamStalled, StaleRequestCancelled, SeparatedRequestCancelled}
--- a/forward/cache_location.go
+++ b/forward/cache_location.go
@@ -6,6 +6,7 @@
 	"github.com/kumquathoist/kumquathoist/cachemap"
 	"github.com/kumquathoist/kumquathoist/call"
 	"github.com/kumquathoist/kumquathoist/clock"
+	"github.com/kumquathoist/kumquathoist/isolation"
 	"github.com/kumquathoist/kumquathoist/loadreport"
 	"github.com/kumquathoist/kumquathoist/placement"
 )
@@ -72,14 +73,16 @@
 	return best
 }
 
+// group returns the accounts that share the parts of weights, by the newest
+// configuration: the request may have waited since it was admitted.
+func (h *handler) group(weights int64) isolation.Group {
+	return h.snapshot.Group(h.call.Prompt.Model, weights)
+}
+
 // salt returns the salt of the cache keys, which separates the parts of
 // different weights and of isolated accounts.
 func (h *handler) salt(weights int64) string {
-	salt := "w" + strconv.FormatInt(weights, 10)
-	if h.account.Isolated {
-		salt += "/" + h.account.Name
-	}
-	return salt
+	return h.group(weights).Salt(weights, h.account.Name)
 }
 
 // locate returns where the shared parts of the prompt are cached, for each
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -14,6 +14,7 @@
 	"github.com/kumquathoist/kumquathoist/event"
 	"github.com/kumquathoist/kumquathoist/health"
 	"github.com/kumquathoist/kumquathoist/http1"
+	"github.com/kumquathoist/kumquathoist/isolation"
 	"github.com/kumquathoist/kumquathoist/loadreport"
 	"github.com/kumquathoist/kumquathoist/quarantine"
 	"github.com/kumquathoist/kumquathoist/replica"
@@ -194,6 +195,8 @@
 	wait time.Duration
 	// relay is set if the target is another host, which chooses the upstream.
 	relay bool
+	// group is the group of accounts whose parts the request may use there.
+	group isolation.Group
 }
 
 // attempt is one attempt in progress.
--- a/forward/migrate.go
+++ b/forward/migrate.go
@@ -185,6 +185,8 @@
 	}
 	to := target{id: upstreams[i].ID, address: upstreams[i].Address, software: from.software, rank: from.rank, send: from.send}
 	to.send.Instance, to.send.FetchFrom, to.send.SaveTo = to.id, "", ""
+	to.group = snapshot.Group(prompt.Model, from.send.Weights)
+	to.send.Salt = to.group.Salt(from.send.Weights, s.account.Name)
 	return to, true
 }
 
--- a/forward/queued.go
+++ b/forward/queued.go
@@ -17,16 +17,21 @@
 	// before the operators' limit; the rest of that time covers the check
 	// interval and the network delay to the engine.
 	queuedGrace = 300 * time.Millisecond
+	// isolationGrace is how long a request may stay queued at an engine after an account
+	// with which it must not share parts became isolated.
+	isolationGrace = time.Second
 )
 
 // withdrawQueued cancels an attempt that has no answer yet once its weights may no
-// longer answer or its request is quarantined. It returns a function that stops
+// longer answer, its account may no longer use the parts that it would, or its request is
+// quarantined. It returns a function that stops
 // the checks.
 func (h *handler) withdrawQueued(a *attempt) (stop func()) {
 	if a.send.Weights == 0 {
 		return func() {}
 	}
 	var stopped atomic.Bool
+	var separateSince clock.Instant
 	var timer *time.Timer
 	ready := make(chan struct{})
 	timer = time.AfterFunc(queuedCheckInterval, func() {
@@ -34,7 +39,7 @@
 		if stopped.Load() {
 			return // the timer was reset while the checks were being stopped
 		}
-		if !h.hasOldWeights(a) && !h.Guard.IsQuarantined(h.call.ID, h.content) {
+		if !h.hasOldWeights(a) && !h.hasForeignParts(a, &separateSince) && !h.Guard.IsQuarantined(h.call.ID, h.content) {
 			timer.Reset(queuedCheckInterval)
 			return
 		}
@@ -61,3 +66,23 @@
 	event.StaleRequestCancelled.Info("Request", h.call.ID, "Upstream", a.id, "Weights", a.send.Weights, "Named", history.Version, "AgeMillis", age.Milliseconds())
 	return true
 }
+
+// hasForeignParts reports whether an attempt may begin with parts of an account that has
+// been isolated for too long. It keeps in since when that was first seen.
+func (h *handler) hasForeignParts(a *attempt, since *clock.Instant) bool {
+	now := clock.Now()
+	isolated := h.Replica.State().Catalog.Isolated()
+	switch {
+	case a.group.MayUse(h.account.Name, isolated):
+		*since = 0
+		return false
+	case *since == 0:
+		*since = now
+	}
+	age := now.Sub(*since)
+	if age < isolationGrace {
+		return false
+	}
+	event.SeparatedRequestCancelled.Info("Request", h.call.ID, "Upstream", a.id, "Salt", a.send.Salt, "AgeMillis", age.Milliseconds())
+	return true
+}
--- a/forward/schedule.go
+++ b/forward/schedule.go
@@ -315,7 +315,8 @@
 	t.send = call.UpstreamRequest{Call: h.call, Instance: u.ID, Account: h.account.Name, Priority: rank}
 	if h.call.Prompt.Model != "" {
 		t.send.Weights = u.weights
-		t.send.Salt = h.salt(u.weights)
+		t.group = h.group(u.weights)
+		t.send.Salt = t.group.Salt(u.weights, h.account.Name)
 		t.send.FetchFrom = loc.fetchSource(u, requirements.Shared)
 		if loc.storedTokens < requirements.Shared && allocation.ShouldStore(requirements.Input, requirements.Shared) {
 			t.send.SaveTo = loc.storeAddress
@@ -329,7 +330,7 @@
 	h.sentTokens.Add(t.prefill, clock.Now())
 	h.mu.Unlock()
 	event.CallScheduled.Info("Request", h.call.ID, "Service", h.service.Name, "Upstream", u.ID, "Cost", allocation.Cost(c, requirements), "Rank", rank,
-		"Held", c.Cached, "Elsewhere", c.Fetchable, "Shared", requirements.Shared, "Part", loc.lastPart, "FetchFrom", t.send.FetchFrom, "Weights", u.weights, "Software", u.Software, "Running", u.load.Running, "Ahead", c.QueuedAhead, "Waiting", c.Waiting,
+		"Held", c.Cached, "Elsewhere", c.Fetchable, "Shared", requirements.Shared, "Part", loc.lastPart, "FetchFrom", t.send.FetchFrom, "Weights", u.weights, "Salt", t.send.Salt, "Software", u.Software, "Running", u.load.Running, "Ahead", c.QueuedAhead, "Waiting", c.Waiting,
 		"Catalog", h.snapshot.Catalog.Version, "AgeMillis", h.Replica.Staleness().Milliseconds())
 	return t
 }
--- a/replica/state.go
+++ b/replica/state.go
@@ -16,6 +16,7 @@
 	"github.com/kumquathoist/kumquathoist/catalog"
 	"github.com/kumquathoist/kumquathoist/clock"
 	"github.com/kumquathoist/kumquathoist/discovery"
+	"github.com/kumquathoist/kumquathoist/isolation"
 	"github.com/kumquathoist/kumquathoist/software"
 )
 
@@ -67,6 +68,8 @@
 	Software *software.Versions
 	// Bounds tell when versions of target weights were not replaced yet.
 	Bounds *RecordedBounds
+	// Groups tell which accounts share cached parts.
+	Groups *RecordedGroups
 }
 
 // TargetWeights is the weights version that operators want for a model.
@@ -166,8 +169,11 @@
 	// told is what other hosts have observed of target weights by model, recorded what
 	// the store tells.
 	told, recorded map[string]bounds
-	software       map[string]software.Versions
-	topicStates    [topicCount]topicState
+	// groups tell which accounts share cached parts by model, recordedGroups what the
+	// store tells of that.
+	groups, recordedGroups map[string]isolation.History
+	software               map[string]software.Versions
+	topicStates            [topicCount]topicState
 	// deferred holds removed upstreams and when their removal takes effect.
 	deferred map[string]clock.Instant
 }
@@ -363,10 +369,11 @@
 	}
 	if next := c.Decoded.Catalog; next != nil && next.Version > s.Catalog.Version {
 		s.Catalog = *next
+		*s = s.withGroups()
 	}
 	if w := c.Decoded.Weights; w != nil && w.Version > s.weights[w.Model].Version {
 		s.weights[w.Model] = s.weights[w.Model].with(w.Version, at.WeightsKnown, at.WeightsObserved)
-		*s = s.withHistories()
+		*s = s.withHistories().withGroups()
 	}
 	if c.Decoded.Entry != nil {
 		delete(s.deferred, r.Key)
@@ -383,6 +390,9 @@
 		s.recorded = recorded
 		*s = s.withHistories()
 	}
+	if g := c.Decoded.Groups; g != nil {
+		*s = s.withRecordedGroups(*g).withGroups()
+	}
 	return c
 }
 
--- a/replica/syncer.go
+++ b/replica/syncer.go
@@ -453,11 +453,15 @@
 	case c.Removed && c.Topic == Upstreams:
 		event.UpstreamRemoved.Info("Upstream", c.Key, "Offset", c.Offset, "Source", source, "Deferred", c.Deferred)
 	case c.Decoded.Catalog != nil:
-		event.CatalogChanged.Info("Version", c.Decoded.Catalog.Version, "InForce", state.Catalog.Version, "Offset", c.Offset, "Source", source)
+		event.CatalogChanged.Info("Version", c.Decoded.Catalog.Version, "InForce", state.Catalog.Version, "Isolated", len(c.Decoded.Catalog.Isolated()), "Offset", c.Offset, "Source", source)
 	case c.Decoded.Weights != nil:
 		w := c.Decoded.Weights
 		history, _ := state.WeightsHistory(w.Model)
 		event.TargetWeightsChanged.Info("Model", w.Model, "Number", w.Version, "AgeMillis", clock.Now().Sub(history.Since).Milliseconds(), "Offset", c.Offset, "Source", source)
+	case c.Decoded.Groups != nil:
+		g := c.Decoded.Groups
+		newest := g.Groups.Newest()
+		event.GroupsRecorded.Info("Model", g.Model, "From", newest.From, "Excluded", len(newest.Group.Excluded()), "Offset", c.Offset, "Source", source)
 	case c.Decoded.Entry != nil:
 		e := c.Decoded.Entry
 		event.UpstreamChanged.Info("Upstream", e.ID, "Service", e.Service, "Address", e.Address, "Leaving", e.Leaving, "Beat", e.Heartbeat, "Offset", c.Offset, "Source", source)
--- a/storenode/storenode.go
+++ b/storenode/storenode.go
@@ -194,6 +194,7 @@
 	n.wait.Go(func() { n.updateGauges(ctx, scope, connections) })
 	n.wait.Go(func() { n.expireHealth(ctx) })
 	n.wait.Go(func() { n.recordBounds(ctx) })
+	n.wait.Go(func() { n.recordGroups(ctx) })
 	n.wait.Go(func() { n.withdrawFromLeaving(ctx, connections) })
 	n.wait.Go(func() { n.shutDown(ctx) })
 	event.Listening.Info("Host", n.settings.Host.Name, "Callers", n.settings.Listen.Callers, "Peers", n.settings.Listen.Peers)
