--- a/socket/conn_test.go
+++ b/socket/conn_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"net"
 	"syscall"
 	"testing"
@@ -132,5 +133,5 @@
 	defer cancel()
 	_, err := socket.NewDialer(time.Second, time.Second).DialContext(ctx, "udp4", "127.0.0.1:9")
 	is.True(err != nil)
-	is.True(err != syscall.ECONNREFUSED)
+	is.True(!errors.Is(err, syscall.ECONNREFUSED))
 }
--- a/storenode/storenode.go
+++ b/storenode/storenode.go
@@ -190,13 +190,11 @@
 		return err
 	}
 	n.directory.Announce(n.settings.Listen.Callers, n.settings.Listen.PeersAddress())
-	n.wait.Go(func() { n.announce(ctx) })
+	for _, run := range []func(context.Context){n.announce, n.expireHealth, n.recordBounds, n.recordGroups, n.shutDown} {
+		n.wait.Go(func() { run(ctx) })
+	}
 	n.wait.Go(func() { n.updateGauges(ctx, scope, connections) })
-	n.wait.Go(func() { n.expireHealth(ctx) })
-	n.wait.Go(func() { n.recordBounds(ctx) })
-	n.wait.Go(func() { n.recordGroups(ctx) })
 	n.wait.Go(func() { n.withdrawFromLeaving(ctx, connections) })
-	n.wait.Go(func() { n.shutDown(ctx) })
 	event.Listening.Info("Host", n.settings.Host.Name, "Callers", n.settings.Listen.Callers, "Peers", n.settings.Listen.Peers)
 	return nil
 }
