fix: endless answers of engines take bounded memory on the own path, too

Report of other operators: a faulty engine sent bytes without end, and the machine that had called it kept them all until it ran out of memory.

On the product's own path it could: reports of load and cache events were decoded from the connection, and the data lines of one event were joined, without a limit; bodies of services had none together; commands read whatever a host sent.

--- a/bounded/bounded.go
+++ b/bounded/bounded.go
@@ -2,7 +2,9 @@
 package bounded
 
 import (
+	"errors"
 	"io"
+	"sync/atomic"
 
 	"github.com/gravitational/trace"
 )
@@ -23,3 +25,37 @@
 	}
 	return raw, nil
 }
+
+// blockBytes is the size of one read within a budget.
+const blockBytes = 32 << 10
+
+// Budget limits the bytes that are being read together.
+type Budget struct {
+	limit int64
+	used  atomic.Int64
+}
+
+// NewBudget returns a budget of a number of bytes.
+func NewBudget(limit int64) *Budget { return &Budget{limit: limit} }
+
+// ReadAll reads until EOF, like the function ReadAll. It also returns
+// trace.LimitExceeded if all reads in progress together exceed the budget.
+func (b *Budget) ReadAll(r io.Reader, limit int64) ([]byte, error) {
+	var raw []byte
+	defer func() { b.used.Add(-int64(len(raw))) }()
+	for block := make([]byte, blockBytes); ; {
+		n, err := r.Read(block)
+		raw = append(raw, block[:n]...)
+		used := b.used.Add(int64(n))
+		switch {
+		case int64(len(raw)) > limit:
+			return nil, trace.LimitExceeded("more than %d bytes", limit)
+		case used > b.limit:
+			return nil, trace.LimitExceeded("more than %d bytes are being read together", b.limit)
+		case errors.Is(err, io.EOF):
+			return raw, nil
+		case err != nil:
+			return nil, trace.Wrap(err)
+		}
+	}
+}
--- a/cmd/addresses.go
+++ b/cmd/addresses.go
@@ -10,6 +10,7 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/kumquathoist/kumquathoist/bounded"
 	"github.com/kumquathoist/kumquathoist/gateway"
 )
 
@@ -61,7 +62,11 @@
 		return answer, trace.Errorf("no answer from %s: %v", f.Host, err)
 	}
 	defer resp.Body.Close()
-	if err := json.NewDecoder(resp.Body).Decode(&answer); err != nil {
+	raw, err := bounded.ReadAll(resp.Body, maxAnswerBytes)
+	if err == nil {
+		err = json.Unmarshal(raw, &answer)
+	}
+	if err != nil {
 		return answer, trace.Errorf("decoding the addresses from %s: %v", f.Host, err)
 	}
 	return answer, nil
--- a/cmd/client.go
+++ b/cmd/client.go
@@ -11,6 +11,7 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/kumquathoist/kumquathoist/bounded"
 	"github.com/kumquathoist/kumquathoist/operator"
 	"github.com/kumquathoist/kumquathoist/settings"
 )
@@ -56,7 +57,7 @@
 		return trace.ConnectionProblem(err, "no answer from %s", f.Host)
 	}
 	defer resp.Body.Close()
-	raw, err := io.ReadAll(resp.Body)
+	raw, err := bounded.ReadAll(resp.Body, maxAnswerBytes)
 	if err != nil {
 		return trace.ConnectionProblem(err, "the answer from %s was truncated", f.Host)
 	}
--- a/cmd/http.go
+++ b/cmd/http.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"github.com/kumquathoist/kumquathoist/bounded"
 	"github.com/kumquathoist/kumquathoist/socket"
 )
 
@@ -13,6 +14,8 @@
 	// maxSilence is how long a host may acknowledge nothing before the connection to it
 	// is closed.
 	maxSilence = 10 * time.Second
+	// maxAnswerBytes bounds an answer that is read completely.
+	maxAnswerBytes = 64 << 20
 )
 
 // newHTTPClient returns a client of hosts. A call that is given up, such as by an
@@ -20,5 +23,6 @@
 func newHTTPClient() *http.Client {
 	transport := http.DefaultTransport.(*http.Transport).Clone()
 	transport.DialContext = socket.NewDialer(dialTimeout, maxSilence).DialContext
+	transport.MaxResponseHeaderBytes = bounded.MaxHeadBytes
 	return &http.Client{Transport: transport}
 }
--- a/cmd/send.go
+++ b/cmd/send.go
@@ -16,6 +16,7 @@
 	"github.com/google/uuid"
 	"github.com/gravitational/trace"
 
+	"github.com/kumquathoist/kumquathoist/bounded"
 	"github.com/kumquathoist/kumquathoist/request"
 )
 
@@ -142,7 +143,7 @@
 // failureError converts a failure into an error: trace.ConnectionProblem if the
 // outcome is unknown, trace.LimitExceeded if the request was refused.
 func failureError(resp *http.Response) error {
-	raw, err := io.ReadAll(resp.Body)
+	raw, err := bounded.ReadAll(resp.Body, maxAnswerBytes)
 	if err != nil {
 		return trace.ConnectionProblem(err, "the answer was truncated")
 	}
@@ -162,7 +163,7 @@
 
 // printAnswer prints an answer that is not streamed.
 func (c *sendCommand) printAnswer(w io.Writer, body io.Reader) error {
-	raw, err := io.ReadAll(body)
+	raw, err := bounded.ReadAll(body, maxAnswerBytes)
 	if err != nil {
 		return trace.ConnectionProblem(err, "the answer was truncated")
 	}
--- a/storenode/harness_test.go
+++ b/storenode/harness_test.go
@@ -197,6 +197,26 @@
 
 // start starts a daemon once.
 func (d *deployment) start(i int) (*testHost, error) {
+	s := d.settings(i)
+	ctx, cancel := context.WithCancel(context.Background())
+	var n *storenode.Node
+	var err error
+	if dialer := d.dialers[i]; dialer != nil {
+		n, err = storenode.NewNode(ctx, s, dialer)
+	} else {
+		n, err = storenode.New(ctx, s)
+	}
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	kill := func() { cancel(); n.Wait() }
+	d.t.Cleanup(kill)
+	return &testHost{Node: n, settings: s, kill: kill}, nil
+}
+
+// settings returns the settings of a host.
+func (d *deployment) settings(i int) settings.Settings {
 	ip := fmt.Sprintf("127.0.0.%d", i+1)
 	s := settings.Default()
 	s.Host = settings.Host{Name: fmt.Sprintf("host-%d", i), FailureDomain: "north", Region: "r"}
@@ -216,21 +236,7 @@
 	s.Secrets.Peers = settings.Source{Environment: "SITE_TEST_SECRET"}
 	s.Machine = settings.Machine{MemoryMB: 512, Descriptors: 4096}
 	s.Bounds = settings.Bounds{LeaseMillis: 1000, WeightsMillis: cmp.Or(d.weightsMillis, 6000), GraceSeconds: cmp.Or(d.graceSeconds, 8), RepeatRatio: 0.2, RepeatWindowSeconds: 10, RepeatSlack: 50}
-	ctx, cancel := context.WithCancel(context.Background())
-	var n *storenode.Node
-	var err error
-	if dialer := d.dialers[i]; dialer != nil {
-		n, err = storenode.NewNode(ctx, s, dialer)
-	} else {
-		n, err = storenode.New(ctx, s)
-	}
-	if err != nil {
-		cancel()
-		return nil, err
-	}
-	kill := func() { cancel(); n.Wait() }
-	d.t.Cleanup(kill)
-	return &testHost{Node: n, settings: s, kill: kill}, nil
+	return s
 }
 
 // await waits until a condition holds.
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -27,8 +27,12 @@
 	maxSilence = 3 * time.Second
 	// skipRestTimeout bounds the wait for the last bytes of an ended stream.
 	skipRestTimeout = 100 * time.Millisecond
-	// maxAnswerBytes bounds an answer of a plain service, which is buffered completely.
-	maxAnswerBytes = 32 << 20
+	// maxAnswerBytes bounds an answer of a plain service, which is buffered completely,
+	// maxBufferedBytes all answers that are being read.
+	maxAnswerBytes   = 32 << 20
+	maxBufferedBytes = 128 << 20
+	// maxReportBytes bounds what an engine reports of itself in one answer.
+	maxReportBytes = 4 << 20
 )
 
 // Call is one attempt of a request at an upstream.
@@ -93,7 +97,8 @@
 
 // Client calls upstreams. It never retries a call.
 type Client struct {
-	http *http.Client
+	http   *http.Client
+	budget *bounded.Budget
 }
 
 // NewClient returns a client that keeps a few idle connections to each
@@ -106,7 +111,7 @@
 		MaxResponseHeaderBytes: bounded.MaxHeadBytes,
 		DialContext:            socket.NewDialer(dialTimeout, maxSilence).DialContext,
 	}
-	return &Client{http: &http.Client{Transport: transport}}
+	return &Client{http: &http.Client{Transport: transport}, budget: bounded.NewBudget(maxBufferedBytes)}
 }
 
 // Stream is the open answer of an engine.
@@ -169,7 +174,7 @@
 		return Answer{}, err
 	}
 	defer resp.Body.Close()
-	body, err := bounded.ReadAll(resp.Body, maxAnswerBytes)
+	body, err := c.budget.ReadAll(resp.Body, maxAnswerBytes)
 	if err != nil {
 		return Answer{}, trace.ConnectionProblem(err, "the answer was truncated")
 	}
@@ -275,6 +280,15 @@
 	}
 	defer resp.Body.Close()
 	var load Load
-	err = json.NewDecoder(resp.Body).Decode(&load)
+	err = decodeReport(resp.Body, &load)
 	return load, trace.Wrap(err, "decoding the load of %s", address)
 }
+
+// decodeReport decodes what an engine reports of itself.
+func decodeReport(body io.Reader, into any) error {
+	raw, err := bounded.ReadAll(body, maxReportBytes)
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(raw, into)
+}
--- a/upstream/events.go
+++ b/upstream/events.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"strconv"
 
@@ -65,6 +64,6 @@
 		return CacheReport{}, trace.ConnectionProblem(nil, "%s answered %s", address, resp.Status)
 	}
 	var report CacheReport
-	err = json.NewDecoder(resp.Body).Decode(&report)
+	err = decodeReport(resp.Body, &report)
 	return report, trace.Wrap(err, "decoding the cache events of %s", address)
 }
--- a/upstream/stream.go
+++ b/upstream/stream.go
@@ -14,6 +14,9 @@
 // the events buffered for a slow caller.
 const maxLineBytes = 64 << 10
 
+// maxEventBytes bounds the data of one event, which may have several lines.
+const maxEventBytes = 256 << 10
+
 var (
 	// ErrMissingEnd is returned when a stream ends without its end marker.
 	ErrMissingEnd = errors.New("the stream ended without its end marker")
@@ -64,7 +67,9 @@
 			}
 			c.Position = position
 		case bytes.HasPrefix(line, []byte("data:")):
-			c = c.withData(bytes.TrimSpace(line[5:]))
+			if c = c.withData(bytes.TrimSpace(line[5:])); len(c.Data) > maxEventBytes {
+				return Chunk{}, trace.ConnectionProblem(nil, "an event has more than %d bytes", maxEventBytes)
+			}
 		case bytes.HasPrefix(line, []byte("event:")) && string(bytes.TrimSpace(line[6:])) == "error":
 			return Chunk{}, ErrReported
 		}
