fix: large requests are held once and within a share of the memory

Cause: a body was held twice, and a third time while it was sent, and nothing bounded the bodies of all requests. Now a body is taken over from the library and written after the head, and the bodies of requests in progress may take 35% of the memory; a request above 16 KB that doesn't fit is refused at once with 503 and Retry-After (not run).

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -67,12 +67,12 @@
 
 // sender sends one request to one upstream.
 type sender interface {
-	Send(ctx context.Context, address, id, method string, raw []byte) (*http1.Exchange, error)
+	Send(ctx context.Context, address, id, method string, parts ...[]byte) (*http1.Exchange, error)
 	// HasIdle reports whether there is an idle connection to an address.
 	HasIdle(address string) bool
 }
 
-// encoder encodes requests for upstreams.
+// encoder encodes the heads of requests for upstreams; the body follows as it is.
 type encoder interface {
 	EncodeSend(dst []byte, s call.UpstreamRequest) []byte
 }
@@ -165,7 +165,9 @@
 	// MaxBufferedBytes bounds the buffers of all answers that are being read
 	// whole.
 	MaxBufferedBytes int64
-	Metrics          tally.Scope
+	// MaxRequestBytes bounds the bodies of all requests in progress.
+	MaxRequestBytes int64
+	Metrics         tally.Scope
 }
 
 // Router forwards requests.
@@ -175,6 +177,8 @@
 	seed maphash.Seed
 	// bufferedBytes counts the bytes of answers that are being read whole.
 	bufferedBytes atomic.Int64
+	// requestBytes counts the bytes of the bodies of requests in progress.
+	requestBytes atomic.Int64
 	// mu guards the fields below.
 	mu          sync.Mutex
 	budgets     map[string]*retrybudget.Budget
@@ -238,6 +242,9 @@
 // caller disconnects; it must stay alive until a stream is closed.
 func (r *Router) Serve(ctx context.Context, c call.Call) call.Answer {
 	h, refusal := r.admit(c)
+	if refusal == nil {
+		refusal = h.holdBody()
+	}
 	if refusal != nil {
 		*refusal = unlessRan(*refusal, c)
 		event.CallRefused.Info("Request", c.ID, "Reason", refusal.Reason, "Catalog", h.snapshot.Catalog.Version, "AgeMillis", r.Replica.Staleness().Milliseconds(), "RetryAfter", refusal.RetryAfter)
@@ -248,11 +255,12 @@
 	release, refusal := h.admitByGuard(ctx)
 	if refusal != nil {
 		cancel()
+		h.releaseBody()
 		*refusal = unlessRan(*refusal, c)
 		h.recordEnd(*refusal)
 		return *refusal
 	}
-	h.ctx, h.release = ctx, func() { release(); cancel() }
+	h.ctx, h.release = ctx, sync.OnceFunc(func() { release(); cancel(); h.releaseBody() })
 	answer := h.handle(ctx)
 	if s, ok := answer.Stream.(*stream); ok {
 		s.addStream(s.attempt.id, s)
@@ -307,6 +315,26 @@
 	return h, nil
 }
 
+// smallBodyBytes is the size of a body that is always taken: the number of connections
+// limits those.
+const smallBodyBytes = 16 << 10
+
+// holdBody counts the request's body among those of the requests in progress, or refuses
+// the request if they would take too much memory.
+func (h *handler) holdBody() *call.Answer {
+	size := int64(len(h.call.Body))
+	if held := h.requestBytes.Add(size); size <= smallBodyBytes || held <= h.MaxRequestBytes {
+		return nil
+	}
+	h.releaseBody()
+	h.Metrics.Counter("requests_too_large").Inc(1)
+	a := refusal(call.Overloaded)
+	return &a
+}
+
+// releaseBody ends what holdBody began.
+func (h *handler) releaseBody() { h.requestBytes.Add(-int64(len(h.call.Body))) }
+
 // outlastsHost reports whether this host stops before the request's deadline, and
 // nobody could go on with the request then.
 func (h *handler) outlastsHost() bool {
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -39,6 +39,8 @@
 	// like attempt.Limits.EarlyTokens. A request that crashes its engine does so
 	// when it starts to run; one that has run for long is not the cause.
 	maxEarlyEvents = 8
+	// headBytes is the usual size of the head of a request.
+	headBytes = 1024
 )
 
 // handler handles one request.
@@ -248,10 +250,10 @@
 	if t.prefill > flushPromptTokens {
 		h.LoadReports.FlushSoon()
 	}
-	raw := h.Encoder.EncodeSend(make([]byte, 0, len(h.call.Body)+1024), t.send)
+	head := h.Encoder.EncodeSend(make([]byte, 0, headBytes), t.send)
 	h.Reachability.Sent(h.service.Name)
 	var err error
-	a.exchange, err = h.Sender.Send(ctx, t.address, h.call.ID, h.call.Method, raw)
+	a.exchange, err = h.Sender.Send(ctx, t.address, h.call.ID, h.call.Method, head, h.call.Body)
 	if err != nil {
 		outcome := a.outcome(err)
 		if errors.Is(err, http1.ErrNotSent) {
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -54,7 +54,7 @@
 	h.Metrics.Counter("relayed").Inc(1)
 	event.CallRelayed.Info("Request", h.call.ID, "Service", h.service.Name, "Host", t.id, "Attempts", t.send.Attempts, "LeftMillis", t.send.Timeout.Milliseconds())
 	var err error
-	a.exchange, err = h.Relays.Sender.Send(ctx, t.address, h.call.ID, h.call.Method, h.Relays.Encoder.EncodeRelay(make([]byte, 0, len(h.call.Body)+1024), t.send))
+	a.exchange, err = h.Relays.Sender.Send(ctx, t.address, h.call.ID, h.call.Method, h.Relays.Encoder.EncodeRelay(make([]byte, 0, headBytes), t.send), h.call.Body)
 	if !errors.Is(err, http1.ErrRefused) {
 		h.relayed++ // one that refuses connections is of an earlier program, or is gone
 	}
--- a/storenode/memory_test.go
+++ b/storenode/memory_test.go
@@ -192,3 +192,42 @@
 	headers["X-Deadline-Ms"] = "1500"
 	d.do(h, method, host, a.path, id, headers, bodyOf(method))
 }
+
+// TestLargeRequestsFitIntoMemory guards against hosts that run out of memory, and end with
+// the requests of all callers, since many callers send the largest requests at once. The
+// host answers each: it serves as many as fit and refuses the others at once.
+func TestLargeRequestsFitIntoMemory(t *testing.T) {
+	const bodyBytes, requests = 4 << 20, 30 // together they are as large as the memory
+	d := newDeployment(t, 0, 3, 0)
+	d.configure(func(config map[string]any) {
+		config["limits"].(map[string]any)["max_body_bytes"] = bodyBytes
+	})
+	for _, e := range d.engines {
+		e.Fail(standin.PauseFault, requests)
+	}
+	h := d.process(buildDaemon(t))
+	body := strings.Repeat("x", bodyBytes)
+	var callers conc.WaitGroup
+	statuses := make([]int, requests)
+	for i := range requests {
+		callers.Go(func() {
+			statuses[i] = d.do(h.testHost, "POST", modelHost, "/full/a", fmt.Sprint("l", i), prompt, body).status
+		})
+		time.Sleep(loadTime / requests)
+	}
+	callers.Wait()
+	select {
+	case err := <-h.ended:
+		t.Fatalf("the host has ended: %v", err)
+	default:
+	}
+	counts := map[int]int{}
+	for _, status := range statuses {
+		counts[status]++
+	}
+	peak := h.peakBytes(t)
+	t.Logf("peak of %d MB; statuses: %v", peak>>20, counts)
+	d.is.True(peak <= hostMemoryMB<<20)
+	d.is.True(counts[http.StatusOK] > 0)
+	d.is.Equal(counts[http.StatusOK]+counts[http.StatusServiceUnavailable], requests)
+}
--- a/storenode/storenode.go
+++ b/storenode/storenode.go
@@ -49,6 +49,9 @@
 	// bufferShare is the share of the host's memory for answers that are being
 	// received; callers, caches and the cache index need the rest.
 	bufferShare = 0.1
+	// requestShare is the share of the host's memory for the bodies of requests in
+	// progress.
+	requestShare = 0.35
 	// weightsMargin is how long before the operators' limit this host stops
 	// sending requests to engines with older weights, since they may queue there.
 	weightsMargin = 700 * time.Millisecond
@@ -112,12 +115,12 @@
 	if err != nil {
 		return nil, trace.Wrap(err, "reading the peers' secret")
 	}
-	debug.SetMemoryLimit(int64(goMemoryShare * float64(s.Machine.MemoryMB) * (1 << 20)))
 	ctx, cancel := context.WithCancel(ctx)
 	n := &Node{
 		settings: s, cancel: cancel, stop: make(chan struct{}), started: clock.Now(),
 		store: platform.NewStore(s.Platform.Store), tracker: health.NewTracker(), upstreamDialer: upstreams,
 	}
+	debug.SetMemoryLimit(n.memory(goMemoryShare))
 	if err := n.start(ctx, peer.Credentials{Secret: secret}); err != nil {
 		cancel()
 		n.wait.Wait()
@@ -126,6 +129,11 @@
 	return n, nil
 }
 
+// memory returns a share of the host's memory in bytes.
+func (n *Node) memory(share float64) int64 {
+	return int64(share * float64(n.settings.Machine.MemoryMB) * (1 << 20))
+}
+
 // start creates the components in the order of their dependencies.
 func (n *Node) start(ctx context.Context, credentials peer.Credentials) error {
 	scope, handler := startMetrics(ctx, &n.wait)
@@ -149,7 +157,7 @@
 		LiveHosts:       n.liveHosts,
 		FailureDomain:   n.settings.Host.FailureDomain,
 		RetryLimits:     retrybudget.Limits{Ratio: bounds.RepeatRatio, Window: bounds.RetryWindow(), Slack: bounds.RepeatSlack},
-		OldWeightsGrace: bounds.OldWeightsGrace() - weightsMargin, MaxBufferedBytes: int64(bufferShare * float64(n.settings.Machine.MemoryMB) * (1 << 20)), Metrics: scope,
+		OldWeightsGrace: bounds.OldWeightsGrace() - weightsMargin, MaxBufferedBytes: n.memory(bufferShare), MaxRequestBytes: n.memory(requestShare), Metrics: scope,
 	})
 	if n.loadReports, err = loadreport.NewExchanger(ctx, &n.wait, loadreport.Options{
 		Listen: n.settings.Listen.Pulses, Port: uint16(n.settings.Listen.AnnouncedPulsesPort), Host: n.settings.Host.Name, FailureDomain: n.settings.Host.FailureDomain, Peers: n.loadReportPeers,
