fix: stopping hosts order loads when no other host can

Ruled out: that others wait for stopping hosts (they are not ranked). Now stopping hosts may order until they are about to end, ranked after all others.

TestStoppingHostsOrderLoads failed before (no engine loaded).

--- a/storenode/stop.go
+++ b/storenode/stop.go
@@ -18,6 +18,8 @@
 	// graceMargin is how long before the end of the grace time a stop closes
 	// open requests.
 	graceMargin = 500 * time.Millisecond
+	// orderTime is how long before the end a stopping host sends no more orders.
+	orderTime = time.Second
 	// openPollInterval is the interval between checks for open requests.
 	openPollInterval = 20 * time.Millisecond
 )
@@ -41,8 +43,10 @@
 	n.server.Refuse()
 	clock.Pause(ctx, min(grace-addressTTLFactor*addressTTL, leaveSpread))
 	for n.server.OpenRequests() > 0 && clock.Now().Sub(stopTime) < grace && ctx.Err() == nil {
+		n.ending.Store(clock.Now().Sub(stopTime) > grace-orderTime)
 		clock.Pause(ctx, openPollInterval)
 	}
+	n.ending.Store(true)
 	open := n.server.OpenRequests()
 	closeCtx, cancel := context.WithTimeout(ctx, max(graceMargin/2, grace-clock.Now().Sub(stopTime)))
 	defer cancel()
--- a/storenode/storenode.go
+++ b/storenode/storenode.go
@@ -97,6 +97,8 @@
 	cancel   context.CancelFunc
 	stopOnce sync.Once
 	stop     chan struct{}
+	// ending is set when a planned stop is about to end the process.
+	ending atomic.Bool
 }
 
 // dialer opens connections.
@@ -362,15 +364,31 @@
 // the others.
 func (n *Node) isConnected() bool { return 2*len(n.recentHosts()) >= len(n.directory.Peers()) }
 
-// orderers returns the hosts that may send orders to engines, by rank: those with
-// a recent load report. If this host has received reports from less than half of
-// the others, it can't announce its orders to them, so it ranks itself last.
+// orderers returns the hosts that may send orders to engines, by rank: those with a
+// recent load report, and last those that are stopping: during restarts in turn there
+// may be no others for many seconds. If this host has received reports from less than
+// half of the others, it can't announce its orders to them, so it ranks itself last.
 func (n *Node) orderers() []string {
-	self, recent := n.settings.Host.Name, n.recentHosts()
-	if 2*len(recent) < len(n.directory.Peers()) {
-		return append(recent, self)
+	var working, stopping []string
+	add := func(name string, stops bool) {
+		if stops {
+			stopping = append(stopping, name)
+		} else {
+			working = append(working, name)
+		}
+	}
+	peers := n.directory.Peers()
+	for _, h := range peers {
+		if n.loadReports.SeenRecently(h.Name) {
+			add(h.Name, h.State == registry.Leaving)
+		}
+	}
+	self := n.settings.Host.Name
+	if 2*(len(working)+len(stopping)) < len(peers) {
+		return append(append(working, stopping...), self)
 	}
-	return placement.Rank(orderersRankKey, append(recent, self))
+	add(self, n.isStopping())
+	return append(placement.Rank(orderersRankKey, working), placement.Rank(orderersRankKey, stopping)...)
 }
 
 // readsStore reports whether this host reads the store for the others.
@@ -390,14 +408,21 @@
 	return found
 }
 
-// mayOrder reports whether this host may send orders to engines now.
+// mayOrder reports whether this host may send orders to engines now. A stopping host may
+// until it is about to end, since an engine that it has claimed is lost to the others for
+// some seconds.
 func (n *Node) mayOrder() bool {
+	return !n.ending.Load() && n.syncer.Ready() && n.syncer.Fresh() && clock.Now().Sub(n.started) > startupOrderDelay
+}
+
+// isStopping reports whether a planned stop has begun.
+func (n *Node) isStopping() bool {
 	select {
 	case <-n.stop:
-		return false
+		return true
 	default:
+		return false
 	}
-	return n.syncer.Ready() && n.syncer.Fresh() && clock.Now().Sub(n.started) > startupOrderDelay
 }
 
 // liveHosts returns the names of this host and of those with recent load reports.
--- a/storenode/weights_test.go
+++ b/storenode/weights_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
 
 	"github.com/kumquathoist/kumquathoist/standin"
 )
@@ -84,3 +85,33 @@
 	is.Equal(refused, 0)
 	is.True(mostLoading <= 2)
 }
+
+// TestStoppingHostsOrderLoads guards against weights that reach no engine while hosts are
+// restarted in turn, so that all of them are stopping for some seconds.
+func TestStoppingHostsOrderLoads(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t, 2, 3, 1)
+	d.services[0].Fail(standin.SilentFault, len(d.hosts)) // requests stay open for 5 s
+	var callers conc.WaitGroup
+	for i, h := range d.hosts {
+		callers.Go(func() { d.do(h, "POST", serviceHost, "/post/a", fmt.Sprint("open", i), nil, "body") })
+		d.await("the request is open", func() bool { return d.arrivals(fmt.Sprint("open", i)) == 1 })
+	}
+	for _, h := range d.hosts {
+		h.Stop()
+	}
+	d.await("the hosts know of each other's stop", func() bool {
+		resp, err := http.Get("http://" + d.hosts[0].settings.Listen.Addresses + "/resolve?name=" + modelHost)
+		is.NoErr(err)
+		is.NoErr(resp.Body.Close())
+		return resp.StatusCode == http.StatusServiceUnavailable
+	})
+	d.store.NameWeights("m1", 2)
+	callers.Wait()
+	for _, h := range d.hosts {
+		h.Wait()
+	}
+	for _, e := range d.engines {
+		is.Equal(e.Weights(), int64(2))
+	}
+}
