fix: all engines whose weights have expired are ordered

A request that waited at an engine began on replaced weights 6.9 s after newer ones were acknowledged, while the host that sent it stood still.

Cause: the first four engines finished long streams before they loaded, and a limit on engines out of service kept the others from being ordered, though at that age no request may go to old weights. An engine that has accepted an order begins nothing on its old weights, so any host can prevent this. Ruled out as a mend: a shorter deadline, which would cut runs. Now engines whose weights were replaced so long ago that hosts send them nothing are ordered whatever the limits.

--- a/reload/reload.go
+++ b/reload/reload.go
@@ -49,6 +49,8 @@
 	// MayOrder marks an engine that this host may order, Exclusive one that no
 	// other host may.
 	MayOrder, Exclusive bool
+	// Expired marks an engine whose weights were replaced too long ago to answer.
+	Expired bool
 	// Running counts the known requests of all hosts at the engine.
 	Running int
 }
@@ -75,7 +77,9 @@
 
 // Next returns the engines to order now: those with the oldest weights first,
 // since requests may not use these for long, then those with the fewest
-// requests.
+// requests. All engines whose weights have expired are due: they serve nobody, and an
+// order keeps requests that wait there from beginning on these weights, even if the host
+// that sent them can't withdraw them.
 func (p Plan) Next(engines []Engine, now clock.Instant) []string {
 	expected := p.expected(engines)
 	reachable := 0
@@ -95,16 +99,15 @@
 			outdated = append(outdated, e)
 		}
 	}
-	capacity := min(limit(loadingShare, len(engines))-loading, expected.maxOutOfService(len(engines), reachable)-outOfService)
-	if capacity <= 0 {
-		return nil
-	}
+	capacity := max(0, min(limit(loadingShare, len(engines))-loading, expected.maxOutOfService(len(engines), reachable)-outOfService))
 	slices.SortFunc(outdated, func(a, b Engine) int {
 		return cmp.Or(cmp.Compare(a.Weights, b.Weights), cmp.Compare(a.Running, b.Running), cmp.Compare(a.ID, b.ID))
 	})
-	ids := make([]string, 0, capacity)
-	for _, e := range outdated[:min(capacity, len(outdated))] {
-		ids = append(ids, e.ID)
+	var ids []string
+	for i, e := range outdated {
+		if i < capacity || e.Expired {
+			ids = append(ids, e.ID)
+		}
 	}
 	return ids
 }
--- a/reload/reload_test.go
+++ b/reload/reload_test.go
@@ -118,3 +118,22 @@
 		is.Equal(len(plan.Next(pool, 0)), want)
 	}
 }
+
+// TestExpiredWeights guards against requests that begin on weights which were replaced
+// long ago: all engines that have them are ordered, however many are out of service.
+func TestExpiredWeights(t *testing.T) {
+	is := is.New(t)
+	plan := reload.Plan{Target: 3, MayAct: true}
+	pool := make([]reload.Engine, 12)
+	for i := range pool {
+		pool[i] = reload.Engine{ID: fmt.Sprintf("e%02d", i), Weights: 2, MayOrder: true, OutOfService: i < 4, Loading: i < 4}
+	}
+	is.Equal(len(plan.Next(pool, 0)), 0) // no more may be out of service
+	for i := range pool {
+		pool[i].Expired = true
+	}
+	pool[10].MayOrder, pool[11].Unreachable = false, true
+	is.Equal(plan.Next(pool, 0), []string{"e04", "e05", "e06", "e07", "e08", "e09"})
+	pool[4].Weights = 3
+	is.Equal(len(plan.Next(pool, 0)), 5)
+}
--- a/reloader/reloader.go
+++ b/reloader/reloader.go
@@ -158,8 +158,9 @@
 	// Lease is how long after one host's order another host must not order the
 	// same engine.
 	Lease time.Duration
-	// Within is how long the operators give all engines of a pool to load.
-	Within time.Duration
+	// Within is how long the operators give all engines of a pool to load, Expiry how
+	// long after newer weights were named hosts send requests to older ones.
+	Within, Expiry time.Duration
 }
 
 // Controller reloads engines on behalf of one host.
@@ -278,9 +279,11 @@
 			continue
 		}
 		order, own := c.loads[e.ID]
+		weights := max(e.Weights[model], s.Weights)
+		replacedSince, replaced := target.ReplacedSince(weights)
 		elsewhere := !own && (now.Before(s.LoadingUntil.Add(holderTimeout-excludeTime)) || c.leases.MayBeOrdered(e.ID, c.Self, now))
 		pool = append(pool, reload.Engine{
-			ID: e.ID, Weights: max(e.Weights[model], s.Weights), OutOfService: own || elsewhere, OutSince: order.claimed, Loading: elsewhere || order.idleSince != 0, Running: c.Load(e.ID).Running, Unreachable: s.IsUnreachable(now),
+			ID: e.ID, Weights: weights, Expired: replaced && now.Sub(replacedSince) >= c.Expiry, OutOfService: own || elsewhere, OutSince: order.claimed, Loading: elsewhere || order.idleSince != 0, Running: c.Load(e.ID).Running, Unreachable: s.IsUnreachable(now),
 			MayOrder: !now.Before(c.backoffUntil[e.ID]) && c.leases.MayClaim(e.ID, c.Self, c.Lease, now), Exclusive: c.leases.HeldBy(e.ID, c.Self, c.Lease, now),
 		})
 	}
--- a/reloader/reloader_test.go
+++ b/reloader/reloader_test.go
@@ -116,7 +116,7 @@
 			reloader.New(ctx, &wait, reloader.Options{
 				Self: "host", Engines: c.engine, Claims: fakeLog{}, Health: tracker, Replica: func() replica.State { return state },
 				Load: func(string) loadreport.Load { return loadreport.Load{} }, Active: func() bool { return true }, Hosts: func() []string { return []string{"host"} },
-				CacheDropped: func(string) {}, Evacuate: func(string) {}, Lease: time.Second, Within: 20 * time.Second,
+				CacheDropped: func(string) {}, Evacuate: func(string) {}, Lease: time.Second, Within: 20 * time.Second, Expiry: 20 * time.Second,
 				Send: func(u reloader.Update) {
 					mu.Lock()
 					defer mu.Unlock()
--- a/storenode/storenode.go
+++ b/storenode/storenode.go
@@ -173,7 +173,7 @@
 			return n.tracker.State(id).Load.Plus(n.loadReports.RemoteLoad(loadreport.HashEngine(id)))
 		},
 		Self: n.settings.Host.Name, Engines: engines, Claims: n.store, Health: n.tracker, Replica: n.syncer.State,
-		Active: n.mayOrder, Hosts: n.orderers, Send: n.peerSync.Tell, CacheDropped: n.router.RemoveCachedParts, Evacuate: n.router.Evacuate, Lease: bounds.Lease(), Within: bounds.OldWeightsGrace(),
+		Active: n.mayOrder, Hosts: n.orderers, Send: n.peerSync.Tell, CacheDropped: n.router.RemoveCachedParts, Evacuate: n.router.Evacuate, Lease: bounds.Lease(), Within: bounds.OldWeightsGrace(), Expiry: bounds.OldWeightsGrace() - weightsMargin,
 	})
 	for _, register := range []func() error{
 		func() error { return peerpb.DRPCRegisterMemberships(peerServer, n.directory) },
