--- a/cmd/http_test.go
+++ b/cmd/http_test.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"strings"
 	"testing"
-	"time"
 
 	"github.com/matryer/is"
 
@@ -16,17 +15,15 @@
 // after their command was interrupted.
 func TestGivenUpCallDoesNotArriveLater(t *testing.T) {
 	is := is.New(t)
-	m, err := standin.NewMute()
+	end, err := standin.GiveUp(t.Context(), func(ctx context.Context, address string) error {
+		req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address, strings.NewReader("{}"))
+		is.NoErr(err)
+		resp, err := newHTTPClient().Do(req)
+		if err == nil {
+			_ = resp.Body.Close()
+		}
+		return err
+	})
 	is.NoErr(err)
-	t.Cleanup(m.Close)
-	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+m.Address(), strings.NewReader("{}"))
-	is.NoErr(err)
-	resp, err := newHTTPClient().Do(req)
-	if err == nil {
-		_ = resp.Body.Close()
-	}
-	is.True(err != nil)
-	is.True(m.NextEnd().Reset)
+	is.True(end.Reset)
 }
--- a/peer/abandoned_test.go
+++ b/peer/abandoned_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"testing"
-	"time"
 
 	"github.com/matryer/is"
 
@@ -16,17 +15,15 @@
 // that reach another host after they were given up.
 func TestGivenUpCallDoesNotArriveLater(t *testing.T) {
 	is := is.New(t)
-	m, err := standin.NewMute()
-	is.NoErr(err)
-	t.Cleanup(m.Close)
-	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
-	defer cancel()
 	pool := peer.NewPool(peer.Credentials{Secret: "secret"})
 	t.Cleanup(pool.Close)
-	stream, err := peerpb.NewDRPCMembershipsClient(pool.Conn(ctx, m.Address())).Send(pool.Context(ctx))
+	end, err := standin.GiveUp(t.Context(), func(ctx context.Context, address string) error {
+		stream, err := peerpb.NewDRPCMembershipsClient(pool.Conn(ctx, address)).Send(pool.Context(ctx))
+		is.NoErr(err)
+		is.NoErr(stream.Send(&peerpb.Heartbeat{Sender: &peerpb.Member{Name: "host"}}))
+		_, err = stream.CloseAndRecv()
+		return err
+	})
 	is.NoErr(err)
-	is.NoErr(stream.Send(&peerpb.Heartbeat{Sender: &peerpb.Member{Name: "host"}}))
-	_, err = stream.CloseAndRecv()
-	is.True(err != nil)
-	is.True(m.NextEnd().Reset)
+	is.True(end.Reset)
 }
--- a/registry/abandoned_test.go
+++ b/registry/abandoned_test.go
@@ -31,13 +31,9 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
-			m, err := standin.NewMute()
+			end, err := standin.GiveUp(t.Context(), func(ctx context.Context, address string) error { return send(ctx, "http://"+address) })
 			is.NoErr(err)
-			t.Cleanup(m.Close)
-			ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
-			defer cancel()
-			is.True(send(ctx, "http://"+m.Address()) != nil)
-			is.True(m.NextEnd().Reset)
+			is.True(end.Reset)
 		})
 	}
 }
--- a/standin/mute.go
+++ b/standin/mute.go
@@ -1,14 +1,19 @@
 package standin
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
 	"syscall"
+	"time"
 
 	"github.com/sourcegraph/conc"
 )
 
+// patience is how long GiveUp waits for an answer.
+const patience = 200 * time.Millisecond
+
 // Mute is a server that reads what its callers send and never answers.
 type Mute struct {
 	listener net.Listener
@@ -59,6 +64,22 @@
 // NextEnd waits until a caller ends a connection.
 func (m *Mute) NextEnd() ConnectionEnd { return <-m.ends }
 
+// GiveUp makes a call to a server of its own, gives it up after a short time, and returns
+// how the caller ended the connection. It returns an error if the call did not fail.
+func GiveUp(ctx context.Context, call func(ctx context.Context, address string) error) (ConnectionEnd, error) {
+	m, err := NewMute()
+	if err != nil {
+		return ConnectionEnd{}, err
+	}
+	defer m.Close()
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	if call(ctx, m.Address()) == nil {
+		return ConnectionEnd{}, errors.New("the call did not fail")
+	}
+	return m.NextEnd(), nil
+}
+
 // Close stops the server and waits until all callers have closed their connections.
 func (m *Mute) Close() {
 	_ = m.listener.Close()
--- a/upstream/abandoned_test.go
+++ b/upstream/abandoned_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"net/http"
 	"testing"
-	"time"
 
 	"github.com/matryer/is"
 
@@ -43,13 +42,9 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
-			m, err := standin.NewMute()
+			end, err := standin.GiveUp(t.Context(), func(ctx context.Context, address string) error { return send(ctx, upstream.NewClient(), address) })
 			is.NoErr(err)
-			t.Cleanup(m.Close)
-			ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
-			defer cancel()
-			is.True(send(ctx, upstream.NewClient(), m.Address()) != nil)
-			is.True(m.NextEnd().Reset)
+			is.True(end.Reset)
 		})
 	}
 }
