--- a/socket/conn_test.go
+++ b/socket/conn_test.go
@@ -1,7 +1,6 @@
 package socket_test
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"net"
@@ -61,10 +60,8 @@
 			is.NoErr(err)
 		}, true},
 		{"an answer while the rest of the call is on its way", func(is *is.I, c *socket.Conn, other net.Conn) {
-			is.NoErr(c.SetWriteDeadline(time.Now().Add(100 * time.Millisecond)))
-			_, err := c.Write(bytes.Repeat([]byte("x"), 64<<20)) // more than the buffers of both sides take
-			is.True(err != nil)
-			_, err = other.Write([]byte("answer"))
+			fillBuffers(is, c)
+			_, err := other.Write([]byte("answer"))
 			is.NoErr(err)
 			_, err = c.Read(make([]byte, 6))
 			is.NoErr(err)
@@ -90,6 +87,15 @@
 	}
 }
 
+// fillBuffers writes until the buffers of both sides take no more.
+func fillBuffers(is *is.I, c *socket.Conn) {
+	block := make([]byte, 1<<20)
+	for written := 1; written > 0 || !socket.HasUnacknowledged(c); {
+		is.NoErr(c.SetWriteDeadline(time.Now().Add(50 * time.Millisecond)))
+		written, _ = c.Write(block)
+	}
+}
+
 // exchange sends a call and its answer.
 func exchange(is *is.I, c *socket.Conn, other net.Conn) {
 	buffer := make([]byte, 16)
