test: TestLeavingUpstreamGetsNoMoreRequests awaits both full upstreams

Traced by its log: which engine reads a shared part first follows from a hash with the salt, and the salt of its accounts, of which one is isolated, is another one now. So the request met the full engine, whose backoff (some 0.1 s) had not ended when the next one was sent: 503 NoUpstream, as due. With the old salt it met the other engine first.

--- a/storenode/availability_test.go
+++ b/storenode/availability_test.go
@@ -60,9 +60,11 @@
 	for _, e := range others {
 		e.Fail(standin.NoFault, 0)
 	}
-	d.await("the full upstream gets requests again", func() bool {
-		return d.do(d.hosts[0], "POST", serviceHost, "/post/a", fmt.Sprint("f", time.Now().UnixNano()), nil, "body").status == http.StatusOK
-	})
+	for host, path := range map[string]string{serviceHost: "/post/a", modelHost: "/full/a"} {
+		d.await("the full upstream gets requests again", func() bool {
+			return d.do(d.hosts[0], "POST", host, path, fmt.Sprint("f", time.Now().UnixNano()), prompt, "body").status == http.StatusOK
+		})
+	}
 	for range 50 {
 		send(d.hosts[0])
 	}
