--- a/forward/queued.go
+++ b/forward/queued.go
@@ -24,8 +24,7 @@
 
 // withdrawQueued cancels an attempt that has no answer yet once its weights may no
 // longer answer, its account may no longer use the parts that it would, or its request is
-// quarantined. It returns a function that stops
-// the checks.
+// quarantined. It returns a function that stops the checks.
 func (h *handler) withdrawQueued(a *attempt) (stop func()) {
 	if a.send.Weights == 0 {
 		return func() {}
