fix: a call that is copied onto a connection counts as one

Found in the last reading: Conn embeds TCPConn, whose ReadFrom writes without Conn's knowledge, so that io.Copy onto an idle connection left it to close in order. No client does that today: net/http flushes the head by Write first. A row of TestClose failed before; TestClose now names the two ends, ECONNRESET and EOF, instead of 'not EOF'.

--- a/socket/conn_test.go
+++ b/socket/conn_test.go
@@ -1,8 +1,10 @@
 package socket_test
 
 import (
+	"bytes"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"syscall"
 	"testing"
@@ -51,6 +53,10 @@
 			_, err := c.Write(call)
 			is.NoErr(err)
 		}, true},
+		{"a call that is copied, without an answer", func(is *is.I, c *socket.Conn, _ net.Conn) {
+			_, err := io.Copy(c, struct{ io.Reader }{bytes.NewReader(call)})
+			is.NoErr(err)
+		}, true},
 		{"a call with an answer", func(is *is.I, c *socket.Conn, other net.Conn) {
 			exchange(is, c, other)
 		}, false},
@@ -82,7 +88,8 @@
 			for buffer := make([]byte, 1<<20); readErr == nil; {
 				_, readErr = other.Read(buffer)
 			}
-			is.Equal(readErr.Error() != "EOF", tt.reset)
+			is.Equal(errors.Is(readErr, syscall.ECONNRESET), tt.reset)
+			is.Equal(errors.Is(readErr, io.EOF), !tt.reset)
 		})
 	}
 }
--- a/socket/socket.go
+++ b/socket/socket.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"sync/atomic"
 	"syscall"
@@ -100,6 +101,12 @@
 	return c.TCPConn.Write(b)
 }
 
+// ReadFrom implements io.ReaderFrom by Write: that of the embedded connection would write
+// without its knowledge.
+func (c *Conn) ReadFrom(r io.Reader) (int64, error) {
+	return io.Copy(struct{ io.Writer }{c}, r)
+}
+
 // Close implements net.Conn.
 func (c *Conn) Close() error {
 	if c.state.Swap(closed) == answered && !HasUnacknowledged(c) {
