fix: a host with a short grace time stops ordering before it ends

A timer sets it now, whatever the stop waits for. The ranking of hosts that order reads in one pass, without a closure; the same result.

--- a/storenode/stop.go
+++ b/storenode/stop.go
@@ -39,11 +39,12 @@
 	grace := n.settings.Bounds.Grace() - graceMargin
 	n.server.Stop(stopTime.Add(grace))
 	n.directory.Leave()
+	lastOrder := time.AfterFunc(max(0, grace-orderTime), func() { n.ending.Store(true) })
+	defer lastOrder.Stop()
 	clock.Pause(ctx, min(grace, addressTTLFactor*addressTTL))
 	n.server.Refuse()
 	clock.Pause(ctx, min(grace-addressTTLFactor*addressTTL, leaveSpread))
 	for n.server.OpenRequests() > 0 && clock.Now().Sub(stopTime) < grace && ctx.Err() == nil {
-		n.ending.Store(clock.Now().Sub(stopTime) > grace-orderTime)
 		clock.Pause(ctx, openPollInterval)
 	}
 	n.ending.Store(true)
--- a/storenode/storenode.go
+++ b/storenode/storenode.go
@@ -370,24 +370,24 @@
 // half of the others, it can't announce its orders to them, so it ranks itself last.
 func (n *Node) orderers() []string {
 	var working, stopping []string
-	add := func(name string, stops bool) {
-		if stops {
-			stopping = append(stopping, name)
-		} else {
-			working = append(working, name)
-		}
-	}
-	peers := n.directory.Peers()
+	peers, self := n.directory.Peers(), n.settings.Host.Name
 	for _, h := range peers {
-		if n.loadReports.SeenRecently(h.Name) {
-			add(h.Name, h.State == registry.Leaving)
+		switch {
+		case !n.loadReports.SeenRecently(h.Name):
+		case h.State == registry.Leaving:
+			stopping = append(stopping, h.Name)
+		default:
+			working = append(working, h.Name)
 		}
 	}
-	self := n.settings.Host.Name
-	if 2*(len(working)+len(stopping)) < len(peers) {
-		return append(append(working, stopping...), self)
+	switch {
+	case 2*(len(working)+len(stopping)) < len(peers):
+		return slices.Concat(working, stopping, []string{self})
+	case n.isStopping():
+		stopping = append(stopping, self)
+	default:
+		working = append(working, self)
 	}
-	add(self, n.isStopping())
 	return append(placement.Rank(orderersRankKey, working), placement.Rank(orderersRankKey, stopping)...)
 }
 
