--- a/storenode/isolation_test.go
+++ b/storenode/isolation_test.go
@@ -10,8 +10,6 @@
 	"time"
 
 	"github.com/matryer/is"
-
-	"github.com/kumquathoist/kumquathoist/standin"
 )
 
 // accounts returns the accounts of a configuration, of which some are isolated.
@@ -19,13 +17,7 @@
 	return func(config map[string]any) {
 		var all []any
 		for name, key := range map[string]string{"mill": goodKey, "grocer": isolatedKey} {
-			account := map[string]any{"name": name, "api_keys": []any{key}, "isolated": false}
-			for _, i := range isolated {
-				if i == name {
-					account["isolated"] = true
-				}
-			}
-			all = append(all, account)
+			all = append(all, map[string]any{"name": name, "api_keys": []any{key}, "isolated": slices.Contains(isolated, name)})
 		}
 		config["tenants"] = all
 	}
@@ -127,24 +119,16 @@
 func TestQueuedRequestIsSeparated(t *testing.T) {
 	is := is.New(t)
 	d := newDeployment(t, 0, 1, 0)
-	routes := func(change func(map[string]any)) {
+	configure := func(accounts func(map[string]any)) {
 		d.configure(func(config map[string]any) {
-			config["routes"] = []any{route("flag", modelHost, "/long/", "streaming", "models", map[string]any{"sticky": true, "max_attempts": 1, "timeout_ms": 120_000})}
-			change(config)
+			withLongRoute(config)
+			accounts(config)
 		})
 	}
-	routes(accounts())
+	configure(accounts())
 	d.awaitReady(d.host(0))
-	headers := map[string]string{"X-Deadline-Ms": "120000"}
-	maps.Copy(headers, prompt)
-	d.await("the route is known", func() bool {
-		return d.do(d.hosts[0], "POST", modelHost, "/long/a", fmt.Sprint(time.Now().UnixNano()), headers, "before").status == http.StatusOK
-	})
-	d.engines[0].Fail(standin.SilentFault, 1)
-	answers := make(chan answer, 1)
-	go func() { answers <- d.do(d.hosts[0], "POST", modelHost, "/long/a", "waits", headers, "body") }()
-	d.await("it is queued", func() bool { return d.arrivals("waits") == 1 })
-	routes(accounts("grocer"))
+	answers := d.queueRequest()
+	configure(accounts("grocer"))
 	d.await("it is cancelled", func() bool { return d.engines[0].AbandonedRequests() == 1 })
 	is.Equal((<-answers).status, http.StatusGatewayTimeout)
 }
--- a/storenode/weights_test.go
+++ b/storenode/weights_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/http"
 	"testing"
 	"time"
@@ -20,24 +21,32 @@
 	d := newDeployment(t, 0, 1, 0)
 	d.weightsMillis = 2000
 	d.awaitReady(d.host(0))
-	const long = 120_000
-	d.configure(func(config map[string]any) {
-		config["routes"] = []any{route("flag", modelHost, "/long/", "streaming", "models", map[string]any{"sticky": true, "max_attempts": 1, "timeout_ms": long})}
-	})
+	d.configure(withLongRoute)
+	answers := d.queueRequest()
+	d.store.NameWeights("m1", 2)
+	d.await("it is cancelled", func() bool { return d.engines[0].AbandonedRequests() == 1 })
+	is.Equal((<-answers).status, http.StatusGatewayTimeout)
+}
+
+// withLongRoute replaces the routes of a configuration by one whose requests may wait for
+// long.
+func withLongRoute(config map[string]any) {
+	config["routes"] = []any{route("flag", modelHost, "/long/", "streaming", "models", map[string]any{"sticky": true, "max_attempts": 1, "timeout_ms": 120_000})}
+}
+
+// queueRequest sends a request of an account that shares parts, on the long route, to the
+// first host, and waits until it is queued at the first engine.
+func (d *deployment) queueRequest() (answers <-chan answer) {
 	headers := map[string]string{"X-Deadline-Ms": "120000"}
-	for k, v := range prompt {
-		headers[k] = v
-	}
+	maps.Copy(headers, prompt)
 	d.await("the route is known", func() bool {
 		return d.do(d.hosts[0], "POST", modelHost, "/long/a", fmt.Sprint(time.Now().UnixNano()), headers, "before").status == http.StatusOK
 	})
 	d.engines[0].Fail(standin.SilentFault, 1)
-	answers := make(chan answer, 1)
-	go func() { answers <- d.do(d.hosts[0], "POST", modelHost, "/long/a", "waits", headers, "body") }()
+	received := make(chan answer, 1)
+	go func() { received <- d.do(d.hosts[0], "POST", modelHost, "/long/a", "waits", headers, "body") }()
 	d.await("it is queued", func() bool { return d.arrivals("waits") == 1 })
-	d.store.NameWeights("m1", 2)
-	d.await("it is cancelled", func() bool { return d.engines[0].AbandonedRequests() == 1 })
-	is.Equal((<-answers).status, http.StatusGatewayTimeout)
+	return received
 }
 
 // TestLongLoads has three engines load weights for 5 s each, longer than updates about a
