--- a/storenode/bounds.go
+++ b/storenode/bounds.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/kumquathoist/kumquathoist/clock"
@@ -10,32 +9,21 @@
 	"github.com/kumquathoist/kumquathoist/replica"
 )
 
-const (
-	// boundInterval is the time between two checks for target weights that the store
-	// should tell of.
-	boundInterval = 200 * time.Millisecond
-	// maxBoundDelay bounds the random time that a reader of the store leaves to the
-	// others before it records one.
-	maxBoundDelay = 400 * time.Millisecond
-	// maxRecordedBounds bounds the versions of a record; the oldest are left out.
-	maxRecordedBounds = 4
-)
+// maxRecordedBounds bounds the versions of a record; the oldest are left out.
+const maxRecordedBounds = 4
 
-// recordBounds records in the store since when target weights are set, until the
-// context ends. All hosts may be restarted at once, and then none has seen it.
+// recordBounds records in the store since when target weights are set, until the context
+// ends. Only hosts that read the store do.
 func (n *Node) recordBounds(ctx context.Context) {
-	clock.Every(ctx, boundInterval, func(ctx context.Context) {
-		if !n.readsStore() || len(n.unrecordedBounds()) == 0 {
-			return
+	missing := func() map[string][]replica.Bound {
+		if !n.readsStore() {
+			return nil
 		}
-		clock.Pause(ctx, time.Duration(rand.Int64N(int64(maxBoundDelay))))
-		for model, bounds := range n.unrecordedBounds() {
-			storeCtx, cancel := context.WithTimeout(ctx, storeTimeout)
-			err := n.store.PutBounds(storeCtx, model, bounds[:min(len(bounds), maxRecordedBounds)])
-			cancel()
-			if err != nil {
-				event.NamingNotRecorded.Error(err, "Model", model, "After", bounds[0].After)
-			}
+		return n.unrecordedBounds()
+	}
+	recordMissing(ctx, missing, func() time.Duration { return 0 }, func(ctx context.Context, model string, bounds []replica.Bound) {
+		if err := n.store.PutBounds(ctx, model, bounds[:min(len(bounds), maxRecordedBounds)]); err != nil {
+			event.NamingNotRecorded.Error(err, "Model", model, "After", bounds[0].After)
 		}
 	})
 }
