fix: an isolated account leaves the group of every model

A host that knew a model only from the store's record of groups, neither from the configuration nor from a naming, kept that group as recorded when an account was isolated later, so others could have found the account's parts. All known models follow the configuration now. TestEveryModelsGroupExcludesIsolatedAccounts failed before; that callers met it isn't shown.

--- a/replica/groups.go
+++ b/replica/groups.go
@@ -36,16 +36,16 @@
 
 // withGroups returns the state with the groups of the newest configuration and weights.
 func (s State) withGroups() State {
-	isolated := s.Catalog.Isolated()
-	groups := maps.Clone(s.groups)
-	if groups == nil {
-		groups = map[string]isolation.History{}
-	}
+	groups := map[string]isolation.History{}
 	for model := range s.Catalog.ServicesByModel() {
-		groups[model] = groups[model].With(s.weights[model].Version, isolated)
+		groups[model] = isolation.History{}
 	}
 	for model := range s.weights {
-		groups[model] = groups[model].With(s.weights[model].Version, isolated)
+		groups[model] = isolation.History{}
+	}
+	maps.Copy(groups, s.groups)
+	for model, h := range groups {
+		groups[model] = h.With(s.weights[model].Version, s.Catalog.Isolated())
 	}
 	s.groups = groups
 	return s
