refactor: http1 takes a request's head and body

Send took any number of parts and copied a request without a body once more on its way. Two arguments say what it is; short requests are one write, as before.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -67,7 +67,7 @@
 
 // sender sends one request to one upstream.
 type sender interface {
-	Send(ctx context.Context, address, id, method string, parts ...[]byte) (*http1.Exchange, error)
+	Send(ctx context.Context, address, id, method string, head, body []byte) (*http1.Exchange, error)
 	// HasIdle reports whether there is an idle connection to an address.
 	HasIdle(address string) bool
 }
--- a/http1/abandoned_test.go
+++ b/http1/abandoned_test.go
@@ -43,7 +43,7 @@
 	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
 	defer cancel()
 	pool := http1.NewPool(platform.Wire{}, http1.NewDialer())
-	_, err := pool.Send(ctx, listener.Addr().String(), "a", http.MethodPost, longRequest)
+	_, err := pool.Send(ctx, listener.Addr().String(), "a", http.MethodPost, longRequest, nil)
 	is.True(err != nil)
 
 	upstream, err := listener.Accept()
@@ -65,7 +65,7 @@
 	results := map[string]chan error{undelivered: make(chan error, 1), delivered: make(chan error, 1)}
 	for address, result := range results {
 		go func() {
-			_, err := pool.Send(ctx, address, "a", http.MethodPost, longRequest)
+			_, err := pool.Send(ctx, address, "a", http.MethodPost, longRequest, nil)
 			result <- err
 		}()
 	}
--- a/http1/bench_test.go
+++ b/http1/bench_test.go
@@ -44,7 +44,7 @@
 			start := threadTime(b)
 			for b.Loop() {
 				read := 0
-				x, err := pool.Send(context.Background(), address, "r", "GET", []byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"))
+				x, err := pool.Send(context.Background(), address, "r", "GET", []byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"), nil)
 				for err == nil && read < maxRead {
 					var n int
 					n, err = x.Read(buffer)
--- a/http1/broken_head_test.go
+++ b/http1/broken_head_test.go
@@ -27,7 +27,7 @@
 			}
 			cut := []byte(answer[:end])
 			upstream.answer.Store(&cut)
-			x, err := http1.NewPool(platform.Wire{}, http1.NewDialer()).Send(t.Context(), upstream.listener.Addr().String(), "r", "GET", []byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"))
+			x, err := http1.NewPool(platform.Wire{}, http1.NewDialer()).Send(t.Context(), upstream.listener.Addr().String(), "r", "GET", []byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"), nil)
 			if err != nil {
 				continue
 			}
--- a/http1/endless_test.go
+++ b/http1/endless_test.go
@@ -58,7 +58,7 @@
 			ctx, cancel := context.WithTimeout(context.Background(), deadline)
 			defer cancel()
 			read := 0
-			x, err := pool.Send(ctx, startEndless(t, tt.first, tt.repeated).Address(), "r", "GET", []byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"))
+			x, err := pool.Send(ctx, startEndless(t, tt.first, tt.repeated).Address(), "r", "GET", []byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"), nil)
 			for err == nil {
 				var n int
 				n, err = x.Read(make([]byte, 4096))
@@ -90,7 +90,7 @@
 			ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 			defer cancel()
 			address := startEndless(t, tt.first, tt.repeated).Address()
-			x, err := pool.Send(ctx, address, "r", "GET", []byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"))
+			x, err := pool.Send(ctx, address, "r", "GET", []byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"), nil)
 			is.NoErr(err)
 			x.SkipRest()
 			is.NoErr(ctx.Err())
@@ -115,7 +115,7 @@
 			s := newScriptedUpstream(t)
 			answer := []byte(tt.answer)
 			s.answer.Store(&answer)
-			_, err := http1.NewPool(platform.Wire{}, http1.NewDialer()).Send(t.Context(), s.listener.Addr().String(), "r", "GET", []byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"))
+			_, err := http1.NewPool(platform.Wire{}, http1.NewDialer()).Send(t.Context(), s.listener.Addr().String(), "r", "GET", []byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"), nil)
 			is.True(len(err.Error()) < 400)
 			is.Equal(http1.ClosedByUpstream(err), tt.closed)
 		})
--- a/http1/exchange.go
+++ b/http1/exchange.go
@@ -7,7 +7,6 @@
 	"io"
 	"net/http/httputil"
 	"os"
-	"slices"
 	"syscall"
 	"time"
 
@@ -72,10 +71,10 @@
 	deadline time.Time
 }
 
-// Send writes a request, given in parts, and reads the head of its answer. Cancelling
-// the context resets the connection. The id is that of the call; the upstream returns it
-// in its answer.
-func (p *Pool) Send(ctx context.Context, address, id, method string, parts ...[]byte) (*Exchange, error) {
+// Send writes a request and reads the head of its answer. Cancelling the context
+// resets the connection. The id is that of the call; the upstream returns it in
+// its answer. A long body is written as it is, without a copy.
+func (p *Pool) Send(ctx context.Context, address, id, method string, head, body []byte) (*Exchange, error) {
 	c, err := p.acquire(ctx, address)
 	if err != nil {
 		return nil, errors.Join(ErrNotSent, err)
@@ -88,11 +87,17 @@
 	e.release = context.AfterFunc(ctx, c.reset)
 	p.awaitAnswer(c, true)
 	defer p.awaitAnswer(c, false)
-	if size := totalLength(parts); size <= maxInlineWriteBytes {
-		_, err = c.Write(slices.Concat(parts...))
+	if len(head)+len(body) <= maxInlineWriteBytes {
+		_, err = c.Write(append(head, body...))
 		e.written <- err
 	} else {
-		go func() { e.written <- writeAll(c, parts) }()
+		go func() {
+			_, err := c.Write(head)
+			if err == nil {
+				_, err = c.Write(body)
+			}
+			e.written <- err
+		}()
 	}
 	if err == nil {
 		err = e.readHead(id, method)
@@ -104,24 +109,6 @@
 	return e, nil
 }
 
-// totalLength returns the length of all parts together.
-func totalLength(parts [][]byte) (n int) {
-	for _, p := range parts {
-		n += len(p)
-	}
-	return n
-}
-
-// writeAll writes parts one after the other, without a copy of a long body.
-func writeAll(c *conn, parts [][]byte) error {
-	for _, p := range parts {
-		if _, err := c.Write(p); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
 // readHead reads answers until one belongs to the call.
 func (e *Exchange) readHead(id, method string) error {
 	for skipped, informational := 0, 0; ; skipped++ {
--- a/http1/fuzz_test.go
+++ b/http1/fuzz_test.go
@@ -85,7 +85,7 @@
 		pool := http1.NewPool(platform.Wire{}, http1.NewDialer())
 		before := totalAllocated()
 		s.answer.Store(&answer)
-		x, err := pool.Send(ctx, s.listener.Addr().String(), "r", "GET", []byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"))
+		x, err := pool.Send(ctx, s.listener.Addr().String(), "r", "GET", []byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"), nil)
 		read := 0
 		buffer := make([]byte, 4096)
 		for err == nil {
--- a/http1/repeated_test.go
+++ b/http1/repeated_test.go
@@ -52,7 +52,7 @@
 			ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 			defer cancel()
 			send := func(id string) (*http1.Exchange, error) {
-				return pool.Send(ctx, address, id, "POST", []byte("POST / HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: "+id+"\r\nContent-Length: 0\r\n\r\n"))
+				return pool.Send(ctx, address, id, "POST", []byte("POST / HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: "+id+"\r\nContent-Length: 0\r\n\r\n"), nil)
 			}
 			x, err := send("first")
 			is.NoErr(err)
