--- a/standin/platform_engine.go
+++ b/standin/platform_engine.go
@@ -56,6 +56,13 @@
 	memoryHandles map[string]bool
 	resumed       int
 	eventInterval time.Duration
+	// prefill is the time to the first event or a plain answer, eventCount the number
+	// of events of a stream; 0 means eventsPerStream.
+	prefill    time.Duration
+	eventCount int
+	// runCount counts the runs, observeRun is called when one begins and ends.
+	runCount   int
+	observeRun func(PlatformRun)
 	// crash, if set, is the crash that a request triggers.
 	crash *platformCrash
 	// retryAfter is the Retry-After text with which requests are rejected until
@@ -91,7 +98,7 @@
 	if err != nil {
 		return nil, err
 	}
-	e := &PlatformEngine{ID: id, Service: service, Zone: zone, Model: model, Software: "v1", Slots: 64, listener: listener, weights: 1, startMillis: time.Now().UnixMilli(), executions: map[string]int{},
+	e := &PlatformEngine{ID: id, Service: service, Zone: zone, Model: model, Software: "v1", Slots: defaultSlots, listener: listener, weights: 1, startMillis: time.Now().UnixMilli(), executions: map[string]int{},
 		cached: map[cachePart]bool{}, eventAdded: make(chan struct{}), running: map[string]chan struct{}{}, memoryHandles: map[string]bool{}}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /report", e.controlCall(e.report))
@@ -231,12 +238,15 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.heartbeat++
-	state := "ready"
+	state, address := "ready", e.Advertised
 	if e.leaving {
 		state = "draining"
 	}
+	if address == "" {
+		address = e.Address()
+	}
 	entry := map[string]any{
-		"service": e.Service, "address": cmp.Or(e.Advertised, e.Address()), "zone": e.Zone, "version": e.Software, "slots": e.Slots, "state": state,
+		"service": e.Service, "address": address, "zone": e.Zone, "version": e.Software, "slots": e.Slots, "state": state,
 		"cold_remaining_ms": 0, "seq": e.heartbeat, "born": e.startMillis,
 	}
 	if e.Model != "" {
@@ -361,6 +371,7 @@
 	if e.reject(w, r) || r.Header.Get("Last-Event-Id") != "" && e.sendResumedAnswer(w, id) {
 		return
 	}
+	defer e.beginRun(id)()
 	e.mu.Lock()
 	fault := NoFault
 	if e.fault != LostOrderFault && e.fault != NoRoomFault && e.takeFault(e.fault) {
@@ -391,6 +402,9 @@
 		e.sendTwoAnswers(w, id, plainAnswer(r, body))
 		return
 	}
+	if !e.awaitPrefill(r) {
+		return
+	}
 	if e.Model == "" {
 		_, _ = io.WriteString(w, plainAnswer(r, body))
 		return
@@ -419,7 +433,7 @@
 	flush := http.NewResponseController(w)
 	id, stop := r.Header.Get("X-Attempt-Id"), make(chan struct{})
 	e.mu.Lock()
-	pace := e.eventInterval
+	pace, count := e.eventInterval, cmp.Or(e.eventCount, eventsPerStream)
 	e.running[id] = stop
 	e.mu.Unlock()
 	defer func() {
@@ -429,11 +443,13 @@
 			delete(e.running, id)
 		}
 	}()
-	for i := after + 1; i <= eventsPerStream; i++ {
+	for i := after + 1; i <= count; i++ {
 		if i > after+1 {
 			select {
 			case <-stop:
 				panic(http.ErrAbortHandler)
+			case <-r.Context().Done():
+				return
 			case <-time.After(pace):
 			}
 		}
--- /dev/null
+++ b/standin/platform_process.go
@@ -0,0 +1,237 @@
+package standin
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"os"
+	"os/exec"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+// PlatformProcessOptions configures an engine or a plain service in a process of its
+// own. Its entry is written by whoever starts it.
+type PlatformProcessOptions struct {
+	// ID, Service, Zone, Model and Software are those of a PlatformEngine.
+	ID, Service, Zone, Model, Software string
+	// Advertised, if set, replaces the process's own IP:port in its entry.
+	Advertised string
+	// Events is the number of events of a stream; 0 means the default.
+	Events int
+	// Prefill is the time to the first event or a plain answer, Interval that between
+	// two events.
+	Prefill, Interval time.Duration
+	// Weights is the version of the weights; 0 means 1.
+	Weights int64
+}
+
+// processLine is a line that the process writes: its address, then its runs.
+type processLine struct {
+	Address string       `json:",omitempty"`
+	Run     *PlatformRun `json:",omitempty"`
+}
+
+// ServePlatformProcess runs an engine whose options stand in the first line of in. It
+// writes its address and its runs to out, and ends when in does or the context ends.
+func ServePlatformProcess(ctx context.Context, in io.Reader, out io.Writer) error {
+	lines := bufio.NewReader(in)
+	first, err := lines.ReadBytes('\n')
+	if err != nil {
+		return trace.Wrap(err, "reading the options")
+	}
+	var o PlatformProcessOptions
+	if err := json.Unmarshal(first, &o); err != nil {
+		return trace.BadParameter("the options are not JSON: %v", err)
+	}
+	e, err := NewPlatformEngine(o.ID, o.Service, o.Zone, o.Model)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	defer e.Close()
+	var mu sync.Mutex
+	encoder := json.NewEncoder(out)
+	write := func(l processLine) {
+		mu.Lock()
+		defer mu.Unlock()
+		_ = encoder.Encode(l) // the parent has ended if this fails, and so will this process
+	}
+	e.mu.Lock()
+	e.prefill, e.eventInterval, e.eventCount = o.Prefill, o.Interval, o.Events
+	e.observeRun = func(r PlatformRun) { write(processLine{Run: &r}) }
+	if o.Weights > 0 {
+		e.weights = o.Weights
+	}
+	e.mu.Unlock()
+	write(processLine{Address: e.Address()})
+	ended := make(chan error, 1)
+	go func() {
+		_, err := io.Copy(io.Discard, lines)
+		ended <- err
+	}()
+	select {
+	case <-ctx.Done():
+		return nil
+	case err := <-ended:
+		return trace.Wrap(err)
+	}
+}
+
+// PlatformProcess is an engine or a plain service in a process of its own, which signals
+// can stop.
+type PlatformProcess struct {
+	Options PlatformProcessOptions
+	// Address is the process's IP:port.
+	Address string
+
+	startMillis int64
+	cmd         *exec.Cmd
+	input       io.Closer
+	// ended is closed when the process has ended and its output was read.
+	ended chan struct{}
+	// mu guards the fields below.
+	mu     sync.Mutex
+	runs   []PlatformRun
+	pauses []PlatformPause
+	killed time.Time
+}
+
+// PlatformPause is a time in which a process was stopped; Until is zero while it lasts.
+type PlatformPause struct{ From, Until time.Time }
+
+// StartPlatformProcess starts a program that calls ServePlatformProcess with its standard
+// input and output.
+func StartPlatformProcess(o PlatformProcessOptions, program string, arguments ...string) (*PlatformProcess, error) {
+	cmd := exec.Command(program, arguments...)
+	cmd.Stderr = os.Stderr
+	input, err := cmd.StdinPipe()
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	output, err := cmd.StdoutPipe()
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if err := cmd.Start(); err != nil {
+		return nil, trace.Wrap(err, "starting an engine")
+	}
+	p := &PlatformProcess{Options: o, startMillis: time.Now().UnixMilli(), cmd: cmd, input: input, ended: make(chan struct{})}
+	decoder := json.NewDecoder(output)
+	var first processLine
+	err = errors.Join(json.NewEncoder(input).Encode(o), decoder.Decode(&first))
+	p.Address = first.Address
+	go func() {
+		defer close(p.ended)
+		for err == nil {
+			var l processLine
+			if err = decoder.Decode(&l); err == nil && l.Run != nil {
+				p.record(*l.Run)
+			}
+		}
+		_ = cmd.Wait() // a killed process has no other end
+	}()
+	if err != nil {
+		p.Kill()
+		return nil, trace.Wrap(err, "starting an engine")
+	}
+	return p, nil
+}
+
+// record adds a run, or its end.
+func (p *PlatformProcess) record(r PlatformRun) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if i := slices.IndexFunc(p.runs, func(known PlatformRun) bool { return known.Number == r.Number }); i >= 0 {
+		p.runs[i] = r
+		return
+	}
+	p.runs = append(p.runs, r)
+}
+
+// Entry returns the process's entry for the store.
+func (p *PlatformProcess) Entry() map[string]any {
+	e := PlatformEngine{
+		ID: p.Options.ID, Service: p.Options.Service, Zone: p.Options.Zone, Model: p.Options.Model, Software: p.Options.Software, Advertised: p.Options.Advertised,
+		Slots: defaultSlots, startMillis: p.startMillis, weights: max(1, p.Options.Weights),
+	}
+	if e.Advertised == "" {
+		e.Advertised = p.Address
+	}
+	return e.Entry()
+}
+
+// Pause stops the process until Resume.
+func (p *PlatformProcess) Pause() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if n := len(p.pauses); n > 0 && p.pauses[n-1].Until.IsZero() {
+		return
+	}
+	p.pauses = append(p.pauses, PlatformPause{From: time.Now()})
+	_ = p.cmd.Process.Signal(syscall.SIGSTOP) // fails only if it has ended
+}
+
+// Resume lets a stopped process go on.
+func (p *PlatformProcess) Resume() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if n := len(p.pauses); n > 0 && p.pauses[n-1].Until.IsZero() {
+		p.pauses[n-1].Until = time.Now()
+		_ = p.cmd.Process.Signal(syscall.SIGCONT) // fails only if it has ended
+	}
+}
+
+// Kill ends the process.
+func (p *PlatformProcess) Kill() {
+	p.mu.Lock()
+	if p.killed.IsZero() {
+		p.killed = time.Now()
+	}
+	p.mu.Unlock()
+	_ = p.cmd.Process.Kill() // fails only if it has ended
+	_ = p.input.Close()
+	<-p.ended
+}
+
+// Runs returns the runs that the process has reported.
+func (p *PlatformProcess) Runs() []PlatformRun {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.runs)
+}
+
+// WorkAfter returns how long the process worked on a run after an instant, without the
+// times in which it was stopped.
+func (p *PlatformProcess) WorkAfter(r PlatformRun, from time.Time) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	begin, end := r.Began, r.Ended
+	switch {
+	case end.IsZero() && !p.killed.IsZero():
+		end = p.killed
+	case end.IsZero():
+		end = time.Now()
+	}
+	if from.After(begin) {
+		begin = from
+	}
+	work := max(0, end.Sub(begin))
+	for _, pause := range p.pauses {
+		until := pause.Until
+		if until.IsZero() || until.After(end) {
+			until = end
+		}
+		if pause.From.After(begin) {
+			work -= max(0, until.Sub(pause.From))
+		} else {
+			work -= max(0, until.Sub(begin))
+		}
+	}
+	return max(0, work)
+}
