test: streams of silent engines run at one engine at a time (red)

Callers: a stream's engine falls silent, the stream is sent to a second engine, and the first wakes before the second has answered. Both work on the stream, or, if the second is silent, the caller hears nothing.

--- /dev/null
+++ b/storenode/silent_engines_test.go
@@ -0,0 +1,187 @@
+package storenode_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/kumquathoist/kumquathoist/standin"
+)
+
+// engineArgument makes the test's program stand in for one engine.
+const engineArgument = "platform-engine"
+
+// maxSharedWork is how long two engines may work on one request (the users' rules).
+const maxSharedWork = 400 * time.Millisecond
+
+func TestMain(m *testing.M) {
+	if len(os.Args) == 2 && os.Args[1] == engineArgument {
+		ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
+		defer stop()
+		if err := standin.ServePlatformProcess(ctx, os.Stdin, os.Stdout); err != nil {
+			panic(err)
+		}
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// callerPatience is how long callers of the tests wait for an event.
+const callerPatience = 2 * time.Second
+
+// pauseReader measures the longest time between two reads that return data.
+type pauseReader struct {
+	in      io.Reader
+	last    time.Time
+	longest time.Duration
+}
+
+// Read implements io.Reader.
+func (p *pauseReader) Read(b []byte) (int, error) {
+	n, err := p.in.Read(b)
+	now := time.Now()
+	if !p.last.IsZero() {
+		p.longest = max(p.longest, now.Sub(p.last))
+	}
+	p.last = now
+	return n, err
+}
+
+// silentEngines is a host with engines in processes of their own.
+type silentEngines struct {
+	*deployment
+
+	engines []*standin.PlatformProcess
+}
+
+// newSilentEngines starts a host and engines that make events at an interval, the first
+// one after the prefill. Callers wait for callerPatience.
+func newSilentEngines(t *testing.T, engines, events int, prefill, interval time.Duration) *silentEngines {
+	t.Helper()
+	d := &silentEngines{deployment: newDeployment(t, 0, 0, 1)}
+	d.configure(func(c map[string]any) {
+		full := c["routes"].([]any)[0].(map[string]any)
+		full["target_latency_ms"], full["timeout_ms"] = 500, 20000
+	})
+	for i := range engines {
+		o := standin.PlatformProcessOptions{ID: fmt.Sprint("engine-", i), Service: "models", Zone: "north", Model: "m1", Software: "v1", Events: events, Prefill: prefill, Interval: interval}
+		e, err := standin.StartPlatformProcess(o, os.Args[0], engineArgument)
+		d.is.NoErr(err)
+		t.Cleanup(e.Kill)
+		d.store.Put("keyed.servers", o.ID, e.Entry())
+		d.engines = append(d.engines, e)
+	}
+	d.awaitReady(d.host(0))
+	return d
+}
+
+// silentPrompt is a prompt whose request has time for silences.
+var silentPrompt = map[string]string{"X-Model": "m1", "X-Token-Usage": "1000,20", "X-Prompt-Prefix": "aa:300,bb:500,cc:200", "X-Deadline-Ms": "19000"}
+
+// engineOf returns an engine that works or worked on a request, and its run; another than
+// the one given.
+func (d *silentEngines) engineOf(request string, other *standin.PlatformProcess) (e *standin.PlatformProcess, r standin.PlatformRun) {
+	d.t.Helper()
+	d.await("an engine runs the request", func() bool {
+		for _, e = range d.engines {
+			for _, r = range e.Runs() {
+				if r.Request == request && e != other {
+					return true
+				}
+			}
+		}
+		return false
+	})
+	return e, r
+}
+
+// events returns the whole events of a stream.
+func events(from, to int) string {
+	var b strings.Builder
+	for i := from; i <= to; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: piece %d\n\n", i, i)
+	}
+	return b.String()
+}
+
+// TestStreamRunsAtOneEngineAtATime has the engine of a stream fall silent until the stream
+// is sent to a second one, and the two wake and speak in every order.
+func TestStreamRunsAtOneEngineAtATime(t *testing.T) {
+	const prefill, count = 600 * time.Millisecond, 5
+	for _, c := range []struct {
+		name string
+		// interval is the time between two events; the first engine of a slow one stays awake.
+		interval time.Duration
+		// wakeFirst is when the first engine wakes after the second began to run;
+		// never if 0.
+		wakeFirst time.Duration
+		// silentFor is how long the second is silent from then on.
+		silentFor time.Duration
+	}{
+		{"the first wakes at once", 700 * time.Millisecond, time.Millisecond, 0},
+		{"the first wakes before the second's first event", 700 * time.Millisecond, 300 * time.Millisecond, 0},
+		{"the first wakes after the second's first event", 700 * time.Millisecond, 900 * time.Millisecond, 0},
+		{"the first never wakes", 700 * time.Millisecond, 0, 0},
+		{"the first wakes while the second is silent", 700 * time.Millisecond, 300 * time.Millisecond, 3 * time.Second},
+		{"both wake at once", 700 * time.Millisecond, 500 * time.Millisecond, 500 * time.Millisecond},
+		{"the second wakes before the first", 700 * time.Millisecond, time.Second, 300 * time.Millisecond},
+		{"the first is slow", 1500 * time.Millisecond, 0, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			d := newSilentEngines(t, 2, count, prefill, c.interval)
+			done := make(chan answer, 1)
+			caller := d.client(d.hosts[0])
+			pauses := &pauseReader{in: caller.in}
+			caller.in = bufio.NewReader(pauses)
+			go func() {
+				caller.write(http.MethodPost, modelHost, "/full/a", "s", silentPrompt, "body")
+				done <- caller.read()
+			}()
+			first, _ := d.engineOf("s", nil)
+			slow := c.interval > callerPatience/2
+			if !slow {
+				time.Sleep(prefill + c.interval + c.interval/2) // two events
+				first.Pause()
+			}
+			second, _ := d.engineOf("s", first)
+			var stops []*time.Timer
+			if c.wakeFirst > 0 {
+				stops = append(stops, time.AfterFunc(c.wakeFirst, first.Resume))
+			}
+			if c.silentFor > 0 {
+				second.Pause()
+				stops = append(stops, time.AfterFunc(c.silentFor, second.Resume))
+			}
+			a := <-done
+			for _, timer := range stops {
+				timer.Stop()
+			}
+			first.Resume()
+			second.Resume()
+			is.Equal(a.status, http.StatusOK)
+			is.Equal(a.body, events(1, count))
+			is.True(pauses.longest < callerPatience) // the caller would have left
+			is.True(!a.truncated)
+			d.await("both runs have ended", func() bool {
+				_, one := d.engineOf("s", second)
+				_, two := d.engineOf("s", first)
+				return !one.Ended.IsZero() && !two.Ended.IsZero()
+			})
+			_, one := d.engineOf("s", second)
+			_, two := d.engineOf("s", first)
+			is.True(first.WorkAfter(one, two.Began) <= maxSharedWork || second.WorkAfter(two, two.Began) <= maxSharedWork)
+			t.Logf("the first worked on for %v, the second for %v", first.WorkAfter(one, two.Began), second.WorkAfter(two, two.Began))
+		})
+	}
+}
