--- a/standin/platform_engine.go
+++ b/standin/platform_engine.go
@@ -383,6 +383,20 @@
 		w.Header().Set("X-Response-Stamp", e.ID+"."+id)
 	}
 	e.crashIfAt(w, r, BeforeHead)
+	if e.applyFault(w, r, fault, id, body) || !e.awaitPrefill(r) {
+		return
+	}
+	if e.Model == "" {
+		_, _ = io.WriteString(w, plainAnswer(r, body))
+		return
+	}
+	w.Header().Set("X-Weight-Versions", strconv.FormatInt(weights, 10))
+	e.crashIfAt(w, r, AfterHead)
+	e.stream(w, r, fault)
+}
+
+// applyFault reports whether a fault took the place of the answer to a request.
+func (e *PlatformEngine) applyFault(w http.ResponseWriter, r *http.Request, fault PlatformFault, id string, body []byte) bool {
 	switch fault {
 	case ResetFault:
 		panic(http.ErrAbortHandler)
@@ -394,24 +408,14 @@
 		panic(http.ErrAbortHandler)
 	case ErrorFault:
 		w.WriteHeader(http.StatusInternalServerError)
-		return
 	case UnframedFault, UnframedCutFault, UnframedEmptyFault:
 		e.sendUnframed(w, r, fault, plainAnswer(r, body))
-		return
 	case ExtraFault:
 		e.sendTwoAnswers(w, id, plainAnswer(r, body))
-		return
-	}
-	if !e.awaitPrefill(r) {
-		return
-	}
-	if e.Model == "" {
-		_, _ = io.WriteString(w, plainAnswer(r, body))
-		return
+	default:
+		return false
 	}
-	w.Header().Set("X-Weight-Versions", strconv.FormatInt(weights, 10))
-	e.crashIfAt(w, r, AfterHead)
-	e.stream(w, r, fault)
+	return true
 }
 
 // plainAnswer returns the body of a plain service's answer.
--- a/storenode/silent_engines_test.go
+++ b/storenode/silent_engines_test.go
@@ -36,6 +36,9 @@
 	os.Exit(m.Run())
 }
 
+// silentRequest is the ID of the request of a test.
+const silentRequest = "s"
+
 // callerPatience is how long callers of the tests wait for an event.
 const callerPatience = 2 * time.Second
 
@@ -88,14 +91,14 @@
 // silentPrompt is a prompt whose request has time for silences.
 var silentPrompt = map[string]string{"X-Model": "m1", "X-Token-Usage": "1000,20", "X-Prompt-Prefix": "aa:300,bb:500,cc:200", "X-Deadline-Ms": "19000"}
 
-// engineOf returns an engine that works or worked on a request, and its run; another than
-// the one given.
-func (d *silentEngines) engineOf(request string, other *standin.PlatformProcess) (e *standin.PlatformProcess, r standin.PlatformRun) {
+// engineOf returns an engine that works or worked on silentRequest, and its run; another
+// than the one given.
+func (d *silentEngines) engineOf(other *standin.PlatformProcess) (e *standin.PlatformProcess, r standin.PlatformRun) {
 	d.t.Helper()
 	d.await("an engine runs the request", func() bool {
 		for _, e = range d.engines {
 			for _, r = range e.Runs() {
-				if r.Request == request && e != other {
+				if r.Request == silentRequest && e != other {
 					return true
 				}
 			}
@@ -145,16 +148,16 @@
 			pauses := &pauseReader{in: caller.in}
 			caller.in = bufio.NewReader(pauses)
 			go func() {
-				caller.write(http.MethodPost, modelHost, "/full/a", "s", silentPrompt, "body")
+				caller.write(http.MethodPost, modelHost, "/full/a", silentRequest, silentPrompt, "body")
 				done <- caller.read()
 			}()
-			first, _ := d.engineOf("s", nil)
+			first, _ := d.engineOf(nil)
 			slow := c.interval > callerPatience/2
 			if !slow {
 				time.Sleep(prefill + c.interval + c.interval/2) // two events
 				first.Pause()
 			}
-			second, _ := d.engineOf("s", first)
+			second, _ := d.engineOf(first)
 			var stops []*time.Timer
 			if c.wakeFirst > 0 {
 				stops = append(stops, time.AfterFunc(c.wakeFirst, first.Resume))
@@ -174,12 +177,12 @@
 			is.True(pauses.longest < callerPatience) // the caller would have left
 			is.True(!a.truncated)
 			d.await("both runs have ended", func() bool {
-				_, one := d.engineOf("s", second)
-				_, two := d.engineOf("s", first)
+				_, one := d.engineOf(second)
+				_, two := d.engineOf(first)
 				return !one.Ended.IsZero() && !two.Ended.IsZero()
 			})
-			_, one := d.engineOf("s", second)
-			_, two := d.engineOf("s", first)
+			_, one := d.engineOf(second)
+			_, two := d.engineOf(first)
 			is.True(first.WorkAfter(one, two.Began) <= maxSharedWork || second.WorkAfter(two, two.Began) <= maxSharedWork)
 			t.Logf("the first worked on for %v, the second for %v", first.WorkAfter(one, two.Began), second.WorkAfter(two, two.Began))
 		})
