--- a/forward/stream.go
+++ b/forward/stream.go
@@ -164,10 +164,12 @@
 	}
 	for found {
 		var answer *call.Answer
+		sent := clock.Now()
 		if answer, outcome = s.sendTo(s.ctx, t, s.lastID); outcome == retry.Answered {
 			if idle {
 				broken.exchange.Discard()
 				s.endAttempt(broken)
+				s.recordReplaced(broken.id, t.id, sent)
 			}
 			return s.switchTo(t, answer)
 		}
@@ -187,6 +189,14 @@
 	return s.logFailure(cause)
 }
 
+// recordReplaced records that the run at an upstream ended because another serves the
+// stream; the second of the two attempts was sent at an instant.
+func (s *stream) recordReplaced(ended, serves string, sent clock.Instant) {
+	beside := clock.Now().Sub(sent)
+	s.Metrics.Histogram("attempts_beside_time", timeBuckets).RecordDuration(beside)
+	event.AttemptReplaced.Info("Request", s.call.ID, "Upstream", ended, "Serves", serves, "BesideMillis", beside.Milliseconds())
+}
+
 // scheduleAfter chooses the target that goes on after an attempt that failed.
 func (s *stream) scheduleAfter(broken *attempt, o retry.Outcome) (target, bool) {
 	if !s.shouldRetry(s.ctx, o) || !s.knowsOrigin(broken) {
