fix: a stream runs at one engine at a time

Callers: a stream paused and was sent to a second engine; both worked on it for as long as the second read its prompt, or, when the second was silent, the caller heard nothing although the first had spoken again, and left.

Cause: an attempt that was replaced was still in progress, and nobody looked at it until the next one had answered.

Fix: both attempts are watched. The first upstream to send an event serves the stream, and so does the first one as soon as it answers a status check after it was silent; the other attempt is reset. An upstream that answers checks but sends nothing loses the stream 200 ms after it was sent elsewhere. Streams go to upstreams that answer a check only; while none does, they stay. Bound: both work for one round trip if the first was silent, for 200 ms and one round trip if it was not; the users allow 400 ms.

--- a/event/request.go
+++ b/event/request.go
@@ -54,9 +54,9 @@
 	// account became isolated.
 	SeparatedRequestCancelled = Event{2115, "request separated", "A request had not started at an engine when an account became isolated, and might have used cached parts of that account, or its own account was isolated; it was cancelled there and is retried if allowed, with the salt of the new configuration."}
 	// AttemptReplaced reports an attempt that ended because another one serves its stream.
-	AttemptReplaced = Event{2116, "attempt replaced", "A stream was idle and was sent to a second upstream while the first attempt was still in progress; one of the two serves the stream now (Serves), the run at Upstream was ended. BesideMillis is the time from the second send to that end: for so long both upstreams may have worked on the request."}
+	AttemptReplaced = Event{2116, "attempt replaced", "A stream was idle and was sent to a second upstream while the first attempt was still in progress; one of the two serves the stream now (Serves), the run at Upstream was ended. BesideMillis is the time from the second send to that end: for so long both upstreams may have worked on the request, unless the first one answered no check meanwhile (FirstSilent)."}
 	// StreamStalled reports an idle stream that no other upstream could take over.
-	StreamStalled = Event{2110, "stream awaited", "An upstream is idle in the middle of a stream and no other could take over; the host waits for it until the deadline."}
+	StreamStalled = Event{2110, "stream awaited", "An upstream is idle in the middle of a stream and no other could take over. While others are only silent, the host looks for one again; otherwise it waits until the deadline."}
 )
 
 var requestEvents = []Event{RequestEnded, AttemptFailed, ClaimFailed, RequestQuarantined, PartQuarantined, CrashShareFailed, ClaimAppendFailed, LossRecorded, SuspicionEnded, LossExplained, QuarantineEnforced, CallScheduled, SendFailed, CallRefused, CallEnded, StreamResumed, StreamTakenUp, StreamFailed, StreamEnded, CallRelayed, RelayFailed, RequestMigrated, CallOverloaded, AttemptReplaced, StreamStalled, StaleRequestCancelled, SeparatedRequestCancelled}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -147,6 +147,8 @@
 	Tracker     *health.Tracker
 	LoadReports loadExchange
 	Migrator    migrator
+	// Liveness checks engines that are idle in the middle of a stream.
+	Liveness signsOfLife
 	// Background runs migrations; the host waits for it when it stops.
 	Background *conc.WaitGroup
 	// Hosts returns the number of known hosts, which share the retry limits.
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -71,6 +71,8 @@
 	software string
 	// originRecorded is set once the version that began the stream was recorded.
 	originRecorded bool
+	// avoidsSilent excludes upstreams that are known to be silent.
+	avoidsSilent bool
 	// stage shows whether a part of the answer has been relayed.
 	stage retrybudget.Stage
 	// delivered counts the attempts that reached an upstream, relayed those that were
@@ -142,6 +144,12 @@
 // shouldRetry records a failed attempt and reports whether another may be made.
 func (h *handler) shouldRetry(ctx context.Context, outcome retry.Outcome) bool {
 	h.retryState = h.retryState.With(outcome)
+	return h.retryAllowed(ctx, outcome)
+}
+
+// retryAllowed reports whether another attempt may be made after a failed one that was
+// recorded, and counts it against the retry budget.
+func (h *handler) retryAllowed(ctx context.Context, outcome retry.Outcome) bool {
 	if ctx.Err() != nil || h.timeLeft() < minTimeLeft || !h.retryState.ShouldRetry() {
 		return false
 	}
@@ -217,6 +225,8 @@
 	// the events that it has sent.
 	answering bool
 	events    int
+	// counted is set once the attempt counts as one that may have run.
+	counted bool
 }
 
 // lostEarly reports whether the upstream closed the connection after no more
--- a/forward/schedule.go
+++ b/forward/schedule.go
@@ -15,6 +15,7 @@
 	"github.com/kumquathoist/kumquathoist/health"
 	"github.com/kumquathoist/kumquathoist/loadreport"
 	"github.com/kumquathoist/kumquathoist/replica"
+	"github.com/kumquathoist/kumquathoist/retrybudget"
 )
 
 const (
@@ -101,7 +102,7 @@
 func (h *handler) reachable() (upstreams []upstream, mustRelay bool) {
 	connectedOnly := h.Reachability.ConnectionsFail(h.service.Name)
 	upstreams = h.usable(h.snapshot, h.service, h.call.Prompt.Model, func(e discovery.Entry) bool {
-		return h.tried[e.ID] || !h.mayRun(e) || connectedOnly && !h.Sender.HasIdle(e.Address)
+		return h.tried[e.ID] || !h.mayRun(e) || h.avoidsSilent && h.Liveness.Silent(e.ID) || connectedOnly && !h.Sender.HasIdle(e.Address)
 	})
 	return upstreams, h.Reachability.Isolated(h.service.Name) || connectedOnly && len(upstreams) == 0
 }
@@ -110,7 +111,7 @@
 // an instant, and sets the refusal if so.
 func (h *handler) isPausedUntil(giveUp clock.Instant) bool {
 	wait, reason := h.allPaused()
-	if reason == "" || h.retryState.MaybeExecuted > 0 || !giveUp.Before(clock.Now().Add(wait)) {
+	if reason == "" || h.mayHaveRun() || !giveUp.Before(clock.Now().Add(wait)) {
 		return false
 	}
 	if reason == call.Limited {
@@ -167,6 +168,11 @@
 	return wait, reason
 }
 
+// mayHaveRun reports whether an upstream may have run the request.
+func (h *handler) mayHaveRun() bool {
+	return h.retryState.MaybeExecuted > 0 || h.stage == retrybudget.Streaming
+}
+
 // returnAfter returns when a caller should come back for which no upstream has a
 // request left, given the time until the first has one.
 func (h *handler) returnAfter(wait time.Duration) time.Duration {
@@ -269,7 +275,7 @@
 	}
 	last, j := allocation.ChooseLast(candidates, requirements, h.call.ID)
 	switch mode, retryAfter := allocation.ChooseMode(candidates[i], last, requirements, h.callerEventTimeout()); {
-	case mode == allocation.Refused && h.retryState.MaybeExecuted == 0:
+	case mode == allocation.Refused && !h.mayHaveRun():
 		h.refusal = call.Refuse(call.Overloaded).WithRetryAfter(retryAfter)
 		event.CallOverloaded.Info("Request", h.call.ID, "ExpectedMillis", allocation.ExpectedFirstEvent(last, requirements).Milliseconds(), "Waiting", last.Waiting, "Candidates", len(upstreams), "PatienceMillis", h.callerEventTimeout().Milliseconds(), "RetryAfter", retryAfter)
 		return target{}, false
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -41,8 +41,9 @@
 	lastID string
 	done   bool
 	events int
-	// waitsForever disables the resume timeout for the next event.
-	waitsForever bool
+	// waitsForever disables the resume timeout for the next event; searching means that
+	// the upstream is idle and no other that answers could take over so far.
+	waitsForever, searching bool
 }
 
 // beginStream waits for the first event, since the request can be retried
@@ -64,7 +65,7 @@
 			return errors.New("an event exceeds the size limit")
 		}
 		if s.attempt.answering && s.route.Resumable && !s.waitsForever && !s.attempt.relay {
-			if err := x.AwaitData(min(s.resumeTimeout(), s.timeLeft())); err != nil {
+			if err := x.AwaitData(min(s.idleTimeout(), s.timeLeft())); err != nil {
 				return err
 			}
 		}
@@ -75,7 +76,7 @@
 		if end := completeLength(s.partial); end > 0 {
 			s.ready, s.partial = s.partial[:end:end], bytes.Clone(s.partial[end:])
 			s.recordIDs(s.ready)
-			s.waitsForever = false
+			s.waitsForever, s.searching = false, false
 			s.recordAnswerStart(s.attempt)
 			s.recordOrigin()
 		}
@@ -140,37 +141,27 @@
 }
 
 // resume continues the stream at another upstream after it failed or its
-// upstream was idle for too long. The connection to an idle upstream stays open
-// until another has answered.
+// upstream was idle for too long.
 func (s *stream) resume(cause error) error {
 	broken := s.attempt
 	s.setAttempt(nil)
 	s.stage = retrybudget.Streaming
 	t, found := s.awaitMigration()
-	idle := !found && errors.Is(cause, os.ErrDeadlineExceeded) && s.timeLeft() > minTimeLeft
+	if !found && errors.Is(cause, os.ErrDeadlineExceeded) && s.timeLeft() > minTimeLeft {
+		return s.takeOver(broken, cause)
+	}
 	var outcome retry.Outcome
-	switch {
-	case found:
+	if found {
 		s.takeRegardless(t.id)
 		broken.exchange.Discard()
 		s.endAttempt(broken)
-	case idle:
-		outcome = s.recordFailure(broken, retry.Broken, cause)
-	default:
+	} else {
 		outcome = s.failAttempt(broken, retry.Broken, cause)
-	}
-	if !found {
 		t, found = s.scheduleAfter(broken, outcome)
 	}
 	for found {
 		var answer *call.Answer
-		sent := clock.Now()
 		if answer, outcome = s.sendTo(s.ctx, t, s.lastID); outcome == retry.Answered {
-			if idle {
-				broken.exchange.Discard()
-				s.endAttempt(broken)
-				s.recordReplaced(broken.id, t.id, sent)
-			}
 			return s.switchTo(t, answer)
 		}
 		if t.send.MemoryHandle != "" && outcome != retry.Broken && outcome != retry.Late {
@@ -182,34 +173,32 @@
 		}
 		t, found = s.schedule(s.ctx)
 	}
-	if idle {
-		s.returnTo(broken)
-		return nil
-	}
 	return s.logFailure(cause)
 }
 
 // recordReplaced records that the run at an upstream ended because another serves the
 // stream; the second of the two attempts was sent at an instant.
-func (s *stream) recordReplaced(ended, serves string, sent clock.Instant) {
+func (s *stream) recordReplaced(ended, serves string, sent clock.Instant, firstSilent bool) {
 	beside := clock.Now().Sub(sent)
 	s.Metrics.Histogram("attempts_beside_time", timeBuckets).RecordDuration(beside)
-	event.AttemptReplaced.Info("Request", s.call.ID, "Upstream", ended, "Serves", serves, "BesideMillis", beside.Milliseconds())
+	event.AttemptReplaced.Info("Request", s.call.ID, "Upstream", ended, "Serves", serves, "BesideMillis", beside.Milliseconds(), "FirstSilent", firstSilent)
 }
 
 // scheduleAfter chooses the target that goes on after an attempt that failed.
 func (s *stream) scheduleAfter(broken *attempt, o retry.Outcome) (target, bool) {
-	if !s.shouldRetry(s.ctx, o) || !s.knowsOrigin(broken) {
+	s.count(broken, o)
+	if !s.retryAllowed(s.ctx, o) || !s.knowsOrigin(broken) {
 		return target{}, false
 	}
 	return s.schedule(s.ctx)
 }
 
-// returnTo returns to an idle upstream, since no other could take over.
-func (s *stream) returnTo(idle *attempt) {
-	event.StreamStalled.Info("Request", s.call.ID, "Upstream", idle.id, "After", s.lastID, "Events", s.events)
-	s.setAttempt(idle)
-	s.waitsForever = true
+// count records the outcome of an attempt, once.
+func (s *stream) count(a *attempt, o retry.Outcome) {
+	if !a.counted {
+		a.counted = true
+		s.retryState = s.retryState.With(o)
+	}
 }
 
 // switchTo continues with the answer of another upstream.
@@ -220,7 +209,7 @@
 	}
 	event.StreamResumed.Info("Request", s.call.ID, "Upstream", t.id, "Software", t.software, "After", s.lastID, "Events", s.events, "Moved", t.send.MemoryHandle != "")
 	s.setAttempt(next.attempt)
-	s.partial, s.ready, s.done, s.lastID, s.waitsForever = next.partial, next.ready, next.done, next.lastID, false
+	s.partial, s.ready, s.done, s.lastID, s.waitsForever, s.searching = next.partial, next.ready, next.done, next.lastID, false, false
 	s.events += next.events
 	return nil
 }
--- /dev/null
+++ b/forward/takeover.go
@@ -0,0 +1,250 @@
+package forward
+
+import (
+	"context"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/kumquathoist/kumquathoist/call"
+	"github.com/kumquathoist/kumquathoist/clock"
+	"github.com/kumquathoist/kumquathoist/event"
+	"github.com/kumquathoist/kumquathoist/liveness"
+	"github.com/kumquathoist/kumquathoist/retry"
+)
+
+const (
+	// maxBeside is how long an upstream that works, but sends no event, keeps a stream
+	// after it was sent to another one. A rejection by that one arrives sooner.
+	maxBeside = 200 * time.Millisecond
+	// searchInterval is the time between two searches for an upstream that answers.
+	searchInterval = 300 * time.Millisecond
+	// maxSilentTargets bounds the silent upstreams that one search meets.
+	maxSilentTargets = 3
+)
+
+// signsOfLife tells silent engines from those that have nothing to send.
+type signsOfLife interface {
+	// Check returns a channel that is closed once an engine has answered a check.
+	Check(address, upstream string) <-chan struct{}
+	// Silent reports whether an engine leaves a check unanswered.
+	Silent(upstream string) bool
+}
+
+// idleTimeout returns how long the stream waits for the next event before it looks for
+// another upstream.
+func (s *stream) idleTimeout() time.Duration {
+	if s.searching {
+		return searchInterval
+	}
+	return s.resumeTimeout()
+}
+
+// idleAttempt is an attempt without an event for too long, which another may replace.
+type idleAttempt struct {
+	*attempt
+
+	// answered is closed once the upstream has answered a check, spoke once it has sent
+	// something or its connection has ended.
+	answered, spoke <-chan struct{}
+	stop            func()
+	// silent is set if the upstream left the check unanswered.
+	silent bool
+	// goesOn is set once the upstream serves the stream again, ended once it no longer
+	// can.
+	goesOn, ended bool
+}
+
+// takeOver has another upstream continue a stream whose upstream is idle, or returns to
+// that one. Of two attempts that are in progress, the first to send an event serves the
+// stream, and one that was silent and answers again; the other is ended at once.
+func (s *stream) takeOver(idle *attempt, cause error) error {
+	if !s.searching {
+		s.recordFailure(idle, retry.Broken, cause)
+	}
+	first := s.watchIdle(idle)
+	for s.mayReplace(first) {
+		t, ok := s.answeringTarget(first)
+		if !ok || first.hasSpoken() && !first.ended {
+			break
+		}
+		if s.count(idle, retry.Broken); !s.retryAllowed(s.ctx, retry.Broken) {
+			break
+		}
+		answer, outcome := s.sendBeside(first, t)
+		if outcome == retry.Answered {
+			first.stop()
+			return s.switchTo(t, answer)
+		}
+		s.retryState = s.retryState.With(outcome)
+		if first.goesOn {
+			break
+		}
+	}
+	first.stop()
+	if first.ended {
+		return s.logFailure(cause)
+	}
+	s.returnTo(first)
+	return nil
+}
+
+// mayReplace reports whether another attempt may replace an idle one.
+func (s *stream) mayReplace(first *idleAttempt) bool {
+	state := s.retryState
+	if !first.counted {
+		state = state.With(retry.Broken)
+	}
+	return s.ctx.Err() == nil && s.timeLeft() > minTimeLeft && state.ShouldRetry() && s.allowsRetry(s.service.Name, s.stage)
+}
+
+// watchIdle begins to watch an idle attempt, and finds out whether its upstream is silent.
+func (s *stream) watchIdle(idle *attempt) *idleAttempt {
+	first := &idleAttempt{attempt: idle, answered: s.checkAlive(idle.target)}
+	first.spoke, first.stop = idle.exchange.NotifyData()
+	first.silent = !s.awaitAnswer(first.answered, first)
+	return first
+}
+
+// checkAlive returns a channel that is closed once an upstream has answered a check. Only
+// engines can be checked; others count as alive.
+func (s *stream) checkAlive(t target) <-chan struct{} {
+	if s.service.Engine == nil || t.relay {
+		alive := make(chan struct{})
+		close(alive)
+		return alive
+	}
+	return s.Liveness.Check(t.address, t.id)
+}
+
+// hasSpoken reports whether the upstream has sent something or its connection has ended.
+func (f *idleAttempt) hasSpoken() bool { return isClosed(f.spoke) }
+
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
+// answeringTarget chooses an upstream that answers a check. It returns false if there is
+// none, or if the idle upstream has spoken meanwhile.
+func (s *stream) answeringTarget(first *idleAttempt) (target, bool) {
+	s.avoidsSilent = true
+	defer func() { s.avoidsSilent = false }()
+	for range maxSilentTargets {
+		t, ok := s.schedule(s.ctx)
+		if !ok {
+			return target{}, false
+		}
+		if s.awaitAnswer(s.checkAlive(t), first) {
+			return t, true
+		}
+		if first.hasSpoken() || s.ctx.Err() != nil {
+			break
+		}
+	}
+	return target{}, false
+}
+
+// awaitAnswer waits for the answer to a check as long as an upstream that works takes at
+// most. It returns early if the idle upstream speaks.
+func (s *stream) awaitAnswer(answered <-chan struct{}, first *idleAttempt) bool {
+	timer := time.NewTimer(liveness.AnswerTime)
+	defer timer.Stop()
+	select {
+	case <-answered:
+		return true
+	case <-first.spoke:
+	case <-timer.C:
+	case <-s.ctx.Done():
+	}
+	return false
+}
+
+// sendBeside sends a stream to a second upstream while the first attempt is in progress,
+// and ends one of the two as soon as it is clear which one serves the stream.
+func (s *stream) sendBeside(first *idleAttempt, t target) (*call.Answer, retry.Outcome) {
+	ctx, cancel := context.WithCancel(s.ctx)
+	sent, finished := clock.Now(), make(chan struct{})
+	var watching conc.WaitGroup
+	if !first.ended {
+		watching.Go(func() { s.decide(first, sent, cancel, finished) })
+	}
+	answer, outcome := s.sendTo(ctx, t, s.lastID)
+	close(finished)
+	watching.Wait()
+	switch {
+	case outcome != retry.Answered:
+		cancel()
+		if first.goesOn {
+			s.recordReplaced(t.id, first.id, sent, first.silent)
+		}
+	case first.goesOn:
+		second := answer.Stream.(*stream).attempt
+		second.exchange.Discard()
+		s.endAttempt(second)
+		cancel()
+		s.recordReplaced(t.id, first.id, sent, first.silent)
+		return nil, retry.Broken
+	default:
+		second := answer.Stream.(*stream).attempt
+		end := second.cancel
+		second.cancel = func() { end(); cancel() }
+		s.endFirst(first)
+		s.recordReplaced(first.id, t.id, sent, first.silent)
+	}
+	return answer, outcome
+}
+
+// decide ends the second attempt once the first upstream serves the stream again, or the
+// first one once it works, but has sent nothing for too long. It returns when the second
+// attempt has finished.
+func (s *stream) decide(first *idleAttempt, sent clock.Instant, endSecond func(), finished <-chan struct{}) {
+	answered, tooLong := first.answered, (<-chan time.Time)(nil)
+	for {
+		select {
+		case <-finished:
+			return
+		case <-first.spoke:
+			if first.exchange.HasData() {
+				first.goesOn = true
+				endSecond()
+			} else {
+				s.endFirst(first)
+			}
+			return
+		case <-answered:
+			if first.silent {
+				first.goesOn = true
+				endSecond()
+				return
+			}
+			answered, tooLong = nil, time.After(maxBeside-clock.Now().Sub(sent))
+		case <-tooLong:
+			s.endFirst(first)
+			return
+		}
+	}
+}
+
+// endFirst ends the attempt at the first upstream.
+func (s *stream) endFirst(first *idleAttempt) {
+	if !first.ended {
+		first.ended = true
+		first.exchange.Discard()
+		s.endAttempt(first.attempt)
+	}
+}
+
+// returnTo returns to an idle upstream, since no other could take over.
+func (s *stream) returnTo(first *idleAttempt) {
+	if !s.searching && !first.hasSpoken() {
+		event.StreamStalled.Info("Request", s.call.ID, "Upstream", first.id, "After", s.lastID, "Events", s.events)
+	}
+	s.setAttempt(first.attempt)
+	s.searching = s.mayReplace(first)
+	s.waitsForever = !s.searching
+}
--- a/http1/exchange.go
+++ b/http1/exchange.go
@@ -215,6 +215,27 @@
 	return nil // Read returns any other error.
 }
 
+// NotifyData returns a channel that is closed once there is more to read, or once the
+// connection has ended. The answer can be read again after stop has returned.
+func (e *Exchange) NotifyData() (ready <-chan struct{}, stop func()) {
+	found, done := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(done)
+		if _, err := e.conn.buffer.Peek(1); !errors.Is(err, os.ErrDeadlineExceeded) {
+			close(found)
+		}
+	}()
+	return found, func() {
+		// A deadline in the past makes the pending read return.
+		_ = e.conn.SetReadDeadline(time.Unix(1, 0))
+		<-done
+		_ = e.conn.SetReadDeadline(e.deadline)
+	}
+}
+
+// HasData reports whether some of the answer was received and not yet read.
+func (e *Exchange) HasData() bool { return e.conn.buffer.Buffered() > 0 }
+
 // IsFirst reports whether the request was the first on its connection.
 func (e *Exchange) IsFirst() bool { return e.conn.isNew }
 
--- a/storenode/storenode.go
+++ b/storenode/storenode.go
@@ -26,6 +26,7 @@
 	"github.com/kumquathoist/kumquathoist/health"
 	"github.com/kumquathoist/kumquathoist/host"
 	"github.com/kumquathoist/kumquathoist/http1"
+	"github.com/kumquathoist/kumquathoist/liveness"
 	"github.com/kumquathoist/kumquathoist/loadreport"
 	"github.com/kumquathoist/kumquathoist/membership"
 	"github.com/kumquathoist/kumquathoist/peer"
@@ -153,7 +154,7 @@
 	engines := platform.NewEngines(func(instance string, r call.SelfReport) { n.router.RecordStatus(instance, r, "") })
 	n.router = forward.New(forward.Options{
 		Replica: n.syncer, Sender: connections, Encoder: platform.Wire{}, Guard: guard, Origins: n.newLedger(ctx, scope), Reachability: monitor, Relays: n.newRelays(ctx, credentials.Secret), Tracker: n.tracker, LoadReports: lateExchanger{n},
-		Migrator: engines, Background: &n.wait,
+		Migrator: engines, Liveness: liveness.NewMonitor(ctx, &n.wait, engines), Background: &n.wait,
 		Hosts:           func() int { return max(len(n.directory.Hosts()), len(n.settings.Platform.Seeds)) },
 		Host:            n.settings.Host.Name,
 		LiveHosts:       n.liveHosts,
