fix: requests stay at their engine while all engines are silent

Callers: with all engines silent, a request without a first event was reset after six tenths of its caller's patience and sent to another silent engine. When they woke, that one had to read the prompt from the start; the first event came after the caller had left.

Fix: at the end of that time the attempt goes on while neither its engine nor some others answer a status check. While an engine leaves a check unanswered, requests go to others.

--- a/forward/handler.go
+++ b/forward/handler.go
@@ -5,6 +5,7 @@
 	"errors"
 	"os"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -71,8 +72,9 @@
 	software string
 	// originRecorded is set once the version that began the stream was recorded.
 	originRecorded bool
-	// avoidsSilent excludes upstreams that are known to be silent.
-	avoidsSilent bool
+	// needsAnswering excludes upstreams that are known to be silent, even if there are
+	// no others.
+	needsAnswering bool
 	// stage shows whether a part of the answer has been relayed.
 	stage retrybudget.Stage
 	// delivered counts the attempts that reached an upstream, relayed those that were
@@ -253,8 +255,7 @@
 	t.send.ResumeAfter, t.send.Timeout = resumeAfter, h.timeLeft()
 	a := &attempt{target: t, started: clock.Now(), incarnation: h.incarnationOf(t.id)}
 	ctx, a.cancel = context.WithCancel(ctx)
-	timer := time.AfterFunc(h.attemptTimeout(), func() { a.abandoned.Store(true); a.cancel() })
-	defer timer.Stop()
+	defer h.limitAttempt(a)()
 	defer h.withdrawQueued(a)()
 	h.Tracker.Update(t.id, func(s health.State) health.State { return s.WithSend(t.rank, t.prefill, clock.Now()) })
 	if t.prefill > flushPromptTokens {
@@ -284,6 +285,36 @@
 	return h.readAnswer(a)
 }
 
+// limitAttempt ends an attempt that has no answer, or no first event, at the end of its
+// time. It returns a function that ends the limit.
+func (h *handler) limitAttempt(a *attempt) (stop func()) {
+	var mu sync.Mutex // guards stopped and timer
+	var stopped bool
+	var timer *time.Timer
+	others := h.others()
+	mu.Lock()
+	defer mu.Unlock()
+	timer = time.AfterFunc(h.attemptTimeout(), func() {
+		waits := h.mayWait(a, others)
+		mu.Lock()
+		defer mu.Unlock()
+		switch {
+		case stopped:
+		case waits:
+			timer.Reset(searchInterval)
+		default:
+			a.abandoned.Store(true)
+			a.cancel()
+		}
+	})
+	return func() {
+		mu.Lock()
+		defer mu.Unlock()
+		stopped = true
+		timer.Stop()
+	}
+}
+
 // recordUnconnected records that an upstream did not accept a connection.
 func (h *handler) recordUnconnected(t target, err error) {
 	switch {
--- a/forward/schedule.go
+++ b/forward/schedule.go
@@ -102,8 +102,14 @@
 func (h *handler) reachable() (upstreams []upstream, mustRelay bool) {
 	connectedOnly := h.Reachability.ConnectionsFail(h.service.Name)
 	upstreams = h.usable(h.snapshot, h.service, h.call.Prompt.Model, func(e discovery.Entry) bool {
-		return h.tried[e.ID] || !h.mayRun(e) || h.avoidsSilent && h.Liveness.Silent(e.ID) || connectedOnly && !h.Sender.HasIdle(e.Address)
+		return h.tried[e.ID] || !h.mayRun(e) || connectedOnly && !h.Sender.HasIdle(e.Address)
 	})
+	if silent := h.Liveness.Silent(); silent != nil {
+		answering := slices.DeleteFunc(slices.Clone(upstreams), func(u upstream) bool { return silent[u.ID] })
+		if len(answering) > 0 || h.needsAnswering {
+			upstreams = answering
+		}
+	}
 	return upstreams, h.Reachability.Isolated(h.service.Name) || connectedOnly && len(upstreams) == 0
 }
 
--- a/forward/takeover.go
+++ b/forward/takeover.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/sourcegraph/conc"
 
 	"github.com/kumquathoist/kumquathoist/call"
+	"github.com/kumquathoist/kumquathoist/catalog"
 	"github.com/kumquathoist/kumquathoist/clock"
+	"github.com/kumquathoist/kumquathoist/discovery"
 	"github.com/kumquathoist/kumquathoist/event"
 	"github.com/kumquathoist/kumquathoist/liveness"
 	"github.com/kumquathoist/kumquathoist/retry"
@@ -27,8 +30,8 @@
 type signsOfLife interface {
 	// Check returns a channel that is closed once an engine has answered a check.
 	Check(address, upstream string) <-chan struct{}
-	// Silent reports whether an engine leaves a check unanswered.
-	Silent(upstream string) bool
+	// Silent returns the engines that leave a check unanswered.
+	Silent() map[string]bool
 }
 
 // idleTimeout returns how long the stream waits for the next event before it looks for
@@ -108,13 +111,13 @@
 
 // checkAlive returns a channel that is closed once an upstream has answered a check. Only
 // engines can be checked; others count as alive.
-func (s *stream) checkAlive(t target) <-chan struct{} {
-	if s.service.Engine == nil || t.relay {
+func (h *handler) checkAlive(t target) <-chan struct{} {
+	if h.service.Engine == nil || t.relay {
 		alive := make(chan struct{})
 		close(alive)
 		return alive
 	}
-	return s.Liveness.Check(t.address, t.id)
+	return h.Liveness.Check(t.address, t.id)
 }
 
 // hasSpoken reports whether the upstream has sent something or its connection has ended.
@@ -132,8 +135,8 @@
 // answeringTarget chooses an upstream that answers a check. It returns false if there is
 // none, or if the idle upstream has spoken meanwhile.
 func (s *stream) answeringTarget(first *idleAttempt) (target, bool) {
-	s.avoidsSilent = true
-	defer func() { s.avoidsSilent = false }()
+	s.needsAnswering = true
+	defer func() { s.needsAnswering = false }()
 	for range maxSilentTargets {
 		t, ok := s.schedule(s.ctx)
 		if !ok {
@@ -248,3 +251,49 @@
 	s.searching = s.mayReplace(first)
 	s.waitsForever = !s.searching
 }
+
+// mayWait reports whether an attempt without a first event may go on past its time: its
+// engine and all others are silent, so that no other could serve the request sooner.
+func (h *handler) mayWait(a *attempt, others func() []target) bool {
+	return h.service.Engine != nil && h.route.Kind == catalog.Stream && h.timeLeft() > minTimeLeft && !h.anyAnswers(a.target) && !h.anyAnswers(others()...)
+}
+
+// others returns a function that lists some upstreams that could run the request if its
+// present attempt fails.
+func (h *handler) others() func() []target {
+	tried, version := maps.Clone(h.tried), h.software
+	return func() []target {
+		silent := h.Liveness.Silent()
+		upstreams := h.usable(h.Replica.State(), h.service, h.call.Prompt.Model, func(e discovery.Entry) bool {
+			return tried[e.ID] || silent[e.ID] || version != "" && e.Software != version
+		})
+		targets := make([]target, min(len(upstreams), maxSilentTargets))
+		for i := range targets {
+			targets[i] = target{id: upstreams[i].ID, address: upstreams[i].Address}
+		}
+		return targets
+	}
+}
+
+// anyAnswers reports whether one of some upstreams answers a check.
+func (h *handler) anyAnswers(targets ...target) bool {
+	answered := make(chan struct{}, len(targets))
+	ctx, cancel := context.WithTimeout(h.ctx, liveness.AnswerTime)
+	defer cancel()
+	for _, t := range targets {
+		check := h.checkAlive(t)
+		h.Background.Go(func() {
+			select {
+			case <-check:
+				answered <- struct{}{}
+			case <-ctx.Done():
+			}
+		})
+	}
+	select {
+	case <-answered:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/liveness/liveness.go
+++ b/liveness/liveness.go
@@ -90,10 +90,20 @@
 	delete(m.checks, upstream)
 }
 
-// Silent reports whether an upstream has left a check unanswered for AnswerTime.
-func (m *Monitor) Silent(upstream string) bool {
+// Silent returns the upstreams that have left a check unanswered for AnswerTime; nil if
+// there are none.
+func (m *Monitor) Silent() map[string]bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	c, ok := m.checks[upstream]
-	return ok && clock.Now().Sub(c.began) >= AnswerTime
+	var silent map[string]bool
+	for upstream, c := range m.checks {
+		if clock.Now().Sub(c.began) < AnswerTime {
+			continue
+		}
+		if silent == nil {
+			silent = map[string]bool{}
+		}
+		silent[upstream] = true
+	}
+	return silent
 }
--- a/storenode/silent_engines_test.go
+++ b/storenode/silent_engines_test.go
@@ -188,3 +188,47 @@
 		})
 	}
 }
+
+// TestStreamStaysWhileAllEnginesAreSilent silences all engines for longer than hosts wait
+// for an event, before the first event of a stream and after two.
+func TestStreamStaysWhileAllEnginesAreSilent(t *testing.T) {
+	const prefill, interval, count = 600 * time.Millisecond, 500 * time.Millisecond, 5
+	for _, c := range []struct {
+		name string
+		// silentAt is when the engines fall silent after the stream's run began.
+		silentAt time.Duration
+	}{
+		{"before the first event", prefill / 4},
+		{"after two events", prefill + interval + interval/5},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			d := newSilentEngines(t, 3, count, prefill, interval)
+			caller := d.client(d.hosts[0])
+			pauses := &pauseReader{in: caller.in, last: time.Now()}
+			caller.in = bufio.NewReader(pauses)
+			done := make(chan answer, 1)
+			go func() {
+				caller.write(http.MethodPost, modelHost, "/full/a", silentRequest, silentPrompt, "body")
+				done <- caller.read()
+			}()
+			first, run := d.engineOf(nil)
+			time.Sleep(time.Until(run.Began.Add(c.silentAt)))
+			for _, e := range d.engines {
+				e.Pause()
+			}
+			time.Sleep(1600 * time.Millisecond)
+			for _, e := range d.engines {
+				e.Resume()
+			}
+			a := <-done
+			is.Equal(a.status, http.StatusOK)
+			is.Equal(a.body, events(1, count))
+			is.True(!a.truncated)
+			is.True(pauses.longest < callerPatience) // the caller would have left
+			for _, e := range d.engines {
+				is.True(e == first || len(e.Runs()) == 0) // sent to an engine that could not serve it sooner
+			}
+		})
+	}
+}
