fix: the move of a stream is not given up while its run may still stop

What callers saw: a stream broken off in the middle, or nothing for longer than they wait (2 s), when its engine was silent while it was to move to another one.

Cause: the host gave a move up after 1.5 s and forgot it. A silent engine carries it out when it wakes: it stops the run and closes the stream without its end, and nobody knows the handle of the memory. Besides, a stream whose engine was silent waited for the move before it went elsewhere, and nobody freed memory that came too late, was rejected or whose caller had left.

Now the host waits for a move's answer as long as the stream lives, whatever the stream does meanwhile: one that may not be resumed goes on with the memory when it comes; one that may be resumed goes elsewhere at once if its engine is silent, and after 1.5 s from the start of the move (0.5 s at least) if its engine has stopped it; one that stayed, since no other engine had room, finds the memory when its engine stops it. If the stream goes on without the memory or has ended, the host frees it at both engines (DELETE /kv-handle, event 2117); after the end of a stream it waits 3 s for the handle. Calls of engines end with the host, so that its stop does not wait for them.

Ruled out: to withdraw the move, which the reset of its connection does not do once it lies in the socket of a stopped engine. Not covered: a move whose answer is lost.

--- a/event/request.go
+++ b/event/request.go
@@ -46,6 +46,8 @@
 	RelayFailed = Event{2114, "relay failed", "Another host did not serve a request that was passed on to it; if it was not reached or serves none of the service (Outcome NotSent), it gets no more of the service for a second. The request is passed to a second host if it can't have run, or may be repeated."}
 	// RequestMigrated reports the migration of a running request to another engine.
 	RequestMigrated = Event{2108, "run moved", "A running request was to migrate to another engine, since its own engine is to load weights. Stopped is set if it no longer runs there, Arrived if the other engine has its KV cache."}
+	// MemoryFreed reports memory of a migrated request that nobody will use.
+	MemoryFreed = Event{2117, "memory freed", "A request went on without the memory that was copied for it, or its caller left meanwhile; the host told the engine to free the memory, at both engines. Reason is set if that had no answer."}
 	// CallOverloaded reports a request that is refused because of the queues at the engines.
 	CallOverloaded = Event{2109, "call overloaded", "The queues at the engines are so long that a request can't be answered before its deadline; it is refused with a time to retry after."}
 	// StaleRequestCancelled reports a request that was queued too long on replaced weights.
@@ -57,4 +59,4 @@
 	StreamStalled = Event{2110, "stream awaited", "An upstream is idle in the middle of a stream and no other could take over; the host waits for it until the deadline."}
 )
 
-var requestEvents = []Event{RequestEnded, AttemptFailed, ClaimFailed, RequestQuarantined, PartQuarantined, CrashShareFailed, ClaimAppendFailed, LossRecorded, SuspicionEnded, LossExplained, QuarantineEnforced, CallScheduled, SendFailed, CallRefused, CallEnded, StreamResumed, StreamTakenUp, StreamFailed, StreamEnded, CallRelayed, RelayFailed, RequestMigrated, CallOverloaded, StreamStalled, StaleRequestCancelled, SeparatedRequestCancelled}
+var requestEvents = []Event{RequestEnded, AttemptFailed, ClaimFailed, RequestQuarantined, PartQuarantined, CrashShareFailed, ClaimAppendFailed, LossRecorded, SuspicionEnded, LossExplained, QuarantineEnforced, CallScheduled, SendFailed, CallRefused, CallEnded, StreamResumed, StreamTakenUp, StreamFailed, StreamEnded, CallRelayed, RelayFailed, RequestMigrated, MemoryFreed, CallOverloaded, StreamStalled, StaleRequestCancelled, SeparatedRequestCancelled}
--- a/forward/migrate.go
+++ b/forward/migrate.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"os"
 	"slices"
 	"time"
 
@@ -14,10 +16,22 @@
 )
 
 const (
-	// migrationTimeout bounds one migration. Copying the memory of a long
-	// prompt takes some 30 ms, and waits for the copies of other requests of
-	// the engine.
+	// migrationTimeout bounds how long a stream whose engine has stopped it waits for
+	// its memory, from the start of the migration, before it is read in elsewhere.
+	// Copying the memory of a long prompt takes some 30 ms, and waits for the copies
+	// of other requests of the engine.
 	migrationTimeout = 1500 * time.Millisecond
+	// lateMigrationTimeout is the least such wait: an engine that was silent carries
+	// the migration out when it wakes.
+	lateMigrationTimeout = 500 * time.Millisecond
+	// orphanTimeout is how long a host waits, after the end of a stream, for the
+	// result of its migration, to free the copy. Sound engines fall silent for a
+	// second or so.
+	orphanTimeout = 3 * time.Second
+	// freeTimeout bounds the call that frees a copy.
+	freeTimeout = 2 * time.Second
+	// idleCheck is how long a check whether an engine is silent takes.
+	idleCheck = time.Millisecond
 	// minMigratedTokens is the answer limit in tokens from which a request is
 	// worth a migration: about a second of work.
 	minMigratedTokens = 200
@@ -32,15 +46,26 @@
 	// Move stops a call at an engine and copies its memory to another. After an
 	// error, the call may have been stopped.
 	Move(ctx context.Context, address, instance, id, target string) (call.Migration, error)
+	// Free frees the memory that a call left, at both engines.
+	Free(ctx context.Context, instance string, m call.Migration) error
 }
 
-// migration is a move of a running request from one engine to another.
+// migration is a move of a running request from one engine to another. An engine that is
+// silent carries it out when it wakes, however much later: it is never given up as long
+// as the request may still run there.
 type migration struct {
-	from, to target
+	source  *attempt
+	started clock.Instant
+	// to is the engine that the migration tries; it is set before done closes.
+	to target
 	// done closes when moved and err are set.
 	done  chan struct{}
 	moved call.Migration
 	err   error
+	// settled closes once the stream goes on at another engine than the source; used
+	// is set before if it goes on with the memory.
+	settled chan struct{}
+	used    bool
 }
 
 // Evacuate migrates the requests that run at an engine to others, so that it
@@ -82,6 +107,11 @@
 	s.lock.Lock()
 	previous := s.attempt
 	s.attempt = a
+	if m := s.migration; m != nil && a != nil && a != m.source {
+		m.used = a.send.MemoryHandle != ""
+		close(m.settled)
+		s.migration = nil
+	}
 	s.lock.Unlock()
 	if previous != nil {
 		s.removeStream(previous.id, s)
@@ -107,25 +137,45 @@
 		return
 	}
 	s.migrations++
-	m := &migration{from: s.attempt.target, to: to, done: make(chan struct{})}
+	m := &migration{source: s.attempt, started: clock.Now(), to: to, done: make(chan struct{}), settled: make(chan struct{})}
 	s.migration = m
 	s.Background.Go(func() { s.migrate(m) })
 }
 
-// migrate moves the request and records the result in m. While the request goes on at
-// its engine, since the target has no room, it tries another target.
+// migrate moves the request, records the result in m, and frees the memory if the stream
+// does not go on with it.
 func (s *stream) migrate(m *migration) {
-	defer close(m.done)
-	ctx, cancel := context.WithTimeout(s.ctx, migrationTimeout)
+	ctx, cancel := context.WithCancel(context.WithoutCancel(s.ctx))
 	defer cancel()
+	defer context.AfterFunc(s.ctx, func() { time.AfterFunc(orphanTimeout, cancel) })()
+	s.moveSomewhere(ctx, m)
+	close(m.done)
+	if m.moved.MemoryHandle == "" {
+		return
+	}
+	select {
+	case <-m.settled:
+	case <-s.ctx.Done():
+	}
+	s.lock.Lock()
+	used := m.used
+	s.lock.Unlock()
+	if !used {
+		s.free(m)
+	}
+}
+
+// moveSomewhere moves the request. While the request goes on at its engine, since the
+// target has no room, it tries another target.
+func (s *stream) moveSomewhere(ctx context.Context, m *migration) {
 	full := map[string]bool{}
 	for {
 		s.move(ctx, m)
-		if m.err == nil || m.moved.MemoryHandle != "" || ctx.Err() != nil {
+		if m.err == nil || m.moved.MemoryHandle != "" || s.ctx.Err() != nil || clock.Now().Sub(m.started) >= migrationTimeout {
 			return
 		}
 		full[m.to.id] = true
-		to, ok := s.migrationTarget(m.from, full)
+		to, ok := s.migrationTarget(m.source.target, full)
 		if !ok || len(full) == maxMigrationTargets {
 			return
 		}
@@ -139,13 +189,25 @@
 	s.countArriving(m.to.id, 1)
 	defer s.countArriving(m.to.id, -1)
 	started, reason := clock.Now(), ""
-	if m.moved, m.err = s.Migrator.Move(ctx, m.from.address, m.from.id, s.call.ID, m.to.address); m.err != nil {
+	if m.moved, m.err = s.Migrator.Move(ctx, m.source.address, m.source.id, s.call.ID, m.to.address); m.err != nil {
 		reason = m.err.Error()
 	}
-	event.RequestMigrated.Info("Request", s.call.ID, "From", m.from.id, "To", m.to.id, "Stopped", m.moved.MemoryHandle != "", "Arrived", m.moved.Transferred,
+	event.RequestMigrated.Info("Request", s.call.ID, "From", m.source.id, "To", m.to.id, "Stopped", m.moved.MemoryHandle != "", "Arrived", m.moved.Transferred,
 		"Millis", clock.Now().Sub(started).Milliseconds(), "Reason", reason)
 }
 
+// free frees memory that nobody will use: it takes room and a slot of the other engine.
+func (s *stream) free(m *migration) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(s.ctx), freeTimeout)
+	defer cancel()
+	s.Metrics.Counter("memory_freed").Inc(1)
+	reason := ""
+	if err := s.Migrator.Free(ctx, m.source.id, m.moved); err != nil {
+		reason = err.Error()
+	}
+	event.MemoryFreed.Info("Request", s.call.ID, "From", m.source.id, "To", m.to.id, "Arrived", m.moved.Transferred, "Reason", reason)
+}
+
 // countArriving adds to the requests that are on their way to an engine.
 func (r *Router) countArriving(engine string, n int) {
 	r.mu.Lock()
@@ -190,28 +252,53 @@
 	return to, true
 }
 
-// awaitMigration waits for the end of a started migration and returns the
-// target that continues the request, or false if it was not migrated.
+// awaitMigration waits for the end of a started migration and returns the target that
+// continues the request, or false if it was not migrated or that isn't known yet.
 func (s *stream) awaitMigration() (target, bool) {
 	s.lock.Lock()
 	m := s.migration
-	s.migration = nil
 	s.lock.Unlock()
-	if m == nil {
-		return target{}, false
-	}
-	select {
-	case <-m.done:
-	case <-s.ctx.Done():
+	if m == nil || !s.isMigrated(m) {
 		return target{}, false
 	}
 	if m.err != nil || m.moved.MemoryHandle == "" {
+		s.lock.Lock()
+		s.migration = nil
+		s.lock.Unlock()
 		return target{}, false
 	}
 	to := m.to
 	if !m.moved.Transferred {
-		to = m.from
+		to = m.source.target
 	}
 	to.send.MemoryHandle = m.moved.MemoryHandle
 	return to, true
 }
+
+// isMigrated waits for the end of a migration as long as the stream has nothing better to
+// do, and reports whether it has ended. A stream that may be resumed goes elsewhere at
+// once if its engine is silent, and some time after its engine stopped it if the memory
+// is still missing. Any other can go on with the memory only.
+func (s *stream) isMigrated(m *migration) bool {
+	limit := s.timeLeft()
+	if s.route.Resumable {
+		limit = max(migrationTimeout-clock.Now().Sub(m.started), lateMigrationTimeout)
+		if errors.Is(m.source.exchange.AwaitData(idleCheck), os.ErrDeadlineExceeded) {
+			limit = 0
+		}
+	}
+	select {
+	case <-m.done:
+		return true
+	default:
+	}
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-m.done:
+		return true
+	case <-timer.C:
+	case <-s.ctx.Done():
+	}
+	return false
+}
--- a/standin/platform_cache.go
+++ b/standin/platform_cache.go
@@ -1,8 +1,6 @@
 package standin
 
 import (
-	"bytes"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -124,79 +122,6 @@
 	platformJSON(w, http.StatusOK, map[string]any{"boot_epoch": e.startMillis, "next_token": next, "lost": false, "events": rows})
 }
 
-// move answers POST /kv-move: it stops the run and sends its memory to the
-// target. With a NoRoomFault or a failed transfer the memory stays here.
-func (e *PlatformEngine) move(w http.ResponseWriter, r *http.Request) {
-	var m struct {
-		ID     string `json:"id"`
-		Target string `json:"target"`
-		Last   bool   `json:"last"`
-	}
-	if err := json.NewDecoder(r.Body).Decode(&m); err != nil || !m.Last {
-		w.WriteHeader(http.StatusBadRequest)
-		return
-	}
-	e.mu.Lock()
-	stop, running := e.running[m.ID]
-	hasRoom := !e.takeFault(NoRoomFault)
-	e.mu.Unlock()
-	if !running {
-		w.WriteHeader(http.StatusNotFound)
-		return
-	}
-	close(stop)
-	handle := "h-" + m.ID
-	to := e
-	status := http.StatusServiceUnavailable
-	if hasRoom {
-		body, _ := json.Marshal(handle)
-		resp, err := http.Post("http://"+m.Target+"/memory", "application/json", bytes.NewReader(body))
-		if err == nil {
-			_ = resp.Body.Close()
-			status = http.StatusOK
-		}
-	}
-	if status != http.StatusOK {
-		to.mu.Lock()
-		to.memoryHandles[e.Address()+"/"+handle] = true
-		to.mu.Unlock()
-	}
-	platformJSON(w, status, map[string]any{"handle": handle, "created": 0})
-}
-
-// receiveMemory answers POST /memory: it stores the memory handle of a run
-// that another engine migrates here.
-func (e *PlatformEngine) receiveMemory(_ http.ResponseWriter, r *http.Request) {
-	var handle string
-	if err := json.NewDecoder(r.Body).Decode(&handle); err != nil {
-		return
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.memoryHandles[handle] = true
-}
-
-// takeMemory reports whether the memory that a request resumes from is here,
-// and removes it. The caller holds mu.
-func (e *PlatformEngine) takeMemory(from string) bool {
-	_, handle, _ := strings.Cut(from, "/")
-	for _, name := range []string{from, handle} {
-		if e.memoryHandles[name] {
-			delete(e.memoryHandles, name)
-			e.resumed++
-			return true
-		}
-	}
-	return false
-}
-
-// Continued returns how many runs were resumed here from a memory handle.
-func (e *PlatformEngine) Continued() int {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.resumed
-}
-
 // Pace sets the interval between the events of later streams.
 func (e *PlatformEngine) Pace(d time.Duration) {
 	e.mu.Lock()
--- a/standin/platform_engine.go
+++ b/standin/platform_engine.go
@@ -54,8 +54,14 @@
 	// resume here.
 	running       map[string]chan struct{}
 	memoryHandles map[string]bool
-	resumed       int
-	eventInterval time.Duration
+	// movedTo maps the handles of runs that moved to the addresses of their targets.
+	movedTo map[string]string
+	// moves counts the runs that stopped to move, received the copies from other
+	// engines; moveTime is how long a copy takes.
+	moves, received int
+	moveTime        time.Duration
+	resumed         int
+	eventInterval   time.Duration
 	// prefill is the time to the first event or a plain answer, eventCount the number
 	// of events of a stream; 0 means eventsPerStream.
 	prefill    time.Duration
@@ -99,7 +105,7 @@
 		return nil, err
 	}
 	e := &PlatformEngine{ID: id, Service: service, Zone: zone, Model: model, Software: "v1", Slots: defaultSlots, listener: listener, weights: 1, startMillis: time.Now().UnixMilli(), executions: map[string]int{},
-		cached: map[cachePart]bool{}, eventAdded: make(chan struct{}), running: map[string]chan struct{}{}, memoryHandles: map[string]bool{}}
+		cached: map[cachePart]bool{}, eventAdded: make(chan struct{}), running: map[string]chan struct{}{}, memoryHandles: map[string]bool{}, movedTo: map[string]string{}}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /report", e.controlCall(e.report))
 	mux.HandleFunc("POST /order", e.controlCall(e.order))
@@ -107,6 +113,7 @@
 	mux.HandleFunc("POST /kv-move", e.controlCall(e.move))
 	mux.HandleFunc("POST /keep", e.saveParts)
 	mux.HandleFunc("POST /memory", e.receiveMemory)
+	mux.HandleFunc("DELETE /kv-handle/{id}", e.controlCall(e.freeMemory))
 	mux.HandleFunc("/", e.serve)
 	e.server = &http.Server{Handler: mux}
 	go func() { _ = e.server.Serve(listener) }()
@@ -374,7 +381,7 @@
 	defer e.beginRun(id)()
 	e.mu.Lock()
 	fault := NoFault
-	if e.fault != LostOrderFault && e.fault != NoRoomFault && e.takeFault(e.fault) {
+	if e.fault != LostOrderFault && e.fault != LostMoveFault && e.fault != NoRoomFault && e.takeFault(e.fault) {
 		fault = e.fault
 	}
 	weights := e.weights
--- a/standin/platform_faults.go
+++ b/standin/platform_faults.go
@@ -34,6 +34,8 @@
 	UncertifiedFault
 	// LostOrderFault carries out an order without answering it.
 	LostOrderFault
+	// LostMoveFault carries out a move without answering it.
+	LostMoveFault
 	// OtherInstanceFault rejects the request as another engine at the same
 	// address would.
 	OtherInstanceFault
--- /dev/null
+++ b/standin/platform_moves.go
@@ -0,0 +1,151 @@
+package standin
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// MoveTakes sets how long later moves copy memory after the run has stopped.
+func (e *PlatformEngine) MoveTakes(d time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.moveTime = d
+}
+
+// move answers POST /kv-move: it stops the run and sends its memory to the
+// target. With a NoRoomFault or a failed transfer the memory stays here.
+func (e *PlatformEngine) move(w http.ResponseWriter, r *http.Request) {
+	var m struct {
+		ID     string `json:"id"`
+		Target string `json:"target"`
+		Last   bool   `json:"last"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&m); err != nil || !m.Last {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	stop, running := e.running[m.ID]
+	delete(e.running, m.ID)
+	hasRoom := !e.takeFault(NoRoomFault)
+	isLost := e.takeFault(LostMoveFault)
+	takes := e.moveTime
+	if running {
+		e.moves++
+	}
+	e.mu.Unlock()
+	if !running {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	close(stop)
+	time.Sleep(takes) // the copy goes on whether or not the caller waits
+	handle := "h-" + m.ID
+	status := http.StatusServiceUnavailable
+	if hasRoom {
+		body, _ := json.Marshal(handle)
+		resp, err := http.Post("http://"+m.Target+"/memory", "application/json", bytes.NewReader(body))
+		if err == nil {
+			_ = resp.Body.Close()
+			status = http.StatusOK
+		}
+	}
+	e.mu.Lock()
+	if status == http.StatusOK {
+		e.movedTo[handle] = m.Target
+	} else {
+		e.memoryHandles[e.Address()+"/"+handle] = true
+	}
+	e.mu.Unlock()
+	if isLost {
+		panic(http.ErrAbortHandler)
+	}
+	platformJSON(w, status, map[string]any{"handle": handle, "created": 0})
+}
+
+// receiveMemory answers POST /memory: it stores the memory handle of a run
+// that another engine migrates here.
+func (e *PlatformEngine) receiveMemory(_ http.ResponseWriter, r *http.Request) {
+	var handle string
+	if err := json.NewDecoder(r.Body).Decode(&handle); err != nil {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.memoryHandles[handle] = true
+	e.received++
+}
+
+// freeMemory answers DELETE /kv-handle/ID: it frees the memory here and where it was
+// moved.
+func (e *PlatformEngine) freeMemory(w http.ResponseWriter, r *http.Request) {
+	handle := r.PathValue("id")
+	e.mu.Lock()
+	target, moved := e.movedTo[handle]
+	known := moved || e.memoryHandles[handle] || e.memoryHandles[e.Address()+"/"+handle]
+	delete(e.movedTo, handle)
+	delete(e.memoryHandles, handle)
+	delete(e.memoryHandles, e.Address()+"/"+handle)
+	e.mu.Unlock()
+	if moved {
+		req, err := http.NewRequestWithContext(r.Context(), http.MethodDelete, "http://"+target+"/kv-handle/"+handle, nil)
+		if err == nil {
+			var resp *http.Response
+			if resp, err = http.DefaultClient.Do(req); err == nil {
+				_ = resp.Body.Close()
+			}
+		}
+		if err != nil {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+	}
+	if !known {
+		w.WriteHeader(http.StatusNotFound)
+	}
+}
+
+// takeMemory reports whether the memory that a request resumes from is here,
+// and removes it. The caller holds mu.
+func (e *PlatformEngine) takeMemory(from string) bool {
+	_, handle, _ := strings.Cut(from, "/")
+	for _, name := range []string{from, handle} {
+		if e.memoryHandles[name] {
+			delete(e.memoryHandles, name)
+			e.resumed++
+			return true
+		}
+	}
+	return false
+}
+
+// Continued returns how many runs were resumed here from a memory handle.
+func (e *PlatformEngine) Continued() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.resumed
+}
+
+// Moves returns how many runs stopped here to move.
+func (e *PlatformEngine) Moves() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.moves
+}
+
+// Received returns how many copies of the memory of runs arrived here from other engines.
+func (e *PlatformEngine) Received() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.received
+}
+
+// Copies returns how many copies of the memory of runs wait here for their requests.
+func (e *PlatformEngine) Copies() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.memoryHandles)
+}
--- /dev/null
+++ b/storenode/late_moves_test.go
@@ -0,0 +1,125 @@
+package storenode_test
+
+import (
+	"bufio"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/kumquathoist/kumquathoist/standin"
+)
+
+// migrationTimeout is how long hosts wait for the memory of a run that was stopped.
+const migrationTimeout = 1500 * time.Millisecond
+
+// movedID is the ID of the stream of a test.
+const movedID = "s"
+
+// target adds an engine to which streams can move.
+func (d *deployment) target() *standin.PlatformEngine {
+	d.t.Helper()
+	e := d.engine("target", "models", "m1")
+	d.await("the host knows the engine", func() bool { return d.hosts[0].Knows(e.ID) })
+	return e
+}
+
+// TestSilentEngineMovesLate has an engine fall silent before a stream moves away from it.
+// It carries the move out when it wakes. The caller gets the whole stream without a pause
+// that it would not wait for, and no engine keeps memory that nobody will use.
+func TestSilentEngineMovesLate(t *testing.T) {
+	const count, interval = 6, 500 * time.Millisecond
+	for _, c := range []struct {
+		name, path string
+		// moved is when the stream is to move and wakes when the engine wakes, both
+		// after it fell silent.
+		moved, wakes time.Duration
+		// full makes the other engine reject the first request.
+		full bool
+		// continued is how often the stream goes on with its memory, ran how often it
+		// is read in again.
+		continued, ran int
+	}{
+		{"stream that may not be resumed", "/flag/a", 0, 1600 * time.Millisecond, false, 1, 0},
+		{"stream resumed elsewhere meanwhile", "/full/a", 700 * time.Millisecond, 2500 * time.Millisecond, false, 0, 1},
+		{"stream that stays since the other engine is full", "/full/a", 200 * time.Millisecond, 1800 * time.Millisecond, true, 1, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			d := newSilentEngines(t, 1, count, 0, interval)
+			caller := d.client(d.hosts[0])
+			pauses := &pauseReader{in: caller.in}
+			caller.in = bufio.NewReader(pauses)
+			done := make(chan answer, 1)
+			prompt := longAnswerPrompt(0)
+			prompt["X-Deadline-Ms"] = "19000"
+			go func() {
+				caller.write(http.MethodPost, modelHost, c.path, movedID, prompt, "body")
+				done <- caller.read()
+			}()
+			source, _ := d.engineOf(nil)
+			target := d.target()
+			if c.full {
+				target.Fail(standin.FullFault, 1)
+			}
+			target.Pace(interval)
+			time.Sleep(interval / 2) // between two events
+			source.Pause()
+			time.Sleep(c.moved)
+			d.hosts[0].Evacuate(source.Options.ID)
+			time.Sleep(c.wakes - c.moved)
+			source.Resume()
+			a := <-done
+			is.Equal(a.status, http.StatusOK)
+			is.Equal(a.body, events(1, count))
+			is.True(!a.truncated)
+			is.True(pauses.longest < callerPatience) // the caller would have left
+			is.Equal(target.Continued(), c.continued)
+			is.Equal(target.Ran()[movedID], c.ran)
+			is.True(target.Received() >= c.continued)
+			d.await("no copy is left", func() bool { return target.Copies() == 0 })
+		})
+	}
+}
+
+// TestUnusedMemoryIsFreed has a run stop whose memory arrives at another engine when nobody
+// will use it any more.
+func TestUnusedMemoryIsFreed(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// copied is how long the copy takes after the stop.
+		copied time.Duration
+		// leaves makes the caller leave between the two.
+		leaves bool
+	}{
+		{"the caller has left", 500 * time.Millisecond, true},
+		{"the stream goes on without it", migrationTimeout + 700*time.Millisecond, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			d := newDeployment(t, 1, 1, 0)
+			source := d.engines[0]
+			source.Pace(400 * time.Millisecond)
+			source.MoveTakes(c.copied)
+			caller := d.client(d.hosts[0])
+			caller.write(http.MethodPost, modelHost, "/full/a", movedID, longAnswerPrompt(0), "body")
+			d.await("the stream runs", func() bool { return d.executions(movedID) == 1 })
+			target := d.target()
+			d.await("the stream moves", func() bool {
+				d.hosts[0].Evacuate(source.ID)
+				return source.Moves() == 1
+			})
+			if c.leaves {
+				time.Sleep(c.copied / 2)
+				is.NoErr(caller.conn.Close())
+			} else {
+				a := caller.read()
+				is.Equal(a.body, completeStream())
+				is.True(!a.truncated)
+			}
+			d.await("the memory has moved", func() bool { return target.Received() == 1 })
+			d.await("no copy is left", func() bool { return target.Copies() == 0 })
+		})
+	}
+}
--- a/storenode/storenode.go
+++ b/storenode/storenode.go
@@ -150,7 +150,7 @@
 	n.wait.Go(func() { connections.Sweep(ctx) })
 	monitor := n.newMonitor(ctx, connections, scope)
 	bounds := n.settings.Bounds
-	engines := platform.NewEngines(func(instance string, r call.SelfReport) { n.router.RecordStatus(instance, r, "") })
+	engines := platform.NewEngines(ctx, func(instance string, r call.SelfReport) { n.router.RecordStatus(instance, r, "") })
 	n.router = forward.New(forward.Options{
 		Replica: n.syncer, Sender: connections, Encoder: platform.Wire{}, Guard: guard, Origins: n.newLedger(ctx, scope), Reachability: monitor, Relays: n.newRelays(ctx, credentials.Secret), Tracker: n.tracker, LoadReports: lateExchanger{n},
 		Migrator: engines, Background: &n.wait,
