test: the answer of a move is lost

An engine moves a run and says nothing: the stream that may be resumed is read in again elsewhere, whole and in order.

--- a/storenode/late_moves_test.go
+++ b/storenode/late_moves_test.go
@@ -123,3 +123,26 @@
 		})
 	}
 }
+
+// TestAnswerOfMoveIsLost has an engine move a stream without a word. Nobody knows the
+// memory then: the stream is read in again elsewhere.
+func TestAnswerOfMoveIsLost(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t, 1, 1, 0)
+	source := d.engines[0]
+	source.Pace(400 * time.Millisecond)
+	caller := d.client(d.hosts[0])
+	caller.write(http.MethodPost, modelHost, "/full/a", movedID, longAnswerPrompt(0), "body")
+	d.await("the stream runs", func() bool { return d.executions(movedID) == 1 })
+	target := d.target()
+	source.Fail(standin.LostMoveFault, 1)
+	d.await("the stream moves", func() bool {
+		d.hosts[0].Evacuate(source.ID)
+		return source.Moves() == 1
+	})
+	a := caller.read()
+	is.Equal(a.body, completeStream())
+	is.True(!a.truncated)
+	is.Equal(target.Ran()[movedID], 1)
+	is.Equal(target.Continued(), 0)
+}
