--- a/storenode/moves_test.go
+++ b/storenode/moves_test.go
@@ -30,6 +30,8 @@
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			d := newDeployment(t, 2, 6, 0)
+			// A host moves streams to engines that have loaded if it isn't told of loads.
+			d.await("the hosts know each other", func() bool { return len(d.addresses(d.hosts[0])) == 2 && len(d.addresses(d.hosts[1])) == 2 })
 			for _, e := range d.engines {
 				e.Pace(400 * time.Millisecond)
 				if c.fault != standin.NoFault {
--- a/storenode/relay_test.go
+++ b/storenode/relay_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"bufio"
+	"fmt"
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/kumquathoist/kumquathoist/standin"
 )
 
 // TestRefusalOfRelayedRequestThatMayHaveRunPromisesNothing passes requests on to a host
@@ -30,3 +34,28 @@
 	is.Equal(send("ran", "secret", "1"), http.StatusBadGateway)
 	is.Equal(send("forged", "wrong", "0"), http.StatusForbidden)
 }
+
+// TestCallerOfRelayedRequestLeaves closes a caller's connection while an engine that only
+// another host reaches is silent: its work ends.
+func TestCallerOfRelayedRequestLeaves(t *testing.T) {
+	d, dialer := newCutDeployment(t)
+	dialer.set(resetCut)
+	d.await("the host passes requests on", func() bool {
+		return d.do(d.hosts[0], http.MethodPost, modelHost, "/full/a", fmt.Sprint("early", time.Now().UnixNano()), prompt, "body").status == http.StatusOK
+	})
+	for _, e := range d.engines {
+		e.Fail(standin.SilentFault, 1)
+	}
+	c := d.client(d.hosts[0])
+	c.write(http.MethodPost, modelHost, "/flag/a", "left", prompt, "body")
+	d.await("an engine executes it", func() bool { return d.executions("left") == 1 })
+	d.is.NoErr(c.conn.Close())
+	d.await("the engine's connection is closed", func() bool {
+		abandoned := 0
+		for _, e := range d.engines {
+			abandoned += e.AbandonedRequests()
+		}
+		return abandoned == 1
+	})
+	d.is.Equal(d.executions("left"), 1)
+}
