fix: kept connections to engines end 1.5 s before the engines' limit

What callers saw: a request that may run once got 502 though its engine was sound and other engines were free. The engine was silent when the request was sent on a kept connection, and on waking closed that connection since it had been idle for longer than its limit.

Cause: a kept connection was used until 1 s before the engine's limit, and sound engines fall silent for up to 1.3 s. The request then lies unread when the limit passes.

The margin is now longer than such a silence. An engine that names a limit of 2 s is reused within 0.5 s instead of 1 s; one that names 1 s was never reused. A silence of more than 1.5 s may still cross the limit.

--- a/http1/http1.go
+++ b/http1/http1.go
@@ -36,8 +36,10 @@
 	// sends none.
 	defaultKeepAlive = 4 * time.Second
 	// keepAliveMargin is how long before the upstream's limit a connection is no
-	// longer used, since a request must not cross the upstream's close.
-	keepAliveMargin = time.Second
+	// longer used, since a request must not cross the upstream's close. It is longer
+	// than a sound upstream falls silent: one that wakes may first close what was idle
+	// for too long.
+	keepAliveMargin = 1500 * time.Millisecond
 	// undeliveredTime is how long the other side must not have acknowledged a request for
 	// it to count as not delivered. Lost packets are sent again sooner.
 	undeliveredTime = 500 * time.Millisecond
