fix: a caller that leaves is noticed although a part of its next request lies unread

An engine worked on for a caller that had gone, if the caller had begun to send its next request before it left.

Cause: the watch peeked at the caller's socket and ended at the first byte that arrived.

The watch now asks the socket for its end instead of its next byte, whenever something arrives. An error of that question counts as no end.

A caller that closes only its sending side still counts as gone. Ruled out: to tell it from one that closed. Such a caller is answered 502, which promises nothing.

--- a/disconnect/disconnect.go
+++ b/disconnect/disconnect.go
@@ -3,9 +3,12 @@
 package disconnect
 
 import (
+	"errors"
 	"net"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // wrapper is a connection that wraps another one.
@@ -39,23 +42,32 @@
 	}
 }
 
-// closedByPeer waits until a connection is readable and reports whether the
-// peer has closed it. It only peeks, so that the data of a pipelined request
-// stays in the socket.
+// closedByPeer waits until the peer has closed a connection, or until its read deadline
+// passes, and reports which. It reads nothing, so that the data of a pipelined request
+// stays in the socket. A peer that has only closed its sending side counts as gone: the
+// two can't be told apart until something is sent to it.
 func closedByPeer(conn syscall.Conn) bool {
 	raw, err := conn.SyscallConn()
 	if err != nil {
 		return false
 	}
 	closed := false
+	// The callback runs again whenever something arrives, data or an end.
 	err = raw.Read(func(fd uintptr) bool {
-		var next [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), next[:], syscall.MSG_PEEK)
-		if err == syscall.EAGAIN || err == syscall.EINTR {
-			return false
-		}
-		closed = err != nil || n == 0
-		return true
+		closed = hasEnded(fd)
+		return closed
 	})
 	return err == nil && closed
 }
+
+// hasEnded reports whether the peer of a socket has closed or reset the connection,
+// whatever data lies in the socket.
+func hasEnded(fd uintptr) bool {
+	ends := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+	for {
+		_, err := unix.Poll(ends, 0)
+		if !errors.Is(err, unix.EINTR) {
+			return err == nil && ends[0].Revents != 0
+		}
+	}
+}
