fix: an error by way of another host stays out of an idle stream

A stream that was passed on to another host while its engine was idle broke off with that host's error, though its engine still worked; and one engine more than its route allows ran it.

Cause: the request named the attempts before the idle one counted, and an error that another host relays counted as an answer of a stream.

--- a/forward/answer.go
+++ b/forward/answer.go
@@ -40,7 +40,7 @@
 	switch {
 	case !x.Certified || x.Encoded:
 		return nil, h.failAttempt(a, retry.Broken, errUncertified)
-	case h.stage == retrybudget.Streaming && x.Status < 500 && (x.Status != 200 || !x.EventStream):
+	case h.stage == retrybudget.Streaming && (x.Status < 500 || a.relay) && (x.Status != 200 || !x.EventStream):
 		return nil, h.failAttempt(a, retry.Broken, errNoStream)
 	case h.route.Kind == catalog.Stream && x.Status < 300:
 		return h.beginStream(a)
--- a/forward/takeover.go
+++ b/forward/takeover.go
@@ -74,6 +74,9 @@
 		if s.count(idle, retry.Broken); !s.retryAllowed(s.ctx, retry.Broken) {
 			break
 		}
+		if t.relay {
+			t.send.Attempts = s.retryState.MaybeExecuted
+		}
 		answer, outcome := s.sendBeside(first, t)
 		if outcome == retry.Answered {
 			first.stop()
