fix: callers' idle connections stay open as long as the operators' limit allows

What callers saw: with an idle_timeout_ms of more than 75 s, connections that they may reuse at four fifths of it ended after 60 s.

Cause: the server closed idle connections after 60 s whatever the configuration said.

--- a/storenode/storenode.go
+++ b/storenode/storenode.go
@@ -195,6 +195,7 @@
 		Relays: n.settings.Listen.Relays, RelaySecret: credentials.Secret,
 		Router: n.router, Ready: n.syncer.Ready, Hosts: n.nearbyHosts, Connections: n.settings.Machine.Descriptors / callersDivisor, AddressTTL: addressTTL,
 		BodyLimit: func() int { return n.syncer.State().Catalog.Limits.BodyBytes }, Metrics: handler,
+		IdleLimit: func() time.Duration { return n.syncer.State().Catalog.Limits.IdleTimeout },
 	})
 	if err != nil {
 		return err
