fix: the fetch of a large state gets more time after one that took too long

Cause: a fetch from a peer had one second, and each attempt starts anew. Where it takes more than a second, because of a slow connection or a busy machine, no attempt ends well, so a host without the log never gets its configuration. Change: a fetch that takes too long doubles the time for the next, up to 8 s; an answer sets it back to one second. How recently a peer was current is counted from the start of the fetch, not from one second before its end, since a fetch may now take longer. Evidence: TestFetchThatTakesLongSucceeds failed before (timed out after 20 s) and passes.

--- a/revision/exchange.go
+++ b/revision/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -26,6 +27,9 @@
 	startupFetchInterval = 300 * time.Millisecond
 	// peerTimeout limits a call to a peer.
 	peerTimeout = time.Second
+	// maxFetchTimeout limits a fetch after others took too long: a large state takes
+	// longer than peerTimeout on a slow connection or a busy machine.
+	maxFetchTimeout = 8 * time.Second
 	// startupFetchFanout is the number of peers that a host fetches from while
 	// it is not ready.
 	startupFetchFanout = 8
@@ -161,12 +165,30 @@
 	s.updateReady()
 }
 
-// fetchFrom fetches a newer configuration from one peer and adopts it.
-func (s *Syncer) fetchFrom(ctx context.Context, address string) error {
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+// fetch calls a peer. A call that takes too long doubles the time for the next one,
+// an answer ends that.
+func (s *Syncer) fetch(ctx context.Context, address string, position int64) (Offer, error) {
+	s.mu.Lock()
+	timeout := s.fetchTimeout
+	s.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	position := s.State().Position()
 	offer, err := s.Peers.Fetch(ctx, address, position)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case err == nil:
+		s.fetchTimeout = peerTimeout
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		s.fetchTimeout = min(2*timeout, maxFetchTimeout)
+	}
+	return offer, err
+}
+
+// fetchFrom fetches a newer configuration from one peer and adopts it.
+func (s *Syncer) fetchFrom(ctx context.Context, address string) error {
+	begin, position := time.Now(), s.State().Position()
+	offer, err := s.fetch(ctx, address, position)
 	if err != nil {
 		return trace.ConnectionProblem(err, "fetching from peer %s", address)
 	}
@@ -178,7 +200,7 @@
 	} else if offer.Position > position {
 		return trace.LimitExceeded("peer %s has a newer state and is busy", address)
 	}
-	s.processOffer(offer)
+	s.processOffer(offer, begin)
 	return nil
 }
 
@@ -205,8 +227,9 @@
 }
 
 // processOffer compares the checksum of an offer with this host's and, if both
-// have the same position, takes over how recently it was known to be current.
-func (s *Syncer) processOffer(offer Offer) {
+// have the same position, takes over how recently it was known to be current. The
+// peer made the offer after the time at which its fetch began.
+func (s *Syncer) processOffer(offer Offer, begin time.Time) {
 	if s.conflictsWith(offer) {
 		s.update(func(r document.Replica) document.Replica {
 			r.Conflict = fmt.Sprintf("checksum differs at offset %d", offer.Position)
@@ -219,7 +242,7 @@
 	if offer.CurrentAge < 0 || offer.Position != s.replica.Position() {
 		return
 	}
-	if at := time.Now().Add(-offer.CurrentAge - peerTimeout); at.After(s.currentAt) {
+	if at := begin.Add(-offer.CurrentAge); at.After(s.currentAt) {
 		s.currentAt = at
 	}
 }
--- a/revision/revision.go
+++ b/revision/revision.go
@@ -86,6 +86,8 @@
 	// changed is closed when the position next advances.
 	changed chan struct{}
 	replica document.Replica
+	// fetchTimeout is how long the next fetch from a peer may take.
+	fetchTimeout time.Duration
 	// currentAt is when this host was last known to be current, which means that
 	// it had folded the whole log; zero if it never was.
 	currentAt time.Time
@@ -108,7 +110,7 @@
 // ends.
 func New(ctx context.Context, wait *conc.WaitGroup, o Options) *Syncer {
 	s := &Syncer{
-		Options: o, changed: make(chan struct{}), replica: document.NewReplica(),
+		Options: o, changed: make(chan struct{}), replica: document.NewReplica(), fetchTimeout: peerTimeout,
 		fetchSlots: make(chan struct{}, maxConcurrentFetches), positionAdvanced: make(chan struct{}, 1), positionUpdates: make(chan positionUpdate, 1), initialFetchDone: make(chan struct{}),
 	}
 	initial := s.replica.State
--- a/revision/revision_test.go
+++ b/revision/revision_test.go
@@ -82,6 +82,8 @@
 	err       error
 	confirmed int64
 	fetches   int
+	// delay is how long a fetch takes.
+	delay time.Duration
 }
 
 func (p *fakePeers) fetchCount() int {
@@ -90,7 +92,11 @@
 	return p.fetches
 }
 
-func (p *fakePeers) Fetch(context.Context, string, int64) (Offer, error) {
+func (p *fakePeers) Fetch(ctx context.Context, _ string, _ int64) (Offer, error) {
+	sleep(ctx, p.delay)
+	if ctx.Err() != nil {
+		return Offer{}, ctx.Err()
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.fetches++
@@ -214,6 +220,20 @@
 	}
 }
 
+// TestFetchThatTakesLongSucceeds has the fetch of a state take longer than other
+// calls may, as a large one does over a slow connection.
+func TestFetchThatTakesLongSucceeds(t *testing.T) {
+	is := is.New(t)
+	peers := &fakePeers{offer: newOffer(t, 1), delay: 3 * peerTimeout / 2}
+	peers.offer.CurrentAge = 0
+	syncer := startSyncer(t, &fakeLog{readErr: errLogDown}, peers)
+	eventually(t, syncer.Ready)
+	is.Equal(syncer.State().Position(), int64(0))
+	// The peer may have been current only when the fetch began.
+	stale := syncer.Status().StaleSeconds
+	is.True(stale >= peers.delay.Seconds())
+}
+
 // TestPartlyReadLogIsNotServed checks that a host does not serve an older
 // revision if it knows that the log has records that it could not read.
 func TestPartlyReadLogIsNotServed(t *testing.T) {
