--- a/storenode/late_moves_test.go
+++ b/storenode/late_moves_test.go
@@ -72,7 +72,7 @@
 			source.Resume()
 			a := <-done
 			is.Equal(a.status, http.StatusOK)
-			is.Equal(a.body, events(1, count))
+			is.Equal(a.body, wholeStream(count))
 			is.True(!a.truncated)
 			is.True(pauses.longest < callerPatience) // the caller would have left
 			is.Equal(target.Continued(), c.continued)
--- a/storenode/lost_test.go
+++ b/storenode/lost_test.go
@@ -54,7 +54,7 @@
 	for _, a := range answers {
 		d.is.True(!a.truncated)
 		d.is.Equal(a.status, http.StatusOK)
-		d.is.Equal(a.body, events(1, count))
+		d.is.Equal(a.body, wholeStream(count))
 	}
 }
 
@@ -116,7 +116,7 @@
 			second.Resume()
 			d.is.Equal(a.status, http.StatusOK)
 			d.is.True(!a.truncated)
-			d.is.Equal(a.body, events(1, count))
+			d.is.Equal(a.body, wholeStream(count))
 		})
 	}
 }
@@ -143,7 +143,7 @@
 			a := <-done
 			is.Equal(a.status, http.StatusOK)
 			is.True(!a.truncated)
-			is.Equal(a.body, events(1, count))
+			is.Equal(a.body, wholeStream(count))
 		})
 	}
 }
--- a/storenode/silent_engines_test.go
+++ b/storenode/silent_engines_test.go
@@ -108,10 +108,10 @@
 	return e, r
 }
 
-// events returns the whole events of a stream.
-func events(from, to int) string {
+// wholeStream returns a stream of a number of events.
+func wholeStream(count int) string {
 	var b strings.Builder
-	for i := from; i <= to; i++ {
+	for i := 1; i <= count; i++ {
 		fmt.Fprintf(&b, "id: %d\ndata: piece %d\n\n", i, i)
 	}
 	return b.String()
@@ -173,7 +173,7 @@
 			first.Resume()
 			second.Resume()
 			is.Equal(a.status, http.StatusOK)
-			is.Equal(a.body, events(1, count))
+			is.Equal(a.body, wholeStream(count))
 			is.True(pauses.longest < callerPatience) // the caller would have left
 			is.True(!a.truncated)
 			d.await("both runs have ended", func() bool {
@@ -223,7 +223,7 @@
 			}
 			a := <-done
 			is.Equal(a.status, http.StatusOK)
-			is.Equal(a.body, events(1, count))
+			is.Equal(a.body, wholeStream(count))
 			is.True(!a.truncated)
 			is.True(pauses.longest < callerPatience) // the caller would have left
 			for _, e := range d.engines {
--- a/storenode/takeover_test.go
+++ b/storenode/takeover_test.go
@@ -57,7 +57,7 @@
 			second.Kill()
 			a := <-done
 			is.Equal(a.status, http.StatusOK)
-			is.Equal(a.body, events(1, count)) // a third engine could serve the rest
+			is.Equal(a.body, wholeStream(count)) // a third engine could serve the rest
 			is.True(!a.truncated)
 		})
 	}
@@ -225,7 +225,7 @@
 	second, _ := d.engineOf(first)
 	a := <-done
 	is.Equal(a.status, http.StatusOK)
-	is.Equal(a.body, events(1, count))
+	is.Equal(a.body, wholeStream(count))
 	d.await("the run at the first engine has ended", func() bool {
 		_, one := d.engineOf(second)
 		return !one.Ended.IsZero()
