refactor: a stand-in process tells in which periods it worked on a run

Work gives the periods in which the process was awake; WorkAfter adds them up. Runs that go on from another engine's memory are marked, since they are not a second run.

--- a/standin/platform_engine.go
+++ b/standin/platform_engine.go
@@ -378,7 +378,7 @@
 	if e.reject(w, r) || r.Header.Get("Last-Event-Id") != "" && e.sendResumedAnswer(w, id) {
 		return
 	}
-	defer e.beginRun(id)()
+	defer e.beginRun(r)()
 	e.mu.Lock()
 	fault := NoFault
 	if e.fault != LostOrderFault && e.fault != LostMoveFault && e.fault != NoRoomFault && e.takeFault(e.fault) {
--- a/standin/platform_process.go
+++ b/standin/platform_process.go
@@ -98,12 +98,13 @@
 	// mu guards the fields below.
 	mu     sync.Mutex
 	runs   []PlatformRun
-	pauses []PlatformPause
+	pauses []PlatformPeriod
 	killed time.Time
 }
 
-// PlatformPause is a time in which a process was stopped; Until is zero while it lasts.
-type PlatformPause struct{ From, Until time.Time }
+// PlatformPeriod is a time in which a process worked, or was stopped; Until is zero while
+// it lasts.
+type PlatformPeriod struct{ From, Until time.Time }
 
 // StartPlatformProcess starts a program that calls ServePlatformProcess with its standard
 // input and output.
@@ -173,7 +174,7 @@
 	if n := len(p.pauses); n > 0 && p.pauses[n-1].Until.IsZero() {
 		return
 	}
-	p.pauses = append(p.pauses, PlatformPause{From: time.Now()})
+	p.pauses = append(p.pauses, PlatformPeriod{From: time.Now()})
 	_ = p.cmd.Process.Signal(syscall.SIGSTOP) // fails only if it has ended
 }
 
@@ -206,9 +207,16 @@
 	return slices.Clone(p.runs)
 }
 
-// WorkAfter returns how long the process worked on a run after an instant, without the
-// times in which it was stopped.
-func (p *PlatformProcess) WorkAfter(r PlatformRun, from time.Time) time.Duration {
+// Killed returns when the process was killed, or zero.
+func (p *PlatformProcess) Killed() time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.killed
+}
+
+// Work returns the times in which the process worked on a run and was not stopped, in
+// order.
+func (p *PlatformProcess) Work(r PlatformRun) []PlatformPeriod {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	begin, end := r.Began, r.Ended
@@ -218,20 +226,37 @@
 	case end.IsZero():
 		end = time.Now()
 	}
-	if from.After(begin) {
-		begin = from
+	var periods []PlatformPeriod
+	add := func(until time.Time) {
+		if until.After(begin) {
+			periods = append(periods, PlatformPeriod{begin, until})
+		}
 	}
-	work := max(0, end.Sub(begin))
 	for _, pause := range p.pauses {
-		until := pause.Until
-		if until.IsZero() || until.After(end) {
-			until = end
+		if !pause.From.Before(end) {
+			break
 		}
-		if pause.From.After(begin) {
-			work -= max(0, until.Sub(pause.From))
-		} else {
-			work -= max(0, until.Sub(begin))
+		add(pause.From)
+		if pause.Until.IsZero() {
+			return periods
+		}
+		if pause.Until.After(begin) {
+			begin = pause.Until
+		}
+	}
+	add(end)
+	return periods
+}
+
+// WorkAfter returns how long the process worked on a run after an instant, without the
+// times in which it was stopped.
+func (p *PlatformProcess) WorkAfter(r PlatformRun, from time.Time) time.Duration {
+	var work time.Duration
+	for _, period := range p.Work(r) {
+		if from.After(period.From) {
+			period.From = from
 		}
+		work += max(0, period.Until.Sub(period.From))
 	}
-	return max(0, work)
+	return work
 }
--- a/standin/platform_run.go
+++ b/standin/platform_run.go
@@ -13,12 +13,14 @@
 	// Number counts the engine's runs, Request is the caller's attempt ID.
 	Number  int
 	Request string
+	// Moved means that the run goes on from memory that another engine sent.
+	Moved bool `json:",omitempty"`
 	// Ended is zero while the run goes on.
 	Began, Ended time.Time
 }
 
 // beginRun records the beginning of a run; the returned function records its end.
-func (e *PlatformEngine) beginRun(id string) (end func()) {
+func (e *PlatformEngine) beginRun(request *http.Request) (end func()) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	observe := e.observeRun
@@ -26,7 +28,7 @@
 		return func() {}
 	}
 	e.runCount++
-	r := PlatformRun{Number: e.runCount, Request: id, Began: time.Now()}
+	r := PlatformRun{Number: e.runCount, Request: request.Header.Get("X-Attempt-Id"), Moved: request.Header.Get("Kv-From") != "", Began: time.Now()}
 	observe(r)
 	return func() {
 		r.Ended = time.Now()
