--- a/emulator/main.go
+++ b/emulator/main.go
@@ -25,7 +25,9 @@
 	Configuration configurationCommand `cmd:"" help:"Measure changes of the configuration against the number of hosts."`
 	Weights       weightsCommand       `cmd:"" help:"Stand in for the weight store."`
 	Kept          keptStoreCommand     `cmd:"" help:"Stand in for a kept KV cache store."`
-	Membership    membershipCommand    `cmd:"" help:"Measure the heartbeats of many hosts in this process."`
+	// PlatformEngine runs with soak.EngineArgument.
+	PlatformEngine platformEngineCommand `cmd:"" help:"Stand in for one engine of the users' platform: options in the first line of the input, address and runs in the output."`
+	Membership     membershipCommand     `cmd:"" help:"Measure the heartbeats of many hosts in this process."`
 
 	Overhead   overheadCommand   `cmd:"" help:"Measure what a router adds to a request."`
 	Drive      driveCommand      `cmd:"" help:"Send a user's arrivals through running routers."`
@@ -101,6 +103,13 @@
 	return announce(standin.NewService(ctx, c.Listen, c.Name))
 }
 
+type platformEngineCommand struct{}
+
+// Run serves an engine until its input ends.
+func (c *platformEngineCommand) Run(ctx context.Context) error {
+	return standin.ServePlatformProcess(ctx, os.Stdin, os.Stdout)
+}
+
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
--- a/emulator/soak.go
+++ b/emulator/soak.go
@@ -23,7 +23,9 @@
 	Engines  int           `default:"5" help:"How many engines."`
 	Services int           `default:"2" help:"How many plain services."`
 	Callers  int           `default:"16" help:"How many callers at a time."`
-	Keep     string        `help:"A folder for the hosts' output of runs that broke a promise."`
+	// EngineProcesses are needed for engines that signals silence.
+	EngineProcesses bool   `help:"Run engines and plain services as processes of their own, which fall silent while the configuration changes."`
+	Keep            string `help:"A folder for the hosts' output of runs that broke a promise."`
 }
 
 // Run runs the seeds and returns an error if a promise was broken.
@@ -31,9 +33,16 @@
 	if c.Seed == 0 {
 		c.Seed = uint64(time.Now().Unix())
 	}
+	engineProgram := ""
+	if c.EngineProcesses {
+		var err error
+		if engineProgram, err = os.Executable(); err != nil {
+			return trace.Wrap(err, "looking for the engines' program")
+		}
+	}
 	wrong := 0
 	for i := range c.Seeds {
-		o := soak.Options{Program: c.Program, Older: c.Older, Seed: c.Seed + uint64(i), Span: c.Span, Hosts: c.Hosts, Engines: c.Engines, Services: c.Services, Callers: c.Callers}
+		o := soak.Options{Program: c.Program, Older: c.Older, Seed: c.Seed + uint64(i), Span: c.Span, Hosts: c.Hosts, Engines: c.Engines, Services: c.Services, Callers: c.Callers, EngineProgram: engineProgram}
 		if c.Keep != "" {
 			o.OutputDir = filepath.Join(c.Keep, fmt.Sprint("seed-", o.Seed))
 			if err := os.MkdirAll(o.OutputDir, 0o700); err != nil {
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"time"
@@ -25,6 +27,10 @@
 	// read by a stopping host. A younger one may cross the close of its connection
 	// and stay unread.
 	closeRaceWindow = 200 * time.Millisecond
+	// Callers reuse connections that were idle for up to maxIdleShare of the idle limit
+	// (the users' protocol). One in idleCallShare pauses may be that long.
+	maxIdleShare  = 0.8
+	idleCallShare = 4
 )
 
 // call is one request of a caller and its answer.
@@ -40,6 +46,8 @@
 	lastEvent int
 	// isCrasher marks a request that crashes the upstreams that execute it.
 	isCrasher bool
+	// gaveUp means that the caller's patience or its time limit ended the call.
+	gaveUp bool
 }
 
 // recorder collects all calls.
@@ -68,6 +76,30 @@
 	net.Conn
 
 	in *bufio.Reader
+	// until is the time limit of the answer, patience that of each read; 0 means none.
+	until    time.Time
+	patience time.Duration
+	// gaveUp means that a read exceeded its time limit.
+	gaveUp bool
+}
+
+// newConnection returns a caller's connection.
+func newConnection(raw net.Conn) *connection {
+	c := &connection{Conn: raw}
+	c.in = bufio.NewReader(c)
+	return c
+}
+
+// Read reads within the time limits.
+func (c *connection) Read(b []byte) (int, error) {
+	limit := c.until
+	if quiet := time.Now().Add(c.patience); c.patience > 0 && quiet.Before(limit) {
+		limit = quiet
+	}
+	_ = c.SetReadDeadline(limit)
+	n, err := c.Conn.Read(b)
+	c.gaveUp = errors.Is(err, os.ErrDeadlineExceeded)
+	return n, err
 }
 
 // runCaller sends requests one by one until the context ends. It reuses its
@@ -83,7 +115,7 @@
 			h = d.hosts[random.IntN(len(d.hosts))]
 			raw, err := net.DialTimeout("tcp4", h.callerProxy.address(), time.Second)
 			if err == nil {
-				conn = &connection{Conn: raw, in: bufio.NewReader(raw)}
+				conn = newConnection(raw)
 			}
 		}
 		c.host = h
@@ -95,13 +127,24 @@
 			r.add(c)
 		}
 		d.takeUp(ctx, c, random, r)
-		d.pause(time.Duration(random.Int64N(int64(2 * thinkTime))))
+		d.pause(d.idleTime(random))
 	}
 	if conn != nil {
 		_ = conn.Close()
 	}
 }
 
+// idleTime draws the pause between two requests of a caller. Where configurations change
+// the idle limit, it is now and then as long as callers may reuse a connection.
+func (d *deployment) idleTime(random *rand.Rand) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if limit := d.terms.idleTimeout; d.engineProgram != "" && random.IntN(idleCallShare) == 0 {
+		return time.Duration(random.Float64() * maxIdleShare * float64(limit))
+	}
+	return time.Duration(random.Int64N(int64(2 * thinkTime)))
+}
+
 // sendRequest sends a request and reads its answer. It reports whether the
 // connection can be reused.
 func (d *deployment) sendRequest(conn *connection, c *call) bool {
@@ -109,7 +152,7 @@
 }
 
 func (d *deployment) sendWithKey(conn *connection, c *call, key string) bool {
-	r := standin.PlatformRequest{ID: c.id, Method: http.MethodPost, Host: plainHost, Path: "/" + c.kind + "/a", Key: key, Deadline: callDeadline, Body: "of " + c.id, Resumes: c.began, LastEvent: c.lastEvent}
+	r := standin.PlatformRequest{ID: c.id, Method: http.MethodPost, Host: plainHost, Path: "/" + c.kind + "/a", Key: key, Deadline: d.tempo.deadline, Body: "of " + c.id, Resumes: c.began, LastEvent: c.lastEvent}
 	byPart := c.isCrasher && d.crasher.byPart
 	if c.isCrasher && !byPart {
 		r.Path, r.Body = "/"+c.kind+"/"+crasherMark, crasherMark
@@ -126,8 +169,12 @@
 	case "read":
 		r.Method, r.Body = http.MethodGet, ""
 	}
-	_ = conn.SetDeadline(time.Now().Add(callDeadline + time.Second))
-	defer func() { c.ended = time.Now() }()
+	conn.until, conn.patience, conn.gaveUp = time.Now().Add(d.tempo.deadline+time.Second), 0, false
+	if r.Prompt != nil {
+		conn.patience = d.tempo.patience
+	}
+	_ = conn.SetWriteDeadline(conn.until)
+	defer func() { c.ended, c.gaveUp = time.Now(), conn.gaveUp }()
 	c.sent = time.Now()
 	if err := r.Write(conn); err != nil {
 		return false
--- a/soak/check.go
+++ b/soak/check.go
@@ -57,6 +57,13 @@
 			executions[id] += n
 		}
 	}
+	for id, work := range d.allWork() {
+		for _, w := range work {
+			if !w.run.Moved {
+				executions[id]++
+			}
+		}
+	}
 	return executions
 }
 
--- a/soak/crasher.go
+++ b/soak/crasher.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -77,7 +76,7 @@
 			continue
 		}
 		c := &call{id: fmt.Sprintf("%s-%d", crasherMark, n), kind: d.crasher.kind, account: "mill", host: h, isCrasher: true}
-		d.sendRequest(&connection{Conn: raw, in: bufio.NewReader(raw)}, c)
+		d.sendRequest(newConnection(raw), c)
 		_ = raw.Close()
 	}
 }
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -22,8 +22,10 @@
 
 const (
 	modelService, plainService = "models", "desk"
-	modelHost, plainHost       = "models.example", "desk.example"
-	model                      = "m1"
+	// otherPlainService may serve the plain routes where engines are processes.
+	otherPlainService    = "annex"
+	modelHost, plainHost = "models.example", "desk.example"
+	model                = "m1"
 	// leaseTime is how long after one host's order no other host may order an
 	// engine.
 	leaseTime = time.Second
@@ -74,6 +76,14 @@
 	// keys holds the current key of each account, revokedKeys the former ones.
 	keys        map[string]string
 	revokedKeys []credential
+	// terms are those of the newest configuration, changes all that were written.
+	terms   terms
+	changes []termsChange
+
+	// processes holds the engines that are processes, which engineProgram serves.
+	processes     []*engineProcess
+	engineProgram string
+	tempo         tempo
 }
 
 // credential is an account with one of its keys.
@@ -105,7 +115,7 @@
 
 // newDeployment starts a deployment.
 func newDeployment(ctx context.Context, wait *conc.WaitGroup, o Options, dir string) (*deployment, error) {
-	d := &deployment{ctx: ctx, wait: wait, dir: dir, keys: map[string]string{"mill": "key-mill-0", "grocer": "key-grocer-0"}, weights: 1, crasher: newCrasher(o.Seed), mixesSoftware: o.Seed%3 != 0, loadTime: loadTimes[o.Seed%uint64(len(loadTimes))]}
+	d := &deployment{ctx: ctx, wait: wait, dir: dir, keys: map[string]string{"mill": "key-mill-0", "grocer": "key-grocer-0"}, weights: 1, crasher: newCrasher(o.Seed), mixesSoftware: o.Seed%3 != 0, loadTime: loadTimes[o.Seed%uint64(len(loadTimes))], terms: usualTerms, engineProgram: o.EngineProgram, tempo: usualTempo}
 	var err error
 	if d.store, err = standin.NewPlatformStore(); err != nil {
 		return nil, trace.Wrap(err)
@@ -113,19 +123,14 @@
 	if err := d.choosePorts(); err != nil {
 		return nil, err
 	}
-	for range o.Engines {
-		if err := d.addUpstream(modelService, model); err != nil {
-			return nil, err
-		}
-	}
-	for range o.Services {
-		if err := d.addUpstream(plainService, ""); err != nil {
-			return nil, err
-		}
+	if err := d.addUpstreams(o); err != nil {
+		d.killProcesses()
+		return nil, err
 	}
 	d.configure()
 	for i := range o.Hosts {
 		if err := d.addHost(o, i); err != nil {
+			d.killProcesses()
 			return nil, err
 		}
 	}
@@ -154,6 +159,24 @@
 	return trace.Wrap(err)
 }
 
+// addUpstreams starts the engines and plain services.
+func (d *deployment) addUpstreams(o Options) error {
+	if o.EngineProgram != "" {
+		d.tempo = newTempo(o.Seed)
+		return d.startProcesses(o)
+	}
+	for i := range o.Engines + o.Services {
+		service, name := modelService, model
+		if i >= o.Engines {
+			service, name = plainService, ""
+		}
+		if err := d.addUpstream(service, name); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (d *deployment) addUpstream(service, model string) error {
 	link, err := newProxy(d.ctx, d.wait, "127.0.0.1", "")
 	if err != nil {
@@ -267,8 +290,10 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.version += 2
+	d.changes = append(d.changes, termsChange{time.Now(), d.terms})
+	millis := func(t time.Duration) int { return int(t.Milliseconds()) }
 	route := func(name, host, kind, service string) standin.PlatformRoute {
-		return standin.PlatformRoute{Name: name, Host: host, Prefix: "/" + name + "/", Kind: kind, Service: service, Timeout: 6000, Objective: 1000, Gap: 300, Priority: 1, MaxUpstreams: 2}
+		return standin.PlatformRoute{Name: name, Host: host, Prefix: "/" + name + "/", Kind: kind, Service: service, Timeout: millis(d.terms.timeout), Objective: millis(d.tempo.objective), Gap: millis(d.tempo.gap), Priority: 1, MaxUpstreams: 2}
 	}
 	full := route("full", modelHost, "streaming", modelService)
 	full.Resumable = true
@@ -276,13 +301,19 @@
 		Version: d.version,
 		Routes: []standin.PlatformRoute{
 			full, route("flag", modelHost, "streaming", modelService),
-			route("post", plainHost, "non_idempotent", plainService), route("read", plainHost, "idempotent", plainService),
+			route("post", plainHost, "non_idempotent", d.terms.plainService), route("read", plainHost, "idempotent", d.terms.plainService),
 		},
 		Services: []standin.PlatformService{
 			{Name: modelService, Connections: 100, Engine: &standin.PlatformEngineKind{Slots: 64, Moves: true, Models: []standin.PlatformModel{{Name: model}}}},
 			{Name: plainService, Connections: 100},
 		},
-		Limits: standin.PlatformLimits{HeaderBytes: 16384, BodyBytes: 1 << 20, HeaderTimeout: 3000, IdleTimeout: 15000},
+		Limits: standin.PlatformLimits{HeaderBytes: 16384, BodyBytes: 1 << 20, HeaderTimeout: 3000, IdleTimeout: millis(d.terms.idleTimeout)},
+	}
+	if d.engineProgram != "" {
+		c.Services = append(c.Services, standin.PlatformService{Name: otherPlainService, Connections: 100})
+	}
+	if d.terms.extra {
+		c.Routes = append(c.Routes, route("extra", plainHost, "idempotent", plainService))
 	}
 	for name, key := range d.keys {
 		c.Accounts = append(c.Accounts, standin.PlatformAccount{Name: name, Keys: []string{key}, Isolated: name == "grocer"})
@@ -425,15 +456,20 @@
 	for _, e := range d.all() {
 		e.Close()
 	}
+	d.killProcesses()
 	d.store.Close()
 }
 
-// saveOutput writes the hosts' output to a folder.
-func (d *deployment) saveOutput(dir string) error {
+// saveOutput writes the hosts' output to a folder and, if engines are processes, the
+// calls and what the processes did.
+func (d *deployment) saveOutput(dir string, calls []*call) error {
 	for _, h := range d.hosts {
 		if err := os.WriteFile(filepath.Join(dir, h.name+".log"), []byte(h.output.String()), 0o600); err != nil {
 			return trace.Wrap(err, "saving the output of %s", h.name)
 		}
 	}
-	return nil
+	if len(d.processes) == 0 {
+		return nil
+	}
+	return trace.Wrap(os.WriteFile(filepath.Join(dir, "calls.log"), []byte(d.describeCalls(calls)), 0o600), "saving the calls")
 }
--- /dev/null
+++ b/soak/engine_process.go
@@ -0,0 +1,184 @@
+package soak
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/kumquathoist/kumquathoist/standin"
+)
+
+// logTime is the form of times in descriptions.
+const logTime = "15:04:05.000"
+
+// EngineArgument is the argument with which Options.EngineProgram runs as one engine.
+const EngineArgument = "platform-engine"
+
+// engineProcess is a place at which one engine's process runs after another.
+type engineProcess struct {
+	service, model string
+	// mu guards the fields below.
+	mu      sync.Mutex
+	current *standin.PlatformProcess
+	// ended holds the processes that ran here before.
+	ended []*standin.PlatformProcess
+	// silences is the number of silences that the current process is in.
+	silences int
+}
+
+// silence stops the process until the returned function is called, and every other one
+// that was returned meanwhile.
+func (e *engineProcess) silence() (end func()) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	p := e.current
+	e.silences++
+	p.Pause()
+	return func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		if e.current != p {
+			return
+		}
+		if e.silences--; e.silences == 0 {
+			p.Resume()
+		}
+	}
+}
+
+// use makes a new process the current one.
+func (e *engineProcess) use(p *standin.PlatformProcess) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.current != nil {
+		e.ended = append(e.ended, e.current)
+	}
+	e.current, e.silences = p, 0
+}
+
+// all returns the processes that ran here.
+func (e *engineProcess) all() []*standin.PlatformProcess {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append(slices.Clone(e.ended), e.current)
+}
+
+// startProcesses starts engines and plain services as processes.
+func (d *deployment) startProcesses(o Options) error {
+	for i := range o.Engines + o.Services {
+		e := &engineProcess{service: modelService, model: model}
+		if i >= o.Engines {
+			e.service, e.model = []string{plainService, otherPlainService}[(i-o.Engines)%2], ""
+		}
+		if err := d.startProcess(e); err != nil {
+			return err
+		}
+		d.processes = append(d.processes, e)
+	}
+	return nil
+}
+
+// killProcesses ends the engines that are processes.
+func (d *deployment) killProcesses() {
+	for _, e := range d.processes {
+		e.current.Kill()
+	}
+}
+
+// startProcess starts a process at a place and writes its entry to the store.
+func (d *deployment) startProcess(e *engineProcess) error {
+	d.mu.Lock()
+	d.startCount++
+	o := standin.PlatformProcessOptions{ID: fmt.Sprintf("%s-%d", e.service, d.startCount), Service: e.service, Zone: domains[d.startCount%len(domains)], Model: e.model, Software: "v0", Prefill: d.tempo.prefill, Interval: d.tempo.interval}
+	d.mu.Unlock()
+	if e.current != nil && d.crasher.reusesNames {
+		o.ID = e.current.Options.ID
+	}
+	p, err := standin.StartPlatformProcess(o, d.engineProgram, EngineArgument)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	e.use(p)
+	d.store.Put(standin.PlatformUpstreams, o.ID, p.Entry())
+	return nil
+}
+
+// replaceProcess kills an engine's process and starts another. With leaves, the store
+// first shows the old one as leaving.
+func (d *deployment) replaceProcess(e *engineProcess, leaves bool) error {
+	old := e.current
+	if leaves {
+		entry := old.Entry()
+		entry["state"] = "draining"
+		d.store.Put(standin.PlatformUpstreams, old.Options.ID, entry)
+		d.pause(leavingPeriod)
+	}
+	old.Kill()
+	d.pause(entryRemovalDelay)
+	d.store.Put(standin.PlatformUpstreams, old.Options.ID, nil)
+	return d.startProcess(e)
+}
+
+// allWork returns what the processes did, by request and in the order of the beginning.
+func (d *deployment) allWork() map[string][]engineWork {
+	work := map[string][]engineWork{}
+	for _, e := range d.processes {
+		for _, p := range e.all() {
+			for _, r := range p.Runs() {
+				work[r.Request] = append(work[r.Request], engineWork{engine: p.Options.ID, run: r, periods: p.Work(r), killed: p.Killed()})
+			}
+		}
+	}
+	for _, w := range work {
+		slices.SortFunc(w, func(a, b engineWork) int { return a.run.Began.Compare(b.run.Began) })
+	}
+	return work
+}
+
+// describeCalls describes the configurations, the calls and what the processes did.
+func (d *deployment) describeCalls(calls []*call) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%+v\n", d.tempo)
+	for _, c := range d.changes {
+		fmt.Fprintf(&b, "%s %+v\n", c.at.Format(logTime), c.terms)
+	}
+	work := d.allWork()
+	for _, c := range calls {
+		fmt.Fprintf(&b, "%s-%s %s at %s: %s, engines %v\n", c.sent.Format(logTime), c.ended.Format(logTime), c.id, c.host.name, c.outcome(), work[c.id])
+	}
+	return b.String()
+}
+
+// outcome describes how a call ended.
+func (c *call) outcome() string {
+	return fmt.Sprintf("%s status %d whole %t gave up %t bytes %d", c.kind, c.answer.Status, c.answer.Whole, c.gaveUp, len(c.answer.Body))
+}
+
+// engineWork is what one engine's process did for a request.
+type engineWork struct {
+	engine string
+	run    standin.PlatformRun
+	// periods are the times in which the process worked on it and was not stopped.
+	periods []standin.PlatformPeriod
+	// killed is when the process was killed, or zero.
+	killed time.Time
+}
+
+// String describes the work.
+func (w engineWork) String() string {
+	s := w.engine
+	if w.run.Moved {
+		s += " (moved)"
+	}
+	for _, p := range w.periods {
+		s += " " + p.From.Format(logTime) + "-" + p.Until.Format(logTime)
+	}
+	if !w.killed.IsZero() {
+		s += " killed " + w.killed.Format(logTime)
+	}
+	return s
+}
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -126,11 +126,20 @@
 // Plan returns the faults of a run in the order of their start. Each series has
 // one kind, and series overlap.
 func Plan(seed uint64, span time.Duration) []Fault {
-	random := rand.New(rand.NewPCG(seed, 1))
 	begin, end := time.Duration(leadShare*float64(span)), time.Duration((1-recoveryShare)*float64(span))
+	faults := planSeries(rand.New(rand.NewPCG(seed, 1)), seriesKinds, begin, end)
+	faults = append(faults, planSingles(seed, 5, statusKinds, statusInterval, begin, end)...)
+	faults = append(faults, planSingles(seed, 6, peerLinkKinds, peerLinkInterval, begin, end)...)
+	faults = append(faults, planSingles(seed, 7, loadReportKinds, loadReportInterval, begin, end)...)
+	slices.SortStableFunc(faults, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
+	return faults
+}
+
+// planSeries draws series of faults of some kinds.
+func planSeries(random *rand.Rand, kinds []Kind, begin, end time.Duration) []Fault {
 	var faults []Fault
 	for at := begin; at < end; at += time.Duration(random.Int64N(int64(2 * seriesInterval))) {
-		kind := seriesKinds[random.IntN(len(seriesKinds))]
+		kind := kinds[random.IntN(len(kinds))]
 		start := at
 		for range 1 + random.IntN(maxSeriesLength) {
 			if start >= end {
@@ -141,9 +150,5 @@
 			start += time.Duration(random.Int64N(int64(maxSeriesGap)))
 		}
 	}
-	faults = append(faults, planSingles(seed, 5, statusKinds, statusInterval, begin, end)...)
-	faults = append(faults, planSingles(seed, 6, peerLinkKinds, peerLinkInterval, begin, end)...)
-	faults = append(faults, planSingles(seed, 7, loadReportKinds, loadReportInterval, begin, end)...)
-	slices.SortStableFunc(faults, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return faults
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -8,7 +8,6 @@
 package soak
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"net"
@@ -50,6 +49,10 @@
 	Span time.Duration
 	// Hosts, Engines, Services and Callers are the numbers of each.
 	Hosts, Engines, Services, Callers int
+	// EngineProgram is the path of a program that serves one engine when it is run with
+	// EngineArgument, or "". With it, engines and plain services are processes of their
+	// own, and the faults are those of PlanSilences.
+	EngineProgram string
 	// OutputDir is a folder for the hosts' output of a run with violations, or
 	// "".
 	OutputDir string
@@ -89,11 +92,13 @@
 	if !ready {
 		return Report{}, trace.ConnectionProblem(nil, "%s", d.describeUnready())
 	}
-	plan, calls := append(Plan(o.Seed, o.Span), planReplacements(o)...), &recorder{}
+	plan, calls := append(planFaults(o), planReplacements(o)...), &recorder{}
 	report := Report{Faults: len(plan)}
 	calling, stopCalling := context.WithTimeout(ctx, o.Span)
 	var callers, faults conc.WaitGroup
-	callers.Go(func() { d.sendCrasher(calling, o.Seed) })
+	if o.EngineProgram == "" {
+		callers.Go(func() { d.sendCrasher(calling, o.Seed) })
+	}
 	for i := range o.Callers {
 		callers.Go(func() { d.runCaller(calling, i, o.Seed, calls) })
 	}
@@ -110,6 +115,7 @@
 	all := calls.all()
 	report.Violations = append(report.Violations, d.check(all, fi.stops)...)
 	report.Violations = append(report.Violations, fi.checkStatus(all)...)
+	report.Violations = append(report.Violations, fi.checkProcesses(all)...)
 	report.Calls, report.Stops = len(all), len(fi.stops)
 	for _, c := range all {
 		if c.answer.Status == http.StatusOK && c.answer.Whole {
@@ -117,13 +123,21 @@
 		}
 	}
 	if len(report.Violations) > 0 && o.OutputDir != "" {
-		if err := d.saveOutput(o.OutputDir); err != nil {
+		if err := d.saveOutput(o.OutputDir, all); err != nil {
 			return report, err
 		}
 	}
 	return report, nil
 }
 
+// planFaults returns the faults of a run.
+func planFaults(o Options) []Fault {
+	if o.EngineProgram != "" {
+		return PlanSilences(o.Seed, o.Span)
+	}
+	return Plan(o.Seed, o.Span)
+}
+
 // faultInjector carries out faults.
 type faultInjector struct {
 	*deployment
@@ -220,6 +234,8 @@
 		fi.setNextWeights()
 	case FailOrderer:
 		fi.failOrderer(f)
+	default:
+		fi.injectProcessFault(f)
 	}
 }
 
@@ -386,14 +402,13 @@
 		{"all hosts are ready", d.unreadyHost},
 		{"all engines have the newest weights", d.outdatedEngine},
 		{"every host serves every kind of request", func() string {
-			for _, h := range d.hosts {
-				for _, kind := range []string{"full", "flag", "post", "read"} {
-					if c := d.sendRecoveryCall(calls, h, kind, credential{"mill", d.key("mill")}); c.answer.Status != http.StatusOK {
-						return fmt.Sprintf("%s answered %s with %+v", h.name, c.id, c.answer)
-					}
-				}
+			var wait conc.WaitGroup
+			missing := make([]string, len(d.hosts))
+			for i, h := range d.hosts {
+				wait.Go(func() { missing[i] = d.unservedKind(calls, h) })
 			}
-			return ""
+			wait.Wait()
+			return strings.Join(missing, "")
 		}},
 		{"every host rejects revoked keys", func() string {
 			for _, h := range d.hosts {
@@ -428,6 +443,16 @@
 	return ""
 }
 
+// unservedKind describes a kind of request that a host does not serve, or returns "".
+func (d *deployment) unservedKind(calls *recorder, h *host) string {
+	for _, kind := range []string{"full", "flag", "post", "read"} {
+		if c := d.sendRecoveryCall(calls, h, kind, credential{"mill", d.key("mill")}); c.answer.Status != http.StatusOK {
+			return fmt.Sprintf("%s answered %s with %+v", h.name, c.id, c.answer)
+		}
+	}
+	return ""
+}
+
 // sendRecoveryCall sends one request to a host on a new connection.
 func (d *deployment) sendRecoveryCall(calls *recorder, h *host, kind string, by credential) *call {
 	c := &call{id: by.account + "-calm-" + h.name + "-" + kind + time.Now().Format("150405.000000000"), kind: kind, account: by.account, host: h}
@@ -436,7 +461,7 @@
 		return c
 	}
 	defer func() { _ = raw.Close() }()
-	d.sendWithKey(&connection{Conn: raw, in: bufio.NewReader(raw)}, c, by.key)
+	d.sendWithKey(newConnection(raw), c, by.key)
 	calls.add(c)
 	return c
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -1,24 +1,39 @@
 package soak_test
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"fmt"
+	"net"
+	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/kumquathoist/kumquathoist/soak"
+	"github.com/kumquathoist/kumquathoist/standin"
 )
 
 // program is the daemon's program, built with the race detector.
 var program string
 
+// TestMain makes the test's program stand in for one engine, too.
 func TestMain(m *testing.M) {
+	if len(os.Args) == 2 && os.Args[1] == soak.EngineArgument {
+		ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
+		defer stop()
+		if err := standin.ServePlatformProcess(ctx, os.Stdin, os.Stdout); err != nil {
+			panic(err)
+		}
+		return
+	}
 	dir, err := os.MkdirTemp("", "soak")
 	if err != nil {
 		panic(err)
@@ -50,6 +65,76 @@
 	is.Equal(len(kinds), 24) // each kind is drawn
 }
 
+// TestPlanSilences checks the same of the faults of engines that are processes.
+func TestPlanSilences(t *testing.T) {
+	is := is.New(t)
+	const span = 20 * time.Second
+	kinds := map[soak.Kind]bool{}
+	for seed := range uint64(100) {
+		plan := soak.PlanSilences(seed, span)
+		is.Equal(plan, soak.PlanSilences(seed, span))
+		for i, f := range plan {
+			is.True(f.At >= span/10 && f.At <= span*3/4+time.Second)
+			is.True(i == 0 || f.At >= plan[i-1].At)
+			is.True(f.Kind != soak.SilenceEngines || f.For >= 300*time.Millisecond && f.For <= 3*time.Second)
+			kinds[f.Kind] = true
+		}
+	}
+	is.Equal(len(kinds), 7) // each kind is drawn
+}
+
+// TestProcessWork checks which work a stopped and killed engine reports.
+func TestProcessWork(t *testing.T) {
+	is := is.New(t)
+	const prefill, silence = 400 * time.Millisecond, 700 * time.Millisecond
+	e, err := standin.StartPlatformProcess(standin.PlatformProcessOptions{ID: "e", Service: "desk", Zone: "north", Prefill: prefill}, os.Args[0], soak.EngineArgument)
+	is.NoErr(err)
+	defer e.Kill()
+	send := func() *net.TCPConn {
+		conn, err := net.Dial("tcp4", e.Address)
+		is.NoErr(err)
+		is.NoErr(standin.PlatformRequest{ID: "x", Method: http.MethodGet, Host: "h", Path: "/", Deadline: time.Minute}.Write(conn))
+		return conn.(*net.TCPConn)
+	}
+	awaitRuns := func(n int) standin.PlatformRun {
+		for len(e.Runs()) < n {
+			time.Sleep(time.Millisecond)
+		}
+		return e.Runs()[n-1]
+	}
+	conn := send()
+	defer func() { _ = conn.Close() }()
+	awaitRuns(1)
+	e.Pause()
+	time.Sleep(silence)
+	e.Resume()
+	answer, err := standin.ReadPlatformAnswer(bufio.NewReader(conn))
+	is.NoErr(err)
+	is.Equal(answer.Status, http.StatusOK)
+	for e.Runs()[0].Ended.IsZero() {
+		time.Sleep(time.Millisecond)
+	}
+	run := e.Runs()[0]
+	periods := e.Work(run)
+	is.Equal(len(periods), 2) // before and after the silence
+	is.True(periods[1].From.Sub(periods[0].Until) >= silence)
+	is.Equal(periods[1].Until, run.Ended)
+	is.Equal(e.WorkAfter(run, periods[1].From), run.Ended.Sub(periods[1].From))
+	other := send()
+	defer func() { _ = other.Close() }()
+	second := awaitRuns(2)
+	e.Pause()
+	e.Kill()
+	periods = e.Work(second)
+	is.Equal(len(periods), 1) // it did not work after it was stopped
+	is.True(periods[0].Until.Before(e.Killed()))
+}
+
+// TestSilentEngines runs a short soak whose engines are processes that fall silent.
+func TestSilentEngines(t *testing.T) {
+	runSeed(t, soak.Options{Seed: 11, Span: 8 * time.Second, Hosts: 3, Engines: 6, Services: 4, Callers: 40, EngineProgram: os.Args[0]})
+}
+
 // TestSeeds runs short soaks of a few hosts, and seeds that once found faults.
 func TestSeeds(t *testing.T) {
 	for _, o := range []soak.Options{
@@ -71,20 +156,24 @@
 		// it again.
 		{Seed: 2009, Span: 14 * time.Second, Hosts: 3, Engines: 6, Services: 2, Callers: 24},
 	} {
-		t.Run(fmt.Sprint(o.Seed), func(t *testing.T) {
-			is := is.New(t)
-			o.Program, o.OutputDir = program, t.TempDir()
-			report, err := soak.Run(context.Background(), o)
-			is.NoErr(err)
-			for _, violation := range report.Violations {
-				t.Error(violation)
-			}
-			if t.Failed() {
-				logTails(t, o.OutputDir)
-			}
-			is.True(report.Answered > 0)
-		})
+		t.Run(fmt.Sprint(o.Seed), func(t *testing.T) { runSeed(t, o) })
+	}
+}
+
+// runSeed runs a soak that must show no violations.
+func runSeed(t *testing.T, o soak.Options) {
+	t.Helper()
+	is := is.New(t)
+	o.Program, o.OutputDir = program, t.TempDir()
+	report, err := soak.Run(context.Background(), o)
+	is.NoErr(err)
+	for _, violation := range report.Violations {
+		t.Error(violation)
+	}
+	if t.Failed() {
+		logTails(t, o.OutputDir)
 	}
+	is.True(report.Answered > 0)
 }
 
 // logTails logs the last bytes of each host's output.
--- a/soak/takeup.go
+++ b/soak/takeup.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -40,7 +39,7 @@
 		c = &call{id: fmt.Sprintf("%s-up%d", began, n), kind: c.kind, account: c.account, host: h, began: began, lastEvent: c.wholeEvents()}
 		raw, err := net.DialTimeout("tcp4", h.callerProxy.address(), time.Second)
 		if err == nil {
-			d.sendRequest(&connection{Conn: raw, in: bufio.NewReader(raw)}, c)
+			d.sendRequest(newConnection(raw), c)
 			_ = raw.Close()
 			r.add(c)
 		}
--- /dev/null
+++ b/soak/tempo.go
@@ -0,0 +1,97 @@
+package soak
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// tempo is how fast engines make events and how long callers wait for them.
+type tempo struct {
+	// prefill is the time to the first event or a plain answer, interval that between
+	// two events.
+	prefill, interval time.Duration
+	// objective and gap are those of the routes.
+	objective, gap time.Duration
+	// deadline is the callers' time limit of a request. patience is how long they wait
+	// for an event of a stream; 0 means until the deadline.
+	deadline, patience time.Duration
+}
+
+// usualTempo is that of engines in the soak's own process.
+var usualTempo = tempo{interval: eventPause, objective: time.Second, gap: 300 * time.Millisecond, deadline: callDeadline}
+
+const (
+	// processDeadline is the time limit of a request to engines that are processes.
+	processDeadline = 10 * time.Second
+	// minEventInterval, maxEventInterval and maxPrefill bound the tempo of such engines.
+	minEventInterval = 30 * time.Millisecond
+	maxEventInterval = 900 * time.Millisecond
+	maxPrefill       = 900 * time.Millisecond
+	// Callers leave a stream after the longest of minPatience, objectivePatience times
+	// its objective and gapPatience times its gap without an event (the users' protocol).
+	minPatience       = 2 * time.Second
+	objectivePatience = 4
+	gapPatience       = 8
+)
+
+// objectives and gaps are those of the routes, by seed.
+var (
+	objectives = []time.Duration{300 * time.Millisecond, 500 * time.Millisecond, 500 * time.Millisecond, time.Second, 1500 * time.Millisecond}
+	gaps       = []time.Duration{50 * time.Millisecond, 150 * time.Millisecond, 250 * time.Millisecond, 500 * time.Millisecond, 900 * time.Millisecond}
+)
+
+// newTempo draws the tempo of engines that are processes.
+func newTempo(seed uint64) tempo {
+	random := rand.New(rand.NewPCG(seed, 8))
+	t := tempo{
+		prefill: time.Duration(random.Int64N(int64(maxPrefill))), interval: minEventInterval + time.Duration(random.Int64N(int64(maxEventInterval-minEventInterval))),
+		objective: objectives[random.IntN(len(objectives))], gap: gaps[random.IntN(len(gaps))], deadline: processDeadline,
+	}
+	t.patience = max(minPatience, objectivePatience*t.objective, gapPatience*t.gap)
+	return t
+}
+
+// terms are the parts of the configuration that change while engines fall silent.
+type terms struct {
+	// timeout is that of all routes, idleTimeout that of callers' connections.
+	timeout, idleTimeout time.Duration
+	// plainService serves the plain routes.
+	plainService string
+	// extra means that there is one more route.
+	extra bool
+}
+
+// usualTerms are those of the first configuration.
+var usualTerms = terms{timeout: 6 * time.Second, idleTimeout: 15 * time.Second, plainService: plainService}
+
+// termsChange is the writing of a configuration.
+type termsChange struct {
+	at    time.Time
+	terms terms
+}
+
+// configApplyTime is how long hosts may take to apply a configuration.
+const configApplyTime = 3 * time.Second
+
+// shortestTimeout returns the shortest timeout of a route that may have been in force
+// at some time between two instants.
+func shortestTimeout(changes []termsChange, from, until time.Time) time.Duration {
+	shortest := processDeadline
+	for i, c := range changes {
+		replaced := i+1 < len(changes) && changes[i+1].at.Add(configApplyTime).Before(from)
+		if !replaced && !c.at.After(until) {
+			shortest = min(shortest, c.terms.timeout)
+		}
+	}
+	return shortest
+}
+
+// drawTerms draws the terms of the next configuration.
+func drawTerms(random *rand.Rand) terms {
+	return terms{
+		timeout:      time.Duration(4+random.IntN(7)) * time.Second,
+		idleTimeout:  time.Duration(1000+random.IntN(4000)) * time.Millisecond,
+		plainService: []string{plainService, otherPlainService}[random.IntN(2)],
+		extra:        random.IntN(2) == 0,
+	}
+}
