test: a silent engine moves a stream whose second attempt hangs

The engine wakes, the host ends the second attempt, and the engine carries the move out: the stream goes on with the memory, whole, within the caller's 2 s.

--- a/storenode/late_moves_test.go
+++ b/storenode/late_moves_test.go
@@ -35,15 +35,16 @@
 		// moved is when the stream is to move and wakes when the engine wakes, both
 		// after it fell silent.
 		moved, wakes time.Duration
-		// full makes the other engine reject the first request.
-		full bool
+		// fault is the fault of the other engine's first request.
+		fault standin.PlatformFault
 		// continued is how often the stream goes on with its memory, ran how often it
 		// is read in again.
 		continued, ran int
 	}{
-		{"stream that may not be resumed", "/flag/a", 0, 1600 * time.Millisecond, false, 1, 0},
-		{"stream resumed elsewhere meanwhile", "/full/a", 700 * time.Millisecond, 2500 * time.Millisecond, false, 0, 1},
-		{"stream that stays since the other engine is full", "/full/a", 200 * time.Millisecond, 1800 * time.Millisecond, true, 1, 0},
+		{"stream that may not be resumed", "/flag/a", 0, 1600 * time.Millisecond, standin.NoFault, 1, 0},
+		{"stream resumed elsewhere meanwhile", "/full/a", 700 * time.Millisecond, 2500 * time.Millisecond, standin.NoFault, 0, 1},
+		{"stream that stays since the other engine is full", "/full/a", 200 * time.Millisecond, 1800 * time.Millisecond, standin.FullFault, 1, 0},
+		{"stream whose second attempt hangs", "/full/a", 200 * time.Millisecond, 1700 * time.Millisecond, standin.SilentFault, 1, 1},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
@@ -60,9 +61,7 @@
 			}()
 			source, _ := d.engineOf(nil)
 			target := d.target()
-			if c.full {
-				target.Fail(standin.FullFault, 1)
-			}
+			target.Fail(c.fault, 1)
 			target.Pace(interval)
 			time.Sleep(interval / 2) // between two events
 			source.Pause()
