--- a/storenode/takeover_test.go
+++ b/storenode/takeover_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -36,8 +37,11 @@
 			d.configure(func(c map[string]any) {
 				full := c["routes"].([]any)[0].(map[string]any)
 				full["target_latency_ms"], full["timeout_ms"], full["max_attempts"] = 500, 20000, 3
+				c["routes"] = append(c["routes"].([]any), route("new", serviceHost, "/new/", "idempotent", "desk", nil))
+			})
+			d.await("the host has the configuration", func() bool {
+				return d.do(d.hosts[0], http.MethodGet, serviceHost, "/new/a", "new", nil, "").status == http.StatusOK
 			})
-			time.Sleep(time.Second) // a host applies a configuration sooner
 			caller := d.client(d.hosts[0])
 			done := make(chan answer, 1)
 			go func() {
@@ -63,54 +67,48 @@
 	}
 }
 
-// TestErrorByWayOfAnotherHostStaysOutOfIdleStream has a host that can open no connections
-// to engines pass an idle stream on to another host, whose engines answer with an error.
-// No more engines run it than its route allows, and since the engine before still works,
-// the rest of the stream comes from there.
-func TestErrorByWayOfAnotherHostStaysOutOfIdleStream(t *testing.T) {
-	const maxAttempts = 2
-	is := is.NewRelaxed(t)
-	d := newDeployment(t, 0, 3, 0)
-	d.configure(func(c map[string]any) {
-		full := c["routes"].([]any)[0].(map[string]any)
-		full["target_latency_ms"], full["timeout_ms"], full["max_attempts"] = 500, 20000, maxAttempts
-	})
-	dialer := &cutDialer{}
-	d.dialers = map[int]*cutDialer{0: dialer}
-	for i := range 2 {
-		d.host(i)
-	}
-	dialer.relayPort = d.relayPort
-	for _, h := range d.hosts {
-		d.awaitReady(h)
-	}
-	d.await("the host knows that the other is ready", func() bool { return len(d.addresses(d.hosts[0])) == 2 })
-	for _, e := range d.engines {
-		e.Pace(1500 * time.Millisecond)
+// TestStreamsStayWhereTheyMayNotBeSentAgain silences all engines but one before the first
+// events of many streams, for longer than hosts wait for one. More streams are silent than
+// may be sent again. Those that may not be have only their engine, which wakes in time.
+func TestStreamsStayWhereTheyMayNotBeSentAgain(t *testing.T) {
+	is := is.New(t)
+	const prefill, interval, count, streams = 600 * time.Millisecond, 200 * time.Millisecond, 3, 80
+	d := newSilentEngines(t, 3, count, prefill, interval)
+	answers := make(chan answer, streams)
+	for i := range streams {
+		c := d.client(d.hosts[0])
+		go func() {
+			c.write(http.MethodPost, modelHost, "/full/a", fmt.Sprint(silentRequest, i), silentPrompt, "body")
+			answers <- c.read()
+		}()
 	}
-	c := d.client(d.hosts[0])
-	c.write(http.MethodPost, modelHost, "/full/a", silentRequest, silentPrompt, "body")
-	d.await("the stream runs", func() bool { return d.executions(silentRequest) == 1 })
-	time.Sleep(100 * time.Millisecond) // its first event
+	d.await("all streams run", func() bool {
+		runs := 0
+		for _, e := range d.engines {
+			runs += len(e.Runs())
+		}
+		return runs == streams
+	})
+	awake := slices.MinFunc(d.engines, func(a, b *standin.PlatformProcess) int { return len(a.Runs()) - len(b.Runs()) })
 	for _, e := range d.engines {
-		if e.Ran()[silentRequest] > 0 {
-			e.RejectWithRetryAfter("1", awaitTimeout)
+		if e != awake {
+			e.Pause()
 		}
-		e.AnswerResumed("HTTP/1.1 500 Internal Server Error\r\nX-Attempt-Id: ID\r\nX-Response-Stamp: s\r\nContent-Length: 5\r\n\r\nerror")
 	}
-	dialer.set(refuseCut)
-	other := d.client(d.hosts[0]) // its request finds that engines accept no connections
-	other.write(http.MethodPost, modelHost, "/full/a", "other", silentPrompt, "body")
-	a := c.read()
-	is.Equal(a.status, http.StatusOK)
-	is.Equal(a.body, completeStream())
-	is.True(!a.truncated)
-	ran := 0
+	time.Sleep(1400 * time.Millisecond)
 	for _, e := range d.engines {
-		ran += min(e.Ran()[silentRequest], 1)
+		e.Resume()
+	}
+	statuses := map[int]int{}
+	for range streams {
+		a := <-answers
+		statuses[a.status]++
+		if a.status == http.StatusOK {
+			is.Equal(a.body, wholeStream(count))
+			is.True(!a.truncated)
+		}
 	}
-	is.True(ran > 1) // the stream was passed on
-	is.True(ran <= maxAttempts)
+	is.Equal(statuses, map[int]int{http.StatusOK: streams}) // silence ends no request
 }
 
 // fullDoor is the address of an engine that can have all the connections that it accepts.
