fix: a reset is seen although the end of an idle answer was awaited

An answer without a length that its engine reset while the host waited for data counted as complete.

Cause: the socket tells a reset once; the wait took it, and the next read saw an end.

--- a/http1/http1.go
+++ b/http1/http1.go
@@ -11,6 +11,7 @@
 	"context"
 	"errors"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -134,8 +135,10 @@
 	buffer  *bufio.Reader
 	// isNew is set until the connection has been idle.
 	isNew bool
-	// received counts the bytes read from the network.
+	// received counts the bytes read from the network, failed is the error that ended
+	// the connection.
 	received int64
+	failed   error
 	// maxIdle is how long the connection may be idle, idleSince when it became
 	// idle.
 	maxIdle   time.Duration
@@ -149,8 +152,14 @@
 
 // Read reads from the network.
 func (c *conn) Read(b []byte) (int, error) {
+	if c.failed != nil {
+		return 0, c.failed
+	}
 	n, err := c.Conn.Read(b)
 	c.received += int64(n)
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.failed = err // the socket tells a reset only once
+	}
 	return n, err
 }
 
--- a/http1/reset_test.go
+++ b/http1/reset_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"testing"
@@ -52,7 +53,7 @@
 			is.NoErr(err)
 			c.await(e)
 			_, err = e.Read(b)
-			is.True(err != nil && err != io.EOF) // a reset doesn't end the answer
+			is.True(err != nil && !errors.Is(err, io.EOF)) // a reset doesn't end the answer
 			is.True(!e.Complete())
 		})
 	}
