fix: an attempt that may not be repeated goes on beyond its time

Callers: 504 although their engine was sound and only silent: with many streams silent at once before their first event, all were ended after six tenths of their callers' patience, and the retry budget let only some be sent again.

Fix: the next attempt is counted against the budget first; without one, the attempt goes on.

--- a/forward/handler.go
+++ b/forward/handler.go
@@ -58,6 +58,8 @@
 	// deadline is the earlier of the caller's and the route's deadline.
 	deadline   clock.Instant
 	retryState retry.State
+	// reserved is set while a retry is counted against the budget and not made yet.
+	reserved atomic.Bool
 	// tried holds the ids of the upstreams that were tried.
 	tried map[string]bool
 	// upstreamError is an upstream's own error, returned if no later attempt
@@ -158,13 +160,22 @@
 	if h.isQuarantined() {
 		return false
 	}
-	if outcome == retry.NotSent && h.delivered == 0 || h.tryRetry(h.service.Name, h.stage) {
+	if h.reserved.Swap(false) || outcome == retry.NotSent && h.delivered == 0 || h.tryRetry(h.service.Name, h.stage) {
 		return true
 	}
 	h.Metrics.Counter("repeats_refused").Inc(1)
 	return false
 }
 
+// reserveRetry counts the next attempt against the retry budget ahead of time, if the
+// budget allows one.
+func (h *handler) reserveRetry() bool {
+	if !h.reserved.Load() {
+		h.reserved.Store(h.tryRetry(h.service.Name, h.stage))
+	}
+	return h.reserved.Load()
+}
+
 // isQuarantined reports whether the request has been quarantined since it was
 // admitted, and sets the refusal if so.
 func (h *handler) isQuarantined() bool {
@@ -286,7 +297,7 @@
 }
 
 // limitAttempt ends an attempt that has no answer, or no first event, at the end of its
-// time. It returns a function that ends the limit.
+// time, unless the request could not be sent again then. It returns a function that ends the limit.
 func (h *handler) limitAttempt(a *attempt) (stop func()) {
 	var mu sync.Mutex // guards stopped and timer
 	var stopped bool
@@ -300,7 +311,7 @@
 		defer mu.Unlock()
 		switch {
 		case stopped:
-		case waits:
+		case waits, h.timeLeft() > minTimeLeft && !h.reserveRetry():
 			timer.Reset(searchInterval)
 		default:
 			a.abandoned.Store(true)
