fix: late checks and hosts that are cut off keep no stream from its engine

A host that reached no engine kept a request to its deadline instead of passing it on (504). A status report that took 150 ms ended the attempt that would have served the stream. A check ended after 10 s although somebody still waited for it. A slow engine lost its stream to one that had fallen silent. Streams without a budget at that moment never searched again.

Cause: silence was judged by one time limit, whoever it concerned.

Fix: an isolated host passes requests on; an answer within 300 ms is late, not a sign that a silent engine woke; checks last 30 s from the last time that somebody asked; a slow engine loses its stream only to one that answers; what is ready is preferred to a time that is up.

--- a/forward/handler.go
+++ b/forward/handler.go
@@ -228,7 +228,9 @@
 
 	exchange *http1.Exchange
 	cancel   context.CancelFunc
-	started  clock.Instant
+	// release, if set, frees what else the attempt holds.
+	release context.CancelFunc
+	started clock.Instant
 	// incarnation identifies this run of the upstream's process, if known.
 	incarnation string
 	// abandoned is set when this host cancels the attempt, because of its
@@ -418,6 +420,9 @@
 // endAttempt releases the resources of an attempt.
 func (h *handler) endAttempt(a *attempt) {
 	a.cancel()
+	if a.release != nil {
+		a.release()
+	}
 	if a.relay {
 		return
 	}
--- a/forward/takeover.go
+++ b/forward/takeover.go
@@ -20,6 +20,9 @@
 	// maxBeside is how long an upstream that works, but sends no event, keeps a stream
 	// after it was sent to another one. A rejection by that one arrives sooner.
 	maxBeside = 200 * time.Millisecond
+	// minSilence is how long an upstream leaves a check unanswered if it was silent rather
+	// than late with its answer.
+	minSilence = 300 * time.Millisecond
 	// searchInterval is the time between two searches for an upstream that answers.
 	searchInterval = 300 * time.Millisecond
 	// maxSilentTargets bounds the silent upstreams that one search meets.
@@ -47,9 +50,10 @@
 type idleAttempt struct {
 	*attempt
 
-	// answered is closed once the upstream has answered a check, spoke once it has sent
-	// something or its connection has ended.
+	// answered is closed once the upstream has answered a check that began at checked,
+	// spoke once it has sent something or its connection has ended.
 	answered, spoke <-chan struct{}
+	checked         clock.Instant
 	stop            func()
 	// silent is set if the upstream left the check unanswered.
 	silent bool
@@ -65,8 +69,12 @@
 	if !s.searching {
 		s.recordFailure(idle, retry.Broken, cause)
 	}
+	if !s.mayReplace(idle) || !s.allowsRetry(s.service.Name, s.stage) {
+		s.returnTo(idle, false)
+		return nil
+	}
 	first := s.watchIdle(idle)
-	for s.mayReplace(first) {
+	for s.mayReplace(idle) {
 		t, ok := s.answeringTarget(first)
 		if !ok || first.hasSpoken() {
 			break
@@ -91,22 +99,23 @@
 	if first.ended {
 		return s.logFailure(cause)
 	}
-	s.returnTo(first)
+	s.returnTo(idle, first.hasSpoken())
 	return nil
 }
 
-// mayReplace reports whether another attempt may replace an idle one.
-func (s *stream) mayReplace(first *idleAttempt) bool {
+// mayReplace reports whether another attempt may replace an idle one, apart from the
+// retry budget.
+func (s *stream) mayReplace(idle *attempt) bool {
 	state := s.retryState
-	if !first.counted {
+	if !idle.counted {
 		state = state.With(retry.Broken)
 	}
-	return s.ctx.Err() == nil && s.timeLeft() > minTimeLeft && state.ShouldRetry() && s.allowsRetry(s.service.Name, s.stage)
+	return s.ctx.Err() == nil && s.timeLeft() > minTimeLeft && state.ShouldRetry()
 }
 
 // watchIdle begins to watch an idle attempt, and finds out whether its upstream is silent.
 func (s *stream) watchIdle(idle *attempt) *idleAttempt {
-	first := &idleAttempt{attempt: idle, answered: s.checkAlive(idle.target)}
+	first := &idleAttempt{attempt: idle, checked: clock.Now(), answered: s.checkAlive(idle.target)}
 	first.spoke, first.stop = idle.exchange.NotifyData()
 	first.silent = !s.awaitAnswer(first.answered, first)
 	return first
@@ -126,15 +135,7 @@
 // hasSpoken reports whether the upstream has sent something or its connection has ended,
 // unless the attempt has ended here.
 func (f *idleAttempt) hasSpoken() bool {
-	if f.ended {
-		return false
-	}
-	select {
-	case <-f.spoke:
-		return true
-	default:
-		return false
-	}
+	return !f.ended && isClosed(f.spoke)
 }
 
 // answeringTarget chooses an upstream that answers a check. It returns false if there is
@@ -142,8 +143,19 @@
 func (s *stream) answeringTarget(first *idleAttempt) (target, bool) {
 	s.needsAnswering = true
 	defer func() { s.needsAnswering = false }()
+	ctx, cancel := context.WithCancel(s.ctx)
+	defer cancel()
+	if !first.ended {
+		s.Background.Go(func() {
+			select {
+			case <-first.spoke:
+				cancel()
+			case <-ctx.Done():
+			}
+		})
+	}
 	for range maxSilentTargets {
-		t, ok := s.schedule(s.ctx)
+		t, ok := s.schedule(ctx)
 		if !ok {
 			return target{}, false
 		}
@@ -168,12 +180,20 @@
 	}
 	select {
 	case <-answered:
-		return true
 	case <-spoke:
 	case <-timer.C:
 	case <-s.ctx.Done():
 	}
-	return false
+	return isClosed(answered) // also if others were ready, as after this process stood still
+}
+
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
 }
 
 // sendBeside sends a stream to a second upstream while the first attempt is in progress,
@@ -181,42 +201,46 @@
 func (s *stream) sendBeside(first *idleAttempt, t target) (*call.Answer, retry.Outcome) {
 	ctx, cancel := context.WithCancel(s.ctx)
 	sent, finished := clock.Now(), make(chan struct{})
-	var watching conc.WaitGroup
+	var deciding conc.WaitGroup
 	if !first.ended {
-		watching.Go(func() { s.decide(first, sent, cancel, finished) })
+		deciding.Go(func() { s.decide(first, t, sent, cancel, finished) })
 	}
 	answer, outcome := s.sendTo(ctx, t, s.lastID)
 	close(finished)
-	watching.Wait()
-	switch {
-	case outcome != retry.Answered:
-		cancel()
-		if first.goesOn {
-			s.recordReplaced(t.id, first.id, sent, first.silent)
+	deciding.Wait()
+	if outcome == retry.Answered && !first.goesOn {
+		if second, ok := answer.Stream.(*stream); ok {
+			second.attempt.release = cancel
+		} else {
+			cancel() // switchTo refuses the answer
+		}
+		if !first.ended {
+			s.endFirst(first)
 		}
-	case first.goesOn:
-		second := answer.Stream.(*stream).attempt
-		second.exchange.Discard()
-		s.endAttempt(second)
-		cancel()
-		s.recordReplaced(t.id, first.id, sent, first.silent)
-		return nil, retry.Broken
-	default:
-		second := answer.Stream.(*stream).attempt
-		end := second.cancel
-		second.cancel = func() { end(); cancel() }
-		s.endFirst(first)
 		s.recordReplaced(first.id, t.id, sent, first.silent)
+		return answer, outcome
+	}
+	if outcome == retry.Answered {
+		outcome = retry.Broken
+		if second, ok := answer.Stream.(*stream); ok {
+			second.attempt.exchange.Discard()
+			s.endAttempt(second.attempt)
+		}
 	}
-	return answer, outcome
+	cancel()
+	if first.goesOn {
+		s.recordReplaced(t.id, first.id, sent, first.silent)
+	}
+	return nil, outcome
 }
 
 // decide ends the second attempt once the first upstream serves the stream again, or the
-// first one once it works, but has sent nothing for too long. It returns when the second
-// attempt has finished.
-func (s *stream) decide(first *idleAttempt, sent clock.Instant, endSecond func(), finished <-chan struct{}) {
-	answered, tooLong := first.answered, (<-chan time.Time)(nil)
-	for {
+// first one if it works, but has sent nothing for too long, while the second works. It
+// returns when the second attempt has finished.
+func (s *stream) decide(first *idleAttempt, t target, sent clock.Instant, endSecond func(), finished <-chan struct{}) {
+	var tooLong <-chan time.Time
+	var secondAnswers <-chan struct{}
+	for answered := first.answered; ; {
 		select {
 		case <-finished:
 			return
@@ -229,13 +253,15 @@
 			}
 			return
 		case <-answered:
-			if first.silent {
+			if first.silent && clock.Now().Sub(first.checked) >= minSilence {
 				first.goesOn = true
 				endSecond()
 				return
 			}
 			answered, tooLong = nil, time.After(maxBeside-clock.Now().Sub(sent))
 		case <-tooLong:
+			tooLong, secondAnswers = nil, s.checkAlive(t)
+		case <-secondAnswers:
 			s.endFirst(first)
 			return
 		}
@@ -244,27 +270,26 @@
 
 // endFirst ends the attempt at the first upstream.
 func (s *stream) endFirst(first *idleAttempt) {
-	if !first.ended {
-		first.ended = true
-		first.exchange.Discard()
-		s.endAttempt(first.attempt)
-	}
+	first.ended = true
+	first.exchange.Discard()
+	s.endAttempt(first.attempt)
 }
 
-// returnTo returns to an idle upstream, since no other could take over.
-func (s *stream) returnTo(first *idleAttempt) {
-	if !s.searching && !first.hasSpoken() {
-		event.StreamStalled.Info("Request", s.call.ID, "Upstream", first.id, "After", s.lastID, "Events", s.events)
+// returnTo returns to an idle upstream, since it has spoken or no other could take over.
+func (s *stream) returnTo(idle *attempt, hasSpoken bool) {
+	if !s.searching && !hasSpoken {
+		event.StreamStalled.Info("Request", s.call.ID, "Upstream", idle.id, "After", s.lastID, "Events", s.events)
 	}
-	s.setAttempt(first.attempt)
-	s.searching = s.mayReplace(first)
+	s.setAttempt(idle)
+	s.searching = s.mayReplace(idle)
 	s.waitsForever = !s.searching
 }
 
 // mayWait reports whether an attempt without a first event may go on past its time: its
-// engine and all others are silent, so that no other could serve the request sooner.
+// engine and all others are silent, so that no other could serve the request sooner. A
+// host that reaches no engine passes the request on instead.
 func (h *handler) mayWait(a *attempt, others func() []target) bool {
-	return h.service.Engine != nil && h.route.Kind == catalog.Stream && h.timeLeft() > minTimeLeft && !h.anyAnswers(a.target) && !h.anyAnswers(others()...)
+	return h.service.Engine != nil && h.route.Kind == catalog.Stream && h.timeLeft() > minTimeLeft && !h.Reachability.Isolated(h.service.Name) && !h.anyAnswers(a.target) && !h.anyAnswers(others()...)
 }
 
 // others returns a function that lists some upstreams that could run the request if its
--- a/liveness/liveness.go
+++ b/liveness/liveness.go
@@ -21,8 +21,8 @@
 	// callTimeout limits one call, retryDelay is the delay after a failed one.
 	callTimeout = 3 * time.Second
 	retryDelay  = 100 * time.Millisecond
-	// maxCheckTime limits a check.
-	maxCheckTime = 10 * time.Second
+	// maxCheckTime limits a check, from the last time that somebody asked for it.
+	maxCheckTime = 30 * time.Second
 )
 
 // prober asks an upstream for a sign of life, and waits for the answer.
@@ -37,18 +37,18 @@
 	prober prober
 	// mu guards checks, the checks that are not answered yet, by upstream.
 	mu     sync.Mutex
-	checks map[string]check
+	checks map[string]*check
 }
 
 // check is a check that is not answered yet.
 type check struct {
-	began    clock.Instant
-	answered chan struct{}
+	began, until clock.Instant
+	answered     chan struct{}
 }
 
 // NewMonitor returns a monitor whose checks end with the context.
 func NewMonitor(ctx context.Context, wait *conc.WaitGroup, p prober) *Monitor {
-	return &Monitor{ctx: ctx, wait: wait, prober: p, checks: map[string]check{}}
+	return &Monitor{ctx: ctx, wait: wait, prober: p, checks: map[string]*check{}}
 }
 
 // Check returns a channel that is closed once an upstream has answered a check after
@@ -56,38 +56,44 @@
 func (m *Monitor) Check(address, upstream string) <-chan struct{} {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if c, ok := m.checks[upstream]; ok {
+	now := clock.Now()
+	c, ok := m.checks[upstream]
+	if ok {
+		c.until = now.Add(maxCheckTime)
 		return c.answered
 	}
-	c := check{began: clock.Now(), answered: make(chan struct{})}
+	c = &check{began: now, until: now.Add(maxCheckTime), answered: make(chan struct{})}
 	m.checks[upstream] = c
 	m.wait.Go(func() { m.run(address, upstream, c) })
 	return c.answered
 }
 
 // run carries out a check.
-func (m *Monitor) run(address, upstream string, c check) {
-	ctx, cancel := context.WithTimeout(m.ctx, maxCheckTime)
-	defer cancel()
-	for ctx.Err() == nil {
-		call, cancelCall := context.WithTimeout(ctx, callTimeout)
-		err := m.prober.Probe(call, address, upstream)
-		cancelCall()
+func (m *Monitor) run(address, upstream string, c *check) {
+	for !m.ends(upstream, c) {
+		ctx, cancel := context.WithTimeout(m.ctx, callTimeout)
+		err := m.prober.Probe(ctx, address, upstream)
+		cancel()
 		if err == nil {
-			m.end(upstream)
+			m.mu.Lock()
+			delete(m.checks, upstream)
+			m.mu.Unlock()
 			close(c.answered)
 			return
 		}
-		clock.Pause(ctx, retryDelay)
+		clock.Pause(m.ctx, retryDelay)
 	}
-	m.end(upstream)
 }
 
-// end forgets a check.
-func (m *Monitor) end(upstream string) {
+// ends reports whether a check's time is up, and forgets it if so.
+func (m *Monitor) ends(upstream string, c *check) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.ctx.Err() == nil && clock.Now().Before(c.until) {
+		return false
+	}
 	delete(m.checks, upstream)
+	return true
 }
 
 // Silent returns the upstreams that have left a check unanswered for AnswerTime; nil if
