fix: weights that are named while a host stands still count from before that

Cause: a host dates weights by when it last knew all records. After a failed read of the store it dates them by their arrival instead, since then the store is taken to be away for all hosts. A host that has stood still often fails to read at once (the one in progress ran out of time, or a new one meets a silent connection), and then dates what was named during the pause by its end. Change: a failed read does not say that the store is away while the last complete state is from before a pause of the process. What follows: after a pause in which the store went away for all, this host may take weights for older than they are, and stops using them early.

--- a/replica/syncer.go
+++ b/replica/syncer.go
@@ -134,6 +134,8 @@
 	// of the process; storeFailed means that a read of that topic has failed since.
 	completeAt  atomic.Int64
 	storeFailed atomic.Bool
+	// resumedAt is when a pause of the process was last noticed.
+	resumedAt atomic.Int64
 	// relist holds the topics that are to be listed anew.
 	relist [topicCount]atomic.Bool
 	// deferUntil is until when removals are deferred.
@@ -258,10 +260,12 @@
 
 // sinceComplete returns how long records may have been in the store without
 // this host knowing. While the store does not answer this host, it assumes that
-// no records are added.
+// no records are added, unless it has stood still since: the store may have answered
+// others meanwhile.
 func (s *Syncer) sinceComplete(now clock.Instant) time.Duration {
 	completeAt := clock.Instant(s.completeAt.Load())
-	if completeAt == 0 || s.storeFailed.Load() {
+	stoodStill := completeAt < clock.Instant(s.resumedAt.Load())
+	if completeAt == 0 || s.storeFailed.Load() && !stoodStill {
 		return 0
 	}
 	return now.Sub(completeAt)
@@ -344,6 +348,9 @@
 	if !failedBefore {
 		event.StoreUnreachable.Error(err, "Topic", t, "WaitedMillis", waited.Milliseconds())
 	}
+	if waited > readWaits[t]+readGrace+2*tickInterval {
+		advance(&s.resumedAt, clock.Now())
+	}
 	if t == Operator && !errors.Is(err, errInterrupted) {
 		s.storeFailed.Store(true)
 	}
@@ -411,6 +418,7 @@
 		now := clock.Now()
 		if paused := now.Sub(last); paused > pauseThreshold {
 			event.ProcessPaused.Info("Millis", paused.Milliseconds())
+			advance(&s.resumedAt, now)
 			for t := range s.confirmedAt {
 				s.confirmedAt[t].Store(0)
 				s.peersConfirmedAt[t].Store(0)
