fix: a stream goes on with its memory if its engine moved it when it woke

What callers saw: a stream whose engine was silent while it was to move was sent to a second engine, which did not answer. The first one woke and carried the move out: its connection ended without an event, so its attempt counted as ended, and the stream waited for the second until it was lost, although its memory lay at another engine.

Cause: the end of the first attempt was not looked at together with the move that is still in progress.

Now the stream waits for the memory before it counts the first attempt as ended, as long as the second one has not answered, and goes on with it.

--- a/forward/migrate.go
+++ b/forward/migrate.go
@@ -275,6 +275,23 @@
 	return to, true
 }
 
+// awaitMemory waits for the memory of a run that its engine may have stopped, until a
+// second attempt has finished. It reports whether there is memory, or may still be.
+func (s *stream) awaitMemory(finished <-chan struct{}) (found, pending bool) {
+	s.lock.Lock()
+	m := s.migration
+	s.lock.Unlock()
+	if m == nil {
+		return false, false
+	}
+	select {
+	case <-m.done:
+		return m.moved.MemoryHandle != "", false
+	case <-finished:
+		return false, true
+	}
+}
+
 // isMigrated waits for the end of a migration as long as the stream has nothing better to
 // do, and reports whether it has ended. A stream that may be resumed goes elsewhere at
 // once if its engine is silent, and some time after its engine stopped it if the memory
--- a/forward/takeover.go
+++ b/forward/takeover.go
@@ -245,12 +245,7 @@
 		case <-finished:
 			return
 		case <-first.spoke:
-			if first.exchange.HasData() {
-				first.goesOn = true
-				endSecond()
-			} else {
-				s.endFirst(first)
-			}
+			s.decideSpoken(first, endSecond, finished)
 			return
 		case <-answered:
 			if first.silent && clock.Now().Sub(first.checked) >= minSilence {
@@ -268,6 +263,22 @@
 	}
 }
 
+// decideSpoken decides once the first upstream has sent something, or its connection has
+// ended, as when it moved the stream to another engine.
+func (s *stream) decideSpoken(first *idleAttempt, endSecond func(), finished <-chan struct{}) {
+	goesOn, pending := first.exchange.HasData(), false
+	if !goesOn {
+		goesOn, pending = s.awaitMemory(finished)
+	}
+	switch {
+	case goesOn:
+		first.goesOn = true
+		endSecond()
+	case !pending:
+		s.endFirst(first)
+	}
+}
+
 // endFirst ends the attempt at the first upstream.
 func (s *stream) endFirst(first *idleAttempt) {
 	first.ended = true
--- a/storenode/late_moves_test.go
+++ b/storenode/late_moves_test.go
@@ -29,11 +29,13 @@
 // It carries the move out when it wakes. The caller gets the whole stream without a pause
 // that it would not wait for, and no engine keeps memory that nobody will use.
 func TestSilentEngineMovesLate(t *testing.T) {
-	const count, interval = 6, 500 * time.Millisecond
+	const count = 6
 	for _, c := range []struct {
 		name, path string
+		// interval is the time between two events of the engine.
+		interval time.Duration
 		// moved is when the stream is to move and wakes when the engine wakes, both
-		// after it fell silent.
+		// after it fell silent; 0 for as soon as the stream was sent elsewhere.
 		moved, wakes time.Duration
 		// fault is the fault of the other engine's first request.
 		fault standin.PlatformFault
@@ -41,14 +43,15 @@
 		// is read in again.
 		continued, ran int
 	}{
-		{"stream that may not be resumed", "/flag/a", 0, 1600 * time.Millisecond, standin.NoFault, 1, 0},
-		{"stream resumed elsewhere meanwhile", "/full/a", 700 * time.Millisecond, 2500 * time.Millisecond, standin.NoFault, 0, 1},
-		{"stream that stays since the other engine is full", "/full/a", 200 * time.Millisecond, 1800 * time.Millisecond, standin.FullFault, 1, 0},
-		{"stream whose second attempt hangs", "/full/a", 200 * time.Millisecond, 1700 * time.Millisecond, standin.SilentFault, 1, 1},
+		{"stream that may not be resumed", "/flag/a", 500 * time.Millisecond, 0, 1600 * time.Millisecond, standin.NoFault, 1, 0},
+		{"stream resumed elsewhere meanwhile", "/full/a", 500 * time.Millisecond, 700 * time.Millisecond, 2500 * time.Millisecond, standin.NoFault, 0, 1},
+		{"stream that stays since the other engine is full", "/full/a", 500 * time.Millisecond, 200 * time.Millisecond, 1800 * time.Millisecond, standin.FullFault, 1, 0},
+		{"stream whose second attempt hangs", "/full/a", 500 * time.Millisecond, 200 * time.Millisecond, 0, standin.SilentFault, 1, 1},
+		{"stream whose engine wakes without an event", "/full/a", 5 * time.Second, 200 * time.Millisecond, 0, standin.SilentFault, 1, 1},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			d := newSilentEngines(t, 1, count, 0, interval)
+			d := newSilentEngines(t, 1, count, 0, c.interval)
 			caller := d.client(d.hosts[0])
 			pauses := &pauseReader{in: caller.in}
 			caller.in = bufio.NewReader(pauses)
@@ -62,12 +65,16 @@
 			source, _ := d.engineOf(nil)
 			target := d.target()
 			target.Fail(c.fault, 1)
-			target.Pace(interval)
-			time.Sleep(interval / 2) // between two events
+			target.Pace(500 * time.Millisecond)
+			time.Sleep(250 * time.Millisecond) // between two events
 			source.Pause()
 			time.Sleep(c.moved)
 			d.hosts[0].Evacuate(source.Options.ID)
-			time.Sleep(c.wakes - c.moved)
+			if c.wakes > 0 {
+				time.Sleep(c.wakes - c.moved)
+			} else {
+				d.await("the stream was sent elsewhere", func() bool { return target.Ran()[movedID] == 1 })
+			}
 			source.Resume()
 			a := <-done
 			is.Equal(a.status, http.StatusOK)
