fix: an idle stream lasts until its deadline

Callers: a stream of a silent engine was cut up to 20 ms before its time limit.

Cause: with less than 20 ms left the host did not look for another engine, and took the stream for broken instead of waiting for its own engine.

--- a/forward/stream.go
+++ b/forward/stream.go
@@ -147,7 +147,7 @@
 	s.setAttempt(nil)
 	s.stage = retrybudget.Streaming
 	t, found := s.awaitMigration()
-	if !found && errors.Is(cause, os.ErrDeadlineExceeded) && s.timeLeft() > minTimeLeft {
+	if !found && errors.Is(cause, os.ErrDeadlineExceeded) && s.timeLeft() > 0 {
 		return s.takeOver(broken, cause)
 	}
 	var outcome retry.Outcome
--- a/storenode/silent_engines_test.go
+++ b/storenode/silent_engines_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"os"
 	"os/signal"
@@ -232,3 +233,20 @@
 		})
 	}
 }
+
+// TestIdleStreamLastsUntilItsDeadline has the host look for another engine when almost no
+// time is left: the stream is idle since its first event.
+func TestIdleStreamLastsUntilItsDeadline(t *testing.T) {
+	const deadline = 1215 * time.Millisecond // six tenths of callerPatience, and a little
+	is := is.New(t)
+	d := newSilentEngines(t, 2, 2, 0, 10*time.Second)
+	header := maps.Clone(silentPrompt)
+	header["X-Deadline-Ms"] = fmt.Sprint(deadline.Milliseconds())
+	for i := range 8 {
+		sent := time.Now()
+		a := d.do(d.hosts[0], http.MethodPost, modelHost, "/full/a", fmt.Sprint(silentRequest, i), header, "body")
+		is.Equal(a.status, http.StatusOK)
+		is.Equal(a.body, wholeStream(1))
+		is.True(time.Since(sent) >= deadline) // silence is no reason to end it sooner
+	}
+}
