fix: a run that was stopped to move is no crash of its engine

What callers saw: nothing yet. A stream that an engine stopped because the host had asked it to move the run counted as a lost engine against its request and the parts of its prompt (event 2007) if the memory did not come: the answer of the move was lost, the copy took over 1.5 s, or the caller left meanwhile. Two such losses quarantine a request for a minute.

Cause: the guard looks at how the connection ended, not at why.

Now the attempt knows that a move was asked for, until the engine says that the run goes on. Not counted any more, too: a crash in the same moment.

--- a/forward/handler.go
+++ b/forward/handler.go
@@ -242,12 +242,14 @@
 	events    int
 	// counted is set once the attempt counts as one that may have run.
 	counted bool
+	// moving is set once the upstream was asked to stop the request and to move it.
+	moving atomic.Bool
 }
 
 // lostEarly reports whether the upstream closed the connection after no more
-// than its early events.
+// than its early events, unless this host asked it to.
 func (a *attempt) lostEarly(o retry.Outcome, err error) bool {
-	return o == retry.Broken && http1.ClosedByUpstream(err) && a.events <= maxEarlyEvents
+	return !a.moving.Load() && o == retry.Broken && http1.ClosedByUpstream(err) && a.events <= maxEarlyEvents
 }
 
 // outcome returns the outcome of an attempt that failed after it was sent.
--- a/forward/migrate.go
+++ b/forward/migrate.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"github.com/gravitational/trace"
+
 	"github.com/kumquathoist/kumquathoist/allocation"
 	"github.com/kumquathoist/kumquathoist/call"
 	"github.com/kumquathoist/kumquathoist/clock"
@@ -139,6 +141,7 @@
 	s.migrations++
 	m := &migration{source: s.attempt, started: clock.Now(), to: to, done: make(chan struct{}), settled: make(chan struct{})}
 	s.migration = m
+	s.attempt.moving.Store(true)
 	s.Background.Go(func() { s.migrate(m) })
 }
 
@@ -149,6 +152,9 @@
 	defer cancel()
 	defer context.AfterFunc(s.ctx, func() { time.AfterFunc(orphanTimeout, cancel) })()
 	s.moveSomewhere(ctx, m)
+	if trace.IsNotFound(m.err) {
+		m.source.moving.Store(false) // the engine has said that the run goes on
+	}
 	close(m.done)
 	if m.moved.MemoryHandle == "" {
 		return
--- a/storenode/late_moves_test.go
+++ b/storenode/late_moves_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"bufio"
+	"context"
 	"net/http"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
 
+	"github.com/kumquathoist/kumquathoist/event"
 	"github.com/kumquathoist/kumquathoist/standin"
 )
 
@@ -152,3 +155,31 @@
 	is.Equal(target.Ran()[movedID], 1)
 	is.Equal(target.Continued(), 0)
 }
+
+// TestMovedRunIsNoCrash has a run stop to move whose memory never comes: its engine has
+// not crashed.
+func TestMovedRunIsNoCrash(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t, 1, 1, 0)
+	var output standin.Output
+	var wait conc.WaitGroup
+	ctx, cancel := context.WithCancel(context.Background())
+	event.WriteTo(ctx, &wait, &output)
+	source := d.engines[0]
+	source.Pace(400 * time.Millisecond)
+	source.Fail(standin.LostMoveFault, 1)
+	caller := d.client(d.hosts[0])
+	caller.write(http.MethodPost, modelHost, "/full/a", movedID, longAnswerPrompt(0), "body")
+	d.await("the stream runs", func() bool { return d.executions(movedID) == 1 })
+	target := d.target()
+	d.await("the stream moves", func() bool {
+		d.hosts[0].Evacuate(source.ID)
+		return source.Moves() == 1
+	})
+	is.Equal(caller.read().body, completeStream())
+	is.Equal(target.Ran()[movedID], 1)
+	cancel()
+	wait.Wait()
+	event.Discard()
+	is.Equal(countEvents(&output, "loss recorded"), 0)
+}
