--- a/forward/handler.go
+++ b/forward/handler.go
@@ -301,7 +301,8 @@
 }
 
 // limitAttempt ends an attempt that has no answer, or no first event, at the end of its
-// time, unless the request could not be sent again then. It returns a function that ends the limit.
+// time, unless the request could not be sent again then. It returns a function that ends
+// the limit.
 func (h *handler) limitAttempt(a *attempt) (stop func()) {
 	var mu sync.Mutex // guards stopped and timer
 	var stopped bool
