fix: stand-in processes outlive the shell that started their parent

Its process group lost its last parent in the session while members were stopped, so the kernel hung up on these: a stopped process that a shell started in the same way was gone, too, when the shell had ended; in a session of its own it stayed.

Fix: engines and hosts of the soak have process groups of their own.

--- a/soak/process.go
+++ b/soak/process.go
@@ -51,6 +51,8 @@
 	cmd := exec.Command(p.build.program, "run", "--settings", p.build.settings)
 	cmd.Env = append(os.Environ(), SecretVariable+"=soak", "GORACE=atexit_sleep_ms=0")
 	cmd.Stdout, cmd.Stderr = &p.output, &p.output
+	// A shell that ends would hang up on a stopped process of its own group.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
 	if err := cmd.Start(); err != nil {
 		return trace.Wrap(err, "starting a host")
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -34,6 +35,10 @@
 		}
 		return
 	}
+	if len(os.Args) == 2 && os.Args[1] == stoppedParentArgument {
+		stopAnEngine()
+		return
+	}
 	dir, err := os.MkdirTemp("", "soak")
 	if err != nil {
 		panic(err)
@@ -130,6 +135,45 @@
 	is.True(periods[0].Until.Before(e.Killed()))
 }
 
+// TestStoppedProcessOutlivesTheShellThatStartedIt has a shell with job control start an
+// engine's parent in the background and end while the engine is stopped.
+func TestStoppedProcessOutlivesTheShellThatStartedIt(t *testing.T) {
+	is := is.New(t)
+	r, w, err := os.Pipe()
+	is.NoErr(err)
+	defer func() { _ = r.Close() }()
+	shell := exec.Command("sh", "-c", `"$0" `+stoppedParentArgument+` & exec sleep 0.7`, os.Args[0])
+	shell.Stdout = w
+	shell.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
+	is.NoErr(shell.Run())
+	_ = w.Close()
+	out, err := io.ReadAll(r)
+	is.NoErr(err)
+	is.Equal(string(out), "answered\n")
+}
+
+// stoppedParentArgument makes the test's program stop an engine for a while and tell
+// whether it answers afterwards.
+const stoppedParentArgument = "stopped-parent"
+
+// stopAnEngine does what stoppedParentArgument says.
+func stopAnEngine() {
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP) // the parent survives
+	e, err := standin.StartPlatformProcess(standin.PlatformProcessOptions{ID: "e", Service: "desk", Zone: "north"}, os.Args[0], soak.EngineArgument)
+	if err != nil {
+		panic(err)
+	}
+	defer e.Kill()
+	e.Pause()
+	time.Sleep(1500 * time.Millisecond)
+	e.Resume()
+	client := http.Client{Timeout: 10 * time.Second}
+	if resp, err := client.Get("http://" + e.Address + "/"); err == nil {
+		_ = resp.Body.Close()
+		fmt.Println("answered")
+	}
+}
+
 // TestSilentEngines runs a short soak whose engines are processes that fall silent.
 func TestSilentEngines(t *testing.T) {
 	runSeed(t, soak.Options{Seed: 11, Span: 8 * time.Second, Hosts: 3, Engines: 6, Services: 4, Callers: 40, EngineProgram: os.Args[0]})
--- a/standin/platform_process.go
+++ b/standin/platform_process.go
@@ -111,6 +111,8 @@
 func StartPlatformProcess(o PlatformProcessOptions, program string, arguments ...string) (*PlatformProcess, error) {
 	cmd := exec.Command(program, arguments...)
 	cmd.Stderr = os.Stderr
+	// A shell that ends would hang up on a stopped process of its own group.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
 	input, err := cmd.StdinPipe()
 	if err != nil {
 		return nil, trace.Wrap(err)
