feat: logs tell copies of refusals from answers

Event 2102 names the connection; event 2118 and the metric answers_skipped show answers to other requests. The stand-in engine can send copies of its refusals on kept connections (standin.RefusalCopies): late, several, with the end of the connection, of control calls too.

--- a/event/request.go
+++ b/event/request.go
@@ -27,7 +27,7 @@
 	// CallScheduled reports the upstream that was chosen for a call.
 	CallScheduled = Event{2101, "call placed", "An upstream was chosen for a request. Cost is the expected cost of the choice; Held and Shared count shared prompt tokens; AgeMillis is the staleness of the host's replica of the store."}
 	// SendFailed reports a send without a usable answer.
-	SendFailed = Event{2102, "try failed", "A send to an upstream brought no answer that can be forwarded. NotSent and TurnedAway mean that the request did not run."}
+	SendFailed = Event{2102, "try failed", "A send to an upstream brought no answer that can be forwarded. NotSent and TurnedAway mean that the request did not run. Connection is the number of the connection to the upstream, 0 if no answer began; two lines with TurnedAway and the same Connection for one request would mean that the second answer may be a copy of the first."}
 	// CallRefused reports a request that was refused before any send.
 	CallRefused = Event{2103, "call refused", "A request was refused before any attempt."}
 	// CallEnded reports the outcome of a request.
@@ -57,8 +57,10 @@
 	SeparatedRequestCancelled = Event{2115, "request separated", "A request had not started at an engine when an account became isolated, and might have used cached parts of that account, or its own account was isolated; it was cancelled there and is retried if allowed, with the salt of the new configuration."}
 	// AttemptReplaced reports an attempt that ended because another one serves its stream.
 	AttemptReplaced = Event{2116, "attempt replaced", "A stream was idle and was sent to a second upstream while the first attempt was still in progress; one of the two serves the stream now (Serves), the run at Upstream was ended. BesideMillis is the time from the second send to that end: for so long both upstreams may have worked on the request, unless the first one answered no check meanwhile (FirstSilent)."}
+	// AnswersSkipped reports answers to other requests that came before the right one.
+	AnswersSkipped = Event{2118, "answers skipped", "An upstream sent answers to other requests on this connection, such as copies of its refusals, before the answer to the request. Count is their number; they were ignored."}
 	// StreamStalled reports an idle stream that no other upstream could take over.
 	StreamStalled = Event{2110, "stream awaited", "An upstream is idle in the middle of a stream and no other could take over. While others are only silent, the host looks for one again; otherwise it waits until the deadline."}
 )
 
-var requestEvents = []Event{RequestEnded, AttemptFailed, ClaimFailed, RequestQuarantined, PartQuarantined, CrashShareFailed, ClaimAppendFailed, LossRecorded, SuspicionEnded, LossExplained, QuarantineEnforced, CallScheduled, SendFailed, CallRefused, CallEnded, StreamResumed, StreamTakenUp, StreamFailed, StreamEnded, CallRelayed, RelayFailed, RequestMigrated, MemoryFreed, CallOverloaded, AttemptReplaced, StreamStalled, StaleRequestCancelled, SeparatedRequestCancelled}
+var requestEvents = []Event{RequestEnded, AttemptFailed, ClaimFailed, RequestQuarantined, PartQuarantined, CrashShareFailed, ClaimAppendFailed, LossRecorded, SuspicionEnded, LossExplained, QuarantineEnforced, CallScheduled, SendFailed, CallRefused, CallEnded, StreamResumed, StreamTakenUp, StreamFailed, StreamEnded, CallRelayed, RelayFailed, RequestMigrated, MemoryFreed, CallOverloaded, AttemptReplaced, AnswersSkipped, StreamStalled, StaleRequestCancelled, SeparatedRequestCancelled}
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -297,6 +297,10 @@
 	} else {
 		h.Reachability.Reached(h.service.Name)
 	}
+	if n := a.exchange.Skipped(); n > 0 {
+		h.Metrics.Counter("answers_skipped").Inc(int64(n))
+		event.AnswersSkipped.Info("Request", h.call.ID, "Upstream", a.id, "Connection", a.exchange.Connection(), "Count", n)
+	}
 	return h.readAnswer(a)
 }
 
@@ -476,11 +480,12 @@
 	if err != nil {
 		reason = event.Line(err)
 	}
-	status := 0
+	var status int
+	var connection int64
 	if a.exchange != nil {
-		status = a.exchange.Status
+		status, connection = a.exchange.Status, a.exchange.Connection()
 	}
-	event.SendFailed.Info("Request", h.call.ID, "Upstream", a.id, "Outcome", o, "Status", status, "Millis", now.Sub(a.started).Milliseconds(), "Weights", a.send.Weights, "Reason", reason)
+	event.SendFailed.Info("Request", h.call.ID, "Upstream", a.id, "Outcome", o, "Status", status, "Connection", connection, "Millis", now.Sub(a.started).Milliseconds(), "Weights", a.send.Weights, "Reason", reason)
 	return o
 }
 
--- a/http1/exchange.go
+++ b/http1/exchange.go
@@ -65,6 +65,8 @@
 	release  func() bool
 	written  chan error
 	complete bool
+	// skipped counts the answers to other requests that came before this one.
+	skipped int
 	// contextErr returns why this side cancelled the request, or nil.
 	contextErr func() error
 	// deadline is the context's deadline, or zero.
@@ -135,6 +137,7 @@
 			return trace.BadParameter("an answer to another request is too long or incomplete")
 		}
 		e.complete = false
+		e.skipped++
 	}
 }
 
@@ -236,6 +239,12 @@
 // HasData reports whether some of the answer was received and not yet read.
 func (e *Exchange) HasData() bool { return e.conn.buffer.Buffered() > 0 }
 
+// Connection returns the number of the connection, which identifies it within its pool.
+func (e *Exchange) Connection() int64 { return e.conn.number }
+
+// Skipped returns how many answers to other requests came before this one.
+func (e *Exchange) Skipped() int { return e.skipped }
+
 // IsFirst reports whether the request was the first on its connection.
 func (e *Exchange) IsFirst() bool { return e.conn.isNew }
 
--- a/http1/http1.go
+++ b/http1/http1.go
@@ -133,6 +133,8 @@
 
 	address string
 	buffer  *bufio.Reader
+	// number identifies the connection within its pool.
+	number int64
 	// isNew is set until the connection has been idle.
 	isNew bool
 	// received counts the bytes read from the network, failed is the error that ended
@@ -211,8 +213,8 @@
 	}
 	p.mu.Lock()
 	p.dialled++
+	c := &conn{Conn: raw, address: address, number: p.dialled, isNew: true}
 	p.mu.Unlock()
-	c := &conn{Conn: raw, address: address, isNew: true}
 	c.buffer = bufio.NewReaderSize(c, readBufferBytes)
 	return c, nil
 }
--- a/standin/platform_engine.go
+++ b/standin/platform_engine.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -29,6 +30,10 @@
 	server      *http.Server
 	listener    net.Listener
 	startMillis int64
+	// copies is the fault of refusals that are sent more than once, sentCopies counts
+	// the copies.
+	copies     atomic.Pointer[RefusalCopies]
+	sentCopies atomic.Int64
 	// mu guards the fields below.
 	mu      sync.Mutex
 	weights int64
@@ -115,8 +120,8 @@
 	mux.HandleFunc("POST /memory", e.receiveMemory)
 	mux.HandleFunc("DELETE /kv-handle/{id}", e.controlCall(e.freeMemory))
 	mux.HandleFunc("/", e.serve)
-	e.server = &http.Server{Handler: mux}
-	go func() { _ = e.server.Serve(listener) }()
+	e.server = &http.Server{Handler: e.copyRefusals(mux), ConnContext: withConn}
+	go func() { _ = e.server.Serve(copyingListener{listener, e}) }()
 	return e, nil
 }
 
