fix: an answer to another request that ends its connection does not hide the right one

What callers saw: 502 for a request that ran, if the upstream had sent the copy of an earlier refusal with Connection: close before its answer. Cause: such a copy was taken for the end of the connection. It is identified by its id, so the right answer can be read behind it; the connection isn't used again. Evidence: row "with the end of the connection" of TestRepeatedRefusalIsNotBelieved failed before.

--- a/http1/exchange.go
+++ b/http1/exchange.go
@@ -118,6 +118,7 @@
 
 // readHead reads answers until one belongs to the call.
 func (e *Exchange) readHead(id, method string) error {
+	closes := false
 	for skipped, informational := 0, 0; ; skipped++ {
 		var h fasthttp.ResponseHeader
 		if err := h.Read(e.conn.buffer); err != nil {
@@ -132,10 +133,12 @@
 		}
 		e.Head = e.pool.decoder.DecodeHead(&h)
 		e.body = e.newBody(&h, method)
+		closes = closes || e.Close
 		if e.CallID == id {
+			e.Close = closes
 			return nil
 		}
-		if skipped == maxStrays || e.Close {
+		if skipped == maxStrays || e.EndsWithConnection() {
 			return trace.BadParameter("the answer belongs to another request")
 		}
 		if _, err := io.Copy(io.Discard, io.LimitReader(e.body, maxStrayBytes)); err != nil || !e.complete {
