test: copies of refusals that are cut

An upstream may cut an answer, or send bytes that belong to no request. If the copy of an earlier refusal is cut within a line of its head and the answer to the present request follows, the parser joins the two lines: the head has the copy's status or promise and the present request's id. With status 503 and the signature of the answer, a caller is told that a request has not run which ran; with 421 or X-Not-Executed, it is sent to another upstream and runs twice.

--- /dev/null
+++ b/http1/cut_copies_test.go
@@ -0,0 +1,80 @@
+package http1_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/kumquathoist/kumquathoist/http1"
+	"github.com/kumquathoist/kumquathoist/platform"
+)
+
+// TestCutCopyOfARefusalIsNotBelieved has an upstream run a request and write, right before
+// or after its answer, the copy of an earlier refusal; the first of the two is cut after each
+// byte of its head in turn.
+func TestCutCopyOfARefusalIsNotBelieved(t *testing.T) {
+	const ran = "HTTP/1.1 200 OK\r\nX-Attempt-Id: second\r\nX-Response-Stamp: s\r\nContent-Length: 3\r\n\r\nran"
+	for name, refusal := range map[string]string{
+		"id first":          "HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: first\r\nX-Not-Executed: 1\r\nContent-Length: 4\r\n\r\nfull",
+		"id last":           "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 4\r\nX-Not-Executed: 1\r\nX-Attempt-Id: first\r\n\r\nfull",
+		"wrong address":     "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 4\r\nX-Instance-Id: i\r\nX-Attempt-Id: first\r\n\r\nfull",
+		"no length":         "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nX-Attempt-Id: first\r\n\r\nfull",
+		"chunked":           "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nTransfer-Encoding: chunked\r\nX-Attempt-Id: first\r\n\r\n4\r\nfull\r\n0\r\n\r\n",
+		"connection closes": "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nX-Not-Executed: 1\r\nX-Attempt-Id: first\r\nContent-Length: 4\r\n\r\nfull",
+	} {
+		for order, texts := range map[string][2]string{"the copy is cut": {refusal, ran}, "the answer is cut": {ran, refusal}} {
+			t.Run(name+", "+order, func(t *testing.T) {
+				var believed []string
+				for cut := range strings.Index(texts[0], "\r\n\r\n") + 4 {
+					x := answerOf(t, texts[0][:cut]+texts[1])
+					if x == nil {
+						continue
+					}
+					if x.NotRun || x.Status != http.StatusOK {
+						believed = append(believed, fmt.Sprint(cut))
+					}
+					x.Discard()
+				}
+				if len(believed) > 0 {
+					t.Errorf("believed to have refused the request that ran if cut after %d of the bytes: %s", len(believed), strings.Join(believed, " "))
+				}
+			})
+		}
+	}
+}
+
+// answerOf returns the answer that is believed to be that of the request "second" if an
+// upstream writes a text and closes the connection; nil if none is.
+func answerOf(t *testing.T, text string) *http1.Exchange {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+			_, _ = conn.Write([]byte(text))
+		}
+	}()
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	x, err := http1.NewPool(platform.Wire{}, http1.NewDialer()).Send(ctx, listener.Addr().String(), "second", "POST", []byte("POST / HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: second\r\nContent-Length: 0\r\n\r\n"), nil)
+	if ctx.Err() != nil {
+		t.Fatal(err)
+	}
+	if err != nil {
+		return nil
+	}
+	return x
+}
