test: failures of upstreams whose status promises too much

Only X-Not-Executed and 421 say that an upstream did not run a request. An upstream's signed 408, 429 or 503 without it is returned as it is, and promises the caller of a request that may run once that it did not run.

--- a/standin/platform_engine.go
+++ b/standin/platform_engine.go
@@ -418,8 +418,8 @@
 		e.abandoned++
 		e.mu.Unlock()
 		panic(http.ErrAbortHandler)
-	case ErrorFault:
-		w.WriteHeader(http.StatusInternalServerError)
+	case ErrorFault, RanTimeoutFault, RanLimitedFault, RanFullFault:
+		w.WriteHeader(ranStatuses[fault])
 	case UnframedFault, UnframedCutFault, UnframedEmptyFault:
 		e.sendUnframed(w, r, fault, plainAnswer(r, body))
 	case ExtraFault:
--- a/standin/platform_faults.go
+++ b/standin/platform_faults.go
@@ -50,8 +50,18 @@
 	UnframedCutFault
 	// UnframedEmptyFault does the same and ends before the first event.
 	UnframedEmptyFault
+	// RanTimeoutFault, RanLimitedFault and RanFullFault execute the request and answer with
+	// status 408, 429 and 503, without a promise that it did not run.
+	RanTimeoutFault
+	RanLimitedFault
+	RanFullFault
 )
 
+// ranStatuses are the statuses of requests that were executed.
+var ranStatuses = map[PlatformFault]int{
+	ErrorFault: http.StatusInternalServerError, RanTimeoutFault: http.StatusRequestTimeout, RanLimitedFault: http.StatusTooManyRequests, RanFullFault: http.StatusServiceUnavailable,
+}
+
 // sendTwoAnswers sends two answers on one connection.
 func (e *PlatformEngine) sendTwoAnswers(w http.ResponseWriter, id, body string) {
 	conn, buffered, err := http.NewResponseController(w).Hijack()
