fix: a head that is joined from two answers is not believed

What callers saw: 503 for a request that ran, or a second run at another upstream, if an upstream cuts the copy of an earlier refusal within a line of its head and the answer follows, or cuts an answer within a field and such a copy follows. Cause: the parser joins the two lines. The head then has the status or the promise of the one answer and the id of the other, and the id is what answers are matched by. Change: a head whose status line or a field holds the start of a status line is unreadable; the request may have run. A field may name the protocol (TestHeadsMayNameTheProtocol).

--- a/http1/cut_copies_test.go
+++ b/http1/cut_copies_test.go
@@ -48,6 +48,22 @@
 	}
 }
 
+// TestHeadsMayNameTheProtocol has an upstream name the protocol in its answer's head.
+func TestHeadsMayNameTheProtocol(t *testing.T) {
+	for _, head := range []string{
+		"HTTP/1.1 200 OK\r\nVia: HTTP/1.1 proxy, 1.1 other",
+		"HTTP/1.1 200 HTTP/1.1 is spoken here\r\nServer: HTTP/1.1",
+		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nVia: HTTP/1.0 20 HTTP/1.1 2",
+	} {
+		x := answerOf(t, head+"\r\nX-Attempt-Id: second\r\nContent-Length: 3\r\n\r\nran")
+		if x == nil {
+			t.Errorf("no answer with the head %q", head)
+			continue
+		}
+		x.Discard()
+	}
+}
+
 // answerOf returns the answer that is believed to be that of the request "second" if an
 // upstream writes a text and closes the connection; nil if none is.
 func answerOf(t *testing.T, text string) *http1.Exchange {
--- a/http1/exchange.go
+++ b/http1/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"hash/maphash"
@@ -124,6 +125,9 @@
 		if err := h.Read(e.conn.buffer); err != nil {
 			return unreadableHead{err}
 		}
+		if isJoined(&h) {
+			return trace.BadParameter("the head holds the start of another answer")
+		}
 		if h.StatusCode() < 200 {
 			skipped--
 			if informational++; informational > maxInformational {
@@ -149,6 +153,37 @@
 	}
 }
 
+// isJoined reports whether a head was cut within a line and that of another answer follows,
+// so that neither its status nor its fields are those of one answer.
+func isJoined(h *fasthttp.ResponseHeader) bool {
+	if holdsStatusLine(h.StatusMessage()) {
+		return true
+	}
+	for _, value := range h.All() {
+		if holdsStatusLine(value) {
+			return true
+		}
+	}
+	return false
+}
+
+// holdsStatusLine reports whether a status line begins somewhere in a text.
+func holdsStatusLine(text []byte) bool {
+	const form = "HTTP/1.1 200"
+	for {
+		start := bytes.Index(text, []byte(form[:len("HTTP/1.")]))
+		if start < 0 || len(text)-start < len(form) {
+			return false
+		}
+		line := text[start:]
+		isDigit := func(i int) bool { return line[i] >= '0' && line[i] <= '9' }
+		if isDigit(7) && line[8] == ' ' && isDigit(9) && isDigit(10) && isDigit(11) {
+			return true
+		}
+		text = line[1:]
+	}
+}
+
 // unreadableHead is the error for a head that can't be parsed. Its text is
 // truncated, since it quotes what the upstream sent.
 type unreadableHead struct{ cause error }
