test: a relayed stream that may have run and whose origin is not known

Only streams that may be resumed are passed on after an attempt that may have run, and these may run more than once, so REFUSED doesn't cover it; the status still promises what isn't so.

--- a/storenode/relay_test.go
+++ b/storenode/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"testing"
@@ -35,6 +36,26 @@
 	is.Equal(send("forged", "wrong", "0"), http.StatusForbidden)
 }
 
+// TestRelayedStreamThatMayHaveRunIsNotRefused passes on streams that resume one of which
+// the host doesn't know what began it.
+func TestRelayedStreamThatMayHaveRunIsNotRefused(t *testing.T) {
+	is := is.New(t)
+	d := newMixedDeployment(t, 1, 1) // with one version, that one began all streams
+	conn, err := net.Dial("tcp4", d.hosts[0].settings.Listen.Relays)
+	is.NoErr(err)
+	t.Cleanup(func() { _ = conn.Close() })
+	c := &client{conn, bufio.NewReader(conn)}
+	send := func(id, attempts string) int {
+		headers := map[string]string{"Relay-Secret": "secret", "Relay-Attempts": attempts, "Last-Event-Id": "1", "Resumes": "unknown"}
+		maps.Copy(headers, prompt)
+		c.write(http.MethodPost, modelHost, "/full/a", id, headers, "body")
+		return c.read().status
+	}
+	is.Equal(send("fresh", "0"), http.StatusServiceUnavailable)
+	is.Equal(send("ran", "1"), http.StatusBadGateway)
+	is.Equal(d.executions("fresh")+d.executions("ran"), 0)
+}
+
 // TestCallerOfRelayedRequestLeaves closes a caller's connection while an engine that only
 // another host reaches is silent: its work ends.
 func TestCallerOfRelayedRequestLeaves(t *testing.T) {
