fix: a relayed stream that may have run is not refused for its origin

What callers saw: 503 Unresumable for a stream that may have run, if it was passed on to a host that doesn't know which software began it. Cause: all other refusals of a request that was passed on say nothing of earlier attempts (unlessRan); this one did not go that way.

--- a/forward/handler.go
+++ b/forward/handler.go
@@ -124,7 +124,7 @@
 // handle makes attempts until there is an answer.
 func (h *handler) handle(ctx context.Context) call.Answer {
 	if h.call.ResumeAfter != "" && h.route.Kind == catalog.Stream && !h.findOrigin(ctx) {
-		return h.refusal
+		return unlessRan(h.refusal, h.call)
 	}
 	if h.call.Attempts == 0 && !h.Reachability.Isolated(h.service.Name) {
 		// Of a request that is passed on, one host counts the first attempt.
