fix: a service's earlier refusal is not taken for the answer to the next call

What callers would see, on the product's own path (REFUSED, TWICE): a booking or approval that ran is answered with the refusal of the call before it, and its key is released, so that a repeat runs a second time; or callers get each other's answers until the connection closes. Cause: calls of plain services shared kept connections, and an answer was compared by attempt only if it named one. One attempt may go to two endpoints, so a copy may also name the right attempt when both have one address (two names of a service, or an address that was given out anew). Change: each call of a plain service has a connection of its own, on which nothing was refused before. A new ID for each send was weighed: it leaves services that name no attempt. Copies can be told apart by nothing else: net/http puts a connection back before its caller sees an answer without a body.

--- a/upstream/client.go
+++ b/upstream/client.go
@@ -96,22 +96,31 @@
 func (r *Rejected) Error() string { return "rejected with " + http.StatusText(r.Status) }
 
 // Client calls upstreams. It never retries a call.
+//
+// An upstream may send an earlier answer once more where the next one is due, and
+// nothing but an ID in the answer tells the two apart. So only completions use kept
+// connections; each other call has a connection of its own, on which no other answer
+// can arrive.
 type Client struct {
-	http   *http.Client
-	budget *bounded.Budget
+	kept, single *http.Client
+	budget       *bounded.Budget
 }
 
 // NewClient returns a client that keeps a few idle connections to each
 // upstream.
 func NewClient() *Client {
-	transport := &http.Transport{
+	kept := &http.Transport{
 		MaxIdleConnsPerHost:    64,
 		IdleConnTimeout:        30 * time.Second,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: bounded.MaxHeadBytes,
 		DialContext:            socket.NewDialer(dialTimeout, maxSilence).DialContext,
 	}
-	return &Client{http: &http.Client{Transport: transport}, budget: bounded.NewBudget(maxBufferedBytes)}
+	single := kept.Clone()
+	single.DisableKeepAlives = true
+	return &Client{
+		kept: &http.Client{Transport: kept}, single: &http.Client{Transport: single}, budget: bounded.NewBudget(maxBufferedBytes),
+	}
 }
 
 // Stream is the open answer of an engine.
@@ -141,7 +150,7 @@
 // the request as invalid, and trace.ConnectionProblem if the engine may have
 // started it. The caller must check which attempt, incarnation and weights answered.
 func (c *Client) Open(ctx context.Context, call Call) (*Stream, error) {
-	resp, err := c.send(ctx, call)
+	resp, err := send(ctx, c.kept, call)
 	if err != nil {
 		return nil, err
 	}
@@ -167,9 +176,9 @@
 	Body        []byte
 }
 
-// Run calls a plain service. It returns the same errors as Open.
+// Run calls a plain service, which may name the attempt in its answer or not. It returns the same errors as Open.
 func (c *Client) Run(ctx context.Context, call Call) (Answer, error) {
-	resp, err := c.send(ctx, call)
+	resp, err := send(ctx, c.single, call)
 	if err != nil {
 		return Answer{}, err
 	}
@@ -183,12 +192,12 @@
 
 // send sends a call once and converts answers that mean that the upstream failed
 // or did not start the call to errors.
-func (c *Client) send(ctx context.Context, call Call) (*http.Response, error) {
+func send(ctx context.Context, client *http.Client, call Call) (*http.Response, error) {
 	req, err := newRequest(ctx, call)
 	if err != nil {
 		return nil, &NotStarted{Reason: err.Error()}
 	}
-	resp, err := c.http.Do(req)
+	resp, err := client.Do(req)
 	var dialErr *net.OpError
 	if errors.As(err, &dialErr) && dialErr.Op == "dial" {
 		return nil, &NotStarted{Reason: err.Error()}
@@ -261,7 +270,7 @@
 		return trace.Wrap(err)
 	}
 	req.Header.Set("Content-Type", "application/json")
-	resp, err := c.http.Do(req)
+	resp, err := c.kept.Do(req)
 	if err != nil {
 		return trace.ConnectionProblem(err, "cancelling an attempt at %s", address)
 	}
@@ -274,7 +283,7 @@
 	if err != nil {
 		return Load{}, trace.Wrap(err)
 	}
-	resp, err := c.http.Do(req)
+	resp, err := c.kept.Do(req)
 	if err != nil {
 		return Load{}, trace.ConnectionProblem(err, "fetching the load of %s", address)
 	}
