fix: a refused control call is not taken for a load report or a cancellation

What operators would see, on the product's own path: an engine that refuses the question for its load with a JSON body counts as reachable with no weights, so the pool's owner orders it to load weights that it has, which stalls it and empties its cache. A refused cancellation counted as done; its error was dropped without a log line. Cause: Client.Load and Client.Cancel didn't look at the status. Change: both return an error for any status but 200; an engine without a report is unreachable and gets no order. Event 2012 tells of a cancellation that failed. Evidence: TestRefusedControlCallsAreErrors failed before (its first check, of Load; the second wasn't reached).

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -13,6 +13,7 @@
 	"github.com/kumquathoist/kumquathoist/attempt"
 	"github.com/kumquathoist/kumquathoist/document"
 	"github.com/kumquathoist/kumquathoist/engine"
+	"github.com/kumquathoist/kumquathoist/event"
 	"github.com/kumquathoist/kumquathoist/quarantine"
 	"github.com/kumquathoist/kumquathoist/request"
 	"github.com/kumquathoist/kumquathoist/upstream"
@@ -159,7 +160,9 @@
 	d.background.Go(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
 		defer cancel()
-		_ = d.client.Cancel(ctx, address, id)
+		if err := d.client.Cancel(ctx, address, id); err != nil {
+			event.CancelFailed.Error(err, "Attempt", id)
+		}
 	})
 }
 
--- a/event/request.go
+++ b/event/request.go
@@ -24,6 +24,8 @@
 	PartQuarantined = Event{2010, "prompt part quarantined", "Requests that differ but share a part of their prompt crashed the engines that ran them; every host refuses requests with the part for a time after the last crash, those of Account alone if one is named. Losses counts the engines lost with the part, OtherLosses those lost without it; KnownGood is set if a request with it was answered within ten minutes before. FirstLossMillis, LastLossMillis and LastAnswerMillis are how long ago that was; LastAnswerMillis is -1 without an answer since the first loss that is known here."}
 	// CrashShareFailed reports a host that did not accept crash records.
 	CrashShareFailed = Event{2005, "share failed", "Another host did not accept records of crashed engines; they are sent again within seconds."}
+	// CancelFailed reports an engine that did not confirm a cancellation.
+	CancelFailed = Event{2012, "cancel failed", "An engine did not confirm that it cancelled an attempt which this host has given up; unless the engine saw the connection close, it works on until the attempt's deadline."}
 	// CallScheduled reports the upstream that was chosen for a call.
 	CallScheduled = Event{2101, "call placed", "An upstream was chosen for a request. Cost is the expected cost of the choice; Held and Shared count shared prompt tokens; AgeMillis is the staleness of the host's replica of the store."}
 	// SendFailed reports a send without a usable answer.
@@ -63,4 +65,4 @@
 	StreamStalled = Event{2110, "stream awaited", "An upstream is idle in the middle of a stream and no other could take over. While others are only silent, the host looks for one again; otherwise it waits until the deadline."}
 )
 
-var requestEvents = []Event{RequestEnded, AttemptFailed, ClaimFailed, RequestQuarantined, PartQuarantined, CrashShareFailed, ClaimAppendFailed, LossRecorded, SuspicionEnded, LossExplained, QuarantineEnforced, CallScheduled, SendFailed, CallRefused, CallEnded, StreamResumed, StreamTakenUp, StreamFailed, StreamEnded, CallRelayed, RelayFailed, RequestMigrated, MemoryFreed, CallOverloaded, AttemptReplaced, AnswersSkipped, StreamStalled, StaleRequestCancelled, SeparatedRequestCancelled}
+var requestEvents = []Event{RequestEnded, AttemptFailed, ClaimFailed, RequestQuarantined, PartQuarantined, CrashShareFailed, ClaimAppendFailed, LossRecorded, SuspicionEnded, LossExplained, QuarantineEnforced, CancelFailed, CallScheduled, SendFailed, CallRefused, CallEnded, StreamResumed, StreamTakenUp, StreamFailed, StreamEnded, CallRelayed, RelayFailed, RequestMigrated, MemoryFreed, CallOverloaded, AttemptReplaced, AnswersSkipped, StreamStalled, StaleRequestCancelled, SeparatedRequestCancelled}
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -274,7 +274,11 @@
 	if err != nil {
 		return trace.ConnectionProblem(err, "cancelling an attempt at %s", address)
 	}
-	return trace.Wrap(resp.Body.Close())
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return trace.ConnectionProblem(nil, "%s answered the cancellation with %s", address, resp.Status)
+	}
+	return nil
 }
 
 // Load fetches the load of an engine.
@@ -288,6 +292,9 @@
 		return Load{}, trace.ConnectionProblem(err, "fetching the load of %s", address)
 	}
 	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return Load{}, trace.ConnectionProblem(nil, "%s answered %s", address, resp.Status)
+	}
 	var load Load
 	err = decodeReport(resp.Body, &load)
 	return load, trace.Wrap(err, "decoding the load of %s", address)
--- a/upstream/copied_test.go
+++ b/upstream/copied_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"testing"
 
+	"github.com/gravitational/trace"
 	"github.com/matryer/is"
 	"github.com/sourcegraph/conc"
 
@@ -81,3 +82,15 @@
 		}
 	}
 }
+
+// TestRefusedControlCallsAreErrors guards against a refusal that is decoded as a load report,
+// which would order new weights, and against a cancellation that is taken for done.
+func TestRefusedControlCallsAreErrors(t *testing.T) {
+	is := is.New(t)
+	client, engine := startRepeater(t, func(int, *http.Request) string {
+		return httpText(http.StatusServiceUnavailable, "Content-Type: application/json\r\n", `{"Reason":"loading"}`)
+	})
+	_, err := client.Load(context.Background(), engine.Address())
+	is.True(trace.IsConnectionProblem(err))
+	is.True(trace.IsConnectionProblem(client.Cancel(context.Background(), engine.Address(), "a")))
+}
