fix: control calls of the own path are not answered by an earlier refusal

What operators would see: an order is reported as refused though the engine carries it out, or as sent though the engine refused it (the answer to the cancellation before it); an engine's report is that of its earlier incarnation, so its cache is believed to hold what is gone. Cause: orders, cancellations, load reports and cache events shared kept connections with each other and with completions, and their answers carry no ID. Change: each has a connection of its own. A host asks an engine that it owns twice a second, so that is two connections a second for each engine in all.

--- a/upstream/client.go
+++ b/upstream/client.go
@@ -270,7 +270,7 @@
 		return trace.Wrap(err)
 	}
 	req.Header.Set("Content-Type", "application/json")
-	resp, err := c.kept.Do(req)
+	resp, err := c.single.Do(req)
 	if err != nil {
 		return trace.ConnectionProblem(err, "cancelling an attempt at %s", address)
 	}
@@ -287,7 +287,7 @@
 	if err != nil {
 		return Load{}, trace.Wrap(err)
 	}
-	resp, err := c.kept.Do(req)
+	resp, err := c.single.Do(req)
 	if err != nil {
 		return Load{}, trace.ConnectionProblem(err, "fetching the load of %s", address)
 	}
--- a/upstream/copied_test.go
+++ b/upstream/copied_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 	"github.com/sourcegraph/conc"
 
+	"github.com/kumquathoist/kumquathoist/rollout"
 	"github.com/kumquathoist/kumquathoist/standin"
 	"github.com/kumquathoist/kumquathoist/upstream"
 )
@@ -83,6 +84,67 @@
 	}
 }
 
+// TestControlCallsAreNotAnsweredByOthers guards against an order that is taken for accepted
+// or refused, and a report that is taken for an engine's present one, because of an earlier
+// refusal that the engine sent once more.
+func TestControlCallsAreNotAnsweredByOthers(t *testing.T) {
+	const empty, object = "", `{"Reason":"loading"}`
+	report := func(nth int) string {
+		return httpText(http.StatusOK, "", fmt.Sprintf(`{"Name":"e","Incarnation":%d,"Version":"v%d"}`, nth, nth))
+	}
+	for _, tt := range []struct {
+		name, refusal string
+		answer        func(nth int) string
+		run           func(ctx context.Context, is *is.I, c *upstream.Client, address string)
+	}{
+		{"an accepted order is not taken for refused", empty, func(int) string { return httpText(http.StatusOK, "", "{}") }, func(ctx context.Context, is *is.I, c *upstream.Client, address string) {
+			_ = c.Order(ctx, address, rollout.Order{Fence: 1})
+			is.NoErr(c.Order(ctx, address, rollout.Order{Fence: 2}))
+		}},
+		{"a refused order is not taken for accepted", empty, func(nth int) string {
+			if nth == 2 {
+				return httpText(http.StatusOK, "", `{"Attempt":"a"}`)
+			}
+			return httpText(http.StatusConflict, "", "")
+		}, func(ctx context.Context, is *is.I, c *upstream.Client, address string) {
+			_ = c.Order(ctx, address, rollout.Order{Fence: 1})
+			_ = c.Cancel(ctx, address, "a")
+			is.True(trace.IsCompareFailed(c.Order(ctx, address, rollout.Order{Fence: 2})))
+		}},
+		{"a refusal is not taken for a load report", object, report, func(ctx context.Context, is *is.I, c *upstream.Client, address string) {
+			_, _ = c.Load(ctx, address)
+			load, err := c.Load(ctx, address)
+			is.NoErr(err)
+			is.Equal(load.Version, "v2")
+		}},
+		{"a load report is not that of an earlier incarnation", empty, report, func(ctx context.Context, is *is.I, c *upstream.Client, address string) {
+			_ = c.Order(ctx, address, rollout.Order{Fence: 1})
+			_, _ = c.Load(ctx, address)
+			load, err := c.Load(ctx, address)
+			is.NoErr(err)
+			is.Equal(load.Incarnation, int64(3))
+		}},
+		{"cache events are not those of an earlier incarnation", empty, report, func(ctx context.Context, is *is.I, c *upstream.Client, address string) {
+			_ = c.Order(ctx, address, rollout.Order{Fence: 1})
+			_, _ = c.Load(ctx, address)
+			events, err := c.Events(ctx, address, 0)
+			is.NoErr(err)
+			is.Equal(events.Incarnation, int64(3))
+		}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			client, engine := startRepeater(t, func(nth int, _ *http.Request) string {
+				if nth == 1 {
+					return httpText(http.StatusConflict, "Content-Type: application/json\r\n", tt.refusal)
+				}
+				return tt.answer(nth)
+			})
+			tt.run(context.Background(), is.New(t), client, engine.Address())
+			is.New(t).Equal(engine.Copies(), 0)
+		})
+	}
+}
+
 // TestRefusedControlCallsAreErrors guards against a refusal that is decoded as a load report,
 // which would order new weights, and against a cancellation that is taken for done.
 func TestRefusedControlCallsAreErrors(t *testing.T) {
--- a/upstream/events.go
+++ b/upstream/events.go
@@ -55,7 +55,7 @@
 	if err != nil {
 		return CacheReport{}, trace.Wrap(err)
 	}
-	resp, err := c.kept.Do(req)
+	resp, err := c.single.Do(req)
 	if err != nil {
 		return CacheReport{}, trace.ConnectionProblem(err, "fetching the cache events of %s", address)
 	}
--- a/upstream/order.go
+++ b/upstream/order.go
@@ -25,7 +25,7 @@
 		return trace.Wrap(err)
 	}
 	req.Header.Set("Content-Type", "application/json")
-	resp, err := c.kept.Do(req)
+	resp, err := c.single.Do(req)
 	if err != nil {
 		return trace.ConnectionProblem(err, "sending an order to %s", address)
 	}
