fix: a completion after a refusal gets its own answer on the product's own path

What callers would see: after an engine refused a completion, the next one on that connection fails with an unknown outcome though it runs; if the engine names no attempt when it rejects a request as invalid, the next one is rejected as invalid; and a request whose engines did that twice is refused for a minute as one that crashes engines. Cause: the connection of a refused completion was used again. The copy that was found to name another attempt was reported like a broken connection, which counts as a lost engine, and its connection went back to the pool with the real answer still due. A 4xx without an attempt was believed. Change: the body of a refusal stays unread, which closes its connection before anyone else can have it (NotStarted gives the status instead of the text). An answer that nothing shows to be the call's own wraps ErrWrongAttempt, closes its connection and counts as no crash; without an ID it is believed only on a connection that was not used before. A 5xx without an ID still counts as before, since it may be that of a proxy before a crashed engine. TestRunNeverResends is now TestCallIsNeverResent: since calls of services have a connection of their own, a row for completions checks the reused one; that row fails without the guard against net/http's replay. What remains: after a refusal without a body net/http reuses the connection; the next completion is not given the copy, but fails with an unknown outcome and is sent again only if it may be.

--- a/dispatch/reader.go
+++ b/dispatch/reader.go
@@ -83,6 +83,8 @@
 		return attempt.NotStarted
 	case errors.As(err, &rejected):
 		return attempt.Rejected
+	case errors.Is(err, upstream.ErrWrongAttempt):
+		return attempt.WrongAttempt
 	case errors.Is(err, upstream.ErrMissingEnd):
 		return attempt.MissingEnd
 	case errors.Is(err, upstream.ErrReported):
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -202,6 +202,7 @@
 }
 
 func (e *Engine) complete(c fiber.Ctx) error {
+	c.Set("X-Attempt-Id", c.Get("X-Attempt-Id"))
 	var body completionBody
 	if err := c.Bind().JSON(&body); err != nil {
 		return fiber.NewError(http.StatusBadRequest, err.Error())
@@ -209,7 +210,6 @@
 	f, incarnation, version := e.snapshot()
 	if reason := e.refuse(c, f, incarnation, version); reason != "" {
 		c.Set("X-Not-Started", "true")
-		c.Set("X-Attempt-Id", c.Get("X-Attempt-Id"))
 		return fiber.NewError(http.StatusServiceUnavailable, reason)
 	}
 	prompt := promptOf(body)
@@ -241,7 +241,6 @@
 	c.Set("X-Incarnation", strconv.FormatInt(incarnation, 10))
 	c.Set("X-Weights", version)
 	c.Set("X-Cached-Tokens", strconv.Itoa(cached))
-	c.Set("X-Attempt-Id", r.attempt)
 	c.Set("Content-Type", "text/event-stream")
 	return c.SendStreamWriter(func(w *bufio.Writer) {
 		defer e.release(r.attempt, stop)
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 	"time"
 
@@ -35,6 +36,12 @@
 	maxReportBytes = 4 << 20
 )
 
+// Headers of calls and answers that prove which call was answered, and that it didn't start.
+const (
+	attemptHeader    = "X-Attempt-Id"
+	notStartedHeader = "X-Not-Started"
+)
+
 // Call is one attempt of a request at an upstream.
 type Call struct {
 	// Address is the upstream's IP:port.
@@ -79,6 +86,10 @@
 	Adapters []string
 }
 
+// ErrWrongAttempt is wrapped by the error for an answer that nothing shows to be the one to
+// its call: it names another attempt, or none on a connection that was used before.
+var ErrWrongAttempt = errors.New("the answer belongs to another attempt")
+
 // NotStarted is returned when an upstream certainly did not start a call: it
 // said so, or nothing was sent.
 type NotStarted struct{ Reason string }
@@ -161,7 +172,7 @@
 	cached, _ := strconv.Atoi(resp.Header.Get("X-Cached-Tokens"))
 	return &Stream{
 		Decoder:      NewDecoder(resp.Body),
-		Attempt:      resp.Header.Get("X-Attempt-Id"),
+		Attempt:      resp.Header.Get(attemptHeader),
 		Incarnation:  resp.Header.Get("X-Incarnation"),
 		Weights:      resp.Header.Get("X-Weights"),
 		CachedTokens: cached,
@@ -197,6 +208,10 @@
 	if err != nil {
 		return nil, &NotStarted{Reason: err.Error()}
 	}
+	var used httptrace.GotConnInfo
+	req = req.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) { used = info },
+	}))
 	resp, err := client.Do(req)
 	var dialErr *net.OpError
 	if errors.As(err, &dialErr) && dialErr.Op == "dial" {
@@ -205,19 +220,16 @@
 	if err != nil {
 		return nil, trace.ConnectionProblem(err, "no answer from %s", call.Address)
 	}
-	// An upstream may repeat an earlier answer on a reused connection, so an answer
-	// that names another attempt is not one to this call, and one that names none
-	// promises nothing.
-	answered := resp.Header.Get("X-Attempt-Id")
-	notStarted := resp.Header.Get("X-Not-Started") == "true"
-	if answered != call.Attempt && (answered != "" || notStarted) {
+	if !belongsTo(resp, call, used.Reused) {
 		_ = resp.Body.Close()
-		return nil, trace.ConnectionProblem(nil, "%s answered attempt %q instead of %q", call.Address, answered, call.Attempt)
+		// The connection may be in the pool again while the answer to this call is still due.
+		_ = used.Conn.Close()
+		return nil, trace.ConnectionProblem(ErrWrongAttempt, "%s answered %s to attempt %q instead of %q", call.Address, resp.Status, resp.Header.Get(attemptHeader), call.Attempt)
 	}
-	if notStarted {
-		reason, _ := io.ReadAll(io.LimitReader(resp.Body, 1024))
+	// A body that isn't read closes the connection, on which the refusal may come once more.
+	if resp.Header.Get(notStartedHeader) == "true" {
 		_ = resp.Body.Close()
-		return nil, &NotStarted{Reason: string(reason)}
+		return nil, &NotStarted{Reason: resp.Status}
 	}
 	if resp.StatusCode >= http.StatusInternalServerError {
 		_ = resp.Body.Close()
@@ -226,6 +238,20 @@
 	return resp, nil
 }
 
+// belongsTo reports whether an answer is shown to be the one to its call. An upstream may
+// send an earlier answer once more on a connection that was used before. A status of 500 or
+// above promises nothing, whichever call it answers.
+func belongsTo(resp *http.Response, call Call, reused bool) bool {
+	attempt := resp.Header.Get(attemptHeader)
+	if attempt == call.Attempt {
+		return true
+	}
+	if attempt != "" || resp.Header.Get(notStartedHeader) == "true" {
+		return false
+	}
+	return !reused || resp.StatusCode >= http.StatusInternalServerError
+}
+
 // newRequest builds the HTTP request of a call. GetBody is nil and the body is
 // never http.NoBody, since net/http would otherwise retry a request with an
 // idempotency key by itself.
@@ -240,7 +266,7 @@
 		"Content-Type":         cmp.Or(call.ContentType, "application/json"),
 		"Accept":               call.Accept,
 		"X-Request-Id":         call.Request,
-		"X-Attempt-Id":         call.Attempt,
+		attemptHeader:          call.Attempt,
 		"X-Cache-Salt":         call.Salt,
 		"X-Expect-Incarnation": call.Incarnation,
 		"X-Expect-Weights":     call.Weights,
--- a/upstream/client_test.go
+++ b/upstream/client_test.go
@@ -18,31 +18,45 @@
 	"github.com/kumquathoist/kumquathoist/upstream"
 )
 
-// TestRunNeverResends checks that a call is not sent again when the service
-// reads it on a reused connection and then closes the connection. By default,
+// TestCallIsNeverResent checks that a call is not sent again when the upstream reads it,
+// for a completion on a reused connection, and then closes the connection. By default,
 // net/http retries a request with an idempotency key and no body.
-func TestRunNeverResends(t *testing.T) {
-	is := is.New(t)
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
-	t.Cleanup(func() { _ = listener.Close() })
-	var received atomic.Int32
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go serveFirstCallOnly(conn, &received)
-		}
-	}()
+func TestCallIsNeverResent(t *testing.T) {
 	client := upstream.NewClient()
-	call := upstream.Call{Address: listener.Addr().String(), Method: http.MethodPost, Path: "/approve", Key: "key-1"}
-	_, err = client.Run(context.Background(), call)
-	is.NoErr(err)
-	_, err = client.Run(context.Background(), call)
-	is.True(trace.IsConnectionProblem(err))
-	is.Equal(received.Load(), int32(2))
+	for name, send := range map[string]func(call upstream.Call) error{
+		"service": func(call upstream.Call) error {
+			_, err := client.Run(context.Background(), call)
+			return err
+		},
+		"completion": func(call upstream.Call) error {
+			stream, err := client.Open(context.Background(), call)
+			if err == nil {
+				stream.SkipRest()
+			}
+			return err
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			t.Cleanup(func() { _ = listener.Close() })
+			var received atomic.Int32
+			go func() {
+				for {
+					conn, err := listener.Accept()
+					if err != nil {
+						return
+					}
+					go serveFirstCallOnly(conn, &received)
+				}
+			}()
+			call := upstream.Call{Address: listener.Addr().String(), Method: http.MethodPost, Path: "/approve", Key: "key-1"}
+			is.NoErr(send(call))
+			is.True(trace.IsConnectionProblem(send(call)))
+			is.Equal(received.Load(), int32(2))
+		})
+	}
 }
 
 // serveFirstCallOnly answers the first call of a connection and closes the
--- a/upstream/copied_test.go
+++ b/upstream/copied_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"testing"
@@ -84,6 +85,74 @@
 	}
 }
 
+// TestCompletionIsNotAnsweredByEarlierRefusal guards against a completion that is reported as
+// refused though it runs, because the engine sent the refusal of the one before once more, and
+// against an engine that counts as crashed because of that.
+func TestCompletionIsNotAnsweredByEarlierRefusal(t *testing.T) {
+	for _, c := range []struct {
+		name, head string
+		status     int
+	}{
+		{"not started", "X-Attempt-Id: a\r\nX-Not-Started: true\r\n", http.StatusServiceUnavailable},
+		{"not started, without an attempt", "X-Not-Started: true\r\n", http.StatusServiceUnavailable},
+		{"invalid", "X-Attempt-Id: a\r\n", http.StatusBadRequest},
+		{"invalid, without an attempt", "", http.StatusBadRequest},
+		{"failed", "X-Attempt-Id: a\r\n", http.StatusInternalServerError},
+		{"failed, without an attempt", "", http.StatusInternalServerError},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			client, engine := startRepeater(t, func(nth int, r *http.Request) string {
+				if nth == 1 {
+					return httpText(c.status, c.head, "")
+				}
+				return httpText(http.StatusOK, "X-Attempt-Id: "+r.Header.Get("X-Attempt-Id")+"\r\n", "data: [DONE]\n\n")
+			})
+			call := upstream.Call{Address: engine.Address(), Method: http.MethodPost, Path: "/v1/completions", Attempt: "a"}
+			_, err := client.Open(context.Background(), call)
+			var rejected *upstream.Rejected
+			// Nothing else can have been answered on a new connection.
+			is.Equal(errors.As(err, &rejected), c.status == http.StatusBadRequest)
+			call.Attempt = "b"
+			stream, err := client.Open(context.Background(), call)
+			if err == nil {
+				defer stream.Close()
+				is.Equal(stream.Attempt, "b")
+				return
+			}
+			is.True(trace.IsConnectionProblem(err))
+			// A failure without an ID is no promise and may be that of a crashed engine.
+			is.Equal(errors.Is(err, upstream.ErrWrongAttempt), c.status < http.StatusInternalServerError || c.head != "")
+		})
+	}
+}
+
+// TestCompletionAfterRefusalIsAnswered guards against a completion that fails because the
+// engine sends its refusal of the one before once more.
+func TestCompletionAfterRefusalIsAnswered(t *testing.T) {
+	for _, status := range []int{http.StatusServiceUnavailable, http.StatusTooManyRequests} {
+		t.Run(http.StatusText(status), func(t *testing.T) {
+			is := is.New(t)
+			client, engine := startRepeater(t, func(nth int, r *http.Request) string {
+				head := "X-Attempt-Id: " + r.Header.Get("X-Attempt-Id") + "\r\n"
+				if nth == 1 {
+					return httpText(status, head+"X-Not-Started: true\r\n", "the queue is full")
+				}
+				return httpText(http.StatusOK, head, "data: [DONE]\n\n")
+			})
+			call := upstream.Call{Address: engine.Address(), Method: http.MethodPost, Path: "/v1/completions", Attempt: "a"}
+			_, err := client.Open(context.Background(), call)
+			var notStarted *upstream.NotStarted
+			is.True(errors.As(err, &notStarted))
+			call.Attempt = "b"
+			stream, err := client.Open(context.Background(), call)
+			is.NoErr(err)
+			defer stream.Close()
+			is.Equal(engine.Copies(), 0)
+		})
+	}
+}
+
 // TestControlCallsAreNotAnsweredByOthers guards against an order that is taken for accepted
 // or refused, and a report that is taken for an engine's present one, because of an earlier
 // refusal that the engine sent once more.
