fix: answers of the log and the host list are not those to earlier calls

Cause: calls shared kept connections, and answers name neither their call nor their stream. A refusal sent twice ends the next call early, and each later call on that connection gets the answer to the one before: with long polls for as long as the connection stays busy. Change: each call has a connection of its own. Offsets alone can't show it: the batch before may have taken the very offset that is due.

--- a/registry/hostlist.go
+++ b/registry/hostlist.go
@@ -6,9 +6,6 @@
 	"time"
 
 	"github.com/gravitational/trace"
-
-	"github.com/kumquathoist/kumquathoist/bounded"
-	"github.com/kumquathoist/kumquathoist/socket"
 )
 
 // hostListTimeout bounds one read of the host list.
@@ -57,9 +54,7 @@
 
 // NewHostList returns a client of the host list at the base URL.
 func NewHostList(base string) *HostList {
-	return &HostList{baseURL: base, client: &http.Client{Timeout: hostListTimeout, Transport: &http.Transport{
-		DialContext: socket.NewDialer(dialTimeout, maxSilence).DialContext, MaxResponseHeaderBytes: bounded.MaxHeadBytes,
-	}}}
+	return &HostList{baseURL: base, client: &http.Client{Timeout: hostListTimeout, Transport: newTransport()}}
 }
 
 // Hosts returns the current host list.
--- a/registry/log.go
+++ b/registry/log.go
@@ -67,9 +67,15 @@
 
 // NewLog returns a client of the log service at the base URL.
 func NewLog(base string) *Log {
-	return &Log{baseURL: base, client: &http.Client{Transport: &http.Transport{
-		DialContext: socket.NewDialer(dialTimeout, maxSilence).DialContext, MaxIdleConnsPerHost: 4, IdleConnTimeout: 30 * time.Second, MaxResponseHeaderBytes: bounded.MaxHeadBytes,
-	}}}
+	return &Log{baseURL: base, client: &http.Client{Transport: newTransport()}}
+}
+
+// newTransport returns a transport that uses a connection for one call. Nothing in an answer
+// shows which call it answers, and a server may send a refusal once more on a kept connection.
+func newTransport() *http.Transport {
+	return &http.Transport{
+		DialContext: socket.NewDialer(dialTimeout, maxSilence).DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: bounded.MaxHeadBytes,
+	}
 }
 
 // Append appends one record to a stream.
