--- a/upstream/client.go
+++ b/upstream/client.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 	"time"
 
@@ -35,6 +36,12 @@
 	maxReportBytes = 4 << 20
 )
 
+// Headers of calls and answers that prove which call was answered, and that it didn't start.
+const (
+	attemptHeader    = "X-Attempt-Id"
+	notStartedHeader = "X-Not-Started"
+)
+
 // Call is one attempt of a request at an upstream.
 type Call struct {
 	// Address is the upstream's IP:port.
@@ -79,6 +86,10 @@
 	Adapters []string
 }
 
+// ErrWrongAttempt is wrapped by the error for an answer that nothing shows to be the one to
+// its call: it names another attempt, or none on a connection that was used before.
+var ErrWrongAttempt = errors.New("the answer belongs to another attempt")
+
 // NotStarted is returned when an upstream certainly did not start a call: it
 // said so, or nothing was sent.
 type NotStarted struct{ Reason string }
@@ -96,22 +107,31 @@
 func (r *Rejected) Error() string { return "rejected with " + http.StatusText(r.Status) }
 
 // Client calls upstreams. It never retries a call.
+//
+// An upstream may send an earlier answer once more where the next one is due, and
+// nothing but an ID in the answer tells the two apart. So only completions use kept
+// connections; each other call has a connection of its own, on which no other answer
+// can arrive.
 type Client struct {
-	http   *http.Client
-	budget *bounded.Budget
+	kept, single *http.Client
+	budget       *bounded.Budget
 }
 
 // NewClient returns a client that keeps a few idle connections to each
 // upstream.
 func NewClient() *Client {
-	transport := &http.Transport{
+	kept := &http.Transport{
 		MaxIdleConnsPerHost:    64,
 		IdleConnTimeout:        30 * time.Second,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: bounded.MaxHeadBytes,
 		DialContext:            socket.NewDialer(dialTimeout, maxSilence).DialContext,
 	}
-	return &Client{http: &http.Client{Transport: transport}, budget: bounded.NewBudget(maxBufferedBytes)}
+	single := kept.Clone()
+	single.DisableKeepAlives = true
+	return &Client{
+		kept: &http.Client{Transport: kept}, single: &http.Client{Transport: single}, budget: bounded.NewBudget(maxBufferedBytes),
+	}
 }
 
 // Stream is the open answer of an engine.
@@ -141,7 +161,7 @@
 // the request as invalid, and trace.ConnectionProblem if the engine may have
 // started it. The caller must check which attempt, incarnation and weights answered.
 func (c *Client) Open(ctx context.Context, call Call) (*Stream, error) {
-	resp, err := c.send(ctx, call)
+	resp, err := send(ctx, c.kept, call)
 	if err != nil {
 		return nil, err
 	}
@@ -152,7 +172,7 @@
 	cached, _ := strconv.Atoi(resp.Header.Get("X-Cached-Tokens"))
 	return &Stream{
 		Decoder:      NewDecoder(resp.Body),
-		Attempt:      resp.Header.Get("X-Attempt-Id"),
+		Attempt:      resp.Header.Get(attemptHeader),
 		Incarnation:  resp.Header.Get("X-Incarnation"),
 		Weights:      resp.Header.Get("X-Weights"),
 		CachedTokens: cached,
@@ -167,9 +187,9 @@
 	Body        []byte
 }
 
-// Run calls a plain service. It returns the same errors as Open.
+// Run calls a plain service, which may name the attempt in its answer or not. It returns the same errors as Open.
 func (c *Client) Run(ctx context.Context, call Call) (Answer, error) {
-	resp, err := c.send(ctx, call)
+	resp, err := send(ctx, c.single, call)
 	if err != nil {
 		return Answer{}, err
 	}
@@ -183,12 +203,16 @@
 
 // send sends a call once and converts answers that mean that the upstream failed
 // or did not start the call to errors.
-func (c *Client) send(ctx context.Context, call Call) (*http.Response, error) {
+func send(ctx context.Context, client *http.Client, call Call) (*http.Response, error) {
 	req, err := newRequest(ctx, call)
 	if err != nil {
 		return nil, &NotStarted{Reason: err.Error()}
 	}
-	resp, err := c.http.Do(req)
+	var used httptrace.GotConnInfo
+	req = req.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) { used = info },
+	}))
+	resp, err := client.Do(req)
 	var dialErr *net.OpError
 	if errors.As(err, &dialErr) && dialErr.Op == "dial" {
 		return nil, &NotStarted{Reason: err.Error()}
@@ -196,19 +220,16 @@
 	if err != nil {
 		return nil, trace.ConnectionProblem(err, "no answer from %s", call.Address)
 	}
-	// An upstream may repeat an earlier answer on a reused connection, so an answer
-	// that names another attempt is not one to this call, and one that names none
-	// promises nothing.
-	answered := resp.Header.Get("X-Attempt-Id")
-	notStarted := resp.Header.Get("X-Not-Started") == "true"
-	if answered != call.Attempt && (answered != "" || notStarted) {
+	if !belongsTo(resp, call, used.Reused) {
 		_ = resp.Body.Close()
-		return nil, trace.ConnectionProblem(nil, "%s answered attempt %q instead of %q", call.Address, answered, call.Attempt)
+		// The connection may be in the pool again while the answer to this call is still due.
+		_ = used.Conn.Close()
+		return nil, trace.ConnectionProblem(ErrWrongAttempt, "%s answered %s to attempt %q instead of %q", call.Address, resp.Status, resp.Header.Get(attemptHeader), call.Attempt)
 	}
-	if notStarted {
-		reason, _ := io.ReadAll(io.LimitReader(resp.Body, 1024))
+	// A body that isn't read closes the connection, on which the refusal may come once more.
+	if resp.Header.Get(notStartedHeader) == "true" {
 		_ = resp.Body.Close()
-		return nil, &NotStarted{Reason: string(reason)}
+		return nil, &NotStarted{Reason: resp.Status}
 	}
 	if resp.StatusCode >= http.StatusInternalServerError {
 		_ = resp.Body.Close()
@@ -217,6 +238,20 @@
 	return resp, nil
 }
 
+// belongsTo reports whether an answer is shown to be the one to its call. An upstream may
+// send an earlier answer once more on a connection that was used before. A status of 500 or
+// above promises nothing, whichever call it answers.
+func belongsTo(resp *http.Response, call Call, reused bool) bool {
+	attempt := resp.Header.Get(attemptHeader)
+	if attempt == call.Attempt {
+		return true
+	}
+	if attempt != "" || resp.Header.Get(notStartedHeader) == "true" {
+		return false
+	}
+	return !reused || resp.StatusCode >= http.StatusInternalServerError
+}
+
 // newRequest builds the HTTP request of a call. GetBody is nil and the body is
 // never http.NoBody, since net/http would otherwise retry a request with an
 // idempotency key by itself.
@@ -231,7 +266,7 @@
 		"Content-Type":         cmp.Or(call.ContentType, "application/json"),
 		"Accept":               call.Accept,
 		"X-Request-Id":         call.Request,
-		"X-Attempt-Id":         call.Attempt,
+		attemptHeader:          call.Attempt,
 		"X-Cache-Salt":         call.Salt,
 		"X-Expect-Incarnation": call.Incarnation,
 		"X-Expect-Weights":     call.Weights,
@@ -261,11 +296,15 @@
 		return trace.Wrap(err)
 	}
 	req.Header.Set("Content-Type", "application/json")
-	resp, err := c.http.Do(req)
+	resp, err := c.single.Do(req)
 	if err != nil {
 		return trace.ConnectionProblem(err, "cancelling an attempt at %s", address)
 	}
-	return trace.Wrap(resp.Body.Close())
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return trace.ConnectionProblem(nil, "%s answered the cancellation with %s", address, resp.Status)
+	}
+	return nil
 }
 
 // Load fetches the load of an engine.
@@ -274,11 +313,14 @@
 	if err != nil {
 		return Load{}, trace.Wrap(err)
 	}
-	resp, err := c.http.Do(req)
+	resp, err := c.single.Do(req)
 	if err != nil {
 		return Load{}, trace.ConnectionProblem(err, "fetching the load of %s", address)
 	}
 	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return Load{}, trace.ConnectionProblem(nil, "%s answered %s", address, resp.Status)
+	}
 	var load Load
 	err = decodeReport(resp.Body, &load)
 	return load, trace.Wrap(err, "decoding the load of %s", address)
