fix: an earlier report doesn't end the wait for an engine's load

What callers see: requests go to an engine that executes an order, which refuses them all; another order goes there; the host tells all others that the load failed.

Cause: while a host waits for a load, it polls reports on a kept connection and concludes from one report that the engine executes none ("not busy", "the count of orders is unchanged"). Nothing in a report shows which call it answers.

Evidence: TestController gets 2 rows with one report from before the order, for another host's order and for a long one of the host's own. On the code before, where any report may be the stale one, both fail, the other 5 of 7 pass: the engine is freed while it loads. Now 7 of 7 pass.

--- a/reloader/load.go
+++ b/reloader/load.go
@@ -150,13 +150,18 @@
 	})
 }
 
-// follow queries an engine's status reports until they show the weights, ended
-// returns a result, or there are none for some time.
+// follow polls an engine's status reports until they show the weights, ended
+// returns a result, or there are none for some time. A polled report may be an earlier
+// one: only weights that it shows are there, whatever else would end the load must be in
+// a new report, too.
 func (c *Controller) follow(ctx context.Context, e discovery.Entry, model string, version int64, ended func(Report, clock.Instant) result) result {
 	reportedAt := clock.Now()
 	for ctx.Err() == nil {
 		clock.Pause(ctx, c.pollInterval())
-		r, err := c.queryReport(ctx, e)
+		r, err := c.pollReport(ctx, e)
+		if err == nil && r.Weights[model] < version && ended(r, clock.Now()) != "" {
+			r, err = c.queryReport(ctx, e)
+		}
 		now := clock.Now()
 		switch {
 		case err != nil && now.Sub(reportedAt) > silenceTimeout:
@@ -209,6 +214,13 @@
 	return c.Engines.Report(ctx, e.Address, e.ID)
 }
 
+// pollReport queries a status report that may be an earlier one.
+func (c *Controller) pollReport(ctx context.Context, e discovery.Entry) (Report, error) {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	return c.Engines.PollReport(ctx, e.Address, e.ID)
+}
+
 // renew tells all hosts which engines still load according to their reports.
 func (c *Controller) renew() {
 	now := clock.Now()
--- a/reloader/reloader.go
+++ b/reloader/reloader.go
@@ -89,7 +89,10 @@
 
 // engineClient calls engines.
 type engineClient interface {
+	// Report returns what the engine reported after the call, PollReport the same or an
+	// earlier report of the same process: it costs no new connection.
 	Report(ctx context.Context, address, instance string) (Report, error)
+	PollReport(ctx context.Context, address, instance string) (Report, error)
 	// Order reports whether the engine accepted the order; after an error it
 	// may or may not have.
 	Order(ctx context.Context, address string, o Order) (accepted bool, err error)
--- a/reloader/reloader_test.go
+++ b/reloader/reloader_test.go
@@ -30,6 +30,24 @@
 	busyUntil, silentFrom   time.Time
 	weights, next, accepted int64
 	orders, disturbed       int
+	// If staleAfter is set, the first poll so long after busyFrom gets a report from before
+	// the order.
+	busyFrom   time.Time
+	staleAfter time.Duration
+}
+
+// PollReport implements the reloader's engine client.
+func (e *fakeEngine) PollReport(ctx context.Context, address, instance string) (reloader.Report, error) {
+	e.mu.Lock()
+	isStale := e.staleAfter > 0 && !e.busyFrom.IsZero() && time.Since(e.busyFrom) > e.staleAfter
+	if isStale {
+		e.staleAfter = 0
+	}
+	e.mu.Unlock()
+	if isStale {
+		return reloader.Report{Weights: map[string]int64{"m": 1}}, nil
+	}
+	return e.Report(ctx, address, instance)
 }
 
 // Report implements the reloader's engine client.
@@ -56,7 +74,8 @@
 	}
 	e.orders++
 	e.accepted++
-	e.next, e.busyUntil = o.Weights, time.Now().Add(e.loadTime)
+	e.next, e.busyFrom = o.Weights, time.Now()
+	e.busyUntil = e.busyFrom.Add(e.loadTime)
 	return true, nil
 }
 
@@ -86,7 +105,8 @@
 }
 
 // TestController has one host load an engine. It must stay out of use until its own
-// report ends that, whoever has ordered it, and must get no order while it executes one.
+// report ends that, whoever has ordered it, and must get no order while it executes one. A
+// copy of an earlier report must not end it either.
 func TestController(t *testing.T) {
 	for _, c := range []struct {
 		name   string
@@ -101,6 +121,8 @@
 		{"a load that lasts longer than updates are valid", &fakeEngine{weights: 1, loadTime: 5500 * time.Millisecond}, true, 1, true},
 		{"an order of another host, for the same weights", &fakeEngine{weights: 1, next: 2, accepted: 1, busyUntil: time.Now().Add(2 * time.Second)}, true, 0, true},
 		{"an order of another host, for the weights before", &fakeEngine{weights: 0, next: 1, accepted: 1, busyUntil: time.Now().Add(2 * time.Second), loadTime: 200 * time.Millisecond}, true, 1, true},
+		{"another host's order, with a copy of an earlier report", &fakeEngine{weights: 1, next: 2, accepted: 1, busyFrom: time.Now(), busyUntil: time.Now().Add(2 * time.Second), staleAfter: time.Second}, true, 0, true},
+		{"a long load, with a copy of an earlier report", &fakeEngine{weights: 1, loadTime: 5500 * time.Millisecond, staleAfter: 4200 * time.Millisecond}, true, 1, true},
 		{"an engine that is lost while it loads", &fakeEngine{weights: 1, loadTime: time.Minute, silentFrom: time.Now().Add(800 * time.Millisecond)}, false, 1, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -112,7 +134,7 @@
 			defer cancel()
 			tracker, state := health.NewTracker(), stateWithTarget()
 			var mu sync.Mutex
-			renewed, ended, used := false, false, 0
+			renewed, ended, used, freed := false, false, 0, 0
 			reloader.New(ctx, &wait, reloader.Options{
 				Self: "host", Engines: c.engine, Claims: fakeLog{}, Health: tracker, Replica: func() replica.State { return state },
 				Load: func(string) loadreport.Load { return loadreport.Load{} }, Active: func() bool { return true }, Hosts: func() []string { return []string{"host"} },
@@ -120,6 +142,11 @@
 				Send: func(u reloader.Update) {
 					mu.Lock()
 					defer mu.Unlock()
+					c.engine.mu.Lock()
+					if len(u.Freed) > 0 && time.Now().Before(c.engine.busyUntil) && c.loaded {
+						freed++
+					}
+					c.engine.mu.Unlock()
 					if u.Loading["e"] == 2 && len(u.Claim.Upstreams) == 0 {
 						renewed = true
 					}
@@ -146,8 +173,10 @@
 			c.engine.mu.Lock()
 			defer c.engine.mu.Unlock()
 			is.Equal(used, 0)
+			is.Equal(freed, 0)
 			is.Equal(c.engine.disturbed, 0)
 			is.Equal(c.engine.orders, c.orders)
+			is.Equal(c.engine.staleAfter, 0*time.Second) // the copy was sent
 			is.True(renewed || !c.renewed)
 			is.Equal(c.engine.weights == 2, c.loaded)
 		})
