fix: an engine's answer to an earlier control call is not believed

What callers see: a stream goes on from the memory of another request (rule MIXED), or is answered again by an engine that has stopped it; a move that was carried out counts as refused, an order as accepted that was not.

Cause: all calls of the engines' control API shared one client, which kept a connection per engine. They carry no id. Each answer was believed because it fits what was asked.

Cache events must follow their call's position (boot epoch, numbers, next position); then they are what the log has there, whichever call they answered.

--- a/cachefeed/cachefeed.go
+++ b/cachefeed/cachefeed.go
@@ -38,8 +38,17 @@
 	Address, Instance string
 }
 
+// Position is a position in a source's log of changes.
+type Position struct {
+	// Epoch changes when the source restarts; Next is the number of the last change
+	// before the position.
+	Epoch, Next int64
+}
+
 // Change is a change of one cached part.
 type Change struct {
+	// Number is the change's number in the source's log.
+	Number     int64
 	Salt, Part string
 	// Dropped reports whether the part is no longer completely cached.
 	Dropped bool
@@ -47,18 +56,31 @@
 
 // Batch is the result of a call.
 type Batch struct {
-	// Epoch changes when the source restarts; Next is the position to continue
-	// from.
-	Epoch, Next int64
+	// Position is where the next call continues.
+	Position
 	// Gap reports whether some events were lost.
 	Gap     bool
 	Changes []Change
 }
 
+// Follows reports whether a batch continues at a position.
+func (b Batch) Follows(p Position) bool {
+	if b.Epoch != p.Epoch || b.Next < p.Next {
+		return false
+	}
+	for _, c := range b.Changes {
+		if c.Number <= p.Next || c.Number > b.Next {
+			return false
+		}
+	}
+	return true
+}
+
 // client calls sources.
 type client interface {
-	// CacheEvents returns the events after a position, waiting for the first.
-	CacheEvents(ctx context.Context, s Source, since int64, wait time.Duration) (Batch, error)
+	// CacheEvents returns the events after a position, waiting for the first. The zero
+	// position is that of a source that nobody has called before.
+	CacheEvents(ctx context.Context, s Source, after Position, wait time.Duration) (Batch, error)
 }
 
 // Options configures Follow.
@@ -113,10 +135,10 @@
 
 // followSource follows one source until the context ends.
 func (f *feed) followSource(ctx context.Context, s Source) {
-	since, epoch, failing := int64(0), int64(0), false
+	after, failing := Position{}, false
 	for ctx.Err() == nil {
 		callCtx, cancel := context.WithTimeout(ctx, eventWait+callMargin)
-		b, err := f.Client.CacheEvents(callCtx, s, since, eventWait)
+		b, err := f.Client.CacheEvents(callCtx, s, after, eventWait)
 		cancel()
 		if err != nil {
 			if !failing && ctx.Err() == nil {
@@ -130,11 +152,11 @@
 			event.FeedReconnected.Info("Source", s.Name, "Position", b.Next, "Gap", b.Gap)
 		}
 		failing = false
-		if epoch != 0 && b.Epoch != epoch {
+		if after.Epoch != 0 && b.Epoch != after.Epoch {
 			event.CacheReset.Info("Source", s.Name, "Epoch", b.Epoch)
 			f.OnReset(s)
 		}
-		epoch, since = b.Epoch, b.Next
+		after = b.Position
 		for _, c := range b.Changes {
 			if c.Dropped {
 				f.OnEvicted(s, c.Salt, c.Part)
--- a/event/replica.go
+++ b/event/replica.go
@@ -37,6 +37,8 @@
 	FeedReconnected = Event{6202, "feed back", "An engine or a part store reports again what it caches. After a gap, hosts may assume that some evicted parts are still cached."}
 	// CacheReset reports an engine or a part store that lost its cache.
 	CacheReset = Event{6203, "cache lost", "An engine or a part store has restarted with an empty cache."}
+	// ControlAnswerDoubted reports an answer that may belong to an earlier call.
+	ControlAnswerDoubted = Event{6204, "control answer doubted", "An engine's or a part store's answer on a kept connection doesn't fit what was asked there; it may be an earlier one sent once more. The host asks again on a new connection."}
 	// UpstreamLeaving reports an upstream that accepts no more requests.
 	UpstreamLeaving = Event{6107, "upstream leaves", "An upstream reported in an answer that it is leaving, or another host forwarded that report; no more requests are sent to it. Another host's report is valid for 15 s."}
 	// RequestsWithdrawn reports requests that were taken back from a leaving upstream.
@@ -87,7 +89,7 @@
 
 var replicaEvents = []Event{
 	StoreUnreachable, StoreReachable, HistoryTrimmed, CatalogChanged, TargetWeightsChanged, UpstreamChanged, UpstreamRemoved, RecordRejected,
-	LeaseAcquired, LeaseNotAcquired, LeaseHeldElsewhere, LoadOrdered, LoadEnded, UpstreamReportedUnreachable, FeedDisconnected, FeedReconnected, CacheReset,
+	LeaseAcquired, LeaseNotAcquired, LeaseHeldElsewhere, LoadOrdered, LoadEnded, UpstreamReportedUnreachable, FeedDisconnected, FeedReconnected, CacheReset, ControlAnswerDoubted,
 	StoreRestored, ReplicaDiffers, UpstreamLeaving, RequestsWithdrawn, RetryAfterReceived, LimitNamed, LimitEnded, LimitInvalid, BrittlenessChanged, RetryAfterInvalid, HostIsolated, HostReconnected, CrashRecordsUnreadable, CrashRecordsReadable, CrashRecordPersisted, CrashRecordNotPersisted,
 	SoftwareVersionsChanged, StreamOriginsUnreadable, StreamOriginsNotWritten, NamingNotRecorded, GroupsRecorded, GroupsNotRecorded, UpdateNotSent,
 }
