--- a/http1/exchange.go
+++ b/http1/exchange.go
@@ -321,7 +321,8 @@
 	if !e.release() {
 		return
 	}
-	if e.Status >= http.StatusMultipleChoices && !e.conn.addUnserved(unserved{e.id, e.deadline}) {
+	isUnserved := e.NotRun || e.Status >= http.StatusMultipleChoices
+	if isUnserved && !e.conn.addUnserved(unserved{e.id, e.deadline}) {
 		_ = e.conn.Close()
 		return
 	}
--- a/http1/unserved_test.go
+++ b/http1/unserved_test.go
@@ -61,7 +61,7 @@
 // TestCopiedRefusalOfTheSameRequestIsNotBelieved sends a request again to an upstream that
 // refused it and writes the refusal once more where the answer is due.
 func TestCopiedRefusalOfTheSameRequestIsNotBelieved(t *testing.T) {
-	for _, status := range []int{400, 408, 421, 429, 503} {
+	for _, status := range []int{202, 400, 408, 421, 429, 503} {
 		for _, between := range []int{0, 1, 10} {
 			t.Run(fmt.Sprintf("%d, %d requests between", status, between), func(t *testing.T) {
 				is := is.New(t)
