test: engines that are processes tell when they did not run

TestSilentEngines failed once at a load average of 45: four streams at two engines for 519 to 551 ms, all four ended at the first engine within 5 ms. Its output could not tell an engine that works from one that was woken and got no processor: the check takes an engine to work from the moment at which it is sent SIGCONT.

Each engine's process, and the soak's own, now notes when it did not run for 50 ms or more. A soak with violations writes violations.log (which the test prints): when every process was stopped and when it did not run, and the hosts' lines of up to 4 calls that violations name, 16 lines each. The check itself is unchanged.

--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -79,6 +79,8 @@
 	// terms are those of the newest configuration, changes all that were written.
 	terms   terms
 	changes []termsChange
+	// stalls are the times in which the soak's own process did not run.
+	stalls []standin.PlatformPeriod
 
 	// processes holds the engines that are processes, which engineProgram serves.
 	processes     []*engineProcess
@@ -461,8 +463,8 @@
 }
 
 // saveOutput writes the hosts' output to a folder and, if engines are processes, the
-// calls and what the processes did.
-func (d *deployment) saveOutput(dir string, calls []*call) error {
+// calls, what the processes did and what tells of the violations.
+func (d *deployment) saveOutput(dir string, calls []*call, violations []string) error {
 	for _, h := range d.hosts {
 		if err := os.WriteFile(filepath.Join(dir, h.name+".log"), []byte(h.output.String()), 0o600); err != nil {
 			return trace.Wrap(err, "saving the output of %s", h.name)
@@ -471,5 +473,10 @@
 	if len(d.processes) == 0 {
 		return nil
 	}
-	return trace.Wrap(os.WriteFile(filepath.Join(dir, "calls.log"), []byte(d.describeCalls(calls)), 0o600), "saving the calls")
+	for name, text := range map[string]string{"calls.log": d.describeCalls(calls), "violations.log": d.describeViolations(calls, violations)} {
+		if err := os.WriteFile(filepath.Join(dir, name), []byte(text), 0o600); err != nil {
+			return trace.Wrap(err, "saving %s", name)
+		}
+	}
+	return nil
 }
--- a/soak/engine_process.go
+++ b/soak/engine_process.go
@@ -69,6 +69,7 @@
 
 // startProcesses starts engines and plain services as processes.
 func (d *deployment) startProcesses(o Options) error {
+	d.wait.Go(func() { standin.WatchStalls(d.ctx, d.recordStall) })
 	for i := range o.Engines + o.Services {
 		e := &engineProcess{service: modelService, model: model}
 		if i >= o.Engines {
@@ -153,6 +154,50 @@
 	return b.String()
 }
 
+// recordStall records a time in which the soak's own process did not run.
+func (d *deployment) recordStall(p standin.PlatformPeriod) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.stalls = append(d.stalls, p)
+}
+
+// maxDescribedCalls and maxDescribedLines bound what describeViolations says of calls,
+// and of one call.
+const (
+	maxDescribedCalls = 4
+	maxDescribedLines = 16
+)
+
+// describeViolations describes when processes were stopped and when they did not run, as
+// they noticed themselves, and quotes the hosts' lines of some calls that violations name.
+func (d *deployment) describeViolations(calls []*call, violations []string) string {
+	d.mu.Lock()
+	stalls := slices.Clone(d.stalls)
+	d.mu.Unlock()
+	var b strings.Builder
+	fmt.Fprintf(&b, "the soak did not run %v\n", stalls)
+	for _, e := range d.processes {
+		for _, p := range e.all() {
+			fmt.Fprintf(&b, "%s was stopped %v and did not run %v\n", p.Options.ID, p.Pauses(), p.Stalls())
+		}
+	}
+	named := slices.DeleteFunc(slices.Clone(calls), func(c *call) bool {
+		return !slices.ContainsFunc(violations, func(v string) bool { return strings.Contains(v, c.id+" ") })
+	})
+	for _, c := range named[:min(len(named), maxDescribedCalls)] {
+		var lines []string
+		for _, h := range d.hosts {
+			for line := range strings.Lines(h.output.String()) {
+				if strings.Contains(line, fmt.Sprintf("Request=%q", c.id)) {
+					lines = append(lines, h.name+" "+line)
+				}
+			}
+		}
+		b.WriteString(strings.Join(lines[:min(len(lines), maxDescribedLines)], ""))
+	}
+	return b.String()
+}
+
 // outcome describes how a call ended.
 func (c *call) outcome() string {
 	return fmt.Sprintf("%s status %d whole %t gave up %t bytes %d", c.kind, c.answer.Status, c.answer.Whole, c.gaveUp, len(c.answer.Body))
@@ -175,7 +220,7 @@
 		s += " (moved)"
 	}
 	for _, p := range w.periods {
-		s += " " + p.From.Format(logTime) + "-" + p.Until.Format(logTime)
+		s += " " + p.String()
 	}
 	if !w.killed.IsZero() {
 		s += " killed " + w.killed.Format(logTime)
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -123,7 +123,7 @@
 		}
 	}
 	if len(report.Violations) > 0 && o.OutputDir != "" {
-		if err := d.saveOutput(o.OutputDir, all); err != nil {
+		if err := d.saveOutput(o.OutputDir, all, report.Violations); err != nil {
 			return report, err
 		}
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -220,10 +220,10 @@
 	is.True(report.Answered > 0)
 }
 
-// logTails logs the last bytes of each host's output.
+// logTails logs the last bytes of each host's output, and more of what tells of the
+// violations.
 func logTails(t *testing.T, dir string) {
 	t.Helper()
-	const maxBytes = 8 << 10
 	paths, err := filepath.Glob(filepath.Join(dir, "*.log"))
 	if err != nil {
 		t.Error(err)
@@ -233,6 +233,10 @@
 		if err != nil {
 			t.Error(err)
 		}
+		maxBytes := 8 << 10
+		if filepath.Base(path) == "violations.log" {
+			maxBytes *= 4
+		}
 		t.Logf("%s ends with\n%s", filepath.Base(path), raw[max(0, len(raw)-maxBytes):])
 	}
 }
--- a/standin/platform_process.go
+++ b/standin/platform_process.go
@@ -32,14 +32,15 @@
 	Weights int64
 }
 
-// processLine is a line that the process writes: its address, then its runs.
+// processLine is a line that the process writes: its address, then its runs and stalls.
 type processLine struct {
-	Address string       `json:",omitempty"`
-	Run     *PlatformRun `json:",omitempty"`
+	Address string          `json:",omitempty"`
+	Run     *PlatformRun    `json:",omitempty"`
+	Stall   *PlatformPeriod `json:",omitempty"`
 }
 
 // ServePlatformProcess runs an engine whose options stand in the first line of in. It
-// writes its address and its runs to out, and ends when in does or the context ends.
+// writes its address, its runs and its stalls to out, and ends when in does or the context ends.
 func ServePlatformProcess(ctx context.Context, in io.Reader, out io.Writer) error {
 	lines := bufio.NewReader(in)
 	first, err := lines.ReadBytes('\n')
@@ -70,6 +71,9 @@
 	}
 	e.mu.Unlock()
 	write(processLine{Address: e.Address()})
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go WatchStalls(ctx, func(p PlatformPeriod) { write(processLine{Stall: &p}) })
 	ended := make(chan error, 1)
 	go func() {
 		_, err := io.Copy(io.Discard, lines)
@@ -99,6 +103,7 @@
 	mu     sync.Mutex
 	runs   []PlatformRun
 	pauses []PlatformPeriod
+	stalls []PlatformPeriod
 	killed time.Time
 }
 
@@ -106,6 +111,15 @@
 // it lasts.
 type PlatformPeriod struct{ From, Until time.Time }
 
+// String describes the period.
+func (p PlatformPeriod) String() string {
+	const form = "15:04:05.000"
+	if p.Until.IsZero() {
+		return p.From.Format(form) + "-"
+	}
+	return p.From.Format(form) + "-" + p.Until.Format(form)
+}
+
 // StartPlatformProcess starts a program that calls ServePlatformProcess with its standard
 // input and output.
 func StartPlatformProcess(o PlatformProcessOptions, program string, arguments ...string) (*PlatformProcess, error) {
@@ -129,16 +143,16 @@
 	var first processLine
 	err = errors.Join(json.NewEncoder(input).Encode(o), decoder.Decode(&first))
 	p.Address = first.Address
-	go func() {
+	go func(err error) {
 		defer close(p.ended)
 		for err == nil {
 			var l processLine
-			if err = decoder.Decode(&l); err == nil && l.Run != nil {
-				p.record(*l.Run)
+			if err = decoder.Decode(&l); err == nil {
+				p.record(l)
 			}
 		}
 		_ = cmd.Wait() // a killed process has no other end
-	}()
+	}(err)
 	if err != nil {
 		p.Kill()
 		return nil, trace.Wrap(err, "starting an engine")
@@ -146,10 +160,17 @@
 	return p, nil
 }
 
-// record adds a run, or its end.
-func (p *PlatformProcess) record(r PlatformRun) {
+// record adds a run, its end or a stall.
+func (p *PlatformProcess) record(l processLine) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if l.Stall != nil {
+		p.stalls = append(p.stalls, *l.Stall)
+	}
+	if l.Run == nil {
+		return
+	}
+	r := *l.Run
 	if i := slices.IndexFunc(p.runs, func(known PlatformRun) bool { return known.Number == r.Number }); i >= 0 {
 		p.runs[i] = r
 		return
@@ -209,6 +230,21 @@
 	return slices.Clone(p.runs)
 }
 
+// Pauses returns when the process was stopped, and Stalls when it did not run, as it
+// noticed itself.
+func (p *PlatformProcess) Pauses() []PlatformPeriod {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.pauses)
+}
+
+// Stalls is described with Pauses.
+func (p *PlatformProcess) Stalls() []PlatformPeriod {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.stalls)
+}
+
 // Killed returns when the process was killed, or zero.
 func (p *PlatformProcess) Killed() time.Time {
 	p.mu.Lock()
