--- a/forward/handler.go
+++ b/forward/handler.go
@@ -5,7 +5,6 @@
 	"errors"
 	"os"
 	"strconv"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -304,37 +303,6 @@
 	return h.readAnswer(a)
 }
 
-// limitAttempt ends an attempt that has no answer, or no first event, at the end of its
-// time, unless the request could not be sent again then. It returns a function that ends
-// the limit.
-func (h *handler) limitAttempt(a *attempt) (stop func()) {
-	var mu sync.Mutex // guards stopped and timer
-	var stopped bool
-	var timer *time.Timer
-	others := h.others()
-	mu.Lock()
-	defer mu.Unlock()
-	timer = time.AfterFunc(h.attemptTimeout(), func() {
-		waits := h.mayWait(a, others)
-		mu.Lock()
-		defer mu.Unlock()
-		switch {
-		case stopped:
-		case waits, h.timeLeft() > minTimeLeft && !h.reserveRetry():
-			timer.Reset(searchInterval)
-		default:
-			a.abandoned.Store(true)
-			a.cancel()
-		}
-	})
-	return func() {
-		mu.Lock()
-		defer mu.Unlock()
-		stopped = true
-		timer.Stop()
-	}
-}
-
 // recordUnconnected records that an upstream did not accept a connection.
 func (h *handler) recordUnconnected(t target, err error) {
 	switch {
--- a/forward/takeover.go
+++ b/forward/takeover.go
@@ -2,15 +2,12 @@
 
 import (
 	"context"
-	"maps"
 	"time"
 
 	"github.com/sourcegraph/conc"
 
 	"github.com/kumquathoist/kumquathoist/call"
-	"github.com/kumquathoist/kumquathoist/catalog"
 	"github.com/kumquathoist/kumquathoist/clock"
-	"github.com/kumquathoist/kumquathoist/discovery"
 	"github.com/kumquathoist/kumquathoist/event"
 	"github.com/kumquathoist/kumquathoist/liveness"
 	"github.com/kumquathoist/kumquathoist/retry"
@@ -295,50 +292,3 @@
 	s.searching = s.mayReplace(idle)
 	s.waitsForever = !s.searching
 }
-
-// mayWait reports whether an attempt without a first event may go on past its time: its
-// engine and all others are silent, so that no other could serve the request sooner. A
-// host that reaches no engine passes the request on instead.
-func (h *handler) mayWait(a *attempt, others func() []target) bool {
-	return h.service.Engine != nil && h.route.Kind == catalog.Stream && h.timeLeft() > minTimeLeft && !h.Reachability.Isolated(h.service.Name) && !h.anyAnswers(a.target) && !h.anyAnswers(others()...)
-}
-
-// others returns a function that lists some upstreams that could run the request if its
-// present attempt fails.
-func (h *handler) others() func() []target {
-	tried, version := maps.Clone(h.tried), h.software
-	return func() []target {
-		silent := h.Liveness.Silent()
-		upstreams := h.usable(h.Replica.State(), h.service, h.call.Prompt.Model, func(e discovery.Entry) bool {
-			return tried[e.ID] || silent[e.ID] || version != "" && e.Software != version
-		})
-		targets := make([]target, min(len(upstreams), maxSilentTargets))
-		for i := range targets {
-			targets[i] = target{id: upstreams[i].ID, address: upstreams[i].Address}
-		}
-		return targets
-	}
-}
-
-// anyAnswers reports whether one of some upstreams answers a check.
-func (h *handler) anyAnswers(targets ...target) bool {
-	answered := make(chan struct{}, len(targets))
-	ctx, cancel := context.WithTimeout(h.ctx, liveness.AnswerTime)
-	defer cancel()
-	for _, t := range targets {
-		check := h.checkAlive(t)
-		h.Background.Go(func() {
-			select {
-			case <-check:
-				answered <- struct{}{}
-			case <-ctx.Done():
-			}
-		})
-	}
-	select {
-	case <-answered:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/storenode/silent_engines_test.go
+++ b/storenode/silent_engines_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -10,6 +11,7 @@
 	"os"
 	"os/signal"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -45,22 +47,36 @@
 
 // pauseReader measures the longest time between two reads that return data.
 type pauseReader struct {
-	in      io.Reader
+	in io.Reader
+	// mu guards the fields below while the reader is in use. events counts the events
+	// that have arrived.
+	mu      sync.Mutex
 	last    time.Time
 	longest time.Duration
+	events  int
 }
 
 // Read implements io.Reader.
 func (p *pauseReader) Read(b []byte) (int, error) {
 	n, err := p.in.Read(b)
 	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	if !p.last.IsZero() {
 		p.longest = max(p.longest, now.Sub(p.last))
 	}
 	p.last = now
+	p.events += bytes.Count(b[:n], []byte("id: "))
 	return n, err
 }
 
+// heard returns how many events have arrived, and when the last data did.
+func (p *pauseReader) heard() (events int, at time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.events, p.last
+}
+
 // silentEngines is a host with engines in processes of their own.
 type silentEngines struct {
 	*deployment
@@ -71,24 +87,62 @@
 // newSilentEngines starts a host and engines that make events at an interval, the first
 // one after the prefill. Callers wait for callerPatience.
 func newSilentEngines(t *testing.T, engines, events int, prefill, interval time.Duration) *silentEngines {
+	t.Helper()
+	return newPatientCallers(t, callerPatience, engines, events, prefill, interval)
+}
+
+// newPatientCallers does the same for callers that wait for longer.
+func newPatientCallers(t *testing.T, patience time.Duration, engines, events int, prefill, interval time.Duration) *silentEngines {
 	t.Helper()
 	d := &silentEngines{deployment: newDeployment(t, 0, 0, 1)}
 	d.configure(func(c map[string]any) {
 		full := c["routes"].([]any)[0].(map[string]any)
-		full["target_latency_ms"], full["timeout_ms"] = 500, 20000
+		full["target_latency_ms"], full["timeout_ms"] = patience.Milliseconds()/4, 20000
 	})
 	for i := range engines {
-		o := standin.PlatformProcessOptions{ID: fmt.Sprint("engine-", i), Service: "models", Zone: "north", Model: "m1", Software: "v1", Events: events, Prefill: prefill, Interval: interval}
-		e, err := standin.StartPlatformProcess(o, os.Args[0], engineArgument)
-		d.is.NoErr(err)
-		t.Cleanup(e.Kill)
-		d.store.Put("keyed.servers", o.ID, e.Entry())
-		d.engines = append(d.engines, e)
+		d.startEngine(i, events, prefill, interval)
 	}
 	d.awaitReady(d.host(0))
+	d.logStalls()
 	return d
 }
 
+// logStalls logs what the engines did if the test fails, and when they and the test's own
+// process did not run.
+func (d *silentEngines) logStalls() {
+	ctx, cancel := context.WithCancel(context.Background())
+	var mu sync.Mutex // guards own
+	var own []standin.PlatformPeriod
+	go standin.WatchStalls(ctx, func(p standin.PlatformPeriod) {
+		mu.Lock()
+		defer mu.Unlock()
+		own = append(own, p)
+	})
+	d.t.Cleanup(func() {
+		cancel()
+		if !d.t.Failed() {
+			return
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		d.t.Logf("the test's process did not run %v", own)
+		for _, e := range d.engines {
+			d.t.Logf("%s was stopped %v, did not run %v, runs %+v", e.Options.ID, e.Pauses(), e.Stalls(), e.Runs())
+		}
+	})
+}
+
+// startEngine starts an engine with a number.
+func (d *silentEngines) startEngine(i, events int, prefill, interval time.Duration) {
+	d.t.Helper()
+	o := standin.PlatformProcessOptions{ID: fmt.Sprint("engine-", i), Service: "models", Zone: "north", Model: "m1", Software: "v1", Events: events, Prefill: prefill, Interval: interval}
+	e, err := standin.StartPlatformProcess(o, os.Args[0], engineArgument)
+	d.is.NoErr(err)
+	d.t.Cleanup(e.Kill)
+	d.store.Put("keyed.servers", o.ID, e.Entry())
+	d.engines = append(d.engines, e)
+}
+
 // silentPrompt is a prompt whose request has time for silences.
 var silentPrompt = map[string]string{"X-Model": "m1", "X-Token-Usage": "1000,20", "X-Prompt-Prefix": "aa:300,bb:500,cc:200", "X-Deadline-Ms": "19000"}
 
@@ -193,18 +247,19 @@
 // TestStreamStaysWhileAllEnginesAreSilent silences all engines for longer than hosts wait
 // for an event, before the first event of a stream and after two.
 func TestStreamStaysWhileAllEnginesAreSilent(t *testing.T) {
-	const prefill, interval, count = 600 * time.Millisecond, 500 * time.Millisecond, 5
+	const patience, count = 4 * time.Second, 5
+	const prefill, interval = patience * 3 / 10, patience / 4
 	for _, c := range []struct {
 		name string
-		// silentAt is when the engines fall silent after the stream's run began.
-		silentAt time.Duration
+		// events is the number of events after which the engines fall silent.
+		events int
 	}{
-		{"before the first event", prefill / 4},
-		{"after two events", prefill + interval + interval/5},
+		{"before the first event", 0},
+		{"after two events", 2},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			d := newSilentEngines(t, 3, count, prefill, interval)
+			d := newPatientCallers(t, patience, 3, count, prefill, interval)
 			caller := d.client(d.hosts[0])
 			pauses := &pauseReader{in: caller.in, last: time.Now()}
 			caller.in = bufio.NewReader(pauses)
@@ -213,12 +268,16 @@
 				caller.write(http.MethodPost, modelHost, "/full/a", silentRequest, silentPrompt, "body")
 				done <- caller.read()
 			}()
-			first, run := d.engineOf(nil)
-			time.Sleep(time.Until(run.Began.Add(c.silentAt)))
+			first, _ := d.engineOf(nil)
+			var heard time.Time // silences are counted from what the caller hears: a busy machine delays events
+			for events := -1; events < c.events; time.Sleep(time.Millisecond) {
+				events, heard = pauses.heard()
+			}
+			time.Sleep(time.Until(heard.Add(patience / 20)))
 			for _, e := range d.engines {
 				e.Pause()
 			}
-			time.Sleep(1600 * time.Millisecond)
+			time.Sleep(time.Until(heard.Add(patience * 7 / 8)))
 			for _, e := range d.engines {
 				e.Resume()
 			}
@@ -226,10 +285,10 @@
 			is.Equal(a.status, http.StatusOK)
 			is.Equal(a.body, wholeStream(count))
 			is.True(!a.truncated)
-			is.True(pauses.longest < callerPatience) // the caller would have left
 			for _, e := range d.engines {
 				is.True(e == first || len(e.Runs()) == 0) // sent to an engine that could not serve it sooner
 			}
+			is.True(pauses.longest < patience) // the caller would have left
 		})
 	}
 }
