fix: a stream stays at an engine that wakes a moment after another

A stream whose engine had fallen silent after some events, with all others, was sent to whichever engine woke first, though its own woke some ms later with its next event due. Callers got the stream; an engine worked on it in vain (0.4 ms where it was seen) and a retry was spent.

Cause. takeOver sends a stream to the first engine that answers a check. All that were silent wake about at once, in any order.

Now an attempt remembers that its engine left its last check unanswered while no other answered. When another answers then, the stream's engine has AnswerTime (0.1 s) more; if it wakes, it keeps the stream for another searchInterval, once, as before the first event (limit.go). If it stays silent, or another answers at the first search, nothing changes.

TestSilentUntilDeadline now prints its log when it fails.

--- a/forward/handler.go
+++ b/forward/handler.go
@@ -241,6 +241,9 @@
 	events    int
 	// counted is set once the attempt counts as one that may have run.
 	counted bool
+	// wasSilent is set if the upstream left the check unanswered when another was last
+	// searched for.
+	wasSilent bool
 	// moving is set once the upstream was asked to stop the request and to move it.
 	moving atomic.Bool
 }
--- a/forward/takeover.go
+++ b/forward/takeover.go
@@ -52,8 +52,9 @@
 	answered, spoke <-chan struct{}
 	checked         clock.Instant
 	stop            func()
-	// silent is set if the upstream left the check unanswered.
-	silent bool
+	// silent is set if the upstream left the check unanswered, silentBefore if it also did
+	// when another was searched for before, in vain.
+	silent, silentBefore bool
 	// goesOn is set once the upstream serves the stream again, ended once it no longer
 	// can.
 	goesOn, ended bool
@@ -73,7 +74,7 @@
 	first := s.watchIdle(idle)
 	for s.mayReplace(idle) {
 		t, ok := s.answeringTarget(first)
-		if !ok || first.hasSpoken() {
+		if !ok || first.hasSpoken() || s.wakes(first) {
 			break
 		}
 		if s.count(idle, retry.Broken); !s.retryAllowed(s.ctx, retry.Broken) {
@@ -115,9 +116,20 @@
 	first := &idleAttempt{attempt: idle, checked: clock.Now(), answered: s.checkAlive(idle.target)}
 	first.spoke, first.stop = idle.exchange.NotifyData()
 	first.silent = !s.awaitAnswer(first.answered, first)
+	first.silentBefore, idle.wasSilent = s.searching && idle.wasSilent, first.silent
 	return first
 }
 
+// wakes reports whether an idle upstream that was silent before, when no other answered,
+// wakes now that another does: its next event is due.
+func (s *stream) wakes(first *idleAttempt) bool {
+	if !first.silentBefore || !s.awaitAnswer(first.answered, first) && !first.hasSpoken() {
+		return false
+	}
+	first.wasSilent = false
+	return true
+}
+
 // checkAlive returns a channel that is closed once an upstream has answered a check. Only
 // engines can be checked; others count as alive.
 func (h *handler) checkAlive(t target) <-chan struct{} {
--- a/storenode/storenode_test.go
+++ b/storenode/storenode_test.go
@@ -435,6 +435,12 @@
 	cancel()
 	wait.Wait()
 	event.Discard()
+	t.Cleanup(func() {
+		const maxBytes = 48 << 10
+		if log := output.String(); t.Failed() {
+			t.Logf("the log ends with\n%s", log[max(0, len(log)-maxBytes):])
+		}
+	})
 	is.Equal(countEvents(&output, "stream awaited"), streams)
 	is.Equal(countEvents(&output, "stream broken"), streams)
 	is.True(countEvents(&output, "try failed") <= 2*streams)
--- a/storenode/waking_engines_test.go
+++ b/storenode/waking_engines_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -12,7 +13,9 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
 
+	"github.com/kumquathoist/kumquathoist/event"
 	"github.com/kumquathoist/kumquathoist/standin"
 )
 
@@ -102,7 +105,7 @@
 		// eventAfter is the time from the answer to a check to the event.
 		eventAfter = 50 * time.Millisecond
 	)
-	whileChecked := func(_ *silentEngines, first *gate, others []*gate) {
+	whileChecked := func(_ *silentEngines, first *gate, others []*gate, _ *standin.Output) {
 		time.Sleep(450 * time.Millisecond) // the others' 0.1 s, 0.3 s until the next check, and half of its 0.1 s
 		for _, g := range others {
 			g.hold(false)
@@ -110,22 +113,30 @@
 		first.checksHeld.Store(false)
 	}
 	afterAnother := func(d *silentEngines, first *gate, others []*gate) {
-		time.Sleep(350 * time.Millisecond) // all others were asked and count as silent
 		asked := others[0].checks.Load()
 		others[0].hold(false)
 		d.await("the other is asked again", func() bool { return others[0].checks.Load() > asked })
 		first.checksHeld.Store(false)
 	}
+	beforeEvents := func(d *silentEngines, first *gate, others []*gate, _ *standin.Output) {
+		time.Sleep(350 * time.Millisecond) // all others were asked and count as silent
+		afterAnother(d, first, others)
+	}
+	afterEvents := func(d *silentEngines, first *gate, others []*gate, log *standin.Output) {
+		d.await("the host has found no engine that answers", func() bool { return countEvents(log, "stream awaited") > 0 })
+		afterAnother(d, first, others)
+	}
 	for _, c := range []struct {
 		name string
 		// events is the number of events before the silence.
 		events int
 		// wake has the engines answer checks. It begins when the host has found the
 		// stream's engine silent and asks the others for the first time.
-		wake func(d *silentEngines, first *gate, others []*gate)
+		wake func(d *silentEngines, first *gate, others []*gate, log *standin.Output)
 	}{
 		{"before the first event, while it is checked again", 0, whileChecked},
-		{"before the first event, when another that woke before is checked", 0, afterAnother},
+		{"before the first event, when another that woke before is checked", 0, beforeEvents},
+		{"after an event, when another that woke before is checked", 1, afterEvents},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
@@ -147,6 +158,15 @@
 			d.await("an engine can run a request", func() bool {
 				return d.do(d.hosts[0], http.MethodPost, modelHost, "/full/a", "ready", silentPrompt, "body").status == http.StatusOK
 			})
+			var log standin.Output
+			var wait conc.WaitGroup
+			ctx, cancel := context.WithCancel(context.Background())
+			event.WriteTo(ctx, &wait, &log)
+			t.Cleanup(func() {
+				cancel()
+				wait.Wait()
+				event.Discard()
+			})
 			done := make(chan answer, 1)
 			caller := d.client(d.hosts[0])
 			heard := &pauseReader{in: caller.in}
@@ -168,7 +188,7 @@
 				}
 			}
 			d.await("the others are asked", func() bool { return others[0].checks.Load()+others[1].checks.Load() > 0 })
-			c.wake(d, gates[first], others)
+			c.wake(d, gates[first], others, &log)
 			time.Sleep(eventAfter)
 			gates[first].hold(false)
 			a := <-done
