--- a/forward/handler.go
+++ b/forward/handler.go
@@ -5,7 +5,6 @@
 	"errors"
 	"os"
 	"strconv"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -242,6 +241,9 @@
 	events    int
 	// counted is set once the attempt counts as one that may have run.
 	counted bool
+	// wasSilent is set if the upstream left the check unanswered when another was last
+	// searched for.
+	wasSilent bool
 	// moving is set once the upstream was asked to stop the request and to move it.
 	moving atomic.Bool
 }
@@ -304,37 +306,6 @@
 	return h.readAnswer(a)
 }
 
-// limitAttempt ends an attempt that has no answer, or no first event, at the end of its
-// time, unless the request could not be sent again then. It returns a function that ends
-// the limit.
-func (h *handler) limitAttempt(a *attempt) (stop func()) {
-	var mu sync.Mutex // guards stopped and timer
-	var stopped bool
-	var timer *time.Timer
-	others := h.others()
-	mu.Lock()
-	defer mu.Unlock()
-	timer = time.AfterFunc(h.attemptTimeout(), func() {
-		waits := h.mayWait(a, others)
-		mu.Lock()
-		defer mu.Unlock()
-		switch {
-		case stopped:
-		case waits, h.timeLeft() > minTimeLeft && !h.reserveRetry():
-			timer.Reset(searchInterval)
-		default:
-			a.abandoned.Store(true)
-			a.cancel()
-		}
-	})
-	return func() {
-		mu.Lock()
-		defer mu.Unlock()
-		stopped = true
-		timer.Stop()
-	}
-}
-
 // recordUnconnected records that an upstream did not accept a connection.
 func (h *handler) recordUnconnected(t target, err error) {
 	switch {
--- a/forward/takeover.go
+++ b/forward/takeover.go
@@ -2,15 +2,12 @@
 
 import (
 	"context"
-	"maps"
 	"time"
 
 	"github.com/sourcegraph/conc"
 
 	"github.com/kumquathoist/kumquathoist/call"
-	"github.com/kumquathoist/kumquathoist/catalog"
 	"github.com/kumquathoist/kumquathoist/clock"
-	"github.com/kumquathoist/kumquathoist/discovery"
 	"github.com/kumquathoist/kumquathoist/event"
 	"github.com/kumquathoist/kumquathoist/liveness"
 	"github.com/kumquathoist/kumquathoist/retry"
@@ -55,8 +52,9 @@
 	answered, spoke <-chan struct{}
 	checked         clock.Instant
 	stop            func()
-	// silent is set if the upstream left the check unanswered.
-	silent bool
+	// silent is set if the upstream left the check unanswered, silentBefore if it also did
+	// when another was searched for before, in vain.
+	silent, silentBefore bool
 	// goesOn is set once the upstream serves the stream again, ended once it no longer
 	// can.
 	goesOn, ended bool
@@ -76,7 +74,7 @@
 	first := s.watchIdle(idle)
 	for s.mayReplace(idle) {
 		t, ok := s.answeringTarget(first)
-		if !ok || first.hasSpoken() {
+		if !ok || first.hasSpoken() || s.wakes(first) {
 			break
 		}
 		if s.count(idle, retry.Broken); !s.retryAllowed(s.ctx, retry.Broken) {
@@ -118,9 +116,20 @@
 	first := &idleAttempt{attempt: idle, checked: clock.Now(), answered: s.checkAlive(idle.target)}
 	first.spoke, first.stop = idle.exchange.NotifyData()
 	first.silent = !s.awaitAnswer(first.answered, first)
+	first.silentBefore, idle.wasSilent = s.searching && idle.wasSilent, first.silent
 	return first
 }
 
+// wakes reports whether an idle upstream that was silent before, when no other answered,
+// wakes now that another does: its next event is due.
+func (s *stream) wakes(first *idleAttempt) bool {
+	if !first.silentBefore || !s.awaitAnswer(first.answered, first) && !first.hasSpoken() {
+		return false
+	}
+	first.wasSilent = false
+	return true
+}
+
 // checkAlive returns a channel that is closed once an upstream has answered a check. Only
 // engines can be checked; others count as alive.
 func (h *handler) checkAlive(t target) <-chan struct{} {
@@ -295,50 +304,3 @@
 	s.searching = s.mayReplace(idle)
 	s.waitsForever = !s.searching
 }
-
-// mayWait reports whether an attempt without a first event may go on past its time: its
-// engine and all others are silent, so that no other could serve the request sooner. A
-// host that reaches no engine passes the request on instead.
-func (h *handler) mayWait(a *attempt, others func() []target) bool {
-	return h.service.Engine != nil && h.route.Kind == catalog.Stream && h.timeLeft() > minTimeLeft && !h.Reachability.Isolated(h.service.Name) && !h.anyAnswers(a.target) && !h.anyAnswers(others()...)
-}
-
-// others returns a function that lists some upstreams that could run the request if its
-// present attempt fails.
-func (h *handler) others() func() []target {
-	tried, version := maps.Clone(h.tried), h.software
-	return func() []target {
-		silent := h.Liveness.Silent()
-		upstreams := h.usable(h.Replica.State(), h.service, h.call.Prompt.Model, func(e discovery.Entry) bool {
-			return tried[e.ID] || silent[e.ID] || version != "" && e.Software != version
-		})
-		targets := make([]target, min(len(upstreams), maxSilentTargets))
-		for i := range targets {
-			targets[i] = target{id: upstreams[i].ID, address: upstreams[i].Address}
-		}
-		return targets
-	}
-}
-
-// anyAnswers reports whether one of some upstreams answers a check.
-func (h *handler) anyAnswers(targets ...target) bool {
-	answered := make(chan struct{}, len(targets))
-	ctx, cancel := context.WithTimeout(h.ctx, liveness.AnswerTime)
-	defer cancel()
-	for _, t := range targets {
-		check := h.checkAlive(t)
-		h.Background.Go(func() {
-			select {
-			case <-check:
-				answered <- struct{}{}
-			case <-ctx.Done():
-			}
-		})
-	}
-	select {
-	case <-answered:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
