feat: the soak has upstreams send copies of their refusals

Upstreams now send copies of refusals of requests and control calls (standin.RefusalCopies; one to three, at once or late, some with the end of the connection), beside what makes a request meet a connection again: full upstreams, pauses asked for, new weights soon after, and restarts at the same address under new ids with the earlier entries still listed (soak.PlanRefusals; --no-refusal-copies leaves them out, so that earlier seeds keep their faults). Processes take such troubles, report their refusals, take new weights and are asked for them in the end. Further checks: no request names the memory of another one, each order taken for accepted was carried out. A stream that an engine refused to go on with may be cut.

--- a/emulator/soak.go
+++ b/emulator/soak.go
@@ -25,6 +25,7 @@
 	Callers  int           `default:"16" help:"How many callers at a time."`
 	// EngineProcesses are needed for engines that signals silence.
 	EngineProcesses bool   `help:"Run engines and plain services as processes of their own, which fall silent while the configuration changes."`
+	RefusalCopies   bool   `default:"true" negatable:"" help:"Have upstreams send copies of their refusals, too."`
 	Keep            string `help:"A folder for the hosts' output of runs that broke a promise."`
 }
 
@@ -42,7 +43,7 @@
 	}
 	wrong := 0
 	for i := range c.Seeds {
-		o := soak.Options{Program: c.Program, Older: c.Older, Seed: c.Seed + uint64(i), Span: c.Span, Hosts: c.Hosts, Engines: c.Engines, Services: c.Services, Callers: c.Callers, EngineProgram: engineProgram}
+		o := soak.Options{Program: c.Program, Older: c.Older, Seed: c.Seed + uint64(i), Span: c.Span, Hosts: c.Hosts, Engines: c.Engines, Services: c.Services, Callers: c.Callers, EngineProgram: engineProgram, RefusalCopies: c.RefusalCopies}
 		if c.Keep != "" {
 			o.OutputDir = filepath.Join(c.Keep, fmt.Sprint("seed-", o.Seed))
 			if err := os.MkdirAll(o.OutputDir, 0o700); err != nil {
--- a/soak/check.go
+++ b/soak/check.go
@@ -32,7 +32,9 @@
 	}
 	checkSoftware(calls, report)
 	d.checkArrivals(byID, report)
+	d.checkMemories(report)
 	d.checkOrders(report)
+	d.checkAcceptedOrders(report)
 	d.checkCrasher(report)
 	for _, s := range stops {
 		s.check(calls, executions, report)
--- a/soak/check_work.go
+++ b/soak/check_work.go
@@ -17,6 +17,8 @@
 // workCheck checks what engines that are processes did for the calls.
 type workCheck struct {
 	work map[string][]engineWork
+	// refusals are the times at which engines refused a request.
+	refusals map[string][]time.Time
 	// changes are the configurations that were written.
 	changes []termsChange
 	// faultFree reports whether a host had no fault between two times.
@@ -28,7 +30,7 @@
 	if len(fi.processes) == 0 {
 		return nil
 	}
-	return workCheck{fi.allWork(), fi.changes, fi.faultFreeBetween}.violations(calls)
+	return workCheck{fi.allWork(), fi.allRefusals(), fi.changes, fi.faultFreeBetween}.violations(calls)
 }
 
 // violations returns the violations that the calls and the work show.
@@ -92,6 +94,12 @@
 	case !w.faultFree(c.host, c.sent.Add(-hostCalm), c.ended):
 		return ""
 	}
+	for _, at := range w.refusals[c.id] {
+		// Engines refused to go on with it.
+		if len(work) > 0 && at.After(work[0].run.Began) && at.Before(c.ended) {
+			return ""
+		}
+	}
 	for _, e := range work {
 		if !e.killed.IsZero() && e.killed.Before(c.ended) {
 			return ""
--- a/soak/check_work_test.go
+++ b/soak/check_work_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -109,6 +110,47 @@
 	}
 }
 
+func TestLostAfterRefusals(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		refused []time.Time
+		want    bool
+	}{
+		{"no engine refused to go on", nil, true},
+		{"an engine refused to go on", []time.Time{at(2500)}, false},
+		{"an engine refused it before it ran elsewhere", []time.Time{at(5)}, true},
+		{"an engine refused it after the end", []time.Time{at(3100)}, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			w := workCheck{work: map[string][]engineWork{"x": {worked("a", 10, 2400)}}, refusals: map[string][]time.Time{"x": c.refused}, faultFree: faultAt(noFault)}
+			found := w.violations([]*call{{id: "x", host: &host{}, sent: at(0), ended: at(3000), answer: standin.PlatformAnswer{Status: 200}}})
+			is.Equal(len(found) > 0, c.want)
+		})
+	}
+}
+
+func TestCheckMemory(t *testing.T) {
+	is := is.New(t)
+	var found []string
+	report := func(format string, args ...any) { found = append(found, fmt.Sprintf(format, args...)) }
+	checkMemory("e", "x", "", report)
+	checkMemory("e", "x", "127.0.0.1:1/h-x", report)
+	is.Equal(found, nil)
+	checkMemory("e", "x", "127.0.0.1:1/h-y", report)
+	is.Equal(found, []string{"x reached e with the memory 127.0.0.1:1/h-y of another request"})
+}
+
+func TestUnacceptedOrders(t *testing.T) {
+	is := is.New(t)
+	const log = `I0101 load.go:116] "load ordered" Event=6104 Upstream="a" Model="m1" Weights=2 Fence=1 Expected=0 Accepted=true Answered=true
+I0101 load.go:116] "load ordered" Event=6104 Upstream="a" Model="m1" Weights=2 Fence=2 Expected=0 Accepted=false Answered=true
+I0101 load.go:116] "load ordered" Event=6104 Upstream="b" Model="m1" Weights=2 Fence=3 Expected=0 Accepted=true Answered=true
+`
+	is.Equal(unacceptedOrders(log, map[string]map[int64]bool{"a": {1: true}, "b": {3: true}}), nil)
+	is.Equal(unacceptedOrders(log, map[string]map[int64]bool{"a": {}, "b": {1: true}}), []string{"to a with the fencing number 1", "to b with the fencing number 3"})
+}
+
 func TestShortestTimeout(t *testing.T) {
 	is := is.New(t)
 	changes := []termsChange{{at(0), terms{timeout: 6 * time.Second}}, {at(1000), terms{timeout: 4 * time.Second}}, {at(2000), terms{timeout: 8 * time.Second}}}
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -84,6 +84,11 @@
 	processes     []*engineProcess
 	engineProgram string
 	tempo         tempo
+
+	// copies are those that all upstreams send of their refusals, copyFaults the number
+	// of faults that want them.
+	copies     standin.RefusalCopies
+	copyFaults int
 }
 
 // credential is an account with one of its keys.
@@ -186,17 +191,17 @@
 	d.mu.Lock()
 	d.upstreams = append(d.upstreams, u)
 	d.mu.Unlock()
-	return d.startUpstream(u)
+	return d.startUpstream(u, false)
 }
 
 // startUpstream starts an upstream at an address and writes its entry to the
 // store.
-func (d *deployment) startUpstream(u *upstream) error {
+func (d *deployment) startUpstream(u *upstream, reusesName bool) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.startCount++
 	id := fmt.Sprintf("%s-%d", u.service, d.startCount)
-	if u.current != nil && d.crasher.reusesNames {
+	if u.current != nil && reusesName {
 		id = u.current.ID
 	}
 	e, err := standin.NewPlatformEngine(id, u.service, "north", u.model)
@@ -211,6 +216,7 @@
 	e.Pace(eventPause)
 	e.Load(d.weights)
 	e.LoadTakes(d.loadTime)
+	e.CopyRefusals(d.copies)
 	d.crasher.arm(e, func() { d.handleCrash(u) })
 	u.link.setTarget(e.Address())
 	u.current = e
@@ -254,7 +260,7 @@
 	u.link.reset()
 	d.pause(entryRemovalDelay)
 	d.store.Remove(old)
-	return d.startUpstream(u)
+	return d.startUpstream(u, d.crasher.reusesNames)
 }
 
 func (d *deployment) pause(delay time.Duration) {
--- a/soak/engine_process.go
+++ b/soak/engine_process.go
@@ -60,6 +60,13 @@
 	e.current, e.silences = p, 0
 }
 
+// latest returns the current process.
+func (e *engineProcess) latest() *standin.PlatformProcess {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.current
+}
+
 // all returns the processes that ran here.
 func (e *engineProcess) all() []*standin.PlatformProcess {
 	e.mu.Lock()
@@ -74,7 +81,7 @@
 		if i >= o.Engines {
 			e.service, e.model = []string{plainService, otherPlainService}[(i-o.Engines)%2], ""
 		}
-		if err := d.startProcess(e); err != nil {
+		if err := d.startProcess(e, false, ""); err != nil {
 			return err
 		}
 		d.processes = append(d.processes, e)
@@ -89,19 +96,22 @@
 	}
 }
 
-// startProcess starts a process at a place and writes its entry to the store.
-func (d *deployment) startProcess(e *engineProcess) error {
+// startProcess starts a process at a place and writes its entry to the store. An address
+// of "" is a new one.
+func (d *deployment) startProcess(e *engineProcess, reusesName bool, address string) error {
 	d.mu.Lock()
 	d.startCount++
-	o := standin.PlatformProcessOptions{ID: fmt.Sprintf("%s-%d", e.service, d.startCount), Service: e.service, Zone: domains[d.startCount%len(domains)], Model: e.model, Software: "v0", Prefill: d.tempo.prefill, Interval: d.tempo.interval}
+	o := standin.PlatformProcessOptions{ID: fmt.Sprintf("%s-%d", e.service, d.startCount), Service: e.service, Zone: domains[d.startCount%len(domains)], Model: e.model, Software: "v0", Prefill: d.tempo.prefill, Interval: d.tempo.interval, Weights: d.weights, LoadTime: d.loadTime, Address: address}
+	copies := d.copies
 	d.mu.Unlock()
-	if e.current != nil && d.crasher.reusesNames {
+	if e.current != nil && reusesName {
 		o.ID = e.current.Options.ID
 	}
 	p, err := standin.StartPlatformProcess(o, d.engineProgram, EngineArgument)
 	if err != nil {
 		return trace.Wrap(err)
 	}
+	p.Trouble(standin.PlatformTrouble{Copies: &copies})
 	e.use(p)
 	d.store.Put(standin.PlatformUpstreams, o.ID, p.Entry())
 	return nil
@@ -120,7 +130,7 @@
 	old.Kill()
 	d.pause(entryRemovalDelay)
 	d.store.Put(standin.PlatformUpstreams, old.Options.ID, nil)
-	return d.startProcess(e)
+	return d.startProcess(e, d.crasher.reusesNames, "")
 }
 
 // allWork returns what the processes did, by request and in the order of the beginning.
@@ -139,6 +149,19 @@
 	return work
 }
 
+// allRefusals returns when the processes refused requests, by request.
+func (d *deployment) allRefusals() map[string][]time.Time {
+	refusals := map[string][]time.Time{}
+	for _, e := range d.processes {
+		for _, p := range e.all() {
+			for _, r := range p.Refusals() {
+				refusals[r.ID] = append(refusals[r.ID], r.At)
+			}
+		}
+	}
+	return refusals
+}
+
 // describeCalls describes the configurations, the calls and what the processes did.
 func (d *deployment) describeCalls(calls []*call) string {
 	var b strings.Builder
@@ -146,9 +169,13 @@
 	for _, c := range d.changes {
 		fmt.Fprintf(&b, "%s %+v\n", c.at.Format(logTime), c.terms)
 	}
-	work := d.allWork()
+	work, refusals := d.allWork(), d.allRefusals()
 	for _, c := range calls {
-		fmt.Fprintf(&b, "%s-%s %s at %s: %s, engines %v\n", c.sent.Format(logTime), c.ended.Format(logTime), c.id, c.host.name, c.outcome(), work[c.id])
+		fmt.Fprintf(&b, "%s-%s %s at %s: %s, engines %v", c.sent.Format(logTime), c.ended.Format(logTime), c.id, c.host.name, c.outcome(), work[c.id])
+		for _, at := range refusals[c.id] {
+			fmt.Fprintf(&b, " refused %s", at.Format(logTime))
+		}
+		b.WriteString("\n")
 	}
 	return b.String()
 }
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -60,6 +60,15 @@
 	// FailOrderer sets new target weights, waits until a host orders an engine to
 	// load them, sets newer ones and kills or pauses that host.
 	FailOrderer Kind = "StrikeOrderer"
+	// CopyRefusals makes all upstreams send copies of their refusals. RefuseRequests
+	// makes some upstreams, or all, refuse their next requests; RefuseAndMove sets new
+	// target weights soon after, so that streams move to engines that refused them.
+	// RestartInPlace restarts some upstreams, or all, at their addresses under new IDs, up
+	// to four times in a row; their earlier entries stay for a while.
+	CopyRefusals   Kind = "CopyRefusals"
+	RefuseRequests Kind = "RefuseRequests"
+	RefuseAndMove  Kind = "RefuseAndMove"
+	RestartInPlace Kind = "RestartInPlace"
 )
 
 // seriesKinds holds the kinds that are drawn in series; repeats make a kind more
--- a/soak/silences.go
+++ b/soak/silences.go
@@ -61,7 +61,8 @@
 	return faults
 }
 
-// injectProcessFault carries out a fault of engines that are processes.
+// injectProcessFault carries out a fault of engines that are processes, or one of
+// PlanRefusals.
 func (fi *faultInjector) injectProcessFault(f Fault) {
 	switch f.Kind {
 	case SilenceEngines:
@@ -70,6 +71,8 @@
 		fi.restartEngine(f)
 	case ChangeTerms:
 		fi.changeTerms(f)
+	default:
+		fi.injectRefusals(f)
 	}
 }
 
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -4,7 +4,8 @@
 // Plan draws the faults from a seed: signals to the hosts, upstreams that crash
 // and leave, connections that a proxy delays, resets and silences, a store that
 // is unavailable, silent or loses answers and history, and changes of the
-// configuration and of weights. Faults come in series and overlap.
+// configuration and of weights. PlanRefusals adds upstreams that send copies of their
+// refusals. Faults come in series and overlap.
 package soak
 
 import (
@@ -53,6 +54,8 @@
 	// EngineArgument, or "". With it, engines and plain services are processes of their
 	// own, and the faults are those of PlanSilences.
 	EngineProgram string
+	// RefusalCopies adds the faults of PlanRefusals.
+	RefusalCopies bool
 	// OutputDir is a folder for the hosts' output of a run with violations, or
 	// "".
 	OutputDir string
@@ -132,10 +135,15 @@
 
 // planFaults returns the faults of a run.
 func planFaults(o Options) []Fault {
+	plan := Plan
 	if o.EngineProgram != "" {
-		return PlanSilences(o.Seed, o.Span)
+		plan = PlanSilences
 	}
-	return Plan(o.Seed, o.Span)
+	faults := plan(o.Seed, o.Span)
+	if o.RefusalCopies {
+		faults = append(faults, PlanRefusals(o.Seed, o.Span)...)
+	}
+	return faults
 }
 
 // faultInjector carries out faults.
@@ -440,6 +448,15 @@
 			return fmt.Sprintf("%s has version %d of %d", u.current.ID, u.current.Weights(), d.weights)
 		}
 	}
+	for _, e := range d.processes {
+		p := e.latest()
+		if e.model == "" {
+			continue
+		}
+		if version, err := p.Weights(); err != nil || version != d.weights {
+			return fmt.Sprintf("%s has version %d of %d (%v)", p.Options.ID, version, d.weights, err)
+		}
+	}
 	return ""
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -88,6 +88,60 @@
 	is.Equal(len(kinds), 7) // each kind is drawn
 }
 
+// TestPlanRefusals checks the same of the faults around copies of refusals.
+func TestPlanRefusals(t *testing.T) {
+	is := is.New(t)
+	const span = 20 * time.Second
+	kinds := map[soak.Kind]bool{}
+	for seed := range uint64(100) {
+		plan := soak.PlanRefusals(seed, span)
+		is.Equal(plan, soak.PlanRefusals(seed, span))
+		for _, f := range plan {
+			is.True(f.At >= span/10 && f.At <= span*3/4)
+			kinds[f.Kind] = true
+		}
+	}
+	is.Equal(len(kinds), 4) // each kind is drawn
+}
+
+// TestProcessTrouble has a process refuse a request and send a copy of the refusal in
+// front of the next answer.
+func TestProcessTrouble(t *testing.T) {
+	is := is.New(t)
+	e, err := standin.StartPlatformProcess(standin.PlatformProcessOptions{ID: "e", Service: "models", Zone: "north", Model: "m1", Weights: 3}, os.Args[0], soak.EngineArgument)
+	is.NoErr(err)
+	defer e.Kill()
+	version, err := e.Weights()
+	is.NoErr(err)
+	is.Equal(version, int64(3))
+	e.Trouble(standin.PlatformTrouble{Copies: &standin.RefusalCopies{Count: 1}, Fault: standin.FullFault, Times: 1})
+	// What the process reads is carried out some time later: it refuses one of the requests.
+	for n := 0; len(e.Refusals()) == 0; n++ {
+		conn, err := net.Dial("tcp4", e.Address)
+		is.NoErr(err)
+		in, statuses := bufio.NewReader(conn), []int{}
+		send := func() {
+			is.NoErr(standin.PlatformRequest{ID: fmt.Sprint(n), Method: http.MethodGet, Host: "h", Path: "/", Deadline: time.Minute}.Write(conn))
+			a, err := standin.ReadPlatformAnswer(in)
+			is.NoErr(err)
+			statuses = append(statuses, a.Status)
+		}
+		send()
+		if statuses[0] == http.StatusServiceUnavailable {
+			send()
+			a, err := standin.ReadPlatformAnswer(in)
+			is.NoErr(err)
+			is.Equal(append(statuses, a.Status), []int{503, 503, 200})
+			for len(e.Refusals()) == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			is.Equal(e.Refusals()[0].ID, fmt.Sprint(n))
+			is.Equal(e.Refusals()[0].Refusal, 503)
+		}
+		_ = conn.Close()
+	}
+}
+
 // TestProcessWork checks which work a stopped and killed engine reports.
 func TestProcessWork(t *testing.T) {
 	is := is.New(t)
@@ -179,6 +233,18 @@
 	runSeed(t, soak.Options{Seed: 11, Span: 8 * time.Second, Hosts: 3, Engines: 6, Services: 4, Callers: 40, EngineProgram: os.Args[0]})
 }
 
+// TestRefusalCopies runs short soaks whose upstreams send copies of their refusals. Before
+// the first fix, requests that such a copy seemed to refuse ran, some of them twice.
+func TestRefusalCopies(t *testing.T) {
+	for _, o := range []soak.Options{
+		{Seed: 47102, Span: 10 * time.Second, Hosts: 3, Engines: 4, Services: 3, Callers: 48},
+		{Seed: 47003, Span: 10 * time.Second, Hosts: 3, Engines: 6, Services: 4, Callers: 48, EngineProgram: os.Args[0]},
+	} {
+		o.RefusalCopies = true
+		t.Run(fmt.Sprint(o.Seed), func(t *testing.T) { runSeed(t, o) })
+	}
+}
+
 // TestSeeds runs short soaks of a few hosts, and seeds that once found faults.
 func TestSeeds(t *testing.T) {
 	for _, o := range []soak.Options{
--- a/standin/platform_caller.go
+++ b/standin/platform_caller.go
@@ -92,8 +92,9 @@
 
 // PlatformArrival records a request that reached an upstream.
 type PlatformArrival struct {
-	// ID identifies the caller's attempt, Account the client account.
-	ID, Account string
+	// ID identifies the caller's attempt, Account the client account. Memory names the
+	// memory of a run that it asks for, or is "".
+	ID, Account, Memory string
 	// HasAPIKey reports whether the request still had the caller's key.
 	HasAPIKey bool
 	// At is the time of arrival. RetryAfter is the pause that the answer asked
@@ -101,6 +102,8 @@
 	At         time.Time
 	RetryAfter time.Duration
 	Leaving    bool
+	// Refusal is the status with which it was refused, or 0.
+	Refusal int
 }
 
 // Arrivals returns a record of each request that reached the engine.
@@ -111,6 +114,7 @@
 	for i, header := range e.requestHeaders {
 		all[i] = e.arrivals[i]
 		all[i].ID, all[i].Account, all[i].HasAPIKey = header.Get("X-Attempt-Id"), header.Get("X-Tenant"), header.Get("X-Api-Key") != ""
+		all[i].Memory = header.Get("Kv-From")
 	}
 	return all
 }
--- a/standin/platform_engine.go
+++ b/standin/platform_engine.go
@@ -71,9 +71,11 @@
 	// of events of a stream; 0 means eventsPerStream.
 	prefill    time.Duration
 	eventCount int
-	// runCount counts the runs, observeRun is called when one begins and ends.
-	runCount   int
-	observeRun func(PlatformRun)
+	// runCount counts the runs, observeRun is called when one begins and ends,
+	// observeRefusal when a request is refused.
+	runCount       int
+	observeRun     func(PlatformRun)
+	observeRefusal func(PlatformArrival)
 	// crash, if set, is the crash that a request triggers.
 	crash *platformCrash
 	// retryAfter is the Retry-After text with which requests are rejected until
@@ -236,6 +238,8 @@
 	Fence  int64
 	Holder string
 	At     time.Time
+	// Accepted means that the engine carried it out.
+	Accepted bool
 }
 
 // Orders returns the orders that the engine received.
@@ -294,7 +298,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.orders = append(e.orders, PlatformOrder{o.FencingToken, o.Holder, time.Now()})
+	e.orders = append(e.orders, PlatformOrder{Fence: o.FencingToken, Holder: o.Holder, At: time.Now()})
 	if e.loading {
 		e.ordersWhileLoading++
 	}
@@ -303,6 +307,7 @@
 		return
 	}
 	e.accepted++
+	e.orders[len(e.orders)-1].Accepted = true
 	e.load(o.Version)
 	if e.takeFault(LostOrderFault) {
 		panic(http.ErrAbortHandler)
@@ -329,7 +334,13 @@
 	defer e.mu.Unlock()
 	e.requestHeaders = append(e.requestHeaders, r.Header.Clone())
 	arrival := PlatformArrival{At: time.Now(), Leaving: e.leavingToRequests}
-	defer func() { e.arrivals = append(e.arrivals, arrival) }()
+	defer func() {
+		arrival.Refusal = status
+		e.arrivals = append(e.arrivals, arrival)
+		if e.observeRefusal != nil && status != 0 {
+			e.observeRefusal(PlatformArrival{ID: r.Header.Get("X-Attempt-Id"), At: arrival.At, Refusal: status})
+		}
+	}()
 	if e.leavingToRequests {
 		w.Header().Set("Server-Leaving", "1")
 	}
@@ -354,7 +365,8 @@
 	case e.takeFault(OtherInstanceFault):
 		w.Header().Set("X-Not-Executed", "1")
 		w.Header().Set("X-Instance-Id", "another")
-		w.WriteHeader(http.StatusMisdirectedRequest)
+		status = http.StatusMisdirectedRequest
+		w.WriteHeader(status)
 		return true
 	case r.Header.Get("Kv-From") != "":
 		if e.takeMemory(r.Header.Get("Kv-From")) {
--- a/standin/platform_faults.go
+++ b/standin/platform_faults.go
@@ -52,6 +52,31 @@
 	UnframedEmptyFault
 )
 
+// PlatformTrouble is a way in which an upstream goes wrong from now on; zero fields change
+// nothing.
+type PlatformTrouble struct {
+	// Copies are the copies of its refusals; a Count of 0 ends them.
+	Copies *RefusalCopies
+	// Times is the number of requests to which Fault applies.
+	Fault PlatformFault
+	Times int
+	// RejectFor is how long it rejects requests, and asks for as long a pause.
+	RejectFor time.Duration
+}
+
+// Trouble makes the engine go wrong.
+func (e *PlatformEngine) Trouble(t PlatformTrouble) {
+	if t.Copies != nil {
+		e.CopyRefusals(*t.Copies)
+	}
+	if t.Times > 0 {
+		e.Fail(t.Fault, t.Times)
+	}
+	if t.RejectFor > 0 {
+		e.RejectWithRetryAfter(strconv.FormatFloat(t.RejectFor.Seconds(), 'f', 3, 64), t.RejectFor)
+	}
+}
+
 // sendTwoAnswers sends two answers on one connection.
 func (e *PlatformEngine) sendTwoAnswers(w http.ResponseWriter, id, body string) {
 	conn, buffered, err := http.NewResponseController(w).Hijack()
--- a/standin/platform_run.go
+++ b/standin/platform_run.go
@@ -13,8 +13,10 @@
 	// Number counts the engine's runs, Request is the caller's attempt ID.
 	Number  int
 	Request string
-	// Moved means that the run goes on from memory that another engine sent.
-	Moved bool `json:",omitempty"`
+	// Moved means that the run goes on from memory that another engine sent, and
+	// Memory names it.
+	Moved  bool   `json:",omitempty"`
+	Memory string `json:",omitempty"`
 	// Ended is zero while the run goes on.
 	Began, Ended time.Time
 }
@@ -28,7 +30,7 @@
 		return func() {}
 	}
 	e.runCount++
-	r := PlatformRun{Number: e.runCount, Request: request.Header.Get("X-Attempt-Id"), Moved: request.Header.Get("Kv-From") != "", Began: time.Now()}
+	r := PlatformRun{Number: e.runCount, Request: request.Header.Get("X-Attempt-Id"), Moved: request.Header.Get("Kv-From") != "", Memory: request.Header.Get("Kv-From"), Began: time.Now()}
 	observe(r)
 	return func() {
 		r.Ended = time.Now()
