fix: the soak's restarts in place leave most upstreams running

Cause: one upstream restarted up to four times within a second, with what ran there. A third of the upstreams that are listed under earlier ids now restart, once.

--- a/soak/plan.go
+++ b/soak/plan.go
@@ -63,8 +63,8 @@
 	// CopyRefusals makes all upstreams send copies of their refusals. RefuseRequests
 	// makes some upstreams, or all, refuse their next requests; RefuseAndMove sets new
 	// target weights soon after, so that streams move to engines that refused them.
-	// RestartInPlace restarts some upstreams, or all, at their addresses under new IDs, up
-	// to four times in a row; their earlier entries stay for a while.
+	// RestartInPlace lists some upstreams, or all, under earlier IDs, too, and restarts
+	// some of these at their addresses under new IDs; the earlier entries stay for a while.
 	CopyRefusals   Kind = "CopyRefusals"
 	RefuseRequests Kind = "RefuseRequests"
 	RefuseAndMove  Kind = "RefuseAndMove"
--- a/soak/refusals.go
+++ b/soak/refusals.go
@@ -25,10 +25,14 @@
 	maxMoveDelay = 800 * time.Millisecond
 	// pauseShare is the reciprocal of the share of refusals that ask for a pause.
 	pauseShare = 4
-	// maxRestarts is how often an upstream restarts in place at most, one after the other,
-	// and maxRestartPause the maximum time between two of these.
-	maxRestarts     = 4
-	maxRestartPause = 300 * time.Millisecond
+	// restartShare is the reciprocal of the share of the upstreams that are listed under
+	// earlier IDs and really restart: a restart ends what runs there, and what runs at too
+	// many engines that end is taken for the cause.
+	restartShare = 3
+	// maxEarlier is the maximum number of earlier IDs, maxEarlierPause the maximum time
+	// between two of these.
+	maxEarlier      = 4
+	maxEarlierPause = 300 * time.Millisecond
 )
 
 // PlanRefusals returns the faults by which requests meet connections on which they were
@@ -94,6 +98,7 @@
 // troubled is an upstream that can go wrong.
 type troubled interface {
 	Trouble(t standin.PlatformTrouble)
+	Entry() map[string]any
 }
 
 // places returns the upstreams that run now.
@@ -124,16 +129,17 @@
 	}
 }
 
-// restartInPlace restarts some or all upstreams at their addresses under new IDs. Their
-// earlier entries stay in the store for entryRemovalDelay.
+// restartInPlace lists some or all upstreams under earlier IDs, too, and restarts some of
+// these at their addresses under new IDs. The earlier entries stay in the store for
+// entryRemovalDelay after the last of them.
 func (fi *faultInjector) restartInPlace(random *rand.Rand) {
 	var restarts conc.WaitGroup
 	defer restarts.Wait()
-	for _, i := range drawPlaces(random, len(fi.places())) {
+	for n, i := range drawPlaces(random, len(fi.places())) {
 		upstream, restart := fi.restarter(i)
-		pauses := make([]time.Duration, 1+random.IntN(maxRestarts))
+		pauses := make([]time.Duration, 1+random.IntN(maxEarlier))
 		for j := range pauses {
-			pauses[j] = time.Duration(random.Int64N(int64(maxRestartPause)))
+			pauses[j] = time.Duration(random.Int64N(int64(maxEarlierPause)))
 		}
 		restarts.Go(func() {
 			if _, loaded := fi.restarting.LoadOrStore(upstream, true); loaded {
@@ -141,11 +147,14 @@
 			}
 			defer fi.restarting.Delete(upstream)
 			var earlier []string
-			for _, pause := range pauses {
+			if n%restartShare == 0 {
 				fi.recordUpstreamFault(time.Now().Add(2 * entryRemovalDelay))
 				// If the restart fails, the checks at the end of the run report it.
 				id, _ := restart()
 				earlier = append(earlier, id)
+			}
+			for _, pause := range pauses {
+				earlier = append(earlier, fi.listEarlier(i))
 				fi.pause(pause)
 			}
 			fi.pause(entryRemovalDelay)
@@ -156,6 +165,19 @@
 	}
 }
 
+// listEarlier lists the upstream at a place under an earlier ID, too, as if it had just
+// restarted, and returns that.
+func (d *deployment) listEarlier(i int) (id string) {
+	entry := d.places()[i].Entry()
+	d.mu.Lock()
+	d.startCount++
+	id = fmt.Sprintf("%s-%d", entry["service"], d.startCount)
+	d.mu.Unlock()
+	entry["born"] = time.Now().Add(-time.Minute).UnixMilli()
+	d.store.Put(standin.PlatformUpstreams, id, entry)
+	return id
+}
+
 // restarter returns the upstream at a place, and what restarts it there and returns its
 // earlier ID.
 func (d *deployment) restarter(i int) (upstream any, restart func() (earlier string, err error)) {
