--- a/soak/status.go
+++ b/soak/status.go
@@ -114,7 +114,8 @@
 		from, until := request.At.Add(pauseGrace), request.At.Add(request.RetryAfter)
 		count := 0
 		for _, a := range arrivals {
-			if a.At.After(from) && a.At.Before(until) && fi.faultFreeBetween(h, request.At, a.At) {
+			// What names an earlier ID of the address was not sent to this upstream.
+			if !a.IsMisdirected && a.At.After(from) && a.At.Before(until) && fi.faultFreeBetween(h, request.At, a.At) {
 				count++
 			}
 		}
--- a/standin/platform_caller.go
+++ b/standin/platform_caller.go
@@ -102,8 +102,10 @@
 	At         time.Time
 	RetryAfter time.Duration
 	Leaving    bool
-	// Refusal is the status with which it was refused, or 0.
-	Refusal int
+	// Refusal is the status with which it was refused, or 0. IsMisdirected means that it
+	// named another upstream.
+	Refusal       int
+	IsMisdirected bool
 }
 
 // Arrivals returns a record of each request that reached the engine.
--- a/standin/platform_engine.go
+++ b/standin/platform_engine.go
@@ -348,6 +348,7 @@
 	e.setBrittle(w)
 	switch {
 	case instance != "" && instance != e.ID:
+		arrival.IsMisdirected = true
 		status = http.StatusMisdirectedRequest
 	case time.Now().Before(e.rejectUntil):
 		w.Header().Set("Retry-After", e.retryAfter)
