--- a/soak/plan.go
+++ b/soak/plan.go
@@ -64,7 +64,7 @@
 	// makes some upstreams, or all, refuse their next requests; RefuseAndMove sets new
 	// target weights soon after, so that streams move to engines that refused them.
 	// RestartInPlace lists some upstreams, or all, under earlier IDs, too, and restarts
-	// some of these at their addresses under new IDs; the earlier entries stay for a while.
+	// one of these at its address under a new ID; the earlier entries stay for a while.
 	CopyRefusals   Kind = "CopyRefusals"
 	RefuseRequests Kind = "RefuseRequests"
 	RefuseAndMove  Kind = "RefuseAndMove"
--- a/soak/refusals.go
+++ b/soak/refusals.go
@@ -25,10 +25,6 @@
 	maxMoveDelay = 800 * time.Millisecond
 	// pauseShare is the reciprocal of the share of refusals that ask for a pause.
 	pauseShare = 4
-	// restartShare is the reciprocal of the share of the upstreams that are listed under
-	// earlier IDs and really restart: a restart ends what runs there, and what runs at too
-	// many engines that end is taken for the cause.
-	restartShare = 3
 	// maxEarlier is the maximum number of earlier IDs, maxEarlierPause the maximum time
 	// between two of these.
 	maxEarlier      = 4
@@ -129,8 +125,8 @@
 	}
 }
 
-// restartInPlace lists some or all upstreams under earlier IDs, too, and restarts some of
-// these at their addresses under new IDs. The earlier entries stay in the store for
+// restartInPlace lists some or all upstreams under earlier IDs, too, and restarts one of
+// these at its address under a new ID. The earlier entries stay in the store for
 // entryRemovalDelay after the last of them.
 func (fi *faultInjector) restartInPlace(random *rand.Rand) {
 	var restarts conc.WaitGroup
@@ -147,7 +143,9 @@
 			}
 			defer fi.restarting.Delete(upstream)
 			var earlier []string
-			if n%restartShare == 0 {
+			// Only one restarts: what runs at several engines that end within seconds is
+			// taken for the cause.
+			if n == 0 {
 				fi.recordUpstreamFault(time.Now().Add(2 * entryRemovalDelay))
 				// If the restart fails, the checks at the end of the run report it.
 				id, _ := restart()
