--- a/soak/plan.go
+++ b/soak/plan.go
@@ -60,6 +60,15 @@
 	// FailOrderer sets new target weights, waits until a host orders an engine to
 	// load them, sets newer ones and kills or pauses that host.
 	FailOrderer Kind = "StrikeOrderer"
+	// CopyRefusals makes all upstreams send copies of their refusals. RefuseRequests
+	// makes some upstreams, or all, refuse their next requests; RefuseAndMove sets new
+	// target weights soon after, so that streams move to engines that refused them.
+	// RestartInPlace lists some upstreams, or all, under earlier IDs, too, and restarts
+	// one of these at its address under a new ID; the earlier entries stay for a while.
+	CopyRefusals   Kind = "CopyRefusals"
+	RefuseRequests Kind = "RefuseRequests"
+	RefuseAndMove  Kind = "RefuseAndMove"
+	RestartInPlace Kind = "RestartInPlace"
 )
 
 // seriesKinds holds the kinds that are drawn in series; repeats make a kind more
--- a/standin/platform_process.go
+++ b/standin/platform_process.go
@@ -1,11 +1,12 @@
 package standin
 
 import (
-	"bufio"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
 	"io"
+	"net/http"
 	"os"
 	"os/exec"
 	"slices"
@@ -28,30 +29,34 @@
 	// Prefill is the time to the first event or a plain answer, Interval that between
 	// two events.
 	Prefill, Interval time.Duration
-	// Weights is the version of the weights; 0 means 1.
-	Weights int64
+	// Weights is the version of the weights; 0 means 1. LoadTime is how long a load of
+	// others takes.
+	Weights  int64
+	LoadTime time.Duration
+	// Address is the IP:port to listen at, or "" for a free port.
+	Address string
 }
 
-// processLine is a line that the process writes: its address, then its runs and stalls.
+// processLine is a line that the process writes: its address, then its runs, refusals and
+// stalls.
 type processLine struct {
-	Address string          `json:",omitempty"`
-	Run     *PlatformRun    `json:",omitempty"`
-	Stall   *PlatformPeriod `json:",omitempty"`
+	Address string           `json:",omitempty"`
+	Run     *PlatformRun     `json:",omitempty"`
+	Refusal *PlatformArrival `json:",omitempty"`
+	// Stall is a time in which the process did not run.
+	Stall *PlatformPeriod `json:",omitempty"`
 }
 
-// ServePlatformProcess runs an engine whose options stand in the first line of in. It
-// writes its address, its runs and its stalls to out, and ends when in does or the context ends.
+// ServePlatformProcess runs an engine. The first value of in are its options, further ones
+// are troubles. It writes its address, its runs, refusals and stalls to out, and ends when
+// in does or the context ends.
 func ServePlatformProcess(ctx context.Context, in io.Reader, out io.Writer) error {
-	lines := bufio.NewReader(in)
-	first, err := lines.ReadBytes('\n')
-	if err != nil {
-		return trace.Wrap(err, "reading the options")
-	}
+	decoder := json.NewDecoder(in)
 	var o PlatformProcessOptions
-	if err := json.Unmarshal(first, &o); err != nil {
-		return trace.BadParameter("the options are not JSON: %v", err)
+	if err := decoder.Decode(&o); err != nil {
+		return trace.Wrap(err, "reading the options")
 	}
-	e, err := NewPlatformEngine(o.ID, o.Service, o.Zone, o.Model)
+	e, err := NewPlatformEngineAt(cmp.Or(o.Address, "127.0.0.1:0"), o.ID, o.Service, o.Zone, o.Model)
 	if err != nil {
 		return trace.Wrap(err)
 	}
@@ -66,9 +71,11 @@
 	e.mu.Lock()
 	e.prefill, e.eventInterval, e.eventCount = o.Prefill, o.Interval, o.Events
 	e.observeRun = func(r PlatformRun) { write(processLine{Run: &r}) }
+	e.observeRefusal = func(a PlatformArrival) { write(processLine{Refusal: &a}) }
 	if o.Weights > 0 {
 		e.weights = o.Weights
 	}
+	e.loadTime = o.LoadTime
 	e.mu.Unlock()
 	write(processLine{Address: e.Address()})
 	ctx, cancel := context.WithCancel(ctx)
@@ -76,14 +83,23 @@
 	go WatchStalls(ctx, func(p PlatformPeriod) { write(processLine{Stall: &p}) })
 	ended := make(chan error, 1)
 	go func() {
-		_, err := io.Copy(io.Discard, lines)
-		ended <- err
+		for {
+			var t PlatformTrouble
+			if err := decoder.Decode(&t); err != nil {
+				ended <- err
+				return
+			}
+			e.Trouble(t)
+		}
 	}()
 	select {
 	case <-ctx.Done():
 		return nil
 	case err := <-ended:
-		return trace.Wrap(err)
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		return trace.Wrap(err, "reading a trouble")
 	}
 }
 
@@ -96,15 +112,16 @@
 
 	startMillis int64
 	cmd         *exec.Cmd
-	input       io.Closer
+	input       io.WriteCloser
 	// ended is closed when the process has ended and its output was read.
 	ended chan struct{}
 	// mu guards the fields below.
-	mu     sync.Mutex
-	runs   []PlatformRun
-	pauses []PlatformPeriod
-	stalls []PlatformPeriod
-	killed time.Time
+	mu       sync.Mutex
+	runs     []PlatformRun
+	refusals []PlatformArrival
+	pauses   []PlatformPeriod
+	stalls   []PlatformPeriod
+	killed   time.Time
 }
 
 // PlatformPeriod is a time in which a process worked, or was stopped; Until is zero while
@@ -160,10 +177,13 @@
 	return p, nil
 }
 
-// record adds a run, its end or a stall.
+// record adds a run, its end, a refusal or a stall.
 func (p *PlatformProcess) record(l processLine) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if l.Refusal != nil {
+		p.refusals = append(p.refusals, *l.Refusal)
+	}
 	if l.Stall != nil {
 		p.stalls = append(p.stalls, *l.Stall)
 	}
@@ -211,6 +231,30 @@
 	}
 }
 
+// Trouble makes the process go wrong.
+func (p *PlatformProcess) Trouble(t PlatformTrouble) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_ = json.NewEncoder(p.input).Encode(t) // fails only if it has ended
+}
+
+// Weights asks the process for the version of its weights.
+func (p *PlatformProcess) Weights() (int64, error) {
+	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Get("http://" + p.Address + "/report")
+	if err != nil {
+		return 0, trace.Wrap(err)
+	}
+	defer resp.Body.Close()
+	var r struct {
+		Models []struct{ Version int64 } `json:"models"`
+	}
+	if err := json.NewDecoder(resp.Body).Decode(&r); err != nil || len(r.Models) == 0 {
+		return 0, trace.BadParameter("no report from %s: %v", p.Options.ID, err)
+	}
+	return r.Models[0].Version, nil
+}
+
 // Kill ends the process.
 func (p *PlatformProcess) Kill() {
 	p.mu.Lock()
@@ -245,6 +289,13 @@
 	return slices.Clone(p.stalls)
 }
 
+// Refusals returns the refusals that the process has reported.
+func (p *PlatformProcess) Refusals() []PlatformArrival {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.refusals)
+}
+
 // Killed returns when the process was killed, or zero.
 func (p *PlatformProcess) Killed() time.Time {
 	p.mu.Lock()
