--- a/storenode/late_checks_test.go
+++ b/storenode/late_checks_test.go
@@ -28,48 +28,63 @@
 
 // newLateDoor opens the address of an engine.
 func newLateDoor(t *testing.T, engine string) *lateDoor {
+	t.Helper()
+	d := &lateDoor{}
+	d.listener = listenBefore(t, engine, d.serve)
+	return d
+}
+
+// listenBefore opens an address before that of an engine. Serve passes on what arrives on
+// a connection there; the connections close when it returns.
+func listenBefore(t *testing.T, engine string, serve func(c net.Conn, in *bufio.Reader, inner net.Conn)) net.Listener {
 	t.Helper()
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	is.New(t).NoErr(err)
 	t.Cleanup(func() { _ = l.Close() })
-	d := &lateDoor{listener: l}
 	go func() {
 		for {
 			c, err := l.Accept()
 			if err != nil {
 				return
 			}
-			go d.serve(c, engine)
+			go func() {
+				defer func() { _ = c.Close() }()
+				in := bufio.NewReader(c)
+				if _, err := in.Peek(1); err != nil {
+					return
+				}
+				inner, err := net.Dial("tcp4", engine)
+				if err != nil {
+					return
+				}
+				defer func() { _ = inner.Close() }()
+				serve(c, in, inner)
+			}()
 		}
 	}()
-	return d
+	return l
 }
 
-// serve passes on what arrives on a connection.
-func (d *lateDoor) serve(c net.Conn, engine string) {
-	defer func() { _ = c.Close() }()
-	in := bufio.NewReader(c)
+// isGet reports whether a GET begins in what has arrived.
+func isGet(in *bufio.Reader) bool {
 	first, err := in.Peek(1)
-	if err != nil {
-		return
-	}
-	inner, err := net.Dial("tcp4", engine)
-	if err != nil {
-		return
-	}
+	return err == nil && first[0] == 'G'
+}
+
+// serve passes on what arrives on a connection.
+func (d *lateDoor) serve(c net.Conn, in *bufio.Reader, inner net.Conn) {
 	go func() {
 		_, _ = io.Copy(c, inner)
 		_ = c.Close()
 	}()
-	defer func() { _ = inner.Close() }()
-	b := make([]byte, 4096)
+	b, isControlCall := make([]byte, 4096), isGet(in)
 	for {
 		n, err := in.Read(b)
 		if err != nil {
 			return
 		}
 		delay := d.delay.Load()
-		if first[0] != 'G' {
+		if !isControlCall {
 			delay = 0
 		}
 		if delay == neverAnswered {
--- a/storenode/waking_engines_test.go
+++ b/storenode/waking_engines_test.go
@@ -31,38 +31,16 @@
 // newGate opens the address of an engine.
 func newGate(t *testing.T, engine string) *gate {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	is.New(t).NoErr(err)
-	t.Cleanup(func() { _ = l.Close() })
-	g := &gate{listener: l}
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go g.serve(c, engine)
-		}
-	}()
+	g := &gate{}
+	g.listener = listenBefore(t, engine, g.serve)
 	return g
 }
 
 // serve passes on what arrives on a connection and, unless it is held back, what the
 // engine answers.
-func (g *gate) serve(c net.Conn, engine string) {
-	defer func() { _ = c.Close() }()
-	in := bufio.NewReader(c)
-	first, err := in.Peek(1)
-	if err != nil {
-		return
-	}
-	inner, err := net.Dial("tcp4", engine)
-	if err != nil {
-		return
-	}
-	defer func() { _ = inner.Close() }()
+func (g *gate) serve(c net.Conn, in *bufio.Reader, inner net.Conn) {
 	held := &g.eventsHeld
-	if first[0] == 'G' {
+	if isGet(in) {
 		held = &g.checksHeld
 	}
 	go func() {
