fix: load reports may use the port number of a TCP address

What users saw: a host refused to start with settings that work, "Listen.Pulses: 127.0.0.1:42221 is also the address of Listen.Readiness". Cause: the check took an address for datagrams and one for connections for the same.

--- a/settings/check.go
+++ b/settings/check.go
@@ -77,21 +77,23 @@
 	if s.Platform.Store == "" {
 		listen = append(listen, struct{ path, value string }{"Listen.Operators", s.Listen.Operators})
 	} else {
-		listen = append(listen, struct{ path, value string }{"Listen.Addresses", s.Listen.Addresses}, struct{ path, value string }{"Listen.Readiness", s.Listen.Readiness}, struct{ path, value string }{"Listen.Pulses", s.Listen.Pulses})
+		listen = append(listen, struct{ path, value string }{"Listen.Addresses", s.Listen.Addresses}, struct{ path, value string }{"Listen.Readiness", s.Listen.Readiness})
 		if s.Listen.Relays != "" {
 			listen = append(listen, struct{ path, value string }{"Listen.Relays", s.Listen.Relays})
 		}
+		// Datagrams may use the port of a TCP listener.
+		c.checkListenAddress("Listen.Pulses", s.Listen.Pulses)
 	}
 	for _, r := range listen {
-		address, err := netip.ParseAddrPort(r.value)
-		switch other, duplicate := taken[address]; {
-		case err != nil:
-			c.report(r.path, "%q is not IP:port", r.value)
-		case duplicate && address.Port() != 0:
+		address, ok := c.checkListenAddress(r.path, r.value)
+		if !ok || address.Port() == 0 {
+			continue
+		}
+		if other, duplicate := taken[address]; duplicate {
 			c.report(r.path, "%s is also the address of %s", r.value, other)
-		default:
-			taken[address] = r.path
+			continue
 		}
+		taken[address] = r.path
 	}
 	if s.Platform.Store != "" {
 		c.checkStore(s)
@@ -107,6 +109,15 @@
 	}
 }
 
+// checkListenAddress checks the form of an address that the daemon listens on.
+func (c *checker) checkListenAddress(path, value string) (netip.AddrPort, bool) {
+	address, err := netip.ParseAddrPort(value)
+	if err != nil {
+		c.report(path, "%q is not IP:port", value)
+	}
+	return address, err == nil
+}
+
 // checkStore checks the settings that are used only with Platform.Store.
 func (c *checker) checkStore(s Settings) {
 	if a := s.Listen.AnnouncedPeers; a != "" {
--- a/settings/check_test.go
+++ b/settings/check_test.go
@@ -50,3 +50,34 @@
 		})
 	}
 }
+
+// TestDatagramsMayShareAPort checks which addresses may have the same port: that for load
+// reports receives datagrams.
+func TestDatagramsMayShareAPort(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		change func(*settings.Listen)
+		valid  bool
+	}{
+		{"load reports and readiness", func(l *settings.Listen) { l.Pulses = l.Readiness }, true},
+		{"load reports and relays", func(l *settings.Listen) { l.Pulses = l.Relays }, true},
+		{"readiness and peers", func(l *settings.Listen) { l.Readiness = l.Peers }, false},
+		{"relays and callers", func(l *settings.Listen) { l.Relays = l.Callers }, false},
+		{"ports chosen by the kernel", func(l *settings.Listen) { l.Relays, l.Callers = "127.0.0.1:0", "127.0.0.1:0" }, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			s := settings.Default()
+			s.Listen = settings.Listen{
+				Callers: "127.0.0.1:1", Peers: "127.0.0.1:2", Addresses: "127.0.0.1:3", Readiness: "127.0.0.1:4", Relays: "127.0.0.1:5", Pulses: "127.0.0.1:6",
+			}
+			tt.change(&s.Listen)
+			s.Platform.Store = "127.0.0.1:7"
+			raw, err := yaml.Marshal(s)
+			is.NoErr(err)
+			_, err = settings.Decode(raw)
+			is.True(err != nil) // other settings are missing
+			is.Equal(strings.Contains(err.Error(), "Listen."), !tt.valid)
+		})
+	}
+}
