fix: a stream that begins just when it is withdrawn is not relayed and cut

What callers saw: a stream that may not be resumed was cut after its first event (TestRefusalCopies, once at a load average of 48). Cause: a timer withdraws an attempt whose weights were replaced, or whose time is over, and closes its connection; if the first event was read at the same moment, the answer was relayed from a connection that was closed already. Ruled out: the copies of refusals of that soak; the request was sent once and never refused. An attempt is now either answered or abandoned, whichever comes first.

--- a/forward/handler.go
+++ b/forward/handler.go
@@ -232,9 +232,8 @@
 	started clock.Instant
 	// incarnation identifies this run of the upstream's process, if known.
 	incarnation string
-	// abandoned is set when this host cancels the attempt, because of its
-	// timeout or of its old weights.
-	abandoned atomic.Bool
+	// fate is answered or abandoned, whichever came first, or undecided.
+	fate atomic.Int32
 	// answering is set once the upstream has started to answer, events counts
 	// the events that it has sent.
 	answering bool
@@ -248,6 +247,35 @@
 	moving atomic.Bool
 }
 
+// The fate of an attempt.
+const (
+	undecided int32 = iota
+	// answered means that its answer is relayed.
+	answered
+	// abandoned means that this host cancels it, because of its timeout or of its old
+	// weights.
+	abandoned
+)
+
+// answer decides that the attempt's answer is relayed. It returns false if the attempt was
+// abandoned.
+func (a *attempt) answer() bool { return a.fate.CompareAndSwap(undecided, answered) }
+
+// abandon cancels the attempt, unless its answer is relayed.
+func (a *attempt) abandon() bool {
+	if !a.fate.CompareAndSwap(undecided, abandoned) {
+		return false
+	}
+	a.cancel()
+	return true
+}
+
+// wasAbandoned reports whether this host cancelled the attempt.
+func (a *attempt) wasAbandoned() bool { return a.fate.Load() == abandoned }
+
+// errAbandoned is returned for an answer that began when its attempt had been abandoned.
+var errAbandoned = errors.New("the answer began when the attempt had been abandoned")
+
 // lostEarly reports whether the upstream closed the connection after no more
 // than its early events, unless this host asked it to.
 func (a *attempt) lostEarly(o retry.Outcome, err error) bool {
@@ -256,7 +284,7 @@
 
 // outcome returns the outcome of an attempt that failed after it was sent.
 func (a *attempt) outcome(err error) retry.Outcome {
-	if a.abandoned.Load() || errors.Is(err, context.DeadlineExceeded) || errors.Is(err, os.ErrDeadlineExceeded) {
+	if a.wasAbandoned() || errors.Is(err, context.DeadlineExceeded) || errors.Is(err, os.ErrDeadlineExceeded) {
 		return retry.Late
 	}
 	return retry.Broken
@@ -424,7 +452,7 @@
 // recordFailure records an attempt without an answer and returns its outcome.
 func (h *handler) recordFailure(a *attempt, o retry.Outcome, err error) retry.Outcome {
 	now := clock.Now()
-	disconnected := errors.Is(err, context.Canceled) && !a.abandoned.Load()
+	disconnected := errors.Is(err, context.Canceled) && !a.wasAbandoned()
 	if a.relay {
 		return h.recordRelayFailure(a, o, err)
 	}
--- a/forward/limit.go
+++ b/forward/limit.go
@@ -69,8 +69,7 @@
 	if isClosed(l.ended) || l.timeLeft() > minTimeLeft && !l.reserveRetry() {
 		return false
 	}
-	l.attempt.abandoned.Store(true)
-	l.attempt.cancel()
+	l.attempt.abandon()
 	return true
 }
 
--- a/forward/queued.go
+++ b/forward/queued.go
@@ -42,9 +42,9 @@
 			timer.Reset(queuedCheckInterval)
 			return
 		}
-		h.Metrics.Counter("requests_withdrawn").Inc(1)
-		a.abandoned.Store(true)
-		a.cancel()
+		if a.abandon() {
+			h.Metrics.Counter("requests_withdrawn").Inc(1)
+		}
 	})
 	close(ready)
 	return func() {
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -51,6 +51,9 @@
 func (h *handler) beginStream(a *attempt) (*call.Answer, retry.Outcome) {
 	s := &stream{handler: h, attempt: a, lastID: a.send.ResumeAfter}
 	err := s.fill()
+	if err == nil && !a.answer() && !s.done {
+		err = errAbandoned
+	}
 	if err != nil {
 		return nil, h.failAttempt(a, a.outcome(err), err)
 	}
--- a/storenode/cut_test.go
+++ b/storenode/cut_test.go
@@ -26,6 +26,8 @@
 	resetCut
 	// refuseCut refuses new connections only.
 	refuseCut
+	// lateCut lets what arrives be read only when the host ends the connection.
+	lateCut
 )
 
 // cutDialTimeout is how long a new connection hangs.
@@ -61,6 +63,11 @@
 	*net.TCPConn
 
 	dialer *cutDialer
+	// ending is closed when the host ends the connection.
+	ending chan struct{}
+	once   sync.Once
+	// reading is held during a read.
+	reading sync.Mutex
 }
 
 func (d *cutDialer) state() cut {
@@ -111,7 +118,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &cutConn{raw.(*net.TCPConn), d}
+	c := &cutConn{TCPConn: raw.(*net.TCPConn), dialer: d, ending: make(chan struct{})}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.conns = append(d.conns, c)
@@ -119,6 +126,12 @@
 }
 
 func (c *cutConn) Read(b []byte) (int, error) {
+	c.reading.Lock()
+	defer c.reading.Unlock()
+	if c.dialer.state() == lateCut {
+		<-c.ending
+		_ = c.SetReadDeadline(time.Now().Add(pollInterval)) // Close waits for the read
+	}
 	for {
 		n, err := c.TCPConn.Read(b)
 		if err != nil || c.dialer.state() != hangCut {
@@ -127,6 +140,15 @@
 	}
 }
 
+func (c *cutConn) Close() error {
+	c.once.Do(func() { close(c.ending) })
+	if c.dialer.state() == lateCut {
+		c.reading.Lock()
+		defer c.reading.Unlock()
+	}
+	return c.TCPConn.Close()
+}
+
 func (c *cutConn) Write(b []byte) (int, error) {
 	if c.dialer.state() == hangCut {
 		return len(b), nil
--- a/storenode/weights_test.go
+++ b/storenode/weights_test.go
@@ -28,6 +28,44 @@
 	is.Equal((<-answers).status, http.StatusGatewayTimeout)
 }
 
+// TestStreamThatBeginsWhenWithdrawnIsNotCut has the first event of a stream that may not be
+// resumed arrive at the moment at which the stream is withdrawn for newer weights.
+func TestStreamThatBeginsWhenWithdrawnIsNotCut(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		fault standin.PlatformFault
+		// status is that of the answer.
+		status int
+	}{
+		{"the run goes on", standin.PauseFault, http.StatusGatewayTimeout},
+		{"the run has ended", standin.NoFault, http.StatusOK},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			d := newDeployment(t, 0, 1, 0)
+			dialer := &cutDialer{}
+			d.dialers = map[int]*cutDialer{0: dialer}
+			d.weightsMillis = 2000
+			d.awaitReady(d.host(0))
+			d.await("it serves streams", func() bool {
+				return d.do(d.hosts[0], "POST", modelHost, "/flag/a", fmt.Sprint(time.Now().UnixNano()), prompt, "before").status == http.StatusOK
+			})
+			if tt.fault != standin.NoFault {
+				d.engines[0].Fail(tt.fault, 1)
+			}
+			dialer.set(lateCut)
+			received := make(chan answer, 1)
+			go func() { received <- d.do(d.hosts[0], "POST", modelHost, "/flag/a", "withdrawn", prompt, "body") }()
+			d.await("it runs", func() bool { return d.executions("withdrawn") == 1 })
+			d.store.NameWeights("m1", 2)
+			got := <-received
+			is.Equal(got.status, tt.status)
+			is.True(!got.truncated)
+			is.Equal(d.executions("withdrawn"), 1)
+		})
+	}
+}
+
 // withLongRoute replaces the routes of a configuration by one whose requests may wait for
 // long.
 func withLongRoute(config map[string]any) {
