fix: a run that moved does not begin on weights that have expired

Cause: the weights of a stream that leaves its engine were checked when the move began, 4.7 s after the naming; its memory arrived 1.33 and 1.41 s later, and the stream went on there. Ruled out: hosts that did not know of the naming (the host sent newer weights elsewhere at the time), and a host that stood still (it ran). Now a stream waits for its memory only until its weights expire, and goes on elsewhere without it then. One that may not be resumed moves only if its memory can arrive before that.

--- a/forward/migrate.go
+++ b/forward/migrate.go
@@ -134,6 +134,9 @@
 	if s.migration != nil || s.attempt == nil || s.migrations >= maxMigrations {
 		return
 	}
+	if !s.route.Resumable && s.timeToBegin(s.attempt.target) < migrationTimeout {
+		return // the stream could not go on if its memory arrived too late
+	}
 	to, ok := s.migrationTarget(s.attempt.target, nil)
 	if !ok {
 		return
@@ -277,6 +280,9 @@
 	if !m.moved.Transferred {
 		to = m.source.target
 	}
+	if s.hasOldWeights(to) {
+		return target{}, false
+	}
 	to.send.MemoryHandle = m.moved.MemoryHandle
 	return to, true
 }
@@ -315,7 +321,7 @@
 		return true
 	default:
 	}
-	timer := time.NewTimer(limit)
+	timer := time.NewTimer(min(limit, s.timeToBegin(m.source.target)))
 	defer timer.Stop()
 	select {
 	case <-m.done:
--- a/forward/queued.go
+++ b/forward/queued.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -38,7 +39,7 @@
 		if stopped.Load() {
 			return // the timer was reset while the checks were being stopped
 		}
-		if !h.hasOldWeights(a) && !h.hasForeignParts(a, &separateSince) && !h.Guard.IsQuarantined(h.call.ID, h.content) {
+		if !h.hasOldWeights(a.target) && !h.hasForeignParts(a, &separateSince) && !h.Guard.IsQuarantined(h.call.ID, h.content) {
 			timer.Reset(queuedCheckInterval)
 			return
 		}
@@ -53,19 +54,29 @@
 	}
 }
 
-// hasOldWeights reports whether the weights of an attempt were replaced too long
-// ago to answer.
-func (h *handler) hasOldWeights(a *attempt) bool {
-	history, _ := h.Replica.State().WeightsHistory(a.send.Prompt.Model)
-	since, replaced := history.ReplacedSince(a.send.Weights)
-	age := clock.Now().Sub(since)
-	if !replaced || age < h.OldWeightsGrace+queuedGrace {
+// hasOldWeights reports whether the weights of a target were replaced too long ago to
+// answer.
+func (h *handler) hasOldWeights(t target) bool {
+	if h.timeToBegin(t) > 0 {
 		return false
 	}
-	event.StaleRequestCancelled.Info("Request", h.call.ID, "Upstream", a.id, "Weights", a.send.Weights, "Named", history.Version, "AgeMillis", age.Milliseconds())
+	history, _ := h.Replica.State().WeightsHistory(t.send.Prompt.Model)
+	since, _ := history.ReplacedSince(t.send.Weights)
+	event.StaleRequestCancelled.Info("Request", h.call.ID, "Upstream", t.id, "Weights", t.send.Weights, "Named", history.Version, "AgeMillis", clock.Now().Sub(since).Milliseconds())
 	return true
 }
 
+// timeToBegin returns how long a request that was sent to a target may still begin there,
+// given the target's weights.
+func (h *handler) timeToBegin(t target) time.Duration {
+	history, _ := h.Replica.State().WeightsHistory(t.send.Prompt.Model)
+	since, replaced := history.ReplacedSince(t.send.Weights)
+	if !replaced {
+		return math.MaxInt64
+	}
+	return h.OldWeightsGrace + queuedGrace - clock.Now().Sub(since)
+}
+
 // hasForeignParts reports whether an attempt may begin with parts of an account that has
 // been isolated for too long. It keeps in since when that was first seen.
 func (h *handler) hasForeignParts(a *attempt, since *clock.Instant) bool {
--- a/storenode/export_test.go
+++ b/storenode/export_test.go
@@ -11,3 +11,9 @@
 	_, ok := n.syncer.State().Upstreams.Entry(upstream)
 	return ok
 }
+
+// Named returns the newest weights of a model that the host knows to be named.
+func (n *Node) Named(model string) int64 {
+	history, _ := n.syncer.State().WeightsHistory(model)
+	return history.Version
+}
--- a/storenode/harness_test.go
+++ b/storenode/harness_test.go
@@ -43,6 +43,9 @@
 	version  int
 	// weightsMillis is how long replaced weights may answer; 0 means the default.
 	weightsMillis int
+	// leaseMillis is how long a host's order keeps others from an engine; 0 means the
+	// default.
+	leaseMillis int
 	// graceSeconds is the grace time of a planned stop; 0 means the default.
 	graceSeconds float64
 	// loadReportPort and relayPort are the ports of all hosts for load reports and
@@ -247,7 +250,7 @@
 	}
 	s.Secrets.Peers = settings.Source{Environment: "SITE_TEST_SECRET"}
 	s.Machine = settings.Machine{MemoryMB: 512, Descriptors: 4096}
-	s.Bounds = settings.Bounds{LeaseMillis: 1000, WeightsMillis: cmp.Or(d.weightsMillis, 6000), GraceSeconds: cmp.Or(d.graceSeconds, 8), RepeatRatio: 0.2, RepeatWindowSeconds: 10, RepeatSlack: 50}
+	s.Bounds = settings.Bounds{LeaseMillis: cmp.Or(d.leaseMillis, 1000), WeightsMillis: cmp.Or(d.weightsMillis, 6000), GraceSeconds: cmp.Or(d.graceSeconds, 8), RepeatRatio: 0.2, RepeatWindowSeconds: 10, RepeatSlack: 50}
 	return s
 }
 
--- a/storenode/moves_test.go
+++ b/storenode/moves_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/kumquathoist/kumquathoist/lease"
+	"github.com/kumquathoist/kumquathoist/platform"
 	"github.com/kumquathoist/kumquathoist/standin"
 )
 
@@ -16,6 +19,11 @@
 	return map[string]string{"X-Model": "m1", "X-Token-Usage": "1000,400", "X-Prompt-Prefix": fmt.Sprintf("d%d:800,cc:200", i)}
 }
 
+// haveWeights reports whether all engines have some weights.
+func (d *deployment) haveWeights(version int64) bool {
+	return !slices.ContainsFunc(d.engines, func(e *standin.PlatformEngine) bool { return e.Weights() != version })
+}
+
 // TestRunsMove sets new target weights while long answers are streamed. They must
 // resume on other engines, complete and in order, each request executed once.
 func TestRunsMove(t *testing.T) {
@@ -67,14 +75,60 @@
 			for i := range streams {
 				is.Equal(d.executions(fmt.Sprint("s", i)), 1)
 			}
-			d.await("all engines have the weights", func() bool {
-				for _, e := range d.engines {
-					if e.Weights() != 2 {
-						return false
-					}
-				}
-				return true
-			})
+			d.await("all engines have the weights", func() bool { return d.haveWeights(2) })
+		})
+	}
+}
+
+// TestMovedRunsDoNotBeginOnExpiredWeights has the memory of a stream arrive when its weights
+// may no longer answer, while nobody orders engines.
+func TestMovedRunsDoNotBeginOnExpiredWeights(t *testing.T) {
+	for _, tt := range []struct {
+		name, path string
+		// weightsMillis is how long replaced weights may answer, moveTime how long a move
+		// takes.
+		weightsMillis int
+		moveTime      time.Duration
+		// moves is how often the stream moves, continued how often it goes on with its
+		// memory.
+		moves, continued int
+	}{
+		{"may be resumed", "/full/a", 1400, 1400 * time.Millisecond, 1, 0},
+		{"may not be resumed", "/flag/a", 1400, 1400 * time.Millisecond, 0, 0},
+		{"may be resumed, in time", "/full/a", 30_000, 400 * time.Millisecond, 1, 1},
+		{"may not be resumed, in time", "/flag/a", 30_000, 400 * time.Millisecond, 1, 1},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			d := newDeployment(t, 0, 2, 0)
+			d.weightsMillis, d.leaseMillis = tt.weightsMillis, 60_000
+			claimed, err := platform.NewStore(d.store.Address()).Claim(t.Context(), lease.Claim{Holder: "other", Upstreams: []string{"engine-0", "engine-1", "newer"}}, 0)
+			is.NoErr(err)
+			is.True(claimed)
+			d.awaitReady(d.host(0))
+			for _, e := range d.engines {
+				e.Pace(400 * time.Millisecond)
+				e.MoveTakes(tt.moveTime)
+			}
+			answers := make(chan answer, 1)
+			go func() { answers <- d.do(d.hosts[0], "POST", modelHost, tt.path, movedID, longAnswerPrompt(0), "body") }()
+			d.await("the stream runs", func() bool { return d.executions(movedID) == 1 })
+			source, other := d.engines[0], d.engines[1]
+			if other.Ran()[movedID] == 1 {
+				source, other = other, source
+			}
+			d.store.NameWeights("m1", 2)
+			newer := d.engine("newer", "models", "m1")
+			newer.Load(2)
+			d.store.Register(newer)
+			d.await("the host knows the weights", func() bool { return d.hosts[0].Named("m1") == 2 && d.hosts[0].Knows("newer") })
+			d.hosts[0].Evacuate(source.ID)
+			a := <-answers
+			is.Equal(a.status, 200)
+			is.True(!a.truncated)
+			is.Equal(a.body, completeStream())
+			is.Equal(source.Moves(), tt.moves)
+			is.Equal(other.Continued(), tt.continued)
 		})
 	}
 }
