fix: a stream that has stopped to move is not cut while its memory is on its way

Cause: a resumable stream waits 1.5 s for the result of its move and is then read in elsewhere. If it may be sent to no other engine (attempts or budget used up, all others tried), it was given up, though the move was still under way and a run that goes on with its memory counts as the same run. Now it waits for the memory as long as its caller does, also after an attempt elsewhere has failed; a quarantined request does not.

--- a/forward/migrate.go
+++ b/forward/migrate.go
@@ -267,6 +267,30 @@
 	if m == nil || !s.isMigrated(m) {
 		return target{}, false
 	}
+	return s.migratedTarget(m)
+}
+
+// awaitLateMigration waits for the end of a migration, if any, as long as the caller does,
+// since the stream may be sent to no other engine. It returns the target that continues
+// the request, or false if it was not migrated.
+func (s *stream) awaitLateMigration() (target, bool) {
+	s.lock.Lock()
+	m := s.migration
+	s.lock.Unlock()
+	if m == nil {
+		return target{}, false
+	}
+	select {
+	case <-m.done:
+		return s.migratedTarget(m)
+	case <-s.ctx.Done():
+		return target{}, false
+	}
+}
+
+// migratedTarget returns the target that continues the request after a migration that
+// has ended, or false if it was not migrated.
+func (s *stream) migratedTarget(m *migration) (target, bool) {
 	if m.err != nil || m.moved.MemoryHandle == "" {
 		s.lock.Lock()
 		s.migration = nil
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -153,30 +153,41 @@
 	if !found && errors.Is(cause, os.ErrDeadlineExceeded) && s.timeLeft() > 0 {
 		return s.takeOver(broken, cause)
 	}
-	var outcome retry.Outcome
 	if found {
-		s.takeRegardless(t.id)
 		broken.exchange.Discard()
 		s.endAttempt(broken)
-	} else {
-		outcome = s.failAttempt(broken, retry.Broken, cause)
-		t, found = s.scheduleAfter(broken, outcome)
+		return s.continueAt(t, true, false, cause)
 	}
-	for found {
-		var answer *call.Answer
-		if answer, outcome = s.sendTo(s.ctx, t, s.lastID); outcome == retry.Answered {
+	t, found = s.scheduleAfter(broken, s.failAttempt(broken, retry.Broken, cause))
+	return s.continueAt(t, found, true, cause)
+}
+
+// continueAt continues the stream at a target, if one was found, or else at others. If it
+// may be sent to no other and a migration may be pending, it waits for its memory.
+func (s *stream) continueAt(t target, found, pending bool, cause error) error {
+	for {
+		if !found && pending && !s.isQuarantined() {
+			t, found = s.awaitLateMigration()
+			pending = false
+		}
+		if !found {
+			return s.logFailure(cause)
+		}
+		if t.send.MemoryHandle != "" {
+			s.takeRegardless(t.id)
+		}
+		answer, outcome := s.sendTo(s.ctx, t, s.lastID)
+		if outcome == retry.Answered {
 			return s.switchTo(t, answer)
 		}
 		if t.send.MemoryHandle != "" && outcome != retry.Broken && outcome != retry.Late {
 			// A migrated request has run, even if its memory was lost.
 			s.retryState = s.retryState.With(retry.Broken)
 		}
-		if !s.shouldRetry(s.ctx, outcome) {
-			break
+		if found = s.shouldRetry(s.ctx, outcome); found {
+			t, found = s.schedule(s.ctx)
 		}
-		t, found = s.schedule(s.ctx)
 	}
-	return s.logFailure(cause)
 }
 
 // recordReplaced records that the run at an upstream ended because another serves the
--- a/storenode/late_moves_test.go
+++ b/storenode/late_moves_test.go
@@ -3,7 +3,10 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
+	"math"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -183,3 +186,70 @@
 	event.Discard()
 	is.Equal(countEvents(&output, "loss recorded"), 0)
 }
+
+// TestStreamOutlivesSlowMove guards against cutting a stream that may be resumed, has stopped
+// to move and may be sent to no other engine, while its memory is still on its way.
+func TestStreamOutlivesSlowMove(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// attempts is how often the stream may be sent, refused means that the other
+		// engine refused it at first.
+		attempts int
+		refused  bool
+	}{
+		{"one engine may run it", 1, false},
+		{"the other engine has refused it", 2, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			d := newDeployment(t, 1, 1, 0)
+			d.configure(func(config map[string]any) {
+				config["routes"].([]any)[0].(map[string]any)["max_attempts"] = c.attempts
+				config["routes"] = append(config["routes"].([]any), route("new", modelHost, "/new/", "streaming", "models", nil))
+			})
+			d.await("the configuration is in force", func() bool {
+				return d.do(d.hosts[0], http.MethodPost, modelHost, "/new/a", fmt.Sprint(time.Now().UnixNano()), prompt, "body").status == http.StatusOK
+			})
+			source, target := d.engines[0], (*standin.PlatformEngine)(nil)
+			source.Pace(400 * time.Millisecond)
+			source.MoveTakes(migrationTimeout + 700*time.Millisecond)
+			if c.refused {
+				target = d.target()
+				target.Fail(standin.FullFault, math.MaxInt)
+			}
+			caller := d.client(d.hosts[0])
+			var id string
+			for sent := 0; id == ""; sent++ {
+				next := fmt.Sprint(movedID, sent)
+				caller.write(http.MethodPost, modelHost, "/full/a", next, longAnswerPrompt(sent), "body")
+				d.await("the stream runs", func() bool { return source.Ran()[next] == 1 })
+				if !c.refused || arrived(target, next) {
+					id = next
+				} else {
+					is.Equal(caller.read().status, http.StatusOK)
+				}
+			}
+			if c.refused {
+				target.Fail(standin.NoFault, 0)
+			} else {
+				target = d.target()
+			}
+			d.await("the stream moves", func() bool {
+				d.hosts[0].Evacuate(source.ID)
+				return source.Moves() == 1
+			})
+			a := caller.read()
+			is.Equal(a.status, http.StatusOK)
+			is.Equal(a.body, completeStream())
+			is.True(!a.truncated)
+			is.Equal(target.Continued(), 1)
+			is.Equal(target.Ran()[id], 0) // the route's attempts are used up
+			is.Equal(target.Copies(), 0)
+		})
+	}
+}
+
+// arrived reports whether a request has reached an engine.
+func arrived(e *standin.PlatformEngine, request string) bool {
+	return slices.ContainsFunc(e.Seen(), func(head http.Header) bool { return head.Get("X-Attempt-Id") == request })
+}
