fix: a run that goes on with its memory is not withdrawn for newer weights

Cause: a request without an answer is withdrawn when its weights may no longer begin to answer. One that goes on with the memory of its run has begun before: the users' protocol counts it as the same run. Ruled out: an attempt left, for the streams that may not be resumed; a stop of the engine before the withdrawal: it was silent, and only the host's close ended the request. Withdrawals for isolated accounts and quarantined requests stay as they were. Not changed, and no other way is known: a stream that is read in again at a silent engine as its last attempt and is withdrawn there.

--- a/forward/queued.go
+++ b/forward/queued.go
@@ -54,8 +54,11 @@
 }
 
 // hasOldWeights reports whether the weights of an attempt were replaced too long
-// ago to answer.
+// ago to answer. What goes on with its memory has begun before.
 func (h *handler) hasOldWeights(a *attempt) bool {
+	if a.send.MemoryHandle != "" {
+		return false
+	}
 	history, _ := h.Replica.State().WeightsHistory(a.send.Prompt.Model)
 	since, replaced := history.ReplacedSince(a.send.Weights)
 	age := clock.Now().Sub(since)
--- a/storenode/late_moves_test.go
+++ b/storenode/late_moves_test.go
@@ -253,3 +253,39 @@
 func arrived(e *standin.PlatformEngine, request string) bool {
 	return slices.ContainsFunc(e.Seen(), func(head http.Header) bool { return head.Get("X-Attempt-Id") == request })
 }
+
+// TestMovedStreamIsNotWithdrawn guards against withdrawing, for newer weights, a run that
+// goes on with its memory and waits at its engine: it has begun long ago.
+func TestMovedStreamIsNotWithdrawn(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t, 0, 1, 0)
+	d.weightsMillis = 2000
+	d.configure(func(config map[string]any) { config["routes"].([]any)[1].(map[string]any)["timeout_ms"] = 20000 })
+	d.awaitReady(d.host(0))
+	source := d.engines[0]
+	source.Pace(400 * time.Millisecond)
+	d.await("it serves streams", func() bool {
+		return d.do(d.hosts[0], http.MethodPost, modelHost, "/flag/a", fmt.Sprint(time.Now().UnixNano()), prompt, "body").status == http.StatusOK
+	})
+	caller := d.client(d.hosts[0])
+	headers := longAnswerPrompt(0)
+	headers["X-Deadline-Ms"] = "19000"
+	caller.write(http.MethodPost, modelHost, "/flag/a", movedID, headers, "body")
+	d.await("the stream runs", func() bool { return source.Ran()[movedID] == 1 })
+	busy := &silentEngines{deployment: d}
+	busy.startEngine(1, 6, 3*time.Second, time.Millisecond) // longer than replaced weights may answer
+	target := busy.engines[0]
+	d.await("the host knows the other engine", func() bool { return d.hosts[0].Knows(target.Options.ID) })
+	d.await("the stream moves", func() bool {
+		d.hosts[0].Evacuate(source.ID)
+		return source.Moves() == 1
+	})
+	d.await("it waits at the other engine", func() bool { return len(target.Runs()) == 1 })
+	d.store.NameWeights("m1", 2)
+	a := caller.read()
+	is.Equal(a.status, http.StatusOK)
+	is.Equal(a.body, completeStream())
+	is.True(!a.truncated)
+	is.Equal(len(target.Runs()), 1)
+	is.True(target.Runs()[0].Moved)
+}
