fix: the soak's proxy does not lose requests in a host's name

Suspected cause: the proxy between callers and a host gave up its connection to the host after 1 s and reset the caller's, which had been sent a request. All proxies are in the soak's own process, so one stall of that process closes connections of several hosts at once, and no host has seen the requests. Hosts themselves close no connection there: their idle limit is at least 60 s, and a request that can't be read is answered. Now the proxy waits as long as the soak runs. A host that is gone still refuses, and the caller's is still reset.

--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -87,7 +87,8 @@
 	p.mu.Lock()
 	target := p.target
 	p.mu.Unlock()
-	server, err := net.DialTimeout("tcp4", target, time.Second)
+	// A time limit would close the connection in the host's name when this process is slow.
+	server, err := (&net.Dialer{}).DialContext(ctx, "tcp4", target)
 	if err != nil || ctx.Err() != nil {
 		if t, ok := caller.(*net.TCPConn); ok {
 			_ = t.SetLinger(0)
