fix: a stream that the target of its move refuses returns to its memory

Cause: the memory is copied to an engine that may have no slot left, have loaded other weights meanwhile or have been replaced; nothing shows that for sure before the copy, since reports are some hundred ms old and a move names no weights. If that engine refused the stream, its host took the memory for lost: it sent a stream that may be resumed to a third engine, without memory, and gave up any other. But the engine that stopped the stream keeps the memory until the handle is used. The stream now returns there, counted against the retry budget like each repeat, and the unused copy is freed. If its engine refuses it too, as when it loads already, all is as before. Ruled out: sending both at once; a handle can be used once. An answer after which the target may run the stream (broken, late, an error of its own) still counts as a run.

--- a/forward/migrate.go
+++ b/forward/migrate.go
@@ -64,8 +64,8 @@
 	done  chan struct{}
 	moved call.Migration
 	err   error
-	// settled closes once the stream goes on at another engine than the source; used
-	// is set before if it goes on with the memory.
+	// settled closes once another attempt serves the stream; used is set before if that
+	// goes on with the copy of the memory.
 	settled chan struct{}
 	used    bool
 }
@@ -110,7 +110,8 @@
 	previous := s.attempt
 	s.attempt = a
 	if m := s.migration; m != nil && a != nil && a != m.source {
-		m.used = a.send.MemoryHandle != ""
+		// At the source, a request does not go on with the copy that was made elsewhere.
+		m.used = a.send.MemoryHandle != "" && (a.id == m.to.id || !m.moved.Transferred)
 		close(m.settled)
 		s.migration = nil
 	}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -167,18 +167,35 @@
 		if answer, outcome = s.sendTo(s.ctx, t, s.lastID); outcome == retry.Answered {
 			return s.switchTo(t, answer)
 		}
-		if t.send.MemoryHandle != "" && outcome != retry.Broken && outcome != retry.Late {
+		back, returns := t.backTo(broken, outcome)
+		if t.send.MemoryHandle != "" && !returns && outcome != retry.Broken && outcome != retry.Late {
 			// A migrated request has run, even if its memory was lost.
 			s.retryState = s.retryState.With(retry.Broken)
 		}
 		if !s.shouldRetry(s.ctx, outcome) {
 			break
 		}
+		if returns {
+			s.takeRegardless(back.id)
+			t = back
+			continue
+		}
 		t, found = s.schedule(s.ctx)
 	}
 	return s.logFailure(cause)
 }
 
+// backTo returns the engine that stopped a request in order to move it, if the target of
+// the move did not run the request: the engine keeps the memory until its handle is used.
+func (t target) backTo(source *attempt, o retry.Outcome) (target, bool) {
+	if t.send.MemoryHandle == "" || t.id == source.id || o != retry.Rejected && o != retry.NotSent {
+		return target{}, false
+	}
+	back := source.target
+	back.send.MemoryHandle = t.send.MemoryHandle
+	return back, true
+}
+
 // recordReplaced records that the run at an upstream ended because another serves the
 // stream; the second of the two attempts was sent at an instant.
 func (s *stream) recordReplaced(ended, serves string, sent clock.Instant, firstSilent bool) {
--- a/standin/platform_engine.go
+++ b/standin/platform_engine.go
@@ -56,9 +56,10 @@
 	eventAdded chan struct{}
 	// running maps the attempt ID of each running stream to a channel that stops
 	// it when it is migrated. memoryHandles holds the handles of runs that can
-	// resume here.
-	running       map[string]chan struct{}
-	memoryHandles map[string]bool
+	// resume here, keptMemory those of runs that stopped here and can resume here or
+	// at the engine that got the copy.
+	running                   map[string]chan struct{}
+	memoryHandles, keptMemory map[string]bool
 	// movedTo maps the handles of runs that moved to the addresses of their targets.
 	movedTo map[string]string
 	// moves counts the runs that stopped to move, received the copies from other
@@ -112,7 +113,7 @@
 		return nil, err
 	}
 	e := &PlatformEngine{ID: id, Service: service, Zone: zone, Model: model, Software: "v1", Slots: defaultSlots, listener: listener, weights: 1, startMillis: time.Now().UnixMilli(), executions: map[string]int{},
-		cached: map[cachePart]bool{}, eventAdded: make(chan struct{}), running: map[string]chan struct{}{}, memoryHandles: map[string]bool{}, movedTo: map[string]string{}}
+		cached: map[cachePart]bool{}, eventAdded: make(chan struct{}), running: map[string]chan struct{}{}, memoryHandles: map[string]bool{}, keptMemory: map[string]bool{}, movedTo: map[string]string{}}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /report", e.controlCall(e.report))
 	mux.HandleFunc("POST /order", e.controlCall(e.order))
--- a/standin/platform_moves.go
+++ b/standin/platform_moves.go
@@ -15,8 +15,8 @@
 	e.moveTime = d
 }
 
-// move answers POST /kv-move: it stops the run and sends its memory to the
-// target. With a NoRoomFault or a failed transfer the memory stays here.
+// move answers POST /kv-move: it stops the run and sends a copy of its memory to the
+// target, unless there is a NoRoomFault. The memory stays here, too.
 func (e *PlatformEngine) move(w http.ResponseWriter, r *http.Request) {
 	var m struct {
 		ID     string `json:"id"`
@@ -56,6 +56,7 @@
 	e.mu.Lock()
 	if status == http.StatusOK {
 		e.movedTo[handle] = m.Target
+		e.keptMemory[e.Address()+"/"+handle] = true
 	} else {
 		e.memoryHandles[e.Address()+"/"+handle] = true
 	}
@@ -89,6 +90,7 @@
 	delete(e.movedTo, handle)
 	delete(e.memoryHandles, handle)
 	delete(e.memoryHandles, e.Address()+"/"+handle)
+	delete(e.keptMemory, e.Address()+"/"+handle)
 	e.mu.Unlock()
 	if moved {
 		req, err := http.NewRequestWithContext(r.Context(), http.MethodDelete, "http://"+target+"/kv-handle/"+handle, nil)
@@ -113,8 +115,9 @@
 func (e *PlatformEngine) takeMemory(from string) bool {
 	_, handle, _ := strings.Cut(from, "/")
 	for _, name := range []string{from, handle} {
-		if e.memoryHandles[name] {
+		if e.memoryHandles[name] || e.keptMemory[name] {
 			delete(e.memoryHandles, name)
+			delete(e.keptMemory, name)
 			e.resumed++
 			return true
 		}
