test: TestSilentUntilDeadline leaves hosts time to find an engine silent

What was seen: "36 != 40" streams logged as awaited; in 13 of 24 runs beside load (-race, load average 23 to 33) between 0 and 39 of 40. Cause: a host takes a stream for idle after 2.4 s without an event, and the callers' deadline was 2.6 s after their requests. A stream whose first event came 0.2 s late, or a process that got no processor for 0.2 s at the end, reached the deadline first: traced in the logs of five of these runs (first failures after 2599 to 2607 ms by the deadline; 2699 ms in the run with 0, in which nothing ran for 0.1 s). Nothing is wrong with the hosts there. Also once in 20 runs of a trial with a later deadline (load average 62), and suspected for "3 != 40": answers of 503. 40 new connections at once, in a process that got little processor, exceeded the 400 ms for dialing ("not sent, connecting to"); the only engine was then left alone for 250 ms, longer than a request waits for one. Change: the deadline is 4.6 s, the engine is silent for longer than that, and each stream begins once the one before has had its first event. What is checked is the same: 200 and cut for each, 40 awaited, 40 broken, at most 80 tries failed. It is stricter in fact: hosts now look for another engine again until the deadline.

--- a/storenode/storenode_test.go
+++ b/storenode/storenode_test.go
@@ -415,8 +415,9 @@
 	}
 }
 
-// TestSilentUntilDeadline covers an engine that is silent until the callers'
-// deadline: each stream is logged once as awaited and once as broken.
+// TestSilentUntilDeadline covers an engine that is silent until the callers' deadline,
+// long after a host looks for another: each stream is logged once as awaited and once as
+// broken.
 func TestSilentUntilDeadline(t *testing.T) {
 	is := is.New(t)
 	d := newDeployment(t, 1, 1, 0)
@@ -425,12 +426,16 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	event.WriteTo(ctx, &wait, &output)
 	const streams = 40
-	d.engines[0].Fail(standin.PauseFault, streams)
+	d.engines[0].Pace(time.Minute)
 	headers := maps.Clone(prompt)
-	headers["X-Deadline-Ms"] = "2600"
+	headers["X-Deadline-Ms"] = "4600"
 	for i := range streams {
+		c := d.client(d.hosts[0])
+		c.write("POST", modelHost, "/full/a", fmt.Sprint("late", i), headers, "body")
+		_, err := c.in.Peek(1) // the first event is there before the next stream begins
+		is.NoErr(err)
 		callers.Go(func() {
-			a := d.do(d.hosts[0], "POST", modelHost, "/full/a", fmt.Sprint("late", i), headers, "body")
+			a := c.read()
 			if a.status != 200 || !a.truncated {
 				t.Errorf("status %d, truncated %v", a.status, a.truncated)
 			}
