fix: streams move to engines that answer

Cause: new requests avoid engines that leave a check unanswered; the choice of where a running stream moves did not. Now it prefers engines that are not known to be silent. If all are, it is as before: the engine must still load. Ruled out: a check of each target before the move. It would cost a call and up to 0.1 s, and an engine that resets connections because it is full would count as silent.

--- a/forward/migrate.go
+++ b/forward/migrate.go
@@ -231,12 +231,15 @@
 }
 
 // migrationTarget chooses the engine to migrate to: the least loaded one with
-// the same weights and software that isn't full.
+// the same weights and software that isn't full and, if possible, not silent.
 func (s *stream) migrationTarget(from target, full map[string]bool) (target, bool) {
 	snapshot := s.Replica.State()
 	upstreams := slices.DeleteFunc(s.usable(snapshot, s.service, s.call.Prompt.Model, func(e discovery.Entry) bool { return e.ID == from.id || full[e.ID] || e.Software != from.software }), func(u upstream) bool {
 		return u.weights != from.send.Weights
 	})
+	if answering := s.withoutSilent(upstreams); len(answering) > 0 {
+		upstreams = answering
+	}
 	source, _ := snapshot.Upstreams.Entry(from.id)
 	prompt := s.call.Prompt
 	candidates := make([]allocation.Candidate, len(upstreams))
--- a/forward/schedule.go
+++ b/forward/schedule.go
@@ -104,15 +104,21 @@
 	upstreams = h.usable(h.snapshot, h.service, h.call.Prompt.Model, func(e discovery.Entry) bool {
 		return h.tried[e.ID] || !h.mayRun(e) || connectedOnly && !h.Sender.HasIdle(e.Address)
 	})
-	if silent := h.Liveness.Silent(); silent != nil {
-		answering := slices.DeleteFunc(slices.Clone(upstreams), func(u upstream) bool { return silent[u.ID] })
-		if len(answering) > 0 || h.needsAnswering {
-			upstreams = answering
-		}
+	if answering := h.withoutSilent(upstreams); len(answering) > 0 || h.needsAnswering {
+		upstreams = answering
 	}
 	return upstreams, h.Reachability.Isolated(h.service.Name) || connectedOnly && len(upstreams) == 0
 }
 
+// withoutSilent returns the upstreams that are not known to be silent.
+func (r *Router) withoutSilent(upstreams []upstream) []upstream {
+	silent := r.Liveness.Silent()
+	if silent == nil {
+		return upstreams
+	}
+	return slices.DeleteFunc(slices.Clone(upstreams), func(u upstream) bool { return silent[u.ID] })
+}
+
 // isPausedUntil reports whether all upstreams want no request of this host until after
 // an instant, and sets the refusal if so.
 func (h *handler) isPausedUntil(giveUp clock.Instant) bool {
--- a/storenode/late_moves_test.go
+++ b/storenode/late_moves_test.go
@@ -289,3 +289,36 @@
 	is.Equal(len(target.Runs()), 1)
 	is.True(target.Runs()[0].Moved)
 }
+
+// TestStreamIsNotMovedToSilentEngine guards against stopping a stream for an engine that is
+// known to be silent, though another one answers.
+func TestStreamIsNotMovedToSilentEngine(t *testing.T) {
+	const moved = "moved"
+	is := is.New(t)
+	d := newSilentEngines(t, 1, 6, 0, 10*time.Second)
+	silent := d.engines[0]
+	caller := d.client(d.hosts[0])
+	caller.write(http.MethodPost, modelHost, "/full/a", silentRequest, silentPrompt, "body")
+	d.engineOf(nil)
+	silent.Pause()
+	source := d.engine("source", "models", "m1")
+	source.Pace(400 * time.Millisecond)
+	d.await("the stream has left the silent engine", func() bool { return source.Ran()[silentRequest] == 1 })
+	is.NoErr(caller.conn.Close())
+	moving := d.client(d.hosts[0])
+	moving.write(http.MethodPost, modelHost, "/full/a", moved, longAnswerPrompt(0), "body")
+	d.await("the other stream runs", func() bool { return source.Ran()[moved] == 1 })
+	target, err := standin.NewPlatformEngine("target", "models", "south", "m1") // the silent one is nearer
+	is.NoErr(err)
+	t.Cleanup(target.Close)
+	d.store.Put("keyed.servers", target.ID, target.Entry())
+	d.await("the host knows the engine", func() bool { return d.hosts[0].Knows(target.ID) })
+	d.await("the stream moves", func() bool {
+		d.hosts[0].Evacuate(source.ID)
+		return source.Moves() == 1
+	})
+	a := moving.read()
+	is.Equal(a.body, completeStream())
+	is.True(!a.truncated)
+	is.Equal(target.Continued(), 1)
+}
