fix: an answer comes from the address that was called

What callers saw: a booking that may run once ran at two services, or was reported as not started, if the first ran it and answered with a redirect to an address that accepts no connections. An order, a move, a report or a lease counted as done because the address of a redirect answered 200.

Cause: net/http follows redirects by itself. A POST becomes a GET at the other address, whose answer is taken for that of the call; an error in dialling that address is taken for one in dialling the upstream, which means that nothing was sent. An answer was believed because it fitted; it came from somewhere else.

Ruled out: requests of callers on a platform with a store go through package http1, which follows none; 307 and 308 are not followed where the call has a body that can't be read again.

That a booking runs at the second service is read in dispatch, not run.

A plain service's redirect goes to the caller with its status.

--- a/registry/hostlist.go
+++ b/registry/hostlist.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/gravitational/trace"
+
+	"github.com/kumquathoist/kumquathoist/socket"
 )
 
 // hostListTimeout bounds one read of the host list.
@@ -54,7 +56,9 @@
 
 // NewHostList returns a client of the host list at the base URL.
 func NewHostList(base string) *HostList {
-	return &HostList{baseURL: base, client: &http.Client{Timeout: hostListTimeout, Transport: newTransport()}}
+	client := socket.NewHTTPClient(newTransport())
+	client.Timeout = hostListTimeout
+	return &HostList{baseURL: base, client: client}
 }
 
 // Hosts returns the current host list.
--- a/registry/log.go
+++ b/registry/log.go
@@ -67,7 +67,7 @@
 
 // NewLog returns a client of the log service at the base URL.
 func NewLog(base string) *Log {
-	return &Log{baseURL: base, client: &http.Client{Transport: newTransport()}}
+	return &Log{baseURL: base, client: socket.NewHTTPClient(newTransport())}
 }
 
 // newTransport returns a transport that uses a connection for one call. Nothing in an answer
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -130,7 +130,7 @@
 	single := kept.Clone()
 	single.DisableKeepAlives = true
 	return &Client{
-		kept: &http.Client{Transport: kept}, single: &http.Client{Transport: single}, budget: bounded.NewBudget(maxBufferedBytes),
+		kept: socket.NewHTTPClient(kept), single: socket.NewHTTPClient(single), budget: bounded.NewBudget(maxBufferedBytes),
 	}
 }
 
