fix: a completion is sent again if its connection was closed before any of it

What callers saw: a completion failed as one that may have run, and counted as a loss of its engine, though nothing of it was sent.

Cause: an answer that isn't shown to be the call's closes its connection, which net/http may have put back into its pool before. The next call to the engine could take that connection.

Ruled out: a crash of the engine, or a copy of its refusal; the repeated test engine answers each call.

Evidence: TestCompletionIsNotAnsweredByEarlierRefusal, row "not started, without an attempt", failed in 20 of 150 runs with -race before (it also failed once in a run of the package at a load average of 31), in 0 of 150 after, both at a load average of 20. The packages upstream and dispatch pass with -race.

Why it works: net/http sends a call again by itself if it has written nothing of it and can read the body again. Calls with an idempotency key and those other than POST it would also send again after writing them, so these still can't be read again.

--- a/upstream/client.go
+++ b/upstream/client.go
@@ -252,16 +252,20 @@
 	return !reused || resp.StatusCode >= http.StatusInternalServerError
 }
 
-// newRequest builds the HTTP request of a call. GetBody is nil and the body is
-// never http.NoBody, since net/http would otherwise retry a request with an
-// idempotency key by itself.
+// newRequest builds the HTTP request of a call. Without GetBody, and with a body other than
+// http.NoBody, net/http sends it once. With GetBody, it sends a POST without an idempotency
+// key again if nothing was written of it, as on a connection that was closed meanwhile.
 func newRequest(ctx context.Context, call Call) (*http.Request, error) {
 	req, err := http.NewRequestWithContext(ctx, call.Method, "http://"+call.Address+call.Path, bytes.NewReader(call.Body))
 	if err != nil {
 		return nil, err
 	}
+	body := func() (io.ReadCloser, error) { return io.NopCloser(bytes.NewReader(call.Body)), nil }
+	req.Body, _ = body()
 	req.GetBody = nil
-	req.Body = io.NopCloser(bytes.NewReader(call.Body))
+	if call.Method == http.MethodPost && call.Key == "" {
+		req.GetBody = body
+	}
 	headers := map[string]string{
 		"Content-Type":         cmp.Or(call.ContentType, "application/json"),
 		"Accept":               call.Accept,
