fix: a completion after a refusal without a body is answered

What callers saw: on the product's own path, a completion after another one that its engine had refused without a body ended as one that may have run, though it ran and was answered, if the engine sent the refusal once more.

Cause: net/http puts a connection back into its pool as soon as it has read a head without a body, so only refusals with a body closed theirs.

Ruled out: the copy was never believed; it names another attempt.

Why it works: any answer of 400 or above closes the connection of a completion. The next call may still take it for a moment, and is then sent again on another one, since nothing of it was written.

--- a/standin/repeater.go
+++ b/standin/repeater.go
@@ -26,6 +26,8 @@
 	seen []string
 	// copies is the number of copies that were sent.
 	copies int
+	// repeatsAll is set if it repeats all answers, not only refusals.
+	repeatsAll bool
 }
 
 // NewRepeater serves the answers on a free port until the context ends. A refusal is an
@@ -41,6 +43,13 @@
 	return p, nil
 }
 
+// RepeatAll makes it send all answers once more.
+func (p *Repeater) RepeatAll() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.repeatsAll = true
+}
+
 // Address returns the IP:port that the server listens on.
 func (p *Repeater) Address() string { return p.listener.Addr().String() }
 
@@ -75,7 +84,7 @@
 // serve answers the requests of one connection until either side ends it.
 func (p *Repeater) serve(conn net.Conn) {
 	in := bufio.NewReader(conn)
-	refusal := ""
+	repeated := ""
 	for {
 		r, err := http.ReadRequest(in)
 		if err != nil {
@@ -84,18 +93,18 @@
 		if _, err := io.Copy(io.Discard, r.Body); err != nil {
 			return
 		}
-		answer := p.next(r, refusal != "")
-		if refusal != "" {
-			if _, err := io.WriteString(conn, refusal); err != nil {
+		answer, repeats := p.next(r, repeated != "")
+		if repeated != "" {
+			if _, err := io.WriteString(conn, repeated); err != nil {
 				return
 			}
 			if _, err := in.Peek(1); err != nil {
 				return
 			}
 		}
-		refusal = ""
-		if !strings.HasPrefix(answer, "HTTP/1.1 2") {
-			refusal = answer
+		repeated = ""
+		if repeats {
+			repeated = answer
 		}
 		if _, err := io.WriteString(conn, answer); err != nil || r.Close {
 			return
@@ -103,13 +112,14 @@
 	}
 }
 
-// next records a request and returns its answer.
-func (p *Repeater) next(r *http.Request, copied bool) string {
+// next records a request and returns its answer, and whether that is sent once more.
+func (p *Repeater) next(r *http.Request, copied bool) (answer string, repeats bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.seen = append(p.seen, r.URL.Path)
 	if copied {
 		p.copies++
 	}
-	return p.answer(len(p.seen), r)
+	answer = p.answer(len(p.seen), r)
+	return answer, p.repeatsAll || !strings.HasPrefix(answer, "HTTP/1.1 2")
 }
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -161,7 +161,7 @@
 // the request as invalid, and trace.ConnectionProblem if the engine may have
 // started it. The caller must check which attempt, incarnation and weights answered.
 func (c *Client) Open(ctx context.Context, call Call) (*Stream, error) {
-	resp, err := send(ctx, c.kept, call)
+	resp, err := c.send(ctx, c.kept, call)
 	if err != nil {
 		return nil, err
 	}
@@ -189,7 +189,7 @@
 
 // Run calls a plain service, which may name the attempt in its answer or not. It returns the same errors as Open.
 func (c *Client) Run(ctx context.Context, call Call) (Answer, error) {
-	resp, err := send(ctx, c.single, call)
+	resp, err := c.send(ctx, c.single, call)
 	if err != nil {
 		return Answer{}, err
 	}
@@ -203,7 +203,7 @@
 
 // send sends a call once and converts answers that mean that the upstream failed
 // or did not start the call to errors.
-func send(ctx context.Context, client *http.Client, call Call) (*http.Response, error) {
+func (c *Client) send(ctx context.Context, client *http.Client, call Call) (*http.Response, error) {
 	req, err := newRequest(ctx, call)
 	if err != nil {
 		return nil, &NotStarted{Reason: err.Error()}
@@ -226,7 +226,10 @@
 		_ = used.Conn.Close()
 		return nil, trace.ConnectionProblem(ErrWrongAttempt, "%s answered %s to attempt %q instead of %q", call.Address, resp.Status, resp.Header.Get(attemptHeader), call.Attempt)
 	}
-	// A body that isn't read closes the connection, on which the refusal may come once more.
+	if resp.StatusCode >= http.StatusBadRequest && client == c.kept {
+		// The refusal may come once more, where the next answer is due.
+		defer func() { _ = used.Conn.Close() }()
+	}
 	if resp.Header.Get(notStartedHeader) == "true" {
 		_ = resp.Body.Close()
 		return nil, &NotStarted{Reason: resp.Status}
--- a/upstream/copied_test.go
+++ b/upstream/copied_test.go
@@ -130,20 +130,32 @@
 // TestCompletionAfterRefusalIsAnswered guards against a completion that fails because the
 // engine sends its refusal of the one before once more.
 func TestCompletionAfterRefusalIsAnswered(t *testing.T) {
-	for _, status := range []int{http.StatusServiceUnavailable, http.StatusTooManyRequests} {
-		t.Run(http.StatusText(status), func(t *testing.T) {
+	const notStartedField = "X-Not-Started: true\r\n"
+	for _, c := range []struct {
+		status      int
+		field, body string
+	}{
+		{http.StatusServiceUnavailable, notStartedField, "the queue is full"},
+		{http.StatusTooManyRequests, notStartedField, "the queue is full"},
+		{http.StatusServiceUnavailable, notStartedField, ""},
+		{http.StatusTooManyRequests, notStartedField, ""},
+		{http.StatusBadRequest, "", "invalid"},
+		{http.StatusBadRequest, "", ""},
+		{http.StatusInternalServerError, "", ""},
+	} {
+		t.Run(fmt.Sprintf("%d %q", c.status, c.body), func(t *testing.T) {
 			is := is.New(t)
 			client, engine := startRepeater(t, func(nth int, r *http.Request) string {
 				head := "X-Attempt-Id: " + r.Header.Get("X-Attempt-Id") + "\r\n"
 				if nth == 1 {
-					return httpText(status, head+"X-Not-Started: true\r\n", "the queue is full")
+					return httpText(c.status, head+c.field, c.body)
 				}
 				return httpText(http.StatusOK, head, "data: [DONE]\n\n")
 			})
 			call := upstream.Call{Address: engine.Address(), Method: http.MethodPost, Path: "/v1/completions", Attempt: "a"}
 			_, err := client.Open(context.Background(), call)
 			var notStarted *upstream.NotStarted
-			is.True(errors.As(err, &notStarted))
+			is.Equal(errors.As(err, &notStarted), c.field != "")
 			call.Attempt = "b"
 			stream, err := client.Open(context.Background(), call)
 			is.NoErr(err)
