fix: a body that was cut is not filled up with a copy of a refusal

What callers saw: a success with the upstream's signature whose body ends with the head of a refusal, if the upstream cut the body of known length and wrote the copy of an earlier refusal right after it.

Cause: a body of known length takes what comes next on the connection. The same had been mended for heads only.

Bodies in chunks end with an error there, and so do those for which the copy is too short.

Why it works: the copy's rest is left over. If a status line begins within the body and what follows it begins with none, the two texts are joined, and the request counts as one that may have run. It isn't told where the copy ends just with the body, or its rest arrives later.

--- a/forward/answer.go
+++ b/forward/answer.go
@@ -48,6 +48,9 @@
 	if err != nil || !x.Complete() {
 		return nil, h.failAttempt(a, a.outcome(err), err)
 	}
+	if x.IsJoined(body) {
+		return nil, h.failAttempt(a, retry.Broken, errJoined)
+	}
 	answer := call.Answer{Status: x.Status, Fields: x.Fields, Body: body}
 	h.recordAnswerStart(a)
 	x.Finish()
@@ -122,6 +125,9 @@
 // which is not relayed.
 var errUncertified = errors.New("the answer is not signed by the upstream")
 
+// errJoined is returned for an answer that was cut and filled up with the start of another.
+var errJoined = errors.New("the body holds the start of another answer, whose rest follows")
+
 // errNoStream is returned for an answer that doesn't continue a stream.
 var errNoStream = errors.New("the answer is not a stream of events")
 
--- a/http1/cut_copies_test.go
+++ b/http1/cut_copies_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -94,3 +95,50 @@
 	}
 	return x
 }
+
+// TestCutBodyIsNotFilledUpWithACopy has an upstream cut the body of its answer after each byte
+// and write a copy of an earlier refusal right after it.
+func TestCutBodyIsNotFilledUpWithACopy(t *testing.T) {
+	const refusal = "HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: first\r\nX-Not-Executed: 1\r\nContent-Length: 4\r\n\r\nfull"
+	body := strings.Repeat("the answer of the upstream, ", 3)
+	for _, length := range []int{len(body), 4096, 8192, 20000} {
+		long := strings.Repeat("b", length-len(body)) + body
+		head := fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Attempt-Id: second\r\nX-Response-Stamp: s\r\nContent-Length: %d\r\n\r\n", length)
+		var believed []int
+		for cut := length - len(body); cut < length; cut++ {
+			if _, joined, ok := bodyOf(t, head+long[:cut]+refusal); ok && !joined {
+				believed = append(believed, cut)
+			}
+		}
+		if len(believed) > 0 {
+			t.Errorf("%d bytes believed to be whole if cut after bytes %v", length, believed)
+		}
+	}
+	const quoted = "a client sees HTTP/1.1 503 Service Unavailable and"
+	for name, text := range map[string]string{
+		"nothing": "", "a copy": refusal, "the start of a copy": refusal[:5], "bytes that are no answer": "\x00\x01 noise",
+	} {
+		for _, whole := range []string{body, quoted} {
+			if strings.Contains(whole, "HTTP") && (len(text) == 5 || name == "bytes that are no answer") {
+				continue // can't be told from the rest of an answer
+			}
+			got, joined, ok := bodyOf(t, fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Attempt-Id: second\r\nContent-Length: %d\r\n\r\n%s%s", len(whole), whole, text))
+			if !ok || joined || got != whole {
+				t.Errorf("%q followed by %s: got %q, joined: %v", whole, name, got, joined)
+			}
+		}
+	}
+}
+
+// bodyOf returns the body of the answer to the request "second" if an upstream writes a text,
+// and whether it is joined from two answers.
+func bodyOf(t *testing.T, text string) (body string, joined, ok bool) {
+	t.Helper()
+	x := answerOf(t, text)
+	if x == nil {
+		return "", false, false
+	}
+	defer x.Discard()
+	raw, err := io.ReadAll(x)
+	return string(raw), x.IsJoined(raw), err == nil
+}
--- a/http1/exchange.go
+++ b/http1/exchange.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httputil"
 	"os"
+	"slices"
 	"syscall"
 	"time"
 
@@ -37,6 +38,9 @@
 	// a body may take. The smallest events of a stream are several times as
 	// large as their framing.
 	maxFramingBytes = 64 << 10
+	// maxJoinedBytes is how much of the end of a body may be the start of another answer; the
+	// refusals of upstreams are a few hundred bytes long.
+	maxJoinedBytes = 1 << 10
 	// maxErrorBytes bounds the error text for an unreadable head.
 	maxErrorBytes = 256
 	// maxSkipBytes and skipTimeout bound the rest of an answer that is read only
@@ -167,9 +171,23 @@
 	return false
 }
 
+// IsJoined reports whether the answer's body was cut and filled up with the start of another
+// answer, whose rest follows. The body must have been read to its end.
+func (e *Exchange) IsJoined(body []byte) bool {
+	rest := e.conn.pending(len(statusLineForm))
+	if len(rest) == 0 || holdsStatusLine(rest) {
+		return false // nothing follows, or a whole answer
+	}
+	end := append(slices.Clone(body[max(0, len(body)-maxJoinedBytes):]), rest[:min(len(rest), len(statusLineForm)-1)]...)
+	return holdsStatusLine(end)
+}
+
+// statusLineForm is the form of the start of a status line.
+const statusLineForm = "HTTP/1.1 200"
+
 // holdsStatusLine reports whether a status line begins somewhere in a text.
 func holdsStatusLine(text []byte) bool {
-	const form = "HTTP/1.1 200"
+	const form = statusLineForm
 	for {
 		start := bytes.Index(text, []byte(form[:len("HTTP/1.")]))
 		if start < 0 || len(text)-start < len(form) {
--- a/http1/http1.go
+++ b/http1/http1.go
@@ -229,17 +229,30 @@
 	if c.buffer.Buffered() > 0 {
 		return false
 	}
+	_, err := c.peekReceived(make([]byte, 1))
+	return errors.Is(err, unix.EAGAIN)
+}
+
+// peekReceived copies bytes that were received and not read yet, without waiting for any.
+func (c *conn) peekReceived(b []byte) (int, error) {
 	raw, err := c.Conn.(syscall.Conn).SyscallConn()
 	if err != nil {
-		return false
+		return 0, err
 	}
-	open := false
+	n := 0
+	var receiveErr error
 	err = raw.Control(func(fd uintptr) {
-		var next [1]byte
-		_, _, err := unix.Recvfrom(int(fd), next[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		open = err == unix.EAGAIN
+		n, _, receiveErr = unix.Recvfrom(int(fd), b, unix.MSG_PEEK|unix.MSG_DONTWAIT)
 	})
-	return err == nil && open
+	return max(n, 0), errors.Join(err, receiveErr)
+}
+
+// pending returns up to a number of bytes that follow what was read.
+func (c *conn) pending(limit int) []byte {
+	buffered, _ := c.buffer.Peek(min(c.buffer.Buffered(), limit)) // no more than is buffered
+	pending := append(make([]byte, 0, limit), buffered...)
+	n, _ := c.peekReceived(pending[len(pending):limit]) // an error means that there are none
+	return pending[:len(pending)+n]
 }
 
 // acquire returns a connection to an address for a request: an idle one that is reusable
