test: a cut of a host's connections no longer waits for itself

What was seen: TestRelaysPassHostsOfEarlierPrograms hung, and with it every run of the package (4 minutes, then ended for its dump of goroutines; again in 1 of 1 run with a limit of 40 s, load average 70). Cause: since a connection of the tests' cutDialer asks for the dialer's state when it is closed, and the cut closes open connections while it holds the lock of that state. A test whose host has an open connection when it is cut waits for ever; the other uses of resetCut begin without one. Ruled out: the hosts; the dump shows the test itself waiting for the lock that it holds. The connections are reset once the lock is free; what is checked is the same.

--- a/storenode/cut_test.go
+++ b/storenode/cut_test.go
@@ -79,17 +79,23 @@
 // set cuts the connections, or heals them. A connection that has fallen silent stays
 // silent.
 func (d *cutDialer) set(c cut) {
+	for _, c := range d.setState(c) {
+		_ = c.SetLinger(0)
+		_ = c.Close() // asks for the state
+	}
+}
+
+// setState sets the state and returns the connections to reset.
+func (d *cutDialer) setState(c cut) []*cutConn {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.cut = c
 	if c != resetCut {
-		return
-	}
-	for _, c := range d.conns {
-		_ = c.SetLinger(0)
-		_ = c.Close()
+		return nil
 	}
+	conns := d.conns
 	d.conns = nil
+	return conns
 }
 
 func (d *cutDialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
