fix: a late answer to a check leaves two engines at work on a stream for 0.3 s at most

Seen: two engines worked on a stream for 0.9 s (the users allow 0.4 s).

Cause: a slow engine, one that answers checks but sends no event, lost its stream 0.2 s after that was sent to a second engine, but only once the second one had answered another check. Nothing limited that check. If its answer was late rather than missing, both engines worked on until it came.

The host now waits 0.1 s for that answer, as long as an engine that works takes, and checks the first engine at the same time. The first one keeps the stream if it answers and the second doesn't: then the second has fallen silent. Otherwise the first run ends, also if neither answers: the first has sent nothing for longer, and a host or a machine that stands still delays both answers alike.

Evidence: TestSlowEngineAndLateChecksEndOneRun has the second engine, or both, answer checks 0.7 s late. Left as it is: an engine that works, but leaves a check unanswered for 0.3 s or more, counts as silent, and both work until its answer.

--- a/forward/takeover.go
+++ b/forward/takeover.go
@@ -244,11 +244,10 @@
 }
 
 // decide ends the second attempt once the first upstream serves the stream again, or the
-// first one if it works, but has sent nothing for too long, while the second works. It
-// returns when the second attempt has finished.
+// first one if it works, but has sent nothing for too long. It returns when that is decided
+// or the second attempt has finished.
 func (s *stream) decide(first *idleAttempt, t target, sent clock.Instant, endSecond func(), finished <-chan struct{}) {
 	var tooLong <-chan time.Time
-	var secondAnswers <-chan struct{}
 	for answered := first.answered; ; {
 		select {
 		case <-finished:
@@ -264,14 +263,36 @@
 			}
 			answered, tooLong = nil, time.After(maxBeside-clock.Now().Sub(sent))
 		case <-tooLong:
-			tooLong, secondAnswers = nil, s.checkAlive(t)
-		case <-secondAnswers:
-			s.endFirst(first)
+			s.decideSlow(first, t, endSecond, finished)
 			return
 		}
 	}
 }
 
+// decideSlow ends the first attempt, whose upstream works but is slow, unless that one
+// answers another check in time and the second upstream doesn't.
+func (s *stream) decideSlow(first *idleAttempt, t target, endSecond func(), finished <-chan struct{}) {
+	secondAnswers, firstAnswers := s.checkAlive(t), s.checkAlive(first.target)
+	timer := time.NewTimer(liveness.AnswerTime)
+	defer timer.Stop()
+	select {
+	case <-finished:
+	case <-first.spoke:
+	case <-secondAnswers:
+	case <-timer.C:
+	}
+	switch { // others may be ready, too, as after this process stood still
+	case isClosed(finished):
+	case isClosed(first.spoke):
+		s.decideSpoken(first, endSecond, finished)
+	case isClosed(firstAnswers) && !isClosed(secondAnswers):
+		first.goesOn = true
+		endSecond()
+	default:
+		s.endFirst(first)
+	}
+}
+
 // decideSpoken decides once the first upstream has sent something, or its connection has
 // ended, as when it moved the stream to another engine.
 func (s *stream) decideSpoken(first *idleAttempt, endSecond func(), finished <-chan struct{}) {
--- a/storenode/late_checks_test.go
+++ b/storenode/late_checks_test.go
@@ -158,6 +158,39 @@
 	}
 }
 
+// TestSlowEngineAndLateChecksEndOneRun guards against two engines that work on a stream
+// until a late answer to a check arrives.
+func TestSlowEngineAndLateChecksEndOneRun(t *testing.T) {
+	const prefill, interval, count = time.Second, 2500 * time.Millisecond, 2
+	for _, c := range []struct {
+		name string
+		// firstLate delays the first engine's answers, too.
+		firstLate bool
+	}{
+		{"the second answers late", false},
+		{"both answer late", true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			d, doors, _ := newLateEngines(t, 1, 2, count, prefill, interval)
+			done := make(chan answer, 1)
+			go func() {
+				done <- d.do(d.hosts[0], http.MethodPost, modelHost, "/full/a", silentRequest, silentPrompt, "body")
+			}()
+			first, _ := d.engineOf(nil)
+			second, _ := d.engineOf(first)
+			doors[second].delay.Store(int64(prefill * 7 / 10))
+			if c.firstLate {
+				doors[first].delay.Store(int64(prefill * 7 / 10))
+			}
+			a := <-done
+			is.Equal(a.status, http.StatusOK)
+			is.Equal(a.body, wholeStream(count))
+			d.awaitOneWorks(first, second)
+		})
+	}
+}
+
 // TestHostCutFromEnginesPassesWaitingStreamOn cuts a host from all engines while a stream
 // that was sent to one waits for its first event. Another host reaches the engines.
 func TestHostCutFromEnginesPassesWaitingStreamOn(t *testing.T) {
