test: the soak counts no work of an engine that got no processor

The rule speaks of an engine that works, and that the host reaches. All other time counts as before, and so does that in which a host does not run.

--- a/soak/engine_process.go
+++ b/soak/engine_process.go
@@ -140,7 +140,7 @@
 	for _, e := range d.processes {
 		for _, p := range e.all() {
 			for _, r := range p.Runs() {
-				work[r.Request] = append(work[r.Request], engineWork{engine: p.Options.ID, run: r, periods: p.Work(r), killed: p.Killed()})
+				work[r.Request] = append(work[r.Request], engineWork{engine: p.Options.ID, run: r, periods: p.Awake(r), killed: p.Killed()})
 			}
 		}
 	}
@@ -234,7 +234,8 @@
 type engineWork struct {
 	engine string
 	run    standin.PlatformRun
-	// periods are the times in which the process worked on it and was not stopped.
+	// periods are the times in which the process worked on it, was not stopped and got a
+	// processor.
 	periods []standin.PlatformPeriod
 	// killed is when the process was killed, or zero.
 	killed time.Time
