fix: event 2116 tells when a replaced run was ended

Seen: for a slow engine whose stream another takes over, event 2116 and the metric attempts_beside_time gave the time to the second engine's first event, 602 ms, where the first run had been ended 0.2 s after the second send.

The host now records an attempt that it ends for another one when it ends it, not when the other has answered.

--- a/forward/takeover.go
+++ b/forward/takeover.go
@@ -224,9 +224,8 @@
 			cancel() // switchTo refuses the answer
 		}
 		if !first.ended {
-			s.endFirst(first)
+			s.endFirst(first, t, sent)
 		}
-		s.recordReplaced(first.id, t.id, sent, first.silent)
 		return answer, outcome
 	}
 	if outcome == retry.Answered {
@@ -253,7 +252,7 @@
 		case <-finished:
 			return
 		case <-first.spoke:
-			s.decideSpoken(first, endSecond, finished)
+			s.decideSpoken(first, t, sent, endSecond, finished)
 			return
 		case <-answered:
 			if first.silent && clock.Now().Sub(first.checked) >= minSilence {
@@ -263,7 +262,7 @@
 			}
 			answered, tooLong = nil, time.After(maxBeside-clock.Now().Sub(sent))
 		case <-tooLong:
-			s.decideSlow(first, t, endSecond, finished)
+			s.decideSlow(first, t, sent, endSecond, finished)
 			return
 		}
 	}
@@ -271,7 +270,7 @@
 
 // decideSlow ends the first attempt, whose upstream works but is slow, unless that one
 // answers another check in time and the second upstream doesn't.
-func (s *stream) decideSlow(first *idleAttempt, t target, endSecond func(), finished <-chan struct{}) {
+func (s *stream) decideSlow(first *idleAttempt, t target, sent clock.Instant, endSecond func(), finished <-chan struct{}) {
 	secondAnswers, firstAnswers := s.checkAlive(t), s.checkAlive(first.target)
 	timer := time.NewTimer(liveness.AnswerTime)
 	defer timer.Stop()
@@ -284,18 +283,18 @@
 	switch { // others may be ready, too, as after this process stood still
 	case isClosed(finished):
 	case isClosed(first.spoke):
-		s.decideSpoken(first, endSecond, finished)
+		s.decideSpoken(first, t, sent, endSecond, finished)
 	case isClosed(firstAnswers) && !isClosed(secondAnswers):
 		first.goesOn = true
 		endSecond()
 	default:
-		s.endFirst(first)
+		s.endFirst(first, t, sent)
 	}
 }
 
 // decideSpoken decides once the first upstream has sent something, or its connection has
 // ended, as when it moved the stream to another engine.
-func (s *stream) decideSpoken(first *idleAttempt, endSecond func(), finished <-chan struct{}) {
+func (s *stream) decideSpoken(first *idleAttempt, t target, sent clock.Instant, endSecond func(), finished <-chan struct{}) {
 	goesOn, pending := first.exchange.HasData(), false
 	if !goesOn {
 		goesOn, pending = s.awaitMemory(finished)
@@ -305,15 +304,16 @@
 		first.goesOn = true
 		endSecond()
 	case !pending:
-		s.endFirst(first)
+		s.endFirst(first, t, sent)
 	}
 }
 
-// endFirst ends the attempt at the first upstream.
-func (s *stream) endFirst(first *idleAttempt) {
+// endFirst ends the attempt at the first upstream, since another serves the stream.
+func (s *stream) endFirst(first *idleAttempt, t target, sent clock.Instant) {
 	first.ended = true
 	first.exchange.Discard()
 	s.endAttempt(first.attempt)
+	s.recordReplaced(first.id, t.id, sent, first.silent)
 }
 
 // returnTo returns to an idle upstream, since it has spoken or no other could take over.
--- a/storenode/late_checks_test.go
+++ b/storenode/late_checks_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -12,7 +13,9 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
 
+	"github.com/kumquathoist/kumquathoist/event"
 	"github.com/kumquathoist/kumquathoist/standin"
 )
 
@@ -191,6 +194,38 @@
 	}
 }
 
+// TestReplacedAttemptIsLoggedWhenItEnds guards against a log and a metric that name the time
+// of the second engine's first event instead of that at which the first run was ended.
+func TestReplacedAttemptIsLoggedWhenItEnds(t *testing.T) {
+	const prefill, count = 3 * time.Second, 2
+	is := is.New(t)
+	d := newSilentEngines(t, 1, count, 0, 10*time.Second)
+	var log standin.Output
+	var wait conc.WaitGroup
+	ctx, cancel := context.WithCancel(context.Background())
+	event.WriteTo(ctx, &wait, &log)
+	t.Cleanup(func() {
+		cancel()
+		wait.Wait()
+		event.Discard()
+	})
+	done := make(chan answer, 1)
+	go func() {
+		done <- d.do(d.hosts[0], http.MethodPost, modelHost, "/full/a", silentRequest, silentPrompt, "body")
+	}()
+	d.engineOf(nil)
+	d.startEngine(1, count, prefill, 0)
+	d.await("the first run has ended", func() bool {
+		_, run := d.engineOf(d.engines[1])
+		return !run.Ended.IsZero()
+	})
+	d.await("the host says so", func() bool { return countEvents(&log, "attempt replaced") == 1 })
+	is.Equal(countEvents(&log, "stream resumed"), 0)
+	a := <-done
+	is.Equal(a.status, http.StatusOK)
+	is.Equal(a.body, wholeStream(count))
+}
+
 // TestHostCutFromEnginesPassesWaitingStreamOn cuts a host from all engines while a stream
 // that was sent to one waits for its first event. Another host reaches the engines.
 func TestHostCutFromEnginesPassesWaitingStreamOn(t *testing.T) {
