--- a/standin/repeater.go
+++ b/standin/repeater.go
@@ -24,10 +24,8 @@
 	mu sync.Mutex
 	// seen holds the paths of the requests in order.
 	seen []string
-	// copies is the number of copies that were sent.
-	copies int
-	// repeatsAll is set if it repeats all answers, not only refusals.
-	repeatsAll bool
+	// copies is the number of copies that were sent, connections that of the connections.
+	copies, connections int
 }
 
 // NewRepeater serves the answers on a free port until the context ends. A refusal is an
@@ -43,13 +41,6 @@
 	return p, nil
 }
 
-// RepeatAll makes it send all answers once more.
-func (p *Repeater) RepeatAll() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.repeatsAll = true
-}
-
 // Address returns the IP:port that the server listens on.
 func (p *Repeater) Address() string { return p.listener.Addr().String() }
 
@@ -67,12 +58,22 @@
 	return p.copies
 }
 
+// Connections returns how many connections were accepted.
+func (p *Repeater) Connections() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.connections
+}
+
 func (p *Repeater) accept(ctx context.Context, wait *conc.WaitGroup) {
 	for {
 		conn, err := p.listener.Accept()
 		if err != nil {
 			return
 		}
+		p.mu.Lock()
+		p.connections++
+		p.mu.Unlock()
 		wait.Go(func() {
 			defer context.AfterFunc(ctx, func() { _ = conn.Close() })()
 			defer func() { _ = conn.Close() }()
@@ -84,7 +85,7 @@
 // serve answers the requests of one connection until either side ends it.
 func (p *Repeater) serve(conn net.Conn) {
 	in := bufio.NewReader(conn)
-	repeated := ""
+	refusal := ""
 	for {
 		r, err := http.ReadRequest(in)
 		if err != nil {
@@ -93,18 +94,19 @@
 		if _, err := io.Copy(io.Discard, r.Body); err != nil {
 			return
 		}
-		answer, repeats := p.next(r, repeated != "")
-		if repeated != "" {
-			if _, err := io.WriteString(conn, repeated); err != nil {
+		r.RemoteAddr = conn.RemoteAddr().String()
+		answer := p.next(r, refusal != "")
+		if refusal != "" {
+			if _, err := io.WriteString(conn, refusal); err != nil {
 				return
 			}
 			if _, err := in.Peek(1); err != nil {
 				return
 			}
 		}
-		repeated = ""
-		if repeats {
-			repeated = answer
+		refusal = ""
+		if !strings.HasPrefix(answer, "HTTP/1.1 2") {
+			refusal = answer
 		}
 		if _, err := io.WriteString(conn, answer); err != nil || r.Close {
 			return
@@ -112,14 +114,13 @@
 	}
 }
 
-// next records a request and returns its answer, and whether that is sent once more.
-func (p *Repeater) next(r *http.Request, copied bool) (answer string, repeats bool) {
+// next records a request and returns its answer.
+func (p *Repeater) next(r *http.Request, copied bool) string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.seen = append(p.seen, r.URL.Path)
 	if copied {
 		p.copies++
 	}
-	answer = p.answer(len(p.seen), r)
-	return answer, p.repeatsAll || !strings.HasPrefix(answer, "HTTP/1.1 2")
+	return p.answer(len(p.seen), r)
 }
