fix: a stream that may not run again waits for its memory until its deadline

Cause: a resumable stream waits for its memory for 1.5 s, to be read in elsewhere then. It did so, too, when its attempts were used up and nothing but the memory could serve it.

It now waits for its deadline then, as streams do that may not be resumed. A stream whose engine is silent before it has stopped the run is not affected: it goes on waiting for events.

--- a/forward/migrate.go
+++ b/forward/migrate.go
@@ -301,11 +301,13 @@
 // isMigrated waits for the end of a migration as long as the stream has nothing better to
 // do, and reports whether it has ended. A stream that may be resumed goes elsewhere at
 // once if its engine is silent, and some time after its engine stopped it if the memory
-// is still missing. Any other can go on with the memory only.
+// is still missing and it may run again. Any other can go on with the memory only.
 func (s *stream) isMigrated(m *migration) bool {
 	limit := s.timeLeft()
 	if s.route.Resumable {
-		limit = max(migrationTimeout-clock.Now().Sub(m.started), lateMigrationTimeout)
+		if s.mayReplace(m.source) {
+			limit = max(migrationTimeout-clock.Now().Sub(m.started), lateMigrationTimeout)
+		}
 		if errors.Is(m.source.exchange.AwaitData(idleCheck), os.ErrDeadlineExceeded) {
 			limit = 0
 		}
--- a/storenode/late_moves_test.go
+++ b/storenode/late_moves_test.go
@@ -137,6 +137,30 @@
 	}
 }
 
+// TestStreamWithoutAttemptsAwaitsItsMemory guards against a stream that is cut while its
+// memory is on its way, though it may not run again.
+func TestStreamWithoutAttemptsAwaitsItsMemory(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t, 0, 1, 0)
+	d.configure(func(c map[string]any) { c["routes"].([]any)[0].(map[string]any)["max_attempts"] = 1 })
+	d.awaitReady(d.host(0))
+	source := d.engines[0]
+	source.Pace(400 * time.Millisecond)
+	source.MoveTakes(migrationTimeout + 700*time.Millisecond)
+	caller := d.client(d.hosts[0])
+	caller.write(http.MethodPost, modelHost, "/full/a", movedID, longAnswerPrompt(0), "body")
+	d.await("the stream runs", func() bool { return d.executions(movedID) == 1 })
+	target := d.target()
+	d.await("the stream moves", func() bool {
+		d.hosts[0].Evacuate(source.ID)
+		return source.Moves() == 1
+	})
+	a := caller.read()
+	is.Equal(a.body, completeStream())
+	is.True(!a.truncated)
+	is.Equal(target.Continued(), 1)
+}
+
 // TestAnswerOfMoveIsLost has an engine move a stream without a word. Nobody knows the
 // memory then: the stream is read in again elsewhere.
 func TestAnswerOfMoveIsLost(t *testing.T) {
