--- a/forward/migrate.go
+++ b/forward/migrate.go
@@ -64,8 +64,8 @@
 	done  chan struct{}
 	moved call.Migration
 	err   error
-	// settled closes once the stream goes on at another engine than the source; used
-	// is set before if it goes on with the memory.
+	// settled closes once another attempt serves the stream; used is set before if that
+	// goes on with the copy of the memory.
 	settled chan struct{}
 	used    bool
 }
@@ -110,7 +110,8 @@
 	previous := s.attempt
 	s.attempt = a
 	if m := s.migration; m != nil && a != nil && a != m.source {
-		m.used = a.send.MemoryHandle != ""
+		// At the source, a request does not go on with the copy that was made elsewhere.
+		m.used = a.send.MemoryHandle != "" && (a.id == m.to.id || !m.moved.Transferred)
 		close(m.settled)
 		s.migration = nil
 	}
@@ -134,6 +135,9 @@
 	if s.migration != nil || s.attempt == nil || s.migrations >= maxMigrations {
 		return
 	}
+	if !s.route.Resumable && s.timeToBegin(s.attempt.target) < migrationTimeout {
+		return // the stream could not go on if its memory arrived too late
+	}
 	to, ok := s.migrationTarget(s.attempt.target, nil)
 	if !ok {
 		return
@@ -231,12 +235,15 @@
 }
 
 // migrationTarget chooses the engine to migrate to: the least loaded one with
-// the same weights and software that isn't full.
+// the same weights and software that isn't full and, if possible, not silent.
 func (s *stream) migrationTarget(from target, full map[string]bool) (target, bool) {
 	snapshot := s.Replica.State()
 	upstreams := slices.DeleteFunc(s.usable(snapshot, s.service, s.call.Prompt.Model, func(e discovery.Entry) bool { return e.ID == from.id || full[e.ID] || e.Software != from.software }), func(u upstream) bool {
 		return u.weights != from.send.Weights
 	})
+	if answering := s.withoutSilent(upstreams); len(answering) > 0 {
+		upstreams = answering
+	}
 	source, _ := snapshot.Upstreams.Entry(from.id)
 	prompt := s.call.Prompt
 	candidates := make([]allocation.Candidate, len(upstreams))
@@ -267,6 +274,33 @@
 	if m == nil || !s.isMigrated(m) {
 		return target{}, false
 	}
+	return s.migratedTarget(m)
+}
+
+// awaitLateMigration waits for the end of a migration, if any, as long as the caller does
+// and the weights may answer, since the stream may be sent to no other engine. It returns
+// the target that continues the request, or false if it was not migrated.
+func (s *stream) awaitLateMigration() (target, bool) {
+	s.lock.Lock()
+	m := s.migration
+	s.lock.Unlock()
+	if m == nil {
+		return target{}, false
+	}
+	expired := time.NewTimer(s.timeToBegin(m.source.target))
+	defer expired.Stop()
+	select {
+	case <-m.done:
+		return s.migratedTarget(m)
+	case <-expired.C:
+	case <-s.ctx.Done():
+	}
+	return target{}, false
+}
+
+// migratedTarget returns the target that continues the request after a migration that
+// has ended, or false if it was not migrated.
+func (s *stream) migratedTarget(m *migration) (target, bool) {
 	if m.err != nil || m.moved.MemoryHandle == "" {
 		s.lock.Lock()
 		s.migration = nil
@@ -277,6 +311,9 @@
 	if !m.moved.Transferred {
 		to = m.source.target
 	}
+	if s.hasOldWeights(to) {
+		return target{}, false
+	}
 	to.send.MemoryHandle = m.moved.MemoryHandle
 	return to, true
 }
@@ -317,7 +354,7 @@
 		return true
 	default:
 	}
-	timer := time.NewTimer(limit)
+	timer := time.NewTimer(min(limit, s.timeToBegin(m.source.target)))
 	defer timer.Stop()
 	select {
 	case <-m.done:
--- a/storenode/late_moves_test.go
+++ b/storenode/late_moves_test.go
@@ -3,7 +3,10 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
+	"math"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -211,3 +214,111 @@
 	event.Discard()
 	is.Equal(countEvents(&output, "loss recorded"), 0)
 }
+
+// patientPrompt returns the i-th prompt with a long answer, for which the caller has time.
+func patientPrompt(i int) map[string]string {
+	headers := longAnswerPrompt(i)
+	headers["X-Deadline-Ms"] = "19000"
+	return headers
+}
+
+// TestStreamOutlivesSlowMove guards against cutting a stream that may be resumed, has stopped
+// to move and may be sent to no other engine, while its memory is still on its way.
+func TestStreamOutlivesSlowMove(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// attempts is how often the stream may be sent, refused means that the other
+		// engine refused it at first.
+		attempts int
+		refused  bool
+	}{
+		{"one engine may run it", 1, false},
+		{"the other engine has refused it", 2, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			d := newDeployment(t, 1, 1, 0)
+			d.configure(func(config map[string]any) {
+				full := config["routes"].([]any)[0].(map[string]any)
+				full["max_attempts"], full["timeout_ms"] = c.attempts, 20000
+				config["routes"] = append(config["routes"].([]any), route("new", modelHost, "/new/", "streaming", "models", nil))
+			})
+			d.await("the configuration is in force", func() bool {
+				return d.do(d.hosts[0], http.MethodPost, modelHost, "/new/a", fmt.Sprint(time.Now().UnixNano()), prompt, "body").status == http.StatusOK
+			})
+			source, target := d.engines[0], (*standin.PlatformEngine)(nil)
+			source.Pace(time.Second)
+			source.MoveTakes(migrationTimeout + 700*time.Millisecond)
+			if c.refused {
+				target = d.target()
+				target.Fail(standin.FullFault, math.MaxInt)
+			}
+			caller := d.client(d.hosts[0])
+			var id string
+			for sent := 0; id == ""; sent++ {
+				next := fmt.Sprint(movedID, sent)
+				caller.write(http.MethodPost, modelHost, "/full/a", next, patientPrompt(sent), "body")
+				d.await("the stream runs", func() bool { return source.Ran()[next] == 1 })
+				if !c.refused || arrived(target, next) {
+					id = next
+				} else {
+					is.Equal(caller.read().status, http.StatusOK)
+				}
+			}
+			if c.refused {
+				target.Fail(standin.NoFault, 0)
+			} else {
+				target = d.target()
+			}
+			d.await("the stream moves", func() bool {
+				d.hosts[0].Evacuate(source.ID)
+				return source.Moves() == 1
+			})
+			a := caller.read()
+			is.Equal(a.status, http.StatusOK)
+			is.Equal(a.body, completeStream())
+			is.True(!a.truncated)
+			is.Equal(target.Continued(), 1)
+			is.Equal(target.Ran()[id], 0) // the route's attempts are used up
+			is.Equal(target.Copies(), 0)
+		})
+	}
+}
+
+// arrived reports whether a request has reached an engine.
+func arrived(e *standin.PlatformEngine, request string) bool {
+	return slices.ContainsFunc(e.Seen(), func(head http.Header) bool { return head.Get("X-Attempt-Id") == request })
+}
+
+// TestStreamIsNotMovedToSilentEngine guards against stopping a stream for an engine that is
+// known to be silent, though another one answers.
+func TestStreamIsNotMovedToSilentEngine(t *testing.T) {
+	const moved = "moved"
+	is := is.New(t)
+	d := newSilentEngines(t, 1, 6, 0, 10*time.Second)
+	silent := d.engines[0]
+	caller := d.client(d.hosts[0])
+	caller.write(http.MethodPost, modelHost, "/full/a", silentRequest, silentPrompt, "body")
+	d.engineOf(nil)
+	silent.Pause()
+	source := d.engine("source", "models", "m1")
+	source.Pace(2 * time.Second)
+	d.await("the stream has left the silent engine", func() bool { return source.Ran()[silentRequest] == 1 })
+	is.NoErr(caller.conn.Close())
+	moving := d.client(d.hosts[0])
+	moving.write(http.MethodPost, modelHost, "/full/a", moved, patientPrompt(0), "body")
+	d.await("the other stream runs", func() bool { return source.Ran()[moved] == 1 })
+	target, err := standin.NewPlatformEngine("target", "models", "south", "m1") // the silent one is nearer
+	is.NoErr(err)
+	t.Cleanup(target.Close)
+	d.store.Put("keyed.servers", target.ID, target.Entry())
+	d.await("the host knows the engine", func() bool { return d.hosts[0].Knows(target.ID) })
+	d.await("the stream moves", func() bool {
+		d.hosts[0].Evacuate(source.ID)
+		return source.Moves() == 1
+	})
+	a := moving.read()
+	is.Equal(a.body, completeStream())
+	is.True(!a.truncated)
+	is.Equal(target.Continued(), 1)
+}
