--- a/forward/stream.go
+++ b/forward/stream.go
@@ -51,7 +51,7 @@
 func (h *handler) beginStream(a *attempt) (*call.Answer, retry.Outcome) {
 	s := &stream{handler: h, attempt: a, lastID: a.send.ResumeAfter}
 	err := s.fill()
-	if err == nil && !a.answer() && !s.done {
+	if err == nil && !a.commit() && !s.done {
 		err = errAbandoned
 	}
 	if err != nil {
