feat: the own path names the requests that a planned stop leaves unanswered

At the end of a planned stop the log had one number, Cut. It counted the requests that had arrived and not ended; one whose head or body was still arriving was not counted, and no line named any of them, so a caller whose connection ended could not be found in the log.

The gateway keeps a table of the connections on which something of a request was read, by the states of fasthttp: from the first byte until the answer is written. Event 1011 names each at the end of the stop (at most 200) with its caller, state and times; Cut counts them all.

--- /dev/null
+++ b/endtoend/stop_test.go
@@ -0,0 +1,73 @@
+package endtoend
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/kumquathoist/kumquathoist/settings"
+	"github.com/kumquathoist/kumquathoist/standin"
+)
+
+// callerConn is a caller's connection to a router.
+type callerConn struct {
+	net.Conn
+
+	t *testing.T
+}
+
+func dialRouter(t *testing.T, r *router) *callerConn {
+	t.Helper()
+	conn, err := net.Dial("tcp", r.callers)
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { _ = conn.Close() })
+	is.New(t).NoErr(conn.SetDeadline(time.Now().Add(waitTimeout)))
+	return &callerConn{conn, t}
+}
+
+// write sends a part of a request.
+func (c *callerConn) write(part string) {
+	c.t.Helper()
+	_, err := io.WriteString(c, part)
+	is.New(c.t).NoErr(err)
+}
+
+// chunked returns a request of the account whose body comes in two chunks.
+func chunked(path, id, body string) string {
+	half := len(body) / 2
+	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\nX-Request-Id: %s\r\nX-Repeatable: true\r\nTransfer-Encoding: chunked\r\n\r\n", path, accountKey, id) +
+		fmt.Sprintf("%x\r\n%s\r\n%x\r\n%s\r\n0\r\n\r\n", half, body[:half], len(body)-half, body[half:])
+}
+
+const shortBody = `{"model":"matcher","prompt":"pair","max_tokens":3}`
+
+// beginStop sends SIGTERM to a router and waits until the stop has begun.
+func beginStop(t *testing.T, r *router) {
+	t.Helper()
+	r.signal(syscall.SIGTERM)
+	eventually(t, "the stop begins", func() bool { return r.hasLogged(`"stopping"`) })
+}
+
+// TestStopNamesCutRequests guards against requests that a planned stop cuts without a line.
+func TestStopNamesCutRequests(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := startSystem(t, options{routers: 1, engines: 1, configure: func(_ *system, conf *settings.Settings) { conf.Stop.StreamSeconds = 1 }})
+	r := s.routers[0]
+	s.service.setFaults(t, standin.ServiceFaults{SlowMillis: int(waitTimeout.Milliseconds())})
+	running, arriving := dialRouter(t, r), dialRouter(t, r)
+	running.write(chunked("/services/approvals/approve", "running", "{}"))
+	part := chunked("/v1/completions", "arriving", shortBody)
+	arriving.write(part[:len(part)-3])
+	beginStop(t, r)
+	eventually(t, "the stop ends", func() bool { return r.hasLogged(`"stopped"`) })
+	is.True(r.hasLogged(fmt.Sprintf(`"request cut" Event=1011 Request="running" Caller=%q State="Running"`, running.LocalAddr())))
+	is.True(r.hasLogged(fmt.Sprintf(`"request cut" Event=1011 Request="" Caller=%q State="Arriving"`, arriving.LocalAddr())))
+	is.True(strings.Contains(r.output(), "Cut=2"))
+}
--- a/event/process.go
+++ b/event/process.go
@@ -22,6 +22,8 @@
 	ListenerFailed = Event{1009, "door failed", "Connections on one of the daemon's addresses are no longer accepted."}
 	// Starting reports a start; from here on the process handles signals.
 	Starting = Event{1010, "starting", "The settings were read, and signals are handled from here on. Until then SIGHUP may end the process."}
+	// RequestCut reports a request that ends with the process.
+	RequestCut = Event{1011, "request cut", "A request had no whole answer when its host stopped. Millis is how long it has been open, ArrivedMillis when its first byte was read after the stop was requested (negative: before). State: Arriving (a part of it was read), Waiting (at no upstream, no answer yet), Running (at Upstream, no answer yet), Moving (on its way from Upstream to another engine), Streaming (Upstream sends its answer), Interrupted (its answer has begun, and it is at no upstream), Writing (its caller has yet to take the rest of the answer). At most 200 lines are written; event 1003 counts all."}
 )
 
-var processEvents = []Event{Listening, Stopping, Stopped, Ready, ProcessPaused, Reloaded, ReloadFailed, LinesDropped, ListenerFailed, Starting}
+var processEvents = []Event{Listening, Stopping, Stopped, Ready, ProcessPaused, Reloaded, ReloadFailed, LinesDropped, ListenerFailed, Starting, RequestCut}
--- a/gateway/complete.go
+++ b/gateway/complete.go
@@ -52,6 +52,7 @@
 		return g.fail(c, account.Name, failure)
 	}
 	g.openRequests.Add(1)
+	g.unanswered.reach(c, Running)
 	started := time.Now()
 	a := g.run(doc, r)
 	// A stream detects a disconnect when it writes its next event.
@@ -108,6 +109,7 @@
 func (g *Gateway) stream(c fiber.Ctx, r request.Request, a *answer, first upstream.Chunk) error {
 	c.Set(fiber.HeaderContentType, "text/event-stream")
 	c.Set(fiber.HeaderCacheControl, "no-cache")
+	g.unanswered.reach(c, Streaming)
 	conn := c.RequestCtx().Conn()
 	return c.SendStreamWriter(func(w *bufio.Writer) {
 		defer g.openRequests.Add(-1)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -57,6 +57,7 @@
 	listener     *limitedListener
 	stopping     atomic.Bool
 	openRequests atomic.Int64
+	unanswered   requestTable
 }
 
 // New listens for callers and serves them until the context ends.
@@ -67,7 +68,7 @@
 	}
 	limits := o.Settings.Limits
 	idle := time.Duration(limits.IdleSeconds) * time.Second
-	g := &Gateway{Options: o, listener: newLimitedListener(plain, wait, limits.Connections, idle)}
+	g := &Gateway{Options: o, listener: newLimitedListener(plain, wait, limits.Connections, idle), unanswered: requestTable{entries: map[net.Conn]entry{}}}
 	g.app = fiber.New(fiber.Config{
 		BodyLimit:      limits.BodyBytes,
 		ReadBufferSize: limits.HeaderBytes,
@@ -88,6 +89,7 @@
 	}
 	server := g.app.Server()
 	server.Handler = checkHeaders(server.Handler)
+	server.ConnState = g.unanswered.recordState
 	wait.Go(func() { _ = g.app.Listener(g.listener, fiber.ListenConfig{DisableStartupMessage: true}) })
 	wait.Go(func() { g.updateGauges(ctx) })
 	wait.Go(func() {
@@ -104,9 +106,16 @@
 // hosts. The gateway still serves requests.
 func (g *Gateway) MarkStopping() { g.stopping.Store(true) }
 
-// OpenRequests returns the number of requests that have not ended.
+// OpenRequests returns the number of requests that have arrived and have not ended.
 func (g *Gateway) OpenRequests() int64 { return g.openRequests.Load() }
 
+// CountUnanswered returns the number of requests of which something was read and that have
+// no whole answer yet. It includes those that are still arriving.
+func (g *Gateway) CountUnanswered() int { return g.unanswered.count() }
+
+// Unanswered returns the requests that CountUnanswered counts, the oldest one first.
+func (g *Gateway) Unanswered() []Unanswered { return g.unanswered.list() }
+
 // ready reports whether callers should use this host.
 func (g *Gateway) ready(c fiber.Ctx) error {
 	if _, ok := g.Document(); !ok || g.stopping.Load() {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -55,6 +55,7 @@
 		return g.fail(c, account.Name, keyedRefusal(failure, c.Get(keyHeader)))
 	}
 	g.openRequests.Add(1)
+	g.unanswered.reach(c, Running)
 	defer g.openRequests.Add(-1)
 	ctx, stop := callContext(c, r)
 	defer stop()
--- a/node/stop.go
+++ b/node/stop.go
@@ -17,6 +17,8 @@
 	// openPollInterval is the interval at which the number of open requests
 	// is checked.
 	openPollInterval = 10 * time.Millisecond
+	// maxCutLines bounds the log lines on requests that end with the process.
+	maxCutLines = 200
 )
 
 // stopper ends the requests that are still in flight at the end of a planned
@@ -38,6 +40,7 @@
 		return
 	case <-n.stop:
 	}
+	began := clock.Now()
 	event.Stopping.Info("Host", n.settings.Host.Name, "Open", n.gateway.OpenRequests())
 	n.gateway.MarkStopping()
 	n.directory.Leave()
@@ -46,7 +49,18 @@
 	handedOver := n.gateway.OpenRequests()
 	n.runner.Stop()
 	n.awaitOpenRequests(ctx, finalEventTimeout)
-	event.Stopped.Info("Host", n.settings.Host.Name, "HandedOver", handedOver, "Cut", n.gateway.OpenRequests())
+	event.Stopped.Info("Host", n.settings.Host.Name, "HandedOver", handedOver, "Cut", n.recordCut(clock.Now().Sub(began)))
+}
+
+// recordCut logs the requests that are still open a time after the stop began, and returns
+// their number.
+func (n *Node) recordCut(sinceStop time.Duration) int {
+	unanswered := n.gateway.Unanswered()
+	for _, u := range unanswered[:min(len(unanswered), maxCutLines)] {
+		event.RequestCut.Info("Request", u.Request, "Caller", u.Caller, "State", u.State,
+			"Millis", u.Age.Milliseconds(), "ArrivedMillis", (sinceStop - u.Age).Milliseconds())
+	}
+	return len(unanswered)
 }
 
 // awaitOpenRequests blocks until no request is open or the timeout is over.
