fix: a planned stop waits for requests that are still arriving

Callers saw: a request whose head or body was still arriving when the time of cached addresses ended got 503 "HostStopping", though the host had all of StreamTimeout left and an engine to run it.

Cause: the stop waited until gateway.OpenRequests was zero, which counts a request only once it has arrived whole and been decoded. With nothing else open the host ended the dispatcher and its components at once; the server then waited for the rest of the request and could only refuse it.

The stop now waits for the table of unanswered requests, which holds a request from its first byte until its answer is written. A caller that never finishes its request is bounded by the time to read one and by StreamTimeout.

Ruled out: a cut connection (each got its 503).

--- a/endtoend/stop_test.go
+++ b/endtoend/stop_test.go
@@ -1,9 +1,11 @@
 package endtoend
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"syscall"
 	"testing"
@@ -19,7 +21,8 @@
 type callerConn struct {
 	net.Conn
 
-	t *testing.T
+	t      *testing.T
+	reader *bufio.Reader
 }
 
 func dialRouter(t *testing.T, r *router) *callerConn {
@@ -28,7 +31,7 @@
 	is.New(t).NoErr(err)
 	t.Cleanup(func() { _ = conn.Close() })
 	is.New(t).NoErr(conn.SetDeadline(time.Now().Add(waitTimeout)))
-	return &callerConn{conn, t}
+	return &callerConn{conn, t, bufio.NewReader(conn)}
 }
 
 // write sends a part of a request.
@@ -38,6 +41,18 @@
 	is.New(c.t).NoErr(err)
 }
 
+// read reads a whole answer.
+func (c *callerConn) read() (resp *http.Response, body string) {
+	c.t.Helper()
+	is := is.New(c.t)
+	resp, err := http.ReadResponse(c.reader, nil)
+	is.NoErr(err)
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(resp.Body)
+	is.NoErr(err)
+	return resp, string(raw)
+}
+
 // chunked returns a request of the account whose body comes in two chunks.
 func chunked(path, id, body string) string {
 	half := len(body) / 2
@@ -71,3 +86,33 @@
 	is.True(r.hasLogged(fmt.Sprintf(`"request cut" Event=1011 Request="" Caller=%q State="Arriving"`, arriving.LocalAddr())))
 	is.True(strings.Contains(r.output(), "Cut=2"))
 }
+
+// TestStopAwaitsArrivingRequests guards against a planned stop that refuses a request whose
+// head or body is still arriving, though it has time left.
+func TestStopAwaitsArrivingRequests(t *testing.T) {
+	t.Parallel()
+	// servingTime is the time in which the host still takes requests, and more.
+	const servingTime = 3 * time.Second
+	request := chunked("/v1/completions", "arriving", shortBody)
+	for _, tt := range []struct{ name, sent string }{
+		{"part of the head", request[:40]},
+		{"part of the body", request[:strings.Index(request, "\r\n\r\n")+12]},
+		{"all but the end", request[:len(request)-3]},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			s := startSystem(t, options{routers: 1, engines: 1})
+			conn := dialRouter(t, s.routers[0])
+			conn.write(tt.sent)
+			beginStop(t, s.routers[0])
+			time.Sleep(servingTime)
+			conn.write(request[len(tt.sent):])
+			resp, body := conn.read()
+			is.Equal(resp.StatusCode, http.StatusOK)
+			is.True(strings.Contains(body, "finish_reason"))
+			<-s.routers[0].done
+			is.True(strings.Contains(s.routers[0].output(), "HandedOver=0 Cut=0"))
+		})
+	}
+}
--- a/node/stop.go
+++ b/node/stop.go
@@ -14,7 +14,7 @@
 	leavePropagation = time.Second
 	// finalEventTimeout bounds the wait for streams to send their last event.
 	finalEventTimeout = 3 * time.Second
-	// openPollInterval is the interval at which the number of open requests
+	// openPollInterval is the interval at which the number of unanswered requests
 	// is checked.
 	openPollInterval = 10 * time.Millisecond
 	// maxCutLines bounds the log lines on requests that end with the process.
@@ -30,7 +30,7 @@
 
 // finish carries out a planned stop: it removes the host from the address
 // answers, serves until callers have dropped every cached answer that lists the
-// host, waits for its streams, and ends the remaining ones with an event that
+// host, waits for the answers to its requests, and ends the remaining ones with an event that
 // says how to resume at another host.
 func (n *Node) finish(ctx context.Context) {
 	defer n.cancel()
@@ -45,10 +45,10 @@
 	n.gateway.MarkStopping()
 	n.directory.Leave()
 	clock.Pause(ctx, n.settings.Stop.AddressTTL()+leavePropagation)
-	n.awaitOpenRequests(ctx, n.settings.Stop.StreamTimeout())
+	n.awaitAnswers(ctx, n.settings.Stop.StreamTimeout())
 	handedOver := n.gateway.OpenRequests()
 	n.runner.Stop()
-	n.awaitOpenRequests(ctx, finalEventTimeout)
+	n.awaitAnswers(ctx, finalEventTimeout)
 	event.Stopped.Info("Host", n.settings.Host.Name, "HandedOver", handedOver, "Cut", n.recordCut(clock.Now().Sub(began)))
 }
 
@@ -63,10 +63,11 @@
 	return len(unanswered)
 }
 
-// awaitOpenRequests blocks until no request is open or the timeout is over.
-func (n *Node) awaitOpenRequests(ctx context.Context, timeout time.Duration) {
+// awaitAnswers blocks until all requests are answered, including those that are still
+// arriving, or the timeout is over.
+func (n *Node) awaitAnswers(ctx context.Context, timeout time.Duration) {
 	deadline := time.Now().Add(timeout)
-	for n.gateway.OpenRequests() > 0 && time.Now().Before(deadline) && ctx.Err() == nil {
+	for n.gateway.CountUnanswered() > 0 && time.Now().Before(deadline) && ctx.Err() == nil {
 		clock.Pause(ctx, openPollInterval)
 	}
 }
