fix: a stopping host closes each kept connection with its next answer

Callers saw: on a connection that was kept, requests went on to the stopping host until it was gone, and the one at that instant got no answer ("unexpected EOF") or 503 "HostStopping".

Cause: answers of the own path said nothing about the stop. A caller looks an address up when it opens a connection, so one that is kept never leaves; the stop ended when no request was open for an instant between two of them, and the server closed the connection on the next.

While the host stops, each answer now closes its connection, streams and refusals included.

What remains: a connection that was idle for the whole stop is closed at its end, and a request that crosses that close gets no answer; fasthttp drops it even if its first bytes were read.

--- a/endtoend/stop_test.go
+++ b/endtoend/stop_test.go
@@ -116,3 +116,50 @@
 		})
 	}
 }
+
+// TestStopReleasesKeptConnections guards against callers that stay on a connection to a stopping
+// host until it is gone.
+func TestStopReleasesKeptConnections(t *testing.T) {
+	t.Parallel()
+	for _, tt := range []struct{ name, request string }{
+		{"completion", chunked("/v1/completions", "completion", shortBody)},
+		{"stream", chunked("/v1/completions", "stream", strings.Replace(shortBody, "{", `{"stream":true,`, 1))},
+		{"service", chunked("/services/approvals/approve", "service", "{}")},
+		{"refused", chunked("/v1/completions", "refused", "{}")},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			s := startSystem(t, options{routers: 1, engines: 1})
+			conn := dialRouter(t, s.routers[0])
+			conn.write(tt.request)
+			resp, _ := conn.read()
+			want := resp.StatusCode
+			is.True(!resp.Close)
+			beginStop(t, s.routers[0])
+			conn.write(tt.request)
+			resp, _ = conn.read()
+			is.Equal(resp.StatusCode, want)
+			is.True(resp.Close)
+			<-s.routers[0].done
+		})
+	}
+}
+
+// TestStopAnswersBusyConnection guards against a request that gets no answer because its caller
+// sends one after the other on a connection until the host is gone.
+func TestStopAnswersBusyConnection(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := startSystem(t, options{routers: 1, engines: 1})
+	conn := dialRouter(t, s.routers[0])
+	s.routers[0].signal(syscall.SIGTERM)
+	for released := false; !released; {
+		conn.write(chunked("/v1/completions", "busy", shortBody))
+		resp, _ := conn.read()
+		is.Equal(resp.StatusCode, http.StatusOK)
+		released = resp.Close
+	}
+	<-s.routers[0].done
+	is.True(strings.Contains(s.routers[0].output(), "HandedOver=0 Cut=0"))
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -88,7 +88,7 @@
 		g.app.Add([]string{method}, servicesPath+":service/*", g.serve)
 	}
 	server := g.app.Server()
-	server.Handler = checkHeaders(server.Handler)
+	server.Handler = g.closeWhileStopping(checkHeaders(server.Handler))
 	server.ConnState = g.unanswered.recordState
 	wait.Go(func() { _ = g.app.Listener(g.listener, fiber.ListenConfig{DisableStartupMessage: true}) })
 	wait.Go(func() { g.updateGauges(ctx) })
@@ -102,8 +102,8 @@
 // Address returns the IP:port that callers connect to.
 func (g *Gateway) Address() string { return g.listener.Addr().String() }
 
-// MarkStopping makes the host report not ready, so that callers choose other
-// hosts. The gateway still serves requests.
+// MarkStopping makes the host report not ready and close each connection with its
+// next answer, so that callers choose other hosts. The gateway still serves requests.
 func (g *Gateway) MarkStopping() { g.stopping.Store(true) }
 
 // OpenRequests returns the number of requests that have arrived and have not ended.
--- a/gateway/headers.go
+++ b/gateway/headers.go
@@ -35,3 +35,14 @@
 	ctx.SetContentType("application/json")
 	ctx.SetBody(encodeFailure(f))
 }
+
+// closeWhileStopping makes a stopping host close each connection with its next answer, so that
+// callers go to other hosts.
+func (g *Gateway) closeWhileStopping(next fasthttp.RequestHandler) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		next(ctx)
+		if g.stopping.Load() {
+			ctx.SetConnectionClose()
+		}
+	}
+}
