feat: soak with stops of hosts in series

Streams last 0.5 to 10 s with deadlines of 15 s, half of the bodies come in chunks, some of them slowly, and callers connect without a proxy, so that they use connections until the process is gone.

lossCheck holds all planned stops, SIGHUPs and configurations to rule LOST as the users word it, with the engines' own record of their work. stop.check stays and is applied, too. Three changes in it and in workCheck concern calls that didn't exist before: a body in chunks whose end was not sent is no request that was read, the time pending counts from the last byte of such a body, and a call that the caller gave up isn't a stop's (with the usual callers only after their deadline, which already was excluded).

--- a/emulator/soak.go
+++ b/emulator/soak.go
@@ -25,6 +25,7 @@
 	Callers  int           `default:"16" help:"How many callers at a time."`
 	// EngineProcesses are needed for engines that signals silence.
 	EngineProcesses bool   `help:"Run engines and plain services as processes of their own, which fall silent while the configuration changes."`
+	Stops           bool   `help:"Stop hosts in series instead, beside engines that refuse, fall silent and load new weights; implies engine-processes."`
 	RefusalCopies   bool   `default:"true" negatable:"" help:"Have upstreams send copies of their refusals, too."`
 	Keep            string `help:"A folder for the hosts' output of runs that broke a promise."`
 }
@@ -35,7 +36,7 @@
 		c.Seed = uint64(time.Now().Unix())
 	}
 	engineProgram := ""
-	if c.EngineProcesses {
+	if c.EngineProcesses || c.Stops {
 		var err error
 		if engineProgram, err = os.Executable(); err != nil {
 			return trace.Wrap(err, "looking for the engines' program")
@@ -43,7 +44,7 @@
 	}
 	wrong := 0
 	for i := range c.Seeds {
-		o := soak.Options{Program: c.Program, Older: c.Older, Seed: c.Seed + uint64(i), Span: c.Span, Hosts: c.Hosts, Engines: c.Engines, Services: c.Services, Callers: c.Callers, EngineProgram: engineProgram, RefusalCopies: c.RefusalCopies}
+		o := soak.Options{Program: c.Program, Older: c.Older, Seed: c.Seed + uint64(i), Span: c.Span, Hosts: c.Hosts, Engines: c.Engines, Services: c.Services, Callers: c.Callers, EngineProgram: engineProgram, Stops: c.Stops, RefusalCopies: c.RefusalCopies}
 		if c.Keep != "" {
 			o.OutputDir = filepath.Join(c.Keep, fmt.Sprint("seed-", o.Seed))
 			if err := os.MkdirAll(o.OutputDir, 0o700); err != nil {
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -38,6 +39,13 @@
 	id, kind, account string
 	host              *host
 	sent, ended       time.Time
+	// written is when the last byte of the request had been sent, or zero.
+	written time.Time
+	// chunks is the number of chunks of the body, chunkPause the time before each.
+	chunks     int
+	chunkPause time.Duration
+	// events is the number of events of a stream; 0 means streamEvents.
+	events int
 	// answer has the status 0 if no response head arrived.
 	answer standin.PlatformAnswer
 	// began is the ID of the call that brought the first event of the stream that
@@ -111,9 +119,16 @@
 	for n := 0; ctx.Err() == nil; n++ {
 		account := []string{"mill", "grocer"}[random.IntN(2)]
 		c := &call{id: fmt.Sprintf("%s-%d-%d", account, number, n), kind: callKinds[random.IntN(len(callKinds))], account: account}
+		if d.stops {
+			c.drawChunks(random)
+			if conn != nil && conn.isClosed() {
+				_ = conn.Close()
+				conn = nil
+			}
+		}
 		if conn == nil {
 			h = d.hosts[random.IntN(len(d.hosts))]
-			raw, err := net.DialTimeout("tcp4", h.callerProxy.address(), time.Second)
+			raw, err := net.DialTimeout("tcp4", d.callerTarget(h), time.Second)
 			if err == nil {
 				conn = newConnection(raw)
 			}
@@ -134,6 +149,54 @@
 	}
 }
 
+// callerTarget returns the address at which callers connect to a host. Where hosts are
+// stopped, no proxy accepts connections in the place of one that has ended.
+func (d *deployment) callerTarget(h *host) string {
+	if d.stops {
+		return h.callerAddress
+	}
+	return h.callerProxy.address()
+}
+
+const (
+	// chunkedShare and slowShare are the reciprocals of the shares of requests whose bodies
+	// are sent in chunks, and of these the ones that arrive slowly.
+	chunkedShare, slowShare = 2, 3
+	maxChunks               = 4
+	maxChunkPause           = 400 * time.Millisecond
+	// closedWait is how long a caller waits for the end of a connection before it reuses it.
+	closedWait = time.Millisecond
+)
+
+// drawChunks draws how the body is sent.
+func (c *call) drawChunks(random *rand.Rand) {
+	if random.IntN(chunkedShare) > 0 {
+		return
+	}
+	c.chunks = 1 + random.IntN(maxChunks)
+	if random.IntN(slowShare) == 0 {
+		c.chunkPause = time.Duration(random.Int64N(int64(maxChunkPause)))
+	}
+}
+
+// isClosed reports whether the host has closed the connection.
+func (c *connection) isClosed() bool {
+	c.until, c.patience = time.Now().Add(closedWait), 0
+	_, err := c.in.Peek(1)
+	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
+}
+
+// lastByte returns when the last byte of the request was sent.
+func (c *call) lastByte() time.Time {
+	if c.chunks > 0 {
+		return c.written
+	}
+	return c.sent
+}
+
+// isPartial reports whether the end of a body in chunks was not sent.
+func (c *call) isPartial() bool { return c.chunks > 0 && c.written.IsZero() }
+
 // idleTime draws the pause between two requests of a caller. Where configurations change
 // the idle limit, it is now and then as long as callers may reuse a connection.
 func (d *deployment) idleTime(random *rand.Rand) time.Duration {
@@ -152,7 +215,8 @@
 }
 
 func (d *deployment) sendWithKey(conn *connection, c *call, key string) bool {
-	r := standin.PlatformRequest{ID: c.id, Method: http.MethodPost, Host: plainHost, Path: "/" + c.kind + "/a", Key: key, Deadline: d.tempo.deadline, Body: "of " + c.id, Resumes: c.began, LastEvent: c.lastEvent}
+	r := standin.PlatformRequest{ID: c.id, Method: http.MethodPost, Host: plainHost, Path: "/" + c.kind + "/a", Key: key, Deadline: d.tempo.deadline, Body: "of " + c.id, Resumes: c.began, LastEvent: c.lastEvent, Chunks: c.chunks, ChunkPause: c.chunkPause}
+	c.events = d.tempo.events
 	byPart := c.isCrasher && d.crasher.byPart
 	if c.isCrasher && !byPart {
 		r.Path, r.Body = "/"+c.kind+"/"+crasherMark, crasherMark
@@ -179,6 +243,7 @@
 	if err := r.Write(conn); err != nil {
 		return false
 	}
+	c.written = time.Now()
 	var err error
 	c.answer, err = standin.ReadPlatformAnswer(conn.in)
 	return err == nil && c.answer.Whole && !c.answer.Closes
@@ -193,7 +258,7 @@
 		return "GET /read/a "
 	}
 	var b strings.Builder
-	for i := c.lastEvent; i < streamEvents; i++ {
+	for i := c.lastEvent; i < cmp.Or(c.events, streamEvents); i++ {
 		fmt.Fprintf(&b, "id: %d\ndata: piece %d\n\n", i+1, i+1)
 	}
 	return b.String()
--- a/soak/check.go
+++ b/soak/check.go
@@ -138,12 +138,12 @@
 // interrupted reports whether the stop interrupted a request that was executed
 // the given number of times.
 func (s stop) interrupted(c *call, executions int) bool {
-	if c.ended.Sub(c.sent) >= callDeadline {
+	if c.ended.Sub(c.sent) >= callDeadline || c.gaveUp || c.isPartial() {
 		return false
 	}
 	if c.answer.Status == 0 {
 		// A request that crossed the close of its connection was not read.
-		return executions > 0 || c.ended.Sub(c.sent) >= closeRaceWindow
+		return executions > 0 || c.ended.Sub(c.lastByte()) >= closeRaceWindow
 	}
 	stream := c.kind == "full" || c.kind == "flag"
 	return !c.answer.Whole && (!stream || !s.upstreamFaults)
--- a/soak/check_work.go
+++ b/soak/check_work.go
@@ -84,11 +84,11 @@
 func (w workCheck) lost(c *call) string {
 	work, took := w.work[c.id], c.ended.Sub(c.sent)
 	switch {
-	case c.answer.Status != 0 && c.answer.Whole, c.gaveUp:
+	case c.answer.Status != 0 && c.answer.Whole, c.gaveUp, c.isPartial():
 		return ""
 	case took >= min(processDeadline, shortestTimeout(w.changes, c.sent, c.ended)):
 		return ""
-	case len(work) == 0 && took < closeRaceWindow:
+	case len(work) == 0 && c.ended.Sub(c.lastByte()) < closeRaceWindow:
 		// The request crossed the close of its connection.
 		return ""
 	case !w.faultFree(c.host, c.sent.Add(-hostCalm), c.ended):
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -86,6 +86,9 @@
 	processes     []*engineProcess
 	engineProgram string
 	tempo         tempo
+	// stops means that the run has the faults of PlanStops; seed is that of the run.
+	stops bool
+	seed  uint64
 
 	// copies are those that all upstreams send of their refusals, copyFaults the number
 	// of faults that want them.
@@ -122,7 +125,7 @@
 
 // newDeployment starts a deployment.
 func newDeployment(ctx context.Context, wait *conc.WaitGroup, o Options, dir string) (*deployment, error) {
-	d := &deployment{ctx: ctx, wait: wait, dir: dir, keys: map[string]string{"mill": "key-mill-0", "grocer": "key-grocer-0"}, weights: 1, crasher: newCrasher(o.Seed), mixesSoftware: o.Seed%3 != 0, loadTime: loadTimes[o.Seed%uint64(len(loadTimes))], terms: usualTerms, engineProgram: o.EngineProgram, tempo: usualTempo}
+	d := &deployment{ctx: ctx, wait: wait, dir: dir, keys: map[string]string{"mill": "key-mill-0", "grocer": "key-grocer-0"}, weights: 1, crasher: newCrasher(o.Seed), mixesSoftware: o.Seed%3 != 0, loadTime: loadTimes[o.Seed%uint64(len(loadTimes))], terms: usualTerms, engineProgram: o.EngineProgram, tempo: usualTempo, stops: o.Stops, seed: o.Seed}
 	var err error
 	if d.store, err = standin.NewPlatformStore(); err != nil {
 		return nil, trace.Wrap(err)
@@ -170,6 +173,10 @@
 func (d *deployment) addUpstreams(o Options) error {
 	if o.EngineProgram != "" {
 		d.tempo = newTempo(o.Seed)
+		if o.Stops {
+			d.tempo = newStopTempo(o.Seed)
+			d.terms.timeout = stopDeadline
+		}
 		return d.startProcesses(o)
 	}
 	for i := range o.Engines + o.Services {
--- a/soak/engine_process.go
+++ b/soak/engine_process.go
@@ -102,7 +102,7 @@
 func (d *deployment) startProcess(e *engineProcess, reusesName bool, address string) error {
 	d.mu.Lock()
 	d.startCount++
-	o := standin.PlatformProcessOptions{ID: fmt.Sprintf("%s-%d", e.service, d.startCount), Service: e.service, Zone: domains[d.startCount%len(domains)], Model: e.model, Software: "v0", Prefill: d.tempo.prefill, Interval: d.tempo.interval, Weights: d.weights, LoadTime: d.loadTime, Address: address}
+	o := standin.PlatformProcessOptions{ID: fmt.Sprintf("%s-%d", e.service, d.startCount), Service: e.service, Zone: domains[d.startCount%len(domains)], Model: e.model, Software: "v0", Prefill: d.tempo.prefill, Interval: d.tempo.intervalOf(d.seed, d.startCount), Events: d.tempo.events, Weights: d.weights, LoadTime: d.loadTime, Address: address}
 	copies := d.copies
 	d.mu.Unlock()
 	if e.current != nil && reusesName {
--- a/soak/process.go
+++ b/soak/process.go
@@ -88,13 +88,25 @@
 func (p *process) hangUp() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if strings.Count(p.output.String(), fmt.Sprintf("Event=%d ", event.Starting.Number)) < p.startCount {
+	if !p.handlesSignalsLocked() {
 		return false
 	}
 	p.signalLocked(syscall.SIGHUP)
 	return true
 }
 
+// handlesSignals reports whether the process handles signals.
+func (p *process) handlesSignals() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.handlesSignalsLocked()
+}
+
+// handlesSignalsLocked does the same; the caller holds mu.
+func (p *process) handlesSignalsLocked() bool {
+	return strings.Count(p.output.String(), fmt.Sprintf("Event=%d ", event.Starting.Number)) >= p.startCount
+}
+
 // signal sends a signal to the process if it is running.
 func (p *process) signal(s syscall.Signal) {
 	p.mu.Lock()
--- a/soak/silences.go
+++ b/soak/silences.go
@@ -71,6 +71,8 @@
 		fi.restartEngine(f)
 	case ChangeTerms:
 		fi.changeTerms(f)
+	case RefuseAround:
+		fi.refuseAround(f)
 	default:
 		fi.injectRefusals(f)
 	}
@@ -96,6 +98,7 @@
 		return
 	}
 	defer fi.restarting.Delete(e)
+	fi.recordUpstreamFault(time.Now().Add(leavingPeriod + 2*entryRemovalDelay))
 	// If the restart fails, the checks at the end of the run report it.
 	_ = fi.replaceProcess(e, f.Variant%2 == 0)
 }
@@ -103,6 +106,7 @@
 // changeTerms writes a configuration with other terms.
 func (fi *faultInjector) changeTerms(f Fault) {
 	t := drawTerms(rand.New(rand.NewPCG(uint64(f.Target), uint64(f.Variant))))
+	t.timeout = max(t.timeout, fi.tempo.minTimeout)
 	fi.deployment.mu.Lock()
 	fi.terms = t
 	fi.deployment.mu.Unlock()
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -54,6 +54,9 @@
 	// EngineArgument, or "". With it, engines and plain services are processes of their
 	// own, and the faults are those of PlanSilences.
 	EngineProgram string
+	// Stops draws the faults of PlanStops in place of those of PlanSilences. It needs
+	// EngineProgram.
+	Stops bool
 	// RefusalCopies adds the faults of PlanRefusals.
 	RefusalCopies bool
 	// OutputDir is a folder for the hosts' output of a run with violations, or
@@ -119,7 +122,8 @@
 	report.Violations = append(report.Violations, d.check(all, fi.stops)...)
 	report.Violations = append(report.Violations, fi.checkStatus(all)...)
 	report.Violations = append(report.Violations, fi.checkProcesses(all)...)
-	report.Calls, report.Stops = len(all), len(fi.stops)
+	report.Violations = append(report.Violations, fi.checkLosses(all)...)
+	report.Calls, report.Stops = len(all), fi.checkedStops()
 	for _, c := range all {
 		if c.answer.Status == http.StatusOK && c.answer.Whole {
 			report.Answered++
@@ -136,7 +140,10 @@
 // planFaults returns the faults of a run.
 func planFaults(o Options) []Fault {
 	plan := Plan
-	if o.EngineProgram != "" {
+	switch {
+	case o.Stops:
+		plan = PlanStops
+	case o.EngineProgram != "":
 		plan = PlanSilences
 	}
 	faults := plan(o.Seed, o.Span)
@@ -161,6 +168,10 @@
 	upstreamFaultUntil time.Time
 	restarting         sync.Map
 	stops              []stop
+	// plannedStops holds all planned stops, stops those without other faults around them.
+	plannedStops []stop
+	// hangUps holds when hosts got SIGHUP.
+	hangUps []signalTime
 }
 
 // runPlan carries out a plan unless the soak is interrupted.
@@ -176,13 +187,19 @@
 	}
 }
 
-// recordFault records a fault of a host until a time, and reports whether the host
-// had been without faults for faultFreeBefore.
-func (fi *faultInjector) recordFault(h *host, until time.Time) (faultFree bool) {
+// recordFault records a fault of a host until a time.
+func (fi *faultInjector) recordFault(h *host, until time.Time) {
+	fi.recordSpan(h, faultSpan{from: time.Now(), until: until})
+}
+
+// recordSpan records a fault of a host, and reports whether the host had been without
+// faults for faultFreeBefore.
+func (fi *faultInjector) recordSpan(h *host, span faultSpan) (faultFree bool) {
 	fi.mu.Lock()
 	defer fi.mu.Unlock()
+	until := span.until
 	faultFree = time.Since(fi.faultUntil[h]) > faultFreeBefore
-	fi.faultSpans[h] = append(fi.faultSpans[h], faultSpan{time.Now(), until})
+	fi.faultSpans[h] = append(fi.faultSpans[h], span)
 	if until.After(fi.faultUntil[h]) {
 		fi.faultUntil[h] = until
 	}
@@ -202,7 +219,7 @@
 func (fi *faultInjector) inject(f Fault) {
 	h, until := fi.hosts[f.Target%len(fi.hosts)], time.Now().Add(f.For)
 	switch f.Kind {
-	case KillHost, PauseHost, StopHost, HangUp, ReplaceHost:
+	case KillHost, PauseHost, StopHost, StopAgain, HangUp, ReplaceHost:
 		fi.signalHost(f, h, until)
 	case KillEngine, LeaveEngine:
 		u := fi.upstreamAt(f.Target)
@@ -275,7 +292,11 @@
 func (fi *faultInjector) signalHost(f Fault, h *host, until time.Time) {
 	switch f.Kind {
 	case HangUp:
-		fi.await(maxFaultTime, h.hangUp)
+		if fi.await(maxFaultTime, h.hangUp) {
+			fi.mu.Lock()
+			fi.hangUps = append(fi.hangUps, signalTime{h, time.Now()})
+			fi.mu.Unlock()
+		}
 		return
 	case ReplaceHost:
 		fi.replaceHost(f, h)
@@ -292,32 +313,11 @@
 		h.signal(syscall.SIGCONT)
 		return
 	}
-	fi.restart(f, h)
-}
-
-// restart ends a host's process and starts it again. The caller holds the host in
-// restarting.
-func (fi *faultInjector) restart(f Fault, h *host) {
-	if f.Kind == KillHost {
-		fi.recordFault(h, time.Now().Add(f.For))
-		h.end(syscall.SIGKILL, time.Second)
-	} else {
-		faultFree := fi.recordFault(h, time.Now())
-		at := time.Now()
-		inTime := h.end(syscall.SIGTERM, graceSeconds*time.Second)
-		fi.mu.Lock()
-		if faultFree && !fi.faultUntil[h].After(at) {
-			fi.stops = append(fi.stops, stop{host: h, at: at, ended: time.Now(), inTime: inTime, upstreamFaults: fi.upstreamFaultUntil.Add(faultFreeBefore).After(at)})
-		}
-		fi.mu.Unlock()
-		fi.recordFault(h, time.Now())
-	}
-	if f.Kind == ReplaceHost {
-		h.use(h.other)
+	if f.Kind == StopAgain {
+		fi.stopAgain(f, h)
+		return
 	}
-	fi.pause(f.For / 4)
-	// If the start fails, the checks at the end of the run report it.
-	_ = h.start()
+	fi.restart(f, h)
 }
 
 // disturbLink disturbs the connections to an upstream, from callers to a host, or
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -88,6 +88,24 @@
 	is.Equal(len(kinds), 7) // each kind is drawn
 }
 
+// TestPlanStops checks the same of the faults around stops of hosts.
+func TestPlanStops(t *testing.T) {
+	is := is.New(t)
+	const span = 20 * time.Second
+	kinds := map[soak.Kind]bool{}
+	for seed := range uint64(100) {
+		plan := soak.PlanStops(seed, span)
+		is.Equal(plan, soak.PlanStops(seed, span))
+		for i, f := range plan {
+			is.True(f.At >= span/10 && f.At <= span*3/4)
+			is.True(i == 0 || f.At >= plan[i-1].At)
+			is.True(f.Kind != soak.RefuseAround || f.For >= 400*time.Millisecond && f.For <= time.Second)
+			kinds[f.Kind] = true
+		}
+	}
+	is.Equal(len(kinds), 10) // each kind is drawn
+}
+
 // TestPlanRefusals checks the same of the faults around copies of refusals.
 func TestPlanRefusals(t *testing.T) {
 	is := is.New(t)
--- a/soak/status.go
+++ b/soak/status.go
@@ -46,7 +46,11 @@
 }
 
 // faultSpan is a period in which a host's process or links had a fault.
-type faultSpan struct{ from, until time.Time }
+type faultSpan struct {
+	from, until time.Time
+	// planned marks the beginning and the end of a planned stop.
+	planned bool
+}
 
 // faultFreeBetween reports whether a host had no fault between two times.
 func (fi *faultInjector) faultFreeBetween(h *host, from, until time.Time) bool {
@@ -58,6 +62,16 @@
 	return true
 }
 
+// calmBetween reports whether a host had no unplanned fault between two times.
+func (fi *faultInjector) calmBetween(h *host, from, until time.Time) bool {
+	for _, span := range fi.faultSpans[h] {
+		if !span.planned && !span.from.After(until) && !span.until.Before(from) {
+			return false
+		}
+	}
+	return true
+}
+
 // hostArrival is a request as an upstream received it, with its call.
 type hostArrival struct {
 	standin.PlatformArrival
--- a/soak/takeup.go
+++ b/soak/takeup.go
@@ -37,7 +37,7 @@
 		}
 		h := d.hosts[random.IntN(len(d.hosts))]
 		c = &call{id: fmt.Sprintf("%s-up%d", began, n), kind: c.kind, account: c.account, host: h, began: began, lastEvent: c.wholeEvents()}
-		raw, err := net.DialTimeout("tcp4", h.callerProxy.address(), time.Second)
+		raw, err := net.DialTimeout("tcp4", d.callerTarget(h), time.Second)
 		if err == nil {
 			d.sendRequest(newConnection(raw), c)
 			_ = raw.Close()
--- a/standin/platform_caller.go
+++ b/standin/platform_caller.go
@@ -22,6 +22,10 @@
 	// Prompt describes the prompt in the header; nil for plain services.
 	Prompt *PlatformPrompt
 	Body   string
+	// Chunks is the number of chunks in which the body is sent, ChunkPause the time before
+	// each of them; 0 chunks send a body with a length.
+	Chunks     int
+	ChunkPause time.Duration
 }
 
 // PlatformPrompt is the description of the prompt in a request to a model.
@@ -54,6 +58,9 @@
 		}
 		fmt.Fprintf(&b, "X-Model: %s\r\nX-Token-Usage: %d,%d\r\nX-Prompt-Prefix: %s\r\n", p.Model, p.Input, p.MaxOutput, strings.Join(parts, ","))
 	}
+	if r.Method != http.MethodGet && r.Chunks > 0 {
+		return r.writeChunks(w, b.String()+"Transfer-Encoding: chunked\r\n\r\n")
+	}
 	if r.Method != http.MethodGet {
 		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(r.Body))
 	}
@@ -61,6 +68,28 @@
 	return err
 }
 
+// writeChunks writes a header and the body in chunks.
+func (r PlatformRequest) writeChunks(w io.Writer, header string) error {
+	if _, err := io.WriteString(w, header); err != nil {
+		return err
+	}
+	for i := range r.Chunks {
+		time.Sleep(r.ChunkPause)
+		chunk := r.Body[i*len(r.Body)/r.Chunks : (i+1)*len(r.Body)/r.Chunks]
+		text := ""
+		if chunk != "" {
+			text = fmt.Sprintf("%x\r\n%s\r\n", len(chunk), chunk)
+		}
+		if i == r.Chunks-1 {
+			text += "0\r\n\r\n"
+		}
+		if _, err := io.WriteString(w, text); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // PlatformAnswer is an answer as a caller receives it.
 type PlatformAnswer struct {
 	Status int
