fix: losses in the soak count a run at a silent engine that no other may take

A request that may run once and whose run is open at a silent engine can't be finished elsewhere, so what a host can't keep is no violation at the end of its grace time; streams that may be resumed still count.

--- a/soak/check_stops.go
+++ b/soak/check_stops.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/kumquathoist/kumquathoist/standin"
@@ -112,7 +113,7 @@
 // duringStop describes when a stop cut a call, or returns "".
 func (l lossCheck) duringStop(c *call) string {
 	for _, s := range l.stops {
-		if s.host != c.host || c.ended.Before(s.at) || c.ended.After(s.at.Add(graceSeconds*time.Second+stopMargin)) {
+		if !s.covers(c) {
 			continue
 		}
 		if c.sent.After(s.at.Add(lateSend)) || !l.workedAtEnd(c, s) {
@@ -122,12 +123,22 @@
 	return ""
 }
 
+// covers reports whether a call ended while the stop of its host was planned work.
+func (s stop) covers(c *call) bool {
+	return s.host == c.host && !c.ended.Before(s.at) && !c.ended.After(s.at.Add(graceSeconds*time.Second+stopMargin))
+}
+
 // workedAtEnd reports whether an engine worked on a call in the end of a stop's grace time.
+// Where a request may run once, no other engine can take it from one that is silent.
 func (l lossCheck) workedAtEnd(c *call, s stop) bool {
 	grace := graceSeconds * time.Second
 	end := []standin.PlatformPeriod{{From: s.at.Add(grace - time.Duration(graceEnd*float64(grace))), Until: s.at.Add(grace)}}
 	for _, w := range l.work[c.id] {
-		if overlap(w.periods, end) > 0 {
+		periods := w.periods
+		if c.kind == "flag" || c.kind == "post" {
+			periods = w.span(c.ended)
+		}
+		if overlap(periods, end) > 0 {
 			return true
 		}
 	}
@@ -146,12 +157,7 @@
 
 // stopped reports whether a call ended during a stop of its host.
 func (l lossCheck) stopped(c *call) bool {
-	for _, s := range l.stops {
-		if s.host == c.host && !c.ended.Before(s.at) && !c.ended.After(s.ended) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(l.stops, func(s stop) bool { return s.covers(c) })
 }
 
 // besideChanges returns the cut calls that count beside configurations.
--- a/soak/engine_process.go
+++ b/soak/engine_process.go
@@ -241,6 +241,16 @@
 	killed time.Time
 }
 
+// span returns the time from the beginning of the work to its end, or up to an instant.
+func (w engineWork) span(until time.Time) []standin.PlatformPeriod {
+	for _, end := range []time.Time{w.run.Ended, w.killed} {
+		if !end.IsZero() && end.Before(until) {
+			until = end
+		}
+	}
+	return []standin.PlatformPeriod{{From: w.run.Began, Until: until}}
+}
+
 // String describes the work.
 func (w engineWork) String() string {
 	s := w.engine
