test: streams are cut around stops when engines refuse to go on with them

Callers lost streams 0.4 to 5.4 s after SIGTERM to their host, with 8 to 13 s left: the host had stopped the run to move it, and cut it within 20 ms when the engines refused it.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -251,6 +251,12 @@
 	runSeed(t, soak.Options{Seed: 11, Span: 8 * time.Second, Hosts: 3, Engines: 6, Services: 4, Callers: 40, EngineProgram: os.Args[0]})
 }
 
+// TestStreamsAreCutAroundStops runs a short soak in which hosts are stopped beside engines
+// that refuse streams that move.
+func TestStreamsAreCutAroundStops(t *testing.T) {
+	runSeed(t, soak.Options{Seed: 50004, Span: 15 * time.Second, Hosts: 4, Engines: 6, Services: 4, Callers: 48, EngineProgram: os.Args[0], Stops: true, RefusalCopies: true})
+}
+
 // TestRefusalCopies runs short soaks whose upstreams send copies of their refusals. Before
 // the first fix, requests that such a copy seemed to refuse ran, some of them twice.
 func TestRefusalCopies(t *testing.T) {
