--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -175,7 +175,7 @@
 		d.tempo = newTempo(o.Seed)
 		if o.Stops {
 			d.tempo = newStopTempo(o.Seed)
-			d.terms.timeout = stopDeadline
+			d.terms.timeout, d.loadTime = stopDeadline, max(d.loadTime, minStopLoadTime)
 		}
 		return d.startProcesses(o)
 	}
--- a/soak/tempo.go
+++ b/soak/tempo.go
@@ -62,6 +62,9 @@
 	// the lower bound of the routes' timeouts there.
 	stopDeadline   = 15 * time.Second
 	minStopTimeout = 12 * time.Second
+	// minStopLoadTime is the lower bound of the time in which engines load weights: those
+	// that have them at once take no stream back.
+	minStopLoadTime = 400 * time.Millisecond
 	// stopEvents is the number of events of a stream in such runs. With pauses of
 	// minStopEventTime and up to stopSpread more, it lasts about 0.5 to 10 s.
 	stopEvents       = 20
