fix: losses in the soak excuse the end of the engine that worked last

The check took the engine that had begun last, which lived, for the one that mattered; it is the one that worked last.

--- a/soak/check_stops.go
+++ b/soak/check_stops.go
@@ -101,7 +101,7 @@
 	case len(work) == 0:
 		return true
 	}
-	last := work[len(work)-1]
+	last := slices.MaxFunc(work, func(a, b engineWork) int { return a.end(c.ended).Compare(b.end(c.ended)) })
 	return last.killed.IsZero() || last.killed.After(c.ended)
 }
 
--- a/soak/check_stops_test.go
+++ b/soak/check_stops_test.go
@@ -74,6 +74,7 @@
 		{name: "the engine broke off", ended: 2000, work: []engineWork{killed(worked("a", 10, 1990), 1990)}, status: 200, fault: noFault},
 		{name: "the engine broke off later", ended: 2000, work: []engineWork{killed(worked("a", 10, 2000), 2001)}, status: 200, fault: noFault, want: true},
 		{name: "an earlier engine broke off", ended: 4000, work: []engineWork{killed(worked("a", 10, 990), 990), worked("b", 1000, 4000)}, status: 200, fault: noFault, want: true},
+		{name: "the engine broke off to which the stream had returned", ended: 4000, work: []engineWork{killed(worked("a", 10, 990, 2000, 3990), 3990), ended(worked("b", 1500, 1990), 1990)}, status: 200, fault: noFault},
 		{name: "the deadline", sent: -9000, written: -9000, ended: 6000, work: []engineWork{worked("a", -8990, 6000)}, status: 200, fault: noFault},
 		{name: "before the deadline", sent: -8000, written: -8000, ended: 6000, work: []engineWork{worked("a", -7990, 6000)}, status: 200, fault: noFault, want: true},
 		{name: "at work in the end of the grace time", sent: -1000, written: -1000, ended: 7700, work: []engineWork{worked("a", -990, 6700)}, status: 200, fault: noFault},
--- a/soak/engine_process.go
+++ b/soak/engine_process.go
@@ -241,14 +241,19 @@
 	killed time.Time
 }
 
-// span returns the time from the beginning of the work to its end, or up to an instant.
-func (w engineWork) span(until time.Time) []standin.PlatformPeriod {
+// end returns the end of the work, at most an instant.
+func (w engineWork) end(until time.Time) time.Time {
 	for _, end := range []time.Time{w.run.Ended, w.killed} {
 		if !end.IsZero() && end.Before(until) {
 			until = end
 		}
 	}
-	return []standin.PlatformPeriod{{From: w.run.Began, Until: until}}
+	return until
+}
+
+// span returns the time from the beginning of the work to its end, or up to an instant.
+func (w engineWork) span(until time.Time) []standin.PlatformPeriod {
+	return []standin.PlatformPeriod{{From: w.run.Began, Until: w.end(until)}}
 }
 
 // String describes the work.
