fix: kept connections to an engine go when one of them breaks

Cause: connections to an engine end one by one as their ends arrive. When the stream of one was cut, the pool still held another that was dead already. The next attempt at that engine took it, was lost, too, and used up an attempt; a new connection would have been refused, which is none.

When a connection breaks before the end of its answer, the pool now closes the idle ones to that address, and those in use when they are put back, before the failure is told. What this side cancelled or closed itself counts as no break.

TestPool uses the type that Take returns now; its checks are the same.

--- a/connection/kept.go
+++ b/connection/kept.go
@@ -85,12 +85,12 @@
 		transport.CloseIdleConnections()
 		transport = k.pool.newTransport()
 	}
-	a, err := RoundTrip(transport, c.Request, k.maxBytes)
+	a, err := RoundTrip(transport.Transport, c.Request, k.maxBytes)
 	if err == nil && a.isSuccess() && !a.IsFirst && !c.Fits(a) {
 		event.ControlAnswerDoubted.Info("Upstream", cmp.Or(to.instance, to.address), "Address", to.address, "Path", c.URL.Path, "Bytes", len(a.Body))
 		transport.CloseIdleConnections()
 		transport = k.pool.newTransport()
-		a, err = RoundTrip(transport, c.Request, k.maxBytes)
+		a, err = RoundTrip(transport.Transport, c.Request, k.maxBytes)
 	}
 	if err != nil || !a.isSuccess() || !c.Keeps(a) {
 		transport.CloseIdleConnections()
--- a/connection/pool_test.go
+++ b/connection/pool_test.go
@@ -42,12 +42,12 @@
 			address := server.Listener.Addr().String()
 			pool := connection.NewPool((&net.Dialer{}).DialContext, 2, time.Hour)
 			for range 2 {
-				var taken []*http.Transport
+				var taken []*connection.Transport
 				for range tt.together {
 					transport := pool.Take(address)
 					req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, server.URL, nil)
 					is.NoErr(err)
-					a, err := connection.RoundTrip(transport, req, 1)
+					a, err := connection.RoundTrip(transport.Transport, req, 1)
 					is.NoErr(err)
 					is.Equal(a.Status, http.StatusOK)
 					taken = append(taken, transport)
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -154,7 +154,10 @@
 // started it. The caller must check which attempt, incarnation and weights answered.
 func (c *Client) Open(ctx context.Context, call Call) (*Stream, error) {
 	transport := c.completions.Take(call.Address)
-	resp, err := send(ctx, socket.NewHTTPClient(transport), call)
+	resp, err := send(ctx, socket.NewHTTPClient(transport.Transport), call)
+	if isBroken(ctx, err) {
+		c.completions.DropAll(call.Address)
+	}
 	if err == nil && resp.StatusCode >= http.StatusBadRequest {
 		_ = resp.Body.Close()
 		err = &Rejected{Status: resp.StatusCode}
@@ -167,14 +170,15 @@
 	if resp.Header.Get(attemptHeader) == call.Attempt {
 		keep = func() { c.completions.Put(call.Address, transport) }
 	}
+	body := &answerBody{ReadCloser: resp.Body, ctx: ctx, onBroken: func() { c.completions.DropAll(call.Address) }}
 	cached, _ := strconv.Atoi(resp.Header.Get("X-Cached-Tokens"))
 	return &Stream{
-		Decoder:      NewDecoder(resp.Body),
+		Decoder:      NewDecoder(body),
 		Attempt:      resp.Header.Get(attemptHeader),
 		Incarnation:  resp.Header.Get("X-Incarnation"),
 		Weights:      resp.Header.Get("X-Weights"),
 		CachedTokens: cached,
-		body:         resp.Body,
+		body:         body,
 		keep:         keep,
 		drop:         transport.CloseIdleConnections,
 	}, nil
@@ -218,7 +222,7 @@
 		return nil, &NotStarted{Reason: err.Error()}
 	}
 	if err != nil {
-		return nil, trace.ConnectionProblem(err, "no answer from %s", call.Address)
+		return nil, trace.ConnectionProblem(brokenError{err}, "no answer from %s", call.Address)
 	}
 	if !belongsTo(resp, call, reused) {
 		_ = resp.Body.Close()
