fix: kept connections to an upstream are in doubt when one of them breaks (http1)

The pool of the platform path had the fault of the own path: after an upstream had ended one connection, the next request took another kept one whose end was yet to arrive, was lost and used up an attempt (and counts as a loss for the quarantine), where a new connection would have been refused, which is none.

Cause: a kept connection is used unless its end has arrived (MSG_PEEK); nothing was learnt from the one that broke.

A break that the upstream's side caused puts the connections to that address in doubt whose last request was sent before it. A request that would take one opens a new one first. If that succeeds it goes there, if it is refused nothing is sent, and if neither, the kept one carries it: an address that accepts no new connections stays reachable over those it has (forward's connectedOnly), which closing them all would have ended.

Evidence: TestKeptConnectionsGoWithOneThatBreaks, without timing: the four rows with a break failed 20 of 20 before, the two without passed. TestKeptConnectionsAfterABreak holds both sides of the fallback; its refused row failed 3 of 3 before. Since: 0 of 30 runs of both (race detector). 18 tests of storenode on cuts, copies, crashes and stops passed once each.

--- a/http1/exchange.go
+++ b/http1/exchange.go
@@ -116,7 +116,7 @@
 	}
 	if err != nil {
 		e.Discard()
-		return nil, trace.Wrap(e.cause(err), "no answer from %s", address)
+		return nil, trace.Wrap(e.fail(err), "no answer from %s", address)
 	}
 	return e, nil
 }
@@ -235,11 +235,21 @@
 func (e *Exchange) Read(b []byte) (int, error) {
 	n, err := e.body.Read(b)
 	if err != nil && !errors.Is(err, io.EOF) {
-		err = e.cause(err)
+		err = e.fail(err)
 	}
 	return n, err
 }
 
+// fail returns the cause of an error that ends the exchange, and has the pool doubt the other
+// connections to an upstream that has ended this one.
+func (e *Exchange) fail(err error) error {
+	err = e.cause(err)
+	if ClosedByUpstream(err) {
+		e.pool.recordBreak(e.conn.address)
+	}
+	return err
+}
+
 // cause returns why this side cancelled the request, or else the connection's
 // error. After a cancellation the connection's error only says that it was
 // closed.
--- a/http1/http1.go
+++ b/http1/http1.go
@@ -14,6 +14,7 @@
 	"context"
 	"errors"
 	"hash/maphash"
+	"maps"
 	"net"
 	"os"
 	"slices"
@@ -49,6 +50,9 @@
 	// undeliveredTime is how long the other side must not have acknowledged a request for
 	// it to count as not delivered. Lost packets are sent again sooner.
 	undeliveredTime = 500 * time.Millisecond
+	// breakMemory is how long the break of a connection to an address is remembered. Requests
+	// that were sent before it have ended by then.
+	breakMemory = time.Hour
 	// sweepInterval is the time between two checks for expired connections.
 	sweepInterval = time.Second
 	// maxUnserved bounds the requests that a connection remembers to have answered without
@@ -83,6 +87,8 @@
 	dialled int64
 	// unanswered holds the connections whose request has no answer yet.
 	unanswered map[*conn]struct{}
+	// breaks holds when the other side of an address last ended a connection.
+	breaks map[string]clock.Instant
 }
 
 // NewDialer returns the dialer of connections to upstreams and other hosts.
@@ -93,7 +99,7 @@
 // NewPool returns a pool of connections that a dialer opens; Sweep closes them when
 // they expire.
 func NewPool(decode decoder, dial dialer) *Pool {
-	return &Pool{decoder: decode, dialer: dial, seed: maphash.MakeSeed(), idle: map[string][]*conn{}, unanswered: map[*conn]struct{}{}}
+	return &Pool{decoder: decode, dialer: dial, seed: maphash.MakeSeed(), idle: map[string][]*conn{}, unanswered: map[*conn]struct{}{}, breaks: map[string]clock.Instant{}}
 }
 
 // Dialled returns the number of connections dialed so far.
@@ -115,6 +121,7 @@
 func (p *Pool) Sweep(ctx context.Context) {
 	clock.Every(ctx, sweepInterval, func(context.Context) {
 		p.closeIdle(func(c *conn) bool { return c.expired(clock.Now()) })
+		p.forgetBreaks(clock.Now())
 	})
 	p.closeIdle(func(*conn) bool { return true })
 }
@@ -140,6 +147,30 @@
 	}
 }
 
+// recordBreak records that an upstream has ended a connection: the others may be dead, too, and
+// their ends yet to arrive.
+func (p *Pool) recordBreak(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.breaks[address] = clock.Now()
+}
+
+// forgetBreaks drops the breaks that matter to no open connection.
+func (p *Pool) forgetBreaks(now clock.Instant) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	maps.DeleteFunc(p.breaks, func(_ string, at clock.Instant) bool { return now.Sub(at) > breakMemory })
+}
+
+// isDoubted reports whether another connection to the address has broken since the last
+// request on this one was sent.
+func (p *Pool) isDoubted(c *conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	broke, ok := p.breaks[c.address]
+	return ok && !broke.Before(c.sentAt)
+}
+
 // conn is one connection to an upstream.
 type conn struct {
 	net.Conn
@@ -256,19 +287,39 @@
 }
 
 // acquire returns a connection to an address for a request: an idle one that is reusable
-// and has not answered it yet, or else a new one.
+// and has not answered it yet, or else a new one. An idle one in doubt is used only if the
+// address neither accepts nor refuses a new one.
 func (p *Pool) acquire(ctx context.Context, address string, id uint64) (*conn, error) {
+	kept := p.takeReusable(address, id)
+	if kept != nil && !p.isDoubted(kept) {
+		return kept, nil
+	}
+	c, err := p.dial(ctx, address)
+	if kept == nil {
+		return c, err
+	}
+	if err == nil || errors.Is(err, ErrRefused) || ctx.Err() != nil {
+		_ = kept.Close()
+		return c, err
+	}
+	return kept, nil
+}
+
+// takeReusable removes and returns an idle connection that is reusable and has not answered a
+// request yet, or nil.
+func (p *Pool) takeReusable(address string, id uint64) *conn {
 	now := clock.Now()
 	for {
 		c := p.takeIdle(address, id)
-		if c == nil {
-			break
-		}
-		if !c.expired(now) && c.isReusable() {
-			return c, nil
+		if c == nil || !c.expired(now) && c.isReusable() {
+			return c
 		}
 		_ = c.Close()
 	}
+}
+
+// dial opens a connection.
+func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
 	raw, err := p.dialer.DialContext(ctx, "tcp", address)
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
