feat: the log tells the state of each request that ends with a stopped host

A stream that a host cut at the end of a planned stop had no line of its own, and event 1003 had one number; who looked at the record of an incident could not tell whether the request was still arriving, waited for an upstream, ran, moved or was being written, nor when it had come.

At its end a host logs each request that is open (event 1011, at most 200 lines) and counts them by state in event 1003 and metric requests_cut. Event 1002 tells how late the signal may have been handled: the time that the process stood still before it or was starting.

--- a/call/call.go
+++ b/call/call.go
@@ -63,6 +63,8 @@
 	// Attempts how many earlier attempts of it may have run.
 	Relayed  bool
 	Attempts int
+	// Progress is told where the request is; it may be nil.
+	Progress *Progress
 }
 
 // Began returns the ID of the caller's request that began the answer: an earlier one
--- a/cmd/run.go
+++ b/cmd/run.go
@@ -4,10 +4,12 @@
 	"context"
 	"os"
 	"os/signal"
+	"sync/atomic"
 	"syscall"
 
 	"github.com/sourcegraph/conc"
 
+	"github.com/kumquathoist/kumquathoist/clock"
 	"github.com/kumquathoist/kumquathoist/event"
 	"github.com/kumquathoist/kumquathoist/node"
 	"github.com/kumquathoist/kumquathoist/settings"
@@ -56,11 +58,17 @@
 
 // runStoreNode runs the daemon on a platform with a store.
 func (c *runCommand) runStoreNode(ctx context.Context, s settings.Settings) error {
+	var requested atomic.Int64
+	recorded := context.AfterFunc(ctx, func() { requested.CompareAndSwap(0, int64(clock.Now())) })
+	defer recorded()
 	n, err := storenode.New(context.WithoutCancel(ctx), s)
 	if err != nil {
 		return err
 	}
-	stopped := context.AfterFunc(ctx, n.Stop)
+	stopped := context.AfterFunc(ctx, func() {
+		requested.CompareAndSwap(0, int64(clock.Now()))
+		n.StopSince(clock.Instant(requested.Load()))
+	})
 	defer stopped()
 	n.Wait()
 	return nil
--- a/event/process.go
+++ b/event/process.go
@@ -5,9 +5,9 @@
 	// Listening reports the addresses that the daemon accepts connections on.
 	Listening = Event{1001, "listening", "The daemon accepts connections on the given addresses."}
 	// Stopping reports the start of a planned stop.
-	Stopping = Event{1002, "stopping", "A planned stop began: the host is no longer in address answers and finishes its streams."}
+	Stopping = Event{1002, "stopping", "A planned stop began: the host is no longer in address answers and finishes its streams. LateMillis is how long ago the signal may have been sent, as far as the process knows: it may have stood still or have been starting."}
 	// Stopped reports the end of a planned stop.
-	Stopped = Event{1003, "stopped", "The daemon stopped. HandedOver counts requests whose callers were told to continue at another host; Cut counts those whose callers did not accept that answer in time."}
+	Stopped = Event{1003, "stopped", "The daemon stopped. HandedOver counts requests whose callers were told to continue at another host; Cut counts those whose callers did not accept that answer in time. On a platform with a store, Cut counts the requests that end with the process, and the fields after it count them by state (event 1011)."}
 	// Ready reports that the host is ready for callers.
 	Ready = Event{1004, "ready", "The host has a configuration and serves requests."}
 	// ProcessPaused reports that the process did not run for a while.
@@ -22,6 +22,8 @@
 	ListenerFailed = Event{1009, "door failed", "Connections on one of the daemon's addresses are no longer accepted."}
 	// Starting reports a start; from here on the process handles signals.
 	Starting = Event{1010, "starting", "The settings were read, and signals are handled from here on. Until then SIGHUP may end the process."}
+	// RequestCut reports a request that ends with the process.
+	RequestCut = Event{1011, "request cut", "A request had no whole answer when its host stopped. Millis is how long it has been open, ArrivedMillis when its first byte was read after the stop was requested (negative: before). State: Arriving (a part of it was read), Waiting (at no upstream, no answer yet), Running (at Upstream, no answer yet), Moving (on its way from Upstream to another engine), Streaming (Upstream sends its answer), Interrupted (its answer has begun, and it is at no upstream), Writing (its caller has yet to take the rest of the answer). At most 200 lines are written; event 1003 counts all."}
 )
 
-var processEvents = []Event{Listening, Stopping, Stopped, Ready, ProcessPaused, Reloaded, ReloadFailed, LinesDropped, ListenerFailed, Starting}
+var processEvents = []Event{Listening, Stopping, Stopped, Ready, ProcessPaused, Reloaded, ReloadFailed, LinesDropped, ListenerFailed, Starting, RequestCut}
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -212,6 +212,7 @@
 	t.send.ResumeAfter, t.send.Timeout = resumeAfter, h.timeLeft()
 	a := &attempt{target: t, started: clock.Now(), incarnation: h.incarnationOf(t.id)}
 	ctx, a.cancel = context.WithCancel(ctx)
+	h.enter(a)
 	defer h.limitAttempt(a)()
 	defer h.withdrawQueued(a)()
 	h.Tracker.Update(t.id, func(s health.State) health.State { return s.WithSend(t.rank, t.prefill, clock.Now()) })
@@ -335,9 +336,16 @@
 	return pace.Correct(a.wait)
 }
 
+// enter records where an attempt takes the request.
+func (h *handler) enter(a *attempt) {
+	a.place = &call.Place{Upstream: a.id, Moving: a.moving.Load}
+	h.call.Progress.Enter(a.place)
+}
+
 // endAttempt releases the resources of an attempt.
 func (h *handler) endAttempt(a *attempt) {
 	a.cancel()
+	h.call.Progress.Leave(a.place)
 	if a.release != nil {
 		a.release()
 	}
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -51,6 +51,7 @@
 	t.send.ResumeAfter, t.send.Timeout = resumeAfter, h.timeLeft()
 	a := &attempt{target: t, started: clock.Now()}
 	ctx, a.cancel = context.WithCancel(ctx)
+	h.enter(a)
 	h.Metrics.Counter("relayed").Inc(1)
 	event.CallRelayed.Info("Request", h.call.ID, "Service", h.service.Name, "Host", t.id, "Attempts", t.send.Attempts, "LeftMillis", t.send.Timeout.Milliseconds())
 	var err error
--- a/storenode/silent_engines_test.go
+++ b/storenode/silent_engines_test.go
@@ -19,6 +19,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/kumquathoist/kumquathoist/cmd"
 	"github.com/kumquathoist/kumquathoist/standin"
 )
 
@@ -37,6 +38,9 @@
 		}
 		return
 	}
+	if len(os.Args) == 3 && os.Args[1] == hostArgument {
+		os.Exit(cmd.Execute([]string{"run", "--settings", os.Args[2]}, os.Stdout, os.Stderr))
+	}
 	os.Exit(m.Run())
 }
 
--- a/storenode/stop.go
+++ b/storenode/stop.go
@@ -4,8 +4,11 @@
 	"context"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"github.com/kumquathoist/kumquathoist/clock"
 	"github.com/kumquathoist/kumquathoist/event"
+	"github.com/kumquathoist/kumquathoist/plannedstop"
 )
 
 const (
@@ -27,7 +30,7 @@
 // shutDown carries out a planned stop: the host immediately becomes not
 // ready and is no longer resolved, serves new requests as long as callers may have
 // cached its address, and ends when no request is open or the grace time is over.
-func (n *Node) shutDown(ctx context.Context) {
+func (n *Node) shutDown(ctx context.Context, scope tally.Scope) {
 	defer n.cancel()
 	select {
 	case <-ctx.Done():
@@ -35,7 +38,7 @@
 	case <-n.stop:
 	}
 	stopTime := clock.Now()
-	event.Stopping.Info("Host", n.settings.Host.Name, "Open", n.server.OpenRequests())
+	event.Stopping.Info("Host", n.settings.Host.Name, "Open", n.server.OpenRequests(), "LateMillis", stopTime.Sub(n.stopRequested).Milliseconds())
 	grace := n.settings.Bounds.Grace() - graceMargin
 	n.server.Stop(stopTime.Add(grace))
 	n.directory.Leave()
@@ -48,9 +51,20 @@
 		clock.Pause(ctx, openPollInterval)
 	}
 	n.ending.Store(true)
-	open := n.server.OpenRequests()
 	closeCtx, cancel := context.WithTimeout(ctx, max(graceMargin/2, grace-clock.Now().Sub(stopTime)))
 	defer cancel()
 	n.server.Close(closeCtx)
-	event.Stopped.Info("Host", n.settings.Host.Name, "Cut", open, "Millis", clock.Now().Sub(stopTime).Milliseconds())
+	n.recordStopped(scope)
+}
+
+// recordStopped logs and counts the end of a planned stop, and the requests that it cuts.
+func (n *Node) recordStopped(scope tally.Scope) {
+	counts, cut, byState := n.server.RecordCut(n.stopRequested), 0, []any{}
+	for _, s := range plannedstop.States() {
+		cut += counts[s]
+		byState = append(byState, s.String(), counts[s])
+		scope.Tagged(map[string]string{"state": s.String()}).Counter("requests_cut").Inc(int64(counts[s]))
+	}
+	now := clock.Now()
+	event.Stopped.Info(append([]any{"Host", n.settings.Host.Name, "Cut", cut, "Millis", now.Sub(n.stopRequested).Milliseconds()}, byState...)...)
 }
--- a/storenode/storenode.go
+++ b/storenode/storenode.go
@@ -98,6 +98,10 @@
 	cancel   context.CancelFunc
 	stopOnce sync.Once
 	stop     chan struct{}
+	// stopRequested is when the stop was requested at the earliest. It is set before stop
+	// is closed.
+	stopRequested clock.Instant
+	standstill    standstill
 	// ending is set when a planned stop is about to end the process.
 	ending atomic.Bool
 }
@@ -202,7 +206,7 @@
 		return err
 	}
 	n.directory.Announce(n.settings.Listen.Callers, n.settings.Listen.PeersAddress())
-	for _, run := range []func(context.Context){n.announce, n.expireHealth, n.recordBounds, n.recordGroups, n.shutDown} {
+	for _, run := range []func(context.Context){n.standstill.watch, n.announce, n.expireHealth, n.recordBounds, n.recordGroups, func(ctx context.Context) { n.shutDown(ctx, scope) }} {
 		n.wait.Go(func() { run(ctx) })
 	}
 	n.wait.Go(func() { n.updateGauges(ctx, scope, connections) })
@@ -478,4 +482,12 @@
 func (n *Node) Wait() { n.wait.Wait() }
 
 // Stop begins a planned stop and returns immediately; use Wait to wait for its end.
-func (n *Node) Stop() { n.stopOnce.Do(func() { close(n.stop) }) }
+func (n *Node) Stop() { n.StopSince(clock.Now()) }
+
+// StopSince begins a planned stop that was requested at an instant.
+func (n *Node) StopSince(requested clock.Instant) {
+	n.stopOnce.Do(func() {
+		n.stopRequested = min(requested, n.standstill.earliest(requested))
+		close(n.stop)
+	})
+}
