--- a/event/process.go
+++ b/event/process.go
@@ -5,9 +5,9 @@
 	// Listening reports the addresses that the daemon accepts connections on.
 	Listening = Event{1001, "listening", "The daemon accepts connections on the given addresses."}
 	// Stopping reports the start of a planned stop.
-	Stopping = Event{1002, "stopping", "A planned stop began: the host is no longer in address answers and finishes its streams."}
+	Stopping = Event{1002, "stopping", "A planned stop began: the host is no longer in address answers and finishes its streams. LateMillis is how long ago the signal may have been sent, as far as the process knows: it may have stood still or have been starting."}
 	// Stopped reports the end of a planned stop.
-	Stopped = Event{1003, "stopped", "The daemon stopped. HandedOver counts requests whose callers were told to continue at another host; Cut counts those whose callers did not accept that answer in time."}
+	Stopped = Event{1003, "stopped", "The daemon stopped. HandedOver counts requests whose callers were told to continue at another host; Cut counts those whose callers did not accept that answer in time. On a platform with a store, Cut counts the requests that end with the process, and the fields after it count them by state (event 1011)."}
 	// Ready reports that the host is ready for callers.
 	Ready = Event{1004, "ready", "The host has a configuration and serves requests."}
 	// ProcessPaused reports that the process did not run for a while.
