fix: a stopping host answers what it has read, and takes only what it can finish

What callers saw, around a SIGTERM: (1) a request whose body or head was still arriving at the end of the grace time ended without an answer; (2) one that waited for its upstream without an answer was cut with the process; (3) the end of an answer was lost by a reset if the caller had sent more than its request (a close with unread bytes resets the connection); (4) requests whose head or body arrived, and plain answers that a slow caller was reading, counted as no open request, so that the process could end beside them; (5) a host that stood still when it was told to stop counted its 3 s and its grace time from when it went on, and was killed before; (6) resumable streams were taken during the stop though they would outlast the host, and cut 4.5 s later.

Cause: what a stop ends, and when, followed from flags, timers and the library's shutdown, not from the state of the request.

Fix: plannedstop.Plan holds the instants, counted from the earliest at which the signal may have been sent, and plannedstop.Decide the action for each state and moment; the server carries it out every 20 ms. At the end requests without an answer get a whole one: 503 Stopping if they have not run, else 502 or 504; those at no upstream get it before the last sixth. New resumable streams are taken if the longest of the last 64 answered ones of the route and a quarter more fit in before the cut; before, all were. Idle connections end by a read deadline in the past, under the lock that also guards the next deadline: a pending read returns bytes, whose request is answered with 503, or fails without having read any. A connection with unread bytes is closed only once its caller has ended it, 1 s at most.

Ruled out, for kept connections: that the library's shutdown drops a request that was read whole. On a connection that was opened 5 s before its first request the library drops one whose head was read, in part or whole.

--- a/call/call.go
+++ b/call/call.go
@@ -3,13 +3,19 @@
 package call
 
 import (
+	"errors"
 	"io"
 	"strconv"
 	"time"
 
 	"github.com/kumquathoist/kumquathoist/clock"
+	"github.com/kumquathoist/kumquathoist/plannedstop"
 )
 
+// ErrStopping is the cause that ends the context of a request whose host stops: it is
+// answered at once.
+var ErrStopping = errors.New("the host stops")
+
 // Field is a header field that is forwarded unchanged.
 type Field struct{ Name, Value string }
 
@@ -56,9 +62,8 @@
 	BeganBy string
 	Prompt  Prompt
 	Fields  []Field
-	// StopsAt is when this host, which is stopping, cuts the requests that are still
-	// open; 0 if it isn't.
-	StopsAt clock.Instant
+	// Stop is the plan of this host's stop; zero if it isn't stopping.
+	Stop plannedstop.Plan
 	// Relayed reports whether another host passed the request on to this one, and
 	// Attempts how many earlier attempts of it may have run.
 	Relayed  bool
--- a/disconnect/disconnect.go
+++ b/disconnect/disconnect.go
@@ -42,6 +42,27 @@
 	}
 }
 
+// Linger ends the sending side of a connection that holds unread data, and waits until the
+// peer has closed it, or for a time: a close would reset it at once, and the peer could
+// lose the end of what was sent. It reads nothing.
+func Linger(conn *net.TCPConn, atMost time.Duration) {
+	if !hasUnread(conn) || conn.CloseWrite() != nil || conn.SetReadDeadline(time.Now().Add(atMost)) != nil {
+		return
+	}
+	closedByPeer(conn)
+}
+
+// hasUnread reports whether data lies in a socket.
+func hasUnread(conn syscall.Conn) bool {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return false
+	}
+	unread := 0
+	err = raw.Control(func(fd uintptr) { unread, _ = unix.IoctlGetInt(int(fd), unix.TIOCINQ) })
+	return err == nil && unread > 0
+}
+
 // closedByPeer waits until the peer has closed a connection, or until its read deadline
 // passes, and reports which. It reads nothing, so that the data of a pipelined request
 // stays in the socket. A peer that has only closed its sending side counts as gone: the
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -24,6 +24,7 @@
 	"github.com/kumquathoist/kumquathoist/http1"
 	"github.com/kumquathoist/kumquathoist/loadreport"
 	"github.com/kumquathoist/kumquathoist/placement"
+	"github.com/kumquathoist/kumquathoist/plannedstop"
 	"github.com/kumquathoist/kumquathoist/quarantine"
 	"github.com/kumquathoist/kumquathoist/relay"
 	"github.com/kumquathoist/kumquathoist/replica"
@@ -202,6 +203,8 @@
 	meanInput map[string]allocation.MeanInput
 	// paces are the learnt corrections of expected waits by service.
 	paces map[string]allocation.Pace
+	// durations tells how long the streams of each route last.
+	durations map[string]plannedstop.Durations
 	// relayFailures are the hosts that did not serve relayed requests lately.
 	relayFailures relay.Table
 }
@@ -210,7 +213,7 @@
 func New(o Options) *Router {
 	return &Router{
 		Options: o, seed: maphash.MakeSeed(), budgets: map[string]*retrybudget.Budget{}, cachedParts: cachemap.New(),
-		streams: map[string]map[*stream]struct{}{}, arriving: map[string]int{}, paces: map[string]allocation.Pace{}, meanInput: map[string]allocation.MeanInput{}, returns: map[string]availability.ReturnQueue{},
+		streams: map[string]map[*stream]struct{}{}, arriving: map[string]int{}, paces: map[string]allocation.Pace{}, meanInput: map[string]allocation.MeanInput{}, returns: map[string]availability.ReturnQueue{}, durations: map[string]plannedstop.Durations{},
 	}
 }
 
@@ -337,10 +340,12 @@
 // releaseBody ends what holdBody began.
 func (h *handler) releaseBody() { h.requestBytes.Add(-int64(len(h.call.Body))) }
 
-// outlastsHost reports whether this host stops before the request's deadline, and
-// nobody could go on with the request then.
+// outlastsHost reports whether this host stops and can't be expected to finish the request.
 func (h *handler) outlastsHost() bool {
-	return h.call.StopsAt != 0 && h.call.StopsAt.Before(h.deadline) && !h.route.Resumable
+	h.mu.Lock()
+	expected := h.durations[h.route.Name].Expected()
+	h.mu.Unlock()
+	return !h.call.Stop.Takes(plannedstop.Request{Deadline: h.deadline, Resumable: h.route.Resumable, Expected: expected}, clock.Now())
 }
 
 // refusal returns the answer to a request that is refused before it is sent.
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -101,12 +101,17 @@
 	switch {
 	case refused.Code == request.Quarantined:
 		answer = call.Refuse(call.Quarantined).WithRetryAfter(retryAfterQuarantine)
+	case hostStops(ctx):
+		answer = call.Refuse(call.Stopping).WithRetryAfter(retryAfterStopping)
 	case errors.Is(ctx.Err(), context.Canceled):
 		answer = call.Refuse(call.CallerLeft)
 	}
 	return nil, &answer
 }
 
+// hostStops reports whether a request was ended because its host stops.
+func hostStops(ctx context.Context) bool { return errors.Is(context.Cause(ctx), call.ErrStopping) }
+
 // contentOf returns the content of a call of an account. The fingerprint of the
 // call covers the account instead of a model.
 func contentOf(c call.Call, account string) quarantine.Content {
@@ -188,11 +193,14 @@
 	if h.upstreamError != nil {
 		return *h.upstreamError
 	}
-	if h.refusal.Reason != "" && h.retryState.MaybeExecuted == 0 {
+	if h.refusal.Reason != "" && !hostStops(ctx) && h.retryState.MaybeExecuted == 0 {
 		return h.refusal
 	}
 	reason := h.retryState.FailureReason()
-	if errors.Is(ctx.Err(), context.Canceled) {
+	switch {
+	case hostStops(ctx) && h.retryState.MaybeExecuted == 0:
+		return refusal(call.Stopping)
+	case errors.Is(ctx.Err(), context.Canceled) && !hostStops(ctx):
 		reason = call.CallerLeft
 	}
 	a := call.Refuse(reason)
@@ -417,4 +425,9 @@
 	event.CallEnded.Info("Request", h.call.ID, "Route", h.route.Name, "Account", h.account.Name, "Outcome", outcome, "Status", a.Status,
 		"Millis", clock.Now().Sub(h.call.Arrived).Milliseconds(), "LeftMillis", h.timeLeft().Milliseconds(), "Ran", h.retryState.MaybeExecuted, "TurnedAway", h.retryState.Rejected, "RetryAfter", a.RetryAfter)
 	h.recordMetrics(h, a)
+	if h.route.Resumable && a.Reason == "" {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.durations[h.route.Name] = h.durations[h.route.Name].With(clock.Now().Sub(h.call.Arrived))
+	}
 }
--- a/storenode/stop.go
+++ b/storenode/stop.go
@@ -12,17 +12,13 @@
 )
 
 const (
-	// addressTTLFactor is the factor by which some callers exceed the TTL when
-	// they cache addresses.
-	addressTTLFactor = 3
 	// leaveSpread is the time until the other hosts have learned that a host
 	// leaves.
 	leaveSpread = time.Second
-	// graceMargin is how long before the end of the grace time a stop closes
-	// open requests.
-	graceMargin = 500 * time.Millisecond
 	// orderTime is how long before the end a stopping host sends no more orders.
 	orderTime = time.Second
+	// writeTime is how long the host waits for the last answers to be written.
+	writeTime = 250 * time.Millisecond
 	// openPollInterval is the interval between checks for open requests.
 	openPollInterval = 20 * time.Millisecond
 )
@@ -37,26 +33,34 @@
 		return
 	case <-n.stop:
 	}
-	stopTime := clock.Now()
-	event.Stopping.Info("Host", n.settings.Host.Name, "Open", n.server.OpenRequests(), "LateMillis", stopTime.Sub(n.stopRequested).Milliseconds())
-	grace := n.settings.Bounds.Grace() - graceMargin
-	n.server.Stop(stopTime.Add(grace))
+	plan := plannedstop.NewPlan(n.stopRequested, n.settings.Bounds.Grace())
+	event.Stopping.Info("Host", n.settings.Host.Name, "Open", n.server.OpenRequests(), "LateMillis", clock.Now().Sub(n.stopRequested).Milliseconds())
+	n.server.Stop(plan)
 	n.directory.Leave()
-	lastOrder := time.AfterFunc(max(0, grace-orderTime), func() { n.ending.Store(true) })
+	lastOrder := time.AfterFunc(max(0, plan.Cuts.Add(-orderTime).Sub(clock.Now())), func() { n.ending.Store(true) })
 	defer lastOrder.Stop()
-	clock.Pause(ctx, min(grace, addressTTLFactor*addressTTL))
-	n.server.Refuse()
-	clock.Pause(ctx, min(grace-addressTTLFactor*addressTTL, leaveSpread))
-	for n.server.OpenRequests() > 0 && clock.Now().Sub(stopTime) < grace && ctx.Err() == nil {
-		clock.Pause(ctx, openPollInterval)
-	}
+	idle := func() bool { return !clock.Now().Before(plan.Refuses.Add(leaveSpread)) && n.server.OpenRequests() == 0 }
+	n.settleUntil(ctx, plan.Cuts, idle)
 	n.ending.Store(true)
-	closeCtx, cancel := context.WithTimeout(ctx, max(graceMargin/2, grace-clock.Now().Sub(stopTime)))
-	defer cancel()
-	n.server.Close(closeCtx)
+	n.server.EndIdle()
+	closed := func() bool { return n.server.OpenConnections() == 0 }
+	n.settleUntil(ctx, max(plan.Cuts, clock.Now()).Add(writeTime), closed)
 	n.recordStopped(scope)
 }
 
+// settleUntil waits for a condition until an instant, and treats open requests as the
+// plan says meanwhile.
+func (n *Node) settleUntil(ctx context.Context, until clock.Instant, holds func() bool) {
+	for !holds() && ctx.Err() == nil {
+		now := clock.Now()
+		if !now.Before(until) {
+			return
+		}
+		n.server.Settle(now)
+		clock.Pause(ctx, openPollInterval)
+	}
+}
+
 // recordStopped logs and counts the end of a planned stop, and the requests that it cuts.
 func (n *Node) recordStopped(scope tally.Scope) {
 	counts, cut, byState := n.server.RecordCut(n.stopRequested), 0, []any{}
--- a/storenode/stop_process_test.go
+++ b/storenode/stop_process_test.go
@@ -79,13 +79,12 @@
 	return ""
 }
 
-// writeInChunks sends a request whose body comes in chunks, with a pause after each.
-func (c *client) writeInChunks(host, path, id, deadline string, pause time.Duration, chunks ...string) {
+// writeInChunks sends a request whose body comes in chunks, each written by itself.
+func (c *client) writeInChunks(host, path, id, deadline string, chunks ...string) {
 	c.writePart(fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: %s\r\nX-Api-Key: %s\r\n"+
 		"X-Model: m1\r\nX-Token-Usage: 1000,20\r\nX-Prompt-Prefix: aa:300\r\nTransfer-Encoding: chunked\r\n\r\n", path, host, id, deadline, goodKey))
 	for _, chunk := range chunks {
 		c.writePart(fmt.Sprintf("%x\r\n%s\r\n", len(chunk), chunk))
-		time.Sleep(pause)
 	}
 	c.writePart("0\r\n\r\n")
 }
@@ -101,7 +100,7 @@
 	h := d.daemon(0)
 	d.engines[0].Pace(2000 * time.Millisecond)
 	stream := d.client(h.testHost)
-	stream.writeInChunks(modelHost, "/full/a", "long", "15000", 0, "one", "two")
+	stream.writeInChunks(modelHost, "/full/a", "long", "15000", "one", "two")
 	d.await("the stream runs", func() bool { return d.executions("long") == 1 })
 	d.signal(h, syscall.SIGTERM)
 	<-h.ended
