feat: the end of a broken stream tells its phase and why it ended

A stream that was broken off left one line (2106) with the failure of its last upstream. Whether the host itself had stopped it to move, whether it had been refused, whether the retry budget or the route's attempts were used up or no upstream was usable, could only be guessed from the lines around it, and not how long it had waited or how much time it had left.

No decision changes: the conditions of retryAllowed are evaluated in the same order.

--- a/event/request.go
+++ b/event/request.go
@@ -39,7 +39,7 @@
 	// StreamTakenUp reports a caller that resumes a stream.
 	StreamTakenUp = Event{2112, "stream taken up", "A caller resumes a stream after the given event. Stream is the request that brought its first event, Software the version of the upstreams at which it may continue; Source tells how that is known. A stream whose version is not known is refused, unless the service had one version only. Source Uncertain means that this host may not have heard of others: neither the store nor most other hosts answer it."}
 	// StreamFailed reports a stream that failed before its end.
-	StreamFailed = Event{2106, "stream broken", "A stream failed and could not be resumed; its caller receives a truncated answer."}
+	StreamFailed = Event{2106, "stream broken", "A stream failed and could not be resumed; its caller receives a truncated answer. Phase is what it was doing last: AtUpstream (its upstream failed and nothing was tried since), AwaitingMemory (it was stopped to move), Moved (sent to an engine that has its KV cache) or BetweenAttempts. Denied tells why no further attempt was made: CallerLeft, Deadline, Attempts (all that the route allows have run), Rejections (too many upstreams turned it away or weren't reached), Quarantined, Budget (the retry budget), Origin (the version that began it isn't known) or NoUpstream (none was usable). WaitedMillis is the time since an upstream last served it."}
 	// StreamEnded reports the end of a stream.
 	StreamEnded = Event{2107, "stream ended", "A stream was closed after the given number of events."}
 	// CallRelayed reports a request that was passed on to another host.
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -64,6 +64,8 @@
 	upstreamError *call.Answer
 	// refusal is the answer if the request is not sent.
 	refusal call.Answer
+	// denied is why the last decision on a further attempt was against it, or "".
+	denied denial
 	// content identifies the request and its parts to the guard.
 	content quarantine.Content
 	// software is the version of the upstreams at which the stream must continue;
@@ -151,15 +153,13 @@
 // retryAllowed reports whether another attempt may be made after a failed one that was
 // recorded, and counts it against the retry budget.
 func (h *handler) retryAllowed(ctx context.Context, outcome retry.Outcome) bool {
-	if ctx.Err() != nil || h.timeLeft() < minTimeLeft || !h.retryState.ShouldRetry() {
-		return false
-	}
-	if h.isQuarantined() {
+	if h.denied = h.retryDenial(ctx); h.denied != "" {
 		return false
 	}
 	if h.reserved.Swap(false) || outcome == retry.NotSent && h.delivered == 0 || h.tryRetry(h.service.Name, h.stage) {
 		return true
 	}
+	h.denied = deniedBudget
 	h.Metrics.Counter("repeats_refused").Inc(1)
 	return false
 }
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -44,6 +44,10 @@
 	// waitsForever disables the resume timeout for the next event; searching means that
 	// the upstream is idle and no other that answers could take over so far.
 	waitsForever, searching bool
+	// detached is when the stream last ceased to be served by an upstream, and phase what
+	// it has been waiting for since.
+	detached clock.Instant
+	phase    phase
 }
 
 // beginStream waits for the first event, since the request can be retried
@@ -149,6 +153,7 @@
 	broken := s.attempt
 	s.setAttempt(nil)
 	s.stage = retrybudget.Streaming
+	s.detached, s.phase, s.denied = clock.Now(), atUpstream, ""
 	t, found := s.awaitMigration()
 	if !found && errors.Is(cause, os.ErrDeadlineExceeded) && s.timeLeft() > 0 {
 		return s.takeOver(broken, cause)
@@ -167,13 +172,16 @@
 func (s *stream) continueAt(broken *attempt, t target, found, pending bool, cause error) error {
 	for {
 		if !found && pending && !s.isQuarantined() {
+			s.phase = awaitingMemory
 			t, found = s.awaitLateMigration()
 			pending = false
 		}
 		if !found {
 			return s.logFailure(cause)
 		}
+		s.phase = betweenAttempts
 		if t.send.MemoryHandle != "" {
+			s.phase = moved
 			s.takeRegardless(t.id)
 		}
 		answer, outcome := s.sendTo(s.ctx, t, s.lastID)
@@ -189,7 +197,7 @@
 		case found && returns:
 			t = back
 		case found:
-			t, found = s.schedule(s.ctx)
+			t, found = s.scheduleNext()
 		}
 	}
 }
@@ -216,10 +224,24 @@
 // scheduleAfter chooses the target that goes on after an attempt that failed.
 func (s *stream) scheduleAfter(broken *attempt, o retry.Outcome) (target, bool) {
 	s.count(broken, o)
-	if !s.retryAllowed(s.ctx, o) || !s.knowsOrigin(broken) {
+	if !s.retryAllowed(s.ctx, o) {
 		return target{}, false
 	}
-	return s.schedule(s.ctx)
+	if !s.knowsOrigin(broken) {
+		s.denied = deniedOrigin
+		return target{}, false
+	}
+	return s.scheduleNext()
+}
+
+// scheduleNext chooses the target of a further attempt.
+func (s *stream) scheduleNext() (target, bool) {
+	s.phase = betweenAttempts
+	t, found := s.schedule(s.ctx)
+	if !found {
+		s.denied = deniedNoUpstream
+	}
+	return t, found
 }
 
 // count records the outcome of an attempt, once.
@@ -243,12 +265,6 @@
 	return nil
 }
 
-// logFailure logs that the stream can't continue, and returns the cause.
-func (s *stream) logFailure(cause error) error {
-	event.StreamFailed.Info("Request", s.call.ID, "After", s.lastID, "Events", s.events, "Reason", event.Line(cause))
-	return cause
-}
-
 // Close ends the stream, and returns the connection to the pool if the answer
 // was read to its end.
 func (s *stream) Close() error {
