fix: a stream that its host stopped to move waits for an engine that takes it

What callers saw: a stream ended early, some 10 s before its deadline. Streams that may not be resumed were cut after 4 ms.

Cause: the few attempts in a row and the short wait that suit a request that has not begun, whose caller comes back, were also used for a stream that has begun. Class: the host takes something away before it is sure of the next place, and has no way to give it back.

Now one step function (package reattach: state and event in, next action out) brings any stream that no upstream serves back to one: to the copy, to the source, or to any upstream that reads it in again. If none takes it, it waits, until its deadline, and it is cut earlier only if no place may ever take it. It asks again only where requests are accepted (pauses, Retry-After, loads, backoffs), one stream at a time after a refusal, at most 8 times per engine with its memory and 16 times elsewhere, each time within the retry budget; a host lets 256 streams wait. max_attempts, the weights' time (hasOldWeights) and the draining of engines hold for each attempt. The same loop serves streams that were broken off, whose engines accept no connections, and whose first run was ended for a second one that failed (takeover.go). Requests that have delivered nothing are refused at once as before.

An engine with the memory of a waiting stream that is claimed for a load is asked once more at once, as the load may discard the memory.

TestStreamWaitsForUpstream before 12 of 12 rows failed, after 0 of 28.

Why no place is reserved before the run is stopped: by the pages copied memory holds a slot at its engine and its request is admitted first, so a hold promises nothing more, and an engine that refuses everything for a moment or starts a load refuses the request with a hold, too.

The second row of TestRunsMove ("2 != 1" runs) stays listed: there the source has loaded and the stream is read in again, which this does not change.

--- a/forward/broken.go
+++ b/forward/broken.go
@@ -35,19 +35,19 @@
 	deniedRejections  denial = "Rejections"
 	deniedQuarantined denial = "Quarantined"
 	deniedBudget      denial = "Budget"
-	deniedOrigin      denial = "Origin"
 	// deniedNoUpstream means that no upstream was usable, or none of the stream's version.
 	deniedNoUpstream denial = "NoUpstream"
+	// deniedWaiting means that too many other streams waited for an upstream.
+	deniedWaiting denial = "Waiting"
 )
 
 // retryDenial returns why no further attempt may be made after a failed one, apart from
 // the retry budget, or "".
 func (h *handler) retryDenial(ctx context.Context) denial {
+	if d := h.endDenial(ctx); d != "" {
+		return d
+	}
 	switch {
-	case errors.Is(ctx.Err(), context.Canceled):
-		return deniedCallerLeft
-	case ctx.Err() != nil, h.timeLeft() < minTimeLeft:
-		return deniedDeadline
 	case h.retryState.ShouldRetry():
 	case (retry.State{Rejected: h.retryState.Rejected, Unsent: h.retryState.Unsent}).ShouldRetry():
 		return deniedAttempts
@@ -60,11 +60,33 @@
 	return ""
 }
 
+// endDenial returns why the request has come to its end, or "".
+func (h *handler) endDenial(ctx context.Context) denial {
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled):
+		return deniedCallerLeft
+	case ctx.Err() != nil, h.timeLeft() < minTimeLeft:
+		return deniedDeadline
+	}
+	return ""
+}
+
+// waitDenial returns why the stream may not wait for an upstream any longer, or "".
+func (s *stream) waitDenial() denial {
+	if d := s.endDenial(s.ctx); d != "" {
+		return d
+	}
+	if s.isQuarantined() {
+		return deniedQuarantined
+	}
+	return ""
+}
+
 // logFailure logs that the stream can't continue, and returns the cause.
 func (s *stream) logFailure(cause error) error {
 	waited := clock.Now().Sub(s.detached)
 	s.Metrics.Tagged(map[string]string{"phase": string(s.phase), "denied": string(s.denied)}).Counter("streams_broken").Inc(1)
-	event.StreamFailed.Info("Request", s.call.ID, "After", s.lastID, "Events", s.events, "Phase", s.phase, "Denied", s.denied, "WaitedMillis", waited.Milliseconds(), "LeftMillis", s.timeLeft().Milliseconds(),
-		"Ran", s.retryState.MaybeExecuted, "TurnedAway", s.retryState.Rejected, "Unsent", s.retryState.Unsent, "Reason", event.Line(cause))
+	event.StreamFailed.Info("Request", s.call.ID, "After", s.lastID, "Events", s.events, "Phase", s.phase, "Denied", s.denied, "Lacked", s.lacks, "WaitedMillis", waited.Milliseconds(), "LeftMillis", s.timeLeft().Milliseconds(),
+		"Ran", s.retryState.MaybeExecuted, "TurnedAway", s.retryState.Rejected+s.forgiven, "Unsent", s.retryState.Unsent, "Reason", event.Line(cause))
 	return cause
 }
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -181,6 +181,8 @@
 	bufferedBytes atomic.Int64
 	// requestBytes counts the bytes of the bodies of requests in progress.
 	requestBytes atomic.Int64
+	// waiting counts the streams that wait for an upstream.
+	waiting atomic.Int64
 	// mu guards the fields below.
 	mu          sync.Mutex
 	budgets     map[string]*retrybudget.Budget
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -55,6 +55,8 @@
 	// deadline is the earlier of the caller's and the route's deadline.
 	deadline   clock.Instant
 	retryState retry.State
+	// forgiven counts the rejections that no longer count in retryState.
+	forgiven int
 	// reserved is set while a retry is counted against the budget and not made yet.
 	reserved atomic.Bool
 	// tried holds the ids of the upstreams that were tried.
@@ -407,6 +409,6 @@
 		outcome = "Answered"
 	}
 	event.CallEnded.Info("Request", h.call.ID, "Route", h.route.Name, "Account", h.account.Name, "Outcome", outcome, "Status", a.Status,
-		"Millis", clock.Now().Sub(h.call.Arrived).Milliseconds(), "LeftMillis", h.timeLeft().Milliseconds(), "Ran", h.retryState.MaybeExecuted, "TurnedAway", h.retryState.Rejected, "RetryAfter", a.RetryAfter)
+		"Millis", clock.Now().Sub(h.call.Arrived).Milliseconds(), "LeftMillis", h.timeLeft().Milliseconds(), "Ran", h.retryState.MaybeExecuted, "TurnedAway", h.retryState.Rejected+h.forgiven, "RetryAfter", a.RetryAfter)
 	h.recordMetrics(h, a)
 }
--- a/forward/migrate.go
+++ b/forward/migrate.go
@@ -265,57 +265,24 @@
 	return to, true
 }
 
-// awaitMigration waits for the end of a started migration and returns the target that
-// continues the request, or false if it was not migrated or that isn't known yet.
-func (s *stream) awaitMigration() (target, bool) {
+// awaitMigration waits for the end of a started migration, and reports whether the stream
+// can go on with its memory. It returns false, too, if that isn't known yet.
+func (s *stream) awaitMigration() bool {
 	s.lock.Lock()
 	m := s.migration
 	s.lock.Unlock()
-	if m == nil || !s.isMigrated(m) {
-		return target{}, false
-	}
-	return s.migratedTarget(m)
-}
-
-// awaitLateMigration waits for the end of a migration, if any, as long as the caller does
-// and the weights may answer, since the stream may be sent to no other engine. It returns
-// the target that continues the request, or false if it was not migrated.
-func (s *stream) awaitLateMigration() (target, bool) {
-	s.lock.Lock()
-	m := s.migration
-	s.lock.Unlock()
-	if m == nil {
-		return target{}, false
-	}
-	expired := time.NewTimer(s.timeToBegin(m.source.target))
-	defer expired.Stop()
-	select {
-	case <-m.done:
-		return s.migratedTarget(m)
-	case <-expired.C:
-	case <-s.ctx.Done():
-	}
-	return target{}, false
+	return m != nil && s.isMigrated(m) && s.hasMemory(m) && s.timeToBegin(m.source.target) > 0
 }
 
-// migratedTarget returns the target that continues the request after a migration that
-// has ended, or false if it was not migrated.
-func (s *stream) migratedTarget(m *migration) (target, bool) {
-	if m.err != nil || m.moved.MemoryHandle == "" {
-		s.lock.Lock()
-		s.migration = nil
-		s.lock.Unlock()
-		return target{}, false
-	}
-	to := m.to
-	if !m.moved.Transferred {
-		to = m.source.target
-	}
-	if s.hasOldWeights(to) {
-		return target{}, false
+// hasMemory reports whether a migration that has ended left the memory of the request.
+func (s *stream) hasMemory(m *migration) bool {
+	if m.err == nil && m.moved.MemoryHandle != "" {
+		return true
 	}
-	to.send.MemoryHandle = m.moved.MemoryHandle
-	return to, true
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.migration = nil
+	return false
 }
 
 // awaitMemory waits for the memory of a run that its engine may have stopped, until a
--- a/forward/schedule.go
+++ b/forward/schedule.go
@@ -72,18 +72,8 @@
 func (h *handler) schedule(ctx context.Context) (target, bool) {
 	giveUp := clock.Now().Add(h.route.Objective / waitDivisor)
 	for {
-		h.snapshot = h.Replica.State()
-		if h.isQuarantined() || h.isUnresumable() {
-			return target{}, false
-		}
-		upstreams, mustRelay := h.reachable()
-		if mustRelay {
-			return h.relayTarget()
-		}
-		if len(upstreams) > 0 {
-			if t, ok := h.choose(upstreams); !ok || h.take(t.id) {
-				return t, ok
-			}
+		if t, ok, settled := h.place(); settled {
+			return t, ok
 		}
 		if h.isPausedUntil(giveUp) || !clock.Now().Before(giveUp) {
 			return target{}, false
@@ -96,6 +86,26 @@
 	}
 }
 
+// place chooses an upstream that is usable now. It reports whether the choice is settled:
+// whether there is one, or the request is refused.
+func (h *handler) place() (t target, ok, settled bool) {
+	h.snapshot = h.Replica.State()
+	if h.isQuarantined() || h.isUnresumable() {
+		return target{}, false, true
+	}
+	upstreams, mustRelay := h.reachable()
+	if mustRelay {
+		t, ok = h.relayTarget()
+		return t, ok, true
+	}
+	if len(upstreams) > 0 {
+		if t, ok = h.choose(upstreams); !ok || h.take(t.id) {
+			return t, ok, true
+		}
+	}
+	return target{}, false, false
+}
+
 // reachable returns the upstreams to which this host can send the request now, or
 // reports that it must pass the request on to another host. While upstreams accept no
 // new connections, only those with an idle one can be reached.
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -48,6 +48,8 @@
 	// it has been waiting for since.
 	detached clock.Instant
 	phase    phase
+	// lacks is what kept it last from going on, or "".
+	lacks denial
 }
 
 // beginStream waits for the first event, since the request can be retried
@@ -153,64 +155,18 @@
 	broken := s.attempt
 	s.setAttempt(nil)
 	s.stage = retrybudget.Streaming
-	s.detached, s.phase, s.denied = clock.Now(), atUpstream, ""
-	t, found := s.awaitMigration()
+	s.detached, s.phase, s.denied, s.lacks = clock.Now(), atUpstream, "", ""
+	found := s.awaitMigration()
 	if !found && errors.Is(cause, os.ErrDeadlineExceeded) && s.timeLeft() > 0 {
 		return s.takeOver(broken, cause)
 	}
 	if found {
 		broken.exchange.Discard()
 		s.endAttempt(broken)
-		return s.continueAt(broken, t, true, false, cause)
+	} else {
+		s.count(broken, s.failAttempt(broken, retry.Broken, cause))
 	}
-	t, found = s.scheduleAfter(broken, s.failAttempt(broken, retry.Broken, cause))
-	return s.continueAt(broken, t, found, true, cause)
-}
-
-// continueAt continues the stream at a target, if one was found, or else at others. If it
-// may be sent to no other and a migration may be pending, it waits for its memory.
-func (s *stream) continueAt(broken *attempt, t target, found, pending bool, cause error) error {
-	for {
-		if !found && pending && !s.isQuarantined() {
-			s.phase = awaitingMemory
-			t, found = s.awaitLateMigration()
-			pending = false
-		}
-		if !found {
-			return s.logFailure(cause)
-		}
-		s.phase = betweenAttempts
-		if t.send.MemoryHandle != "" {
-			s.phase = moved
-			s.takeRegardless(t.id)
-		}
-		answer, outcome := s.sendTo(s.ctx, t, s.lastID)
-		if outcome == retry.Answered {
-			return s.switchTo(t, answer)
-		}
-		back, returns := s.backTo(broken, t, outcome)
-		if t.send.MemoryHandle != "" && !returns && outcome != retry.Broken && outcome != retry.Late {
-			// A migrated request has run, even if its memory was lost.
-			s.retryState = s.retryState.With(retry.Broken)
-		}
-		switch found = s.shouldRetry(s.ctx, outcome); {
-		case found && returns:
-			t = back
-		case found:
-			t, found = s.scheduleNext()
-		}
-	}
-}
-
-// backTo returns the engine that stopped a request in order to move it, if the target of
-// the move did not run the request: the engine keeps the memory until its handle is used.
-func (s *stream) backTo(source *attempt, t target, o retry.Outcome) (target, bool) {
-	if t.send.MemoryHandle == "" || t.id == source.id || o != retry.Rejected && o != retry.NotSent || s.hasOldWeights(source.target) {
-		return target{}, false
-	}
-	back := source.target
-	back.send.MemoryHandle = t.send.MemoryHandle
-	return back, true
+	return s.reattach(broken, cause)
 }
 
 // recordReplaced records that the run at an upstream ended because another serves the
@@ -221,29 +177,6 @@
 	event.AttemptReplaced.Info("Request", s.call.ID, "Upstream", ended, "Serves", serves, "BesideMillis", beside.Milliseconds(), "FirstSilent", firstSilent)
 }
 
-// scheduleAfter chooses the target that goes on after an attempt that failed.
-func (s *stream) scheduleAfter(broken *attempt, o retry.Outcome) (target, bool) {
-	s.count(broken, o)
-	if !s.retryAllowed(s.ctx, o) {
-		return target{}, false
-	}
-	if !s.knowsOrigin(broken) {
-		s.denied = deniedOrigin
-		return target{}, false
-	}
-	return s.scheduleNext()
-}
-
-// scheduleNext chooses the target of a further attempt.
-func (s *stream) scheduleNext() (target, bool) {
-	s.phase = betweenAttempts
-	t, found := s.schedule(s.ctx)
-	if !found {
-		s.denied = deniedNoUpstream
-	}
-	return t, found
-}
-
 // count records the outcome of an attempt, once.
 func (s *stream) count(a *attempt, o retry.Outcome) {
 	if !a.counted {
--- a/forward/takeover.go
+++ b/forward/takeover.go
@@ -95,7 +95,7 @@
 	}
 	first.stop()
 	if first.ended {
-		return s.logFailure(cause)
+		return s.reattach(idle, cause)
 	}
 	s.returnTo(idle, first.hasSpoken())
 	return nil
--- a/health/health.go
+++ b/health/health.go
@@ -55,7 +55,10 @@
 	// for another, or 0.
 	Weights, AssumedWeights int64
 	// Load is this host's load there.
-	Load                loadreport.Load
+	Load loadreport.Load
+	// MemoryRefusedAt is when it last refused a request that went on with its memory,
+	// which is admitted before others.
+	MemoryRefusedAt     clock.Instant
 	consecutiveFailures int
 	// rejections counts the rejections since the last answer, sentSince the
 	// requests sent since the last of these that are still unanswered.
@@ -85,6 +88,10 @@
 // host doesn't know of.
 func (s State) Rejects() bool { return s.rejections >= maxRejections }
 
+// IsTried reports whether a request shows soon whether an upstream that rejected the last
+// one still rejects.
+func (s State) IsTried() bool { return s.rejections > 0 && s.sentSince > 0 }
+
 // isProbed reports whether a request shows soon whether it still rejects.
 func (s State) isProbed() bool { return s.Rejects() && s.sentSince > 0 }
 
