--- a/forward/handler.go
+++ b/forward/handler.go
@@ -55,6 +55,8 @@
 	// deadline is the earlier of the caller's and the route's deadline.
 	deadline   clock.Instant
 	retryState retry.State
+	// forgiven counts the rejections that no longer count in retryState.
+	forgiven int
 	// reserved is set while a retry is counted against the budget and not made yet.
 	reserved atomic.Bool
 	// tried holds the ids of the upstreams that were tried.
@@ -64,6 +66,8 @@
 	upstreamError *call.Answer
 	// refusal is the answer if the request is not sent.
 	refusal call.Answer
+	// denied is why the last decision on a further attempt was against it, or "".
+	denied denial
 	// content identifies the request and its parts to the guard.
 	content quarantine.Content
 	// software is the version of the upstreams at which the stream must continue;
@@ -156,15 +160,13 @@
 // retryAllowed reports whether another attempt may be made after a failed one that was
 // recorded, and counts it against the retry budget.
 func (h *handler) retryAllowed(ctx context.Context, outcome retry.Outcome) bool {
-	if ctx.Err() != nil || h.timeLeft() < minTimeLeft || !h.retryState.ShouldRetry() {
-		return false
-	}
-	if h.isQuarantined() {
+	if h.denied = h.retryDenial(ctx); h.denied != "" {
 		return false
 	}
 	if h.reserved.Swap(false) || outcome == retry.NotSent && h.delivered == 0 || h.tryRetry(h.service.Name, h.stage) {
 		return true
 	}
+	h.denied = deniedBudget
 	h.Metrics.Counter("repeats_refused").Inc(1)
 	return false
 }
@@ -423,7 +425,7 @@
 		outcome = "Answered"
 	}
 	event.CallEnded.Info("Request", h.call.ID, "Route", h.route.Name, "Account", h.account.Name, "Outcome", outcome, "Status", a.Status,
-		"Millis", clock.Now().Sub(h.call.Arrived).Milliseconds(), "LeftMillis", h.timeLeft().Milliseconds(), "Ran", h.retryState.MaybeExecuted, "TurnedAway", h.retryState.Rejected, "RetryAfter", a.RetryAfter)
+		"Millis", clock.Now().Sub(h.call.Arrived).Milliseconds(), "LeftMillis", h.timeLeft().Milliseconds(), "Ran", h.retryState.MaybeExecuted, "TurnedAway", h.retryState.Rejected+h.forgiven, "RetryAfter", a.RetryAfter)
 	h.recordMetrics(h, a)
 	if h.route.Resumable && a.Reason == "" {
 		h.mu.Lock()
