fix: requests that a silent engine never read count as its crashers

Cause: every request without an early answer counted as one that its engine ran, also those that lay unread in front of a process that stood still. Three losses with a shared part quarantine it, and all prompts share one.

Ruled out: the unanswered check alone, which can't tell a silent engine from one that the request has hung; a reset alone, which engines send for other reasons.

Why it works: a kernel resets the connections of a process that ends with unread data and closes the others in order. Together with a check that was unanswered on an open connection that shows that the request can't have begun. Engines that have answered nothing since a request was sent are checked after the route's objective; the check began at the end of the attempt's time before.

Tests changed: the fake and the calls of Probe have its new argument, nothing else. The parser of heads reported a reset as EOF; Peek keeps the error.

--- a/crash/guard.go
+++ b/crash/guard.go
@@ -165,14 +165,40 @@
 		_, quarantined = g.quarantined(l.Content)
 		return quarantined
 	}
+	if l.IsUnread(now) {
+		g.addEngineLoss(l, now)
+		_, quarantined = g.quarantined(l.Content)
+		return quarantined
+	}
 	g.add(g.lossRecords(l, now)...)
 	c := g.classify(l.Request, now)
-	event.LossRecorded.Info("Attempt", l.Attempt, "Fingerprint", l.Request, "Parts", l.Parts, "Account", l.Account, "Upstream", l.Engine, "Start", l.Incarnation, "Events", l.Events,
+	event.LossRecorded.Info("Attempt", l.Attempt, "Fingerprint", l.Request, "Parts", l.Parts, "Account", l.Account, "Upstream", l.Engine, "Start", l.Incarnation, "Events", l.Events, "Reset", l.Reset, "SilentMillis", silentMillis(l, now),
 		"Verdict", c.Verdict, "Losses", c.Losses, "OtherLosses", c.OtherLosses, "Shared", c.Shared)
 	_, quarantined = g.quarantined(l.Content)
 	return quarantined
 }
 
+// silentMillis returns how long the engine of a loss had been silent, or -1 if it had not.
+func silentMillis(l quarantine.Loss, now time.Time) int64 {
+	if l.SilentSince.IsZero() {
+		return -1
+	}
+	return now.Sub(l.SilentSince).Milliseconds()
+}
+
+// addEngineLoss records the loss of an engine that none of its requests caused, unless it is
+// recorded already.
+func (g *Guard) addEngineLoss(l quarantine.Loss, now time.Time) {
+	event.LossUnread.Info("Attempt", l.Attempt, "Fingerprint", l.Request, "Parts", l.Parts, "Upstream", l.Engine, "Start", l.Incarnation, "SilentMillis", silentMillis(l, now), "SentMillis", now.Sub(l.Sent).Milliseconds())
+	r := quarantine.Record{ID: g.recordID(l.Attempt), Fingerprint: quarantine.EngineFingerprint(l), Engine: l.Engine, Incarnation: l.Incarnation, Sent: l.Sent, At: now}
+	g.mu.Lock()
+	known := g.table.Covers(r, now)
+	g.mu.Unlock()
+	if !known {
+		g.add(r)
+	}
+}
+
 // lossRecords returns the records of a loss: one for the request, and one for
 // each part that has none of the same engine and account yet.
 func (g *Guard) lossRecords(l quarantine.Loss, now time.Time) []quarantine.Record {
--- a/event/request.go
+++ b/event/request.go
@@ -11,9 +11,11 @@
 	// ClaimAppendFailed reports a batch of claims that the log did not confirm.
 	ClaimAppendFailed = Event{2006, "claim append failed", "The log did not confirm a batch of claims; its claims are refused, and its records of ended attempts are retried."}
 	// LossRecorded reports a lost engine that counts against a request.
-	LossRecorded = Event{2007, "loss recorded", "An engine was lost while it ran a request. Parts are the fingerprints of the prompt parts that the request shares with others, Events counts the events of its answer that had arrived. Losses counts the lost engines that count against the request, OtherLosses those lost without it shortly before or after; Shared is set if another unanswered request was on all of them."}
+	LossRecorded = Event{2007, "loss recorded", "An engine was lost while it ran a request. Parts are the fingerprints of the prompt parts that the request shares with others, Events counts the events of its answer that had arrived. Reset is set if its connection was reset; SilentMillis is how long the engine had left a check unanswered, -1 if it had not. Losses counts the lost engines that count against the request, OtherLosses those lost without it shortly before or after; Shared is set if another unanswered request was on all of them."}
 	// SuspicionEnded reports a suspect request that was answered.
 	SuspicionEnded = Event{2008, "suspicion ended", "A request that was on lost engines was answered, or a request with a prompt part (Fingerprint) that was on lost engines got past its first tokens; earlier losses no longer count against it."}
+	// LossUnread reports a request that its engine can't have begun.
+	LossUnread = Event{2013, "request unread", "An engine that stood still was lost before it had read the request: it had left a check unanswered for SilentMillis, and its machine reset the request's connection, SentMillis after the request was sent. It does not count against the request."}
 	// LossExplained reports a request that was sent to an engine that was lost already.
 	LossExplained = Event{2011, "loss explained", "A request was sent to an engine that had been lost within the second before and had not answered since, as through a proxy that still accepts connections; it does not count against the request."}
 	// QuarantineEnforced reports a refusal of a quarantined request.
@@ -65,4 +67,4 @@
 	StreamStalled = Event{2110, "stream awaited", "An upstream is idle in the middle of a stream and no other could take over. While others are only silent, the host looks for one again; otherwise it waits until the deadline."}
 )
 
-var requestEvents = []Event{RequestEnded, AttemptFailed, ClaimFailed, RequestQuarantined, PartQuarantined, CrashShareFailed, ClaimAppendFailed, LossRecorded, SuspicionEnded, LossExplained, QuarantineEnforced, CancelFailed, CallScheduled, SendFailed, CallRefused, CallEnded, StreamResumed, StreamTakenUp, StreamFailed, StreamEnded, CallRelayed, RelayFailed, RequestMigrated, MemoryFreed, CallOverloaded, AttemptReplaced, AnswersSkipped, StreamStalled, StaleRequestCancelled, SeparatedRequestCancelled}
+var requestEvents = []Event{RequestEnded, AttemptFailed, ClaimFailed, RequestQuarantined, PartQuarantined, CrashShareFailed, ClaimAppendFailed, LossRecorded, SuspicionEnded, LossExplained, LossUnread, QuarantineEnforced, CancelFailed, CallScheduled, SendFailed, CallRefused, CallEnded, StreamResumed, StreamTakenUp, StreamFailed, StreamEnded, CallRelayed, RelayFailed, RequestMigrated, MemoryFreed, CallOverloaded, AttemptReplaced, AnswersSkipped, StreamStalled, StaleRequestCancelled, SeparatedRequestCancelled}
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -384,6 +384,10 @@
 		if at := h.Tracker.State(a.id).AnsweredAt(); at != 0 {
 			l.AnsweredAt = time.Now().Add(-now.Sub(at))
 		}
+		l.Reset = http1.ResetByUpstream(err)
+		if silence := h.Liveness.Silence(a.id); silence.Covers(now) {
+			l.SilentSince = time.Now().Add(-now.Sub(silence.From))
+		}
 		h.Guard.Lost(l)
 	}
 	h.Metrics.Tagged(map[string]string{"outcome": o.String()}).Counter("tries_failed").Inc(1)
--- a/forward/limit.go
+++ b/forward/limit.go
@@ -19,6 +19,8 @@
 	// software is the version at which the stream had begun before the attempt, or "".
 	software string
 	timer    *time.Timer
+	// check checks the engine of an attempt without a first event for longer than usual.
+	check *time.Timer
 	// silent is set while the attempt's engine and all others leave checks unanswered.
 	silent bool
 	// mu guards the closing of ended. Until then the limit may end the attempt, and the
@@ -31,6 +33,7 @@
 func (h *handler) limitAttempt(a *attempt) (stop func()) {
 	l := &limit{handler: h, attempt: a, software: h.software, ended: make(chan struct{})}
 	l.timer = time.AfterFunc(h.attemptTimeout(), l.run)
+	l.check = time.AfterFunc(h.route.Objective, l.checkQuiet)
 	return l.stop
 }
 
@@ -40,6 +43,15 @@
 	defer l.mu.Unlock()
 	close(l.ended)
 	l.timer.Stop()
+	l.check.Stop()
+}
+
+// checkQuiet checks the attempt's engine if it has answered nothing since the request was
+// sent, so that it is known whether it has stood still should it be lost.
+func (l *limit) checkQuiet() {
+	if l.Tracker.State(l.attempt.id).AnsweredAt() < l.attempt.started {
+		l.checkAlive(l.attempt.target)
+	}
 }
 
 // run ends the attempt once it may no longer wait.
--- a/forward/takeover.go
+++ b/forward/takeover.go
@@ -32,6 +32,8 @@
 	Check(address, upstream string) <-chan struct{}
 	// Silent returns the engines that leave a check unanswered.
 	Silent() map[string]bool
+	// Silence returns how long an engine has left a check unanswered.
+	Silence(upstream string) liveness.Silence
 }
 
 // idleTimeout returns how long the stream waits for the next event before it looks for
--- a/http1/exchange.go
+++ b/http1/exchange.go
@@ -125,6 +125,10 @@
 func (e *Exchange) readHead(id, method string) error {
 	closes := false
 	for skipped, informational := 0, 0; ; skipped++ {
+		// The parser of heads reports any end of the connection as EOF.
+		if _, err := e.conn.buffer.Peek(1); err != nil {
+			return unreadableHead{err}
+		}
 		var h fasthttp.ResponseHeader
 		if err := h.Read(e.conn.buffer); err != nil {
 			return unreadableHead{err}
@@ -264,6 +268,10 @@
 		errors.Is(err, syscall.EPIPE)
 }
 
+// ResetByUpstream reports whether the upstream's machine reset the connection, as for a
+// process that ends before it has read all that has arrived.
+func ResetByUpstream(err error) bool { return errors.Is(err, syscall.ECONNRESET) }
+
 // AwaitData waits until there is more to read, or returns
 // os.ErrDeadlineExceeded after the limit. The answer can still be read then.
 func (e *Exchange) AwaitData(limit time.Duration) error {
--- a/liveness/liveness_test.go
+++ b/liveness/liveness_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 	"github.com/sourcegraph/conc"
 
+	"github.com/kumquathoist/kumquathoist/clock"
 	"github.com/kumquathoist/kumquathoist/liveness"
 )
 
@@ -21,7 +22,7 @@
 }
 
 // Probe implements the monitor's prober.
-func (f *fakeProber) Probe(ctx context.Context, _, upstream string) error {
+func (f *fakeProber) Probe(ctx context.Context, _, upstream string, connected func()) error {
 	f.calls.Add(1)
 	if f.failures.Add(-1) >= 0 {
 		return errors.New("reset")
@@ -75,3 +76,55 @@
 	<-liveness.NewMonitor(ctx, &wait, prober).Check("1.2.3.4:4", "a")
 	is.Equal(prober.calls.Load(), int64(3))
 }
+
+// scriptedProber connects or not, and ends its call with an error once it is released.
+type scriptedProber struct {
+	connects bool
+	err      error
+	released chan struct{}
+}
+
+// Probe implements the monitor's prober.
+func (p scriptedProber) Probe(ctx context.Context, _, _ string, connected func()) error {
+	if p.connects {
+		connected()
+	}
+	select {
+	case <-p.released:
+		return p.err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// TestSilence checks which unanswered checks show a silence, while they last and after
+// their end.
+func TestSilence(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		prober       scriptedProber
+		during, then bool
+	}{
+		{"the check is answered", scriptedProber{connects: true}, true, false},
+		{"its connection is closed", scriptedProber{connects: true, err: liveness.ErrClosed}, true, true},
+		{"its connection is refused", scriptedProber{err: liveness.ErrClosed}, false, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			var wait conc.WaitGroup
+			defer wait.Wait()
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			c.prober.released = make(chan struct{})
+			m := liveness.NewMonitor(ctx, &wait, c.prober)
+			answered := m.Check("1.2.3.4:4", "a")
+			time.Sleep(2 * liveness.AnswerTime)
+			is.Equal(m.Silence("a").Covers(clock.Now()), c.during)
+			close(c.prober.released)
+			<-answered
+			s := m.Silence("a")
+			is.Equal(s.Covers(s.Until), c.then)
+			is.True(!s.Covers(s.Until.Add(2 * liveness.AnswerTime)))
+		})
+	}
+}
--- a/quarantine/classify.go
+++ b/quarantine/classify.go
@@ -334,7 +334,7 @@
 // engines.
 func (t Table) isShared(f Fingerprint, last map[string]Record, now time.Time) bool {
 	for other := range t.records {
-		if other != f && !other.IsPart() && coversAll(lastLossPerEngine(t.losses(other, now)), last) {
+		if other != f && !other.IsPart() && !other.isEngine() && coversAll(lastLossPerEngine(t.losses(other, now)), last) {
 			return true
 		}
 	}
@@ -358,7 +358,7 @@
 // prompt; refusing it refuses fewer requests.
 func (t Table) isPartExplained(f Fingerprint, losses []Record, now time.Time) bool {
 	for other := range t.records {
-		if other == f {
+		if other == f || other.isEngine() {
 			continue
 		}
 		others := t.losses(other, now)
--- a/quarantine/content.go
+++ b/quarantine/content.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"encoding/hex"
 	"strings"
@@ -14,6 +15,8 @@
 	maxParts = 16
 	// partPrefix begins the fingerprint of a prompt part.
 	partPrefix = "part-"
+	// enginePrefix begins the fingerprint of what lost an engine besides requests.
+	enginePrefix = "engine-"
 	// fingerprintBytes is the length of the hash in a fingerprint.
 	fingerprintBytes = 16
 )
@@ -25,6 +28,9 @@
 // IsPart reports whether the fingerprint is that of a prompt part.
 func (f Fingerprint) IsPart() bool { return strings.HasPrefix(string(f), partPrefix) }
 
+// isEngine reports whether the fingerprint stands for what no request caused.
+func (f Fingerprint) isEngine() bool { return strings.HasPrefix(string(f), enginePrefix) }
+
 // Content holds the fingerprints of a request and of its parts.
 type Content struct {
 	// Request identifies the whole request.
@@ -63,6 +69,12 @@
 	return c
 }
 
+// EngineFingerprint returns the fingerprint for a loss that no request caused. Records of
+// it count as losses of another engine for the requests that may have caused others.
+func EngineFingerprint(l Loss) Fingerprint {
+	return enginePrefix + Fingerprint(hash([]byte(l.Engine+"\x00"), []byte(cmp.Or(l.Incarnation, l.Attempt))))
+}
+
 func hash(pieces ...[]byte) string {
 	h := sha256.New()
 	for _, p := range pieces {
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -54,6 +54,8 @@
 	// goneWindow is how long a lost engine that has not answered since counts as gone:
 	// restarts take seconds.
 	goneWindow = 3 * time.Second
+	// minSilence is how long an engine that stands still leaves a check unanswered.
+	minSilence = 100 * time.Millisecond
 	// baseTerm doubles with each loss to give the time for which a quarantined
 	// request is refused after its last loss: a minute after two losses, eight
 	// after five. Then it is a suspect again, since some requests are
@@ -79,6 +81,17 @@
 	AnsweredAt time.Time
 	// Events counts the events of the answer that had arrived.
 	Events int
+	// Reset reports that the engine's machine reset the connection. SilentSince is since
+	// when the engine had left a check unanswered by then; zero if it had not.
+	Reset       bool
+	SilentSince time.Time
+}
+
+// IsUnread reports whether the engine can't have begun the request: it stood still, and its
+// machine reset the connection as it does for a process that ends before it has read what
+// has arrived.
+func (l Loss) IsUnread(now time.Time) bool {
+	return l.Reset && l.Events == 0 && !l.SilentSince.IsZero() && now.Sub(l.SilentSince) >= minSilence
 }
 
 // Record is the outcome of a request on one engine, for the request itself or for
