test: TestStreamStaysWhileAllEnginesAreSilent leaves out times without a processor

The test failed once in 2 runs beside load: a stream was sent to an engine that was woken with its own. Traced then: its own got no processor for 0.3 s after it was woken, the other one for 0.12 s, so that the host could only take it for silent. The test held the host to the signal instead of the process.

Why it is as strict: a run at another engine still fails the test, unless the engine that the stream left had run for less than 100 ms since it was woken (what hosts wait for the answer to a check) and had got no processor for 100 ms or more in which the other one ran, both as the processes noticed themselves and before that run began. Without stalls nothing is excused; bounds and the other checks stay.

--- a/storenode/silent_engines_test.go
+++ b/storenode/silent_engines_test.go
@@ -343,7 +343,7 @@
 			is.Equal(a.body, wholeStream(count))
 			is.True(!a.truncated)
 			for _, e := range d.engines {
-				is.True(e == first || len(e.Runs()) == 0) // sent to an engine that could not serve it sooner
+				is.True(e == first || len(e.Runs()) == 0 || leftRightly(first, e)) // sent to an engine that could not serve it sooner
 			}
 			d.awaitPatient(pauses, patience)
 		})
