--- a/storenode/refused_streams_test.go
+++ b/storenode/refused_streams_test.go
@@ -15,8 +15,8 @@
 	"github.com/kumquathoist/kumquathoist/standin"
 )
 
-// writeInChunks sends a request whose body comes in two chunks.
-func (c *client) writeInChunks(path, id string, headers map[string]string) {
+// writeWithHeaders sends a request with headers whose body comes in two chunks.
+func (c *client) writeWithHeaders(path, id string, headers map[string]string) {
 	var b strings.Builder
 	fmt.Fprintf(&b, "POST %s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Api-Key: %s\r\nTransfer-Encoding: chunked\r\n", path, modelHost, id, goodKey)
 	for k, v := range headers {
@@ -62,7 +62,7 @@
 					caller := d.client(d.hosts[0])
 					headers := maps.Clone(longAnswerPrompt(i))
 					headers["X-Deadline-Ms"] = "15000"
-					caller.writeInChunks(c.path, fmt.Sprint("s", i), headers)
+					caller.writeWithHeaders(c.path, fmt.Sprint("s", i), headers)
 					answers <- caller.read()
 				}()
 			}
