test: a stream that waits for an engine ends with its caller

No fault was seen: there was no wait before that a caller could leave. The comments of the tests beside it are shortened to a line.

--- a/storenode/refused_streams_test.go
+++ b/storenode/refused_streams_test.go
@@ -25,8 +25,7 @@
 	_, _ = io.WriteString(c.conn, b.String()+"\r\n2\r\nbo\r\n2\r\ndy\r\n0\r\n\r\n")
 }
 
-// TestStreamsOutliveRefusals guards against cutting streams that their host has stopped to
-// move, long before their deadline, since engines refuse requests for a moment.
+// TestStreamsOutliveRefusals guards against cutting streams that stopped to move while engines refuse requests.
 func TestStreamsOutliveRefusals(t *testing.T) {
 	const streams, count = 8, 10
 	for _, c := range []struct {
@@ -107,8 +106,7 @@
 	return all
 }
 
-// TestStreamWaitsForUpstream guards against cutting a stream that has begun since no engine
-// takes it just when it has to go on elsewhere.
+// TestStreamWaitsForUpstream guards against cutting a stream that no engine takes at the moment.
 func TestStreamWaitsForUpstream(t *testing.T) {
 	for _, c := range []struct {
 		name, path string
@@ -166,8 +164,7 @@
 	}
 }
 
-// TestWaitingStreamsKeepToTheRetryBudget guards against streams that wait for an upstream and
-// flood upstreams that refuse them.
+// TestWaitingStreamsKeepToTheRetryBudget guards against waiting streams that flood engines which refuse them.
 func TestWaitingStreamsKeepToTheRetryBudget(t *testing.T) {
 	const streams = 20
 	is := is.New(t)
@@ -201,3 +198,32 @@
 	t.Logf("%d arrivals", arrivals)
 	is.True(float64(arrivals-first) <= 0.2*streams+50)
 }
+
+// TestWaitingStreamEndsWithItsCaller guards against sending a stream whose caller left while it waited.
+func TestWaitingStreamEndsWithItsCaller(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t, 1, 1, 0)
+	source := d.engines[0]
+	source.Pace(400 * time.Millisecond)
+	caller := d.client(d.hosts[0])
+	caller.write(http.MethodPost, modelHost, "/full/a", movedID, longAnswerPrompt(0), "body")
+	_, err := caller.in.Peek(1) // the answer has begun
+	is.NoErr(err)
+	target := d.target()
+	const refusal = 1500 * time.Millisecond
+	accepts := time.Now().Add(refusal)
+	for _, e := range []*standin.PlatformEngine{source, target} {
+		e.RejectWithRetryAfter("0.1", refusal)
+	}
+	d.await("the stream moves", func() bool {
+		d.hosts[0].Evacuate(source.ID)
+		return source.Moves() == 1
+	})
+	d.await("both engines have refused it", func() bool { return arrived(target, movedID) && d.arrivals(movedID) > 1 })
+	is.NoErr(caller.conn.Close())
+	d.await("no copy is left", func() bool { return target.Copies() == 0 })
+	sent := d.arrivals(movedID) + len(target.Seen())
+	time.Sleep(time.Until(accepts) + 500*time.Millisecond)
+	is.Equal(d.arrivals(movedID)+len(target.Seen()), sent)
+	is.Equal(source.Continued()+target.Continued(), 0)
+}
