--- a/soak/process.go
+++ b/soak/process.go
@@ -19,6 +19,9 @@
 // SecretVariable is the environment variable that holds the hosts' secret.
 const SecretVariable = "KUMQUATHOIST_SOAK_SECRET"
 
+// dumpTime is how long a process that exceeds its time limit may write its goroutines.
+const dumpTime = 500 * time.Millisecond
+
 // process is a host's process, which can be restarted.
 type process struct {
 	ip string
@@ -125,7 +128,7 @@
 }
 
 // end sends a signal that ends the process and waits for the end. It kills a
-// process that exceeds the limit and reports whether it ended in time.
+// process that exceeds the limit, when it has dumped its goroutines, and reports whether it ended in time.
 func (p *process) end(s syscall.Signal, limit time.Duration) (inTime bool) {
 	p.mu.Lock()
 	p.endRequested = true
@@ -138,8 +141,14 @@
 	case <-time.After(limit):
 	}
 	p.signal(syscall.SIGCONT)
-	p.signal(syscall.SIGKILL)
-	<-ended
+	// The runtime writes all goroutines to the output.
+	p.signal(syscall.SIGQUIT)
+	select {
+	case <-ended:
+	case <-time.After(dumpTime):
+		p.signal(syscall.SIGKILL)
+		<-ended
+	}
 	return false
 }
 
