fix: a stopping host leaves silent engines before it cuts their streams

Cause: a host waits 0.6 of the callers' event timeout, 2.4 s there, before it looks for another engine, also when it ends sooner.

Fix: plannedstop.Plan.MaxIdle bounds that wait during a stop, so that another engine is found before requests settle; an event's gap and 0.5 s are the least. A check tells silent engines from slow ones, as before, and the retry budget holds.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -154,6 +154,8 @@
 	// the host, and with it the wait for migrations.
 	Background *conc.WaitGroup
 	Lifetime   context.Context
+	// Stop returns the plan of this host's stop; zero if it isn't stopping.
+	Stop func() plannedstop.Plan
 	// Hosts returns the number of known hosts, which share the retry limits.
 	Hosts func() int
 	// Host is the name of this host, and LiveHosts returns those of all hosts that
--- a/forward/takeover.go
+++ b/forward/takeover.go
@@ -22,6 +22,8 @@
 	minSilence = 300 * time.Millisecond
 	// searchInterval is the time between two searches for an upstream that answers.
 	searchInterval = 300 * time.Millisecond
+	// minStoppingIdle is how long an upstream may be idle at least while the host stops.
+	minStoppingIdle = 500 * time.Millisecond
 	// maxSilentTargets bounds the silent upstreams that one search meets.
 	maxSilentTargets = 3
 )
@@ -42,7 +44,7 @@
 	if s.searching {
 		return searchInterval
 	}
-	return s.resumeTimeout()
+	return s.Stop().MaxIdle(s.resumeTimeout(), max(s.route.EventGap, minStoppingIdle), clock.Now())
 }
 
 // idleAttempt is an attempt without an event for too long, which another may replace.
--- a/plannedstop/plannedstop.go
+++ b/plannedstop/plannedstop.go
@@ -20,6 +20,8 @@
 	settleShare = 5.0 / 6
 	// settleMargin is the time by which that is decided sooner.
 	settleMargin = 200 * time.Millisecond
+	// takeOverTime is how long another engine takes to take over a stream.
+	takeOverTime = 700 * time.Millisecond
 	// durationMargin is the factor by which a request may last longer than those before it.
 	durationMargin = 1.25
 )
@@ -127,6 +129,15 @@
 	return Ending
 }
 
+// MaxIdle returns how long a stream may be idle before another engine is tried, which is
+// usual without a stop: one that works has to be found before the requests settle.
+func (p Plan) MaxIdle(usual, least time.Duration, now clock.Instant) time.Duration {
+	if p.IsZero() {
+		return usual
+	}
+	return min(usual, max(least, p.Settles.Sub(now)-takeOverTime))
+}
+
 // Request describes a request that has been read.
 type Request struct {
 	Deadline clock.Instant
--- a/plannedstop/plannedstop_test.go
+++ b/plannedstop/plannedstop_test.go
@@ -104,3 +104,25 @@
 	}
 	is.Equal(d.Expected(), time.Second)
 }
+
+// TestMaxIdle checks how long a stream may be idle at each moment of a stop.
+func TestMaxIdle(t *testing.T) {
+	const usual, least = 2400 * time.Millisecond, 500 * time.Millisecond
+	began := clock.Instant(time.Hour)
+	plan := plannedstop.NewPlan(began, 8*time.Second)
+	for _, c := range []struct {
+		name string
+		plan plannedstop.Plan
+		at   time.Duration
+		want time.Duration
+	}{
+		{"no stop", plannedstop.Plan{}, 6 * time.Second, usual},
+		{"begins", plan, 0, usual},
+		{"settles soon", plan, 4 * time.Second, plan.Settles.Sub(began.Add(4*time.Second)) - 700*time.Millisecond},
+		{"settles", plan, 6500 * time.Millisecond, least},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is.New(t).Equal(c.plan.MaxIdle(usual, least, began.Add(c.at)), c.want)
+		})
+	}
+}
--- a/storenode/stop.go
+++ b/storenode/stop.go
@@ -35,6 +35,7 @@
 	}
 	plan := plannedstop.NewPlan(n.stopRequested, n.settings.Bounds.Grace())
 	event.Stopping.Info("Host", n.settings.Host.Name, "Open", n.server.OpenRequests(), "LateMillis", clock.Now().Sub(n.stopRequested).Milliseconds())
+	n.plan.Store(&plan)
 	n.server.Stop(plan)
 	n.directory.Leave()
 	lastOrder := time.AfterFunc(max(0, plan.Cuts.Add(-orderTime).Sub(clock.Now())), func() { n.ending.Store(true) })
@@ -49,6 +50,14 @@
 	n.server.Cut()
 }
 
+// stopPlan returns the plan of the planned stop; zero if there is none.
+func (n *Node) stopPlan() plannedstop.Plan {
+	if p := n.plan.Load(); p != nil {
+		return *p
+	}
+	return plannedstop.Plan{}
+}
+
 // settleUntil waits for a condition until an instant, and treats open requests as the
 // plan says meanwhile.
 func (n *Node) settleUntil(ctx context.Context, until clock.Instant, holds func() bool) {
--- a/storenode/storenode.go
+++ b/storenode/storenode.go
@@ -33,6 +33,7 @@
 	"github.com/kumquathoist/kumquathoist/peerpb"
 	"github.com/kumquathoist/kumquathoist/peersync"
 	"github.com/kumquathoist/kumquathoist/placement"
+	"github.com/kumquathoist/kumquathoist/plannedstop"
 	"github.com/kumquathoist/kumquathoist/platform"
 	"github.com/kumquathoist/kumquathoist/reachability"
 	"github.com/kumquathoist/kumquathoist/registry"
@@ -102,6 +103,8 @@
 	// is closed.
 	stopRequested clock.Instant
 	standstill    standstill
+	// plan is that of the planned stop; nil if there is none.
+	plan atomic.Pointer[plannedstop.Plan]
 	// ending is set when a planned stop is about to end the process.
 	ending atomic.Bool
 }
@@ -158,7 +161,7 @@
 	engines := platform.NewEngines(ctx, func(instance string, r call.SelfReport) { n.router.RecordStatus(instance, r, "") })
 	n.router = forward.New(forward.Options{
 		Replica: n.syncer, Sender: connections, Encoder: platform.Wire{}, Guard: guard, Origins: n.newLedger(ctx, scope), Reachability: monitor, Relays: n.newRelays(ctx, credentials.Secret), Tracker: n.tracker, LoadReports: lateExchanger{n},
-		Migrator: engines, Liveness: liveness.NewMonitor(ctx, &n.wait, engines), Background: &n.wait, Lifetime: ctx,
+		Migrator: engines, Liveness: liveness.NewMonitor(ctx, &n.wait, engines), Background: &n.wait, Lifetime: ctx, Stop: n.stopPlan,
 		Hosts:           func() int { return max(len(n.directory.Hosts()), len(n.settings.Platform.Seeds)) },
 		Host:            n.settings.Host.Name,
 		LiveHosts:       n.liveHosts,
