fix: a full engine's reset of a new connection puts kept ones in doubt

Callers saw requests lost, one after the other: an engine that has all the connections that it accepts resets any others. Such a reset counted as the break of a connection, so that the next request on each kept connection gave that up for a new one, which the engine reset as well.

A connection without any answer that is reset was not accepted, and tells nothing of the others. One that a process which ended had read is still closed in order, and counts.

--- a/http1/exchange.go
+++ b/http1/exchange.go
@@ -248,7 +248,7 @@
 // connections to an upstream that has ended this one.
 func (e *Exchange) fail(err error) error {
 	err = e.cause(err)
-	if ClosedByUpstream(err) {
+	if ClosedByUpstream(err) && !e.conn.isUnaccepted(err) {
 		e.pool.recordBreak(e.conn.address)
 	}
 	return err
--- a/http1/http1.go
+++ b/http1/http1.go
@@ -251,6 +251,12 @@
 // reset closes the connection and drops what the other side has not acknowledged.
 func (c *conn) reset() { socket.Reset(c.Conn) }
 
+// isUnaccepted reports whether an error means that the upstream has not accepted the connection,
+// as one that resets new ones once it has all that it accepts.
+func (c *conn) isUnaccepted(err error) bool {
+	return c.isNew && c.received == 0 && (ResetByUpstream(err) || errors.Is(err, syscall.EPIPE))
+}
+
 // position returns the number of bytes consumed from the read buffer.
 func (c *conn) position() int64 { return c.received - int64(c.buffer.Buffered()) }
 
