fix: a kept connection in doubt is given up for one that a full engine resets

Callers saw one lost request per kept connection to an engine after a single cut answer: in doubt, a request opened a new connection, closed the kept one and was sent on the new one, which an engine with all the connections that it accepts resets.

A new connection has to stay open for 5 ms before it replaces the kept one. If it is reset, the engine lives, so that its kept connections are out of doubt.

--- a/http1/full_upstream_test.go
+++ b/http1/full_upstream_test.go
@@ -72,3 +72,19 @@
 		is.NoErr(c.run(t, pool, id))
 	}
 }
+
+// TestDoubtedConnectionIsKeptIfNewOnesAreReset guards against a request that is lost on a new
+// connection to a full upstream, after an answer was cut on another one.
+func TestDoubtedConnectionIsKeptIfNewOnesAreReset(t *testing.T) {
+	for _, id := range []string{"cut answer", "cut unanswered"} {
+		t.Run(id, func(t *testing.T) {
+			is := is.New(t)
+			c, full, pool := newFullCutter(t)
+			full.isFull.Store(true)
+			is.True(c.run(t, pool, id) != nil)
+			for _, id := range []string{"after", "after that", "later"} {
+				is.NoErr(c.run(t, pool, id))
+			}
+		})
+	}
+}
--- a/http1/http1.go
+++ b/http1/http1.go
@@ -53,6 +53,8 @@
 	// breakMemory is how long the break of a connection to an address is remembered. Requests
 	// that were sent before it have ended by then.
 	breakMemory = time.Hour
+	// acceptTime is how long a new connection that may replace a kept one has to stay open.
+	acceptTime = 5 * time.Millisecond
 	// sweepInterval is the time between two checks for expired connections.
 	sweepInterval = time.Second
 	// maxUnserved bounds the requests that a connection remembers to have answered without
@@ -155,6 +157,13 @@
 	p.breaks[address] = clock.Now()
 }
 
+// clearBreak ends the doubt of the connections to an address.
+func (p *Pool) clearBreak(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.breaks, address)
+}
+
 // forgetBreaks drops the breaks that matter to no open connection.
 func (p *Pool) forgetBreaks(now clock.Instant) {
 	p.mu.Lock()
@@ -251,6 +260,14 @@
 // reset closes the connection and drops what the other side has not acknowledged.
 func (c *conn) reset() { socket.Reset(c.Conn) }
 
+// isReset reports whether the other side resets a new connection instead of accepting it.
+func (c *conn) isReset() bool {
+	_ = c.SetReadDeadline(time.Now().Add(acceptTime)) // fails only on a closed connection
+	_, err := c.buffer.Peek(1)
+	_ = c.SetReadDeadline(time.Time{})
+	return ResetByUpstream(err)
+}
+
 // isUnaccepted reports whether an error means that the upstream has not accepted the connection,
 // as one that resets new ones once it has all that it accepts.
 func (c *conn) isUnaccepted(err error) bool {
@@ -304,7 +321,11 @@
 	if kept == nil {
 		return c, err
 	}
-	if err == nil || errors.Is(err, ErrRefused) || ctx.Err() != nil {
+	switch {
+	case err == nil && c.isReset():
+		_ = c.Close()
+		p.clearBreak(address) // the upstream lives, and has all the connections that it accepts
+	case err == nil || errors.Is(err, ErrRefused) || ctx.Err() != nil:
 		_ = kept.Close()
 		return c, err
 	}
