fix: a stream goes on with late memory at an engine that has long reported that it leaves

An engine got a stream 3 s after it reported that it leaves (drain_ms is 2 s), since the memory of the stream arrived there that late: an engine with the memory was asked once, whatever it had reported. The same held (read in the code) for one asked late because it had just refused another stream.

An engine that leaves takes a stream only within 1 s of the start of the migration; later the stream goes back to its source.

--- a/forward/reattach.go
+++ b/forward/reattach.go
@@ -19,6 +19,9 @@
 	// memoryRefusalTime is how long the refusal of a stream with its memory tells that an
 	// engine would refuse others, too.
 	memoryRefusalTime = 500 * time.Millisecond
+	// maxLeavingTime is how long after the start of its migration a stream may go on with its
+	// memory at an engine that leaves.
+	maxLeavingTime = time.Second
 	// maxWaitingStreams bounds the streams of this host that wait for an upstream.
 	maxWaitingStreams = 256
 )
@@ -150,12 +153,11 @@
 	}
 	t.send.MemoryHandle = r.migration.moved.MemoryHandle
 	snapshot := r.Replica.State()
-	entry, known := snapshot.Upstreams.Entry(t.id)
 	state, now := r.Tracker.State(t.id), clock.Now()
 	loads, refuses := now.Before(state.LoadingUntil), state.MemoryRefusedAt != 0 && now.Sub(state.MemoryRefusedAt) < memoryRefusalTime
 	loaded, asked := r.asked[t.id]
 	switch {
-	case asked && (!known || entry.Leaving || state.Weights > t.send.Weights):
+	case r.isGone(snapshot, t, asked):
 		return t, reattach.Closed
 	case !asked && !refuses, asked && loads && !loaded:
 		// A load may discard the memory.
@@ -170,6 +172,17 @@
 	return t, reattach.Due
 }
 
+// isGone reports whether an engine that has the memory will not take the stream, or may not
+// get it.
+func (r *reattachment) isGone(snapshot replica.State, t target, asked bool) bool {
+	entry, known := snapshot.Upstreams.Entry(t.id)
+	leaves := !known || entry.Leaving
+	if asked && (leaves || r.Tracker.State(t.id).Weights > t.send.Weights) {
+		return true
+	}
+	return leaves && clock.Now().Sub(r.migration.started) >= maxLeavingTime
+}
+
 // isUsable reports whether an upstream may be sent a request now.
 func (h *handler) isUsable(snapshot replica.State, id string) bool {
 	return len(h.usable(snapshot, h.service, h.call.Prompt.Model, func(e discovery.Entry) bool { return e.ID != id })) > 0
