fix: waiting streams without a retry budget use up the limits of engines

Callers got 503 "Limited" from an engine that was sent nothing: every 40 ms, each stream that waited for the retry budget chose an engine, counted a request against the limit that the engine had named, and was not sent for want of the budget.

TestWaitingStreamsLeaveLimitsToRequests failed 4 of 4 before (2 of 10 requests refused), 0 of 8 since. The budget is looked at before an engine is chosen.

--- a/forward/reattach.go
+++ b/forward/reattach.go
@@ -115,7 +115,7 @@
 
 // ask sends the stream to a place, if that accepts it now.
 func (r *reattachment) ask(p reattach.Place) reattach.Event {
-	if r.sends > 0 && !r.reserved.Load() && !r.allowsRetry(r.service.Name, r.stage) {
+	if (r.sends > 0 || p == reattach.Anywhere) && !r.reserved.Load() && !r.allowsRetry(r.service.Name, r.stage) {
 		r.lacks = deniedBudget
 		return reattach.Busy
 	}
