fix: a stopping host begins no moves that it can't finish

Cause: an engine that is to load is cleared of runs whether or not their host is about to end; a run that has been stopped needs a place, a run that goes on doesn't.

Fix: within the time that a move may take before requests settle, streams stay where they are; the engine loads once their host has ended or they have.

--- a/forward/migrate.go
+++ b/forward/migrate.go
@@ -132,7 +132,7 @@
 	}
 	s.lock.Lock()
 	defer s.lock.Unlock()
-	if s.migration != nil || s.attempt == nil || s.migrations >= maxMigrations {
+	if s.migration != nil || s.attempt == nil || s.migrations >= maxMigrations || !s.Stop().HasTime(migrationTimeout, clock.Now()) {
 		return
 	}
 	if !s.route.Resumable && s.timeToBegin(s.attempt.target) < migrationTimeout {
--- a/plannedstop/plannedstop.go
+++ b/plannedstop/plannedstop.go
@@ -138,6 +138,12 @@
 	return min(usual, max(least, p.Settles.Sub(now)-takeOverTime))
 }
 
+// HasTime reports whether what takes a time ends before the requests settle, or there is no
+// stop.
+func (p Plan) HasTime(d time.Duration, now clock.Instant) bool {
+	return p.IsZero() || !p.Settles.Before(now.Add(d))
+}
+
 // Request describes a request that has been read.
 type Request struct {
 	Deadline clock.Instant
--- a/plannedstop/plannedstop_test.go
+++ b/plannedstop/plannedstop_test.go
@@ -122,7 +122,10 @@
 		{"settles", plan, 6500 * time.Millisecond, least},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			is.New(t).Equal(c.plan.MaxIdle(usual, least, began.Add(c.at)), c.want)
+			is := is.New(t)
+			at := began.Add(c.at)
+			is.Equal(c.plan.MaxIdle(usual, least, at), c.want)
+			is.Equal(c.plan.HasTime(time.Second, at), c.plan.IsZero() || plan.Settles.Sub(at) >= time.Second)
 		})
 	}
 }
--- a/storenode/stop_takeover_test.go
+++ b/storenode/stop_takeover_test.go
@@ -13,13 +13,13 @@
 	"github.com/kumquathoist/kumquathoist/standin"
 )
 
-// TestStopLeavesSilentEngine guards against cutting a stream at the end of a stop while it
-// waits for an engine that fell silent, though another engine works.
-func TestStopLeavesSilentEngine(t *testing.T) {
+// startLongStreams starts a host and engines as processes, and tells the host to stop while
+// it relays streams that outlast it.
+func startLongStreams(t *testing.T, engines, streams int) (*silentEngines, *daemon) {
 	is := is.New(t)
 	d := &silentEngines{deployment: newDeployment(t, 0, 0, 1)}
 	d.configure(func(config map[string]any) { config["routes"].([]any)[0].(map[string]any)["timeout_ms"] = 20000 })
-	for i := range 2 {
+	for i := range engines {
 		o := standin.PlatformProcessOptions{ID: fmt.Sprint("engine-", i), Service: "models", Zone: "north", Model: "m1", Software: "v1", Events: 200, Interval: 100 * time.Millisecond}
 		e, err := standin.StartPlatformProcess(o, os.Args[0], engineArgument)
 		is.NoErr(err)
@@ -28,12 +28,21 @@
 		d.engines = append(d.engines, e)
 	}
 	h := d.daemon(0)
-	headers := maps.Clone(longAnswerPrompt(0))
-	headers["X-Deadline-Ms"] = "15000"
-	caller := d.client(h.testHost)
-	caller.writeWithHeaders("/full/a", "s", headers)
-	d.await("the stream runs", func() bool { return len(d.runs()) == 1 })
+	for i := range streams {
+		headers := maps.Clone(longAnswerPrompt(i))
+		headers["X-Deadline-Ms"] = "15000"
+		d.client(h.testHost).writeWithHeaders("/full/a", fmt.Sprint("s", i), headers)
+	}
+	d.await("all run", func() bool { return len(d.runs()) == streams })
 	d.signal(h, syscall.SIGTERM)
+	return d, h
+}
+
+// TestStopLeavesSilentEngine guards against cutting a stream at the end of a stop while it
+// waits for an engine that fell silent, though another engine works.
+func TestStopLeavesSilentEngine(t *testing.T) {
+	is := is.New(t)
+	d, h := startLongStreams(t, 2, 1)
 	time.Sleep(5800 * time.Millisecond) // of 8 s, 7.5 s until requests are cut
 	for _, e := range d.engines {
 		if len(e.Runs()) > 0 {
@@ -43,3 +52,15 @@
 	<-h.ended
 	is.Equal(len(d.runs()), 2) // the other engine took it
 }
+
+// TestStopBeginsNoLateMoves guards against cutting a stream whose host stopped its run to
+// move it and ended before another engine went on with it.
+func TestStopBeginsNoLateMoves(t *testing.T) {
+	is := is.New(t)
+	d, h := startLongStreams(t, 3, 6)
+	time.Sleep(5200 * time.Millisecond)
+	d.store.Put("keyed.op", "version/m1", map[string]any{"model": "m1", "version": 2})
+	<-h.ended
+	is.True(h.line(6101, "") != "") // an engine was to load
+	is.Equal(h.line(2108, ""), "")  // "run moved"
+}
