--- a/storenode/stop_silent_test.go
+++ b/storenode/stop_silent_test.go
@@ -1,16 +1,12 @@
 package storenode_test
 
 import (
-	"fmt"
 	"maps"
-	"os"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
-
-	"github.com/kumquathoist/kumquathoist/standin"
 )
 
 // TestStopEndsBesideSilentEngines guards against hosts that outlive their grace time since
@@ -22,12 +18,7 @@
 	d.graceSeconds = grace.Seconds()
 	d.configure(func(config map[string]any) { config["routes"].([]any)[0].(map[string]any)["timeout_ms"] = 20000 })
 	for i := range 2 {
-		o := standin.PlatformProcessOptions{ID: fmt.Sprint("engine-", i), Service: "models", Zone: "north", Model: "m1", Software: "v1", Events: 100, Interval: 100 * time.Millisecond}
-		e, err := standin.StartPlatformProcess(o, os.Args[0], engineArgument)
-		is.NoErr(err)
-		t.Cleanup(e.Kill)
-		d.store.Put("keyed.servers", o.ID, e.Entry())
-		d.engines = append(d.engines, e)
+		d.startEngine(i, 100, 0, 100*time.Millisecond)
 	}
 	d.watchStalls()
 	h := d.daemon(0)
--- a/storenode/stop_takeover_test.go
+++ b/storenode/stop_takeover_test.go
@@ -3,29 +3,21 @@
 import (
 	"fmt"
 	"maps"
-	"os"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
-
-	"github.com/kumquathoist/kumquathoist/standin"
 )
 
 // startLongStreams starts a host and engines as processes, and tells the host to stop while
 // it relays streams that outlast it.
 func startLongStreams(t *testing.T, engines, streams int) (*silentEngines, *daemon) {
-	is := is.New(t)
+	t.Helper()
 	d := &silentEngines{deployment: newDeployment(t, 0, 0, 1)}
 	d.configure(func(config map[string]any) { config["routes"].([]any)[0].(map[string]any)["timeout_ms"] = 20000 })
 	for i := range engines {
-		o := standin.PlatformProcessOptions{ID: fmt.Sprint("engine-", i), Service: "models", Zone: "north", Model: "m1", Software: "v1", Events: 200, Interval: 100 * time.Millisecond}
-		e, err := standin.StartPlatformProcess(o, os.Args[0], engineArgument)
-		is.NoErr(err)
-		t.Cleanup(e.Kill)
-		d.store.Put("keyed.servers", o.ID, e.Entry())
-		d.engines = append(d.engines, e)
+		d.startEngine(i, 200, 0, 100*time.Millisecond)
 	}
 	h := d.daemon(0)
 	for i := range streams {
