feat: limits of accounts over all hosts on a platform with a store

Cause: the configuration's limits of accounts were not decoded, so nothing kept them. Each host delegates its part of the limits to a coordinator, which pools the parts and grants credit that ends after a second (docs/design/account-limits.md).

Ruled out: one coordinator by rendezvous alone, since two views make two.

--- a/call/call.go
+++ b/call/call.go
@@ -191,6 +191,8 @@
 	NoRoute      Reason = "NoRoute"      // 404
 	NoAccount    Reason = "NoAccount"    // 401
 	BadCall      Reason = "BadCall"      // 400
+	AccountLimit Reason = "AccountLimit" // 429: the account has used up its limit
+	NoCredit     Reason = "NoCredit"     // 503: no host granted credit of the account's limit
 	NoUpstream   Reason = "NoUpstream"   // 503: no upstream can run it now
 	NotRun       Reason = "NotRun"       // 503: upstreams rejected it
 	Overloaded   Reason = "Overloaded"   // 503: all queues are too long
@@ -210,7 +212,7 @@
 // statuses maps reasons to HTTP statuses. Statuses that promise that the request
 // did not run are used only for reasons that imply it.
 var statuses = map[Reason]int{
-	NotReady: 503, Stale: 503, NoRoute: 404, NoAccount: 401, BadCall: 400, NoUpstream: 503,
+	NotReady: 503, Stale: 503, NoRoute: 404, NoAccount: 401, BadCall: 400, AccountLimit: 429, NoCredit: 503, NoUpstream: 503,
 	NotRun: 503, Overloaded: 503, Resting: 503, Limited: 503, Stopping: 503, Isolated: 503, Unresumable: 503, Quarantined: 503, Unknown: 502, TimedOut: 504, DeadlinePast: 504, CallerLeft: 502,
 }
 
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -8,6 +8,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/kumquathoist/kumquathoist/account"
 )
 
 // Kind determines how often a request may be executed.
@@ -134,6 +136,30 @@
 	Priority *int
 	// Isolated accounts share no cached prompt parts with others.
 	Isolated bool
+	// Limit is the account's limit over all hosts; the zero value is none.
+	Limit AccountLimit
+}
+
+// AccountLimit is the limit of an account, counted in requests or in tokens.
+type AccountLimit struct {
+	account.Limit
+
+	// CountsTokens means that a request counts as its tokens, or as PlainTokens if it
+	// has no prompt. Otherwise each counts as 1.
+	CountsTokens bool
+	PlainTokens  int
+}
+
+// Amount returns what a request counts, given the tokens of its prompt and at most of
+// its answer; 0 for a request without a prompt.
+func (l AccountLimit) Amount(tokens int) float64 {
+	switch {
+	case !l.CountsTokens:
+		return 1
+	case tokens > 0:
+		return float64(tokens)
+	}
+	return float64(l.PlainTokens)
 }
 
 // Limits are the limits on requests of callers.
@@ -149,6 +175,8 @@
 	Limits  Limits
 	// Open means that no account is configured, so that no request requires a key.
 	Open bool
+	// LimitsAccounts means that an account has a limit.
+	LimitsAccounts bool
 
 	routes   map[string]map[string]Route
 	services map[string]Service
@@ -180,6 +208,7 @@
 	}
 	for _, a := range accounts {
 		c.accounts[a.Name] = a
+		c.LimitsAccounts = c.LimitsAccounts || a.Limit.IsSet()
 		if a.Isolated {
 			c.isolated = append(c.isolated, a.Name)
 		}
@@ -246,6 +275,12 @@
 	return models
 }
 
+// Account returns the account with a name.
+func (c Catalog) Account(name string) (Account, bool) {
+	a, ok := c.accounts[name]
+	return a, ok
+}
+
 // AccountByKey returns the account that owns a key.
 func (c Catalog) AccountByKey(key string) (Account, bool) {
 	name, ok := c.keys[key]
--- /dev/null
+++ b/forward/charge.go
@@ -0,0 +1,38 @@
+package forward
+
+import (
+	"context"
+	"errors"
+
+	"github.com/kumquathoist/kumquathoist/account"
+	"github.com/kumquathoist/kumquathoist/call"
+)
+
+// charge charges the request to the limit of its account, or refuses it. A request counts
+// once, at the host that its caller sent it to. GiveBack returns the charge of a request
+// that did not run.
+func (h *handler) charge(ctx context.Context) (giveBack func(), refusal *call.Answer) {
+	limit := h.account.Limit
+	if !limit.IsSet() || h.call.Relayed {
+		return func() {}, nil
+	}
+	prompt := h.call.Prompt
+	giveBack, refused := h.Limits.Take(ctx, account.Demand{
+		Account: h.account.Name, Limit: limit.Limit, Amount: limit.Amount(prompt.Input + prompt.MaxOutput), Begun: h.call.ResumeAfter != "",
+	})
+	if refused.Limit == "" {
+		return giveBack, nil
+	}
+	a := call.Refuse(call.AccountLimit).WithRetryAfter(refused.RetryAfter)
+	switch {
+	case hostStops(ctx):
+		a = call.Refuse(call.Stopping).WithRetryAfter(retryAfterStopping)
+	case errors.Is(ctx.Err(), context.Canceled):
+		a = call.Refuse(call.CallerLeft)
+	case ctx.Err() != nil:
+		a = call.Refuse(call.DeadlinePast)
+	case refused.Limit == account.NoCredit:
+		a = call.Refuse(call.NoCredit).WithRetryAfter(retryAfterShort)
+	}
+	return func() {}, &a
+}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -14,6 +14,7 @@
 	"github.com/sourcegraph/conc"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/kumquathoist/kumquathoist/account"
 	"github.com/kumquathoist/kumquathoist/allocation"
 	"github.com/kumquathoist/kumquathoist/availability"
 	"github.com/kumquathoist/kumquathoist/cachemap"
@@ -114,6 +115,13 @@
 	Find(ctx context.Context, service, id string) software.Origin
 }
 
+// accountLimits charges requests to the limits of accounts.
+type accountLimits interface {
+	// Take charges a request, or refuses it. GiveBack returns the charge of one that did
+	// not run.
+	Take(ctx context.Context, d account.Demand) (giveBack func(), refused account.Refusal)
+}
+
 // loadExchange exchanges load reports with the other hosts.
 type loadExchange interface {
 	// RemoteLoad returns the load of the other hosts at an engine.
@@ -141,6 +149,8 @@
 	Encoder encoder
 	Guard   guard
 	Origins origins
+	// Limits enforces the limits of accounts.
+	Limits accountLimits
 	// Reachability is told of connections to upstreams.
 	Reachability reachability
 	// Relays passes requests on to other hosts.
@@ -263,16 +273,24 @@
 		return *refusal
 	}
 	ctx, cancel := context.WithTimeout(ctx, h.timeLeft())
-	release, refusal := h.admitByGuard(ctx)
+	giveBack, refusal := h.charge(ctx)
+	release := func() {}
+	if refusal == nil {
+		release, refusal = h.admitByGuard(ctx)
+	}
 	if refusal != nil {
 		cancel()
 		h.releaseBody()
+		giveBack()
 		*refusal = unlessRan(*refusal, c)
 		h.recordEnd(*refusal)
 		return *refusal
 	}
 	h.ctx, h.release = ctx, sync.OnceFunc(func() { release(); cancel(); h.releaseBody() })
 	answer := h.handle(ctx)
+	if answer.Reason != "" && h.retryState.MaybeExecuted == 0 {
+		giveBack()
+	}
 	if s, ok := answer.Stream.(*stream); ok {
 		s.addStream(s.attempt.id, s)
 	} else {
--- a/storenode/stop.go
+++ b/storenode/stop.go
@@ -38,6 +38,7 @@
 	n.plan.Store(&plan)
 	n.server.Stop(plan)
 	n.directory.Leave()
+	n.credits.Release()
 	lastOrder := time.AfterFunc(max(0, plan.Cuts.Add(-orderTime).Sub(clock.Now())), func() { n.ending.Store(true) })
 	defer lastOrder.Stop()
 	idle := func() bool { return !clock.Now().Before(plan.Refuses.Add(leaveSpread)) && n.server.OpenRequests() == 0 }
