fix: parts of answers and statuses that the protocol doesn't know are no answers

Callers got a part of an answer as the whole one: an upstream answered an upload with 200 and no length, and reset the connection while the upload was being written. A socket reports its reset once; the writer of the upload took it, and the reader saw the end that ends such a body. Both paths were concerned (http1; net/http on the own path). Such a body is whole only if the request was written whole.

Status 000 was taken for 200, since the library's zero value is 200; 600 and above were passed on. httpheader.IsStatus decides now for all that reads answers.

--- a/http1/exchange.go
+++ b/http1/exchange.go
@@ -18,6 +18,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/kumquathoist/kumquathoist/call"
+	"github.com/kumquathoist/kumquathoist/httpheader"
 )
 
 const (
@@ -32,6 +33,8 @@
 	// maxInformational bounds the informational heads (1xx) before an answer;
 	// upstreams send one or two.
 	maxInformational = 8
+	// maxBlankBytes bounds the blank lines before a status line.
+	maxBlankBytes = 4
 	// maxTrailerBytes bounds the trailer fields after a body.
 	maxTrailerBytes = 4096
 	// maxFramingBytes is how many bytes more than its data the chunk framing of
@@ -47,6 +50,9 @@
 	// to reuse its connection; a new one costs about a millisecond.
 	maxSkipBytes = 64 << 10
 	skipTimeout  = 20 * time.Millisecond
+	// writeEndTimeout bounds the wait for the end of a request's writing on a
+	// connection that has ended.
+	writeEndTimeout = time.Second
 )
 
 // ErrNotSent is wrapped by errors that mean that no byte of the request has left
@@ -129,6 +135,9 @@
 		if _, err := e.conn.buffer.Peek(1); err != nil {
 			return unreadableHead{err}
 		}
+		if err := checkStatusLine(e.conn.buffer); err != nil {
+			return unreadableHead{err}
+		}
 		var h fasthttp.ResponseHeader
 		if err := h.Read(e.conn.buffer); err != nil {
 			return unreadableHead{err}
@@ -161,6 +170,34 @@
 	}
 }
 
+// checkStatusLine checks the start of the status line that follows. The library takes
+// statuses that the protocol doesn't allow, some of them for 200.
+func checkStatusLine(in *bufio.Reader) error {
+	line, err := in.Peek(len(statusLineForm))
+	for range maxBlankBytes {
+		if len(line) == 0 || line[0] != '\r' && line[0] != '\n' {
+			break
+		}
+		_, _ = in.Discard(1)
+		line, err = in.Peek(len(statusLineForm))
+	}
+	if err != nil {
+		return err
+	}
+	version, status := line[:len("HTTP/1.1 ")], line[len("HTTP/1.1 "):]
+	code := 0
+	for _, digit := range status {
+		if digit < '0' || digit > '9' {
+			return trace.BadParameter("the status %q is not a number", status)
+		}
+		code = 10*code + int(digit-'0')
+	}
+	if !bytes.Equal(version, []byte("HTTP/1.1 ")) && !bytes.Equal(version, []byte("HTTP/1.0 ")) || !httpheader.IsStatus(code) {
+		return trace.BadParameter("%q begins no answer", line)
+	}
+	return nil
+}
+
 // isJoined reports whether a head was cut within a line and that of another answer follows,
 // so that neither its status nor its fields are those of one answer.
 func isJoined(h *fasthttp.ResponseHeader) bool {
@@ -454,13 +491,32 @@
 }
 
 // closeDelimitedBody is a body that ends when its connection is closed. A reset
-// doesn't end it.
+// doesn't end it. A connection reports a reset only once, and the writer of the request may
+// have received the report: the reader then sees an end as of a closed connection.
 type closeDelimitedBody struct{ exchange *Exchange }
 
 func (c *closeDelimitedBody) Read(b []byte) (int, error) {
 	n, err := c.exchange.conn.buffer.Read(b)
-	if errors.Is(err, io.EOF) {
-		c.exchange.complete = true
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	if failed := c.exchange.awaitWritten(); failed != nil {
+		return n, failed
 	}
+	c.exchange.complete = true
 	return n, err
 }
+
+// awaitWritten returns why the request was not written whole, or nil. The connection must
+// have ended, which ends the writing soon.
+func (e *Exchange) awaitWritten() error {
+	timer := time.NewTimer(writeEndTimeout)
+	defer timer.Stop()
+	select {
+	case err := <-e.written:
+		e.written <- err
+		return err
+	case <-timer.C:
+		return io.ErrUnexpectedEOF
+	}
+}
--- a/http1/fuzz_test.go
+++ b/http1/fuzz_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -71,6 +73,8 @@
 		"HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\nContent-Length: 1\r\n\r\na" + head + "Content-Length: 0\r\n\r\n",
 		"HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: r\r\nRetry-After: 0.5\r\nServer-Leaving: 1\r\nContent-Length: 0\r\n\r\n",
 		head + "Retry-After: -1e999\r\nX-Weight-Versions: 99999999999999999999\r\nKeep-Alive: timeout=-5\r\n\r\n",
+		"HTTP/1.1 000 No\r\nX-Attempt-Id: r\r\nContent-Length: 4\r\n\r\nbody", "HTTP/1.1 600 No\r\nX-Attempt-Id: r\r\nContent-Length: 4\r\n\r\nbody",
+		"\r\n\r\nHTTP/1.1 000\r\nX-Attempt-Id: r\r\n\r\n",
 		"HTTP/0.9 000\r\n\r\n", "\r\n\r\n", "", "HTTP/1.1 200 OK\n\nbody", "HTTP/1.1 204 No Content\r\nX-Attempt-Id: r\r\nContent-Length: 9\r\n\r\n",
 	} {
 		f.Add([]byte(answer))
@@ -106,6 +110,9 @@
 			return
 		}
 		defer x.Discard()
+		if x.Status < 200 || x.Status > 599 || !bytes.Contains(answer, fmt.Appendf(nil, " %d", x.Status)) {
+			t.Errorf("the status is %d", x.Status)
+		}
 		if errors.Is(err, io.EOF) != x.Complete() {
 			t.Errorf("the answer ended with %v, complete: %v", err, x.Complete())
 		}
--- a/httpheader/httpheader.go
+++ b/httpheader/httpheader.go
@@ -1,5 +1,4 @@
-// Package httpheader checks request headers for syntax that the HTTP library
-// doesn't reject.
+// Package httpheader checks heads for what HTTP libraries don't reject.
 package httpheader
 
 import "bytes"
@@ -9,3 +8,7 @@
 func HasLineFolding(raw []byte) bool {
 	return bytes.Contains(raw, []byte("\n ")) || bytes.Contains(raw, []byte("\n\t"))
 }
+
+// IsStatus reports whether a number is a status that the protocol allows (RFC 9110,
+// section 15). Any other is no answer, but an upstream that failed.
+func IsStatus(code int) bool { return code >= 100 && code <= 599 }
--- a/socket/client.go
+++ b/socket/client.go
@@ -1,9 +1,120 @@
 package socket
 
-import "net/http"
+import (
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/kumquathoist/kumquathoist/httpheader"
+)
+
+// writeEndTimeout bounds the wait for the end of a request's writing on a connection that
+// has ended.
+const writeEndTimeout = time.Second
 
 // NewHTTPClient returns a client that follows no redirects: an answer comes from the address
-// that was called, and an error in reaching an address means that one.
+// that was called, and an error in reaching an address means that one. It takes only what
+// the protocol allows for an answer, and no part of one for the whole.
 func NewHTTPClient(t http.RoundTripper) *http.Client {
-	return &http.Client{Transport: t, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
+	return &http.Client{Transport: checkedTransport{t}, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
+}
+
+// checkedTransport rejects answers that the library accepts and the protocol doesn't.
+type checkedTransport struct{ http.RoundTripper }
+
+// RoundTrip implements http.RoundTripper.
+func (t checkedTransport) RoundTrip(req *http.Request) (*http.Response, error) {
+	w := &requestWrite{}
+	ctx := httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { w.begin() }, WroteRequest: func(i httptrace.WroteRequestInfo) { w.end(i.Err) },
+	})
+	resp, err := t.RoundTripper.RoundTrip(req.WithContext(ctx))
+	if err != nil {
+		return nil, err
+	}
+	if !httpheader.IsStatus(resp.StatusCode) {
+		_ = resp.Body.Close()
+		return nil, trace.BadParameter("the status %q is none of the protocol", resp.Status)
+	}
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && !resp.Uncompressed {
+		resp.Body = &closeDelimitedBody{ReadCloser: resp.Body, write: w}
+	}
+	return resp, nil
+}
+
+// CloseIdleConnections closes the idle connections of the transport.
+func (t checkedTransport) CloseIdleConnections() {
+	if c, ok := t.RoundTripper.(interface{ CloseIdleConnections() }); ok {
+		c.CloseIdleConnections()
+	}
+}
+
+// requestWrite is the writing of one request.
+type requestWrite struct {
+	// mu guards the fields below.
+	mu   sync.Mutex
+	done chan struct{}
+	err  error
+}
+
+// begin records that the request is written to a connection.
+func (w *requestWrite) begin() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.done, w.err = make(chan struct{}), nil
+}
+
+// end records the end of the writing.
+func (w *requestWrite) end(err error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	select {
+	case <-w.done:
+	default:
+		w.err = err
+		close(w.done)
+	}
+}
+
+// await returns why the request was not written whole, or nil. The connection must have
+// ended, which ends the writing soon.
+func (w *requestWrite) await() error {
+	w.mu.Lock()
+	done := w.done
+	w.mu.Unlock()
+	timer := time.NewTimer(writeEndTimeout)
+	defer timer.Stop()
+	select {
+	case <-done:
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		return w.err
+	case <-timer.C:
+		return io.ErrUnexpectedEOF
+	}
+}
+
+// closeDelimitedBody is a body that ends when its connection is closed. A connection
+// reports a reset only once, and the writer of the request may have received the report:
+// the reader then sees an end as of a closed connection.
+type closeDelimitedBody struct {
+	io.ReadCloser
+
+	write *requestWrite
+}
+
+// Read implements io.Reader.
+func (b *closeDelimitedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		if failed := b.write.await(); failed != nil {
+			err = failed
+		}
+	}
+	return n, err
 }
