fix: answers that end in order while the upload goes on are whole

Found by review: an upstream that answered early, closed its side in order and read on was refused after 1 s (http1), or at once (net/http, which closes the connection itself at the end of the body). A reset ends the writing of the request at once, so a writing that goes on, or that this side ended, means an end in order. The tests of resets now fail if no row checked anything.

--- a/http1/exchange.go
+++ b/http1/exchange.go
@@ -508,7 +508,8 @@
 }
 
 // awaitWritten returns why the request was not written whole, or nil. The connection must
-// have ended, which ends the writing soon.
+// have ended: a reset ends the writing at once. If it goes on, the upstream closed only its
+// side of the connection, which ends the answer in order.
 func (e *Exchange) awaitWritten() error {
 	timer := time.NewTimer(writeEndTimeout)
 	defer timer.Stop()
@@ -517,6 +518,6 @@
 		e.written <- err
 		return err
 	case <-timer.C:
-		return io.ErrUnexpectedEOF
+		return nil
 	}
 }
--- a/socket/client.go
+++ b/socket/client.go
@@ -3,8 +3,10 @@
 import (
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
+	"strings"
 	"sync"
 	"time"
 
@@ -82,7 +84,8 @@
 }
 
 // await returns why the request was not written whole, or nil. The connection must have
-// ended, which ends the writing soon.
+// ended: a reset ends the writing at once. If it goes on, or ends since this side closes the
+// connection, the server closed only its side, which ends the answer in order.
 func (w *requestWrite) await() error {
 	w.mu.Lock()
 	done := w.done
@@ -93,9 +96,12 @@
 	case <-done:
 		w.mu.Lock()
 		defer w.mu.Unlock()
+		if w.err != nil && strings.HasSuffix(w.err.Error(), net.ErrClosed.Error()) {
+			return nil // the library's error doesn't unwrap to its cause
+		}
 		return w.err
 	case <-timer.C:
-		return io.ErrUnexpectedEOF
+		return nil
 	}
 }
 
--- a/socket/client_test.go
+++ b/socket/client_test.go
@@ -66,6 +66,7 @@
 					time.Sleep(beforeReset)
 					_ = conn.(*net.TCPConn).SetLinger(0)
 				})
+				checked := 0
 				for range 5 {
 					resp, err := socket.NewHTTPClient(&http.Transport{}).Post(url, "text/plain", io.NopCloser(bytes.NewReader(body)))
 					if err != nil {
@@ -75,12 +76,34 @@
 					_, err = io.ReadAll(resp.Body)
 					is.New(t).True(err != nil)
 					_ = resp.Body.Close()
+					checked++
+				}
+				if beforeReset > time.Millisecond && checked == 0 {
+					t.Error("each reset overtook the head")
 				}
 			})
 		}
 	}
 }
 
+// TestUnframedAnswerThatEndsInOrderIsWhole closes the server's side of a connection in order
+// while it still reads the upload.
+func TestUnframedAnswerThatEndsInOrderIsWhole(t *testing.T) {
+	is := is.New(t)
+	url := answerWith(t, func(conn net.Conn) {
+		_, _ = io.WriteString(conn, "HTTP/1.1 413 Large\r\n\r\nall")
+		_ = conn.(*net.TCPConn).CloseWrite()
+		time.Sleep(200 * time.Millisecond)
+		_, _ = io.Copy(io.Discard, conn)
+	})
+	resp, err := socket.NewHTTPClient(&http.Transport{}).Post(url, "text/plain", bytes.NewReader(bytes.Repeat([]byte("b"), 16<<20)))
+	is.NoErr(err)
+	defer func() { _ = resp.Body.Close() }()
+	got, err := io.ReadAll(resp.Body)
+	is.NoErr(err)
+	is.Equal(string(got), "all")
+}
+
 // TestUnframedAnswerToWholeUploadIsWhole ends the connection in order after the request was
 // read.
 func TestUnframedAnswerToWholeUploadIsWhole(t *testing.T) {
