fix: requests that may have run at another host keep their charge

Cause: a request that a cut-off host passes on and that ends at the other host with 502 or 504 may have run, but gave its credit back, since the first host has sent it to no engine.

Result: only a 503 (or another status that promises that nothing ran) of the other host gives credit back. Two rows of TestOnlyWhatDidNotRunIsGivenBack fail without the change.

--- a/forward/charge.go
+++ b/forward/charge.go
@@ -35,3 +35,14 @@
 	}
 	return func() {}, &a
 }
+
+// didNotRun reports whether an answer tells that no upstream has run the request.
+func (h *handler) didNotRun(a call.Answer) bool {
+	switch {
+	case a.Reason == "" || h.retryState.MaybeExecuted > 0:
+		return false
+	case a.Reason == call.Relayed: // it may have run at the other host
+		return promisesNotRun(a.Status)
+	}
+	return true
+}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -288,7 +288,7 @@
 	}
 	h.ctx, h.release = ctx, sync.OnceFunc(func() { release(); cancel(); h.releaseBody() })
 	answer := h.handle(ctx)
-	if answer.Reason != "" && h.retryState.MaybeExecuted == 0 {
+	if h.didNotRun(answer) {
 		giveBack()
 	}
 	if s, ok := answer.Stream.(*stream); ok {
