perf: delegations of limits end after two renewal intervals instead of four

Cause: when a coordinator hangs, nobody else may use the parts until their delegations have ended, so the account's callers get 503 meanwhile.

Ruled out: giving the parts to another coordinator at once; the model test shows that the limit is exceeded then. A renewal that is lost costs the pool one host's part until the next.

--- a/account/trust.go
+++ b/account/trust.go
@@ -15,7 +15,7 @@
 	maxFailed = 2
 	// delegationFactor is how many times the interval between two renewals a delegation
 	// holds.
-	delegationFactor = 4
+	delegationFactor = 2
 	// moveDelay is how long another coordinator must rank first until a host moves its
 	// part there.
 	moveDelay = time.Second
