fix: findings of the review of account limits

Each found by a reviewer who wrote none of it, with a trial: - a coordinator without configuration switched a limit off (5,995 used in 3 s of 505 allowed): an ask now carries the limit (TestLimitHoldsAtCoordinatorWithoutConfiguration); - a host without a part became its own coordinator for 3 s after its start (150 of 263 requests refused with 503): it delegates to nobody then, and ranks the hosts before its first ask (TestHostWithoutPartDelegatesToNobody); - a request that never ran left its account in debt for its size: unused credit goes back (TestReturnedCreditEndsDebt); one beyond the burst must find the pool full; - callers were told times far beyond the end of the load: promises are bounded by 10 s.

--- a/account/ledger.go
+++ b/account/ledger.go
@@ -12,6 +12,10 @@
 	maxMinority = 0.5
 	// anyCredit is the least level at which the main pool serves a request of any size.
 	anyCredit = 1e-9
+	// maxPromise is the time for whose credit callers are told to come back.
+	maxPromise = 10 * time.Second
+	// forgetAfter is how long a pool without a known limit is kept.
+	forgetAfter = 30 * time.Second
 )
 
 // Limit is an account's limit over all hosts, in what it counts: requests or tokens.
@@ -44,13 +48,16 @@
 // Ask requests credit for one account.
 type Ask struct {
 	Account string
+	// Limit is the account's limit as the host knows it. It holds as long as the
+	// coordinator knows none.
+	Limit Limit
 	// Need is the charge of all requests that wait for credit, and First that of the
 	// first one. Wish is what the host would like beyond that.
 	First, Need, Wish float64
 	// Begun is the charge of waiting requests whose callers have a part of the answer.
 	Begun float64
-	// Owed was used without credit.
-	Owed float64
+	// Owed was used without credit, Returned is credit that was not used.
+	Owed, Returned float64
 }
 
 // Grant is the answer to an Ask.
@@ -63,8 +70,6 @@
 	// Wait is how long it takes until the pool can serve the rest; 0 if there is none, or
 	// if nothing is delegated to the coordinator.
 	Wait time.Duration
-	// Unknown means that the coordinator knows no limit of the account.
-	Unknown bool
 }
 
 // Ledger is what a coordinator keeps of the accounts that it coordinates: the parts of
@@ -102,6 +107,7 @@
 	promised float64
 	// filled is the ledger's integral up to which the pool has been filled.
 	filled float64
+	used   clock.Instant
 }
 
 // NewLedger returns a ledger without delegations. Life distinguishes it from all others
@@ -136,13 +142,15 @@
 	l.advance(now)
 	p, rate, capacity := l.pool(a.Account), limit.PerSecond*l.total, limit.Burst*l.total
 	l.fill(p, limit)
+	p.used = now
+	p.level = min(p.level+a.Returned, capacity)
 	p.level = max(p.level-a.Owed, min(p.level, -capacity))
 	g := Grant{Begun: a.Begun > 0 && rate > 0 && p.level > -capacity}
 	if g.Begun {
 		p.level -= a.Begun
 		a.Begun = 0
 	}
-	if a.Need > 0 && (p.level >= a.First || l.total > maxMinority && p.level >= min(capacity, anyCredit)) {
+	if a.Need > 0 && (p.level >= a.First || l.total > maxMinority && p.level >= leastLevel(a.First, capacity)) {
 		g.Amount = max(min(a.Need, p.level), a.First)
 		p.level -= g.Amount
 	}
@@ -151,7 +159,7 @@
 			return g
 		}
 		g.Wait = waitFor(p.promised-min(p.level, 0), rate)
-		p.promised += rest
+		p.promised = min(p.promised+rest, rate*maxPromise.Seconds())
 		return g
 	}
 	// What is asked ahead of need leaves half of the burst to the other hosts.
@@ -162,6 +170,15 @@
 	return g
 }
 
+// leastLevel returns the level at which the main pool serves a request. One beyond the
+// burst must find the pool full.
+func leastLevel(amount, capacity float64) float64 {
+	if amount > capacity {
+		return capacity
+	}
+	return min(capacity, anyCredit)
+}
+
 // waitFor returns the bounded time in which an amount accumulates at a rate.
 func waitFor(amount, rate float64) time.Duration {
 	return time.Duration(min(max(amount/rate, minRetryAfter.Seconds()), maxRetryAfter.Seconds()) * float64(time.Second))
@@ -219,10 +236,10 @@
 	l.total = total
 }
 
-// Forget removes the pools of accounts without a limit.
-func (l *Ledger) Forget(limited func(account string) bool) {
-	for name := range l.pools {
-		if !limited(name) {
+// Forget removes the pools of accounts without a limit that were not used lately.
+func (l *Ledger) Forget(limited func(account string) bool, now clock.Instant) {
+	for name, p := range l.pools {
+		if !limited(name) && now.Sub(p.used) > forgetAfter {
 			delete(l.pools, name)
 		}
 	}
--- a/account/ledger_test.go
+++ b/account/ledger_test.go
@@ -391,3 +391,25 @@
 	// 80 true 20
 	// 100 0
 }
+
+// TestReturnedCreditEndsDebt returns the charge of a request that never ran, though it put
+// its account deep into debt.
+func TestReturnedCreditEndsDebt(t *testing.T) {
+	is := is.New(t)
+	now := clock.Instant(time.Hour)
+	ledger, limit := account.NewLedger(1, now), account.Limit{PerSecond: 100, Burst: 100}
+	pass := func(d time.Duration) {
+		now = now.Add(d)
+		ledger.Delegate(account.Delegation{Host: "h", Share: 1, Stamp: ledger.Stamp(now), TTL: time.Hour}, now)
+	}
+	pass(0)
+	pass(500 * time.Millisecond)
+	is.Equal(ledger.Grant(account.Ask{Account: "a", First: 1e5, Need: 1e5}, limit, now).Amount, 0.0) // larger than the burst: not before the pool is full
+	pass(time.Second)
+	is.Equal(ledger.Grant(account.Ask{Account: "a", First: 1e5, Need: 1e5}, limit, now).Amount, 1e5)
+	is.Equal(ledger.Grant(account.Ask{Account: "a", First: 1, Need: 1}, limit, now).Amount, 0.0)
+	is.Equal(ledger.Grant(account.Ask{Account: "a", Returned: 1e5, First: 1, Need: 1}, limit, now).Amount, 1.0)
+	is.Equal(ledger.Grant(account.Ask{Account: "a", Returned: 1e5, First: 99, Need: 99}, limit, now).Amount, 99.0)
+	is.Equal(ledger.Grant(account.Ask{Account: "a", First: 99, Need: 99}, limit, now).Amount, 99.0) // the burst is no more than before
+	is.Equal(ledger.Grant(account.Ask{Account: "a", First: 1, Need: 1}, limit, now).Amount, 0.0)
+}
--- a/account/trust.go
+++ b/account/trust.go
@@ -87,7 +87,7 @@
 		d.Stamp = t.stamp
 	}
 	end := t.received.Add(d.TTL)
-	if t.stamper != coordinator || !now.Before(end) || t.holder != coordinator && now.Before(t.until) {
+	if share <= 0 || t.stamper != coordinator || !now.Before(end) || t.holder != coordinator && now.Before(t.until) {
 		return t, d
 	}
 	if t.holder == coordinator {
--- a/account/trust_test.go
+++ b/account/trust_test.go
@@ -59,3 +59,18 @@
 	}
 	t.Fatal("the part has not moved")
 }
+
+// TestHostWithoutPartDelegatesToNobody lets a host without a part choose another coordinator
+// at once when it has one.
+func TestHostWithoutPartDelegatesToNobody(t *testing.T) {
+	is := is.New(t)
+	now := clock.Instant(time.Hour)
+	trust := account.Trust{}.Answered("self", account.Stamp{Life: 1, At: now}, now)
+	trust, d := trust.Delegate("self", 0, time.Second, now)
+	is.Equal(d.Share, 0.0)
+	trust, coordinator := trust.Coordinator([]string{"other", "self"}, "self", now)
+	is.Equal(coordinator, "other")
+	trust = trust.Answered("other", account.Stamp{Life: 2, At: now}, now)
+	_, d = trust.Delegate("other", 0.5, time.Second, now)
+	is.Equal(d.Share, 0.5)
+}
--- a/limiter/creditor.go
+++ b/limiter/creditor.go
@@ -21,8 +21,8 @@
 type creditor struct {
 	credit account.Credit
 	demand allocation.RateWindow
-	// owed was used without credit and is not reported yet.
-	owed float64
+	// owed was used without credit, returned was not used; both are not reported yet.
+	owed, returned float64
 	// waiting are the requests that wait for credit, asking is set while it is asked for.
 	waiting []*applicant
 	asking  bool
@@ -58,10 +58,10 @@
 
 // refuse returns a refusal that asks the caller to come back after those that were
 // refused before it.
-func (a *creditor) refuse(amount, partPerSecond float64, now clock.Instant) account.Refusal {
+func (a *creditor) refuse(amount, perSecond float64, now clock.Instant) account.Refusal {
 	a.returnAt = max(a.returnAt, now)
-	if partPerSecond > 0 {
-		a.returnAt = min(a.returnAt.Add(timeFor(amount, partPerSecond)), now.Add(maxReturnAfter))
+	if perSecond > 0 {
+		a.returnAt = min(a.returnAt.Add(timeFor(amount, perSecond)), now.Add(maxReturnAfter))
 	}
 	return account.Refusal{Limit: account.RateLimit, RetryAfter: a.returnAt.Sub(now)}
 }
@@ -73,9 +73,10 @@
 
 // ask returns the request for the credit of the first waiting requests. The caller holds
 // mu.
-func (a *creditor) ask(name string, waiting int, now clock.Instant) account.Ask {
-	ask := account.Ask{Account: name, Owed: a.owed}
-	a.owed = 0
+func (a *creditor) ask(name string, limit account.Limit, waiting int, now clock.Instant) account.Ask {
+	// An answer may be lost after the credit was returned, so it is returned only once.
+	ask := account.Ask{Account: name, Limit: limit, Owed: a.owed, Returned: a.returned}
+	a.owed, a.returned = 0, 0
 	for _, w := range a.waiting[:waiting] {
 		if w.begun {
 			ask.Begun += w.amount
--- a/limiter/creditor_test.go
+++ b/limiter/creditor_test.go
@@ -57,7 +57,7 @@
 			is := is.New(t)
 			w := &applicant{amount: 10, begun: true, result: make(chan verdict, 1)}
 			a := creditor{waiting: []*applicant{w}}
-			is.Equal(a.ask("mill", 1, now), account.Ask{Account: "mill", Begun: 10})
+			is.Equal(a.ask("mill", account.Limit{}, 1, now), account.Ask{Account: "mill", Begun: 10})
 			a.settle(a.waiting, test.grant, account.Limit{PerSecond: 10}, now, now)
 			is.Equal((<-w.result).refused.Limit, test.refused)
 			is.Equal(a.owed, test.owed)
--- a/limiter/credits.go
+++ b/limiter/credits.go
@@ -28,6 +28,8 @@
 	// renewIntervalPerHost the interval for each of many hosts.
 	minRenewInterval     = 500 * time.Millisecond
 	renewIntervalPerHost = 5 * time.Millisecond
+	// activePollInterval is the interval between checks whether any account has a limit.
+	activePollInterval = 100 * time.Millisecond
 	// askTimeout limits one call to a coordinator.
 	askTimeout = 400 * time.Millisecond
 	// askCoordinators is how many coordinators are asked for one request.
@@ -97,8 +99,11 @@
 	}
 	wait.Go(func() {
 		for ctx.Err() == nil {
-			c.renew()
-			clock.Pause(ctx, renewalInterval(c.Known()))
+			interval := renewalInterval(c.Known())
+			if !c.renew() {
+				interval = activePollInterval
+			}
+			clock.Pause(ctx, interval)
 		}
 	})
 	return c
@@ -126,8 +131,7 @@
 	return func() {
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		a := c.creditor(d.Account)
-		a.credit = a.credit.With(charge, clock.Now())
+		c.creditor(d.Account).returned += charge.Amount
 	}, refused
 }
 
@@ -142,7 +146,7 @@
 		return charge, account.Refusal{}
 	}
 	if now.Before(a.pausedUntil) && !d.Begun {
-		return account.Charge{}, a.refuse(d.Amount, c.partOf(d.Limit), now)
+		return account.Charge{}, a.refuse(d.Amount, d.Limit.PerSecond, now)
 	}
 	applied := &applicant{amount: d.Amount, begun: d.Begun, result: make(chan verdict, 1)}
 	a.waiting = append(a.waiting, applied)
@@ -175,9 +179,6 @@
 	}
 }
 
-// partOf returns this host's part of a rate. The caller holds mu.
-func (c *Credits) partOf(l account.Limit) float64 { return l.PerSecond / float64(max(1, c.known)) }
-
 // creditor returns what this host keeps of an account. The caller holds mu.
 func (c *Credits) creditor(name string) *creditor {
 	a, ok := c.accounts[name]
@@ -201,19 +202,19 @@
 			}
 			return
 		}
-		ask := a.ask(name, len(waiting), clock.Now())
+		limit, limited := c.Limit(name)
+		ask := a.ask(name, limit, len(waiting), clock.Now())
 		c.mu.Unlock()
-		grant, sent, ok := c.askCoordinators(ask)
+		// The limit may have been removed since the requests came.
+		grant, sent, ok := account.Grant{Amount: ask.Need, Begun: true}, clock.Now(), true
+		if limited {
+			grant, sent, ok = c.askCoordinators(ask)
+		}
 		c.mu.Lock()
 		a.waiting = a.waiting[len(waiting):]
-		if !ok || grant.Unknown {
+		if !ok {
 			a.owed += ask.Owed
 		}
-		if grant.Unknown {
-			// The coordinator has no limit yet, or no longer.
-			grant = account.Grant{Amount: ask.Need, Begun: true}
-		}
-		limit, _ := c.Limit(name)
 		a.settle(waiting, grant, limit, sent, clock.Now())
 		c.mu.Unlock()
 	}
@@ -231,11 +232,30 @@
 	return account.Grant{}, sent, false
 }
 
-// renew renews the delegations of this host, and asks ahead for active accounts.
-func (c *Credits) renew() {
+// renew renews the delegations of this host, and asks ahead for active accounts. It
+// reports whether any account has a limit.
+func (c *Credits) renew() bool {
 	if !c.Active() {
-		return
+		return false
+	}
+	c.rank()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	asks := c.renewalAsks(clock.Now())
+	for g := range c.groups {
+		group := &c.groups[g]
+		c.ledgers[g].Forget(c.isLimited, clock.Now())
+		if group.renewing {
+			continue
+		}
+		group.renewing = true
+		c.wait.Go(func() { c.renewGroup(g, asks[g]) })
 	}
+	return true
+}
+
+// rank ranks the live hosts as coordinators.
+func (c *Credits) rank() {
 	hosts := c.Hosts()
 	names, addresses := make([]string, 0, len(hosts)), make(map[string]string, len(hosts))
 	for _, h := range hosts {
@@ -249,16 +269,9 @@
 	if c.released {
 		names = slices.DeleteFunc(names, func(name string) bool { return name == c.Host })
 	}
-	asks := c.renewalAsks(clock.Now())
 	for g := range c.groups {
 		group := &c.groups[g]
 		group.ranked, group.addresses = placement.Rank(groupRankKey+string(rune('0'+g)), names), addresses
-		c.ledgers[g].Forget(c.isLimited)
-		if group.renewing {
-			continue
-		}
-		group.renewing = true
-		c.wait.Go(func() { c.renewGroup(g, asks[g]) })
 	}
 }
 
@@ -271,7 +284,8 @@
 // The caller holds mu.
 func (c *Credits) renewalAsks(now clock.Instant) (asks [coordinatorGroups][]account.Ask) {
 	for name, a := range c.accounts {
-		if !c.isLimited(name) {
+		limit, limited := c.Limit(name)
+		if !limited {
 			if !a.asking {
 				delete(c.accounts, name)
 			}
@@ -281,7 +295,7 @@
 		if c.groups[g].renewing {
 			continue
 		}
-		if ask := a.ask(name, 0, now); ask.Wish >= 1 || ask.Owed > 0 {
+		if ask := a.ask(name, limit, 0, now); ask.Wish >= 1 || ask.Owed > 0 || ask.Returned > 0 {
 			asks[g] = append(asks[g], ask)
 		}
 	}
@@ -298,7 +312,7 @@
 	now := clock.Now()
 	for i, ask := range asks {
 		a := c.creditor(ask.Account)
-		if err != nil || len(reply.Grants) != len(asks) || reply.Grants[i].Unknown {
+		if err != nil || len(reply.Grants) != len(asks) {
 			a.owed += ask.Owed
 			continue
 		}
@@ -326,6 +340,11 @@
 func (c *Credits) callOnce(g int, asks []account.Ask) (reply CreditReply, coordinator string, err error) {
 	c.mu.Lock()
 	group := &c.groups[g]
+	if group.ranked == nil { // before the first renewal
+		c.mu.Unlock()
+		c.rank()
+		c.mu.Lock()
+	}
 	now := clock.Now()
 	group.trust, coordinator = group.trust.Coordinator(group.ranked, c.Host, now)
 	request := CreditRequest{Group: g, Asks: asks}
@@ -384,11 +403,10 @@
 	reply := CreditReply{Stamp: ledger.Stamp(now)}
 	for _, ask := range request.Asks {
 		limit, ok := c.Limit(ask.Account)
-		grant := account.Grant{Unknown: true}
-		if ok {
-			grant = ledger.Grant(ask, limit, now)
+		if !ok {
+			limit = ask.Limit
 		}
-		reply.Grants = append(reply.Grants, grant)
+		reply.Grants = append(reply.Grants, ledger.Grant(ask, limit, now))
 	}
 	return reply
 }
--- a/limiter/credits_test.go
+++ b/limiter/credits_test.go
@@ -45,8 +45,10 @@
 	cancel context.CancelFunc
 	calls  atomic.Int64
 	// mu guards the fields below.
-	mu     sync.Mutex
-	limit  account.Limit
+	mu    sync.Mutex
+	limit account.Limit
+	// blind holds the hosts that know of no limit.
+	blind  map[string]bool
 	hosts  map[string]*meshHost
 	faults map[string]fault
 	// asked counts the calls that asked a host for credit.
@@ -81,7 +83,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var wait conc.WaitGroup
 	t.Cleanup(func() { cancel(); wait.Wait() })
-	m := &mesh{t: t, cancel: cancel, limit: limit, hosts: map[string]*meshHost{}, faults: map[string]fault{}, asked: map[string]int{}}
+	m := &mesh{t: t, cancel: cancel, limit: limit, blind: map[string]bool{}, hosts: map[string]*meshHost{}, faults: map[string]fault{}, asked: map[string]int{}}
 	var known []registry.Host
 	for i := range hosts {
 		name := fmt.Sprint("host-", i)
@@ -93,7 +95,7 @@
 		h := &meshHost{name: k.Name}
 		h.Credits = limiter.NewCredits(ctx, &wait, limiter.CreditOptions{
 			Host: k.Name, Hosts: func() []registry.Host { return known }, Known: func() int { return hosts }, Peers: m,
-			Limit: m.limitOf, Active: func() bool { l, _ := m.limitOf(""); return l.IsSet() },
+			Limit: func(string) (account.Limit, bool) { return m.limitOf(k.Name) }, Active: func() bool { _, ok := m.limitOf(k.Name); return ok },
 		})
 		if err := limiter.RegisterCredits(h, h.Credits); err != nil {
 			t.Fatal(err)
@@ -103,9 +105,12 @@
 	return m
 }
 
-func (m *mesh) limitOf(string) (account.Limit, bool) {
+func (m *mesh) limitOf(host string) (account.Limit, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.blind[host] {
+		return account.Limit{}, false
+	}
 	return m.limit, m.limit.IsSet()
 }
 
@@ -221,7 +226,9 @@
 				case <-done:
 					return
 				case <-ticker.C:
-					requests.Go(func() { m.take(h, amount) })
+					if _, limited := m.limitOf(h.name); limited {
+						requests.Go(func() { m.take(h, amount) })
+					}
 				}
 			}
 		})
@@ -410,6 +417,25 @@
 	}
 }
 
+// TestLimitHoldsAtCoordinatorWithoutConfiguration has a coordinator that doesn't know of the
+// limits, as after a start while the store is away.
+func TestLimitHoldsAtCoordinatorWithoutConfiguration(t *testing.T) {
+	limit := account.Limit{PerSecond: 100, Burst: 100}
+	m := newMesh(t, 3, limit)
+	stop := m.load(400, 5)
+	m.awaitUse(100)
+	m.mu.Lock()
+	since := clock.Now()
+	m.mu.Unlock()
+	coordinator := m.coordinator()
+	m.mu.Lock()
+	m.blind[coordinator] = true
+	m.mu.Unlock()
+	time.Sleep(4 * time.Second)
+	stop()
+	m.checkLimit(limit, 5, since)
+}
+
 // TestNoLimitsNoMessages checks that hosts send nothing as long as no account has a limit.
 func TestNoLimitsNoMessages(t *testing.T) {
 	m := newMesh(t, 3, account.Limit{})
--- a/storenode/credits.go
+++ b/storenode/credits.go
@@ -18,7 +18,7 @@
 
 // startupPartDelay is how long a new process owns no part of the limits of accounts: it
 // may know too few other hosts.
-const startupPartDelay = time.Second
+const startupPartDelay = 300 * time.Millisecond
 
 // credits enforces the limits of accounts.
 type credits struct {
