--- a/storenode/harness_test.go
+++ b/storenode/harness_test.go
@@ -48,6 +48,8 @@
 	leaseMillis int
 	// graceSeconds is the grace time of a planned stop; 0 means the default.
 	graceSeconds float64
+	// descriptors is the number of descriptors of a host; 0 means the default.
+	descriptors int
 	// loadReportPort and relayPort are the ports of all hosts for load reports and
 	// for relayed requests.
 	loadReportPort, relayPort string
@@ -249,7 +251,7 @@
 		s.Platform.Seeds = []string{d.hosts[0].settings.Listen.Peers}
 	}
 	s.Secrets.Peers = settings.Source{Environment: "SITE_TEST_SECRET"}
-	s.Machine = settings.Machine{MemoryMB: 512, Descriptors: 4096}
+	s.Machine = settings.Machine{MemoryMB: 512, Descriptors: cmp.Or(d.descriptors, 4096)}
 	s.Bounds = settings.Bounds{LeaseMillis: cmp.Or(d.leaseMillis, 1000), WeightsMillis: cmp.Or(d.weightsMillis, 6000), GraceSeconds: cmp.Or(d.graceSeconds, 8), RepeatRatio: 0.2, RepeatWindowSeconds: 10, RepeatSlack: 50}
 	return s
 }
