fix: what clients leave unfinished fits into a host's machine

The library read whole bodies before anything decided on them, and each listener took as many connections as that for callers. Bodies are now read as they arrive, and count from then to the end of their requests: 35% of the memory, 5% more for small ones. The operators' limit applies to an announced length at once and to the first byte beyond it (413). A body that brings nothing for the operators' header timeout, and a head that takes longer, get 408; without room 503.

--- a/event/request.go
+++ b/event/request.go
@@ -34,6 +34,8 @@
 	SendFailed = Event{2102, "try failed", "A send to an upstream brought no answer that can be forwarded. NotSent and TurnedAway mean that the request did not run. Connection is the number of the connection to the upstream, 0 if no answer began; two lines with TurnedAway and the same Connection for one request would mean that the second answer may be a copy of the first."}
 	// CallRefused reports a request that was refused before any send.
 	CallRefused = Event{2103, "call refused", "A request was refused before any attempt."}
+	// BodyRefused reports clients whose bodies were not taken in.
+	BodyRefused = Event{2119, "body refused", "The body of a request was not taken in; the request was not passed on, and its connection is closed. Reason is TooLarge (beyond the operators' limit), NoRoom (bodies that arrive or are in progress hold the room for them, HeldBytes; it may have stood still and made room for another), TooSlow (it did not arrive in time) or Broken (it can't be read, or the client has left). Bytes counts what had arrived of it. At most one such line a second is written; Count is the number of bodies since the last one."}
 	// CallEnded reports the outcome of a request.
 	CallEnded = Event{2104, "call ended", "A request ended. Ran counts attempts that may have run, TurnedAway those that did not."}
 	// StreamResumed reports a stream that continues at another upstream.
@@ -67,4 +69,4 @@
 	StreamStalled = Event{2110, "stream awaited", "An upstream is idle in the middle of a stream and no other could take over. While others are only silent, the host looks for one again; otherwise it waits until the deadline."}
 )
 
-var requestEvents = []Event{RequestEnded, AttemptFailed, ClaimFailed, RequestQuarantined, PartQuarantined, CrashShareFailed, ClaimAppendFailed, LossRecorded, SuspicionEnded, LossExplained, LossUnread, QuarantineEnforced, CancelFailed, CallScheduled, SendFailed, CallRefused, CallEnded, StreamResumed, StreamTakenUp, StreamFailed, StreamEnded, CallRelayed, RelayFailed, RequestMigrated, MemoryFreed, CallOverloaded, AttemptReplaced, AnswersSkipped, StreamStalled, StaleRequestCancelled, SeparatedRequestCancelled}
+var requestEvents = []Event{RequestEnded, AttemptFailed, ClaimFailed, RequestQuarantined, PartQuarantined, CrashShareFailed, ClaimAppendFailed, LossRecorded, SuspicionEnded, LossExplained, LossUnread, QuarantineEnforced, CancelFailed, CallScheduled, SendFailed, CallRefused, BodyRefused, CallEnded, StreamResumed, StreamTakenUp, StreamFailed, StreamEnded, CallRelayed, RelayFailed, RequestMigrated, MemoryFreed, CallOverloaded, AttemptReplaced, AnswersSkipped, StreamStalled, StaleRequestCancelled, SeparatedRequestCancelled}
--- a/storenode/crowd_test.go
+++ b/storenode/crowd_test.go
@@ -118,7 +118,7 @@
 
 // join connects the clients of the crowd and returns once each has sent all, or has failed.
 // The returned function ends their connections.
-func (c crowd) join(d *deployment, h *hostProcess) (leave func()) {
+func (c crowd) join(h *hostProcess) (leave func()) {
 	var sending conc.WaitGroup
 	connections := make(chan net.Conn, crowdSize*len(c.listeners(h.settings.Listen)))
 	for _, address := range c.listeners(h.settings.Listen) {
@@ -186,7 +186,7 @@
 			send := func(body string) int {
 				return d.do(h.testHost, http.MethodPost, modelHost, "/full/b", fmt.Sprint("o", time.Now().UnixNano()), prompt, body).status
 			}
-			leave := tt.join(d, h)
+			leave := tt.join(h)
 			status := 0
 			for try := 0; try < ordinaryTries && status != http.StatusOK; try++ {
 				status = send("body")
--- a/storenode/storenode.go
+++ b/storenode/storenode.go
@@ -15,6 +15,7 @@
 	"github.com/gravitational/trace"
 	"github.com/sourcegraph/conc"
 	"github.com/uber-go/tally/v4"
+	"github.com/valyala/fasthttp"
 
 	"github.com/kumquathoist/kumquathoist/address"
 	"github.com/kumquathoist/kumquathoist/cachefeed"
@@ -26,6 +27,7 @@
 	"github.com/kumquathoist/kumquathoist/health"
 	"github.com/kumquathoist/kumquathoist/host"
 	"github.com/kumquathoist/kumquathoist/http1"
+	"github.com/kumquathoist/kumquathoist/intake"
 	"github.com/kumquathoist/kumquathoist/liveness"
 	"github.com/kumquathoist/kumquathoist/loadreport"
 	"github.com/kumquathoist/kumquathoist/membership"
@@ -54,6 +56,8 @@
 	// requestShare is the share of the host's memory for the bodies of requests in
 	// progress.
 	requestShare = 0.35
+	// smallRequestShare is the share of the host's memory for small bodies alone.
+	smallRequestShare = 0.05
 	// weightsMargin is how long before the operators' limit this host stops
 	// sending requests to engines with older weights, since they may queue there.
 	weightsMargin = 700 * time.Millisecond
@@ -198,14 +202,7 @@
 			event.ListenerFailed.Error(err, "Address", n.settings.Listen.Peers)
 		}
 	})
-	n.server, err = platform.NewServer(ctx, &n.wait, platform.Options{
-		Callers: n.settings.Listen.Callers, Addresses: n.settings.Listen.Addresses, Readiness: n.settings.Listen.Readiness, MetricsAddress: n.settings.Listen.Metrics,
-		Relays: n.settings.Listen.Relays, RelaySecret: credentials.Secret,
-		Router: n.router, Ready: n.syncer.Ready, Hosts: n.nearbyHosts, Connections: n.settings.Machine.Descriptors / callersDivisor, AddressTTL: addressTTL,
-		BodyLimit: func() int { return n.syncer.State().Catalog.Limits.BodyBytes }, Metrics: handler,
-		IdleLimit: func() time.Duration { return n.syncer.State().Catalog.Limits.IdleTimeout },
-	})
-	if err != nil {
+	if n.server, err = n.newServer(ctx, credentials.Secret, scope, handler); err != nil {
 		return err
 	}
 	n.directory.Announce(n.settings.Listen.Callers, n.settings.Listen.PeersAddress())
@@ -218,6 +215,19 @@
 	return nil
 }
 
+// newServer starts the server for callers, other hosts and what looks after hosts.
+func (n *Node) newServer(ctx context.Context, secret settings.Secret, scope tally.Scope, metrics fasthttp.RequestHandler) (*platform.Server, error) {
+	return platform.NewServer(ctx, &n.wait, platform.Options{
+		Callers: n.settings.Listen.Callers, Addresses: n.settings.Listen.Addresses, Readiness: n.settings.Listen.Readiness, MetricsAddress: n.settings.Listen.Metrics,
+		Relays: n.settings.Listen.Relays, RelaySecret: secret,
+		Router: n.router, Ready: n.syncer.Ready, Hosts: n.nearbyHosts, Connections: n.settings.Machine.Descriptors / callersDivisor, AddressTTL: addressTTL,
+		BodyLimit: func() int { return n.syncer.State().Catalog.Limits.BodyBytes }, Metrics: metrics,
+		IdleLimit:     func() time.Duration { return n.syncer.State().Catalog.Limits.IdleTimeout },
+		HeaderTimeout: func() time.Duration { return n.syncer.State().Catalog.Limits.HeaderTimeout },
+		Intake:        intake.Limits{Bytes: n.memory(requestShare), SmallBytes: n.memory(smallRequestShare)}, Scope: scope,
+	})
+}
+
 // newMonitor starts the monitor of this host's connections to upstreams.
 func (n *Node) newMonitor(ctx context.Context, connections *http1.Pool, scope tally.Scope) *reachability.Monitor {
 	monitor := reachability.NewMonitor(ctx, &n.wait, reachability.Options{
