--- a/storenode/storenode.go
+++ b/storenode/storenode.go
@@ -15,7 +15,6 @@
 	"github.com/gravitational/trace"
 	"github.com/sourcegraph/conc"
 	"github.com/uber-go/tally/v4"
-	"github.com/valyala/fasthttp"
 
 	"github.com/kumquathoist/kumquathoist/address"
 	"github.com/kumquathoist/kumquathoist/cachefeed"
@@ -27,7 +26,6 @@
 	"github.com/kumquathoist/kumquathoist/health"
 	"github.com/kumquathoist/kumquathoist/host"
 	"github.com/kumquathoist/kumquathoist/http1"
-	"github.com/kumquathoist/kumquathoist/intake"
 	"github.com/kumquathoist/kumquathoist/liveness"
 	"github.com/kumquathoist/kumquathoist/loadreport"
 	"github.com/kumquathoist/kumquathoist/membership"
@@ -53,11 +51,6 @@
 	// bufferShare is the share of the host's memory for answers that are being
 	// received; callers, caches and the cache index need the rest.
 	bufferShare = 0.1
-	// requestShare is the share of the host's memory for the bodies of requests in
-	// progress.
-	requestShare = 0.35
-	// smallRequestShare is the share of the host's memory for small bodies alone.
-	smallRequestShare = 0.05
 	// weightsMargin is how long before the operators' limit this host stops
 	// sending requests to engines with older weights, since they may queue there.
 	weightsMargin = 700 * time.Millisecond
@@ -66,9 +59,6 @@
 	addressTTL = time.Second
 	// startupOrderDelay is how long a new process sends no orders to engines.
 	startupOrderDelay = time.Second
-	// callersDivisor divides the file descriptors to get the limit of caller
-	// connections. Upstreams, peers and the store need the rest.
-	callersDivisor = 2
 	// expireInterval is the interval between removals of expired health state.
 	expireInterval = time.Minute
 )
@@ -215,19 +205,6 @@
 	return nil
 }
 
-// newServer starts the server for callers, other hosts and what looks after hosts.
-func (n *Node) newServer(ctx context.Context, secret settings.Secret, scope tally.Scope, metrics fasthttp.RequestHandler) (*platform.Server, error) {
-	return platform.NewServer(ctx, &n.wait, platform.Options{
-		Callers: n.settings.Listen.Callers, Addresses: n.settings.Listen.Addresses, Readiness: n.settings.Listen.Readiness, MetricsAddress: n.settings.Listen.Metrics,
-		Relays: n.settings.Listen.Relays, RelaySecret: secret,
-		Router: n.router, Ready: n.syncer.Ready, Hosts: n.nearbyHosts, Connections: n.settings.Machine.Descriptors / callersDivisor, AddressTTL: addressTTL,
-		BodyLimit: func() int { return n.syncer.State().Catalog.Limits.BodyBytes }, Metrics: metrics,
-		IdleLimit:     func() time.Duration { return n.syncer.State().Catalog.Limits.IdleTimeout },
-		HeaderTimeout: func() time.Duration { return n.syncer.State().Catalog.Limits.HeaderTimeout },
-		Intake:        intake.Limits{Bytes: n.memory(requestShare), SmallBytes: n.memory(smallRequestShare)}, Scope: scope,
-	})
-}
-
 // newMonitor starts the monitor of this host's connections to upstreams.
 func (n *Node) newMonitor(ctx context.Context, connections *http1.Pool, scope tally.Scope) *reachability.Monitor {
 	monitor := reachability.NewMonitor(ctx, &n.wait, reachability.Options{
