--- a/storenode/storenode.go
+++ b/storenode/storenode.go
@@ -50,9 +50,6 @@
 	// bufferShare is the share of the host's memory for answers that are being
 	// received; callers, caches and the cache index need the rest.
 	bufferShare = 0.1
-	// requestShare is the share of the host's memory for the bodies of requests in
-	// progress.
-	requestShare = 0.35
 	// weightsMargin is how long before the operators' limit this host stops
 	// sending requests to engines with older weights, since they may queue there.
 	weightsMargin = 700 * time.Millisecond
@@ -61,9 +58,6 @@
 	addressTTL = time.Second
 	// startupOrderDelay is how long a new process sends no orders to engines.
 	startupOrderDelay = time.Second
-	// callersDivisor divides the file descriptors to get the limit of caller
-	// connections. Upstreams, peers and the store need the rest.
-	callersDivisor = 2
 	// expireInterval is the interval between removals of expired health state.
 	expireInterval = time.Minute
 )
@@ -193,14 +187,7 @@
 			event.ListenerFailed.Error(err, "Address", n.settings.Listen.Peers)
 		}
 	})
-	n.server, err = platform.NewServer(ctx, &n.wait, platform.Options{
-		Callers: n.settings.Listen.Callers, Addresses: n.settings.Listen.Addresses, Readiness: n.settings.Listen.Readiness, MetricsAddress: n.settings.Listen.Metrics,
-		Relays: n.settings.Listen.Relays, RelaySecret: credentials.Secret,
-		Router: n.router, Ready: n.syncer.Ready, Hosts: n.nearbyHosts, Connections: n.settings.Machine.Descriptors / callersDivisor, AddressTTL: addressTTL,
-		BodyLimit: func() int { return n.syncer.State().Catalog.Limits.BodyBytes }, Metrics: handler,
-		IdleLimit: func() time.Duration { return n.syncer.State().Catalog.Limits.IdleTimeout },
-	})
-	if err != nil {
+	if n.server, err = n.newServer(ctx, credentials.Secret, scope, handler); err != nil {
 		return err
 	}
 	n.directory.Announce(n.settings.Listen.Callers, n.settings.Listen.PeersAddress())
