fix: engines that have ended don't count against max_attempts

Callers saw streams cut that another engine could have taken.

Cause: the limit counted every engine that had run the stream. Class: a limit that counts what no longer exists.

A request now remembers which upstreams may have run it, and those that have left the list since, or whose process is another one, don't count; at most as many as the route allows others. Requests that may run once are as before, and so are those that crash engines: the guard still refuses them.

--- a/forward/broken.go
+++ b/forward/broken.go
@@ -48,7 +48,7 @@
 		return d
 	}
 	switch {
-	case h.retryState.ShouldRetry():
+	case h.currentState().ShouldRetry():
 	case (retry.State{Rejected: h.retryState.Rejected, Unsent: h.retryState.Unsent}).ShouldRetry():
 		return deniedAttempts
 	default:
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -10,6 +10,7 @@
 	"github.com/kumquathoist/kumquathoist/call"
 	"github.com/kumquathoist/kumquathoist/catalog"
 	"github.com/kumquathoist/kumquathoist/clock"
+	"github.com/kumquathoist/kumquathoist/discovery"
 	"github.com/kumquathoist/kumquathoist/event"
 	"github.com/kumquathoist/kumquathoist/health"
 	"github.com/kumquathoist/kumquathoist/http1"
@@ -61,6 +62,8 @@
 	reserved atomic.Bool
 	// tried holds the ids of the upstreams that were tried.
 	tried map[string]bool
+	// ran holds the attempts that may have run.
+	ran ranAttempts
 	// upstreamError is an upstream's own error, returned if no later attempt
 	// succeeds.
 	upstreamError *call.Answer
@@ -270,7 +273,13 @@
 // incarnationOf returns the incarnation of the upstream with an id, or "" if
 // its entry has none.
 func (h *handler) incarnationOf(id string) string {
-	if e, ok := h.snapshot.Upstreams.Entry(id); ok && e.StartTime > 0 {
+	e, _ := h.snapshot.Upstreams.Entry(id)
+	return incarnation(e)
+}
+
+// incarnation returns the incarnation of an entry, or "" if it has none.
+func incarnation(e discovery.Entry) string {
+	if e.StartTime > 0 {
 		return strconv.FormatInt(e.StartTime, 10)
 	}
 	return ""
@@ -280,7 +289,8 @@
 // if the request may not be retried after it.
 func (h *handler) attemptTimeout() time.Duration {
 	left := h.timeLeft()
-	isLast := !h.retryState.Idempotent || h.retryState.MaybeExecuted+1 >= h.retryState.MaxUpstreams || !h.allowsRetry(h.service.Name, h.stage)
+	state := h.currentState()
+	isLast := !state.Idempotent || state.RunsLeft() <= 1 || !h.allowsRetry(h.service.Name, h.stage)
 	switch {
 	case isLast:
 		return left
@@ -376,6 +386,9 @@
 		a.exchange.Discard()
 	}
 	h.endAttempt(a)
+	if o == retry.Broken || o == retry.Late || o == retry.Failed {
+		h.recordRun(a)
+	}
 	return h.recordFailure(a, o, err)
 }
 
--- a/forward/reattach.go
+++ b/forward/reattach.go
@@ -73,6 +73,10 @@
 			}
 			e = r.wait()
 		case reattach.GiveUp:
+			if left := r.runsLeftAfter(action.Reason); left > 0 {
+				state, e = state.WithRuns(left), reattach.Due
+				continue
+			}
 			s.denied = denial(action.Reason)
 			return s.logFailure(cause)
 		}
@@ -88,7 +92,17 @@
 	if !r.retryState.Idempotent {
 		return 0
 	}
-	return max(1, r.retryState.MaxUpstreams) - r.retryState.MaybeExecuted
+	return r.currentState().RunsLeft()
+}
+
+// runsLeftAfter returns at how many more upstreams a stream may run that is given up, now
+// that some of those that ran it may have ended.
+func (r *reattachment) runsLeftAfter(reason reattach.Reason) int {
+	if reason != reattach.Attempts {
+		return 0
+	}
+	r.count(r.broken, retry.Broken)
+	return r.runsLeft()
 }
 
 // memory returns what is known of the stream's memory: Due if it may still arrive.
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -181,6 +181,7 @@
 func (s *stream) count(a *attempt, o retry.Outcome) {
 	if !a.counted {
 		a.counted = true
+		s.recordRun(a)
 		s.retryState = s.retryState.With(o)
 	}
 }
--- a/forward/takeover.go
+++ b/forward/takeover.go
@@ -108,7 +108,7 @@
 // mayReplace reports whether another attempt may replace an idle one, apart from the
 // retry budget.
 func (s *stream) mayReplace(idle *attempt) bool {
-	state := s.retryState
+	state := s.currentState()
 	if !idle.counted {
 		state = state.With(retry.Broken)
 	}
--- a/reattach/reattach.go
+++ b/reattach/reattach.go
@@ -108,6 +108,14 @@
 	return s
 }
 
+// WithRuns returns the state once the stream may run at a number of upstreams, since some of
+// those that ran it have ended.
+func (s State) WithRuns(runs int) State {
+	s.runs, s.counted = runs, true
+	s.open[Anywhere] = s.mayRun()
+	return s
+}
+
 // mayRun reports whether another upstream may read the stream in again.
 func (s State) mayRun() bool {
 	if s.counted {
--- a/reattach/reattach_test.go
+++ b/reattach/reattach_test.go
@@ -111,6 +111,19 @@
 	is.True(gaveUp > 100)
 }
 
+// TestRunsOfEndedUpstreams gives a stream back a run when an upstream that ran it has ended.
+func TestRunsOfEndedUpstreams(t *testing.T) {
+	is := is.New(t)
+	s, action := reattach.Step(reattach.New(0, true, false), reattach.MemoryLost)
+	is.Equal(action, reattach.Action{Kind: reattach.GiveUp, Reason: reattach.Attempts})
+	s, action = reattach.Step(s.WithRuns(1), reattach.Due)
+	is.Equal(action, reattach.Action{Kind: reattach.Ask, Place: reattach.Anywhere})
+	s, action = reattach.Step(s, reattach.Failed)
+	is.Equal(action, reattach.Action{Kind: reattach.GiveUp, Reason: reattach.Attempts})
+	_, action = reattach.Step(s.WithRuns(0), reattach.Due)
+	is.Equal(action, reattach.Action{Kind: reattach.GiveUp, Reason: reattach.Attempts})
+}
+
 // TestRefusalsEndSometime has every place refuse a stream forever.
 func TestRefusalsEndSometime(t *testing.T) {
 	is := is.New(t)
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -47,6 +47,9 @@
 	// MaybeExecuted counts the attempts that may have run, Rejected those that
 	// upstreams rejected, Unsent those that reached no upstream.
 	MaybeExecuted, Rejected, Unsent int
+	// Ended counts the attempts of MaybeExecuted whose upstream's process has ended since;
+	// the limit of upstreams leaves out as many of them as it allows others.
+	Ended int
 	// TimedOut is set if the last Broken or Late attempt was Late.
 	TimedOut bool
 	// UpstreamError is set if an upstream's own error can be relayed.
@@ -75,7 +78,13 @@
 	if s.Rejected > maxRejected || s.Unsent > maxUnsent {
 		return false
 	}
-	return s.MaybeExecuted == 0 || s.Idempotent && s.MaybeExecuted < max(1, s.MaxUpstreams)
+	return s.MaybeExecuted == 0 || s.Idempotent && s.RunsLeft() > 0
+}
+
+// RunsLeft returns at how many more upstreams an idempotent request may run.
+func (s State) RunsLeft() int {
+	most := max(1, s.MaxUpstreams)
+	return most + min(s.Ended, most) - s.MaybeExecuted
 }
 
 // FailureReason returns why the request got no answer. It is call.NotRun only if
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -9,6 +9,28 @@
 	"github.com/kumquathoist/kumquathoist/retry"
 )
 
+// TestEndedUpstreamsDoNotCount checks that the limit of upstreams leaves out those that have
+// ended, no more of them than it allows others, and only where a request may run again.
+func TestEndedUpstreamsDoNotCount(t *testing.T) {
+	for _, c := range []struct {
+		idempotent       bool
+		most, ran, ended int
+		want             bool
+	}{
+		{true, 2, 2, 0, false},
+		{true, 2, 2, 1, true},
+		{true, 2, 3, 1, false},
+		{true, 2, 3, 2, true},
+		{true, 2, 4, 2, false},
+		{true, 2, 4, 4, false},
+		{true, 0, 1, 1, true},
+		{false, 2, 1, 1, false},
+	} {
+		s := retry.State{Idempotent: c.idempotent, MaxUpstreams: c.most, MaybeExecuted: c.ran, Ended: c.ended}
+		is.New(t).Equal(s.ShouldRetry(), c.want)
+	}
+}
+
 // TestAllSequences checks all sequences of outcomes of four attempts: a request
 // that isn't idempotent is never retried after an attempt that may have run, no
 // more upstreams run a request than the route allows, and "not run" is answered
