fix: a host that stops leaves silent engines as soon as it knows of them

Callers saw streams cut at the end of a planned stop.

Cause: a host that stops waited as long as without a stop, if the time allowed it. Class: a wait that is bounded by the end of the time rather than by what is known.

While a host stops, it checks an engine once its stream has paused for longer than its route allows, 0.5 s at least, and looks for another one at once if the check isn't answered. One that answers keeps its stream as long as before.

--- a/forward/stream.go
+++ b/forward/stream.go
@@ -74,7 +74,7 @@
 			return errors.New("an event exceeds the size limit")
 		}
 		if s.attempt.answering && s.route.Resumable && !s.waitsForever && !s.attempt.relay {
-			if err := x.AwaitData(min(s.idleTimeout(), s.timeLeft())); err != nil {
+			if err := s.awaitEvent(); err != nil {
 				return err
 			}
 		}
--- a/forward/takeover.go
+++ b/forward/takeover.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"os"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -38,13 +40,26 @@
 	Silence(upstream string) liveness.Silence
 }
 
-// idleTimeout returns how long the stream waits for the next event before it looks for
-// another upstream.
-func (s *stream) idleTimeout() time.Duration {
+// awaitEvent waits for the next event as long as the stream stays with an upstream that is
+// idle. While the host stops, that is only as long as the upstream isn't known to be silent.
+func (s *stream) awaitEvent() error {
+	await := func(d time.Duration) error { return s.attempt.exchange.AwaitData(min(d, s.timeLeft())) }
 	if s.searching {
-		return searchInterval
+		return await(searchInterval)
 	}
-	return s.Stop().MaxIdle(s.resumeTimeout(), max(s.route.EventGap, minStoppingIdle), clock.Now())
+	began, least := clock.Now(), max(s.route.EventGap, minStoppingIdle)
+	limit := s.Stop().MaxIdle(s.resumeTimeout(), least, began)
+	if s.Stop().IsZero() || limit <= least+liveness.AnswerTime {
+		return await(limit)
+	}
+	if err := await(least); !errors.Is(err, os.ErrDeadlineExceeded) {
+		return err
+	}
+	answered := s.checkAlive(s.attempt.target)
+	if err := await(liveness.AnswerTime); !errors.Is(err, os.ErrDeadlineExceeded) || !isClosed(answered) {
+		return err
+	}
+	return await(limit - clock.Now().Sub(began))
 }
 
 // idleAttempt is an attempt without an event for too long, which another may replace.
