test: a stop may cut a stream whose engine is silent as all others are

The soak counted a resumable stream as lost if its engine was silent in the last sixth of the grace time, since another engine could have taken it. That is wrong where no other could.

The users' rule allows a cut of a request sent up to 3 s after SIGTERM whose engine is still at work in that last sixth; its run goes on there, and no engine was awake to take it over.

The check now counts the run's whole span there, as it does for requests that may run once, only if all engines were stopped from the moment at which the stream had paused for longer than its route allows until the cut.

--- a/soak/check_stops.go
+++ b/soak/check_stops.go
@@ -46,8 +46,12 @@
 	changes []termsChange
 	// deadline is the callers' time limit.
 	deadline time.Duration
+	// gap is the longest usual pause of a stream.
+	gap time.Duration
 	// calm reports whether a host had no unplanned fault between two times.
 	calm func(h *host, from, until time.Time) bool
+	// allSilent reports whether all engines were stopped from one time until another.
+	allSilent func(from, until time.Time) bool
 }
 
 // checkLosses checks the requests around planned work where engines are processes.
@@ -55,7 +59,7 @@
 	if len(fi.processes) == 0 {
 		return nil
 	}
-	return lossCheck{fi.allWork(), fi.allRefusals(), fi.plannedStops, fi.hangUps, fi.changes, fi.tempo.deadline, fi.calmBetween}.violations(calls)
+	return lossCheck{fi.allWork(), fi.allRefusals(), fi.plannedStops, fi.hangUps, fi.changes, fi.tempo.deadline, fi.tempo.gap, fi.calmBetween, fi.allSilent}.violations(calls)
 }
 
 // violations returns the violations that the stops, the calls and the work show.
@@ -129,13 +133,14 @@
 }
 
 // workedAtEnd reports whether an engine worked on a call in the end of a stop's grace time.
-// Where a request may run once, no other engine can take it from one that is silent.
+// Where a request may run once, or once its stream pauses for longer than usual all engines
+// are silent until it ends, no other can take it from one that is silent.
 func (l lossCheck) workedAtEnd(c *call, s stop) bool {
 	grace := graceSeconds * time.Second
 	end := []standin.PlatformPeriod{{From: s.at.Add(grace - time.Duration(graceEnd*float64(grace))), Until: s.at.Add(grace)}}
 	for _, w := range l.work[c.id] {
 		periods := w.periods
-		if c.kind == "flag" || c.kind == "post" {
+		if c.kind == "flag" || c.kind == "post" || l.allSilent(w.lastWork(c.ended).Add(l.gap), c.ended) {
 			periods = w.span(c.ended)
 		}
 		if overlap(periods, end) > 0 {
--- a/soak/engine_process.go
+++ b/soak/engine_process.go
@@ -134,6 +134,28 @@
 	return d.startProcess(e, d.crasher.reusesNames, "")
 }
 
+// allSilent reports whether all engines that had not ended were stopped from one time until
+// another.
+func (d *deployment) allSilent(from, until time.Time) bool {
+	if !from.Before(until) {
+		return false
+	}
+	covers := func(p standin.PlatformPeriod) bool {
+		return !p.From.After(from) && (p.Until.IsZero() || !p.Until.Before(until))
+	}
+	for _, e := range d.processes {
+		if e.service != modelService {
+			continue
+		}
+		for _, p := range e.all() {
+			if ended := p.Killed(); (ended.IsZero() || ended.After(from)) && !slices.ContainsFunc(p.Pauses(), covers) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // allWork returns what the processes did, by request and in the order of the beginning.
 func (d *deployment) allWork() map[string][]engineWork {
 	work := map[string][]engineWork{}
@@ -251,6 +273,17 @@
 	return until
 }
 
+// lastWork returns when the engine last worked on the request before an instant.
+func (w engineWork) lastWork(before time.Time) time.Time {
+	last := w.run.Began
+	for _, p := range w.periods {
+		if p.From.Before(before) {
+			last = p.Until
+		}
+	}
+	return last
+}
+
 // span returns the time from the beginning of the work to its end, or up to an instant.
 func (w engineWork) span(until time.Time) []standin.PlatformPeriod {
 	return []standin.PlatformPeriod{{From: w.run.Began, Until: w.end(until)}}
