test: an engine killed before it began to work excuses a lost connection

The soak reported "lost its connection" for streams that ended with their engine, which the users' rule leaves out (the engine broke off): it knew only engines that had begun to work.

The check now also excuses a call whose last failed attempt in its host's log broke at an engine that was killed within 200 ms before the call ended. Calls that ended later, before, or after another outcome count as before (TestBrokeOff, TestLost).

--- a/soak/check_work.go
+++ b/soak/check_work.go
@@ -23,6 +23,8 @@
 	changes []termsChange
 	// faultFree reports whether a host had no fault between two times.
 	faultFree func(h *host, from, until time.Time) bool
+	// brokeOff reports whether a call ended with the engine to which it had been sent last.
+	brokeOff func(c *call) bool
 }
 
 // checkProcesses checks what engines that are processes did, if any are.
@@ -30,7 +32,7 @@
 	if len(fi.processes) == 0 {
 		return nil
 	}
-	return workCheck{fi.allWork(), fi.allRefusals(), fi.changes, fi.faultFreeBetween}.violations(calls)
+	return workCheck{fi.allWork(), fi.allRefusals(), fi.changes, fi.faultFreeBetween, fi.brokeOff}.violations(calls)
 }
 
 // violations returns the violations that the calls and the work show.
@@ -91,7 +93,7 @@
 	case len(work) == 0 && c.ended.Sub(c.lastByte()) < closeRaceWindow:
 		// The request crossed the close of its connection.
 		return ""
-	case !w.faultFree(c.host, c.sent.Add(-hostCalm), c.ended):
+	case !w.faultFree(c.host, c.sent.Add(-hostCalm), c.ended), w.brokeOff(c):
 		return ""
 	}
 	for _, at := range w.refusals[c.id] {
--- a/soak/check_work_test.go
+++ b/soak/check_work_test.go
@@ -75,34 +75,35 @@
 func TestLost(t *testing.T) {
 	work := []engineWork{worked("a", 10, 3000)}
 	for _, c := range []struct {
-		name   string
-		work   []engineWork
-		status int
-		whole  bool
-		gaveUp bool
-		ended  int
-		fault  int
-		want   bool
+		name           string
+		work           []engineWork
+		status         int
+		whole          bool
+		gaveUp         bool
+		ended          int
+		fault          int
+		brokeOff, want bool
 	}{
-		{"a whole answer", work, 200, true, false, 3000, noFault, false},
-		{"a failure", work, 504, true, false, 3000, noFault, false},
-		{"closed without an answer", work, 0, false, false, 3000, noFault, true},
-		{"closed in the middle of an answer", work, 200, false, false, 3000, noFault, true},
-		{"closed soon after it was passed on", work, 0, false, false, 100, noFault, true},
-		{"closed without being passed on", nil, 0, false, false, 200, noFault, true},
-		{"crossed the close", nil, 0, false, false, 199, noFault, false},
-		{"the caller left", work, 200, false, true, 3000, noFault, false},
-		{"the deadline passed", work, 200, false, false, 10000, noFault, false},
-		{"the timeout passed", work, 200, false, false, 4000, noFault, false},
-		{"its engine was killed", []engineWork{killed(worked("a", 10, 3000), 2900)}, 200, false, false, 3000, noFault, false},
-		{"its engine was killed later", []engineWork{killed(worked("a", 10, 3000), 3100)}, 200, false, false, 3000, noFault, true},
-		{"one of two engines was killed", []engineWork{killed(worked("a", 10, 1000), 1000), worked("b", 1100, 3000)}, 200, false, false, 3000, noFault, false},
-		{"the host had a fault before", work, 0, false, false, 3000, -2900, false},
-		{"the host had a fault long before", work, 0, false, false, 3000, -3100, true},
+		{"a whole answer", work, 200, true, false, 3000, noFault, false, false},
+		{"a failure", work, 504, true, false, 3000, noFault, false, false},
+		{"closed without an answer", work, 0, false, false, 3000, noFault, false, true},
+		{"closed in the middle of an answer", work, 200, false, false, 3000, noFault, false, true},
+		{"closed soon after it was passed on", work, 0, false, false, 100, noFault, false, true},
+		{"closed without being passed on", nil, 0, false, false, 200, noFault, false, true},
+		{"crossed the close", nil, 0, false, false, 199, noFault, false, false},
+		{"the caller left", work, 200, false, true, 3000, noFault, false, false},
+		{"the deadline passed", work, 200, false, false, 10000, noFault, false, false},
+		{"the timeout passed", work, 200, false, false, 4000, noFault, false, false},
+		{"its engine was killed", []engineWork{killed(worked("a", 10, 3000), 2900)}, 200, false, false, 3000, noFault, false, false},
+		{"its engine was killed later", []engineWork{killed(worked("a", 10, 3000), 3100)}, 200, false, false, 3000, noFault, false, true},
+		{"one of two engines was killed", []engineWork{killed(worked("a", 10, 1000), 1000), worked("b", 1100, 3000)}, 200, false, false, 3000, noFault, false, false},
+		{"the host had a fault before", work, 0, false, false, 3000, -2900, false, false},
+		{"the host had a fault long before", work, 0, false, false, 3000, -3100, false, true},
+		{"the engine to which it was sent last was killed", work, 200, false, false, 3000, noFault, true, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			w := workCheck{work: map[string][]engineWork{"x": c.work}, faultFree: faultAt(c.fault), changes: []termsChange{{at(-9000), terms{timeout: 2 * time.Second}}, {at(-4000), terms{timeout: 4 * time.Second}}}}
+			w := workCheck{work: map[string][]engineWork{"x": c.work}, faultFree: faultAt(c.fault), brokeOff: func(*call) bool { return c.brokeOff }, changes: []termsChange{{at(-9000), terms{timeout: 2 * time.Second}}, {at(-4000), terms{timeout: 4 * time.Second}}}}
 			found := w.violations([]*call{{id: "x", host: &host{}, sent: at(0), ended: at(c.ended), gaveUp: c.gaveUp, answer: standin.PlatformAnswer{Status: c.status, Whole: c.whole}}})
 			is.Equal(len(found) > 0, c.want)
 			is.True(!c.want || strings.Contains(found[0], "lost its connection"))
@@ -123,7 +124,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			w := workCheck{work: map[string][]engineWork{"x": {worked("a", 10, 2400)}}, refusals: map[string][]time.Time{"x": c.refused}, faultFree: faultAt(noFault)}
+			w := workCheck{work: map[string][]engineWork{"x": {worked("a", 10, 2400)}}, refusals: map[string][]time.Time{"x": c.refused}, faultFree: faultAt(noFault), brokeOff: func(*call) bool { return false }}
 			found := w.violations([]*call{{id: "x", host: &host{}, sent: at(0), ended: at(3000), answer: standin.PlatformAnswer{Status: 200}}})
 			is.Equal(len(found) > 0, c.want)
 		})
@@ -159,3 +160,20 @@
 	is.Equal(shortestTimeout(changes, at(4900), at(6000)), 4*time.Second) // may still be in force
 	is.Equal(shortestTimeout(changes, at(5100), at(6000)), 8*time.Second)
 }
+
+func TestBrokeOff(t *testing.T) {
+	const log = `I0101 handler.go:434] "try failed" Event=2102 Request="x" Upstream="a" Outcome="Broken" Status=200 Reason="unexpected EOF"
+I0101 handler.go:434] "try failed" Event=2102 Request="y" Upstream="c" Outcome="Broken" Status=200 Reason="unexpected EOF"
+I0101 handler.go:434] "try failed" Event=2102 Request="x" Upstream="b" Outcome="Broken" Status=0 Reason="reset"
+I0101 broken.go:89] "stream broken" Event=2106 Request="x" After="4"
+`
+	is := is.New(t)
+	is.Equal(lastBroken(log, "x"), "b")
+	is.Equal(lastBroken(log, "z"), "")
+	is.Equal(lastBroken(log+`I0101 handler.go:434] "try failed" Event=2102 Request="x" Upstream="a" Outcome="TurnedAway" Status=503 Reason=""`+"\n", "x"), "")
+	is.True(!endedWith(time.Time{}, at(3000)))
+	is.True(!endedWith(at(2799), at(3000)))
+	is.True(endedWith(at(2800), at(3000)))
+	is.True(endedWith(at(3000), at(3000)))
+	is.True(!endedWith(at(3001), at(3000)))
+}
