fix: orders to load wait until an engine that was silent works again

Callers saw streams that may run once cut right after their engine woke.

models-1 was silent 23:42:43.337-44.789 44.431 host-3 takes it to load; host-0 asks it to move its streams 44.802 "run moved" Stopped=true Arrived=false: no room for the copy 44.803 "load ordered" Accepted=true 44.805 "try failed" 421: the stream was back 2 ms later, the memory was gone 44.970 "stream broken" Phase="Moved" Denied="NoUpstream"

Cause: an order follows 0.15 s after the claim, so that what is in flight to the engine has started. A silent engine takes up requests, moves and the order at once when it wakes. Class: a delay that begins before the other side can act.

An orderer now asks for a report first, waits 0.15 s from its answer, and asks for the report that counts then: one more report per order, no other delay where engines work.

Package reloader and 20 tests of storenode on moves, refusals, memory and weights passed with -race.

--- a/reloader/load.go
+++ b/reloader/load.go
@@ -71,8 +71,7 @@
 // unanswered order is retried immediately: both expect the same order count, so
 // at most one takes effect.
 func (c *Controller) orderLoad(ctx context.Context, e discovery.Entry, model string, version, fence int64, claimed clock.Instant) result {
-	clock.Pause(ctx, inFlightDelay)
-	before, err := c.queryReport(ctx, e)
+	before, err := c.settledReport(ctx, e)
 	if err != nil {
 		return noReport
 	}
@@ -107,6 +106,16 @@
 	return unfinished
 }
 
+// settledReport returns an engine's status report once what was in flight to it has started.
+// An engine that is silent takes that up only when it wakes.
+func (c *Controller) settledReport(ctx context.Context, e discovery.Entry) (Report, error) {
+	if _, err := c.queryReport(ctx, e); err != nil {
+		return Report{}, err
+	}
+	clock.Pause(ctx, inFlightDelay)
+	return c.queryReport(ctx, e)
+}
+
 // sendOrder sends an order once.
 func (c *Controller) sendOrder(ctx context.Context, e discovery.Entry, o Order) (accepted bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
