--- a/soak/engine_process.go
+++ b/soak/engine_process.go
@@ -137,7 +137,7 @@
 // allSilent reports whether all engines that had not ended were stopped from one time until
 // another.
 func (d *deployment) allSilent(from, until time.Time) bool {
-	if !from.Before(until) {
+	if !from.Before(until) || len(d.processes) == 0 {
 		return false
 	}
 	covers := func(p standin.PlatformPeriod) bool {
