fix: callers without credit come back once there is some

A host without credit told callers to come back after 0.3 s; right after a restart of all hosts there is none then, and callers retry only a few times. It says 0.9 s now, as a host does that has just started.

--- a/forward/charge.go
+++ b/forward/charge.go
@@ -31,7 +31,7 @@
 	case ctx.Err() != nil:
 		a = call.Refuse(call.DeadlinePast)
 	case refused.Limit == account.NoCredit:
-		a = call.Refuse(call.NoCredit).WithRetryAfter(retryAfterShort)
+		a = call.Refuse(call.NoCredit).WithRetryAfter(retryAfterStartup)
 	}
 	return func() {}, &a
 }
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -40,8 +40,8 @@
 	// while they load weights.
 	retryAfterShort = 300 * time.Millisecond
 	// retryAfterStartup is the Retry-After of a host that has just started; by
-	// then it is likely to have the configuration. Callers retry only a few
-	// times, so it isn't shorter.
+	// then it is likely to have the configuration, and credit of the limits of
+	// accounts. Callers retry only a few times, so it isn't shorter.
 	retryAfterStartup = 900 * time.Millisecond
 	// retryAfterStopping is the Retry-After of a host that stops before the request
 	// would end: other hosts can serve the caller now.
