refactor: connections and bodies of clients move into package ingress

The own path needs what the platform's path has against clients that nobody controls: a listener that ends connections which wait for their clients, and a reader that counts bodies while they arrive. Both lived in package platform, which translates names and decides nothing.

Package ingress holds them now and names no platform. Limits of a host travel as one value (intake.Allotment). New beside the move: a connection beyond the limit is answered with 503 and Retry-After by the listener itself, where the library closed it with a text of its own; event 1012 and connections_refused tell that, and the reason for which a connection ended, at most once a second.

--- a/event/process.go
+++ b/event/process.go
@@ -24,6 +24,8 @@
 	Starting = Event{1010, "starting", "The settings were read, and signals are handled from here on. Until then SIGHUP may end the process."}
 	// RequestCut reports a request that ends with the process.
 	RequestCut = Event{1011, "request cut", "A request had no whole answer when its host stopped. Millis is how long it has been open, ArrivedMillis when its first byte was read after the stop was requested (negative: before). State: Arriving (a part of it was read), Waiting (at no upstream, no answer yet), Running (at Upstream, no answer yet), Moving (on its way from Upstream to another engine), Streaming (Upstream sends its answer), Interrupted (its answer has begun, and it is at no upstream), Writing (its caller has yet to take the rest of the answer). At most 200 lines are written; event 1003 counts all."}
+	// ConnectionDisplaced reports clients whose connections make room for others.
+	ConnectionDisplaced = Event{1012, "connection displaced", "All connections of a listener are in use. Reason tells what became of one: Idle (the one idle for longest ended), Standstill (a request that stood still while it arrived was refused) or Refused (a new one was refused with 503, since the others are in use). At most one such line a second is written for each listener; Count is the number of connections since the last one, Limit that of the listener."}
 )
 
-var processEvents = []Event{Listening, Stopping, Stopped, Ready, ProcessPaused, Reloaded, ReloadFailed, LinesDropped, ListenerFailed, Starting, RequestCut}
+var processEvents = []Event{Listening, Stopping, Stopped, Ready, ProcessPaused, Reloaded, ReloadFailed, LinesDropped, ListenerFailed, Starting, RequestCut, ConnectionDisplaced}
--- a/platform/idle.go
+++ b/ingress/idle.go
@@ -1,4 +1,4 @@
-package platform
+package ingress
 
 import (
 	"sync"
--- /dev/null
+++ b/ingress/request.go
@@ -0,0 +1,46 @@
+package ingress
+
+import (
+	"context"
+
+	"github.com/kumquathoist/kumquathoist/call"
+	"github.com/kumquathoist/kumquathoist/clock"
+	"github.com/kumquathoist/kumquathoist/plannedstop"
+)
+
+// OpenRequest is a request that has been read, or a part of it.
+type OpenRequest struct {
+	// ID is "" as long as the request arrives.
+	ID string
+	// Began is when its first byte was read.
+	Began clock.Instant
+	// Progress tells where it is, Answering is set once its answer has begun, written
+	// once all of the answer is being written.
+	Progress           *call.Progress
+	Answering, Written bool
+	// Cancel ends the handling of the request; it is nil before, and once its answer has
+	// begun.
+	Cancel context.CancelCauseFunc
+	// Abort ends all work on the request; it is nil before and after it is handled.
+	Abort func()
+}
+
+// State returns the state of the request.
+func (r OpenRequest) State() plannedstop.State {
+	place, found := r.Progress.Place()
+	switch {
+	case r.ID == "":
+		return plannedstop.Arriving
+	case r.Written:
+		return plannedstop.Writing
+	case found && place.IsMoving():
+		return plannedstop.Moving
+	case found && r.Answering:
+		return plannedstop.Streaming
+	case found:
+		return plannedstop.Running
+	case r.Answering:
+		return plannedstop.Interrupted
+	}
+	return plannedstop.Waiting
+}
--- a/storenode/server.go
+++ b/storenode/server.go
@@ -23,15 +23,23 @@
 	callersDivisor = 2
 )
 
+// allotment returns what clients may make this host hold.
+func (n *Node) allotment() intake.Allotment {
+	return intake.Allotment{
+		Limits:      intake.Limits{Bytes: n.memory(requestShare), SmallBytes: n.memory(smallRequestShare)},
+		Connections: n.settings.Machine.Descriptors / callersDivisor,
+	}
+}
+
 // newServer starts the server for callers, other hosts and what looks after hosts.
 func (n *Node) newServer(ctx context.Context, secret settings.Secret, scope tally.Scope, metrics fasthttp.RequestHandler) (*platform.Server, error) {
 	return platform.NewServer(ctx, &n.wait, platform.Options{
 		Callers: n.settings.Listen.Callers, Addresses: n.settings.Listen.Addresses, Readiness: n.settings.Listen.Readiness, MetricsAddress: n.settings.Listen.Metrics,
 		Relays: n.settings.Listen.Relays, RelaySecret: secret,
-		Router: n.router, Ready: n.syncer.Ready, Hosts: n.nearbyHosts, Connections: n.settings.Machine.Descriptors / callersDivisor, AddressTTL: addressTTL,
+		Router: n.router, Ready: n.syncer.Ready, Hosts: n.nearbyHosts, Allotment: n.allotment(), AddressTTL: addressTTL,
 		BodyLimit: func() int { return n.syncer.State().Catalog.Limits.BodyBytes }, Metrics: metrics,
 		IdleLimit:     func() time.Duration { return n.syncer.State().Catalog.Limits.IdleTimeout },
 		HeaderTimeout: func() time.Duration { return n.syncer.State().Catalog.Limits.HeaderTimeout },
-		Intake:        intake.Limits{Bytes: n.memory(requestShare), SmallBytes: n.memory(smallRequestShare)}, Scope: scope,
+		Scope:         scope,
 	})
 }
