fix: bytes that nobody has read stay within the memory of a host

What callers saw: the platform counts bytes that were received and not yet read toward the memory of a process, so a crowd ended the host: 400 clients that send bodies of legal size and stop short of their end made a host of 128 MB hold 84 to 86 MB itself and 53 to 92 MB more in the kernel.

Cause: nothing limited what the kernel receives for a connection; it kept 64 to 128 KiB for each that the host doesn't read, also before it was accepted.

Evidence: TestCrowdsFitIntoTheMachine now measures resident memory and the receive queues of the listeners' ports together, each 10 ms, with the same crowds and the same bound.

Why it works: the listening socket has a small receive buffer, which connections have from their first byte on (Machine.ReceiveBytes, 8 KiB; the kernel holds up to twice of it). A body of more than 20 KiB gets a larger one once it has room, and takes that room in the account of bodies, too: half of its buffer, at most 128 KiB, so that a large body over a long way isn't slowed down.

Ruled out: shrinking the buffer when a body is nearly whole (what was announced to the sender may still arrive); setting it after the accept (64 KiB have arrived by then).

--- a/ingress/body.go
+++ b/ingress/body.go
@@ -221,14 +221,18 @@
 	b.bodies.intake.Progress(b.held, b.progressed)
 }
 
-// grow takes room for a number of bytes.
+// grow takes room for a number of bytes, and for what the kernel receives beyond them.
 func (b *Body) grow(size int) error {
-	if !b.take(size) {
+	window := receiveWindow(size)
+	if !b.take(size + window) {
 		return ErrNoRoom
 	}
 	data := make([]byte, len(b.Data), size)
 	copy(data, b.Data)
 	b.Data = data
+	if b.conn != nil {
+		b.conn.widen(window)
+	}
 	return nil
 }
 
@@ -266,6 +270,9 @@
 	if b.held == nil {
 		return // the request has no body
 	}
+	if b.conn != nil {
+		b.conn.narrow()
+	}
 	b.bodies.mu.Lock()
 	defer b.bodies.mu.Unlock()
 	b.bodies.intake.End(b.held)
--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -35,6 +35,9 @@
 	// reading is the body that is being read, nil if there is none. Only the reader of the
 	// connection uses it.
 	reading *Body
+	// window is the size of the kernel's buffer while it is wider than the listener's, else 0.
+	// The body of the request in progress uses it.
+	window int
 	// mu guards the fields below.
 	mu sync.Mutex
 	// open is set from the first byte of a request to the last one of its answer.
--- a/intake/divide.go
+++ b/intake/divide.go
@@ -1,5 +1,8 @@
 package intake
 
+// DefaultReceiveBytes is the size of the kernel's buffer for what a connection receives.
+const DefaultReceiveBytes = 8 << 10
+
 // Divisors of the limit of callers' connections, for the limits of the other listeners.
 const (
 	// QueriesDivisor is for address queries, ChecksDivisor for readiness checks, metrics and
--- a/settings/check.go
+++ b/settings/check.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"net/netip"
@@ -16,6 +17,8 @@
 	maxBodyBytes   = 1 << 30
 	maxHeaderBytes = 1 << 20
 	maxConnections = 1_000_000
+	// A smaller buffer than minReceiveBytes is none to the kernel.
+	minReceiveBytes, maxReceiveBytes = 4 << 10, 4 << 20
 	// maxSeconds bounds durations, except for the log's retention.
 	maxSeconds          = 86_400
 	maxRetentionSeconds = 10 * 365 * 86_400
@@ -175,6 +178,7 @@
 		{"Limits.DeadlineSeconds", s.Limits.DeadlineSeconds, 1, maxSeconds},
 		{"Stop.AddressSeconds", s.Stop.AddressSeconds, 0, maxSeconds},
 		{"Stop.StreamSeconds", s.Stop.StreamSeconds, 0, maxSeconds},
+		{"Machine.ReceiveBytes", cmp.Or(s.Machine.ReceiveBytes, minReceiveBytes), minReceiveBytes, maxReceiveBytes},
 	} {
 		if r.value < r.lower || r.value > r.upper {
 			c.report(r.path, "%d is out of range, %d to %d", r.value, r.lower, r.upper)
--- a/settings/check_test.go
+++ b/settings/check_test.go
@@ -81,3 +81,23 @@
 		})
 	}
 }
+
+// TestReceiveBytes checks which sizes of the kernel's buffer are valid.
+func TestReceiveBytes(t *testing.T) {
+	for bytes, valid := range map[int]bool{0: true, 4 << 10: true, 4 << 20: true, 1: false, -1: false, 4<<20 + 1: false} {
+		checkMachine(t, settings.Machine{ReceiveBytes: bytes}, "Machine.ReceiveBytes", valid)
+	}
+}
+
+// checkMachine checks whether a key of a machine's settings is valid.
+func checkMachine(t *testing.T, m settings.Machine, key string, valid bool) {
+	t.Helper()
+	is := is.New(t)
+	s := settings.Default()
+	s.Machine = m
+	raw, err := yaml.Marshal(s)
+	is.NoErr(err)
+	_, err = settings.Decode(raw)
+	is.True(err != nil) // other settings are missing
+	is.Equal(strings.Contains(err.Error(), key), !valid)
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -99,6 +99,9 @@
 	MemoryMB int `yaml:"MemoryMB"`
 	// Descriptors limits open files and sockets.
 	Descriptors int `yaml:"Descriptors"`
+	// ReceiveBytes is the size of the kernel's buffer for what a client's connection
+	// receives; 0 means the default.
+	ReceiveBytes int `yaml:"ReceiveBytes,omitempty"`
 }
 
 // Bounds holds the times and amounts that operators promise their users.
--- a/storenode/crowd_test.go
+++ b/storenode/crowd_test.go
@@ -116,15 +116,15 @@
 	}
 }
 
-// join connects the clients of the crowd and returns once each has sent all, or has failed.
-// The returned function ends their connections.
-func (c crowd) join(h *hostProcess) (leave func()) {
+// join connects a number of clients to each listener of the crowd and returns once each has
+// sent all, or has failed. The returned function ends their connections.
+func (c crowd) join(h *hostProcess, clients int, dial func(client int, address string) (net.Conn, error)) (leave func()) {
 	var sending conc.WaitGroup
-	connections := make(chan net.Conn, crowdSize*len(c.listeners(h.settings.Listen)))
+	connections := make(chan net.Conn, clients*len(c.listeners(h.settings.Listen)))
 	for _, address := range c.listeners(h.settings.Listen) {
-		for range crowdSize {
+		for i := range clients {
 			sending.Go(func() {
-				conn, err := net.Dial("tcp4", address)
+				conn, err := dial(i, address)
 				if err != nil {
 					return // the host may refuse it
 				}
@@ -146,6 +146,11 @@
 	}
 }
 
+// dialCrowd opens the connection of a client of a crowd.
+func dialCrowd(_ int, address string) (net.Conn, error) {
+	return net.DialTimeout("tcp4", address, crowdPatience)
+}
+
 // descriptors returns the number of the process's open descriptors.
 func (p *hostProcess) descriptors(t *testing.T) int {
 	t.Helper()
@@ -186,7 +191,8 @@
 			send := func(body string) int {
 				return d.do(h.testHost, http.MethodPost, modelHost, "/full/b", fmt.Sprint("o", time.Now().UnixNano()), prompt, body).status
 			}
-			leave := tt.join(h)
+			held := standin.NewHeldBytes(h.pid, h.settings.Listen.Callers, h.settings.Listen.Addresses, h.settings.Listen.Readiness, h.settings.Listen.Relays, h.settings.Listen.Peers)
+			leave := tt.join(h, crowdSize, dialCrowd)
 			status := 0
 			for try := 0; try < ordinaryTries && status != http.StatusOK; try++ {
 				status = send("body")
@@ -200,7 +206,11 @@
 			default:
 			}
 			peak := h.peakBytes(t)
-			t.Logf("peak of %d MB, %d descriptors; status of an ordinary request: %d", peak>>20, open, status)
+			sum, resident, unread := held.Stop()
+			t.Logf("peak of %d MB, with unread bytes %d (%d + %d) MB, %d descriptors; status of an ordinary request: %d", peak>>20, sum>>20, resident>>20, unread>>20, open, status)
+			if sum > hostMemoryMB<<20 {
+				t.Errorf("the host took %d MB of %d MB with its unread bytes", sum>>20, hostMemoryMB)
+			}
 			if peak > hostMemoryMB<<20 {
 				t.Errorf("the host took %d MB of %d MB", peak>>20, hostMemoryMB)
 			}
--- a/storenode/harness_test.go
+++ b/storenode/harness_test.go
@@ -48,8 +48,9 @@
 	leaseMillis int
 	// graceSeconds is the grace time of a planned stop; 0 means the default.
 	graceSeconds float64
-	// descriptors is the number of descriptors of a host; 0 means the default.
-	descriptors int
+	// descriptors is the number of descriptors of a host, memoryMB the memory of a host
+	// process; 0 means the default.
+	descriptors, memoryMB int
 	// loadReportPort and relayPort are the ports of all hosts for load reports and
 	// for relayed requests.
 	loadReportPort, relayPort string
--- a/storenode/memory_test.go
+++ b/storenode/memory_test.go
@@ -1,6 +1,7 @@
 package storenode_test
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"net/http"
@@ -51,7 +52,7 @@
 	d.t.Helper()
 	dir := d.t.TempDir()
 	s := d.settings(0)
-	s.Machine.MemoryMB = hostMemoryMB
+	s.Machine.MemoryMB = cmp.Or(d.memoryMB, hostMemoryMB)
 	raw, err := yaml.Marshal(s)
 	d.is.NoErr(err)
 	path := filepath.Join(dir, "settings.yaml")
--- a/storenode/server.go
+++ b/storenode/server.go
@@ -1,6 +1,7 @@
 package storenode
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -27,7 +28,7 @@
 func (n *Node) allotment() intake.Allotment {
 	return intake.Allotment{
 		Limits:      intake.Limits{Bytes: n.memory(requestShare), SmallBytes: n.memory(smallRequestShare)},
-		Connections: n.settings.Machine.Descriptors / callersDivisor,
+		Connections: n.settings.Machine.Descriptors / callersDivisor, ReceiveBytes: cmp.Or(n.settings.Machine.ReceiveBytes, intake.DefaultReceiveBytes),
 	}
 }
 
