fix: connections fit into the memory of a host

What callers saw: on a small machine a crowd ended the host though all bodies had their room. With 88 MB and 4,100 descriptors, the smallest machine of the platform, 1,900 clients made it hold up to 591 MB with unread bytes (144 MB itself): each of 2,050 connections keeps buffers, stacks and what the kernel has received.

Cause: connections were limited by descriptors alone, which a small machine has as many of as a large one.

--- a/settings/check.go
+++ b/settings/check.go
@@ -184,11 +184,17 @@
 			c.report(r.path, "%d is out of range, %d to %d", r.value, r.lower, r.upper)
 		}
 	}
+	if share := s.Machine.ClientShare; share < 0 || share > maxClientShare {
+		c.report("Machine.ClientShare", "%s is out of range, 0 to %v", fmt.Sprint(share), maxClientShare)
+	}
 	if share := s.Configuration.SnapshotShare; !(share > 0 && share <= maxSnapshotShare) {
 		c.report("Configuration.SnapshotShare", "%s is out of range, above 0 to %v", fmt.Sprint(share), maxSnapshotShare)
 	}
 }
 
+// maxClientShare leaves memory for the program itself.
+const maxClientShare = 0.8
+
 // maxSnapshotShare leaves time for another host to write the snapshot when the
 // first writer fails.
 const maxSnapshotShare = 0.8
--- a/settings/check_test.go
+++ b/settings/check_test.go
@@ -101,3 +101,10 @@
 	is.True(err != nil) // other settings are missing
 	is.Equal(strings.Contains(err.Error(), key), !valid)
 }
+
+// TestClientShare checks which shares of the memory clients may take.
+func TestClientShare(t *testing.T) {
+	for share, valid := range map[float64]bool{0: true, 0.1: true, 0.8: true, -0.1: false, 0.9: false} {
+		checkMachine(t, settings.Machine{ClientShare: share}, "Machine.ClientShare", valid)
+	}
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -12,6 +12,7 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/kumquathoist/kumquathoist/intake"
 	"github.com/kumquathoist/kumquathoist/problem"
 )
 
@@ -95,15 +96,28 @@
 
 // Machine holds the resource limits of the host.
 type Machine struct {
-	// MemoryMB is the memory use at which the process is killed.
+	// MemoryMB is the memory use at which the process is killed. Without Platform.Store it
+	// may be 0: the memory of the machine.
 	MemoryMB int `yaml:"MemoryMB"`
-	// Descriptors limits open files and sockets.
+	// Descriptors limits open files and sockets. Without Platform.Store it may be 0: the
+	// limit of the process.
 	Descriptors int `yaml:"Descriptors"`
+	// ClientShare is the share of the memory that clients may make the host hold in
+	// connections and bodies; 0 means the default.
+	ClientShare float64 `yaml:"ClientShare,omitempty"`
 	// ReceiveBytes is the size of the kernel's buffer for what a client's connection
 	// receives; 0 means the default.
 	ReceiveBytes int `yaml:"ReceiveBytes,omitempty"`
 }
 
+// Allotment returns what clients may make the host hold.
+func (m Machine) Allotment() intake.Allotment {
+	return intake.Divide(intake.Machine{
+		MemoryBytes: int64(m.MemoryMB) << 20, Descriptors: m.Descriptors,
+		ClientShare: cmp.Or(m.ClientShare, intake.DefaultClientShare), ReceiveBytes: cmp.Or(m.ReceiveBytes, intake.DefaultReceiveBytes),
+	})
+}
+
 // Bounds holds the times and amounts that operators promise their users.
 type Bounds struct {
 	// LeaseMillis is the time after one host's order to an engine before
--- a/storenode/storenode.go
+++ b/storenode/storenode.go
@@ -44,9 +44,6 @@
 )
 
 const (
-	// goMemoryShare is the share of the host's memory that the Go runtime may
-	// use; the rest is for stacks, sockets and memory that it doesn't count.
-	goMemoryShare = 0.55
 	// bufferShare is the share of the host's memory for answers that are being
 	// received; callers, caches and the cache index need the rest.
 	bufferShare = 0.1
@@ -124,7 +121,7 @@
 		settings: s, cancel: cancel, stop: make(chan struct{}), started: clock.Now(),
 		store: platform.NewStore(s.Platform.Store), tracker: health.NewTracker(), upstreamDialer: upstreams,
 	}
-	debug.SetMemoryLimit(n.memory(goMemoryShare))
+	debug.SetMemoryLimit(s.Machine.Allotment().RuntimeBytes)
 	if err := n.start(ctx, peer.Credentials{Secret: secret}); err != nil {
 		cancel()
 		n.wait.Wait()
@@ -161,7 +158,7 @@
 		LiveHosts:       n.liveHosts,
 		FailureDomain:   n.settings.Host.FailureDomain,
 		RetryLimits:     retrybudget.Limits{Ratio: bounds.RepeatRatio, Window: bounds.RetryWindow(), Slack: bounds.RepeatSlack},
-		OldWeightsGrace: bounds.OldWeightsGrace() - weightsMargin, MaxBufferedBytes: n.memory(bufferShare), MaxRequestBytes: n.memory(requestShare), Metrics: scope,
+		OldWeightsGrace: bounds.OldWeightsGrace() - weightsMargin, MaxBufferedBytes: n.memory(bufferShare), MaxRequestBytes: n.settings.Machine.Allotment().Bytes, Metrics: scope,
 	})
 	if n.loadReports, err = loadreport.NewExchanger(ctx, &n.wait, loadreport.Options{
 		Listen: n.settings.Listen.Pulses, Port: uint16(n.settings.Listen.AnnouncedPulsesPort), Host: n.settings.Host.Name, FailureDomain: n.settings.Host.FailureDomain, Peers: n.loadReportPeers,
