fix: ordinary callers get a connection while a crowd holds all of them

What callers saw: with connections limited by memory, an ordinary caller was refused with 503, or its connection reset, three times in a row while clients sent pipelined requests and read no answers, or had just connected.

Cause: only idle connections and requests that had stood still for 0.5 s made room; a connection whose client doesn't take its answer never did, and one that sends request after request was never idle. A connection that found no room was refused though others would make room within half a second.

Why it works: an answer that its client has not taken for 0.5 s makes room, after idle connections and standing requests. A new connection waits for its room if at least an eighth of the others wait for their clients or are ending; else it is refused at once with Retry-After, so that nothing waits behind requests in progress. For a second after someone found no room, each answer ends its connection.

Ruled out: refusing at once in all cases (the caller's three tries are over before the crowd has stood still).

--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -57,6 +57,10 @@
 	ending, overdue, displaced bool
 	// request is the request while open is set.
 	request OpenRequest
+	// writing is when the write in progress began; zero if there is none. untaken is set once
+	// the connection ends since its client doesn't take an answer.
+	writing time.Time
+	untaken bool
 }
 
 // Request returns the request of the connection, if there is one.
@@ -87,12 +91,16 @@
 type standingState int
 
 const (
-	// standsNot means that a request is handled, or that the connection is ending.
+	// standsNot means that a request is handled.
 	standsNot standingState = iota
 	// standsIdle means that nothing of the next request has arrived.
 	standsIdle
 	// standsArriving means that a part of a request has arrived.
 	standsArriving
+	// standsUnread means that the client does not read its answer.
+	standsUnread
+	// standsEnding means that the connection is ending.
+	standsEnding
 )
 
 // standing returns what the connection waits for from its client, and since when.
@@ -100,7 +108,13 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
-	case c.ending && !c.open, c.overdue, c.request.ID != "":
+	case c.ending && !c.open, c.overdue, c.untaken:
+		return time.Time{}, standsEnding
+	case !c.writing.IsZero():
+		return c.writing, standsUnread
+	case c.request.Written:
+		return c.readAt, standsEnding
+	case c.request.ID != "":
 		return time.Time{}, standsNot
 	case c.open:
 		return c.readAt, standsArriving
@@ -136,6 +150,16 @@
 	return true
 }
 
+// endAnswer ends the connection if its client still does not take an answer.
+func (c *Conn) endAnswer() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.writing.IsZero() {
+		c.untaken = true
+		_ = c.TCPConn.SetWriteDeadline(longAgo) // fails only on a closed connection
+	}
+}
+
 // endUnread ends the connection unless a part of a request has been read. A read that is
 // in progress either returns such a part or fails, so that nothing that was read is lost.
 func (c *Conn) endUnread() {
@@ -264,12 +288,60 @@
 	return c.TCPConn.SetReadDeadline(until) == nil
 }
 
+// maxWriteBytes bounds a write, so that a client that takes an answer slowly differs from
+// one that doesn't take it.
+const maxWriteBytes = 64 << 10
+
+// Write implements net.Conn.
+func (c *Conn) Write(b []byte) (int, error) {
+	written := 0
+	for {
+		piece := b[written:min(len(b), written+maxWriteBytes)]
+		if err := c.beginWrite(); err != nil {
+			return written, err
+		}
+		n, err := c.TCPConn.Write(piece)
+		c.endWrite()
+		if written += n; err != nil || written == len(b) {
+			return written, err
+		}
+	}
+}
+
+// beginWrite records that a write begins.
+func (c *Conn) beginWrite() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writing = time.Now()
+	if timeout := c.listener.WriteTimeout; timeout > 0 && !c.untaken {
+		return c.TCPConn.SetWriteDeadline(c.writing.Add(timeout))
+	}
+	return nil
+}
+
+// endWrite records that a write has ended.
+func (c *Conn) endWrite() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writing = time.Time{}
+}
+
+// SetWriteDeadline implements net.Conn.
+func (c *Conn) SetWriteDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.untaken {
+		return nil
+	}
+	return c.TCPConn.SetWriteDeadline(t)
+}
+
 // lingerTime returns for how long the connection may outlast its answer.
 func (c *Conn) lingerTime() time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
-	case !c.request.Written:
+	case !c.request.Written || c.untaken:
 		return 0
 	case c.displaced:
 		return refusalTimeout
--- a/ingress/listener.go
+++ b/ingress/listener.go
@@ -27,6 +27,13 @@
 	maxRefusals = 32
 	// refusalTimeout bounds the exchange with a client whose connection is refused.
 	refusalTimeout = 100 * time.Millisecond
+	// waitingDivisor divides the open connections to get the number of those that have to wait
+	// for their clients or to end, so that a new one waits for its room: each of the new ones
+	// behind it waits, too.
+	waitingDivisor = 8
+	// crowdedTime is how long connections end with their answers after a client has found no
+	// room: those that are refused come back by then.
+	crowdedTime = 2 * intake.StandstillTime
 	// logInterval is the interval between log lines on clients that were refused or cut.
 	logInterval = time.Second
 )
@@ -35,6 +42,7 @@
 const (
 	connectionIdle       = "Idle"
 	connectionStandstill = "Standstill"
+	connectionUnread     = "UnreadAnswer"
 	connectionRefused    = "Refused"
 )
 
@@ -73,6 +81,10 @@
 	idleLimits *idleLimits
 	endings    log
 	refusals   atomic.Int64
+	// crowdedAt is when a client last found no room, in Unix nanoseconds.
+	crowdedAt atomic.Int64
+	// closed receives a value when a connection has closed, as far as one is awaited.
+	closed chan struct{}
 	// mu guards the fields below.
 	mu   sync.Mutex
 	open map[*Conn]struct{}
@@ -96,7 +108,7 @@
 	if err != nil {
 		return nil, trace.Wrap(err, "listening on %s", o.Address)
 	}
-	return &Listener{Listener: raw, Options: o, idleLimits: &idleLimits{limit: o.IdleLimit}, open: map[*Conn]struct{}{}}, nil
+	return &Listener{Listener: raw, Options: o, idleLimits: &idleLimits{limit: o.IdleLimit}, closed: make(chan struct{}, 1), open: map[*Conn]struct{}{}}, nil
 }
 
 // listen sets the buffer of the listening socket, since connections receive before they are
@@ -145,7 +157,7 @@
 		if !ok {
 			return accepted, err
 		}
-		if c := l.take(tcp); c != nil {
+		if c := l.admit(tcp); c != nil {
 			return c, nil
 		}
 		l.record(connectionRefused)
@@ -153,20 +165,51 @@
 	}
 }
 
-// take returns the connection if there is room for it.
-func (l *Listener) take(tcp *net.TCPConn) *Conn {
+// admit returns the connection once there is room for it, or nil if all others are in use.
+func (l *Listener) admit(tcp *net.TCPConn) *Conn {
+	for {
+		c, wait := l.take(tcp)
+		if c != nil || wait == 0 {
+			return c
+		}
+		timer := time.NewTimer(wait)
+		select {
+		case <-l.closed:
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+}
+
+// take returns the connection if there is room for it. Otherwise it returns the time until
+// another one will have stood still for long enough to make room, 0 if none stands still.
+func (l *Listener) take(tcp *net.TCPConn) (*Conn, time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	var wait time.Duration
 	if len(l.open) >= l.Connections {
-		l.makeRoom()
+		wait = l.makeRoom()
 	}
-	if len(l.open) >= l.MostOpen() {
-		return nil
+	if len(l.open) >= l.MostOpen() && !l.ending {
+		l.crowdedAt.Store(time.Now().UnixNano())
+		return nil, wait
 	}
 	c := &Conn{TCPConn: tcp, listener: l, ending: l.ending, since: time.Now()}
 	c.caller, _, _ = net.SplitHostPort(tcp.RemoteAddr().String())
 	l.open[c] = struct{}{}
-	return c
+	return c, 0
+}
+
+// isCrowded reports whether clients have found no room lately.
+func (l *Listener) isCrowded() bool {
+	return time.Now().UnixNano()-l.crowdedAt.Load() < int64(crowdedTime)
+}
+
+// MustClose reports whether a client's connection has to end with its answer, since others
+// find no room: one that sends request after request would keep it.
+func MustClose(c net.Conn) bool {
+	own, ok := c.(*Conn)
+	return ok && own.listener.isCrowded()
 }
 
 // refuse answers that there are too many connections. It reads and discards the client's
@@ -197,26 +240,49 @@
 	since time.Time
 }
 
-// makeRoom ends the connection that has been idle for longest, or else refuses the request
-// that has stood still for longest while it arrives, if that is long enough. The caller
-// holds the mutex.
-func (l *Listener) makeRoom() {
-	before := time.Now().Add(-intake.StandstillTime)
-	var longest [standsArriving + 1]standing
+// makeRoom ends the connection that has been idle for longest; else the request that has
+// stood still for longest while it arrives; else the answer that its client has not taken
+// for longest, if any has waited for long enough. It returns the time until one has, or one
+// that is ending has ended; 0 if too many are in use for others to wait. The caller holds
+// the mutex.
+func (l *Listener) makeRoom() time.Duration {
+	now, waiting := time.Now(), 0
+	var longest [standsEnding + 1]standing
 	for c := range l.open {
 		since, state := c.standing()
-		if found := &longest[state]; since.Before(before) && (found.conn == nil || since.Before(found.since)) {
+		if state != standsNot {
+			waiting++
+		}
+		if found := &longest[state]; found.conn == nil || since.Before(found.since) {
 			*found = standing{c, since}
 		}
 	}
-	switch {
-	case longest[standsIdle].conn != nil:
-		longest[standsIdle].conn.endUnread()
-		l.record(connectionIdle)
-	case longest[standsArriving].conn != nil:
-		longest[standsArriving].conn.displace()
-		l.record(connectionStandstill)
+	wait := intake.StandstillTime
+	for _, end := range []struct {
+		state  standingState
+		end    func(*Conn)
+		reason string
+	}{
+		{standsIdle, (*Conn).endUnread, connectionIdle},
+		{standsArriving, (*Conn).displace, connectionStandstill},
+		{standsUnread, (*Conn).endAnswer, connectionUnread},
+	} {
+		found := longest[end.state]
+		if found.conn == nil {
+			continue
+		}
+		left := intake.StandstillTime - now.Sub(found.since)
+		if left <= 0 {
+			end.end(found.conn)
+			l.record(end.reason)
+			break
+		}
+		wait = min(wait, left)
+	}
+	if waiting*waitingDivisor < len(l.open) {
+		return 0
 	}
+	return wait
 }
 
 // record counts a connection that ended or was refused since there are too many, and logs a
@@ -250,6 +316,7 @@
 	l.ending = true
 	l.mu.Unlock()
 	_ = l.Close()
+	l.notifyClosed()
 	for _, c := range l.Open() {
 		c.endUnread()
 	}
@@ -260,6 +327,15 @@
 	l.mu.Lock()
 	delete(l.open, c)
 	l.mu.Unlock()
+	l.notifyClosed()
+}
+
+// notifyClosed wakes the one that waits for room.
+func (l *Listener) notifyClosed() {
+	select {
+	case l.closed <- struct{}{}:
+	default:
+	}
 }
 
 // log tells when to log a line of a kind that may come often.
--- a/storenode/crowd_small_test.go
+++ b/storenode/crowd_small_test.go
@@ -116,6 +116,7 @@
 		{crowd: crowd{"whole bodies, a silent service", callersOnly, sendText(length + strings.Repeat("b", crowdBodyBytes)), 0}, prepare: silenceServices},
 		{crowd: crowd{"large heads, then bodies", callersOnly, sendText(head + "X-Long: " + strings.Repeat("h", 15<<10) + "\r\nContent-Length: 1048576\r\n\r\n" + strings.Repeat("b", crowdBodyBytes-16)), 0}},
 		{crowd: crowd{"idle connections", callersOnly, keepIdle, 0}},
+		{crowd: crowd{"pipelined requests, unread answers", callersOnly, sendRepeated("", strings.Repeat(get, 400), 8, 0), 64 << 10}},
 		{crowd: crowd{"unread answers", callersOnly, sendText(get), 1 << 20}},
 		{crowd: crowd{"half a head to all listeners", func(l settings.Listen) []string {
 			return []string{l.Callers, l.Addresses, l.Readiness, l.Relays}
