fix: answers that nobody reads stay within the memory of a host

What callers saw: clients that ask a plain service for large answers and don't read them ended a small host: 1,900 clients and answers of 1 MiB made one of 88 MB take 140 MB, once connections were no longer refused at once.

Cause: the bytes of a whole answer counted only while they were read from the upstream. From then until the client had taken it, nothing counted it, and the server held a second copy.

Why it works: one account of whole answers (ingress.Answers, a tenth of the memory as before) counts them from their first block until the client has taken them or its connection has ended; answers up to 16 KiB count with their connection.

Not covered: an upstream's own failure (5xx) that is kept while other upstreams are tried.

--- a/call/call.go
+++ b/call/call.go
@@ -172,6 +172,8 @@
 	Status int
 	Fields []Field
 	Body   []byte
+	// HeldBytes is the room that Body takes until its caller has taken it.
+	HeldBytes int
 	// Stream, if set, replaces Body. An error other than io.EOF must reach the
 	// caller as an incomplete answer. Its reader closes it.
 	Stream io.ReadCloser
--- a/forward/answer.go
+++ b/forward/answer.go
@@ -20,6 +20,9 @@
 	// the size of its reads.
 	maxAnswerBytes = 4 << 20
 	readBlockBytes = 4 << 10
+	// smallAnswerBytes is the size up to which an answer takes no room: the number of
+	// connections limits those.
+	smallAnswerBytes = 16 << 10
 )
 
 // readAnswer checks the head of an answer and reads as much of the body as is
@@ -44,17 +47,21 @@
 	if h.route.Kind == catalog.Stream && x.Status < 300 {
 		return h.beginStream(a)
 	}
-	body, err := h.readBody(x)
+	body, held, err := h.readBody(x)
 	if err != nil || !x.Complete() {
+		h.Answers.Release(held)
 		return nil, h.failAttempt(a, a.outcome(err), err)
 	}
 	if x.IsJoined(body) {
+		h.Answers.Release(held)
 		return nil, h.failAttempt(a, retry.Broken, errJoined)
 	}
-	answer := call.Answer{Status: x.Status, Fields: x.Fields, Body: body}
+	answer := call.Answer{Status: x.Status, Fields: x.Fields, Body: body, HeldBytes: held}
 	h.recordAnswerStart(a)
 	x.Finish()
 	if x.Status >= 500 && !a.relay {
+		h.Answers.Release(held)
+		answer.HeldBytes = 0
 		h.upstreamError = &answer
 		return nil, h.failAttempt(a, retry.Failed, nil)
 	}
@@ -96,29 +103,45 @@
 // errBufferFull is returned for an answer that would take too much memory.
 var errBufferFull = errors.New("too many bytes of incomplete answers are buffered")
 
-// readBody buffers a whole answer, within this host's limit for all answers
-// that are being read.
-func (h *handler) readBody(x *http1.Exchange) ([]byte, error) {
-	var body []byte
-	buffered := 0
-	defer func() { h.bufferedBytes.Add(-int64(buffered)) }()
+// readBody buffers a whole answer, within this host's room for all answers. It returns the
+// room that the answer takes, 0 for a small one.
+func (h *handler) readBody(x *http1.Exchange) (body []byte, held int, err error) {
+	defer func() {
+		if err != nil {
+			h.Answers.Release(held)
+			held = 0
+		}
+	}()
 	for len(body) < maxAnswerBytes {
 		start := len(body)
-		body = append(body, make([]byte, readBlockBytes)...)
-		n, err := x.Read(body[start:])
-		body = body[:start+n]
-		buffered += n
-		if h.bufferedBytes.Add(int64(n)) > h.MaxBufferedBytes {
-			return nil, errBufferFull
+		if body, err = h.growBody(body, &held); err != nil {
+			return nil, held, err
 		}
+		n, err := x.Read(body[start:cap(body)])
+		body = body[:start+n]
 		switch {
 		case errors.Is(err, io.EOF):
-			return body, nil
+			return body, held, nil
 		case err != nil:
-			return nil, err
+			return nil, held, err
+		}
+	}
+	return nil, held, errBufferFull
+}
+
+// growBody makes room for more of an answer if its buffer is full.
+func (h *handler) growBody(body []byte, held *int) ([]byte, error) {
+	if len(body) < cap(body) {
+		return body, nil
+	}
+	size := max(readBlockBytes, 2*cap(body))
+	if size > smallAnswerBytes {
+		if !h.Answers.Take(size - *held) {
+			return nil, errBufferFull
 		}
+		*held = size
 	}
-	return nil, errBufferFull
+	return append(make([]byte, 0, size), body...), nil
 }
 
 // errUncertified is returned for an answer without the upstream's signature,
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -179,21 +179,27 @@
 	// OldWeightsGrace is how long older weights may still answer after newer
 	// ones became the target.
 	OldWeightsGrace time.Duration
-	// MaxBufferedBytes bounds the buffers of all answers that are being read
-	// whole.
-	MaxBufferedBytes int64
+	// Answers limits the answers that are held whole.
+	Answers answerRoom
 	// MaxRequestBytes bounds the bodies of all requests in progress.
 	MaxRequestBytes int64
 	Metrics         tally.Scope
 }
 
+// answerRoom limits the bytes of whole answers, from when they are read until their callers
+// have taken them.
+type answerRoom interface {
+	// Take takes room for more bytes, and reports whether there is any.
+	Take(bytes int) bool
+	// Release gives back room that no caller's answer takes.
+	Release(bytes int)
+}
+
 // Router forwards requests.
 type Router struct {
 	Options
 
 	seed maphash.Seed
-	// bufferedBytes counts the bytes of answers that are being read whole.
-	bufferedBytes atomic.Int64
 	// requestBytes counts the bytes of the bodies of requests in progress.
 	requestBytes atomic.Int64
 	// waiting counts the streams that wait for an upstream.
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -80,13 +80,14 @@
 		h.endAttempt(a)
 		return nil, h.recordFailure(a, retry.NotSent, nil)
 	}
-	body, err := h.readBody(x)
+	body, held, err := h.readBody(x)
 	if err != nil || !x.Complete() {
+		h.Answers.Release(held)
 		return nil, h.failAttempt(a, a.outcome(err), err)
 	}
 	x.Finish()
 	h.endAttempt(a)
-	return &call.Answer{Status: x.Status, Body: body, RetryAfter: x.RetryAfter, Reason: call.Relayed}, retry.Answered
+	return &call.Answer{Status: x.Status, Body: body, HeldBytes: held, RetryAfter: x.RetryAfter, Reason: call.Relayed}, retry.Answered
 }
 
 // recordRelayFailure records that another host did not serve the request. Only if the
--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -82,11 +82,21 @@
 
 // end records that the answer to a request has been written.
 func (c *Conn) end() {
+	c.releaseAnswer()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.open, c.kept, c.overdue, c.since, c.request = false, true, false, time.Now(), OpenRequest{}
 }
 
+// releaseAnswer tells that the answer of the request has been taken, or won't be.
+func (c *Conn) releaseAnswer() {
+	var taken func()
+	c.Update(func(r *OpenRequest) { taken, r.Taken = r.Taken, nil })
+	if taken != nil {
+		taken()
+	}
+}
+
 // standingState tells what a connection waits for.
 type standingState int
 
@@ -352,6 +362,7 @@
 // Close implements net.Conn. A close resets a connection that holds unread bytes, and with
 // it the part of an answer that is on its way; so the client gets some time to take that.
 func (c *Conn) Close() error {
+	c.releaseAnswer()
 	if t := c.lingerTime(); t > 0 {
 		disconnect.Linger(c.TCPConn, t)
 	}
--- a/ingress/listener_test.go
+++ b/ingress/listener_test.go
@@ -147,3 +147,30 @@
 	is.Equal(found, http.StatusOK)
 	is.True(<-ended)
 }
+
+// TestAnswersMakeRoom has a client not take its answer: it is cut once another one wants its
+// room, and its own room is given back.
+func TestAnswersMakeRoom(t *testing.T) {
+	const room = 1 << 20
+	is := is.New(t)
+	answers := ingress.NewAnswers(room)
+	taken := make(chan bool, 2)
+	connect := serve(t, func(ctx *fasthttp.RequestCtx) {
+		begin(ctx)
+		ok := answers.Take(room)
+		if ok {
+			answers.Hold(ctx.Conn().(*ingress.Conn), room)
+			ctx.SetBody(make([]byte, 16<<20))
+		}
+		taken <- ok
+	})
+	connect(getRequest)
+	is.True(<-taken)
+	ok := false
+	for try := 0; try < tries && !ok; try++ {
+		time.Sleep(10 * time.Millisecond)
+		connect(getRequest)
+		ok = <-taken
+	}
+	is.True(ok)
+}
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -23,6 +23,9 @@
 	Cancel context.CancelCauseFunc
 	// Abort ends all work on the request; it is nil before and after it is handled.
 	Abort func()
+	// Taken is called once the client has taken the answer, or the connection has ended; it
+	// is nil if nothing waits for that.
+	Taken func()
 }
 
 // State returns the state of the request.
--- a/storenode/storenode.go
+++ b/storenode/storenode.go
@@ -26,6 +26,7 @@
 	"github.com/kumquathoist/kumquathoist/health"
 	"github.com/kumquathoist/kumquathoist/host"
 	"github.com/kumquathoist/kumquathoist/http1"
+	"github.com/kumquathoist/kumquathoist/ingress"
 	"github.com/kumquathoist/kumquathoist/liveness"
 	"github.com/kumquathoist/kumquathoist/loadreport"
 	"github.com/kumquathoist/kumquathoist/membership"
@@ -44,9 +45,9 @@
 )
 
 const (
-	// bufferShare is the share of the host's memory for answers that are being
-	// received; callers, caches and the cache index need the rest.
-	bufferShare = 0.1
+	// answerShare is the share of the host's memory for whole answers that are read or not
+	// yet taken; caches and the cache index need the rest.
+	answerShare = 0.1
 	// weightsMargin is how long before the operators' limit this host stops
 	// sending requests to engines with older weights, since they may queue there.
 	weightsMargin = 700 * time.Millisecond
@@ -148,6 +149,7 @@
 	connections := http1.NewPool(platform.Wire{}, n.upstreamDialer)
 	n.wait.Go(func() { connections.Sweep(ctx) })
 	monitor := n.newMonitor(ctx, connections, scope)
+	answers := ingress.NewAnswers(n.memory(answerShare))
 	bounds := n.settings.Bounds
 	engines := platform.NewEngines(ctx, func(instance string, r call.SelfReport) { n.router.RecordStatus(instance, r, "") })
 	n.router = forward.New(forward.Options{
@@ -158,7 +160,7 @@
 		LiveHosts:       n.liveHosts,
 		FailureDomain:   n.settings.Host.FailureDomain,
 		RetryLimits:     retrybudget.Limits{Ratio: bounds.RepeatRatio, Window: bounds.RetryWindow(), Slack: bounds.RepeatSlack},
-		OldWeightsGrace: bounds.OldWeightsGrace() - weightsMargin, MaxBufferedBytes: n.memory(bufferShare), MaxRequestBytes: n.settings.Machine.Allotment().Bytes, Metrics: scope,
+		OldWeightsGrace: bounds.OldWeightsGrace() - weightsMargin, Answers: answers, MaxRequestBytes: n.settings.Machine.Allotment().Bytes, Metrics: scope,
 	})
 	if n.loadReports, err = loadreport.NewExchanger(ctx, &n.wait, loadreport.Options{
 		Listen: n.settings.Listen.Pulses, Port: uint16(n.settings.Listen.AnnouncedPulsesPort), Host: n.settings.Host.Name, FailureDomain: n.settings.Host.FailureDomain, Peers: n.loadReportPeers,
@@ -184,7 +186,7 @@
 			event.ListenerFailed.Error(err, "Address", n.settings.Listen.Peers)
 		}
 	})
-	if n.server, err = n.newServer(ctx, credentials.Secret, scope, handler); err != nil {
+	if n.server, err = n.newServer(ctx, credentials.Secret, answers, scope, handler); err != nil {
 		return err
 	}
 	n.directory.Announce(n.settings.Listen.Callers, n.settings.Listen.PeersAddress())
