fix: the own path fits into its machine, too

What callers saw: without a platform's store, 400 clients that leave bodies unfinished, or send them without an end, ended a host of 128 MB; to the operators' address anybody could send that without a key.

Cause: the gateway and the operators' server let the library read whole bodies before anything of ours saw the request (up to 16 MiB and 4 MiB each), with up to 10,000 connections, and connections without a limit for operators. Nothing told these servers the memory of the machine.

Why it works: both servers use package ingress, as the platform's path does, with one account for callers and operators. Machine.MemoryMB and Descriptors are the machine's if they aren't set.

TestConnectionLimits changes: it wanted a caller refused while idle connections use the limit, which is what lets a crowd keep others out. Now requests in progress use the limit, a caller beyond it is refused as before, and idle connections make room.

--- a/dispatch/booking_test.go
+++ b/dispatch/booking_test.go
@@ -78,6 +78,7 @@
 			Leaving: func(string) bool { return false },
 		})
 		g, err := gateway.New(ctx, &wait, gateway.Options{
+			Allotment: machine, Bodies: newBodies(),
 			Settings: conf, Runner: runner, Metrics: tally.NoopScope,
 			Document: func() (document.Document, bool) { return doc, true },
 		})
--- a/dispatch/session_test.go
+++ b/dispatch/session_test.go
@@ -27,6 +27,7 @@
 	"github.com/kumquathoist/kumquathoist/document"
 	"github.com/kumquathoist/kumquathoist/engine"
 	"github.com/kumquathoist/kumquathoist/gateway"
+	"github.com/kumquathoist/kumquathoist/ingress"
 	"github.com/kumquathoist/kumquathoist/request"
 	"github.com/kumquathoist/kumquathoist/settings"
 	"github.com/kumquathoist/kumquathoist/upstream"
@@ -80,6 +81,7 @@
 	conf := settings.Default()
 	conf.Listen.Callers = "127.0.0.1:0"
 	g, err := gateway.New(ctx, &wait, gateway.Options{
+		Allotment: machine, Bodies: newBodies(),
 		Settings: conf, Runner: s.router, Engines: s, Metrics: tally.NoopScope,
 		Document: func() (document.Document, bool) { return doc, true },
 	})
@@ -306,3 +308,11 @@
 	is.NoErr(resp.Body.Close())
 	is.Equal(body.Choices[0].Text, "w1 w2 w3 w4 ")
 }
+
+// machine is what a host of the tests has.
+var machine = settings.Machine{MemoryMB: 512, Descriptors: 4096}.Allotment(32 << 10)
+
+// newBodies returns the bodies of a host.
+func newBodies() *ingress.Bodies {
+	return ingress.NewBodies(ingress.BodyOptions{Limits: machine.Limits, IDHeader: gateway.RequestIDHeader, Copies: gateway.BodyCopies, Metrics: tally.NoopScope})
+}
--- a/endtoend/harness_test.go
+++ b/endtoend/harness_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -198,8 +199,10 @@
 // system is a set of running processes.
 type system struct {
 	log, hostList, service *emulator
-	engines                []*emulator
-	routers                []*router
+	// program is the router's.
+	program string
+	engines []*emulator
+	routers []*router
 	// configure, if set, changes the settings of each router before it starts.
 	configure func(*settings.Settings)
 }
@@ -208,6 +211,8 @@
 type options struct {
 	routers, engines int
 	engineArgs       []string
+	// program is the router's; "" means the one with the race detector.
+	program string
 	// configure changes the settings of every router; the stand-ins of the
 	// system are running when it is called.
 	configure func(*system, *settings.Settings)
@@ -220,6 +225,7 @@
 func startSystem(t *testing.T, o options) *system {
 	t.Helper()
 	s := &system{
+		program:  cmp.Or(o.program, programs.router),
 		log:      startEmulator(t, "log"),
 		hostList: startEmulator(t, "host-list"),
 		service:  startEmulator(t, "service", "--name", "approvals"),
@@ -262,7 +268,7 @@
 	if err := os.WriteFile(path, raw, 0o600); err != nil {
 		t.Fatal(err)
 	}
-	p := start(t, name, programs.router, "run", "--settings", path)
+	p := start(t, name, s.program, "run", "--settings", path)
 	m := listeningAddresses.FindStringSubmatch(p.awaitListening(t))
 	r := &router{process: p, name: name, callers: m[1], peers: m[2], operators: m[3]}
 	s.putOnHostList(t, r, registry.Live)
--- a/gateway/complete.go
+++ b/gateway/complete.go
@@ -101,7 +101,7 @@
 
 // fail records a failure and sends it to the caller.
 func (g *Gateway) fail(c fiber.Ctx, account string, f *request.Failure) error {
-	g.recordOutcome(c.GetRespHeader(requestIDHeader), account, f)
+	g.recordOutcome(c.GetRespHeader(RequestIDHeader), account, f)
 	return sendFailure(c, f)
 }
 
--- a/gateway/decode.go
+++ b/gateway/decode.go
@@ -157,11 +157,11 @@
 		return request.Request{}, request.Refuse(request.BadRequest, repeatableHeader+" must be true or false")
 	}
 	r := request.Request{
-		ID:         c.GetRespHeader(requestIDHeader),
+		ID:         c.GetRespHeader(RequestIDHeader),
 		Account:    account.Name,
 		Method:     c.Method(),
 		Path:       c.Path(),
-		Body:       c.BodyRaw(),
+		Body:       c.RequestCtx().Request.Body(), // not the library's buffer: see takeBody
 		Key:        c.Get(keyHeader),
 		Idempotent: repeatable == "true",
 		Remaining:  time.Duration(g.Settings.Limits.DeadlineSeconds) * time.Second,
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -18,13 +18,22 @@
 
 	"github.com/kumquathoist/kumquathoist/dispatch"
 	"github.com/kumquathoist/kumquathoist/document"
+	"github.com/kumquathoist/kumquathoist/ingress"
+	"github.com/kumquathoist/kumquathoist/intake"
 	"github.com/kumquathoist/kumquathoist/request"
 	"github.com/kumquathoist/kumquathoist/settings"
 	"github.com/kumquathoist/kumquathoist/upstream"
 )
 
-// requestIDHeader carries the request ID in requests and answers.
-const requestIDHeader = "X-Request-Id"
+// RequestIDHeader carries the request ID in requests and answers.
+const RequestIDHeader = "X-Request-Id"
+
+// BodyCopies is how many copies of its body a request holds at most: as it came, as it is
+// sent to engines, and as text.
+const BodyCopies = 3
+
+// minBacklog is the least number of connections that may wait to be accepted.
+const minBacklog = 32
 
 // runner executes requests.
 type runner interface {
@@ -46,7 +55,11 @@
 	Runner    runner
 	Directory hostDirectory
 	Engines   readyCounter
-	Metrics   tally.Scope
+	// Allotment is what clients may make the host hold.
+	Allotment intake.Allotment
+	// Bodies takes in the bodies of requests.
+	Bodies  *ingress.Bodies
+	Metrics tally.Scope
 }
 
 // Gateway serves callers.
@@ -54,7 +67,7 @@
 	Options
 
 	app          *fiber.App
-	listener     *limitedListener
+	listener     *ingress.Listener
 	stopping     atomic.Bool
 	openRequests atomic.Int64
 	unanswered   requestTable
@@ -62,19 +75,26 @@
 
 // New listens for callers and serves them until the context ends.
 func New(ctx context.Context, wait *conc.WaitGroup, o Options) (*Gateway, error) {
-	plain, err := net.Listen("tcp", o.Settings.Listen.Callers)
+	limits := o.Settings.Limits
+	idle := time.Duration(limits.IdleSeconds) * time.Second
+	connections := min(limits.Connections, o.Allotment.Connections)
+	listener, err := ingress.Listen(ingress.Options{
+		Address: o.Settings.Listen.Callers, Connections: connections, ReceiveBytes: o.Allotment.ReceiveBytes, Backlog: max(minBacklog, connections/intake.BacklogDivisor),
+		Refusal: connectionRefusal(), WriteTimeout: idle, Metrics: o.Metrics,
+	})
 	if err != nil {
 		return nil, trace.Wrap(err, "listening for callers")
 	}
-	limits := o.Settings.Limits
-	idle := time.Duration(limits.IdleSeconds) * time.Second
-	g := &Gateway{Options: o, listener: newLimitedListener(plain, wait, limits.Connections, idle), unanswered: requestTable{entries: map[net.Conn]entry{}}}
+	g := &Gateway{Options: o, listener: listener, unanswered: requestTable{entries: map[net.Conn]entry{}}}
 	g.app = fiber.New(fiber.Config{
-		BodyLimit:      limits.BodyBytes,
-		ReadBufferSize: limits.HeaderBytes,
-		IdleTimeout:    idle,
-		ReadTimeout:    idle,
-		ErrorHandler:   g.handleError,
+		BodyLimit:         ingress.PrefetchBytes,
+		StreamRequestBody: true,
+		ReduceMemoryUsage: true,
+		Concurrency:       connections + closingConnections,
+		ReadBufferSize:    limits.HeaderBytes,
+		IdleTimeout:       idle,
+		ReadTimeout:       idle,
+		ErrorHandler:      g.handleError,
 		// Values outlive the handler, since streams continue after it returns.
 		Immutable: true,
 	})
@@ -88,8 +108,9 @@
 		g.app.Add([]string{method}, servicesPath+":service/*", g.serve)
 	}
 	server := g.app.Server()
-	server.Handler = g.closeWhileStopping(checkHeaders(server.Handler))
-	server.ConnState = g.unanswered.recordState
+	server.Handler = g.closeWhileStopping(g.takeBody(checkHeaders(server.Handler)))
+	server.HeaderReceived = ingress.LimitHead(func() int { return limits.BodyBytes })
+	server.ConnState = g.recordState
 	wait.Go(func() { _ = g.app.Listener(g.listener, fiber.ListenConfig{DisableStartupMessage: true}) })
 	wait.Go(func() { g.updateGauges(ctx) })
 	wait.Go(func() {
@@ -127,11 +148,15 @@
 // identify sets the request ID of the answer: the caller's ID if it is safe to
 // log, otherwise a new one.
 func (g *Gateway) identify(c fiber.Ctx) {
-	id := c.Get(requestIDHeader)
+	c.Set(RequestIDHeader, requestID(c.Get(RequestIDHeader)))
+}
+
+// requestID returns the caller's ID of a request if it is safe to log, otherwise a new one.
+func requestID(id string) string {
 	if id == "" || len(id) > maxIDBytes || strings.ContainsFunc(id, func(r rune) bool { return r <= ' ' || r > '~' }) {
-		id = uuid.NewString()
+		return uuid.NewString()
 	}
-	c.Set(requestIDHeader, id)
+	return strings.Clone(id)
 }
 
 // authenticateCaller authenticates the caller and returns its account and the
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -22,6 +22,7 @@
 	"github.com/kumquathoist/kumquathoist/dispatch"
 	"github.com/kumquathoist/kumquathoist/document"
 	"github.com/kumquathoist/kumquathoist/gateway"
+	"github.com/kumquathoist/kumquathoist/ingress"
 	"github.com/kumquathoist/kumquathoist/membership"
 	"github.com/kumquathoist/kumquathoist/request"
 	"github.com/kumquathoist/kumquathoist/settings"
@@ -112,6 +113,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var wait conc.WaitGroup
 	g, err := gateway.New(ctx, &wait, gateway.Options{
+		Allotment: machine, Bodies: newBodies(),
 		Settings: s, Runner: f, Directory: f, Metrics: tally.NoopScope,
 		Document: func() (document.Document, bool) { return testDocument, true },
 	})
@@ -380,34 +382,45 @@
 	}
 }
 
-// TestConnectionLimits checks the limit on open connections and the idle timeout.
+// TestConnectionLimits checks the limit on open connections and the idle timeout: a caller
+// is refused while requests in progress use all connections, and idle ones make room.
 func TestConnectionLimits(t *testing.T) {
 	is := is.New(t)
 	const connections = 4
-	address := startLimited(t, newRunner(), connections)
-	var idle []net.Conn
+	f := newRunner()
+	f.hold, f.ended = make(chan struct{}), make(chan error, connections)
+	address := startLimited(t, f, connections)
+	var held []net.Conn
 	for range connections {
 		conn, err := net.Dial("tcp", address)
 		is.NoErr(err)
 		defer func() { _ = conn.Close() }()
-		_, err = conn.Write([]byte(head("GET /healthz", "", "")))
+		_, err = conn.Write([]byte(post("/services/approvals/a", "{}", "X-Repeatable: true")))
 		is.NoErr(err)
+		held = append(held, conn)
+	}
+	// The refused caller may be faster than the last of the others.
+	status, body := exchange(t, address, head("GET /healthz", "Connection: close", "", ""))
+	for try := 0; try < 100 && status != http.StatusServiceUnavailable; try++ {
+		status, body = exchange(t, address, head("GET /healthz", "Connection: close", "", ""))
+	}
+	is.Equal(status, http.StatusServiceUnavailable)
+	is.True(strings.Contains(body, `"code":"TooManyOpen","outcome":"Unknown"`))
+	close(f.hold)
+	for _, conn := range held {
 		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 		is.NoErr(err)
-		is.Equal(resp.StatusCode, http.StatusOK)
+		is.Equal(resp.StatusCode, http.StatusCreated)
+		_, _ = io.Copy(io.Discard, resp.Body)
 		is.NoErr(resp.Body.Close())
-		idle = append(idle, conn)
 	}
-	status, body := exchange(t, address, head("GET /healthz", "", ""))
-	is.Equal(status, http.StatusServiceUnavailable)
-	is.True(strings.Contains(body, `"code":"TooManyOpen","outcome":"Unknown"`))
-	// The host closes idle connections, which frees their slots.
-	for _, conn := range idle {
+	status, _ = exchange(t, address, head("GET /healthz", "", ""))
+	is.Equal(status, http.StatusOK) // an idle one has made room
+	// The host closes idle connections.
+	for _, conn := range held {
 		_, err := io.ReadAll(conn)
 		is.NoErr(err)
 	}
-	status, _ = exchange(t, address, head("GET /healthz", "", ""))
-	is.Equal(status, http.StatusOK)
 }
 
 // TestCodesPage checks that docs/API.md lists every code.
@@ -435,3 +448,11 @@
 	}
 	return request.NotRun
 }
+
+// machine is what a host of the tests has.
+var machine = settings.Machine{MemoryMB: 512, Descriptors: 4096}.Allotment(32 << 10)
+
+// newBodies returns the bodies of a host.
+func newBodies() *ingress.Bodies {
+	return ingress.NewBodies(ingress.BodyOptions{Limits: machine.Limits, IDHeader: gateway.RequestIDHeader, Copies: gateway.BodyCopies, Metrics: tally.NoopScope})
+}
--- a/gateway/headers.go
+++ b/gateway/headers.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 
 	"github.com/valyala/fasthttp"
 
@@ -32,6 +33,9 @@
 func refuseHeader(ctx *fasthttp.RequestCtx, f *request.Failure) {
 	ctx.SetConnectionClose()
 	ctx.SetStatusCode(f.Status())
+	if f.RetryAfter > 0 {
+		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.Itoa(retrySeconds(f.RetryAfter)))
+	}
 	ctx.SetContentType("application/json")
 	ctx.SetBody(encodeFailure(f))
 }
--- a/gateway/listener.go
+++ b/gateway/listener.go
@@ -1,108 +1,73 @@
 package gateway
 
 import (
+	"errors"
 	"fmt"
-	"io"
 	"net"
-	"sync"
-	"sync/atomic"
 	"time"
 
-	"github.com/sourcegraph/conc"
+	"github.com/valyala/fasthttp"
 
+	"github.com/kumquathoist/kumquathoist/ingress"
 	"github.com/kumquathoist/kumquathoist/request"
 )
 
 const (
-	// rejectTimeout bounds the exchange with a rejected caller.
-	rejectTimeout = 100 * time.Millisecond
-	// maxRejections bounds the concurrent answers to rejected callers. Further
-	// connections are closed without an answer.
-	maxRejections = 64
-	// rejectRetryAfter is the Retry-After time of a rejected caller.
-	rejectRetryAfter = time.Second
+	// refusalRetryAfter is the Retry-After time of a caller whose connection or body is
+	// refused.
+	refusalRetryAfter = time.Second
+	// closingConnections may be closing when the server counts them, but not the listener.
+	closingConnections = 64
 )
 
-// limitedListener limits the number of open connections.
-type limitedListener struct {
-	net.Listener
-
-	wait       *conc.WaitGroup
-	maxOpen    int64
-	idle       time.Duration
-	open       atomic.Int64
-	rejections atomic.Int64
-}
-
-// newLimitedListener returns a listener with at most maxOpen connections open at
-// a time. A write that makes no progress for the idle time closes its
-// connection.
-func newLimitedListener(l net.Listener, wait *conc.WaitGroup, maxOpen int, idle time.Duration) *limitedListener {
-	return &limitedListener{Listener: l, wait: wait, maxOpen: int64(maxOpen), idle: idle}
+// connectionRefusal returns the answer to a caller whose connection is refused.
+func connectionRefusal() []byte {
+	// The request was not read: it may be a retry of one that was executed.
+	refusal := request.Refuse(request.TooManyOpen, "too many connections are open").WithOutcome(request.Unknown)
+	body := encodeFailure(refusal.WithRetryAfter(refusalRetryAfter))
+	return fmt.Appendf(nil, "HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/json\r\nRetry-After: %d\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s",
+		retrySeconds(refusalRetryAfter), len(body), body)
 }
 
-// Accept returns the next connection and rejects those above the limit.
-func (l *limitedListener) Accept() (net.Conn, error) {
-	for {
-		conn, err := l.Listener.Accept()
+// takeBody reads the body of each request before it is handled, or refuses the request. Its
+// room is held until its answer has been taken.
+func (g *Gateway) takeBody(next fasthttp.RequestHandler) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		body, err := g.Bodies.Read(ctx, g.Settings.Limits.BodyBytes)
 		if err != nil {
-			return nil, err
+			g.refuseBody(ctx, err)
+			return
 		}
-		if l.open.Add(1) <= l.maxOpen {
-			return &callerConn{Conn: conn, listener: l}, nil
+		if c, ok := ctx.Conn().(*ingress.Conn); ok {
+			c.Update(func(r *ingress.OpenRequest) { r.Taken = body.End })
 		}
-		l.open.Add(-1)
-		l.reject(conn)
-	}
-}
-
-// reject answers that too many connections are open. It reads and discards the
-// caller's data for a short time, since closing a connection with unread data
-// resets it and the answer would be lost.
-func (l *limitedListener) reject(conn net.Conn) {
-	if l.rejections.Add(1) > maxRejections {
-		l.rejections.Add(-1)
-		_ = conn.Close()
-		return
-	}
-	l.wait.Go(func() {
-		defer l.rejections.Add(-1)
-		defer func() { _ = conn.Close() }()
-		_ = conn.SetDeadline(time.Now().Add(rejectTimeout))
-		// The request was not read: it may be a retry of one that was executed.
-		refusal := request.Refuse(request.TooManyOpen, "too many connections are open").WithOutcome(request.Unknown)
-		body := encodeFailure(refusal.WithRetryAfter(rejectRetryAfter))
-		fmt.Fprintf(conn, "HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/json\r\nRetry-After: %d\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s",
-			retrySeconds(rejectRetryAfter), len(body), body)
-		if writeCloser, ok := conn.(interface{ CloseWrite() error }); ok {
-			_ = writeCloser.CloseWrite()
+		ctx.Request.SetBodyRaw(body.Data)
+		next(ctx)
+		if ingress.MustClose(ctx.Conn()) {
+			ctx.SetConnectionClose()
 		}
-		_, _ = io.Copy(io.Discard, conn)
-	})
-}
-
-// callerConn is a caller's connection that counts against the limit.
-type callerConn struct {
-	net.Conn
-
-	listener *limitedListener
-	once     sync.Once
+	}
 }
 
-// Write sets a write deadline, so that a caller that stops reading can't block a
-// stream forever.
-func (c *callerConn) Write(b []byte) (int, error) {
-	if err := c.SetWriteDeadline(time.Now().Add(c.listener.idle)); err != nil {
-		return 0, err
+// refuseBody refuses a request whose body isn't taken in. It has not run.
+func (g *Gateway) refuseBody(ctx *fasthttp.RequestCtx, err error) {
+	f := request.Refuse(request.BadRequest, "the request is not HTTP as this host takes it")
+	switch {
+	case errors.Is(err, ingress.ErrTooLarge):
+		f = fiberFailures[fasthttp.StatusRequestEntityTooLarge]
+	case errors.Is(err, ingress.ErrTooSlow):
+		f = fiberFailures[fasthttp.StatusRequestTimeout]
+	case errors.Is(err, ingress.ErrNoRoom):
+		f = request.Refuse(request.NoRoom, "there is no room for the body now").WithRetryAfter(refusalRetryAfter)
 	}
-	return c.Conn.Write(b)
+	id := requestID(string(ctx.Request.Header.Peek(RequestIDHeader)))
+	ctx.Response.Header.Set(RequestIDHeader, id)
+	g.recordOutcome(id, "", f)
+	refuseHeader(ctx, f)
 }
 
-// NetConn returns the underlying connection.
-func (c *callerConn) NetConn() net.Conn { return c.Conn }
-
-// Close closes the connection and frees its slot.
-func (c *callerConn) Close() error {
-	c.once.Do(func() { c.listener.open.Add(-1) })
-	return c.Conn.Close()
+// recordState follows the states of connections.
+func (g *Gateway) recordState(c net.Conn, s fasthttp.ConnState) {
+	ingress.RecordState(c, s)
+	g.unanswered.recordState(c, s)
 }
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -41,7 +41,7 @@
 	update := func(context.Context) {
 		_, configured := g.Document()
 		g.gauge("open_requests", float64(g.openRequests.Load()))
-		g.gauge("open_connections", float64(g.listener.open.Load()))
+		g.gauge("open_connections", float64(g.listener.CountOpen()))
 		g.gauge("ready", boolToFloat(configured && !g.stopping.Load()))
 	}
 	update(ctx)
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -92,6 +92,6 @@
 			list.Data = append(list.Data, modelEntry{m.Name, "model", "kumquathoist"})
 		}
 	}
-	g.recordOutcome(c.GetRespHeader(requestIDHeader), account.Name, nil)
+	g.recordOutcome(c.GetRespHeader(RequestIDHeader), account.Name, nil)
 	return c.JSON(list)
 }
--- a/gateway/unanswered.go
+++ b/gateway/unanswered.go
@@ -62,7 +62,7 @@
 
 // reach records the state that the request of a connection has reached.
 func (t *requestTable) reach(c fiber.Ctx, s State) {
-	conn, id := c.RequestCtx().Conn(), c.GetRespHeader(requestIDHeader)
+	conn, id := c.RequestCtx().Conn(), c.GetRespHeader(RequestIDHeader)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if e, ok := t.entries[conn]; ok {
--- a/gateway/unanswered_test.go
+++ b/gateway/unanswered_test.go
@@ -62,6 +62,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var wait conc.WaitGroup
 	g, err := gateway.New(ctx, &wait, gateway.Options{
+		Allotment: machine, Bodies: newBodies(),
 		Settings: s, Runner: f, Directory: f, Metrics: tally.NoopScope,
 		Document: func() (document.Document, bool) { return testDocument, true },
 	})
--- a/ingress/body.go
+++ b/ingress/body.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"net"
 	"os"
 	"runtime"
 	"strings"
@@ -44,11 +45,22 @@
 	ErrTooSlow = errors.New("the body did not arrive in time")
 )
 
+// BodyOptions configures Bodies.
+type BodyOptions struct {
+	// Limits are those of the bodies that arrive or whose requests are in progress.
+	Limits intake.Limits
+	// IDHeader is the header with the ID of a request, for log lines.
+	IDHeader string
+	// Copies is how many copies of a body its request may hold.
+	Copies int
+	// Metrics receives the metrics of bodies that aren't taken in.
+	Metrics tally.Scope
+}
+
 // Bodies takes in the bodies of the requests of a host.
 type Bodies struct {
-	metrics tally.Scope
-	// idHeader is the header with the ID of a request.
-	idHeader string
+	BodyOptions
+
 	// turns holds an element for each body in chunks that is being decoded.
 	turns    chan struct{}
 	refusals log
@@ -59,12 +71,11 @@
 	conns map[*intake.Body]*Conn
 }
 
-// NewBodies returns the bodies of a host. The ID of a request is read from a header for log
-// lines.
-func NewBodies(l intake.Limits, idHeader string, metrics tally.Scope) *Bodies {
+// NewBodies returns the bodies of a host.
+func NewBodies(o BodyOptions) *Bodies {
 	return &Bodies{
-		metrics: metrics, idHeader: idHeader, turns: make(chan struct{}, runtime.GOMAXPROCS(0)),
-		intake: intake.New(l), conns: map[*intake.Body]*Conn{},
+		BodyOptions: o, turns: make(chan struct{}, runtime.GOMAXPROCS(0)),
+		intake: intake.New(o.Limits), conns: map[*intake.Body]*Conn{},
 	}
 }
 
@@ -94,16 +105,19 @@
 func (b *Bodies) Read(ctx *fasthttp.RequestCtx, limit int) (*Body, error) {
 	h := &ctx.Request.Header
 	if h.ContentLength() == 0 && h.ConnectionClose() && len(h.Peek(tooLongHeader)) > 0 {
+		update(ctx.Conn(), func(r *OpenRequest) { r.Written = true })
 		b.Record(ctx, ErrTooLarge, 0)
 		return nil, ErrTooLarge
 	}
 	in := ctx.RequestBodyStream()
 	if in == nil || h.ContentLength() == 0 {
+		update(ctx.Conn(), markWhole)
 		return &Body{bodies: b, ArrivedAt: clock.Now()}, nil
 	}
 	body := b.begin(ctx, limit)
 	err := body.read(in)
 	if err == nil {
+		update(ctx.Conn(), markWhole)
 		return body, nil
 	}
 	if body.displaced() {
@@ -112,10 +126,21 @@
 		err = ErrTooSlow
 	}
 	body.End()
+	update(ctx.Conn(), func(r *OpenRequest) { r.Written = true })
 	b.Record(ctx, err, len(body.Data))
 	return nil, err
 }
 
+// markWhole records that the request of a connection has arrived.
+func markWhole(r *OpenRequest) { r.Whole = true }
+
+// update changes the request of a connection.
+func update(c net.Conn, change func(*OpenRequest)) {
+	if own, ok := c.(*Conn); ok {
+		own.Update(change)
+	}
+}
+
 // begin returns the body of a request that arrives on a connection.
 func (b *Bodies) begin(ctx *fasthttp.RequestCtx, limit int) *Body {
 	body := &Body{bodies: b, limit: limit, announced: ctx.Request.Header.ContentLength(), progressed: clock.Now(), looked: time.Now()}
@@ -224,7 +249,7 @@
 // grow takes room for a number of bytes, and for what the kernel receives beyond them.
 func (b *Body) grow(size int) error {
 	window := receiveWindow(size)
-	if !b.take(size + window) {
+	if !b.take(size*b.bodies.Copies + window) {
 		return ErrNoRoom
 	}
 	data := make([]byte, len(b.Data), size)
@@ -290,7 +315,7 @@
 // logs a bounded number of them.
 func (b *Bodies) Record(ctx *fasthttp.RequestCtx, err error, bytes int) {
 	reason := refusalReason(err)
-	b.metrics.Tagged(map[string]string{"reason": reason}).Counter("bodies_refused").Inc(1)
+	b.Metrics.Tagged(map[string]string{"reason": reason}).Counter("bodies_refused").Inc(1)
 	count, ok := b.refusals.next()
 	if !ok {
 		return
@@ -298,7 +323,7 @@
 	b.mu.Lock()
 	held := b.intake.Held()
 	b.mu.Unlock()
-	event.BodyRefused.Info("Request", string(ctx.Request.Header.Peek(b.idHeader)), "Caller", ctx.RemoteAddr().String(), "Reason", reason, "Bytes", bytes, "HeldBytes", held, "Count", count)
+	event.BodyRefused.Info("Request", string(ctx.Request.Header.Peek(b.IDHeader)), "Caller", ctx.RemoteAddr().String(), "Reason", reason, "Bytes", bytes, "HeldBytes", held, "Count", count)
 }
 
 // refusalReason returns the reason that metrics and log lines name for an error.
--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -124,7 +124,7 @@
 		return c.writing, standsUnread
 	case c.request.Written:
 		return c.readAt, standsEnding
-	case c.request.ID != "":
+	case c.request.Whole:
 		return time.Time{}, standsNot
 	case c.open:
 		return c.readAt, standsArriving
@@ -152,7 +152,7 @@
 
 // refuseArriving refuses the request if it is still arriving. The caller holds the mutex.
 func (c *Conn) refuseArriving() bool {
-	if !c.open || c.request.ID != "" {
+	if !c.open || c.request.Whole || c.request.ID != "" {
 		return false
 	}
 	c.overdue = true
--- a/ingress/listener.go
+++ b/ingress/listener.go
@@ -4,24 +4,19 @@
 package ingress
 
 import (
-	"context"
 	"net"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
-	"github.com/gravitational/trace"
 	"github.com/uber-go/tally/v4"
-	"golang.org/x/sys/unix"
 
 	"github.com/kumquathoist/kumquathoist/event"
 	"github.com/kumquathoist/kumquathoist/intake"
+	"github.com/kumquathoist/kumquathoist/socket"
 )
 
 const (
-	// minSpare is the least number of connections that may be ending above the limit.
-	minSpare = 8
 	// maxRefusals bounds the connections that are being refused. Further ones are closed
 	// without an answer.
 	maxRefusals = 32
@@ -58,6 +53,8 @@
 	ReceiveBytes int
 	// Backlog limits the connections that wait to be accepted; 0 leaves it to the kernel.
 	Backlog int
+	// Spare is the number of connections that may be ending above the limit.
+	Spare int
 	// Refusal is what a client is sent whose connection is refused.
 	Refusal []byte
 	// IdleLimit returns the operators' limit of the time for which a connection may be idle
@@ -104,50 +101,15 @@
 	if o.Metrics == nil {
 		o.Metrics = tally.NoopScope
 	}
-	raw, err := listen(o)
+	raw, err := socket.Listen(o.Address, o.ReceiveBytes, o.Backlog)
 	if err != nil {
-		return nil, trace.Wrap(err, "listening on %s", o.Address)
+		return nil, err
 	}
 	return &Listener{Listener: raw, Options: o, idleLimits: &idleLimits{limit: o.IdleLimit}, closed: make(chan struct{}, 1), open: map[*Conn]struct{}{}}, nil
 }
 
-// listen sets the buffer of the listening socket, since connections receive before they are
-// accepted.
-func listen(o Options) (net.Listener, error) {
-	config := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
-		if o.ReceiveBytes == 0 {
-			return nil
-		}
-		return control(c, func(fd int) error { return unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, o.ReceiveBytes) })
-	}}
-	l, err := config.Listen(context.Background(), "tcp", o.Address)
-	if err != nil || o.Backlog == 0 {
-		return l, err
-	}
-	c, err := l.(*net.TCPListener).SyscallConn()
-	if err == nil {
-		err = control(c, func(fd int) error { return unix.Listen(fd, o.Backlog) })
-	}
-	if err != nil {
-		_ = l.Close()
-		return nil, trace.Wrap(err, "setting the backlog")
-	}
-	return l, nil
-}
-
-// control calls a function with the descriptor of a socket.
-func control(c syscall.RawConn, change func(fd int) error) error {
-	var err error
-	if controlErr := c.Control(func(fd uintptr) { err = change(int(fd)) }); controlErr != nil {
-		return controlErr
-	}
-	return err
-}
-
-// MostOpen returns the largest number of open connections, with those that are ending.
-func (l *Listener) MostOpen() int {
-	return l.Connections + max(minSpare, l.Connections/intake.SpareDivisor)
-}
+// mostOpen returns the largest number of open connections, with those that are ending.
+func (l *Listener) mostOpen() int { return l.Connections + l.Spare }
 
 // Accept implements net.Listener.
 func (l *Listener) Accept() (net.Conn, error) {
@@ -190,7 +152,7 @@
 	if len(l.open) >= l.Connections {
 		wait = l.makeRoom()
 	}
-	if len(l.open) >= l.MostOpen() && !l.ending {
+	if len(l.open) >= l.mostOpen() && !l.ending {
 		l.crowdedAt.Store(time.Now().UnixNano())
 		return nil, wait
 	}
@@ -298,6 +260,13 @@
 	}
 }
 
+// CountOpen returns the number of open connections.
+func (l *Listener) CountOpen() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.open)
+}
+
 // Open returns the open connections.
 func (l *Listener) Open() []*Conn {
 	l.mu.Lock()
--- a/ingress/listener_test.go
+++ b/ingress/listener_test.go
@@ -18,6 +18,8 @@
 const (
 	// connections is the limit of a listener.
 	connections = 10
+	// spare is the number of connections that may be ending above it.
+	spare = 8
 	// tries is how often a client that is refused comes back.
 	tries      = 1000
 	getRequest = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
@@ -28,7 +30,7 @@
 	t.Helper()
 	is := is.New(t)
 	l, err := ingress.Listen(ingress.Options{
-		Address: "127.0.0.1:0", Connections: connections, ReceiveBytes: 8 << 10, Backlog: 64,
+		Address: "127.0.0.1:0", Connections: connections, Spare: spare, ReceiveBytes: 8 << 10, Backlog: 64,
 		Refusal: []byte("HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.500\r\nContent-Length: 0\r\n\r\n"),
 	})
 	is.NoErr(err)
@@ -47,7 +49,7 @@
 
 // begin records that a request is handled, as servers do.
 func begin(ctx *fasthttp.RequestCtx) {
-	ctx.Conn().(*ingress.Conn).Update(func(r *ingress.OpenRequest) { r.ID = "a" })
+	ctx.Conn().(*ingress.Conn).Update(func(r *ingress.OpenRequest) { r.Whole = true })
 }
 
 // status returns the status of the next answer on a connection.
@@ -69,7 +71,7 @@
 		<-release
 	})
 	var held []net.Conn
-	for len(held) < connections+8 { // with those that may be ending
+	for len(held) < connections+spare {
 		held = append(held, connect(getRequest))
 		<-began
 	}
@@ -94,7 +96,7 @@
 			ctx.SetBody(large)
 		}
 	})
-	for range connections + 8 {
+	for range connections + spare {
 		connect(getRequest)
 	}
 	is.Equal(status(t, connect("GET /b HTTP/1.1\r\nHost: h\r\n\r\n")), http.StatusOK)
@@ -105,7 +107,7 @@
 func TestArrivingRequestsMakeRoom(t *testing.T) {
 	is := is.New(t)
 	connect := serve(t, begin)
-	for range connections + 8 {
+	for range connections + spare {
 		connect("GET /a HTTP/1.1\r\n")
 	}
 	is.Equal(status(t, connect(getRequest)), http.StatusOK)
@@ -127,7 +129,7 @@
 			}
 		}
 	})
-	for range connections + 8 {
+	for range connections + spare {
 		conn := connect("")
 		go func() {
 			for {
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -12,6 +12,8 @@
 type OpenRequest struct {
 	// ID is "" as long as the request arrives.
 	ID string
+	// Whole is set once all of it has arrived.
+	Whole bool
 	// Began is when its first byte was read.
 	Began clock.Instant
 	// Progress tells where it is, Answering is set once its answer has begun, written
--- a/ingress/window.go
+++ b/ingress/window.go
@@ -19,7 +19,7 @@
 	// The kernel holds up to twice the size of its buffer.
 	if own := c.listener.ReceiveBytes; own > 0 && window/2 > max(own, c.window) {
 		c.window = window / 2
-		_ = c.TCPConn.SetReadBuffer(c.window) // a failure leaves a smaller buffer
+		_ = c.SetReadBuffer(c.window) // a failure leaves a smaller buffer
 	}
 }
 
@@ -27,6 +27,6 @@
 func (c *Conn) narrow() {
 	if c.window > 0 {
 		c.window = 0
-		_ = c.TCPConn.SetReadBuffer(c.listener.ReceiveBytes) // fails only on a closed connection
+		_ = c.SetReadBuffer(c.listener.ReceiveBytes) // fails only on a closed connection
 	}
 }
--- a/intake/divide.go
+++ b/intake/divide.go
@@ -13,19 +13,23 @@
 
 	// connectionsPart, bodiesPart and smallBodiesPart divide the clients' share.
 	connectionsPart, bodiesPart, smallBodiesPart = 0.5, 0.4, 0.1
-	// connectionBytes is what an open connection takes without the bytes that the kernel
-	// holds: buffers for a head and an answer, stacks, and what the server keeps of it.
-	connectionBytes = 32 << 10
+	// connectionBytes is what an open connection takes without the bytes of a head and those
+	// that the kernel holds: stacks, a buffer for answers, and what the server keeps of it.
+	connectionBytes = 12 << 10
 )
 
 // Divisors of the limit of callers' connections, for the limits of the other listeners.
 const (
-	// QueriesDivisor is for address queries, ChecksDivisor for readiness checks, metrics and
-	// operators each, RelaysDivisor for relayed requests.
-	QueriesDivisor, ChecksDivisor, RelaysDivisor = 4, 16, 4
-	// SpareDivisor is for the connections of each listener that may be ending above its
-	// limit, BacklogDivisor for those that wait to be accepted.
-	SpareDivisor, BacklogDivisor = 32, 2
+	// QueriesDivisor is for address queries.
+	QueriesDivisor = 4
+	// ChecksDivisor is for readiness checks, metrics and operators each.
+	ChecksDivisor = 16
+	// RelaysDivisor is for relayed requests.
+	RelaysDivisor = 4
+	// SpareDivisor is for the connections of each listener that may be ending above its limit.
+	SpareDivisor = 32
+	// BacklogDivisor is for the connections of each listener that wait to be accepted.
+	BacklogDivisor = 2
 
 	// listeners is the number of listeners in units of the one for callers.
 	listeners = 1 + 1./QueriesDivisor + 2./ChecksDivisor + 1./RelaysDivisor
@@ -44,6 +48,8 @@
 	Descriptors int
 	// ClientShare is the share of the memory that clients may make the host hold.
 	ClientShare float64
+	// HeadBytes is the size of the buffer for the head of a request.
+	HeadBytes int
 	// ReceiveBytes is the size of the kernel's buffer for what a connection receives; it
 	// holds up to twice as much.
 	ReceiveBytes int
@@ -77,5 +83,5 @@
 // the other listeners and of the connections that are ending or wait to be accepted.
 func (m Machine) connectionCost() float64 {
 	received := 2 * float64(m.ReceiveBytes)
-	return listeners * ((1+1./SpareDivisor)*(connectionBytes+received) + received/BacklogDivisor)
+	return listeners * ((1+1./SpareDivisor)*(connectionBytes+float64(m.HeadBytes)+received) + received/BacklogDivisor)
 }
--- a/intake/divide_test.go
+++ b/intake/divide_test.go
@@ -13,7 +13,7 @@
 func divide(memoryMB, descriptors int) intake.Allotment {
 	return intake.Divide(intake.Machine{
 		MemoryBytes: int64(memoryMB) * mega, Descriptors: descriptors,
-		ClientShare: intake.DefaultClientShare, ReceiveBytes: intake.DefaultReceiveBytes,
+		ClientShare: intake.DefaultClientShare, HeadBytes: 20 * kilo, ReceiveBytes: intake.DefaultReceiveBytes,
 	})
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,6 +18,7 @@
 	"github.com/kumquathoist/kumquathoist/event"
 	"github.com/kumquathoist/kumquathoist/gateway"
 	"github.com/kumquathoist/kumquathoist/host"
+	"github.com/kumquathoist/kumquathoist/ingress"
 	"github.com/kumquathoist/kumquathoist/operator"
 	"github.com/kumquathoist/kumquathoist/peer"
 	"github.com/kumquathoist/kumquathoist/registry"
@@ -60,6 +62,9 @@
 	if err != nil {
 		return nil, trace.Wrap(err, "reading the operators' secret")
 	}
+	if s.Machine, err = fillMachine(s.Machine); err != nil {
+		return nil, err
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	n := &Node{settings: s, cancel: cancel, stop: make(chan struct{}), stopped: make(chan struct{})}
 	if err := n.start(ctx, peer.Credentials{Secret: peerSecret, TLS: peerTLS}, operatorSecret); err != nil {
@@ -121,11 +126,14 @@
 		defer pool.Close()
 		_ = n.peers.Serve(ctx)
 	})
+	allotment := n.settings.Machine.Allotment(n.settings.Limits.HeaderBytes)
+	debug.SetMemoryLimit(allotment.RuntimeBytes)
+	bodies := ingress.NewBodies(ingress.BodyOptions{Limits: allotment.Limits, IDHeader: gateway.RequestIDHeader, Copies: gateway.BodyCopies, Metrics: metrics})
 	return n.startServers(ctx, operator.Options{
-		Settings: n.settings, Secret: operatorSecret, Editor: revisions, Directory: directory,
+		Allotment: allotment, Bodies: bodies, Scope: metrics, Settings: n.settings, Secret: operatorSecret, Editor: revisions, Directory: directory,
 		Engines: engines, Metrics: exporter, Stop: n.Stop, Rollouts: sender.Progress,
 	}, gateway.Options{
-		Settings: n.settings, Runner: dispatcher, Directory: directory, Engines: engines, Metrics: metrics,
+		Allotment: allotment, Bodies: bodies, Settings: n.settings, Runner: dispatcher, Directory: directory, Engines: engines, Metrics: metrics,
 		Document: func() (document.Document, bool) { return current(), revisions.Ready() },
 	})
 }
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"crypto/subtle"
-	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -16,9 +15,12 @@
 	"github.com/gofiber/fiber/v3/middleware/adaptor"
 	"github.com/gravitational/trace"
 	"github.com/sourcegraph/conc"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/kumquathoist/kumquathoist/document"
 	"github.com/kumquathoist/kumquathoist/engine"
+	"github.com/kumquathoist/kumquathoist/ingress"
+	"github.com/kumquathoist/kumquathoist/intake"
 	"github.com/kumquathoist/kumquathoist/registry"
 	"github.com/kumquathoist/kumquathoist/revision"
 	"github.com/kumquathoist/kumquathoist/rollout"
@@ -29,6 +31,15 @@
 // result.
 const editorTimeout = 10 * time.Second
 
+const (
+	// minConnections is the least limit of open connections; closingConnections may be closing
+	// when the server counts them, but not the listener.
+	minConnections, closingConnections = 16, 64
+	// readTimeout limits reading one call, idleTimeout how long an idle connection stays open,
+	// and each write.
+	readTimeout, idleTimeout = 30 * time.Second, time.Minute
+)
+
 // editor publishes edits and returns the configuration in force.
 type editor interface {
 	State() document.State
@@ -55,6 +66,12 @@
 	Editor    editor
 	Directory directory
 	Engines   statusSource
+	// Allotment is what clients may make the host hold.
+	Allotment intake.Allotment
+	// Bodies takes in the bodies of calls.
+	Bodies *ingress.Bodies
+	// Scope receives the metrics of the listener.
+	Scope tally.Scope
 	// Metrics serves the metrics endpoint.
 	Metrics http.Handler
 	// Rollouts returns the progress of the orders to each pool.
@@ -68,16 +85,23 @@
 	Options
 
 	app      *fiber.App
-	listener net.Listener
+	listener *ingress.Listener
 }
 
 // New listens for operators and serves them until the context ends.
 func New(ctx context.Context, wait *conc.WaitGroup, o Options) (*Server, error) {
-	listener, err := net.Listen("tcp", o.Settings.Listen.Operators)
+	connections := max(minConnections, o.Allotment.Connections/intake.ChecksDivisor)
+	listener, err := ingress.Listen(ingress.Options{
+		Address: o.Settings.Listen.Operators, Connections: connections, ReceiveBytes: o.Allotment.ReceiveBytes, Backlog: max(minConnections, connections/intake.BacklogDivisor),
+		Refusal: connectionRefusal(), WriteTimeout: idleTimeout, Metrics: o.Scope,
+	})
 	if err != nil {
 		return nil, trace.Wrap(err, "listening for operators")
 	}
-	s := &Server{Options: o, listener: listener, app: fiber.New(fiber.Config{ErrorHandler: handleError, Immutable: true})}
+	s := &Server{Options: o, listener: listener, app: fiber.New(fiber.Config{
+		ErrorHandler: handleError, Immutable: true, BodyLimit: ingress.PrefetchBytes, StreamRequestBody: true, ReduceMemoryUsage: true,
+		Concurrency: connections + closingConnections, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
+	})}
 	s.app.Get("/metrics", adaptor.HTTPHandler(o.Metrics))
 	api := s.app.Group("/operator", s.authenticate)
 	api.Get("/sections/:section", s.show)
@@ -86,6 +110,10 @@
 	api.Get("/audit", s.audit)
 	api.Get("/status", s.status)
 	api.Post("/drain", s.drain)
+	server := s.app.Server()
+	server.Handler = s.takeBody(server.Handler)
+	server.HeaderReceived = ingress.LimitHead(func() int { return maxBodyBytes })
+	server.ConnState = ingress.RecordState
 	wait.Go(func() { _ = s.app.Listener(listener, fiber.ListenConfig{DisableStartupMessage: true}) })
 	wait.Go(func() {
 		<-ctx.Done()
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -36,6 +36,8 @@
 	idleTimeout = 30 * time.Second
 	// MaxAnswerBytes limits the size of an answer to a call.
 	MaxAnswerBytes = 32 << 20
+	// receiveBytes is the size of the kernel's buffer for what a connection receives.
+	receiveBytes = 16 << 10
 	// maxIdlePerPeer limits the idle connections to one peer.
 	maxIdlePerPeer = 4
 )
@@ -60,7 +62,7 @@
 // NewServer listens on an address. Register services with the embedded Mux,
 // then call Serve.
 func NewServer(address string, c Credentials) (*Server, error) {
-	listener, err := net.Listen("tcp", address)
+	listener, err := socket.Listen(address, receiveBytes, 0)
 	if err != nil {
 		return nil, trace.Wrap(err, "listening for peers")
 	}
--- a/request/request.go
+++ b/request/request.go
@@ -98,6 +98,7 @@
 	TooSlow         Code = "TooSlow"
 	NoMethod        Code = "NoMethod"
 	TooManyOpen     Code = "TooManyOpen"
+	NoRoom          Code = "NoRoom"
 	Unauthenticated Code = "Unauthenticated"
 	Forbidden       Code = "Forbidden"
 	NotFound        Code = "NotFound"
@@ -132,6 +133,7 @@
 	TooSlow:         http.StatusRequestTimeout,
 	NoMethod:        http.StatusMethodNotAllowed,
 	TooManyOpen:     http.StatusServiceUnavailable,
+	NoRoom:          http.StatusServiceUnavailable,
 	Unauthenticated: http.StatusUnauthorized,
 	Forbidden:       http.StatusForbidden,
 	NotFound:        http.StatusNotFound,
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -110,11 +110,12 @@
 	ReceiveBytes int `yaml:"ReceiveBytes,omitempty"`
 }
 
-// Allotment returns what clients may make the host hold.
-func (m Machine) Allotment() intake.Allotment {
+// Allotment returns what clients may make the host hold, whose heads of requests have up to
+// a number of bytes.
+func (m Machine) Allotment(headBytes int) intake.Allotment {
 	return intake.Divide(intake.Machine{
 		MemoryBytes: int64(m.MemoryMB) << 20, Descriptors: m.Descriptors,
-		ClientShare: cmp.Or(m.ClientShare, intake.DefaultClientShare), ReceiveBytes: cmp.Or(m.ReceiveBytes, intake.DefaultReceiveBytes),
+		ClientShare: cmp.Or(m.ClientShare, intake.DefaultClientShare), HeadBytes: headBytes, ReceiveBytes: cmp.Or(m.ReceiveBytes, intake.DefaultReceiveBytes),
 	})
 }
 
--- a/storenode/crowd_small_test.go
+++ b/storenode/crowd_small_test.go
@@ -1,10 +1,12 @@
 package storenode_test
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"testing"
@@ -73,7 +75,7 @@
 			if err == nil {
 				_, err = io.Copy(io.Discard, c)
 			}
-			if timeout, ok := err.(net.Error); ok && timeout.Timeout() {
+			if errors.Is(err, os.ErrDeadlineExceeded) {
 				return err
 			}
 			_ = c.Close()
--- a/storenode/server.go
+++ b/storenode/server.go
@@ -17,7 +17,7 @@
 	return platform.NewServer(ctx, &n.wait, platform.Options{
 		Callers: n.settings.Listen.Callers, Addresses: n.settings.Listen.Addresses, Readiness: n.settings.Listen.Readiness, MetricsAddress: n.settings.Listen.Metrics,
 		Relays: n.settings.Listen.Relays, RelaySecret: secret,
-		Router: n.router, Ready: n.syncer.Ready, Hosts: n.nearbyHosts, Allotment: n.settings.Machine.Allotment(), Answers: answers, AddressTTL: addressTTL,
+		Router: n.router, Ready: n.syncer.Ready, Hosts: n.nearbyHosts, Allotment: n.settings.Machine.Allotment(platform.MaxHeadBytes), Answers: answers, AddressTTL: addressTTL,
 		BodyLimit: func() int { return n.syncer.State().Catalog.Limits.BodyBytes }, Metrics: metrics,
 		IdleLimit:     func() time.Duration { return n.syncer.State().Catalog.Limits.IdleTimeout },
 		HeaderTimeout: func() time.Duration { return n.syncer.State().Catalog.Limits.HeaderTimeout },
--- a/storenode/storenode.go
+++ b/storenode/storenode.go
@@ -122,7 +122,7 @@
 		settings: s, cancel: cancel, stop: make(chan struct{}), started: clock.Now(),
 		store: platform.NewStore(s.Platform.Store), tracker: health.NewTracker(), upstreamDialer: upstreams,
 	}
-	debug.SetMemoryLimit(s.Machine.Allotment().RuntimeBytes)
+	debug.SetMemoryLimit(s.Machine.Allotment(platform.MaxHeadBytes).RuntimeBytes)
 	if err := n.start(ctx, peer.Credentials{Secret: secret}); err != nil {
 		cancel()
 		n.wait.Wait()
@@ -160,7 +160,7 @@
 		LiveHosts:       n.liveHosts,
 		FailureDomain:   n.settings.Host.FailureDomain,
 		RetryLimits:     retrybudget.Limits{Ratio: bounds.RepeatRatio, Window: bounds.RetryWindow(), Slack: bounds.RepeatSlack},
-		OldWeightsGrace: bounds.OldWeightsGrace() - weightsMargin, Answers: answers, MaxRequestBytes: n.settings.Machine.Allotment().Bytes, Metrics: scope,
+		OldWeightsGrace: bounds.OldWeightsGrace() - weightsMargin, Answers: answers, MaxRequestBytes: n.settings.Machine.Allotment(platform.MaxHeadBytes).Bytes, Metrics: scope,
 	})
 	if n.loadReports, err = loadreport.NewExchanger(ctx, &n.wait, loadreport.Options{
 		Listen: n.settings.Listen.Pulses, Port: uint16(n.settings.Listen.AnnouncedPulsesPort), Host: n.settings.Host.Name, FailureDomain: n.settings.Host.FailureDomain, Peers: n.loadReportPeers,
