fix: bytes that arrive after an answer no longer reset it

What callers saw: a caller that sends more than its request to a host that closes the connection, as during a planned stop, lost the end of its answer ("connection reset by peer").

Cause: the host looked for unread bytes once, right before the close. Bytes that arrived between that and the close, or after it while the answer was still on its way, reset the connection.

Why it works: disconnect.Linger ends the sending side and waits until the peer has acknowledged all bytes, and only then closes; bytes that arrive until then make it wait for the peer's close, as before.

--- a/disconnect/disconnect.go
+++ b/disconnect/disconnect.go
@@ -42,25 +42,44 @@
 	}
 }
 
-// Linger ends the sending side of a connection that holds unread data, and waits until the
-// peer has closed it, or for a time: a close would reset it at once, and the peer could
-// lose the end of what was sent. It reads nothing.
+// lingerInterval is the interval between checks whether the peer has acknowledged all bytes.
+const lingerInterval = 2 * time.Millisecond
+
+// Linger ends the sending side of a connection, and waits until the peer has acknowledged
+// what was sent, or for a time. If the connection holds unread data, it waits until the peer
+// has closed it: a close would reset it at once, and so do bytes that arrive after a close;
+// the peer could lose the end of what was sent. It reads nothing.
 func Linger(conn *net.TCPConn, atMost time.Duration) {
-	if !hasUnread(conn) || conn.CloseWrite() != nil || conn.SetReadDeadline(time.Now().Add(atMost)) != nil {
+	deadline := time.Now().Add(atMost)
+	if !hasUnread(conn) && !hasUnacknowledged(conn) || conn.CloseWrite() != nil || conn.SetReadDeadline(deadline) != nil {
 		return
 	}
+	for !hasUnread(conn) {
+		if !hasUnacknowledged(conn) || time.Now().After(deadline) {
+			return
+		}
+		time.Sleep(lingerInterval)
+	}
 	closedByPeer(conn)
 }
 
 // hasUnread reports whether data lies in a socket.
-func hasUnread(conn syscall.Conn) bool {
+func hasUnread(conn syscall.Conn) bool { return queued(conn, unix.TIOCINQ) > 0 }
+
+// hasUnacknowledged reports whether the peer has yet to acknowledge data that was sent.
+func hasUnacknowledged(conn syscall.Conn) bool { return queued(conn, unix.TIOCOUTQ) > 0 }
+
+// queued returns the length of a queue of a socket, or 0 if it isn't known.
+func queued(conn syscall.Conn, queue uint) int {
 	raw, err := conn.SyscallConn()
 	if err != nil {
-		return false
+		return 0
+	}
+	length := 0
+	if err := raw.Control(func(fd uintptr) { length, _ = unix.IoctlGetInt(int(fd), queue) }); err != nil {
+		return 0
 	}
-	unread := 0
-	err = raw.Control(func(fd uintptr) { unread, _ = unix.IoctlGetInt(int(fd), unix.TIOCINQ) })
-	return err == nil && unread > 0
+	return length
 }
 
 // closedByPeer waits until the peer has closed a connection, or until its read deadline
