fix: what upstreams send beyond their answers stays within the memory

What callers saw: nothing yet; found by a test. A plain service that sends bytes after its answers, on connections that are kept for the next request, filled the memory of a small host by the platform's account: up to 74 MB of unread bytes beside 60 MB of its own, on a machine of 88 MB.

Cause: the kernel received up to 128 KiB and more for each kept connection to an upstream, and for each whose answer waits for its caller.

Evidence: the tests of crowds now count the unread bytes of all sockets of the host, not those of its listeners alone; bounds and crowds stay, one row is new ("streams that nobody reads"). Of five rows run with the wider measure "unread answers" (134 MB) and "pipelined requests" (90 MB) failed before and pass with this change (63 and 62 MB).

Why it works: connections to upstreams have a receive buffer of 16 KiB, of which the kernel holds up to twice as much.

Suspected, read only: such connections stay open until their idle limit although they can't be used any more; their number is bounded by that limit alone.

--- a/http1/http1.go
+++ b/http1/http1.go
@@ -39,6 +39,9 @@
 	// keep-alive probes before the connection is closed. A sound upstream may fall
 	// silent for a second or so.
 	maxSilence = 3 * time.Second
+	// receiveBytes is the size of the kernel's buffer for what a connection receives: it fills
+	// when an upstream sends more than callers take.
+	receiveBytes = 16 << 10
 	// defaultKeepAlive is the idle time limit of a connection if the upstream
 	// sends none.
 	defaultKeepAlive = 4 * time.Second
@@ -95,7 +98,7 @@
 
 // NewDialer returns the dialer of connections to upstreams and other hosts.
 func NewDialer() *socket.Dialer {
-	return socket.NewDialer(dialTimeout, maxSilence)
+	return socket.NewDialer(dialTimeout, maxSilence).WithReceiveBytes(receiveBytes)
 }
 
 // NewPool returns a pool of connections that a dialer opens; Sweep closes them when
--- a/socket/socket.go
+++ b/socket/socket.go
@@ -36,18 +36,26 @@
 		Control: func(_, _ string, raw syscall.RawConn) error {
 			// TCP_USER_TIMEOUT bounds unacknowledged bytes, and also decides when
 			// unanswered probes end the connection.
-			var optionErr error
-			err := raw.Control(func(fd uintptr) {
-				optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(maxSilence.Milliseconds()))
+			return control(raw, func(fd int) error {
+				return unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(maxSilence.Milliseconds()))
 			})
-			if err != nil {
-				return err
-			}
-			return optionErr
 		},
 	}}
 }
 
+// WithReceiveBytes returns a dialer whose connections have a receive buffer of a number of
+// bytes, of which the kernel holds up to twice as many.
+func (d *Dialer) WithReceiveBytes(bytes int) *Dialer {
+	limited, before := *d, d.Control
+	limited.Control = func(network, address string, raw syscall.RawConn) error {
+		if err := before(network, address, raw); err != nil {
+			return err
+		}
+		return control(raw, func(fd int) error { return unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, bytes) })
+	}
+	return &limited
+}
+
 // DialContext connects to an address. The network must be one of TCP.
 func (d *Dialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
 	raw, err := d.Dialer.DialContext(ctx, network, address)
--- a/standin/held.go
+++ b/standin/held.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"os"
+	"path/filepath"
 	"slices"
 	"strconv"
 	"strings"
@@ -76,23 +77,37 @@
 	return pages * int64(os.Getpagesize())
 }
 
-// unreadBytes returns the bytes in the receive queues of the listeners' connections, also of
+// unreadBytes returns the bytes in the receive queues of the process's connections, also of
 // those that wait to be accepted.
 func (h *HeldBytes) unreadBytes() int64 {
 	raw, _ := os.ReadFile(fmt.Sprintf("/proc/%d/net/tcp", h.pid))
-	total := int64(0)
+	total, own := int64(0), h.sockets()
 	for line := range bytes.Lines(raw) {
-		// The fields are a number, the local and the remote address, the state and the queues.
+		// The fields are a number, the local and the remote address, the state and the queues;
+		// the tenth is the socket.
 		fields := bytes.Fields(line)
-		if len(fields) < 5 || string(fields[3]) == listenState {
+		if len(fields) < 10 || string(fields[3]) == listenState {
 			continue
 		}
 		_, port, _ := bytes.Cut(fields[1], []byte(":"))
 		_, received, _ := bytes.Cut(fields[4], []byte(":"))
-		if slices.Contains(h.ports, string(port)) {
+		if own["socket:["+string(fields[9])+"]"] || slices.Contains(h.ports, string(port)) {
 			n, _ := strconv.ParseInt(string(received), 16, 64)
 			total += n
 		}
 	}
 	return total
 }
+
+// sockets returns the process's sockets by the names that the kernel gives them.
+func (h *HeldBytes) sockets() map[string]bool {
+	dir := fmt.Sprintf("/proc/%d/fd", h.pid)
+	open, _ := os.ReadDir(dir)
+	found := map[string]bool{}
+	for _, f := range open {
+		if name, err := os.Readlink(filepath.Join(dir, f.Name())); err == nil {
+			found[name] = true
+		}
+	}
+	return found
+}
--- a/storenode/crowd_small_test.go
+++ b/storenode/crowd_small_test.go
@@ -32,6 +32,8 @@
 
 	// prepare changes the deployment before the clients connect; nil changes nothing.
 	prepare func(d *deployment)
+	// service has the ordinary request go to a service instead of an engine.
+	service bool
 	// manyAddresses has each client come from an address of its own.
 	manyAddresses bool
 }
@@ -66,6 +68,23 @@
 	}
 }
 
+// endlessEvents has the engines send events without an end.
+var endlessEvents = endlessAnswer{
+	service: "models", begin: "HTTP/1.1 200 OK\r\nOWNContent-Type: text/event-stream\r\nX-Weight-Versions: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+	repeat: "400\r\ndata: " + strings.Repeat("e", 1016) + "\n\n\r\n",
+}
+
+// sendUnread sends a text on a connection that takes little of the answer.
+func sendUnread(text string) func(net.Conn) error {
+	return func(c net.Conn) error {
+		if err := c.(*net.TCPConn).SetReadBuffer(4 << 10); err != nil {
+			return err
+		}
+		_, err := io.WriteString(c, text)
+		return err
+	}
+}
+
 // comeBack sends a text on a connection, and again on new ones each time that the host ends
 // one.
 func comeBack(text string) func(net.Conn) error {
@@ -96,6 +115,8 @@
 		chunked = head + "Transfer-Encoding: chunked\r\n\r\n"
 		whole   = "POST /full/a HTTP/1.1\r\nHost: " + modelHost + "\r\nX-Attempt-Id: w\r\nX-Api-Key: " + goodKey +
 			"\r\nX-Model: m1\r\nX-Token-Usage: 1000,20\r\nX-Prompt-Prefix: aa:300\r\nContent-Length: 1048576\r\n\r\n"
+		stream = "POST /full/a HTTP/1.1\r\nHost: " + modelHost + "\r\nX-Attempt-Id: s\r\nX-Api-Key: " + goodKey +
+			"\r\nX-Model: m1\r\nX-Token-Usage: 1000,20\r\nX-Prompt-Prefix: aa:300\r\nTransfer-Encoding: chunked\r\n\r\n"
 		get = "GET /read/a HTTP/1.1\r\nHost: " + serviceHost + "\r\nX-Attempt-Id: g\r\nX-Api-Key: " + goodKey + "\r\n\r\n"
 	)
 	chunk := "10000\r\n" + strings.Repeat("c", 64<<10) + "\r\n"
@@ -120,6 +141,7 @@
 		{crowd: crowd{"idle connections", callersOnly, keepIdle, 0}},
 		{crowd: crowd{"pipelined requests, unread answers", callersOnly, sendRepeated("", strings.Repeat(get, 400), 8, 0), 64 << 10}},
 		{crowd: crowd{"unread answers", callersOnly, sendText(get), 1 << 20}},
+		{crowd: crowd{"streams that nobody reads", callersOnly, sendUnread(stream + "4\r\nbody\r\n0\r\n\r\n"), 0}, prepare: endlessEvents.start, service: true},
 		{crowd: crowd{"half a head to all listeners", func(l settings.Listen) []string {
 			return []string{l.Callers, l.Addresses, l.Readiness, l.Relays}
 		}, sendText("GET / HTTP/1.1\r\nHost: "), 0}},
@@ -146,7 +168,7 @@
 			held := standin.NewHeldBytes(h.pid, listen.Callers, listen.Addresses, listen.Readiness, listen.Relays, listen.Peers)
 			leave := tt.join(h, smallCrowdSize, tt.dial)
 			open := h.descriptors(t)
-			status := d.ordinary(h)
+			status := d.ordinary(h, tt.service)
 			leave()
 			select {
 			case err := <-h.ended:
@@ -168,10 +190,13 @@
 
 // ordinary sends an ordinary request, and again when its caller may, and returns the last
 // status.
-func (d *deployment) ordinary(h *hostProcess) int {
-	status := 0
+func (d *deployment) ordinary(h *hostProcess, service bool) int {
+	status, host, path := 0, modelHost, "/full/b"
+	if service {
+		host, path = serviceHost, "/post/b"
+	}
 	for try := 0; try < ordinaryTries && status != http.StatusOK; try++ {
-		a := d.do(h.testHost, http.MethodPost, modelHost, "/full/b", fmt.Sprint("o", time.Now().UnixNano()), prompt, "body")
+		a := d.do(h.testHost, http.MethodPost, host, path, fmt.Sprint("o", time.Now().UnixNano()), prompt, "body")
 		status = a.status
 		if seconds, err := strconv.ParseFloat(a.header.Get("Retry-After"), 64); err == nil && status != http.StatusOK {
 			time.Sleep(time.Duration(seconds * float64(time.Second)))
