--- a/storenode/crowd_small_test.go
+++ b/storenode/crowd_small_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -169,12 +170,18 @@
 			leave := tt.join(h, smallCrowdSize, tt.dial)
 			open := h.descriptors(t)
 			status := d.ordinary(h, tt.service)
-			leave()
 			select {
 			case err := <-h.ended:
 				t.Fatalf("the host has ended: %v", err)
 			default:
 			}
+			d.is.NoErr(syscall.Kill(h.pid, syscall.SIGTERM))
+			select {
+			case <-h.ended: // a planned stop ends beside the crowd
+			case <-time.After(awaitTimeout):
+				t.Error("the host did not stop")
+			}
+			leave()
 			sum, resident, unread := held.Stop()
 			t.Logf("peak of %d MB (%d + %d unread), %d descriptors; status of an ordinary request: %d", sum>>20, resident>>20, unread>>20, open, status)
 			if limit := int64(smallMemoryMB << 20); sum > limit {
