refactor: one handler reads whole bodies for callers and operators

The gateway and the operators' server had the same steps before each request: read its body, refuse it, hold its room until the answer has been taken, end the connection in a crowd. They are one handler of package ingress now. The row of a planned stop logs how the process ended.

--- a/gateway/decode.go
+++ b/gateway/decode.go
@@ -161,7 +161,7 @@
 		Account:    account.Name,
 		Method:     c.Method(),
 		Path:       c.Path(),
-		Body:       c.RequestCtx().Request.Body(), // not the library's buffer: see takeBody
+		Body:       c.RequestCtx().Request.Body(), // not the library's buffer: see ingress.Bodies
 		Key:        c.Get(keyHeader),
 		Idempotent: repeatable == "true",
 		Remaining:  time.Duration(g.Settings.Limits.DeadlineSeconds) * time.Second,
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -108,7 +108,7 @@
 		g.app.Add([]string{method}, servicesPath+":service/*", g.serve)
 	}
 	server := g.app.Server()
-	server.Handler = g.closeWhileStopping(g.takeBody(checkHeaders(server.Handler)))
+	server.Handler = g.closeWhileStopping(g.Bodies.Handler(limits.BodyBytes, checkHeaders(server.Handler), g.refuseBody))
 	server.HeaderReceived = ingress.LimitHead(func() int { return limits.BodyBytes })
 	server.ConnState = g.recordState
 	wait.Go(func() { _ = g.app.Listener(g.listener, fiber.ListenConfig{DisableStartupMessage: true}) })
--- a/gateway/listener.go
+++ b/gateway/listener.go
@@ -29,26 +29,6 @@
 		retrySeconds(refusalRetryAfter), len(body), body)
 }
 
-// takeBody reads the body of each request before it is handled, or refuses the request. Its
-// room is held until its answer has been taken.
-func (g *Gateway) takeBody(next fasthttp.RequestHandler) fasthttp.RequestHandler {
-	return func(ctx *fasthttp.RequestCtx) {
-		body, err := g.Bodies.Read(ctx, g.Settings.Limits.BodyBytes)
-		if err != nil {
-			g.refuseBody(ctx, err)
-			return
-		}
-		if c, ok := ctx.Conn().(*ingress.Conn); ok {
-			c.Update(func(r *ingress.OpenRequest) { r.Taken = body.End })
-		}
-		ctx.Request.SetBodyRaw(body.Data)
-		next(ctx)
-		if ingress.MustClose(ctx.Conn()) {
-			ctx.SetConnectionClose()
-		}
-	}
-}
-
 // refuseBody refuses a request whose body isn't taken in. It has not run.
 func (g *Gateway) refuseBody(ctx *fasthttp.RequestCtx, err error) {
 	f := request.Refuse(request.BadRequest, "the request is not HTTP as this host takes it")
--- a/ingress/body.go
+++ b/ingress/body.go
@@ -100,8 +100,27 @@
 	hasTurn bool
 }
 
-// Read reads the body of a request up to a limit, 0 for none. Its end must be called. The
-// request of a body that isn't taken in has to be refused, and its connection closed.
+// Handler returns a handler that reads the body of each request up to a limit before the
+// next one handles it, or has the request refused. The room of a body is held until its
+// answer has been taken.
+func (b *Bodies) Handler(limit int, next fasthttp.RequestHandler, refuse func(*fasthttp.RequestCtx, error)) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		body, err := b.Read(ctx, limit)
+		if err != nil {
+			refuse(ctx, err)
+			return
+		}
+		update(ctx.Conn(), func(r *OpenRequest) { r.Taken = body.End })
+		ctx.Request.SetBodyRaw(body.Data)
+		next(ctx)
+		if MustClose(ctx.Conn()) {
+			ctx.SetConnectionClose()
+		}
+	}
+}
+
+// Read reads the body of a request up to a limit, 0 for none. The caller has to call its End.
+// If the body isn't taken in, the request has to be refused, and its connection closed.
 func (b *Bodies) Read(ctx *fasthttp.RequestCtx, limit int) (*Body, error) {
 	h := &ctx.Request.Header
 	if h.ContentLength() == 0 && h.ConnectionClose() && len(h.Peek(tooLongHeader)) > 0 {
--- a/operator/body.go
+++ b/operator/body.go
@@ -14,26 +14,6 @@
 // maxBodyBytes limits the body of a call.
 const maxBodyBytes = 4 << 20
 
-// takeBody reads the body of each call before it is handled, or refuses the call. Its room
-// is held until its answer has been taken.
-func (s *Server) takeBody(next fasthttp.RequestHandler) fasthttp.RequestHandler {
-	return func(ctx *fasthttp.RequestCtx) {
-		body, err := s.Bodies.Read(ctx, maxBodyBytes)
-		if err != nil {
-			refuseBody(ctx, err)
-			return
-		}
-		if c, ok := ctx.Conn().(*ingress.Conn); ok {
-			c.Update(func(r *ingress.OpenRequest) { r.Taken = body.End })
-		}
-		ctx.Request.SetBodyRaw(body.Data)
-		next(ctx)
-		if ingress.MustClose(ctx.Conn()) {
-			ctx.SetConnectionClose()
-		}
-	}
-}
-
 // refuseBody refuses a call whose body isn't taken in.
 func refuseBody(ctx *fasthttp.RequestCtx, err error) {
 	status := fiber.StatusBadRequest
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -111,7 +111,7 @@
 	api.Get("/status", s.status)
 	api.Post("/drain", s.drain)
 	server := s.app.Server()
-	server.Handler = s.takeBody(server.Handler)
+	server.Handler = s.Bodies.Handler(maxBodyBytes, server.Handler, refuseBody)
 	server.HeaderReceived = ingress.LimitHead(func() int { return maxBodyBytes })
 	server.ConnState = ingress.RecordState
 	wait.Go(func() { _ = s.app.Listener(listener, fiber.ListenConfig{DisableStartupMessage: true}) })
--- a/storenode/crowd_small_test.go
+++ b/storenode/crowd_small_test.go
@@ -177,7 +177,8 @@
 			}
 			d.is.NoErr(syscall.Kill(h.pid, syscall.SIGTERM))
 			select {
-			case <-h.ended: // a planned stop ends beside the crowd
+			case err := <-h.ended: // a planned stop ends beside the crowd
+				t.Logf("the end of the process: %v", err)
 			case <-time.After(awaitTimeout):
 				t.Error("the host did not stop")
 			}
