--- /dev/null
+++ b/review/rig/rig.go
@@ -0,0 +1,315 @@
+// Package rig starts the router's processes before stand-ins for the users' platform, for
+// the cases of the second review.
+package rig
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/kumquathoist/kumquathoist/standin"
+)
+
+// The exit codes of a case.
+const (
+	// Held means that the rule held, Broken that it was broken.
+	Held, Broken = 0, 1
+	// Failed means that the case could not run.
+	Failed = 2
+)
+
+const (
+	// Program is the router, as the deploy file builds it.
+	Program = "target/kumquathoist"
+	// ModelHost and DeskHost are the hosts of the routes to engines and to the plain service,
+	// Key is the key of the only client account.
+	ModelHost, DeskHost, Key = "models.example", "desk.example", "key-of-mill"
+	// Model is the model of the engines.
+	Model = "m1"
+	// readyTimeout limits the start of a router.
+	readyTimeout = 15 * time.Second
+	pollInterval = 10 * time.Millisecond
+	// beatInterval is the platform's heartbeat_ms.
+	beatInterval = 1200 * time.Millisecond
+)
+
+// Deployment is a small deployment: a store, upstreams and routers.
+type Deployment struct {
+	Store *standin.PlatformStore
+	// MemoryMB and Descriptors are those of a machine, LeaseMillis is the bound lease_ms.
+	MemoryMB, Descriptors, LeaseMillis int
+
+	dir       string
+	upstreams []*standin.PlatformEngine
+	routers   []*Router
+	seed      string
+	// ports are the ports for load reports and relayed requests, alike on all machines.
+	pulses, relays string
+	started        time.Time
+	stopBeats      chan struct{}
+	beats          sync.WaitGroup
+	// mu guards the record.
+	mu     sync.Mutex
+	record io.Writer
+}
+
+// New returns a deployment without upstreams and routers, whose record is written to a file.
+func New(record string) (*Deployment, error) {
+	file, err := os.Create(record)
+	if err != nil {
+		return nil, err
+	}
+	dir, err := os.MkdirTemp("", "kumquathoist-review-")
+	if err != nil {
+		return nil, err
+	}
+	store, err := standin.NewPlatformStore()
+	if err != nil {
+		return nil, err
+	}
+	d := &Deployment{Store: store, MemoryMB: 284, Descriptors: 4100, LeaseMillis: 3000, dir: dir, started: time.Now(), record: file, stopBeats: make(chan struct{})}
+	if d.pulses, err = freePort("udp4"); err != nil {
+		return nil, err
+	}
+	if d.relays, err = freePort("tcp4"); err != nil {
+		return nil, err
+	}
+	return d, nil
+}
+
+// Record writes a line to the record and to the output.
+func (d *Deployment) Record(format string, values ...any) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	line := fmt.Sprintf("%8.3f  ", time.Since(d.started).Seconds()) + fmt.Sprintf(format, values...) + "\n"
+	_, _ = io.WriteString(d.record, line)
+	fmt.Print(line)
+}
+
+// Beat begins to have the upstreams write their entries again and again, as engines do.
+func (d *Deployment) Beat() {
+	d.beats.Go(func() {
+		for {
+			select {
+			case <-d.stopBeats:
+				return
+			case <-time.After(beatInterval):
+			}
+			for _, u := range d.upstreams {
+				d.Register(u)
+			}
+		}
+	})
+}
+
+// Close ends all processes and stand-ins.
+func (d *Deployment) Close() {
+	close(d.stopBeats)
+	d.beats.Wait()
+	for _, r := range d.routers {
+		r.Kill()
+	}
+	for _, u := range d.upstreams {
+		u.Close()
+	}
+	d.Store.Close()
+	_ = os.RemoveAll(d.dir)
+}
+
+// Upstream starts a stand-in for an engine, or for the plain service if the model is "", and
+// registers it.
+func (d *Deployment) Upstream(id, service, model string) (*standin.PlatformEngine, error) {
+	u, err := standin.NewPlatformEngine(id, service, "north", model)
+	if err != nil {
+		return nil, err
+	}
+	d.upstreams = append(d.upstreams, u)
+	d.Register(u)
+	return u, nil
+}
+
+// Register writes the entry of an upstream.
+func (d *Deployment) Register(u *standin.PlatformEngine) {
+	d.Store.Put("keyed.servers", u.ID, u.Entry())
+}
+
+// route returns a route of the configuration.
+func route(name, host, prefix, kind, service string, timeoutMillis int, resumable bool) map[string]any {
+	return map[string]any{
+		"name": name, "host": host, "path_prefix": prefix, "kind": kind, "service": service, "timeout_ms": timeoutMillis,
+		"target_latency_ms": 1000, "target_gap_ms": 600, "priority": 1, "max_attempts": 2, "resumable": resumable, "sticky": service == "models",
+	}
+}
+
+// Configure writes a version of the configuration.
+func (d *Deployment) Configure(version int) {
+	d.Store.Put("keyed.op", "config", map[string]any{
+		"version": version,
+		"routes": []any{
+			route("full", ModelHost, "/full/", "streaming", "models", 15000, true),
+			route("post", DeskHost, "/post/", "non_idempotent", "desk", 3000, false),
+			route("read", DeskHost, "/read/", "idempotent", "desk", 3000, false),
+		},
+		"services": []any{
+			map[string]any{"name": "models", "health_path": "/health", "max_connections": 370, "engine": map[string]any{"slots": 64, "moves": true, "models": []any{map[string]any{"name": Model}}}},
+			map[string]any{"name": "desk", "health_path": "/health", "max_connections": 2000},
+		},
+		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"tenants": []any{map[string]any{"name": "mill", "api_keys": []any{Key}}},
+	})
+}
+
+// NameWeights names the newest weights of the model.
+func (d *Deployment) NameWeights(version int64) {
+	d.Record("weights %d are named", version)
+	d.Store.NameWeights(Model, version)
+}
+
+// Router is a router on a machine of its own address.
+type Router struct {
+	Name string
+	// Callers, Ready, Peers and Relays are addresses of the router.
+	Callers, Ready, Peers, Relays, Addresses string
+	// Pid is the number of its process.
+	Pid int
+
+	program string
+	file    string
+	cmd     *exec.Cmd
+	ended   chan struct{}
+}
+
+// Router writes the settings of a router and starts it.
+func (d *Deployment) Router(name string) (*Router, error) {
+	ip := fmt.Sprintf("127.0.0.%d", len(d.routers)+1)
+	r := &Router{Name: name, program: Program, Relays: net.JoinHostPort(ip, d.relays), file: filepath.Join(d.dir, name+".yaml")}
+	metrics := ""
+	for _, a := range []*string{&r.Callers, &r.Ready, &r.Peers, &r.Addresses, &metrics} {
+		port, err := freePort("tcp4")
+		if err != nil {
+			return nil, err
+		}
+		*a = net.JoinHostPort(ip, port)
+	}
+	if d.seed == "" {
+		d.seed = r.Peers
+	}
+	settings := fmt.Sprintf(`Host:
+  Name: %q
+  FailureDomain: "north"
+  Region: "r"
+Listen:
+  Callers: %q
+  Peers: %q
+  Addresses: %q
+  Readiness: %q
+  Metrics: %q
+  Pulses: %q
+  Relays: %q
+Platform:
+  Store: %q
+  Seeds: [%q]
+Machine:
+  MemoryMB: %d
+  Descriptors: %d
+Bounds:
+  LeaseMillis: %d
+  WeightsMillis: 6000
+  GraceSeconds: 8
+  RepeatRatio: 0.2
+  RepeatWindowSeconds: 10
+  RepeatSlack: 52
+`, name, r.Callers, r.Peers, r.Addresses, r.Ready, metrics, net.JoinHostPort(ip, d.pulses), r.Relays, d.Store.Address(), d.seed, d.MemoryMB, d.Descriptors, d.LeaseMillis)
+	if err := os.WriteFile(r.file, []byte(settings), 0o600); err != nil {
+		return nil, err
+	}
+	d.routers = append(d.routers, r)
+	return r, r.Start()
+}
+
+// Start starts the process with the command and the environment of the deploy file.
+func (r *Router) Start() error {
+	r.cmd = exec.Command(r.program, "run", "--settings", r.file)
+	r.cmd.Env = append(os.Environ(), "KUMQUATHOIST_PEER_SECRET=platform-internal", "GOMAXPROCS=1", "GOGC=150")
+	r.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := r.cmd.Start(); err != nil {
+		return err
+	}
+	r.Pid, r.ended = r.cmd.Process.Pid, make(chan struct{})
+	go func(cmd *exec.Cmd, ended chan struct{}) {
+		_ = cmd.Wait() // a killed process has no other end
+		close(ended)
+	}(r.cmd, r.ended)
+	return nil
+}
+
+// Kill ends the process at once.
+func (r *Router) Kill() {
+	_ = r.cmd.Process.Kill() // fails only if it has ended
+	<-r.ended
+}
+
+// Ended returns a channel that is closed when the process has ended.
+func (r *Router) Ended() <-chan struct{} { return r.ended }
+
+// AwaitReady waits until the router says that it is ready.
+func (r *Router) AwaitReady() error {
+	return Await("router "+r.Name+" is ready", readyTimeout, func() bool { return standin.PlatformReady(r.Ready) })
+}
+
+// Await waits until a condition holds.
+func Await(condition string, timeout time.Duration, holds func() bool) error {
+	for deadline := time.Now().Add(timeout); !holds(); time.Sleep(pollInterval) {
+		if time.Now().After(deadline) {
+			return errors.New("timed out waiting until " + condition)
+		}
+	}
+	return nil
+}
+
+// Ordinary returns an ordinary request to the plain service.
+func Ordinary(id string) standin.PlatformRequest {
+	return standin.PlatformRequest{ID: id, Method: http.MethodPost, Host: DeskHost, Path: "/post/a", Key: Key, Deadline: 3 * time.Second, Body: "body"}
+}
+
+// Exit ends the case with a code, or with Failed after an error.
+func Exit(code int, err error) {
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "the case could not run:", err)
+		code = Failed
+	}
+	os.Exit(code)
+}
+
+// Troubled reports whether the case brings about its disruption.
+func Troubled() bool { return os.Getenv("TROUBLE") != "0" }
+
+// freePort returns an unused port.
+func freePort(network string) (string, error) {
+	var address net.Addr
+	if network == "udp4" {
+		c, err := net.ListenPacket(network, "127.0.0.1:0")
+		if err != nil {
+			return "", err
+		}
+		defer func() { _ = c.Close() }()
+		address = c.LocalAddr()
+	} else {
+		l, err := net.Listen(network, "127.0.0.1:0")
+		if err != nil {
+			return "", err
+		}
+		defer func() { _ = l.Close() }()
+		address = l.Addr()
+	}
+	_, port, err := net.SplitHostPort(address.String())
+	return port, err
+}
