test: a case of relayed streams that run at two engines at a time

A host that is partitioned from all engines passes streams on to another one, and the open connections between hosts fall silent. Nothing is fixed.

--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -3,6 +3,7 @@
 package rig
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"io"
@@ -20,18 +21,23 @@
 
 // The exit codes of a case.
 const (
-	// Held means that the rule held, Broken that it was broken.
-	Held, Broken = 0, 1
+	// Held means that the rule held.
+	Held = iota
+	// Broken means that the rule was broken.
+	Broken
 	// Failed means that the case could not run.
-	Failed = 2
+	Failed
 )
 
 const (
 	// Program is the router, as the deploy file builds it.
 	Program = "target/kumquathoist"
-	// ModelHost and DeskHost are the hosts of the routes to engines and to the plain service,
+	// ModelHost is the host of the route to engines.
+	ModelHost = "models.example"
+	// DeskHost is the host of the routes to the plain service.
+	DeskHost = "desk.example"
 	// Key is the key of the only client account.
-	ModelHost, DeskHost, Key = "models.example", "desk.example", "key-of-mill"
+	Key = "key-of-mill"
 	// Model is the model of the engines.
 	Model = "m1"
 	// readyTimeout limits the start of a router.
@@ -176,8 +182,9 @@
 // Router is a router on a machine of its own address.
 type Router struct {
 	Name string
-	// Callers, Ready, Peers and Relays are addresses of the router.
-	Callers, Ready, Peers, Relays, Addresses string
+	// Callers, Ready, Peers and Addresses are addresses of the router. It takes relayed requests
+	// at Relays, and other routers send them to Relayed.
+	Callers, Ready, Peers, Relays, Relayed, Addresses string
 	// Pid is the number of its process.
 	Pid int
 
@@ -187,10 +194,31 @@
 	ended   chan struct{}
 }
 
+// Options are those of a router that differ from the usual ones.
+type Options struct {
+	// Store is the address of the store; "" for that of the deployment.
+	Store string
+	// RelayProxy is set if the router takes relayed requests at another port than the one
+	// that other routers use, where a proxy listens.
+	RelayProxy bool
+}
+
 // Router writes the settings of a router and starts it.
-func (d *Deployment) Router(name string) (*Router, error) {
+func (d *Deployment) Router(name string) (*Router, error) { return d.RouterWith(name, Options{}) }
+
+// RouterWith writes the settings of a router with options and starts it.
+func (d *Deployment) RouterWith(name string, o Options) (*Router, error) {
 	ip := fmt.Sprintf("127.0.0.%d", len(d.routers)+1)
 	r := &Router{Name: name, program: Program, Relays: net.JoinHostPort(ip, d.relays), file: filepath.Join(d.dir, name+".yaml")}
+	r.Relayed = r.Relays
+	if o.RelayProxy {
+		port, err := freePort("tcp4")
+		if err != nil {
+			return nil, err
+		}
+		r.Relays = net.JoinHostPort(ip, port)
+	}
+	store := cmp.Or(o.Store, d.Store.Address())
 	metrics := ""
 	for _, a := range []*string{&r.Callers, &r.Ready, &r.Peers, &r.Addresses, &metrics} {
 		port, err := freePort("tcp4")
@@ -227,7 +255,7 @@
   RepeatRatio: 0.2
   RepeatWindowSeconds: 10
   RepeatSlack: 52
-`, name, r.Callers, r.Peers, r.Addresses, r.Ready, metrics, net.JoinHostPort(ip, d.pulses), r.Relays, d.Store.Address(), d.seed, d.MemoryMB, d.Descriptors, d.LeaseMillis)
+`, name, r.Callers, r.Peers, r.Addresses, r.Ready, metrics, net.JoinHostPort(ip, d.pulses), r.Relays, store, d.seed, d.MemoryMB, d.Descriptors, d.LeaseMillis)
 	if err := os.WriteFile(r.file, []byte(settings), 0o600); err != nil {
 		return nil, err
 	}
