--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -267,6 +267,14 @@
 func (r *Router) Start() error {
 	r.cmd = exec.Command(r.program, "run", "--settings", r.file)
 	r.cmd.Env = append(os.Environ(), "KUMQUATHOIST_PEER_SECRET=platform-internal", "GOMAXPROCS=1", "GOGC=150")
+	if keep := os.Getenv("KEEP_LOGS"); keep != "" { // a folder
+		log, err := os.OpenFile(filepath.Join(keep, r.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+		if err != nil {
+			return err
+		}
+		defer func() { _ = log.Close() }()
+		r.cmd.Stdout, r.cmd.Stderr = log, log
+	}
 	r.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := r.cmd.Start(); err != nil {
 		return err
