fix: an answer with an invalid name in its head is no answer

Seen: an engine in trouble sent a head in which the name of a field held a blank. Callers got the answer, with the line passed on ("X A: v") or as a field of another name ("X-A : v" as X-A), and with bodies that were not the engine's ("Content-Length : 4" or "Transfer-Encoding : chunked" frame the body or not, as the library likes). "X-Not-Executed : 1" told callers that their call had not run.

Cause: both libraries that parse heads take blanks within and after names on purpose, and nothing checked the names behind them. They reject control bytes, as the rows show, but for one: a line feed first ends the head, and its rest was the body.

Fix: httpheader.CheckName is the rule (a name is a token), and every reader of answers passes it: - http1 (upstreams, relays) checks the raw lines before they are parsed, informational heads included. A line that begins with a blank is refused, too, as gateways may (RFC 9112, 5.2): it may be a field whose name begins with one, and its text was passed on within the field before. - socket.NewHTTPClient (control calls, store, log, host list, own path) checks the names of informational heads and of the answer. It now takes at most eight informational heads, as http1 does, since the transport bounds only their bytes, and no longer these once they are read. The request may have run: it counts as broken, not as refused, so calls that run at most once are not sent again and resumable streams go on elsewhere. The connection is closed; net/http keeps that of an answer without a body before it returns the head.

Not covered: on net/http a line that begins with a blank or a line feed looks like a part of the field before or like the end of the head, as RFC 9112 (5.2, 2.2) lets a recipient read it.

--- a/http1/exchange.go
+++ b/http1/exchange.go
@@ -30,9 +30,6 @@
 	maxStrays = 2
 	// maxStrayBytes bounds the body of a skipped answer.
 	maxStrayBytes = 1 << 20
-	// maxInformational bounds the informational heads (1xx) before an answer;
-	// upstreams send one or two.
-	maxInformational = 8
 	// maxBlankBytes bounds the blank lines before a status line.
 	maxBlankBytes = 4
 	// maxTrailerBytes bounds the trailer fields after a body.
@@ -138,6 +135,9 @@
 		if err := checkStatusLine(e.conn.buffer); err != nil {
 			return unreadableHead{err}
 		}
+		if err := checkNames(e.conn.buffer); err != nil {
+			return unreadableHead{err}
+		}
 		var h fasthttp.ResponseHeader
 		if err := h.Read(e.conn.buffer); err != nil {
 			return unreadableHead{err}
@@ -147,8 +147,8 @@
 		}
 		if h.StatusCode() < 200 {
 			skipped--
-			if informational++; informational > maxInformational {
-				return trace.LimitExceeded("more than %d informational heads", maxInformational)
+			if informational++; informational > httpheader.MaxInformational {
+				return trace.LimitExceeded("more than %d informational heads", httpheader.MaxInformational)
 			}
 			continue
 		}
@@ -198,6 +198,18 @@
 	return nil
 }
 
+// checkNames checks the names of the fields in the head that follows. The error for a head
+// that is incomplete is left to its parser.
+func checkNames(in *bufio.Reader) error {
+	for size := 1; ; size = in.Buffered() + 1 {
+		_, readErr := in.Peek(size)
+		head, _ := in.Peek(in.Buffered()) // no more than is buffered
+		if isComplete, err := httpheader.CheckNames(head); isComplete || err != nil || readErr != nil {
+			return err
+		}
+	}
+}
+
 // isJoined reports whether a head was cut within a line and that of another answer follows,
 // so that neither its status nor its fields are those of one answer.
 func isJoined(h *fasthttp.ResponseHeader) bool {
--- a/http1/fuzz_test.go
+++ b/http1/fuzz_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/kumquathoist/kumquathoist/http1"
+	"github.com/kumquathoist/kumquathoist/httpheader"
 	"github.com/kumquathoist/kumquathoist/platform"
 )
 
@@ -75,6 +76,7 @@
 		head + "Retry-After: -1e999\r\nX-Weight-Versions: 99999999999999999999\r\nKeep-Alive: timeout=-5\r\n\r\n",
 		"HTTP/1.1 000 No\r\nX-Attempt-Id: r\r\nContent-Length: 4\r\n\r\nbody", "HTTP/1.1 600 No\r\nX-Attempt-Id: r\r\nContent-Length: 4\r\n\r\nbody",
 		"\r\n\r\nHTTP/1.1 000\r\nX-Attempt-Id: r\r\n\r\n",
+		head + "X A: v\r\nContent-Length: 4\r\n\r\nbody", head + "Content-Length : 4\r\n\r\nbody", head + "Content-Length: 4\r\n\nX-A: v\r\n\r\nbody",
 		"HTTP/0.9 000\r\n\r\n", "\r\n\r\n", "", "HTTP/1.1 200 OK\n\nbody", "HTTP/1.1 204 No Content\r\nX-Attempt-Id: r\r\nContent-Length: 9\r\n\r\n",
 	} {
 		f.Add([]byte(answer))
@@ -113,6 +115,11 @@
 		if x.Status < 200 || x.Status > 599 || !bytes.Contains(answer, fmt.Appendf(nil, " %d", x.Status)) {
 			t.Errorf("the status is %d", x.Status)
 		}
+		for _, f := range x.Fields {
+			if err := httpheader.CheckName(f.Name); err != nil {
+				t.Error(err)
+			}
+		}
 		if errors.Is(err, io.EOF) != x.Complete() {
 			t.Errorf("the answer ended with %v, complete: %v", err, x.Complete())
 		}
--- a/socket/client.go
+++ b/socket/client.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 	"strings"
 	"sync"
 	"time"
@@ -19,6 +20,9 @@
 // has ended.
 const writeEndTimeout = time.Second
 
+// ErrInvalidHead is wrapped by the error for an answer whose head the protocol doesn't allow.
+var ErrInvalidHead = errors.New("the head of the answer is invalid")
+
 // NewHTTPClient returns a client that follows no redirects: an answer comes from the address
 // that was called, and an error in reaching an address means that one. It takes only what
 // the protocol allows for an answer, and no part of one for the whole.
@@ -32,16 +36,25 @@
 // RoundTrip implements http.RoundTripper.
 func (t checkedTransport) RoundTrip(req *http.Request) (*http.Response, error) {
 	w := &requestWrite{}
+	informational := 0
 	ctx := httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { w.begin() }, WroteRequest: func(i httptrace.WroteRequestInfo) { w.end(i.Err) },
+		Got1xxResponse: func(_ int, header textproto.MIMEHeader) error {
+			// With this function the transport bounds only each head, no longer all of them.
+			if informational++; informational > httpheader.MaxInformational {
+				return invalidHead(trace.LimitExceeded("more than %d informational heads", httpheader.MaxInformational))
+			}
+			return invalidHead(checkNames(header))
+		},
 	})
 	resp, err := t.RoundTripper.RoundTrip(req.WithContext(ctx))
 	if err != nil {
 		return nil, err
 	}
-	if !httpheader.IsStatus(resp.StatusCode) {
+	if err := invalidHead(checkHead(resp)); err != nil {
 		_ = resp.Body.Close()
-		return nil, trace.BadParameter("the status %q is none of the protocol", resp.Status)
+		t.CloseIdleConnections() // after an answer without a body its connection is one
+		return nil, err
 	}
 	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && !resp.Uncompressed {
 		resp.Body = &closeDelimitedBody{ReadCloser: resp.Body, write: w}
@@ -49,6 +62,32 @@
 	return resp, nil
 }
 
+// invalidHead returns an error that wraps ErrInvalidHead and a cause, or nil if there is none.
+func invalidHead(cause error) error {
+	if cause == nil {
+		return nil
+	}
+	return errors.Join(ErrInvalidHead, cause)
+}
+
+// checkHead returns why the head of an answer is none of the protocol, or nil.
+func checkHead(resp *http.Response) error {
+	if !httpheader.IsStatus(resp.StatusCode) {
+		return trace.BadParameter("the status %q is none of the protocol", resp.Status)
+	}
+	return checkNames(resp.Header)
+}
+
+// checkNames returns an error if the name of a field is invalid.
+func checkNames(header map[string][]string) error {
+	for name := range header {
+		if err := httpheader.CheckName(name); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // CloseIdleConnections closes the idle connections of the transport.
 func (t checkedTransport) CloseIdleConnections() {
 	if c, ok := t.RoundTripper.(interface{ CloseIdleConnections() }); ok {
--- a/standin/platform_faults.go
+++ b/standin/platform_faults.go
@@ -55,6 +55,9 @@
 	RanTimeoutFault
 	RanLimitedFault
 	RanFullFault
+	// BrokenHeadFault executes the request and sends a whole answer in whose head the name of
+	// a field holds a blank.
+	BrokenHeadFault
 )
 
 // PlatformTrouble is a way in which an upstream goes wrong from now on; zero fields change
@@ -101,7 +104,7 @@
 	time.Sleep(100 * time.Millisecond)
 }
 
-// sendUnframed sends an answer that ends with its connection.
+// sendUnframed sends an answer that ends with its connection, or one whose head is broken.
 func (e *PlatformEngine) sendUnframed(w http.ResponseWriter, r *http.Request, fault PlatformFault, body string) {
 	id, weights := r.Header.Get("X-Attempt-Id"), e.Weights()
 	if e.Model != "" {
@@ -121,7 +124,11 @@
 		return
 	}
 	defer func() { _ = conn.Close() }()
-	fmt.Fprintf(buffered, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Stamp: %s.%s\r\nX-Weight-Versions: %d\r\nContent-Type: text/event-stream\r\n\r\n%s", id, e.ID, id, weights, body)
+	line := ""
+	if fault == BrokenHeadFault {
+		line = fmt.Sprintf("X A: v\r\nContent-Length: %d\r\n", len(body))
+	}
+	fmt.Fprintf(buffered, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Stamp: %s.%s\r\nX-Weight-Versions: %d\r\nContent-Type: text/event-stream\r\n%s\r\n%s", id, e.ID, id, weights, line, body)
 	_ = buffered.Flush()
 }
 
--- a/storenode/broken_stream_test.go
+++ b/storenode/broken_stream_test.go
@@ -34,6 +34,10 @@
 		{"another success", text("206 Partial Content", signed+"Content-Type: text/event-stream\r\n", events)},
 		{"an answer to another request", text("200 OK", "X-Attempt-Id: other\r\nX-Response-Stamp: s\r\nContent-Type: text/event-stream\r\n", events)},
 		{"no HTTP", "internal error\n\n"},
+		{"a blank in a name", text("200 OK", signed+"Content-Type: text/event-stream\r\nX A: v\r\n", events)},
+		{"a blank before a colon", text("200 OK", signed+"Content-Type: text/event-stream\r\nX-A : v\r\n", events)},
+		{"a control byte in a name", text("200 OK", signed+"Content-Type: text/event-stream\r\nX\x01A: v\r\n", events)},
+		{"status 000", text("000 No", signed+"Content-Type: text/event-stream\r\n", events)},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
--- a/storenode/cut_test.go
+++ b/storenode/cut_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -37,6 +38,8 @@
 type cutDialer struct {
 	// relayPort is the port of other hosts, which are not cut.
 	relayPort string
+	// relaysTo, if set, is the address to which connections to other hosts go instead.
+	relaysTo atomic.Value
 	// mu guards the fields below.
 	mu           sync.Mutex
 	cut          cut
@@ -100,6 +103,9 @@
 
 func (d *cutDialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
 	if _, port, _ := net.SplitHostPort(address); port == d.relayPort {
+		if to, ok := d.relaysTo.Load().(string); ok {
+			address = to
+		}
 		c, err := (&net.Dialer{}).DialContext(ctx, network, address)
 		d.mu.Lock()
 		defer d.mu.Unlock()
