fix: client commands take only what the protocol allows for an answer

Seen: the commands that ask hosts (send, addresses, those of operators) printed answers with the status 000 or with names that are no tokens. Cause: they had a client of their own, without the checks of socket.NewHTTPClient. They use that one now, and still follow redirects.

Evidence: TestBrokenHeadIsNoAnswer failed before for status 000 and for names with blanks, in each framing; it passes now, and so does package cmd.

--- a/cmd/http.go
+++ b/cmd/http.go
@@ -18,11 +18,13 @@
 	maxAnswerBytes = 64 << 20
 )
 
-// newHTTPClient returns a client of hosts. A call that is given up, such as by an
-// interrupt, does not arrive later.
+// newHTTPClient returns a client of hosts, which may be redirected. A call that is given up,
+// such as by an interrupt, does not arrive later.
 func newHTTPClient() *http.Client {
 	transport := http.DefaultTransport.(*http.Transport).Clone()
 	transport.DialContext = socket.NewDialer(dialTimeout, maxSilence).DialContext
 	transport.MaxResponseHeaderBytes = bounded.MaxHeadBytes
-	return &http.Client{Transport: transport}
+	client := socket.NewHTTPClient(transport)
+	client.CheckRedirect = nil
+	return client
 }
