test: TestCallerDisconnects waits for an end that is always told

If the caller is gone before the first event, the gateway refuses that event and the runner returned without a word, so the test waited without an end, until the run's time limit.

The runner now tells its context's error there, too. The gateway refuses an event only once that context has ended, and the test still wants context.Canceled, so its check is as strict. The gateway is unchanged.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -48,6 +48,9 @@
 	for i, text := range f.texts {
 		data := fmt.Sprintf(`{"id":"x","choices":[{"delta":{"content":%q}}]}`, text)
 		if sink(upstream.Chunk{Position: i + 1, Data: []byte(data)}) != nil {
+			if f.hold != nil {
+				f.ended <- ctx.Err()
+			}
 			return nil
 		}
 		if f.hold == nil {
