--- a/storenode/harness_test.go
+++ b/storenode/harness_test.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -159,13 +160,11 @@
 // chooseAddresses sets unused addresses at an IP, which differ from each other and from one
 // more.
 func (d *deployment) chooseAddresses(ip, other string, chosen ...*string) {
-	for _, address := range chosen {
-		l, err := net.Listen("tcp4", ip+":0")
-		d.is.NoErr(err)
-		defer func() { _ = l.Close() }() // until all are chosen
-		if *address = l.Addr().String(); *address == other {
-			*address = d.address(ip)
-		}
+	addresses, err := standin.UnusedAddresses(ip, len(chosen)+1)
+	d.is.NoErr(err)
+	addresses = slices.DeleteFunc(addresses, func(a string) bool { return a == other })
+	for i, address := range chosen {
+		*address = addresses[i]
 	}
 }
 
