test: names that begin with a blank or a line feed are in the list of known red

They were taken out of the rows of socket.NewHTTPClient before, which only said so: net/http reads them as a part of the field before, or as the end of the head. The other test is as it was.

--- a/socket/invalid_head_test.go
+++ b/socket/invalid_head_test.go
@@ -21,8 +21,19 @@
 // TestInvalidHeadIsNoAnswer guards against answers that are taken for whole although their
 // heads are invalid. The server must have got the request once.
 func TestInvalidHeadIsNoAnswer(t *testing.T) {
+	checkInvalidHeads(t, standin.InvalidHeads("Content-Type: text/plain\r\n", "body", standin.InvalidFields(4)))
+}
+
+// TestNameThatBeginsWithBlankIsNoAnswer does the same with names that begin with a blank or a line
+// feed.
+func TestNameThatBeginsWithBlankIsNoAnswer(t *testing.T) {
+	checkInvalidHeads(t, standin.InvalidHeads("Content-Type: text/plain\r\n", "body", []string{" X-A: v", "\tX-A: v", "\nX-A: v"}))
+}
+
+// checkInvalidHeads checks that a client takes none of the heads for that of an answer.
+func checkInvalidHeads(t *testing.T, heads []standin.RawAnswer) {
+	t.Helper()
 	accepted := 0
-	heads := standin.InvalidHeads("Content-Type: text/plain\r\n", "body", standin.InvalidFields(4))
 	for _, head := range heads {
 		ctx, stop := context.WithTimeout(t.Context(), answerLimit)
 		server, err := standin.NewScripted(head)
