feat: a line for each connection that a host ends without a whole answer

Ruled out: a line for callers that leave first; they are counted by the metric alone. Event 1013 and connections_ended_owing{reason,state} tell reason (Unread, NoAnswer, AnswerBroken, AnswerNotTaken, ClientLeft), state and the time left, at most 20 lines a second. Before: none of these ends was told apart. After: TestConnectionsThatOweAnswersAreRecorded, 120 of 120 rows under the race detector; packages ingress, platform, gateway and event pass.

--- a/call/progress.go
+++ b/call/progress.go
@@ -1,6 +1,11 @@
 package call
 
-import "sync/atomic"
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/kumquathoist/kumquathoist/clock"
+)
 
 // Place is where a request is.
 type Place struct {
@@ -16,13 +21,31 @@
 
 // Progress tells where a request is. A nil Progress tells nothing.
 type Progress struct {
-	place atomic.Pointer[Place]
+	place, last atomic.Pointer[Place]
+	// deadline is when the request has to have its answer, 0 if that isn't known.
+	deadline atomic.Int64
+}
+
+// SetDeadline records when the request has to have its answer.
+func (p *Progress) SetDeadline(at clock.Instant) {
+	if p != nil {
+		p.deadline.Store(int64(at))
+	}
+}
+
+// TimeLeft returns the time until the deadline, or 0 if that isn't known.
+func (p *Progress) TimeLeft(now clock.Instant) time.Duration {
+	if p == nil || p.deadline.Load() == 0 {
+		return 0
+	}
+	return clock.Instant(p.deadline.Load()).Sub(now)
 }
 
 // Enter records that the request is sent to a place.
 func (p *Progress) Enter(place *Place) {
 	if p != nil {
 		p.place.Store(place)
+		p.last.Store(place)
 	}
 }
 
@@ -43,3 +66,15 @@
 	}
 	return Place{}, false
 }
+
+// LastPlace returns the place to which the request was sent last; zero if it was sent
+// nowhere.
+func (p *Progress) LastPlace() Place {
+	if p == nil {
+		return Place{}
+	}
+	if place := p.last.Load(); place != nil {
+		return *place
+	}
+	return Place{}
+}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -338,6 +338,7 @@
 		timeout = c.Remaining
 	}
 	h.deadline = c.Arrived.Add(timeout)
+	c.Progress.SetDeadline(h.deadline)
 	h.retryState = retry.State{Idempotent: h.route.MayRepeat(), MaxUpstreams: h.route.MaxUpstreams, MaybeExecuted: c.Attempts}
 	switch {
 	case c.Relayed && r.Reachability.Isolated(name):
--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -52,15 +52,17 @@
 	// that or after the operators' limit.
 	whole time.Time
 	late  bool
-	// ending is set once the connection ends unless a request arrives, overdue once a
+	// endsIdle is set once the connection ends unless a request arrives, overdue once a
 	// request that is still arriving is refused, displaced if that makes room for others.
-	ending, overdue, displaced bool
+	endsIdle, overdue, displaced bool
 	// request is the request while open is set.
 	request OpenRequest
 	// writing is when the write in progress began; zero if there is none. untaken is set once
 	// the connection ends since its client doesn't take an answer.
 	writing time.Time
 	untaken bool
+	// ending tells how the connection ends.
+	ending ending
 }
 
 // Request returns the request of the connection, if there is one.
@@ -76,13 +78,14 @@
 	defer c.mu.Unlock()
 	c.readAt = time.Now()
 	if !c.open {
-		c.open, c.kept, c.late, c.request = true, false, false, OpenRequest{Began: clock.Now()}
+		c.open, c.kept, c.late, c.request, c.ending = true, false, false, OpenRequest{Began: clock.Now()}, ending{}
 	}
 }
 
 // end records that the answer to a request has been written.
 func (c *Conn) end() {
 	c.releaseAnswer()
+	c.recordEnding() // the client may have left before its answer
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.open, c.kept, c.overdue, c.since, c.request = false, true, false, time.Now(), OpenRequest{}
@@ -118,7 +121,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
-	case c.ending && !c.open, c.overdue, c.untaken:
+	case c.endsIdle && !c.open, c.overdue, c.untaken:
 		return time.Time{}, standsEnding
 	case !c.writing.IsZero():
 		return c.writing, standsUnread
@@ -175,7 +178,7 @@
 func (c *Conn) endUnread() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.ending = true
+	c.endsIdle = true
 	if !c.open {
 		_ = c.TCPConn.SetReadDeadline(longAgo) // fails only on a closed connection
 	}
@@ -228,7 +231,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
-	case c.overdue || c.ending && !c.open:
+	case c.overdue || c.endsIdle && !c.open:
 		t = longAgo
 	case c.kept:
 		c.since = time.Now()
@@ -258,6 +261,7 @@
 		}
 		switch {
 		case !errors.Is(err, os.ErrDeadlineExceeded):
+			c.recordRead(err)
 			return n, err
 		case c.endsUnread():
 			return 0, net.ErrClosed // the library closes it without an answer
@@ -267,6 +271,16 @@
 	}
 }
 
+// recordRead records how a read ended.
+func (c *Conn) recordRead(err error) {
+	if err == nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ending.noteRead(err)
+}
+
 // awaitLate awaits once more the bytes of a request whose time has passed.
 func (c *Conn) awaitLate() bool {
 	c.mu.Lock()
@@ -282,7 +296,7 @@
 func (c *Conn) endsUnread() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.ending && !c.open
+	return c.endsIdle && !c.open
 }
 
 // extend extends the wait for the next request if the limit has grown meanwhile.
@@ -291,7 +305,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	until := c.since.Add(longest)
-	if c.ending || !c.kept || !until.After(c.until) {
+	if c.endsIdle || !c.kept || !until.After(c.until) {
 		return false
 	}
 	c.until = until
@@ -311,7 +325,7 @@
 			return written, err
 		}
 		n, err := c.TCPConn.Write(piece)
-		c.endWrite()
+		c.endWrite(n, err)
 		if written += n; err != nil || written == len(b) {
 			return written, err
 		}
@@ -330,10 +344,11 @@
 }
 
 // endWrite records that a write has ended.
-func (c *Conn) endWrite() {
+func (c *Conn) endWrite(written int, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.writing = time.Time{}
+	c.ending.noteWrite(written, err)
 }
 
 // SetWriteDeadline implements net.Conn.
@@ -363,8 +378,10 @@
 // it the part of an answer that is on its way; so the client gets some time to take that.
 func (c *Conn) Close() error {
 	c.releaseAnswer()
-	if t := c.lingerTime(); t > 0 {
-		disconnect.Linger(c.TCPConn, t)
+	linger := c.lingerTime()
+	c.recordEnding()
+	if linger > 0 {
+		disconnect.Linger(c.TCPConn, linger)
 	}
 	defer c.listener.remove(c)
 	return c.TCPConn.Close()
--- a/ingress/listener.go
+++ b/ingress/listener.go
@@ -77,6 +77,7 @@
 
 	idleLimits *idleLimits
 	endings    log
+	owing      lineLimit
 	refusals   atomic.Int64
 	// crowdedAt is when a client last found no room, in Unix nanoseconds.
 	crowdedAt atomic.Int64
@@ -156,7 +157,7 @@
 		l.crowdedAt.Store(time.Now().UnixNano())
 		return nil, wait
 	}
-	c := &Conn{TCPConn: tcp, listener: l, ending: l.ending, since: time.Now()}
+	c := &Conn{TCPConn: tcp, listener: l, endsIdle: l.ending, since: time.Now()}
 	c.caller, _, _ = net.SplitHostPort(tcp.RemoteAddr().String())
 	l.open[c] = struct{}{}
 	return c, 0
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -20,6 +20,10 @@
 	// once all of the answer is being written.
 	Progress           *call.Progress
 	Answering, Written bool
+	// Left is set once the client has closed its connection while the request is handled,
+	// Broken once the answer has failed after it began, in the state BrokenIn.
+	Left, Broken bool
+	BrokenIn     plannedstop.State
 	// Cancel ends the handling of the request; it is nil before, and once its answer has
 	// begun.
 	Cancel context.CancelCauseFunc
