test: stand-in engines without a load time let running streams end before they load

Cause: an engine whose loads take no time loaded at once, under running streams, though the order says "wait" (the users' protocol: runs finish first). Streams that their host had stopped to move were then refused by their source (421), which real engines don't do there. Before: 3 of 4 rows of TestOrdersTreatRunningStreams failed (wait, no mode, truncate). After: 12 of 12 under the race detector.

--- a/standin/platform_engine.go
+++ b/standin/platform_engine.go
@@ -242,6 +242,7 @@
 		Holder       string `json:"holder"`
 		FencingToken int64  `json:"fencing_token"`
 		Expected     *int64 `json:"expected"`
+		SwitchMode   string `json:"switch_mode"`
 	}
 	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
 		w.WriteHeader(http.StatusBadRequest)
@@ -261,9 +262,12 @@
 		w.WriteHeader(http.StatusConflict)
 		return
 	}
+	if o.SwitchMode == "" {
+		o.SwitchMode = waitMode
+	}
 	e.accepted++
 	e.orders[len(e.orders)-1].Accepted = true
-	e.load(o.Version)
+	e.load(o.Version, o.SwitchMode)
 	if e.takeFault(LostOrderFault) {
 		panic(http.ErrAbortHandler)
 	}
--- a/standin/platform_load.go
+++ b/standin/platform_load.go
@@ -6,8 +6,8 @@
 // ended.
 const loadPollInterval = 5 * time.Millisecond
 
-// LoadTakes sets how long the engine loads weights, after the streams that run there
-// have ended. By default it has them at once.
+// LoadTakes sets how long the engine loads weights, by default no time. Streams that run
+// there end first, unless the order says otherwise.
 func (e *PlatformEngine) LoadTakes(d time.Duration) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -36,15 +36,31 @@
 	return e.loading
 }
 
+// The modes in which an order treats the streams that run.
+const (
+	// waitMode has them finish first; it is that of orders without a mode.
+	waitMode = "wait"
+	// truncateMode breaks them off.
+	truncateMode = "truncate"
+	// retainMode has them go on with the new weights.
+	retainMode = "retain"
+)
+
 // load executes an accepted order. The caller holds mu.
-func (e *PlatformEngine) load(version int64) {
-	if e.loadTime == 0 {
+func (e *PlatformEngine) load(version int64, mode string) {
+	if mode == truncateMode {
+		for id, stop := range e.running {
+			close(stop)
+			delete(e.running, id)
+		}
+	}
+	if e.loadTime == 0 && (len(e.running) == 0 || mode == retainMode) {
 		e.finishLoad(version)
 		return
 	}
 	e.loading = true
 	go func() {
-		for e.runningStreams() > 0 {
+		for mode != retainMode && e.runningStreams() > 0 {
 			time.Sleep(loadPollInterval)
 		}
 		e.mu.Lock()
@@ -58,9 +74,12 @@
 	}()
 }
 
-// finishLoad sets the new weights; the engine's cache is dropped. The caller holds mu.
+// finishLoad sets the new weights. What the engine has stored is dropped: its cache, and the
+// memory of runs that have stopped. The caller holds mu.
 func (e *PlatformEngine) finishLoad(version int64) {
 	e.weights = version
+	clear(e.memoryHandles)
+	clear(e.keptMemory)
 	for p := range e.cached {
 		e.recordEvent("-", p, 0)
 	}
