--- a/standin/platform_engine.go
+++ b/standin/platform_engine.go
@@ -72,6 +72,8 @@
 	// of events of a stream; 0 means eventsPerStream.
 	prefill    time.Duration
 	eventCount int
+	// working counts the requests that were admitted and have not ended.
+	working int
 	// runCount counts the runs, observeRun is called when one begins and ends,
 	// observeRefusal when a request is refused.
 	runCount       int
@@ -358,7 +360,7 @@
 	defer e.beginRun(r)()
 	e.mu.Lock()
 	fault := NoFault
-	if e.fault != LostOrderFault && e.fault != LostMoveFault && e.fault != NoRoomFault && e.takeFault(e.fault) {
+	if !e.fault.concernsCalls() && e.takeFault(e.fault) {
 		fault = e.fault
 	}
 	weights := e.weights
@@ -367,7 +369,11 @@
 		w.Header().Set("X-Response-Stamp", e.ID+"."+id)
 	}
 	e.crashIfAt(w, r, BeforeHead)
-	if e.applyFault(w, r, fault, id, body) || !e.awaitPrefill(r) {
+	if e.applyFault(w, r, fault, id, body) {
+		return
+	}
+	defer e.work()()
+	if !e.awaitPrefill(r) {
 		return
 	}
 	if e.Model == "" {
--- a/standin/platform_faults.go
+++ b/standin/platform_faults.go
@@ -41,7 +41,8 @@
 	OtherInstanceFault
 	// PauseFault pauses for streamPause after the first event of a stream.
 	PauseFault
-	// NoRoomFault stops a run that must migrate, but leaves its memory here.
+	// NoRoomFault copies no memory to another engine. A run that must migrate stops, and
+	// its memory stays here.
 	NoRoomFault
 	// UnframedFault answers with neither a length nor chunks; the answer ends with
 	// its connection.
@@ -58,8 +59,19 @@
 	// InvalidHeadFault executes the request and sends a whole answer in whose head the name of
 	// a field holds a blank.
 	InvalidHeadFault
+	// LateNoRoomFault does the same as NoRoomFault once a first copy has been made.
+	LateNoRoomFault
 )
 
+// concernsCalls reports whether a fault is one of control calls, not of requests.
+func (f PlatformFault) concernsCalls() bool {
+	switch f {
+	case LostOrderFault, LostMoveFault, NoRoomFault, LateNoRoomFault:
+		return true
+	}
+	return false
+}
+
 // PlatformTrouble is a way in which an upstream goes wrong from now on; zero fields change
 // nothing.
 type PlatformTrouble struct {
--- a/standin/platform_load.go
+++ b/standin/platform_load.go
@@ -54,13 +54,13 @@
 			delete(e.running, id)
 		}
 	}
-	if e.loadTime == 0 && (len(e.running) == 0 || mode == retainMode) {
+	if e.loadTime == 0 && (e.working == 0 || mode == retainMode) {
 		e.finishLoad(version)
 		return
 	}
 	e.loading = true
 	go func() {
-		for mode != retainMode && e.runningStreams() > 0 {
+		for mode != retainMode && e.works() {
 			time.Sleep(loadPollInterval)
 		}
 		e.mu.Lock()
@@ -85,9 +85,20 @@
 	}
 }
 
-// runningStreams returns the number of streams that run.
-func (e *PlatformEngine) runningStreams() int {
+// work records that the engine works on a request; the returned function records the end.
+func (e *PlatformEngine) work() (end func()) {
+	add := func(n int) {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.working += n
+	}
+	add(1)
+	return func() { add(-1) }
+}
+
+// works reports whether the engine works on any request.
+func (e *PlatformEngine) works() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return len(e.running)
+	return e.working > 0
 }
--- a/standin/platform_moves.go
+++ b/standin/platform_moves.go
@@ -15,49 +15,56 @@
 	e.moveTime = d
 }
 
-// move answers POST /kv-move: it stops the run and sends a copy of its memory to the
-// target, unless there is a NoRoomFault. The memory stays here, too.
+// move answers POST /kv-move: it sends a copy of a run's memory to the target, unless there
+// is a NoRoomFault. With "last" it stops the run first; the memory stays here, too.
 func (e *PlatformEngine) move(w http.ResponseWriter, r *http.Request) {
 	var m struct {
 		ID     string `json:"id"`
 		Target string `json:"target"`
 		Last   bool   `json:"last"`
 	}
-	if err := json.NewDecoder(r.Body).Decode(&m); err != nil || !m.Last {
+	if err := json.NewDecoder(r.Body).Decode(&m); err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	handle := "h-" + m.ID
 	e.mu.Lock()
 	stop, running := e.running[m.ID]
-	delete(e.running, m.ID)
 	hasRoom := !e.takeFault(NoRoomFault)
-	isLost := e.takeFault(LostMoveFault)
-	takes := e.moveTime
-	if running {
+	var isLost bool
+	var takes time.Duration
+	if running && m.Last {
+		delete(e.running, m.ID)
 		e.moves++
+		hasRoom = hasRoom && !e.takeFault(LateNoRoomFault)
+		isLost, takes = e.takeFault(LostMoveFault), e.moveTime
 	}
 	e.mu.Unlock()
 	if !running {
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	close(stop)
-	time.Sleep(takes) // the copy goes on whether or not the caller waits
-	handle := "h-" + m.ID
-	status := http.StatusServiceUnavailable
-	if hasRoom {
-		body, _ := json.Marshal(handle)
-		resp, err := http.Post("http://"+m.Target+"/memory", "application/json", bytes.NewReader(body))
-		if err == nil {
-			_ = resp.Body.Close()
-			status = http.StatusOK
-		}
+	if m.Last {
+		close(stop)
+		time.Sleep(takes) // the copy goes on whether or not the caller waits
 	}
+	isCopied := hasRoom && e.sendMemory(m.Target, handle)
+	if !m.Last && !isCopied {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	status := http.StatusOK
 	e.mu.Lock()
-	if status == http.StatusOK {
+	if isCopied {
 		e.movedTo[handle] = m.Target
-		e.keptMemory[e.Address()+"/"+handle] = true
 	} else {
+		status = http.StatusServiceUnavailable
+	}
+	switch {
+	case !m.Last:
+	case isCopied:
+		e.keptMemory[e.Address()+"/"+handle] = true
+	default:
 		e.memoryHandles[e.Address()+"/"+handle] = true
 	}
 	e.mu.Unlock()
@@ -67,6 +74,17 @@
 	platformJSON(w, status, map[string]any{"handle": handle, "created": 0})
 }
 
+// sendMemory sends the memory of a run to another engine, and reports whether it arrived.
+func (e *PlatformEngine) sendMemory(target, handle string) bool {
+	body, _ := json.Marshal(handle)
+	resp, err := http.Post("http://"+target+"/memory", "application/json", bytes.NewReader(body))
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return true
+}
+
 // receiveMemory answers POST /memory: it stores the memory handle of a run
 // that another engine migrates here.
 func (e *PlatformEngine) receiveMemory(_ http.ResponseWriter, r *http.Request) {
@@ -76,8 +94,10 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if !e.memoryHandles[handle] { // a copy that was sent before is brought up to date
+		e.received++
+	}
 	e.memoryHandles[handle] = true
-	e.received++
 }
 
 // freeMemory answers DELETE /kv-handle/ID: it frees the memory here and where it was
--- a/standin/platform_process.go
+++ b/standin/platform_process.go
@@ -34,6 +34,8 @@
 	// others takes.
 	Weights  int64
 	LoadTime time.Duration
+	// MoveTime is how long a move copies memory after the run has stopped.
+	MoveTime time.Duration
 	// Address is the IP:port to listen at, or "" for a free port.
 	Address string
 }
@@ -76,7 +78,7 @@
 	if o.Weights > 0 {
 		e.weights = o.Weights
 	}
-	e.loadTime = o.LoadTime
+	e.loadTime, e.moveTime = o.LoadTime, o.MoveTime
 	e.mu.Unlock()
 	write(processLine{Address: e.Address()})
 	ctx, cancel := context.WithCancel(ctx)
