fix: a stream is stopped to move only once another engine has its memory

Cause: before a load a host had the engine stop a run and copy its memory in one call. Where no engine had room, the memory was left at the source alone; nothing ran there any more, so it loaded, and dropped it. Class: what a host takes away it must be able to give back (cut-by-stops); the order of the load can't be held back for a copy that takes longer than the wait before it. Now the memory is copied while the run goes on (/kv-move without "last"), at most at three engines; without room the run stays, and the load waits for its end. The stop copies what is new. If the stop fails, or its answer is lost, the first copy still serves; a copy that nobody uses is freed. The target is looked at once more before the stop (loads, leaves, silent).

--- a/event/request.go
+++ b/event/request.go
@@ -51,7 +51,7 @@
 	// RelayFailed reports a request that another host did not serve.
 	RelayFailed = Event{2114, "relay failed", "Another host did not serve a request that was passed on to it; if it was not reached or serves none of the service (Outcome NotSent), it gets no more of the service for a second. The request is passed to a second host if it can't have run, or may be repeated."}
 	// RequestMigrated reports the migration of a running request to another engine.
-	RequestMigrated = Event{2108, "run moved", "A running request was to migrate to another engine, since its own engine is to load weights. Stopped is set if it no longer runs there, Arrived if the other engine has its KV cache."}
+	RequestMigrated = Event{2108, "run moved", "A running request was to migrate to another engine, since its own engine is to load weights. Its memory is copied first, while it runs; there is a line for each engine that does not take the copy, and one for the move itself. Stopped is set if it no longer runs there, Arrived if the other engine has all of its KV cache; without that, it has what was copied before."}
 	// MemoryFreed reports memory of a migrated request that nobody will use.
 	MemoryFreed = Event{2117, "memory freed", "A request went on without the memory that was copied for it, or its caller left meanwhile; the host told the engine to free the memory, at both engines. Reason is set if that had no answer."}
 	// CallOverloaded reports a request that is refused because of the queues at the engines.
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -55,6 +55,8 @@
 	wasSilent bool
 	// moving is set once the upstream was asked to stop the request and to move it.
 	moving atomic.Bool
+	// ended is set once the attempt has ended.
+	ended atomic.Bool
 	// place is what the request's progress was told.
 	place *call.Place
 }
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -364,6 +364,7 @@
 
 // endAttempt releases the resources of an attempt.
 func (h *handler) endAttempt(a *attempt) {
+	a.ended.Store(true)
 	a.cancel()
 	h.call.Progress.Leave(a.place)
 	if a.release != nil {
--- a/forward/migrate.go
+++ b/forward/migrate.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"os"
@@ -32,6 +33,9 @@
 	orphanTimeout = 3 * time.Second
 	// freeTimeout bounds the call that frees a copy.
 	freeTimeout = 2 * time.Second
+	// copyTimeout bounds the copies that are made before a request stops. Sound engines fall
+	// silent for a second or so.
+	copyTimeout = 3 * time.Second
 	// idleCheck is how long a check whether an engine is silent takes.
 	idleCheck = time.Millisecond
 	// minMigratedTokens is the answer limit in tokens from which a request is
@@ -45,6 +49,8 @@
 
 // migrator moves running requests between engines.
 type migrator interface {
+	// Copy copies the memory of a call at an engine to another, while the call goes on.
+	Copy(ctx context.Context, address, instance, id, target string) (call.Migration, error)
 	// Move stops a call at an engine and copies its memory to another. After an
 	// error, the call may have been stopped.
 	Move(ctx context.Context, address, instance, id, target string) (call.Migration, error)
@@ -58,8 +64,9 @@
 type migration struct {
 	source  *attempt
 	started clock.Instant
-	// to is the engine that the migration tries; it is set before done closes.
-	to target
+	// to is the engine that has a copy of the memory, copied names that.
+	to     target
+	copied call.Migration
 	// done closes when moved and err are set.
 	done  chan struct{}
 	moved call.Migration
@@ -124,99 +131,156 @@
 	}
 }
 
-// evacuate starts to migrate the stream's request, if it is worth a migration
-// and there is a target.
+// evacuate starts to migrate the stream's request, if it is worth a migration.
 func (s *stream) evacuate() {
 	if s.service.Engine == nil || !s.service.Engine.SupportsMigration || s.call.Prompt.MaxOutput < minMigratedTokens {
 		return
 	}
 	s.lock.Lock()
 	defer s.lock.Unlock()
-	if s.migration != nil || s.attempt == nil || s.migrations >= maxMigrations || !s.Stop().HasTime(migrationTimeout, clock.Now()) {
+	if s.copying || s.migration != nil || s.attempt == nil || s.migrations >= maxMigrations || !s.hasTimeToMove(s.attempt) {
 		return
 	}
-	if !s.route.Resumable && s.timeToBegin(s.attempt.target) < migrationTimeout {
-		return // the stream could not go on if its memory arrived too late
-	}
-	to, ok := s.migrationTarget(s.attempt.target, nil)
-	if !ok {
-		return
-	}
-	s.migrations++
-	m := &migration{source: s.attempt, started: clock.Now(), to: to, done: make(chan struct{}), settled: make(chan struct{})}
-	s.migration = m
-	s.attempt.moving.Store(true)
-	s.Background.Go(func() { s.migrate(m) })
+	s.copying = true
+	source := s.attempt
+	s.Background.Go(func() { s.migrate(source) })
 }
 
-// migrate moves the request, records the result in m, and frees the memory if the stream
-// does not go on with it.
-func (s *stream) migrate(m *migration) {
+// hasTimeToMove reports whether the memory of an attempt can arrive in time. A stream that
+// may not be resumed could not go on if it arrived too late.
+func (s *stream) hasTimeToMove(source *attempt) bool {
+	return s.Stop().HasTime(migrationTimeout, clock.Now()) && (s.route.Resumable || s.timeToBegin(source.target) >= migrationTimeout)
+}
+
+// migrate moves the request. It goes on at its engine until another one has its memory: what
+// has stopped can't be given back if its engine loads meanwhile.
+func (s *stream) migrate(source *attempt) {
 	ctx, cancel := context.WithCancel(context.WithoutCancel(s.ctx))
 	defer cancel()
 	defer context.AfterFunc(s.ctx, func() { time.AfterFunc(orphanTimeout, cancel) })()
 	defer context.AfterFunc(s.Lifetime, cancel)()
-	s.moveSomewhere(ctx, m)
-	if trace.IsNotFound(m.err) {
-		m.source.moving.Store(false) // the engine has said that the run goes on
+	to, copied, ok := s.copySomewhere(ctx, source)
+	if !ok {
+		s.endCopying()
+		return
 	}
-	close(m.done)
-	if m.moved.MemoryHandle == "" {
+	// Requests on their way to an engine count as running there, so that those which leave an
+	// engine together spread.
+	defer s.countArriving(to.id, -1)
+	m, ok := s.beginMove(source, to, copied)
+	if !ok {
+		s.free(source, to, copied)
 		return
 	}
-	select {
-	case <-m.settled:
-	case <-s.ctx.Done():
+	s.move(ctx, m)
+	close(m.done)
+	if m.err == nil {
+		select {
+		case <-m.settled:
+		case <-s.ctx.Done():
+		}
+	}
+	if !s.endMove(m) {
+		s.free(source, to, cmp.Or(m.moved, copied))
 	}
+}
+
+// endCopying ends the copying before a migration.
+func (s *stream) endCopying() {
 	s.lock.Lock()
-	used := m.used
-	s.lock.Unlock()
-	if !used {
-		s.free(m)
+	defer s.lock.Unlock()
+	s.copying = false
+}
+
+// endMove reports whether the stream went on with the memory of a migration that has ended.
+// One whose run went on at its engine may migrate again.
+func (s *stream) endMove(m *migration) (used bool) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	if s.migration == m && m.err != nil {
+		s.migration = nil
 	}
+	return m.used
 }
 
-// moveSomewhere moves the request. While the request goes on at its engine, since the
-// target has no room, it tries another target.
-func (s *stream) moveSomewhere(ctx context.Context, m *migration) {
+// copySomewhere copies the memory of an attempt to an engine that has room for it. The engine
+// counts as one to which the request is on its way.
+func (s *stream) copySomewhere(ctx context.Context, source *attempt) (to target, copied call.Migration, ok bool) {
+	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
+	defer cancel()
 	full := map[string]bool{}
-	for {
-		s.move(ctx, m)
-		if m.err == nil || m.moved.MemoryHandle != "" || s.ctx.Err() != nil || clock.Now().Sub(m.started) >= migrationTimeout {
-			return
+	for len(full) < maxMigrationTargets && !source.ended.Load() && ctx.Err() == nil {
+		if to, ok = s.migrationTarget(source.target, full); !ok {
+			break
 		}
-		full[m.to.id] = true
-		to, ok := s.migrationTarget(m.source.target, full)
-		if !ok || len(full) == maxMigrationTargets {
-			return
+		s.countArriving(to.id, 1)
+		started := clock.Now()
+		var err error
+		if copied, err = s.Migrator.Copy(ctx, source.address, source.id, s.call.ID, to.address); err == nil {
+			return to, copied, true
 		}
-		m.to = to
+		s.countArriving(to.id, -1)
+		event.RequestMigrated.Info("Request", s.call.ID, "From", source.id, "To", to.id, "Stopped", false, "Arrived", false,
+			"Millis", clock.Now().Sub(started).Milliseconds(), "Reason", event.Line(err))
+		full[to.id] = true
+	}
+	return target{}, call.Migration{}, false
+}
+
+// beginMove begins the migration of an attempt whose memory was copied, if it still runs and
+// the other engine takes requests. Another attempt may be in progress beside it.
+func (s *stream) beginMove(source *attempt, to target, copied call.Migration) (m *migration, ok bool) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	s.copying = false
+	replaced := s.attempt != nil && s.attempt != source
+	if replaced || source.ended.Load() || !s.hasTimeToMove(source) || !s.accepts(to) {
+		return nil, false
 	}
+	s.migrations++
+	m = &migration{source: source, started: clock.Now(), to: to, copied: copied, done: make(chan struct{}), settled: make(chan struct{})}
+	s.migration = m
+	source.moving.Store(true)
+	return m, true
+}
+
+// accepts reports whether an engine that has a copy of the memory goes on with the request,
+// as far as is known. Failures of other requests don't matter: the copy has a slot there.
+func (s *stream) accepts(to target) bool {
+	now, state := clock.Now(), s.Tracker.State(to.id)
+	entry, known := s.Replica.State().Upstreams.Entry(to.id)
+	return known && !entry.Leaving && !state.Leaving(now) && !now.Before(state.LoadingUntil) && !s.Liveness.Silent()[to.id]
 }
 
-// move asks the engine once to move the request. Requests on their way to an engine
-// count as running there, so that those which leave an engine together spread.
+// move asks the engine to stop the request and to copy what its copy lacks. If that fails,
+// the copy still has what was sent before.
 func (s *stream) move(ctx context.Context, m *migration) {
-	s.countArriving(m.to.id, 1)
-	defer s.countArriving(m.to.id, -1)
-	started, reason := clock.Now(), ""
+	reason := ""
 	if m.moved, m.err = s.Migrator.Move(ctx, m.source.address, m.source.id, s.call.ID, m.to.address); m.err != nil {
-		reason = m.err.Error()
+		reason = event.Line(m.err)
 	}
 	event.RequestMigrated.Info("Request", s.call.ID, "From", m.source.id, "To", m.to.id, "Stopped", m.moved.MemoryHandle != "", "Arrived", m.moved.Transferred,
-		"Millis", clock.Now().Sub(started).Milliseconds(), "Reason", reason)
+		"Millis", clock.Now().Sub(m.started).Milliseconds(), "Reason", reason)
+	switch {
+	case trace.IsNotFound(m.err):
+		m.source.moving.Store(false) // the engine has said that the run goes on
+	case m.err != nil:
+		m.moved, m.err = m.copied, nil
+	default:
+		m.moved.Transferred = true
+	}
 }
 
 // free frees memory that nobody will use: it takes room and a slot of the other engine.
-func (s *stream) free(m *migration) {
+func (s *stream) free(source *attempt, to target, copied call.Migration) {
 	ctx, cancel := context.WithTimeout(s.Lifetime, freeTimeout)
 	defer cancel()
 	s.Metrics.Counter("memory_freed").Inc(1)
 	reason := ""
-	if err := s.Migrator.Free(ctx, m.source.id, m.moved); err != nil {
+	if err := s.Migrator.Free(ctx, source.id, copied); err != nil {
 		reason = err.Error()
 	}
-	event.MemoryFreed.Info("Request", s.call.ID, "From", m.source.id, "To", m.to.id, "Arrived", m.moved.Transferred, "Reason", reason)
+	event.MemoryFreed.Info("Request", s.call.ID, "From", source.id, "To", to.id, "Arrived", copied.Transferred, "Reason", reason)
 }
 
 // countArriving adds to the requests that are on their way to an engine.
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -27,10 +27,12 @@
 type stream struct {
 	*handler
 
-	// lock guards attempt, migration and migrations. Only the reader sets the
+	// lock guards attempt, copying, migration and migrations. Only the reader sets the
 	// attempt; Evacuate reads it.
 	lock    sync.Mutex
 	attempt *attempt
+	// copying is set while the memory of the request is copied before a migration.
+	copying bool
 	// migration is a migration that has started, or nil; migrations counts
 	// them.
 	migration  *migration
