--- a/storenode/moves_test.go
+++ b/storenode/moves_test.go
@@ -34,6 +34,7 @@
 	}{
 		{"to other engines", standin.NoFault},
 		{"back to an engine whose memory fits no other engine", standin.NoRoomFault},
+		{"to engines that have no room for what is new", standin.LateNoRoomFault},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
