--- a/event/request.go
+++ b/event/request.go
@@ -53,7 +53,7 @@
 	// RequestMigrated reports the migration of a running request to another engine.
 	RequestMigrated = Event{2108, "run moved", "A running request was to migrate to another engine, since its own engine is to load weights. Its memory is copied first, while it runs; there is a line for each engine that does not take the copy, and one for the move itself. Stopped is set if it no longer runs there, Arrived if the other engine has all of its KV cache; without that, it has what was copied before."}
 	// MemoryFreed reports memory of a migrated request that nobody will use.
-	MemoryFreed = Event{2117, "memory freed", "A request went on without the memory that was copied for it, or its caller left meanwhile; the host told the engine to free the memory, at both engines. Reason is set if that had no answer."}
+	MemoryFreed = Event{2117, "memory freed", "A request went on without the memory that was copied for it, ended before it could move, or its caller left meanwhile; the host told the engine to free the memory, at both engines. Reason is set if that had no answer."}
 	// CallOverloaded reports a request that is refused because of the queues at the engines.
 	CallOverloaded = Event{2109, "call overloaded", "The queues at the engines are so long that a request can't be answered before its deadline; it is refused with a time to retry after."}
 	// StaleRequestCancelled reports a request that was queued too long on replaced weights.
--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -325,7 +325,7 @@
 			return written, err
 		}
 		n, err := c.TCPConn.Write(piece)
-		c.endWrite(n, err)
+		c.endWrite(piece[:n], err)
 		if written += n; err != nil || written == len(b) {
 			return written, err
 		}
@@ -344,7 +344,7 @@
 }
 
 // endWrite records that a write has ended.
-func (c *Conn) endWrite(written int, err error) {
+func (c *Conn) endWrite(written []byte, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.writing = time.Time{}
--- a/ingress/ending.go
+++ b/ingress/ending.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"os"
@@ -48,9 +49,12 @@
 	}
 }
 
-// noteWrite records a write.
-func (e *ending) noteWrite(written int, err error) {
-	e.answered = e.answered || written > 0
+// interimPrefix begins the answers that come before the final one.
+var interimPrefix = []byte("HTTP/1.1 1")
+
+// noteWrite records what was written, and why no more.
+func (e *ending) noteWrite(written []byte, err error) {
+	e.answered = e.answered || len(written) > 0 && !bytes.HasPrefix(written, interimPrefix)
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		e.timedOut = true
--- a/storenode/refused_streams_test.go
+++ b/storenode/refused_streams_test.go
@@ -5,7 +5,6 @@
 	"io"
 	"maps"
 	"net/http"
-	"os"
 	"strings"
 	"testing"
 	"time"
@@ -46,12 +45,7 @@
 				}
 			})
 			for i := range 3 {
-				o := standin.PlatformProcessOptions{ID: fmt.Sprint("engine-", i), Service: "models", Zone: "north", Model: "m1", Software: "v1", Events: count, Interval: 500 * time.Millisecond, LoadTime: 400 * time.Millisecond}
-				e, err := standin.StartPlatformProcess(o, os.Args[0], engineArgument)
-				is.NoErr(err)
-				t.Cleanup(e.Kill)
-				d.store.Put("keyed.servers", o.ID, e.Entry())
-				d.engines = append(d.engines, e)
+				d.startEngineWith(i, standin.PlatformProcessOptions{Events: count, Interval: 500 * time.Millisecond, LoadTime: 400 * time.Millisecond})
 			}
 			d.awaitReady(d.host(0))
 			d.watchStalls()
--- a/storenode/silent_engines_test.go
+++ b/storenode/silent_engines_test.go
@@ -178,7 +178,13 @@
 // startEngine starts an engine with a number.
 func (d *silentEngines) startEngine(i, events int, prefill, interval time.Duration) {
 	d.t.Helper()
-	o := standin.PlatformProcessOptions{ID: fmt.Sprint("engine-", i), Service: "models", Zone: "north", Model: "m1", Software: "v1", Events: events, Prefill: prefill, Interval: interval}
+	d.startEngineWith(i, standin.PlatformProcessOptions{Events: events, Prefill: prefill, Interval: interval})
+}
+
+// startEngineWith starts an engine with a number and with further options.
+func (d *silentEngines) startEngineWith(i int, o standin.PlatformProcessOptions) {
+	d.t.Helper()
+	o.ID, o.Service, o.Zone, o.Model, o.Software = fmt.Sprint("engine-", i), "models", "north", "m1", "v1"
 	e, err := standin.StartPlatformProcess(o, os.Args[0], engineArgument)
 	d.is.NoErr(err)
 	d.t.Cleanup(e.Kill)
--- a/storenode/unplaced_moves_test.go
+++ b/storenode/unplaced_moves_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"maps"
-	"os"
 	"testing"
 	"time"
 
@@ -35,15 +34,8 @@
 				}
 			})
 			for i := range engines {
-				o := standin.PlatformProcessOptions{
-					ID: fmt.Sprint("engine-", i), Service: "models", Zone: "north", Model: "m1", Software: "v1", Events: count, Interval: 150 * time.Millisecond,
-					LoadTime: 100 * time.Millisecond, MoveTime: 400 * time.Millisecond, // longer than a host waits with its order
-				}
-				e, err := standin.StartPlatformProcess(o, os.Args[0], engineArgument)
-				is.NoErr(err)
-				t.Cleanup(e.Kill)
-				d.store.Put("keyed.servers", o.ID, e.Entry())
-				d.engines = append(d.engines, e)
+				// A move takes longer than a host waits with its order.
+				d.startEngineWith(i, standin.PlatformProcessOptions{Events: count, Interval: 150 * time.Millisecond, LoadTime: 100 * time.Millisecond, MoveTime: 400 * time.Millisecond})
 			}
 			d.awaitReady(d.host(0))
 			d.watchStalls()
