--- a/storenode/move_copies_test.go
+++ b/storenode/move_copies_test.go
@@ -11,8 +11,9 @@
 	"github.com/kumquathoist/kumquathoist/standin"
 )
 
-// TestRequestsGoOnFromTheirOwnMemory has an engine stop runs whose memory fits no other
-// engine, several times, and send copies of these refusals, which name the memory.
+// TestRequestsGoOnFromTheirOwnMemory has two engines stop runs for each other, several times,
+// when there is no room for the rest of their memory, and send copies of these refusals, which
+// name the memory.
 func TestRequestsGoOnFromTheirOwnMemory(t *testing.T) {
 	is := is.New(t)
 	d := newDeployment(t, 1, 2, 0)
@@ -31,10 +32,12 @@
 	}
 	d.await("all streams are running", func() bool { return len(second.Ran()) == streams })
 	time.Sleep(200 * time.Millisecond) // the first events arrive
-	second.CopyRefusals(standin.RefusalCopies{Count: 1, ControlCalls: true})
-	second.Fail(standin.NoRoomFault, 2*streams*rounds)
-	for range rounds {
-		d.hosts[0].Evacuate(second.ID)
+	for _, e := range d.engines {
+		e.CopyRefusals(standin.RefusalCopies{Count: 1, ControlCalls: true})
+		e.Fail(standin.LateNoRoomFault, 2*streams*rounds)
+	}
+	for i := range rounds {
+		d.hosts[0].Evacuate(d.engines[(i+1)%2].ID)
 		time.Sleep(400 * time.Millisecond) // the streams go on
 	}
 	cut, twice, others := 0, 0, 0
@@ -55,8 +58,9 @@
 			}
 		}
 	}
-	t.Logf("%d runs stopped, %d went on, %d copies", second.Moves(), second.Continued(), second.SentCopies())
-	is.True(second.Continued() > streams) // most stopped several times
+	continued := first.Continued() + second.Continued()
+	t.Logf("%d runs stopped, %d went on, %d copies", first.Moves()+second.Moves(), continued, first.SentCopies()+second.SentCopies())
+	is.True(continued > streams) // most stopped several times
 	is.Equal(others, 0)                   // went on from the memory of others
 	is.Equal(cut, 0)
 	is.Equal(twice, 0)
