--- a/storenode/move_copies_test.go
+++ b/storenode/move_copies_test.go
@@ -61,7 +61,7 @@
 	continued := first.Continued() + second.Continued()
 	t.Logf("%d runs stopped, %d went on, %d copies", first.Moves()+second.Moves(), continued, first.SentCopies()+second.SentCopies())
 	is.True(continued > streams) // most stopped several times
-	is.Equal(others, 0)                   // went on from the memory of others
+	is.Equal(others, 0)          // went on from the memory of others
 	is.Equal(cut, 0)
 	is.Equal(twice, 0)
 }
